--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Every target creates the virtual environment it needs from pinned, hashed
+# requirements; nothing has to be installed by hand besides CPython 3.11.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.stamp-$(shell sha256sum requirements/dev.txt | cut -c1-12)
+export PYTHONPATH := $(CURDIR)/src
+
+.PHONY: test format lint types unit demo bench capacity soak binary clean
+
+$(STAMP):
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --require-hashes -r requirements/dev.txt
+	touch $(STAMP)
+
+test: format lint types unit
+
+format: $(STAMP)
+	$(BIN)/ruff format --check src tests tools
+
+lint: $(STAMP)
+	$(BIN)/ruff check src tests tools
+	$(BIN)/flake8 src tests tools
+
+types: $(STAMP)
+	$(BIN)/mypy
+
+unit: $(STAMP)
+	$(BIN)/python -m pytest
--- /dev/null
+++ b/src/hawthornpier_standin/__init__.py
@@ -0,0 +1,3 @@
+"""
+Stand-ins for the platform, the workers and the callers, for development.
+"""
--- /dev/null
+++ b/tests/virtual_time.py
@@ -0,0 +1,58 @@
+"""
+Runs coroutines on an event loop whose time is virtual.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any, TypeVar
+
+import looptime
+
+_Result = TypeVar('_Result')
+
+
+class VirtualClock:
+    """
+    The `Clock` port over the virtual time of the running loop.
+
+    *offset_ms* shifts the wall clock and *rate* makes both clocks drift.
+    """
+
+    def __init__(self, *, offset_ms: int = 0, rate: float = 1.0) -> None:
+        self._offset_ms = offset_ms
+        self._rate = rate
+
+    def monotonic_ms(self) -> int:
+        """
+        Return the loop's time as this process sees it.
+        """
+        return int(asyncio.get_running_loop().time() * 1000 * self._rate)
+
+    def wall_ms(self) -> int:
+        """
+        Return the monotonic time moved by the offset.
+        """
+        return self.monotonic_ms() + self._offset_ms
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        """
+        Suspend the current task for *duration_ms* of this clock.
+        """
+        await asyncio.sleep(duration_ms / 1000 / self._rate)
+
+
+def run_virtual(coroutine: Coroutine[Any, Any, _Result]) -> _Result:
+    """
+    Run *coroutine* to its end without waiting for real time.
+    """
+    loop = looptime.new_event_loop(start=0)
+    try:
+        return loop.run_until_complete(coroutine)
+    finally:
+        pending = asyncio.all_tasks(loop)
+        for task in pending:
+            task.cancel()
+        loop.run_until_complete(
+            asyncio.gather(*pending, return_exceptions=True),
+        )
+        loop.close()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,3 @@
+"""
+Benches and development tools.
+"""
