--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -45,14 +45,9 @@
     """
     Run *coroutine* to its end without waiting for real time.
     """
-    loop = looptime.new_event_loop(start=0)
-    try:
-        return loop.run_until_complete(coroutine)
-    finally:
-        pending = asyncio.all_tasks(loop)
-        for task in pending:
-            task.cancel()
-        loop.run_until_complete(
-            asyncio.gather(*pending, return_exceptions=True),
-        )
-        loop.close()
+    with asyncio.Runner(loop_factory=_new_loop) as runner:
+        return runner.run(coroutine)
+
+
+def _new_loop() -> asyncio.AbstractEventLoop:
+    return looptime.new_event_loop(start=0, noop_cycles=0)
