--- a/src/hawthornpier/messages/_worker.py
+++ b/src/hawthornpier/messages/_worker.py
@@ -73,6 +73,8 @@
 class FenceReply:
     """
     What a worker holds; *is_accepted* is false below the highest epoch.
+
+    *incarnation* changes when the worker restarts and forgets what it ran.
     """
 
     is_accepted: bool
@@ -80,6 +82,7 @@
     running: tuple[RunningTask, ...] = ()
     outcomes: tuple[TaskOutcome, ...] = ()
     open_requests: tuple[OpenRequest, ...] = ()
+    incarnation: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -152,6 +155,7 @@
     highest_epoch: int
     renewed_run_ids: tuple[str, ...] = ()
     outcomes: tuple[TaskOutcome, ...] = ()
+    incarnation: str = ''
 
 
 class TaskAction(enum.StrEnum):
@@ -232,6 +236,7 @@
     status: EndpointStatus
     body: str = ''
     body_bytes: int = 0
+    incarnation: str = ''
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- /dev/null
+++ b/src/hawthornpier/owner/__init__.py
@@ -0,0 +1,29 @@
+"""
+Owners of shards: admission, requests, jobs and recovery.
+"""
+
+from hawthornpier.owner._errors import (
+    CommitNotAppliedError,
+    CommitUnknownError,
+    OwnerError,
+    ShardClosedError,
+)
+from hawthornpier.owner._interfaces import (
+    AdmissionGate,
+    Committer,
+    ServiceCatalog,
+)
+from hawthornpier.owner._shard_owner import ShardOwner
+from hawthornpier.owner._timing import OwnerTiming
+
+__all__ = [
+    'AdmissionGate',
+    'CommitNotAppliedError',
+    'CommitUnknownError',
+    'Committer',
+    'OwnerError',
+    'OwnerTiming',
+    'ServiceCatalog',
+    'ShardClosedError',
+    'ShardOwner',
+]
--- /dev/null
+++ b/src/hawthornpier/owner/_context.py
@@ -0,0 +1,68 @@
+"""
+What the parts of one shard's owner share.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from hawthornpier.messages import RowPut
+from hawthornpier.owner._errors import OwnerError, ShardClosedError
+from hawthornpier.owner._interfaces import Committer, ServiceCatalog
+from hawthornpier.owner._link import WorkerLink
+from hawthornpier.owner._tasks import TaskGroup
+from hawthornpier.owner._timing import OwnerTiming
+from hawthornpier.policy import SchedulingPolicy
+from hawthornpier.ports import Clock, EventSink
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardContext:
+    """
+    What the parts of one shard's owner share.
+    """
+
+    shard: str
+    epoch: int
+    policy: SchedulingPolicy
+    links: Mapping[str, WorkerLink]
+    committer: Committer
+    catalog: ServiceCatalog
+    clock: Clock
+    timing: OwnerTiming
+    tasks: TaskGroup
+    events: EventSink
+
+    def now_ms(self) -> int:
+        """
+        Return the monotonic time.
+        """
+        return self.clock.monotonic_ms()
+
+    async def commit(
+        self, *puts: RowPut, deletes: tuple[str, ...] = ()
+    ) -> None:
+        """
+        Write rows durably within the usual time.
+
+        Raises:
+            OwnerError: The rows were not written, or that is not known.
+        """
+        await self.committer.commit(
+            puts,
+            deletes,
+            timeout_ms=self.timing.commit_deadline_ms,
+        )
+
+    async def commit_always(self, *puts: RowPut) -> bool:
+        """
+        Write rows, for as long as it takes; False if the shard was lost.
+        """
+        while True:
+            try:
+                await self.commit(*puts)
+            except ShardClosedError:
+                return False
+            except OwnerError:
+                await self.clock.sleep_ms(self.timing.worker_retry_ms)
+                continue
+            return True
--- /dev/null
+++ b/src/hawthornpier/owner/_job_state.py
@@ -0,0 +1,274 @@
+"""
+The jobs and tasks of a shard in its owner's memory.
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass, field, replace
+from types import MappingProxyType
+
+from hawthornpier.messages import (
+    Resources,
+    RowPut,
+    TaskOutcome,
+    TaskResult,
+    TaskState,
+    TaskView,
+)
+from hawthornpier.owner._records import (
+    TASKS_PER_CHUNK,
+    JobRecord,
+    TaskChunk,
+    TaskRecord,
+    chunk_key,
+    put,
+)
+from hawthornpier.policy import TaskDemand
+
+_FINISHED = frozenset(
+    (
+        TaskState.DONE,
+        TaskState.FAILED,
+        TaskState.CANCELLED,
+        TaskState.UNKNOWN,
+    )
+)
+
+_STATE_BY_RESULT: Mapping[TaskResult, TaskState] = MappingProxyType(
+    {
+        TaskResult.DONE: TaskState.DONE,
+        TaskResult.FAILED: TaskState.FAILED,
+        TaskResult.EVICTED: TaskState.EVICTED,
+        TaskResult.STOPPED: TaskState.CANCELLED,
+        TaskResult.LEASE_LAPSED: TaskState.QUEUED,
+    }
+)
+
+
+@dataclass(slots=True)
+class JobEntry:
+    """
+    A job and its tasks.
+    """
+
+    job_record: JobRecord
+    tasks: 'list[TaskEntry]' = field(default_factory=list)
+
+    @property
+    def job_id(self) -> str:
+        """
+        Return the id of the job.
+        """
+        return self.job_record.job_id
+
+    @property
+    def is_cancelled(self) -> bool:
+        """
+        Tell whether the job was cancelled.
+        """
+        return self.job_record.is_cancelled
+
+    @property
+    def is_idempotent(self) -> bool:
+        """
+        Tell whether a task of the job may be run again from its start.
+        """
+        return self.job_record.spec.is_idempotent
+
+
+@dataclass(slots=True)
+class TaskEntry:
+    """
+    One task: its durable record and its run, if it has one.
+
+    *is_queued* tells that the policy has it, so that it is not queued twice.
+    """
+
+    job: JobEntry
+    index: int
+    record: TaskRecord = TaskRecord()
+    worker_id: str = ''
+    run_id: str = ''
+    is_queued: bool = False
+
+    @property
+    def task_id(self) -> str:
+        """
+        Return the id of the task.
+        """
+        return f'{self.job.job_id}.{self.index}'
+
+    @property
+    def is_finished(self) -> bool:
+        """
+        Tell whether the task never runs again.
+        """
+        return self.record.state in _FINISHED
+
+    @property
+    def is_waiting(self) -> bool:
+        """
+        Tell whether the task runs nowhere and has to run.
+        """
+        return not self.run_id and not self.is_finished
+
+    def demand(self) -> TaskDemand:
+        """
+        Return the task as the policy sees it.
+        """
+        spec = self.job.job_record.spec
+        return TaskDemand(
+            task_id=self.task_id,
+            member=spec.member,
+            workload=spec.workload,
+            demand=with_slot(spec.demand),
+            declared_work_ms=spec.declared_work_ms,
+            done_work_ms=self.record.progress_ms,
+            eviction_count=self.record.eviction_count,
+            is_urgent=spec.is_urgent,
+        )
+
+    def view(self) -> TaskView:
+        """
+        Return the task as an operator sees it.
+        """
+        state = self.record.state
+        if self.run_id and not self.is_finished:
+            state = TaskState.RUNNING
+        return TaskView(
+            task_id=self.task_id,
+            state=state,
+            worker_id=self.worker_id,
+            run_id=self.run_id,
+            eviction_count=self.record.eviction_count,
+            detail=self.record.detail,
+        )
+
+    def chunk_put(self, shard: str) -> RowPut:
+        """
+        Return the write of the chunk that holds the task.
+        """
+        first_index = self.index - self.index % TASKS_PER_CHUNK
+        members = self.job.tasks[first_index : first_index + TASKS_PER_CHUNK]
+        chunk = TaskChunk(
+            job_id=self.job.job_id,
+            first_index=first_index,
+            tasks=tuple(member.record for member in members),
+        )
+        return put(chunk_key(shard, self.job.job_id, first_index), chunk)
+
+    def void_intent(self) -> None:
+        """
+        Forget the start intent of a run that did not start.
+        """
+        if self.record.state is TaskState.RUNNING:
+            has_checkpoint = bool(self.record.checkpoint)
+            state = TaskState.EVICTED if has_checkpoint else TaskState.QUEUED
+            self.record = replace(self.record, state=state)
+
+    def is_unrecorded(self, outcome: TaskOutcome) -> bool:
+        """
+        Tell whether neither this end nor a later run is on record.
+        """
+        if not self.record.run_id:
+            return True
+        if self.record.run_id == outcome.run_id:
+            # Only a start intent has the run on record before its end.
+            return self.record.state is TaskState.RUNNING
+        return _run_order(outcome.run_id) > _run_order(self.record.run_id)
+
+    def apply(self, outcome: TaskOutcome, *, max_attempts: int) -> None:
+        """
+        Take the end of a run into the record.
+        """
+        is_failure = outcome.result is TaskResult.FAILED
+        is_eviction = outcome.result is TaskResult.EVICTED
+        attempt_count = self.record.attempt_count + int(is_failure)
+        self.record = replace(
+            self.record,
+            state=self._next_state(outcome, attempt_count >= max_attempts),
+            checkpoint=outcome.checkpoint or self.record.checkpoint,
+            progress_ms=max(self.record.progress_ms, outcome.progress_ms),
+            eviction_count=self.record.eviction_count + int(is_eviction),
+            attempt_count=attempt_count,
+            run_id=outcome.run_id,
+            detail=outcome.detail,
+        )
+
+    def _next_state(self, outcome: TaskOutcome, is_last: bool) -> TaskState:
+        state = _STATE_BY_RESULT[outcome.result]
+        is_idempotent = self.job.is_idempotent
+        if outcome.result is TaskResult.FAILED:
+            is_final = is_last or not is_idempotent
+            state = TaskState.FAILED if is_final else TaskState.QUEUED
+        if outcome.result is TaskResult.LEASE_LAPSED and not is_idempotent:
+            state = TaskState.UNKNOWN
+        if self.job.is_cancelled and state not in _FINISHED:
+            return TaskState.CANCELLED
+        return state
+
+
+class JobTable:
+    """
+    Finds jobs and tasks by their ids.
+    """
+
+    def __init__(self) -> None:
+        self._jobs: dict[str, JobEntry] = {}
+        self._tasks: dict[str, TaskEntry] = {}
+
+    def add(self, job_record: JobRecord) -> JobEntry:
+        """
+        Add a job with all of its tasks queued.
+        """
+        job = JobEntry(job_record)
+        for index in range(job_record.spec.task_count):
+            task = TaskEntry(job, index)
+            job.tasks.append(task)
+            self._tasks[task.task_id] = task
+        self._jobs[job.job_id] = job
+        return job
+
+    def job(self, job_id: str) -> JobEntry | None:
+        """
+        Return the job, or None if the shard has none of this id.
+        """
+        return self._jobs.get(job_id)
+
+    def task(self, task_id: str) -> TaskEntry | None:
+        """
+        Return the task, or None if the shard has none of this id.
+        """
+        return self._tasks.get(task_id)
+
+    def task_of_run(self, task_id: str, run_id: str) -> TaskEntry | None:
+        """
+        Return the task if *run_id* is its current run.
+        """
+        task = self._tasks.get(task_id)
+        if task is None or task.run_id != run_id:
+            return None
+        return task
+
+    def jobs(self) -> Iterator[JobEntry]:
+        """
+        Iterate over all jobs.
+        """
+        return iter(self._jobs.values())
+
+    def tasks(self) -> Iterator[TaskEntry]:
+        """
+        Iterate over the tasks of all jobs.
+        """
+        return iter(self._tasks.values())
+
+
+def with_slot(demand: Resources) -> Resources:
+    """
+    Return *demand* with the slot that every task occupies.
+    """
+    return replace(demand, slot_count=max(1, demand.slot_count))
+
+
+def _run_order(run_id: str) -> tuple[int, int]:
+    epoch, _, counter = run_id.partition('.')
+    return int(epoch), int(counter)
--- /dev/null
+++ b/src/hawthornpier/owner/_jobs.py
@@ -0,0 +1,170 @@
+"""
+The batch jobs of one shard: acceptance, cancellation and recovery.
+"""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from hawthornpier.messages import EventKind, JobSpec, JobView, TaskState
+from hawthornpier.owner._context import ShardContext
+from hawthornpier.owner._job_state import JobEntry, JobTable, TaskEntry
+from hawthornpier.owner._link import WorkerLink
+from hawthornpier.owner._records import (
+    JobRecord,
+    TaskChunk,
+    job_key,
+    put,
+)
+from hawthornpier.owner._runs import TaskRunner
+
+
+class JobBook:
+    """
+    Knows every job of the shard and what each of its tasks is doing.
+    """
+
+    def __init__(self, context: ShardContext) -> None:
+        self._context = context
+        self._table = JobTable()
+        self.runner = TaskRunner(context, self._table)
+
+    def load(
+        self,
+        jobs: Iterable[JobRecord],
+        chunks: Iterable[TaskChunk],
+    ) -> None:
+        """
+        Take over the jobs that earlier owners recorded, without queueing.
+        """
+        for job_record in jobs:
+            self._table.add(job_record)
+        for chunk in chunks:
+            job = self._table.job(chunk.job_id)
+            if job is None:
+                continue
+            for offset, task_record in enumerate(chunk.tasks):
+                job.tasks[chunk.first_index + offset].record = task_record
+
+    async def submit(self, job_id: str, spec: JobSpec) -> JobView:
+        """
+        Accept a job; a repeated *job_id* returns the accepted one.
+
+        Raises:
+            OwnerError: The job was not accepted, or that is not known.
+        """
+        job = self._table.job(job_id)
+        if job is None:
+            job_record = JobRecord(job_id=job_id, spec=spec)
+            row = put(job_key(self._context.shard, job_id), job_record)
+            await self._context.commit(row)
+            # A repeat may have been accepted while this one was written.
+            job = self._table.job(job_id) or self._accept(job_record)
+        return self._view(job)
+
+    async def cancel(self, job_id: str) -> JobView | None:
+        """
+        Cancel a job; its running tasks are stopped.
+
+        Raises:
+            OwnerError: The cancellation was not recorded.
+        """
+        job = self._table.job(job_id)
+        if job is None:
+            return None
+        if not job.is_cancelled:
+            cancelled = replace(job.job_record, is_cancelled=True)
+            row = put(job_key(self._context.shard, job_id), cancelled)
+            await self._context.commit(row)
+            job.job_record = cancelled
+            self._record(EventKind.JOB_CANCELLED, job)
+            for task in job.tasks:
+                self.runner.cancel(task)
+        return self._view(job)
+
+    def view(self, job_id: str) -> JobView | None:
+        """
+        Return what an operator sees of the job, or None without such a job.
+        """
+        job = self._table.job(job_id)
+        return None if job is None else self._view(job)
+
+    def views(self) -> tuple[JobView, ...]:
+        """
+        Return all jobs.
+        """
+        return tuple(self._view(job) for job in self._table.jobs())
+
+    def adopt(self, link: WorkerLink, run_id: str, task_id: str) -> bool:
+        """
+        Take over a run that a worker holds; False if it must be stopped.
+        """
+        task = self._table.task(task_id)
+        if task is None:
+            return False
+        if task.run_id == run_id:
+            return True
+        if task.job.is_cancelled or not task.is_waiting:
+            return False
+        task.is_queued = False
+        task.run_id = run_id
+        task.worker_id = link.worker_id
+        self._context.policy.cancel_task(task_id, self._context.now_ms())
+        self._context.policy.adopt_task(
+            task.demand(),
+            link.worker_id,
+            self._context.now_ms(),
+        )
+        link.adopt(run_id, task_id)
+        self._context.events.record(
+            EventKind.TASK_ADOPTED,
+            shard=self._context.shard,
+            worker_id=link.worker_id,
+            task_id=task_id,
+            detail=run_id,
+        )
+        return True
+
+    def queue_unplaced(self) -> None:
+        """
+        Queue every recovered task that surely runs nowhere.
+        """
+        for task in self._table.tasks():
+            if task.is_waiting:
+                self._queue_recovered(task)
+
+    def _queue_recovered(self, task: TaskEntry) -> None:
+        if task.job.is_cancelled:
+            self.runner.end(task, TaskState.CANCELLED, '')
+        elif task.record.state is TaskState.RUNNING:
+            # The start intent of a task that is not idempotent; no worker
+            # holds the run or its outcome.
+            self.runner.end(task, TaskState.UNKNOWN, 'the run was lost')
+        else:
+            self.runner.queue(task)
+
+    def _accept(self, job_record: JobRecord) -> JobEntry:
+        job = self._table.add(job_record)
+        self._record(EventKind.JOB_ACCEPTED, job)
+        for task in job.tasks:
+            self.runner.queue(task)
+        return job
+
+    def _view(self, job: JobEntry) -> JobView:
+        waiting = next((task for task in job.tasks if task.is_waiting), None)
+        return JobView(
+            job_id=job.job_id,
+            spec=job.job_record.spec,
+            is_cancelled=job.is_cancelled,
+            tasks=tuple(task.view() for task in job.tasks),
+            waits_for=(
+                self._context.policy.explain(waiting.task_id) if waiting else ''
+            ),
+        )
+
+    def _record(self, kind: EventKind, job: JobEntry) -> None:
+        self._context.events.record(
+            kind,
+            shard=self._context.shard,
+            member=job.job_record.spec.member,
+            detail=job.job_id,
+        )
--- /dev/null
+++ b/src/hawthornpier/owner/_link.py
@@ -0,0 +1,409 @@
+"""
+The owner's side of one worker: one task that talks to it.
+"""
+
+import asyncio
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Protocol
+
+from hawthornpier.messages import (
+    EndpointReply,
+    EndpointRequest,
+    Fence,
+    FenceReply,
+    HostRecord,
+    LeaseRenewal,
+    StartBatch,
+    StartVerdict,
+    TaskAction,
+    TaskControl,
+    TaskOutcome,
+    TaskStart,
+    WorkerReport,
+)
+from hawthornpier.owner._timing import OwnerTiming
+from hawthornpier.ports import (
+    Clock,
+    WorkerAnswerLostError,
+    WorkerError,
+    WorkerPort,
+)
+
+# A batch of starts stays well below the size at which one message would
+# delay the lease renewals behind it.
+MAX_STARTS_PER_BATCH = 256
+
+
+class LinkState(enum.StrEnum):
+    """
+    What the owner may do with the worker.
+
+    `FENCING`: it has not confirmed this epoch.  `OPEN`: it takes work.
+    `CLOSED`: it did not answer; its leases run out.  `LOST`: they ran out.
+    """
+
+    FENCING = 'fencing'
+    OPEN = 'open'
+    CLOSED = 'closed'
+    LOST = 'lost'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class LinkRun:
+    """
+    A run that the worker holds or may hold.
+    """
+
+    run_id: str
+    task_id: str
+    sent_ms: int
+
+
+class LinkListener(Protocol):
+    """
+    What a link tells its shard's owner.
+    """
+
+    def on_fenced(self, link: 'WorkerLink', reply: FenceReply) -> None:
+        """
+        The worker confirmed the epoch and told what it holds.
+        """
+        ...
+
+    def on_closed(self, link: 'WorkerLink') -> None:
+        """
+        The worker stopped answering.
+        """
+        ...
+
+    def on_lost(self, link: 'WorkerLink', runs: Iterable[LinkRun]) -> None:
+        """
+        Every lease on the worker has surely lapsed.
+        """
+        ...
+
+    def on_start_refused(
+        self,
+        link: 'WorkerLink',
+        run: LinkRun,
+        verdict: StartVerdict,
+    ) -> None:
+        """
+        The run did not start and never will.
+        """
+        ...
+
+    def on_outcome(self, link: 'WorkerLink', outcome: TaskOutcome) -> None:
+        """
+        A run ended; called once for each run until it is acknowledged.
+        """
+        ...
+
+    def on_missing(self, link: 'WorkerLink', run: LinkRun) -> None:
+        """
+        The worker answers but neither holds the run nor knows its end.
+        """
+        ...
+
+    def on_report(self, link: 'WorkerLink', report: WorkerReport) -> None:
+        """
+        A usage report came in.
+        """
+        ...
+
+    def on_deposed(self, link: 'WorkerLink', highest_epoch: int) -> None:
+        """
+        The worker has seen a higher epoch of this shard.
+        """
+        ...
+
+
+class WorkerLink:
+    """
+    Fences one worker, then starts, renews and ends runs on it.
+
+    All messages but callers' requests go through one task, so that a worker
+    sees the owner's starts and controls in order.
+    """
+
+    def __init__(
+        self,
+        *,
+        host: HostRecord,
+        port: WorkerPort,
+        shard: str,
+        epoch: int,
+        clock: Clock,
+        timing: OwnerTiming,
+        listener: LinkListener,
+    ) -> None:
+        self.host = host
+        self.state = LinkState.FENCING
+        self.incarnation = ''
+        self.runs: dict[str, LinkRun] = {}
+        self._port = port
+        self._shard = shard
+        self._epoch = epoch
+        self._clock = clock
+        self._timing = timing
+        self._listener = listener
+        self._starts: list[TaskStart] = []
+        self._controls: list[TaskControl] = []
+        self._acknowledged: set[str] = set()
+        self._reported_run_ids: set[str] = set()
+        self._wake = asyncio.Event()
+        self._failure_count = 0
+        self._last_renewal_ms = clock.monotonic_ms()
+        self._last_report_ms = 0
+
+    @property
+    def worker_id(self) -> str:
+        """
+        Return the id of the worker.
+        """
+        return self.host.worker_id
+
+    def start(self, start: TaskStart) -> None:
+        """
+        Queue a start; it goes out with the next batch.
+        """
+        self._starts.append(start)
+        self._wake.set()
+
+    def control(self, run_id: str, action: TaskAction) -> None:
+        """
+        Queue an action on a run.
+        """
+        control = TaskControl(
+            shard=self._shard,
+            epoch=self._epoch,
+            run_id=run_id,
+            action=action,
+        )
+        self._controls.append(control)
+        self._wake.set()
+
+    def acknowledge(self, run_id: str) -> None:
+        """
+        Let the worker forget an outcome that is durable now.
+        """
+        self._acknowledged.add(run_id)
+
+    def adopt(self, run_id: str, task_id: str) -> None:
+        """
+        Keep the lease of a run that another owner started.
+        """
+        now_ms = self._clock.monotonic_ms()
+        self.runs[run_id] = LinkRun(
+            run_id=run_id,
+            task_id=task_id,
+            sent_ms=now_ms,
+        )
+
+    async def request(self, request: EndpointRequest) -> EndpointReply:
+        """
+        Send a caller's request to the endpoint on this worker.
+        """
+        return await self._port.request(request)
+
+    async def request_state(self, request_id: str) -> EndpointReply:
+        """
+        Ask the worker what became of a request.
+        """
+        return await self._port.request_state(request_id)
+
+    async def run(self) -> None:
+        """
+        Talk to the worker until cancelled.
+        """
+        while True:
+            if self.state is not LinkState.OPEN:
+                await self._probe()
+                continue
+            try:
+                await self._work_once()
+            except WorkerError:
+                self._note_failure()
+                await self._clock.sleep_ms(self._timing.worker_retry_ms)
+
+    async def _probe(self) -> None:
+        """
+        Present the epoch, which renews no lease, until the worker accepts.
+        """
+        fence = Fence(shard=self._shard, epoch=self._epoch)
+        try:
+            reply = await self._port.fence(fence)
+        except WorkerError:
+            self._check_lost()
+            await self._clock.sleep_ms(self._timing.worker_retry_ms)
+            return
+        if not reply.is_accepted:
+            self._listener.on_deposed(self, reply.highest_epoch)
+            await self._clock.sleep_ms(self._timing.worker_retry_ms)
+            return
+        self.state = LinkState.OPEN
+        self.incarnation = reply.incarnation
+        self._failure_count = 0
+        self._listener.on_fenced(self, reply)
+        held = {running.run_id for running in reply.running}
+        self._reconcile(held, reply.outcomes, self._clock.monotonic_ms())
+
+    async def _work_once(self) -> None:
+        await self._send_starts()
+        await self._send_controls()
+        now_ms = self._clock.monotonic_ms()
+        interval_ms = self._timing.lease_renew_interval_ms
+        if now_ms - self._last_renewal_ms >= interval_ms:
+            await self._renew()
+        if now_ms - self._last_report_ms >= self._timing.report_interval_ms:
+            self._last_report_ms = now_ms
+            self._listener.on_report(self, await self._port.report())
+        await self._wait_for_work()
+
+    async def _wait_for_work(self) -> None:
+        if self._starts or self._controls:
+            return
+        self._wake.clear()
+        due_ms = self._last_renewal_ms + self._timing.lease_renew_interval_ms
+        wait_ms = max(1, due_ms - self._clock.monotonic_ms())
+        sleeper = asyncio.ensure_future(self._clock.sleep_ms(wait_ms))
+        waker = asyncio.ensure_future(self._wake.wait())
+        try:
+            await asyncio.wait(
+                (sleeper, waker),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+        finally:
+            sleeper.cancel()
+            waker.cancel()
+
+    async def _send_starts(self) -> None:
+        while self._starts:
+            starts = tuple(self._starts[:MAX_STARTS_PER_BATCH])
+            self._starts = self._starts[MAX_STARTS_PER_BATCH:]
+            await self._send_batch(starts)
+
+    async def _send_batch(self, starts: tuple[TaskStart, ...]) -> None:
+        now_ms = self._clock.monotonic_ms()
+        runs = [
+            LinkRun(run_id=start.run_id, task_id=start.task_id, sent_ms=now_ms)
+            for start in starts
+        ]
+        self.runs.update((run.run_id, run) for run in runs)
+        batch = StartBatch(shard=self._shard, epoch=self._epoch, starts=starts)
+        try:
+            reply = await self._port.start(batch)
+        except WorkerAnswerLostError:
+            # The runs may have started: the next renewals tell.
+            raise
+        except WorkerError:
+            for run in runs:
+                self._refuse(run, StartVerdict.REFUSED_LEAVING)
+            raise
+        for run, verdict in zip(runs, reply.verdicts, strict=True):
+            if verdict is not StartVerdict.STARTED:
+                self._refuse(run, verdict)
+
+    def _refuse(self, run: LinkRun, verdict: StartVerdict) -> None:
+        self.runs.pop(run.run_id, None)
+        self._listener.on_start_refused(self, run, verdict)
+
+    async def _send_controls(self) -> None:
+        while self._controls:
+            # An action is taken off after it was sent: a lost one is repeated,
+            # since all actions are idempotent.
+            await self._port.control(self._controls[0])
+            self._controls.pop(0)
+
+    async def _renew(self) -> None:
+        sent_ms = self._clock.monotonic_ms()
+        self._last_renewal_ms = sent_ms
+        acknowledged = tuple(self._acknowledged)
+        renewal = LeaseRenewal(
+            shard=self._shard,
+            epoch=self._epoch,
+            lease_ms=self._timing.task_lease_ms,
+            run_ids=tuple(self.runs),
+            acknowledged_run_ids=acknowledged,
+        )
+        reply = await self._port.renew(renewal)
+        self._failure_count = 0
+        if not reply.is_accepted:
+            self.state = LinkState.FENCING
+            self._listener.on_deposed(self, reply.highest_epoch)
+            return
+        self._forget(acknowledged)
+        if reply.incarnation != self.incarnation:
+            # A restarted worker has forgotten the epoch: it must be fenced
+            # again before it takes more work.
+            self.state = LinkState.FENCING
+        self._reconcile(set(reply.renewed_run_ids), reply.outcomes, sent_ms)
+
+    def _forget(self, acknowledged: Iterable[str]) -> None:
+        self._acknowledged.difference_update(acknowledged)
+        self._reported_run_ids.difference_update(acknowledged)
+
+    def _reconcile(
+        self,
+        held_run_ids: set[str],
+        outcomes: tuple[TaskOutcome, ...],
+        asked_ms: int,
+    ) -> None:
+        for outcome in outcomes:
+            self._take_outcome(outcome)
+        # A start that is still on its way must not be declared missing.
+        settled_ms = asked_ms - self._timing.delivery_delay_ms
+        missing = [
+            run
+            for run in self.runs.values()
+            if run.run_id not in held_run_ids and run.sent_ms < settled_ms
+        ]
+        for run in missing:
+            self.runs.pop(run.run_id)
+            self._listener.on_missing(self, run)
+
+    def _take_outcome(self, outcome: TaskOutcome) -> None:
+        self.runs.pop(outcome.run_id, None)
+        if outcome.run_id in self._reported_run_ids:
+            return
+        self._reported_run_ids.add(outcome.run_id)
+        self._listener.on_outcome(self, outcome)
+
+    def _note_failure(self) -> None:
+        self._failure_count += 1
+        if self._failure_count < self._timing.close_after_failures:
+            return
+        # From here on no renewal is sent, so that the leases run out at a
+        # known time; probing goes on by fencing, which renews nothing.
+        self.state = LinkState.CLOSED
+        self._refuse_unsent()
+        self._listener.on_closed(self)
+
+    def _refuse_unsent(self) -> None:
+        unsent = self._starts
+        self._starts = []
+        self._controls.clear()
+        for start in unsent:
+            run = LinkRun(
+                run_id=start.run_id,
+                task_id=start.task_id,
+                sent_ms=self._clock.monotonic_ms(),
+            )
+            self._refuse(run, StartVerdict.REFUSED_LEAVING)
+
+    def _check_lost(self) -> None:
+        if self.state is not LinkState.CLOSED:
+            return
+        silent_ms = self._clock.monotonic_ms() - self._last_granted_ms()
+        if silent_ms <= self._timing.lapse_ms:
+            return
+        self.state = LinkState.LOST
+        runs = tuple(self.runs.values())
+        self.runs.clear()
+        self._listener.on_lost(self, runs)
+
+    def _last_granted_ms(self) -> int:
+        sent = [run.sent_ms for run in self.runs.values()]
+        return max([self._last_renewal_ms, *sent])
--- /dev/null
+++ b/src/hawthornpier/owner/_orders.py
@@ -0,0 +1,390 @@
+"""
+Serves requests that carry an idempotency key: each runs at most once.
+
+The intent is durable before anything is sent to a worker, and the outcome is
+durable before the caller gets it, so that a repeat of the key gets the first
+outcome at any later owner of the shard.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from hawthornpier.messages import (
+    Answer,
+    EndpointReply,
+    EndpointRequest,
+    EndpointStatus,
+    EventKind,
+    ForwardedRequest,
+    NotRun,
+    Outcome,
+    OutcomeKind,
+    Unknown,
+)
+from hawthornpier.owner._context import ShardContext
+from hawthornpier.owner._dispatch import Dispatcher
+from hawthornpier.owner._errors import (
+    OwnerError,
+    ShardClosedError,
+)
+from hawthornpier.owner._link import LinkState, WorkerLink
+from hawthornpier.owner._records import IntentRecord, intent_key, put
+from hawthornpier.owner._requests import is_whole
+from hawthornpier.owner._settle import did_not_run, settle
+from hawthornpier.policy import RequestResult, ShedRequest
+from hawthornpier.ports import (
+    WorkerAnswerLostError,
+    WorkerUnreachableError,
+)
+
+_ASK_AGAIN = 'send the same request again with the same Idempotency-Key'
+
+
+@dataclass(slots=True, kw_only=True)
+class _Order:
+    """
+    A key that this owner knows, with the future that repeats wait on.
+    """
+
+    intent: IntentRecord
+    outcome: asyncio.Future[Outcome] = field(
+        default_factory=lambda: asyncio.get_running_loop().create_future(),
+    )
+
+
+class OrderServer:
+    """
+    Runs each idempotency key at most once and remembers its outcome.
+    """
+
+    def __init__(
+        self,
+        context: ShardContext,
+        dispatcher: Dispatcher,
+    ) -> None:
+        self._context = context
+        self._dispatcher = dispatcher
+        self._orders: dict[str, _Order] = {}
+
+    def load(self, intents: Iterable[IntentRecord]) -> None:
+        """
+        Take over the intents and outcomes that earlier owners recorded.
+        """
+        for intent in intents:
+            order = _Order(intent=intent)
+            self._orders[intent.idempotency_key] = order
+            if intent.outcome_kind:
+                order.outcome.set_result(_recorded_outcome(intent))
+            else:
+                self._context.tasks.spawn(self._resolve(order))
+
+    async def serve(self, request: ForwardedRequest) -> Outcome:
+        """
+        Return the outcome of the key, running the request if it is new.
+        """
+        order = self._orders.get(request.idempotency_key)
+        if order is None:
+            order = self._begin(request)
+        try:
+            outcome = await asyncio.wait_for(
+                asyncio.shield(order.outcome),
+                request.remaining_ms / 1000,
+            )
+        except TimeoutError:
+            return Unknown(
+                request_id=request.request_id,
+                reason='no outcome is known yet',
+                ask_again=_ASK_AGAIN,
+            )
+        return replace(outcome, request_id=request.request_id)
+
+    @property
+    def unsettled_count(self) -> int:
+        """
+        Return the number of keys whose outcome is not known yet.
+        """
+        return sum(not order.outcome.done() for order in self._orders.values())
+
+    def _begin(self, request: ForwardedRequest) -> _Order:
+        order = _Order(
+            intent=IntentRecord(
+                idempotency_key=request.idempotency_key,
+                request_id=f'{request.request_id}.{self._context.epoch}',
+                service=request.service,
+                worker_id='',
+                worker_incarnation='',
+                epoch=self._context.epoch,
+                created_wall_ms=self._context.clock.wall_ms(),
+            ),
+        )
+        self._orders[request.idempotency_key] = order
+        # The order outlives its caller: a caller that goes away must not
+        # leave it half done.
+        self._context.tasks.spawn(self._run(order, request))
+        return order
+
+    async def _run(self, order: _Order, request: ForwardedRequest) -> None:
+        deadline_ms = self._context.now_ms() + request.remaining_ms
+        placed = await self._dispatcher.place(
+            request_id=order.intent.request_id,
+            member=request.member,
+            service=request.service,
+            demand=self._context.catalog.demand(request.service),
+            deadline_ms=deadline_ms,
+        )
+        if isinstance(placed, ShedRequest):
+            self._not_run(order, placed.reason.value, placed.retry_after_ms)
+            return
+        order.intent = replace(
+            order.intent,
+            worker_id=placed.worker_id,
+            worker_incarnation=self._context.links[
+                placed.worker_id
+            ].incarnation,
+        )
+        if not await self._record_intent(order, deadline_ms):
+            self._release(order, RequestResult.REFUSED, 0)
+            return
+        await self._send(order, request, deadline_ms)
+
+    async def _record_intent(self, order: _Order, deadline_ms: int) -> bool:
+        """
+        Make the intent durable; False means that nothing will be sent.
+        """
+        timeout_ms = max(1, deadline_ms - self._context.now_ms())
+        key = intent_key(self._context.shard, order.intent.idempotency_key)
+        try:
+            await self._context.committer.commit(
+                (put(key, order.intent),),
+                timeout_ms=min(
+                    timeout_ms, self._context.timing.commit_deadline_ms
+                ),
+            )
+        except ShardClosedError:
+            self._not_run(order, 'shard_moved')
+            return False
+        except OwnerError:
+            # Even if the intent was recorded, nothing is ever sent for it.
+            self._not_run(order, 'store_unavailable')
+            return False
+        self._context.events.record(
+            EventKind.INTENT_RECORDED,
+            shard=self._context.shard,
+            worker_id=order.intent.worker_id,
+            request_id=order.intent.request_id,
+        )
+        return True
+
+    async def _send(
+        self,
+        order: _Order,
+        request: ForwardedRequest,
+        deadline_ms: int,
+    ) -> None:
+        link = self._context.links[order.intent.worker_id]
+        sent_ms = self._context.now_ms()
+        message = EndpointRequest(
+            request_id=order.intent.request_id,
+            service=request.service,
+            shard=self._context.shard,
+            epoch=self._context.epoch,
+            demand=self._context.catalog.demand(request.service),
+            deadline_ms=max(1, deadline_ms - sent_ms),
+            body=request.body,
+            idempotency_key=request.idempotency_key,
+        )
+        reply: EndpointReply | None
+        try:
+            reply = await link.request(message)
+        except WorkerUnreachableError:
+            self._release(order, RequestResult.LOST, sent_ms)
+            await self._withdraw(order, 'worker_unreachable')
+            return
+        except WorkerAnswerLostError:
+            reply = None
+        if reply is None or not self._is_final(order, reply):
+            reply = await self._settle(order, link, sent_ms)
+        self._release(order, _request_result(reply), sent_ms)
+        if reply is None:
+            await self._resolve(order)
+            return
+        await self._finish(order, reply)
+
+    def _is_final(self, order: _Order, reply: EndpointReply) -> bool:
+        if did_not_run(reply.status) or reply.status is EndpointStatus.FAILED:
+            return True
+        return reply.status is EndpointStatus.ANSWERED and is_whole(
+            reply,
+            order.intent.request_id,
+        )
+
+    async def _settle(
+        self,
+        order: _Order,
+        link: WorkerLink,
+        sent_ms: int,
+    ) -> EndpointReply | None:
+        return await settle(
+            link,
+            request_id=order.intent.request_id,
+            incarnation=order.intent.worker_incarnation,
+            sent_ms=sent_ms,
+            clock=self._context.clock,
+            timing=self._context.timing,
+        )
+
+    async def _resolve(self, order: _Order) -> None:
+        """
+        Find the outcome of an intent that was sent or may have been sent.
+
+        It stays unknown for as long as its worker is away, and for good if
+        the worker has forgotten it: the request is never run again.
+        """
+        reply = None
+        while reply is None:
+            link = await self._open_link(order.intent.worker_id)
+            if link.incarnation != order.intent.worker_incarnation:
+                await self._forgotten(order)
+                return
+            # The worker has confirmed this epoch, so a request of an earlier
+            # owner that is still on its way will be refused.
+            now_ms = self._context.now_ms()
+            reply = await self._settle(order, link, now_ms)
+        self._context.events.record(
+            EventKind.INTENT_RESOLVED,
+            shard=self._context.shard,
+            worker_id=order.intent.worker_id,
+            request_id=order.intent.request_id,
+            detail=reply.status.value,
+        )
+        await self._finish(order, reply)
+
+    async def _open_link(self, worker_id: str) -> WorkerLink:
+        while True:
+            link = self._context.links.get(worker_id)
+            if link is not None and link.state is LinkState.OPEN:
+                return link
+            await self._context.clock.sleep_ms(
+                self._context.timing.settle_interval_ms
+            )
+
+    async def _forgotten(self, order: _Order) -> None:
+        await self._record_outcome(
+            order,
+            Unknown(
+                request_id=order.intent.request_id,
+                reason='worker_restarted',
+                ask_again='the request may have run; it is not run again',
+            ),
+        )
+
+    async def _finish(self, order: _Order, reply: EndpointReply) -> None:
+        if did_not_run(reply.status):
+            await self._withdraw(order, reply.status.value)
+            return
+        if reply.status is EndpointStatus.ANSWERED:
+            outcome: Outcome = Answer(
+                request_id=reply.request_id,
+                body=reply.body,
+            )
+        else:
+            outcome = Unknown(
+                request_id=reply.request_id,
+                reason='endpoint_failed',
+                ask_again='the request ran and failed; it is not run again',
+            )
+        await self._record_outcome(order, outcome)
+
+    async def _record_outcome(self, order: _Order, outcome: Outcome) -> None:
+        """
+        Make the outcome durable, then give it to all that wait for it.
+        """
+        order.intent = _with_outcome(order.intent, outcome)
+        key = intent_key(self._context.shard, order.intent.idempotency_key)
+        if not await self._context.commit_always(put(key, order.intent)):
+            # The next owner learns the outcome from the worker.
+            self._orders.pop(order.intent.idempotency_key, None)
+            return
+        _set_outcome(order, outcome)
+
+    async def _withdraw(self, order: _Order, reason: str) -> None:
+        """
+        Delete the intent of a request that did not run.
+        """
+        key = intent_key(self._context.shard, order.intent.idempotency_key)
+        # If this fails, the intent stays, and whoever reads it learns from the
+        # worker that the request never ran.
+        with contextlib.suppress(OwnerError):
+            await self._context.commit(deletes=(key,))
+        self._not_run(order, reason)
+
+    def _not_run(
+        self,
+        order: _Order,
+        reason: str,
+        retry_after_ms: int = 0,
+    ) -> None:
+        # The key is free again: a repeat is a new attempt.
+        self._orders.pop(order.intent.idempotency_key, None)
+        _set_outcome(
+            order,
+            NotRun(
+                request_id=order.intent.request_id,
+                reason=reason,
+                retry_after_ms=retry_after_ms,
+            ),
+        )
+
+    def _release(
+        self,
+        order: _Order,
+        outcome: RequestResult,
+        sent_ms: int,
+    ) -> None:
+        duration_ms = self._context.now_ms() - sent_ms if sent_ms else 0
+        self._dispatcher.release(
+            order.intent.request_id,
+            outcome,
+            duration_ms,
+        )
+
+
+def _set_outcome(order: _Order, outcome: Outcome) -> None:
+    if not order.outcome.done():
+        order.outcome.set_result(outcome)
+
+
+def _request_result(reply: EndpointReply | None) -> RequestResult:
+    if reply is None:
+        return RequestResult.LOST
+    if did_not_run(reply.status):
+        return RequestResult.REFUSED
+    if reply.status is EndpointStatus.ANSWERED:
+        return RequestResult.ANSWERED
+    return RequestResult.FAILED
+
+
+def _with_outcome(intent: IntentRecord, outcome: Outcome) -> IntentRecord:
+    if isinstance(outcome, Answer):
+        return replace(
+            intent,
+            outcome_kind=OutcomeKind.ANSWER,
+            body=outcome.body,
+        )
+    return replace(
+        intent,
+        outcome_kind=OutcomeKind.UNKNOWN,
+        reason=outcome.reason,
+    )
+
+
+def _recorded_outcome(intent: IntentRecord) -> Outcome:
+    if intent.outcome_kind == OutcomeKind.ANSWER:
+        return Answer(request_id=intent.request_id, body=intent.body)
+    return Unknown(
+        request_id=intent.request_id,
+        reason=intent.reason,
+        ask_again='it is not run again; ask the member that runs the service',
+    )
--- /dev/null
+++ b/src/hawthornpier/owner/_requests.py
@@ -0,0 +1,211 @@
+"""
+Serves idempotent requests on the workers of a shard.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from hawthornpier.messages import (
+    Answer,
+    EndpointReply,
+    EndpointRequest,
+    EndpointStatus,
+    ForwardedRequest,
+    NotRun,
+    Outcome,
+    Unknown,
+)
+from hawthornpier.owner._context import ShardContext
+from hawthornpier.owner._dispatch import Dispatcher
+from hawthornpier.owner._link import WorkerLink
+from hawthornpier.owner._settle import did_not_run, settle
+from hawthornpier.policy import RequestResult, ShedReason, ShedRequest
+from hawthornpier.ports import (
+    WorkerAnswerLostError,
+    WorkerUnreachableError,
+)
+
+# A retry is worth sending only if the endpoint has this long to answer.
+MIN_REMAINING_MS = 5
+MAX_ATTEMPTS = 3
+
+_SHED_REASONS = frozenset(reason.value for reason in ShedReason)
+
+_RESULT_BY_STATUS: Mapping[EndpointStatus, RequestResult] = MappingProxyType(
+    {
+        EndpointStatus.ANSWERED: RequestResult.ANSWERED,
+        EndpointStatus.FAILED: RequestResult.FAILED,
+        EndpointStatus.RUNNING: RequestResult.LOST,
+        EndpointStatus.NEVER_SEEN: RequestResult.REFUSED,
+        EndpointStatus.REFUSED_EPOCH: RequestResult.REFUSED,
+        EndpointStatus.REFUSED_CAPACITY: RequestResult.REFUSED,
+        EndpointStatus.LEAVING: RequestResult.REFUSED,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """
+    One try of a request on one worker; *attempt_id* is unique.
+    """
+
+    attempt_id: str
+    deadline_ms: int
+    sent_ms: int
+
+
+def is_whole(reply: EndpointReply, attempt_id: str) -> bool:
+    """
+    Tell whether *reply* is the complete reply to this very attempt.
+    """
+    return (
+        reply.request_id == attempt_id
+        and len(reply.body.encode()) == reply.body_bytes
+    )
+
+
+class RequestServer:
+    """
+    Places a request on a worker and returns one of the three outcomes.
+    """
+
+    def __init__(
+        self,
+        context: ShardContext,
+        dispatcher: Dispatcher,
+    ) -> None:
+        self._context = context
+        self._dispatcher = dispatcher
+        self._attempt_count = 0
+
+    async def serve(self, request: ForwardedRequest) -> Outcome:
+        """
+        Serve an idempotent request, on another worker if one fails it.
+        """
+        deadline_ms = self._context.now_ms() + request.remaining_ms
+        outcome: Outcome = _not_run(request, 'deadline')
+        is_unknown = False
+        for _ in range(MAX_ATTEMPTS):
+            if self._remaining_ms(deadline_ms) < MIN_REMAINING_MS:
+                break
+            outcome = await self._attempt(request, deadline_ms)
+            is_unknown = is_unknown or isinstance(outcome, Unknown)
+            if _is_final(outcome):
+                break
+        if is_unknown and not isinstance(outcome, Answer):
+            return Unknown(
+                request_id=request.request_id,
+                reason='the endpoint failed or did not answer in time',
+                ask_again='send the same request again; it is idempotent',
+            )
+        return outcome
+
+    def _remaining_ms(self, deadline_ms: int) -> int:
+        return deadline_ms - self._context.now_ms()
+
+    async def _attempt(
+        self,
+        request: ForwardedRequest,
+        deadline_ms: int,
+    ) -> Outcome:
+        self._attempt_count += 1
+        attempt_id = (
+            f'{request.request_id}.{self._context.epoch}.{self._attempt_count}'
+        )
+        placed = await self._dispatcher.place(
+            request_id=attempt_id,
+            member=request.member,
+            service=request.service,
+            demand=self._context.catalog.demand(request.service),
+            deadline_ms=deadline_ms,
+        )
+        if isinstance(placed, ShedRequest):
+            return NotRun(
+                request_id=request.request_id,
+                reason=placed.reason.value,
+                retry_after_ms=placed.retry_after_ms,
+            )
+        attempt = Attempt(
+            attempt_id=attempt_id,
+            deadline_ms=deadline_ms,
+            sent_ms=self._context.now_ms(),
+        )
+        return await self._send(request, attempt, placed.worker_id)
+
+    async def _send(
+        self,
+        request: ForwardedRequest,
+        attempt: Attempt,
+        worker_id: str,
+    ) -> Outcome:
+        link = self._context.links[worker_id]
+        message = EndpointRequest(
+            request_id=attempt.attempt_id,
+            service=request.service,
+            shard=self._context.shard,
+            epoch=self._context.epoch,
+            demand=self._context.catalog.demand(request.service),
+            deadline_ms=max(1, self._remaining_ms(attempt.deadline_ms)),
+            body=request.body,
+        )
+        try:
+            reply = await link.request(message)
+        except WorkerUnreachableError:
+            self._release(attempt, RequestResult.LOST)
+            return _not_run(request, 'worker_unreachable')
+        except (WorkerAnswerLostError, asyncio.CancelledError) as error:
+            # The endpoint may still be at it, so its slot stays charged.
+            self._context.tasks.spawn(self._settle(link, attempt))
+            if isinstance(error, asyncio.CancelledError):
+                raise
+            return _unknown(request)
+        return self._finish(request, attempt, reply)
+
+    def _finish(
+        self,
+        request: ForwardedRequest,
+        attempt: Attempt,
+        reply: EndpointReply,
+    ) -> Outcome:
+        self._release(attempt, _RESULT_BY_STATUS[reply.status])
+        if did_not_run(reply.status):
+            return _not_run(request, reply.status.value)
+        is_answered = reply.status is EndpointStatus.ANSWERED
+        if is_answered and is_whole(reply, attempt.attempt_id):
+            return Answer(request_id=request.request_id, body=reply.body)
+        return _unknown(request)
+
+    async def _settle(self, link: WorkerLink, attempt: Attempt) -> None:
+        await settle(
+            link,
+            request_id=attempt.attempt_id,
+            incarnation=link.incarnation,
+            sent_ms=attempt.sent_ms,
+            clock=self._context.clock,
+            timing=self._context.timing,
+        )
+        self._release(attempt, RequestResult.LOST)
+
+    def _release(self, attempt: Attempt, outcome: RequestResult) -> None:
+        duration_ms = self._context.now_ms() - attempt.sent_ms
+        self._dispatcher.release(attempt.attempt_id, outcome, duration_ms)
+
+
+def _unknown(request: ForwardedRequest) -> Unknown:
+    return Unknown(request_id=request.request_id, reason='no_whole_answer')
+
+
+def _not_run(request: ForwardedRequest, reason: str) -> NotRun:
+    return NotRun(request_id=request.request_id, reason=reason)
+
+
+def _is_final(outcome: Outcome) -> bool:
+    """
+    Tell whether trying another worker of the shard would not help.
+    """
+    if isinstance(outcome, NotRun):
+        return outcome.reason in _SHED_REASONS
+    return isinstance(outcome, Answer)
--- /dev/null
+++ b/src/hawthornpier/owner/_runs.py
@@ -0,0 +1,298 @@
+"""
+Runs of batch tasks: starts, ends, and what follows from them.
+"""
+
+from dataclasses import replace
+
+from hawthornpier.messages import (
+    EventKind,
+    TaskAction,
+    TaskOutcome,
+    TaskResult,
+    TaskStart,
+    TaskState,
+)
+from hawthornpier.owner._context import ShardContext
+from hawthornpier.owner._errors import OwnerError
+from hawthornpier.owner._job_state import JobTable, TaskEntry, with_slot
+from hawthornpier.owner._link import LinkRun, WorkerLink
+from hawthornpier.policy import (
+    EvictTask,
+    PlaceTask,
+    RejectTask,
+    ThrottleTask,
+)
+
+
+class TaskRunner:
+    """
+    Starts runs where the policy says and records how they end.
+    """
+
+    def __init__(self, context: ShardContext, table: JobTable) -> None:
+        self._context = context
+        self._table = table
+        self._run_count = 0
+        self._is_closed = False
+
+    def close(self) -> None:
+        """
+        Start nothing more; running tasks go on under their leases.
+        """
+        self._is_closed = True
+
+    # What the policy decides.
+
+    def place(self, decision: PlaceTask) -> None:
+        """
+        Start a task on the worker that the policy chose.
+        """
+        task = self._known(decision.task_id)
+        task.is_queued = False
+        self._run_count += 1
+        task.run_id = f'{self._context.epoch}.{self._run_count}'
+        task.worker_id = decision.worker_id
+        if self._is_closed:
+            self._requeue(task, TaskResult.STOPPED)
+        elif task.job.is_idempotent:
+            self._start(task)
+        else:
+            self._context.tasks.spawn(self._start_once(task))
+
+    def throttle(self, decision: ThrottleTask) -> None:
+        """
+        Throttle a running task or let it run at full speed.
+        """
+        action = (
+            TaskAction.THROTTLE if decision.is_throttled else TaskAction.RESUME
+        )
+        task = self._known(decision.task_id)
+        self.control(task, action)
+        self._record(EventKind.TASK_THROTTLED, task, action.value)
+
+    def evict(self, decision: EvictTask) -> None:
+        """
+        Ask the worker to checkpoint and end a run.
+        """
+        task = self._known(decision.task_id)
+        self.control(task, TaskAction.EVICT)
+        self._record(EventKind.TASK_EVICTED, task, decision.reason)
+
+    def reject(self, decision: RejectTask) -> None:
+        """
+        Record that a task can never run.
+        """
+        task = self._known(decision.task_id)
+        self.end(task, TaskState.FAILED, decision.reason)
+
+    # What the links report.
+
+    def refused(self, run: LinkRun) -> None:
+        """
+        Queue a task again whose start did not happen.
+        """
+        task = self._table.task_of_run(run.task_id, run.run_id)
+        if task is not None:
+            self._requeue(task, TaskResult.STOPPED)
+
+    def missing(self, run: LinkRun) -> None:
+        """
+        Handle a run that ended without an outcome.
+        """
+        task = self._table.task_of_run(run.task_id, run.run_id)
+        if task is None:
+            return
+        if task.job.is_idempotent:
+            self._requeue(task, TaskResult.LEASE_LAPSED)
+        else:
+            self.end(task, TaskState.UNKNOWN, 'the worker lost the run')
+
+    def ended(self, link: WorkerLink, outcome: TaskOutcome) -> None:
+        """
+        Record the end of a run, then let the worker forget it.
+        """
+        task = self._table.task_of_run(outcome.task_id, outcome.run_id)
+        if task is None:
+            task = self._claim(link, outcome)
+        if task is None:
+            # The end is on record, or the task has ended in another way.
+            link.acknowledge(outcome.run_id)
+            return
+        self._record(
+            EventKind.TASK_ENDED,
+            task,
+            f'{outcome.run_id} {outcome.result.value}',
+        )
+        self._context.policy.end_task(
+            task.task_id,
+            outcome.result,
+            self._context.now_ms(),
+        )
+        task.apply(
+            outcome,
+            max_attempts=self._context.timing.max_task_attempts,
+        )
+        self._context.tasks.spawn(self._save_end(task, link, outcome.run_id))
+
+    # What else happens to a task.
+
+    def queue(self, task: TaskEntry) -> None:
+        """
+        Let the policy place the task.
+        """
+        if task.is_queued:
+            return
+        task.is_queued = True
+        self._context.policy.add_task(task.demand(), self._context.now_ms())
+
+    def cancel(self, task: TaskEntry) -> None:
+        """
+        End the task of a cancelled job.
+        """
+        if task.is_finished:
+            return
+        if task.run_id:
+            self.control(task, TaskAction.STOP)
+        else:
+            self.end(task, TaskState.CANCELLED, '')
+
+    def end(self, task: TaskEntry, state: TaskState, detail: str) -> None:
+        """
+        End a task that runs nowhere.
+        """
+        now_ms = self._context.now_ms()
+        if task.run_id:
+            self._context.policy.end_task(
+                task.task_id,
+                TaskResult.STOPPED,
+                now_ms,
+            )
+        self._context.policy.cancel_task(task.task_id, now_ms)
+        task.is_queued = False
+        task.run_id = ''
+        task.record = replace(task.record, state=state, detail=detail)
+        row = task.chunk_put(self._context.shard)
+        self._context.tasks.spawn(self._context.commit_always(row))
+
+    def control(self, task: TaskEntry, action: TaskAction) -> None:
+        """
+        Have the task's worker carry out *action* on its run.
+        """
+        link = self._context.links.get(task.worker_id)
+        if link is not None and task.run_id:
+            link.control(task.run_id, action)
+
+    def _known(self, task_id: str) -> TaskEntry:
+        task = self._table.task(task_id)
+        if task is None:
+            raise KeyError(f'the policy decided on unknown task {task_id}')
+        return task
+
+    def _claim(
+        self,
+        link: WorkerLink,
+        outcome: TaskOutcome,
+    ) -> TaskEntry | None:
+        """
+        Take over the end of a run that an earlier owner started.
+        """
+        task = self._table.task(outcome.task_id)
+        if task is None or not task.is_waiting:
+            return None
+        if not task.is_unrecorded(outcome):
+            return None
+        self._context.policy.cancel_task(task.task_id, self._context.now_ms())
+        task.is_queued = False
+        task.run_id = outcome.run_id
+        task.worker_id = link.worker_id
+        return task
+
+    async def _save_end(
+        self,
+        task: TaskEntry,
+        link: WorkerLink,
+        run_id: str,
+    ) -> None:
+        """
+        Make a task's record durable, then queue it again if it goes on.
+        """
+        row = task.chunk_put(self._context.shard)
+        if not await self._context.commit_always(row):
+            return
+        link.acknowledge(run_id)
+        task.run_id = ''
+        task.worker_id = ''
+        if not task.is_finished:
+            self._go_on(task)
+
+    def _go_on(self, task: TaskEntry) -> None:
+        if task.job.is_cancelled:
+            self.end(task, TaskState.CANCELLED, '')
+        else:
+            self.queue(task)
+
+    def _requeue(self, task: TaskEntry, how: TaskResult) -> None:
+        self._context.policy.end_task(
+            task.task_id,
+            how,
+            self._context.now_ms(),
+        )
+        task.run_id = ''
+        task.worker_id = ''
+        task.void_intent()
+        self._context.tasks.spawn(self._queue_later(task))
+
+    async def _queue_later(self, task: TaskEntry) -> None:
+        # A worker that refuses must not be asked again at once.
+        await self._context.clock.sleep_ms(
+            self._context.timing.settle_interval_ms,
+        )
+        if task.is_waiting:
+            self._go_on(task)
+
+    async def _start_once(self, task: TaskEntry) -> None:
+        """
+        Start a task that is not idempotent: the intent is durable first.
+        """
+        task.record = replace(
+            task.record,
+            state=TaskState.RUNNING,
+            run_id=task.run_id,
+            worker_id=task.worker_id,
+        )
+        try:
+            await self._context.commit(task.chunk_put(self._context.shard))
+        except OwnerError:
+            # Nothing was sent, whether or not the intent was recorded.
+            self._requeue(task, TaskResult.STOPPED)
+            return
+        if task.job.is_cancelled:
+            self._requeue(task, TaskResult.STOPPED)
+            return
+        self._start(task)
+
+    def _start(self, task: TaskEntry) -> None:
+        spec = task.job.job_record.spec
+        self._context.links[task.worker_id].start(
+            TaskStart(
+                run_id=task.run_id,
+                task_id=task.task_id,
+                member=spec.member,
+                workload=spec.workload,
+                demand=with_slot(spec.demand),
+                lease_ms=self._context.timing.task_lease_ms,
+                work_ms=spec.work_ms or spec.declared_work_ms,
+                checkpoint=task.record.checkpoint,
+            ),
+        )
+        self._record(EventKind.TASK_STARTED, task, task.run_id)
+
+    def _record(self, kind: EventKind, task: TaskEntry, detail: str) -> None:
+        self._context.events.record(
+            kind,
+            shard=self._context.shard,
+            worker_id=task.worker_id,
+            task_id=task.task_id,
+            member=task.job.job_record.spec.member,
+            detail=detail,
+        )
--- /dev/null
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -0,0 +1,495 @@
+"""
+The owner of one shard: the only authority that admits work to its workers.
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import replace
+
+from hawthornpier.messages import (
+    EventKind,
+    FenceReply,
+    ForwardedRequest,
+    HostRecord,
+    HostState,
+    JobSpec,
+    JobView,
+    Outcome,
+    ShardLoad,
+    StartVerdict,
+    TaskAction,
+    TaskOutcome,
+    TaskResult,
+    WorkerReport,
+)
+from hawthornpier.owner._context import ShardContext
+from hawthornpier.owner._dispatch import Dispatcher, TaskDecision
+from hawthornpier.owner._errors import OwnerError, ShardClosedError
+from hawthornpier.owner._interfaces import (
+    AdmissionGate,
+    Committer,
+    ServiceCatalog,
+)
+from hawthornpier.owner._jobs import JobBook
+from hawthornpier.owner._link import LinkRun, LinkState, WorkerLink
+from hawthornpier.owner._orders import OrderServer
+from hawthornpier.owner._records import WorkerSet, put, worker_set_key
+from hawthornpier.owner._recovery import load_records
+from hawthornpier.owner._requests import RequestServer
+from hawthornpier.owner._settle import settle
+from hawthornpier.owner._tasks import TaskGroup
+from hawthornpier.owner._timing import OwnerTiming
+from hawthornpier.policy import (
+    EvictTask,
+    PlaceTask,
+    RejectTask,
+    SchedulingPolicy,
+    ShedReason,
+    ShedRequest,
+    TaskDemand,
+    ThrottleTask,
+    WorkerInfo,
+)
+from hawthornpier.ports import Clock, EventSink, TableStore, WorkerPort
+
+# Requests of the earlier owner that a worker still serves are charged under
+# this prefix, since their own ids belong to that owner.
+_ADOPTED_PREFIX = 'adopted-request:'
+
+
+class ShardOwner:
+    """
+    Admits requests and tasks to the workers of one shard.
+
+    One task for each worker talks to it; the decisions are the policy's.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: str,
+        epoch: int,
+        policy: SchedulingPolicy,
+        committer: Committer,
+        store: TableStore,
+        connect: Callable[[HostRecord], WorkerPort],
+        catalog: ServiceCatalog,
+        gate: AdmissionGate,
+        clock: Clock,
+        timing: OwnerTiming,
+        events: EventSink,
+    ) -> None:
+        self.shard = shard
+        self.epoch = epoch
+        self._policy = policy
+        self._committer = committer
+        self._store = store
+        self._connect = connect
+        self._catalog = catalog
+        self._gate = gate
+        self._clock = clock
+        self._timing = timing
+        self._events = events
+        self._links: dict[str, WorkerLink] = {}
+        self._tasks = TaskGroup()
+        self._is_open = False
+        self._is_recovered = False
+        self._gained_ms = clock.monotonic_ms()
+        self._unfenced: set[str] = set()
+        self._known_workers: set[str] = set()
+        self._open_count = 0
+        context = ShardContext(
+            shard=shard,
+            epoch=epoch,
+            policy=policy,
+            links=self._links,
+            committer=committer,
+            catalog=catalog,
+            clock=clock,
+            timing=timing,
+            tasks=self._tasks,
+            events=events,
+        )
+        self.jobs = JobBook(context)
+        runner = self.jobs.runner
+        self._task_handlers: Mapping[type, Callable[..., None]] = {
+            PlaceTask: runner.place,
+            ThrottleTask: runner.throttle,
+            EvictTask: runner.evict,
+            RejectTask: runner.reject,
+        }
+        self._dispatcher = Dispatcher(
+            policy=policy,
+            clock=clock,
+            on_task_decision=self._on_task_decision,
+        )
+        self._requests = RequestServer(context, self._dispatcher)
+        self._orders = OrderServer(context, self._dispatcher)
+
+    # Life cycle.
+
+    async def open(
+        self,
+        hosts: Iterable[HostRecord],
+        *,
+        wait_until_ms: int = 0,
+    ) -> None:
+        """
+        Load what is durable, then fence the workers and serve.
+
+        Args:
+            hosts: The workers of the shard.
+            wait_until_ms: Monotonic time before which nothing may start,
+                because workers without guards may still serve the old owner.
+        """
+        records = await load_records(
+            self.shard,
+            store=self._store,
+            clock=self._clock,
+        )
+        remaining_ms = wait_until_ms - self._clock.monotonic_ms()
+        if remaining_ms > 0:
+            await self._clock.sleep_ms(remaining_ms)
+        self._gained_ms = self._clock.monotonic_ms()
+        self.jobs.load(records.jobs, records.chunks)
+        self._known_workers = set(records.workers.worker_ids)
+        self._unfenced = set(records.workers.worker_ids)
+        self._policy.set_limits(self._catalog.limits())
+        self._orders.load(records.intents)
+        self._is_open = True
+        await self.set_hosts(hosts)
+        self._tasks.spawn(self._tick())
+
+    async def set_hosts(self, hosts: Iterable[HostRecord]) -> None:
+        """
+        Follow the host list: new workers are fenced, leaving ones closed.
+        """
+        if not self._is_open:
+            return
+        listed = {host.worker_id: host for host in hosts}
+        for host in listed.values():
+            await self._follow(host)
+        for worker_id, link in self._links.items():
+            if worker_id not in listed:
+                self._close_worker(link, 'not listed')
+
+    def refresh_limits(self) -> None:
+        """
+        Take over the table's weights and limits in force.
+        """
+        self._policy.set_limits(self._catalog.limits())
+
+    async def drain(self) -> None:
+        """
+        Refuse new work and wait until all requests in flight have ended.
+        """
+        self._is_open = False
+        self.jobs.runner.close()
+        self._dispatcher.shed_all(_moved)
+        while self._open_count:
+            await self._clock.sleep_ms(self._timing.tick_interval_ms)
+
+    async def close(self) -> None:
+        """
+        Stop at once, because the shard is handed over or was lost.
+        """
+        self._is_open = False
+        self.jobs.runner.close()
+        self._dispatcher.shed_all(_moved)
+        await self._tasks.cancel()
+
+    # Work.
+
+    async def serve(self, request: ForwardedRequest) -> Outcome:
+        """
+        Serve a caller's request; every result is one of the three outcomes.
+
+        Raises:
+            ShardClosedError: Nothing was done: the shard takes no work here.
+        """
+        self._check_open()
+        self._open_count += 1
+        try:
+            if request.idempotency_key:
+                return await self._orders.serve(request)
+            return await self._requests.serve(request)
+        finally:
+            self._open_count -= 1
+
+    async def submit_job(self, job_id: str, spec: JobSpec) -> JobView:
+        """
+        Accept a job durably.
+
+        Raises:
+            OwnerError: The job was not accepted, or that is not known.
+        """
+        self._check_open()
+        view = await self.jobs.submit(job_id, spec)
+        self._dispatcher.pump()
+        return view
+
+    async def cancel_job(self, job_id: str) -> JobView | None:
+        """
+        Cancel a job durably; None if the shard has no such job.
+
+        Raises:
+            OwnerError: The cancellation was not recorded.
+        """
+        if not self._is_open:
+            raise ShardClosedError('shard_moved')
+        view = await self.jobs.cancel(job_id)
+        self._dispatcher.pump()
+        return view
+
+    def load(self) -> ShardLoad:
+        """
+        Return how loaded the shard is.
+        """
+        request_count, task_count = self._policy.queued_counts()
+        open_links = [
+            link
+            for link in self._links.values()
+            if link.state is LinkState.OPEN
+        ]
+        return ShardLoad(
+            shard=self.shard,
+            epoch=self.epoch,
+            free_slot_count=self._policy.free().slot_count,
+            slot_count=sum(
+                link.host.capacity.slot_count for link in open_links
+            ),
+            queued_request_count=request_count,
+            queued_task_count=task_count,
+        )
+
+    @property
+    def is_open(self) -> bool:
+        """
+        Tell whether the shard takes work.
+        """
+        return self._is_open
+
+    # What the links report.
+
+    def on_fenced(self, link: WorkerLink, reply: FenceReply) -> None:
+        """
+        Charge what the worker holds, then let the policy use it.
+        """
+        self._unfenced.discard(link.worker_id)
+        now_ms = self._clock.monotonic_ms()
+        self._policy.add_worker(_worker_info(link.host), now_ms)
+        for running in reply.running:
+            if not self.jobs.adopt(link, running.run_id, running.task_id):
+                link.control(running.run_id, TaskAction.STOP)
+        for open_request in reply.open_requests:
+            self._adopt_request(
+                link,
+                open_request.request_id,
+                TaskDemand(
+                    task_id=_ADOPTED_PREFIX + open_request.request_id,
+                    member='',
+                    workload='',
+                    demand=replace(open_request.demand, slot_count=1),
+                    declared_work_ms=0,
+                ),
+            )
+        self._record(EventKind.WORKER_JOINED, link)
+        self._dispatcher.pump()
+
+    def on_closed(self, link: WorkerLink) -> None:
+        """
+        Place nothing more on a worker that does not answer.
+        """
+        self._close_worker(link, 'no answer')
+
+    def on_lost(self, link: WorkerLink, runs: Iterable[LinkRun]) -> None:
+        """
+        Queue the tasks of a worker again whose leases have lapsed.
+        """
+        self._unfenced.discard(link.worker_id)
+        for run in runs:
+            self.jobs.runner.missing(run)
+        self._policy.remove_worker(link.worker_id, self._clock.monotonic_ms())
+        self._record(EventKind.WORKER_LOST, link)
+        self._dispatcher.pump()
+
+    def on_start_refused(
+        self,
+        link: WorkerLink,
+        run: LinkRun,
+        verdict: StartVerdict,
+    ) -> None:
+        """
+        Queue the task again, and stop using a leaving worker.
+        """
+        if verdict is StartVerdict.REFUSED_LEAVING:
+            self._close_worker(link, 'leaving')
+        self.jobs.runner.refused(run)
+
+    def on_outcome(self, link: WorkerLink, outcome: TaskOutcome) -> None:
+        """
+        Record how a run ended.
+        """
+        self.jobs.runner.ended(link, outcome)
+        self._dispatcher.pump()
+
+    def on_missing(self, link: WorkerLink, run: LinkRun) -> None:
+        """
+        Handle a run that the worker does not know.
+        """
+        self.jobs.runner.missing(run)
+
+    def on_report(self, link: WorkerLink, report: WorkerReport) -> None:
+        """
+        Pass a usage report to the policy.
+        """
+        if report.is_leaving:
+            self._close_worker(link, 'leaving')
+        self._policy.observe(report, self._clock.monotonic_ms())
+        self._dispatcher.pump()
+
+    def on_deposed(self, link: WorkerLink, highest_epoch: int) -> None:
+        """
+        Stop using a worker that serves a later owner.
+        """
+        self._close_worker(link, f'epoch {highest_epoch} is in force')
+
+    # Internals.
+
+    def _check_open(self) -> None:
+        if not self._is_open:
+            raise ShardClosedError('the shard has moved')
+        if not self._gate.may_admit():
+            raise ShardClosedError('the table version is not confirmed')
+
+    async def _follow(self, host: HostRecord) -> None:
+        link = self._links.get(host.worker_id)
+        if host.state is HostState.LEAVING:
+            if link is not None:
+                self._close_worker(link, 'leaving')
+            return
+        if link is None:
+            await self._add_link(host)
+
+    async def _add_link(self, host: HostRecord) -> None:
+        if not await self._remember_worker(host.worker_id):
+            return
+        if host.worker_id in self._links:
+            return
+        link = WorkerLink(
+            host=host,
+            port=self._connect(host),
+            shard=self.shard,
+            epoch=self.epoch,
+            clock=self._clock,
+            timing=self._timing,
+            listener=self,
+        )
+        self._links[host.worker_id] = link
+        self._tasks.spawn(link.run())
+
+    async def _remember_worker(self, worker_id: str) -> bool:
+        """
+        Record the worker before its first start, so that a later owner knows
+        whom to fence; False if that is not possible now.
+        """
+        if worker_id in self._known_workers:
+            return True
+        worker_ids = {*self._known_workers, worker_id}
+        row = put(
+            worker_set_key(self.shard),
+            WorkerSet(worker_ids=tuple(sorted(worker_ids))),
+        )
+        try:
+            await self._committer.commit(
+                (row,),
+                timeout_ms=self._timing.commit_deadline_ms,
+            )
+        except OwnerError:
+            return False
+        self._known_workers.add(worker_id)
+        return True
+
+    def _close_worker(self, link: WorkerLink, reason: str) -> None:
+        now_ms = self._clock.monotonic_ms()
+        self._policy.close_worker(link.worker_id, now_ms)
+        self._record(EventKind.WORKER_LEAVING, link, reason)
+
+    def _adopt_request(
+        self,
+        link: WorkerLink,
+        request_id: str,
+        demand: TaskDemand,
+    ) -> None:
+        now_ms = self._clock.monotonic_ms()
+        self._policy.adopt_task(demand, link.worker_id, now_ms)
+        self._tasks.spawn(self._release_adopted(link, request_id, demand))
+
+    async def _release_adopted(
+        self,
+        link: WorkerLink,
+        request_id: str,
+        demand: TaskDemand,
+    ) -> None:
+        await settle(
+            link,
+            request_id=request_id,
+            incarnation=link.incarnation,
+            sent_ms=self._clock.monotonic_ms(),
+            clock=self._clock,
+            timing=self._timing,
+        )
+        now_ms = self._clock.monotonic_ms()
+        self._policy.end_task(demand.task_id, TaskResult.STOPPED, now_ms)
+        self._dispatcher.pump()
+
+    def _on_task_decision(self, decision: TaskDecision) -> None:
+        self._task_handlers[type(decision)](decision)
+
+    async def _tick(self) -> None:
+        """
+        Pump regularly, so that deadlines pass without other events.
+        """
+        while True:
+            self._recover_unplaced()
+            self._dispatcher.pump()
+            await self._clock.sleep_ms(self._timing.tick_interval_ms)
+
+    def _recover_unplaced(self) -> None:
+        """
+        Queue recovered tasks once no worker can hold a run unseen.
+        """
+        if self._is_recovered:
+            return
+        age_ms = self._clock.monotonic_ms() - self._gained_ms
+        if self._unfenced and age_ms <= self._timing.lapse_ms:
+            return
+        self._is_recovered = True
+        self.jobs.queue_unplaced()
+        self._events.record(EventKind.SHARD_RECOVERED, shard=self.shard)
+
+    def _record(
+        self,
+        kind: EventKind,
+        link: WorkerLink,
+        detail: str = '',
+    ) -> None:
+        self._events.record(
+            kind,
+            shard=self.shard,
+            worker_id=link.worker_id,
+            detail=detail,
+        )
+
+
+def _worker_info(host: HostRecord) -> WorkerInfo:
+    return WorkerInfo(
+        worker_id=host.worker_id,
+        region=host.region,
+        failure_domain=host.failure_domain,
+        rack=host.rack,
+        capacity=host.capacity,
+    )
+
+
+def _moved(request_id: str) -> ShedRequest:
+    return ShedRequest(request_id=request_id, reason=ShedReason.NO_WORKER)
--- /dev/null
+++ b/src/hawthornpier/owner/_tasks.py
@@ -0,0 +1,49 @@
+"""
+Background tasks of one owner.
+"""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+
+class TaskGroup:
+    """
+    Keeps references to background tasks and cancels them together.
+
+    `asyncio.TaskGroup` cancels all of its tasks when one fails; here a failed
+    task is reported to the loop and the others go on.
+    """
+
+    def __init__(self) -> None:
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """
+        Run *coroutine* in the background.
+        """
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    async def cancel(self) -> None:
+        """
+        Cancel every task and wait until all have ended.
+        """
+        tasks = tuple(self._tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def _finish(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        asyncio.get_running_loop().call_exception_handler(
+            {
+                'message': 'a background task failed',
+                'exception': task.exception(),
+                'task': task,
+            }
+        )
--- /dev/null
+++ b/src/hawthornpier/owner/_timing.py
@@ -0,0 +1,35 @@
+"""
+Timing of a shard's owner.
+"""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerTiming:
+    """
+    Intervals and limits of one owner.
+
+    *delivery_delay_ms* is the longest time that a message can be on its way;
+    *clock_error_ms* bounds how far two clocks drift over one lease.
+    """
+
+    task_lease_ms: int = 15_000
+    lease_renew_interval_ms: int = 500
+    report_interval_ms: int = 1_000
+    tick_interval_ms: int = 20
+    worker_retry_ms: int = 500
+    delivery_delay_ms: int = 2_000
+    clock_error_ms: int = 250
+    settle_interval_ms: int = 200
+    order_deadline_ms: int = 10_000
+    commit_deadline_ms: int = 2_000
+    max_task_attempts: int = 3
+    close_after_failures: int = 2
+
+    @property
+    def lapse_ms(self) -> int:
+        """
+        Return how long after the last renewal a run has surely ended.
+        """
+        return self.task_lease_ms + self.clock_error_ms + self.delivery_delay_ms
