--- /dev/null
+++ b/src/hawthornpier_standin/platform/_store.py
@@ -0,0 +1,182 @@
+"""
+The table service, the object store and the host list, held in memory.
+"""
+
+import dataclasses
+from collections import OrderedDict
+
+from sortedcontainers import SortedDict
+
+from hawthornpier.messages import (
+    ABSENT_VERSION,
+    HostListing,
+    Row,
+    RowCheck,
+    Transaction,
+    TransactionResult,
+)
+from hawthornpier.ports import (
+    Clock,
+    StoreAnswerLostError,
+    StoreUnavailableError,
+)
+from hawthornpier_standin.platform._faults import StoreFaults
+from hawthornpier_standin.platform._hosts import HostLog
+
+# Covers two minutes of 500 transactions per second, which is longer than any
+# writer repeats a transaction.
+_KEPT_RESULT_COUNT = 60_000
+
+
+class MemoryStore:
+    """
+    The ports `TableStore`, `ObjectStore` and `HostList` over plain memory.
+
+    Row versions come from one counter for the whole store. A row that is
+    deleted and created again therefore never gets a version that an earlier
+    row of the same key had.
+
+    Args:
+        clock: Time source of the delays and of the host list.
+        kept_result_count: Number of transactions whose results are kept for
+            repeated transaction ids; the oldest is dropped first.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        kept_result_count: int = _KEPT_RESULT_COUNT,
+    ) -> None:
+        self.hosts = HostLog(now_ms=clock.monotonic_ms)
+        self._clock = clock
+        self._kept_result_count = kept_result_count
+        self._faults = StoreFaults()
+        self._last_version = ABSENT_VERSION
+        self._rows: SortedDict = SortedDict()
+        self._objects: dict[str, bytes] = {}
+        self._results: OrderedDict[str, TransactionResult] = OrderedDict()
+
+    @property
+    def faults(self) -> StoreFaults:
+        """
+        The faults in force; the count of lost answers falls as they occur.
+        """
+        return self._faults
+
+    def apply_faults(self, faults: StoreFaults) -> None:
+        """
+        Replace the faults in force.
+        """
+        self._faults = faults
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """
+        Apply *transaction* atomically if all of its checks hold.
+
+        Raises:
+            StoreUnavailableError: The store is out and applied nothing.
+            StoreAnswerLostError: The transaction took effect or conflicted,
+                and the answer is lost.
+        """
+        await self._enter()
+        outcome = self._results.get(transaction.transaction_id)
+        if outcome is None:
+            outcome = self._apply(transaction)
+            self._keep(transaction.transaction_id, outcome)
+        if self._faults.lost_answer_count:
+            self._faults = dataclasses.replace(
+                self._faults,
+                lost_answer_count=self._faults.lost_answer_count - 1,
+            )
+            raise StoreAnswerLostError('the answer was lost on purpose')
+        return outcome
+
+    async def read(self, key: str) -> Row | None:
+        """
+        Return the row *key*, or None if there is none.
+        """
+        await self._enter()
+        return self._row(key)
+
+    async def scan(self, prefix: str) -> tuple[Row, ...]:
+        """
+        Return all rows whose key starts with *prefix*, ordered by key.
+        """
+        await self._enter()
+        rows: list[Row] = []
+        for key in self._rows.irange(minimum=prefix):
+            if not key.startswith(prefix):
+                break
+            rows.append(self._rows[key])
+        return tuple(rows)
+
+    async def put(self, name: str, content: bytes) -> None:
+        """
+        Store *content* under *name*, replacing what was there.
+        """
+        await self._enter()
+        self._objects[name] = content
+
+    async def get(self, name: str) -> bytes | None:
+        """
+        Return the object *name*, or None if there is none.
+        """
+        await self._enter()
+        return self._objects.get(name)
+
+    async def listing(self) -> HostListing:
+        """
+        Return the host list as it was before the lag in force.
+        """
+        await self._enter()
+        return self.hosts.listing(self._faults.host_list_lag_ms)
+
+    async def _enter(self) -> None:
+        self._refuse_if_out()
+        if self._faults.added_delay_ms:
+            await self._clock.sleep_ms(self._faults.added_delay_ms)
+            # An outage that began during the delay stops the call as well.
+            self._refuse_if_out()
+
+    def _refuse_if_out(self) -> None:
+        if self._faults.is_out:
+            raise StoreUnavailableError('the store is out on purpose')
+
+    def _row(self, key: str) -> Row | None:
+        row: Row | None = self._rows.get(key)
+        return row
+
+    def _holds(self, check: RowCheck) -> bool:
+        row = self._row(check.key)
+        version = row.version if row else ABSENT_VERSION
+        return check.version == version
+
+    def _apply(self, transaction: Transaction) -> TransactionResult:
+        failed = [
+            self._row(check.key)
+            for check in transaction.checks
+            if not self._holds(check)
+        ]
+        if failed:
+            return TransactionResult(
+                is_committed=False,
+                rows=tuple(row for row in failed if row),
+            )
+        written = tuple(
+            self._write(put.key, put.text) for put in transaction.puts
+        )
+        for key in transaction.deletes:
+            self._rows.pop(key, None)
+        return TransactionResult(is_committed=True, rows=written)
+
+    def _write(self, key: str, text: str) -> Row:
+        self._last_version += 1
+        row = Row(key=key, version=self._last_version, text=text)
+        self._rows[key] = row
+        return row
+
+    def _keep(self, transaction_id: str, outcome: TransactionResult) -> None:
+        self._results[transaction_id] = outcome
+        while len(self._results) > self._kept_result_count:
+            self._results.popitem(last=False)
--- /dev/null
+++ b/src/hawthornpier_standin/workers/__init__.py
@@ -0,0 +1,21 @@
+"""
+In-memory stand-ins for the platform's workers.
+"""
+
+from hawthornpier_standin.workers._contention import Contention
+from hawthornpier_standin.workers._journal import Recorder
+from hawthornpier_standin.workers._model import (
+    ServiceTime,
+    WorkerFaults,
+    WorkerModel,
+)
+from hawthornpier_standin.workers._worker import MemoryWorker
+
+__all__ = [
+    'Contention',
+    'MemoryWorker',
+    'Recorder',
+    'ServiceTime',
+    'WorkerFaults',
+    'WorkerModel',
+]
--- /dev/null
+++ b/src/hawthornpier_standin/workers/_contention.py
@@ -0,0 +1,86 @@
+"""
+Speed of work that shares a worker.
+"""
+
+import dataclasses
+from collections.abc import Iterable
+
+import xxhash
+
+from hawthornpier.messages import Resources
+from hawthornpier_standin.workers._model import WorkerModel
+
+# Real usage relative to the declared demand lies in this range.
+_LEAST_USAGE = 0.4
+_MOST_USAGE = 1.6
+_HASH_RANGE = 2**64
+
+
+class Contention:
+    """
+    The hidden truth about which workloads disturb each other.
+
+    The scheduler sees it only through reports and latencies.
+    """
+
+    def __init__(self, *, model: WorkerModel, capacity: Resources) -> None:
+        self._model = model
+        self._capacity_millis = max(capacity.processor_millis, 1)
+        self._coefficients: dict[tuple[str, str], float] = {}
+        self._usage_factors: dict[str, float] = {}
+
+    def coefficient(self, service: str, workload: str) -> float:
+        """
+        Return the slowdown between a service and a batch workload that
+        occupies the whole worker.
+        """
+        pair = (service, workload)
+        if pair not in self._coefficients:
+            drawn = self._draw('pair', service, workload)
+            share = self._model.noisy_share
+            self._coefficients[pair] = (
+                self._model.noisy_coefficient
+                if drawn < share
+                else self._model.quiet_coefficient * drawn
+            )
+        return self._coefficients[pair]
+
+    def usage(self, name: str, demand: Resources) -> Resources:
+        """
+        Return what a service or workload *name* uses of its *demand*.
+        """
+        if name not in self._usage_factors:
+            spread = _MOST_USAGE - _LEAST_USAGE
+            self._usage_factors[name] = _LEAST_USAGE + spread * self._draw(
+                'usage',
+                name,
+            )
+        factor = self._usage_factors[name]
+        return dataclasses.replace(
+            demand,
+            processor_millis=int(demand.processor_millis * factor),
+            memory_bytes=int(demand.memory_bytes * min(factor, 1)),
+        )
+
+    def share(self, usage: Resources) -> float:
+        """
+        Return the share of the worker's processors in *usage*.
+        """
+        return usage.processor_millis / self._capacity_millis
+
+    def speed(self, load: float, disturbances: Iterable[float]) -> float:
+        """
+        Return the speed of work relative to an idle worker.
+
+        Args:
+            load: Share of the processors in use; may exceed 1.
+            disturbances: For each disturbing workload, its coefficient times
+                its share of the worker.
+        """
+        penalty = self._model.load_penalty * load * load
+        overload = max(load, 1.0)
+        return 1 / (overload + penalty + sum(disturbances))
+
+    def _draw(self, *parts: str) -> float:
+        text = '\0'.join((str(self._model.seed), *parts))
+        return xxhash.xxh3_64_intdigest(text.encode()) / _HASH_RANGE
--- /dev/null
+++ b/src/hawthornpier_standin/workers/_engine.py
@@ -0,0 +1,160 @@
+"""
+What a worker does with each message that reaches it.
+"""
+
+import asyncio
+import dataclasses
+
+from hawthornpier.messages import (
+    EndpointReply,
+    EndpointRequest,
+    EndpointStatus,
+    Fence,
+    FenceReply,
+    LeaseRenewal,
+    LeaseReply,
+    StartBatch,
+    StartBatchReply,
+    StartVerdict,
+    TaskControl,
+    TaskControlReply,
+    WorkerReport,
+)
+from hawthornpier_standin.workers._executions import ExecutionTable, reply_to
+from hawthornpier_standin.workers._reports import ReportLog
+from hawthornpier_standin.workers._runs import RunTable
+from hawthornpier_standin.workers._state import WorkerState
+
+
+class WorkerEngine:
+    """
+    Applies messages to the state of one worker, fenced by epoch.
+
+    Args:
+        state: State of the worker.
+        seed: Determines the drawn service times.
+    """
+
+    def __init__(self, state: WorkerState, *, seed: int) -> None:
+        self._state = state
+        self._epochs: dict[str, int] = {}
+        self._runs = RunTable(state)
+        self._executions = ExecutionTable(state, seed=seed)
+        self._reports = ReportLog(state, self._executions)
+
+    def refresh(self) -> None:
+        """
+        End lapsed runs; precedes every message, since timers may be late.
+        """
+        self._runs.expire()
+
+    def note(self) -> None:
+        """
+        Remember the state for later reports.
+        """
+        self._reports.note()
+
+    def lose_all(self) -> None:
+        """
+        Lose all work, as the worker dies.
+        """
+        self._runs.lose_all()
+        self._executions.lose_all()
+
+    async def fence(self, fence: Fence) -> FenceReply:
+        """
+        Show an epoch and return everything that is held.
+        """
+        is_accepted = self._admits_epoch(fence.shard, fence.epoch)
+        return FenceReply(
+            is_accepted=is_accepted,
+            highest_epoch=self._epochs[fence.shard],
+            running=tuple(run.view() for run in self._state.runs.values()),
+            outcomes=self._runs.outcomes(),
+            open_requests=tuple(
+                execution.view()
+                for execution in self._state.executions.values()
+            ),
+        )
+
+    async def start(self, batch: StartBatch) -> StartBatchReply:
+        """
+        Start the runs of a batch.
+        """
+        is_admitted = self._admits_epoch(batch.shard, batch.epoch)
+        verdicts: list[StartVerdict] = []
+        for start in batch.starts:
+            # A repeated start reports the first one, whatever its epoch is.
+            if is_admitted or self._runs.is_known(start.run_id):
+                verdicts.append(self._runs.start(start))
+            else:
+                verdicts.append(StartVerdict.REFUSED_EPOCH)
+        return StartBatchReply(verdicts=tuple(verdicts))
+
+    async def renew(self, renewal: LeaseRenewal) -> LeaseReply:
+        """
+        Extend leases and drop acknowledged outcomes.
+        """
+        if not self._admits_epoch(renewal.shard, renewal.epoch):
+            return LeaseReply(
+                is_accepted=False,
+                highest_epoch=self._epochs[renewal.shard],
+            )
+        self._runs.acknowledge(renewal.acknowledged_run_ids)
+        return LeaseReply(
+            is_accepted=True,
+            highest_epoch=self._epochs[renewal.shard],
+            renewed_run_ids=self._runs.renew(renewal),
+            outcomes=self._runs.outcomes(),
+        )
+
+    async def control(self, control: TaskControl) -> TaskControlReply:
+        """
+        Apply one action to one run.
+        """
+        if not self._admits_epoch(control.shard, control.epoch):
+            return TaskControlReply(
+                is_accepted=False,
+                detail=f'the epoch {control.epoch} is fenced',
+            )
+        return await self._runs.control(control)
+
+    async def request(self, request: EndpointRequest) -> EndpointReply:
+        """
+        Run a request once and return its reply when it ends.
+        """
+        execution = self._executions.find(request)
+        if execution is None:
+            refusal = self._refusal(request)
+            if refusal is not None:
+                return reply_to(request.request_id, refusal)
+            execution = self._executions.start(request)
+            self._reports.note()
+        reply = await asyncio.shield(execution.reply)
+        return dataclasses.replace(reply, request_id=request.request_id)
+
+    async def request_state(self, request_id: str) -> EndpointReply:
+        """
+        Return what became of a request.
+        """
+        return self._executions.state_of(request_id)
+
+    async def report(self, _: None) -> WorkerReport:
+        """
+        Return the usage report, which lags.
+        """
+        return self._reports.report()
+
+    def _admits_epoch(self, shard: str, epoch: int) -> bool:
+        highest = max(self._epochs.get(shard, epoch), epoch)
+        self._epochs[shard] = highest
+        return epoch == highest or not self._state.has_guards
+
+    def _refusal(self, request: EndpointRequest) -> EndpointStatus | None:
+        if not self._admits_epoch(request.shard, request.epoch):
+            return EndpointStatus.REFUSED_EPOCH
+        if self._state.faults.is_leaving:
+            return EndpointStatus.LEAVING
+        if not self._state.admits(request.demand):
+            return EndpointStatus.REFUSED_CAPACITY
+        return None
--- /dev/null
+++ b/src/hawthornpier_standin/workers/_executions.py
@@ -0,0 +1,198 @@
+"""
+Requests of callers that a worker serves.
+"""
+
+import asyncio
+import math
+import random
+from collections import OrderedDict, deque
+
+import msgspec
+
+from hawthornpier.messages import (
+    EndpointReply,
+    EndpointRequest,
+    EndpointStatus,
+    LatencySample,
+)
+from hawthornpier.ports import WorkerAnswerLostError
+from hawthornpier_standin.workers._journal import DEAD_DETAIL
+from hawthornpier_standin.workers._state import Execution, WorkerState
+
+# Bounds the memory of request ids that must not run again.
+_KEPT_REQUEST_COUNT = 100_000
+_KEPT_SAMPLE_COUNT = 10_000
+_NO_WORK_MS = 1e-6
+
+
+def answer_body(request: EndpointRequest) -> str:
+    """
+    Return the body with which every endpoint answers *request*.
+    """
+    return msgspec.json.encode(
+        {'service': request.service, 'echo': request.body},
+    ).decode()
+
+
+def reply_to(
+    request_id: str,
+    status: EndpointStatus,
+    body: str = '',
+) -> EndpointReply:
+    """
+    Return a reply whose length field matches its body.
+    """
+    return EndpointReply(
+        request_id=request_id,
+        status=status,
+        body=body,
+        body_bytes=len(body.encode()),
+    )
+
+
+class ExecutionTable:
+    """
+    Runs each request and each idempotency key at most once.
+    """
+
+    def __init__(self, state: WorkerState, *, seed: int) -> None:
+        self._state = state
+        self._random = random.Random(f'{seed}/{state.worker_id}')
+        self._known: OrderedDict[str, Execution] = OrderedDict()
+        self._request_ids: dict[str, str] = {}
+        self._ended: deque[tuple[int, Execution]] = deque()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._samples: deque[LatencySample] = deque(maxlen=_KEPT_SAMPLE_COUNT)
+
+    def find(self, request: EndpointRequest) -> Execution | None:
+        """
+        Return the execution of the same request or idempotency key, if any.
+        """
+        request_id = self._request_ids.get(
+            request.idempotency_key,
+            request.request_id,
+        )
+        return self._known.get(request_id)
+
+    def start(self, request: EndpointRequest) -> Execution:
+        """
+        Begin to serve *request*, which must be new and admitted.
+        """
+        execution = Execution(
+            request=request,
+            started_ms=self._state.clock.monotonic_ms(),
+            remaining_ms=self._draw_ms(request.service),
+            reply=asyncio.get_running_loop().create_future(),
+        )
+        self._remember(execution)
+        self._state.executions[request.request_id] = execution
+        self._state.journal.execution_started(request)
+        task = asyncio.ensure_future(self._drive(execution))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return execution
+
+    def state_of(self, request_id: str) -> EndpointReply:
+        """
+        Return what became of a request.
+
+        A request whose reply is no longer kept counts as failed: it ran.
+        """
+        execution = self._known.get(request_id)
+        if execution is None:
+            return reply_to(request_id, EndpointStatus.NEVER_SEEN)
+        if execution.reply.done():
+            return execution.reply.result()
+        return reply_to(request_id, EndpointStatus.RUNNING)
+
+    def samples(self, since_ms: int, until_ms: int) -> list[LatencySample]:
+        """
+        Return the latencies of the requests that ended in a span of time.
+        """
+        return [
+            sample
+            for sample in self._samples
+            if since_ms < sample.ended_ms <= until_ms
+        ]
+
+    def lose_all(self) -> None:
+        """
+        Lose every request, as the worker dies.
+        """
+        for task in self._tasks:
+            task.cancel()
+        for execution in self._state.executions.values():
+            self._state.journal.execution_ended(execution.request, DEAD_DETAIL)
+            execution.reply.set_exception(
+                WorkerAnswerLostError('the worker died'),
+            )
+            # Nobody may be waiting for it any more.
+            execution.reply.exception()
+        self._state.executions.clear()
+
+    def _draw_ms(self, service: str) -> float:
+        model = self._state.model
+        times = model.services.get(service, model.service_time)
+        return self._random.lognormvariate(
+            math.log(times.median_ms),
+            times.sigma,
+        )
+
+    def _remember(self, execution: Execution) -> None:
+        self._forget_bodies()
+        request = execution.request
+        self._known[request.request_id] = execution
+        if request.idempotency_key:
+            self._request_ids[request.idempotency_key] = request.request_id
+        while len(self._known) > _KEPT_REQUEST_COUNT:
+            _, oldest = self._known.popitem(last=False)
+            self._request_ids.pop(oldest.request.idempotency_key, None)
+
+    def _forget_bodies(self) -> None:
+        limit_ms = (
+            self._state.clock.monotonic_ms()
+            - self._state.model.reply_retention_ms
+        )
+        while self._ended and self._ended[0][0] < limit_ms:
+            _, execution = self._ended.popleft()
+            forgotten = asyncio.get_running_loop().create_future()
+            forgotten.set_result(
+                reply_to(execution.request.request_id, EndpointStatus.FAILED),
+            )
+            execution.reply = forgotten
+
+    async def _drive(self, execution: Execution) -> None:
+        if self._state.faults.fails_all:
+            await self._state.pass_time(self._state.model.fail_after_ms)
+            self._end(execution, EndpointStatus.FAILED)
+            return
+        while execution.remaining_ms > _NO_WORK_MS:
+            await self._step(execution)
+        self._end(execution, EndpointStatus.ANSWERED)
+
+    async def _step(self, execution: Execution) -> None:
+        speed = self._state.execution_speed(execution)
+        step_ms = min(
+            self._state.model.step_ms,
+            execution.remaining_ms / speed,
+        )
+        await self._state.pass_time(step_ms)
+        execution.remaining_ms -= step_ms * speed
+
+    def _end(self, execution: Execution, status: EndpointStatus) -> None:
+        request = execution.request
+        now_ms = self._state.clock.monotonic_ms()
+        self._state.executions.pop(request.request_id, None)
+        self._state.journal.execution_ended(request, status)
+        self._ended.append((now_ms, execution))
+        self._samples.append(
+            LatencySample(
+                service=request.service,
+                duration_ms=now_ms - execution.started_ms,
+                ended_ms=self._state.clock.wall_ms(),
+            ),
+        )
+        body = ''
+        if status == EndpointStatus.ANSWERED:
+            body = answer_body(request)
+        execution.reply.set_result(reply_to(request.request_id, status, body))
--- /dev/null
+++ b/src/hawthornpier_standin/workers/_journal.py
@@ -0,0 +1,160 @@
+"""
+Writes what happens on a worker to the history of a test run.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from hawthornpier.messages import (
+    EndpointRequest,
+    Resources,
+    TaskResult,
+    TaskStart,
+)
+from hawthornpier.ports import Clock
+from hawthornpier_standin.history import Record, RecordKind
+
+Recorder = Callable[[Record], None]
+
+# Detail of the end of work that was lost with its worker.
+DEAD_DETAIL = 'worker_dead'
+
+
+def ignore_record(record: Record) -> None:
+    """
+    Drop *record*; used when no history is wanted.
+    """
+
+
+class _Operation(msgspec.Struct):
+    operation: str = ''
+
+
+class Journal:
+    """
+    Emits the history records of one worker.
+    """
+
+    def __init__(
+        self,
+        *,
+        worker_id: str,
+        clock: Clock,
+        recorder: Recorder,
+    ) -> None:
+        self._worker_id = worker_id
+        self._clock = clock
+        self._recorder = recorder
+
+    def capacity_declared(self, capacity: Resources) -> None:
+        """
+        Record what the worker can carry.
+        """
+        self._emit(RecordKind.CAPACITY_DECLARED, demand=capacity)
+
+    def leaving(self) -> None:
+        """
+        Record that the worker refuses new work from now on.
+        """
+        self._emit(RecordKind.ENDPOINT_LEAVING)
+
+    def run_started(self, start: TaskStart) -> None:
+        """
+        Record the start of a run.
+        """
+        self._emit(
+            RecordKind.RUN_STARTED,
+            task_id=start.task_id,
+            run_id=start.run_id,
+            demand=start.demand,
+            checkpoint=start.checkpoint,
+        )
+
+    def run_checkpointed(self, start: TaskStart, checkpoint: str) -> None:
+        """
+        Record a checkpoint of a run.
+        """
+        self._emit(
+            RecordKind.RUN_CHECKPOINTED,
+            task_id=start.task_id,
+            run_id=start.run_id,
+            checkpoint=checkpoint,
+        )
+
+    def run_ended(
+        self,
+        start: TaskStart,
+        detail: TaskResult | str,
+        checkpoint: str = '',
+        age_ms: float = 0,
+    ) -> None:
+        """
+        Record the end of a run, which happened *age_ms* ago.
+        """
+        self._emit(
+            RecordKind.RUN_ENDED,
+            age_ms=age_ms,
+            task_id=start.task_id,
+            run_id=start.run_id,
+            demand=start.demand,
+            checkpoint=checkpoint,
+            detail=str(detail),
+        )
+
+    def execution_started(self, request: EndpointRequest) -> None:
+        """
+        Record that a request starts to run.
+        """
+        self._emit_execution(RecordKind.EXECUTION_STARTED, request, '')
+
+    def execution_ended(self, request: EndpointRequest, detail: str) -> None:
+        """
+        Record that a request ended, with its status as *detail*.
+        """
+        self._emit_execution(RecordKind.EXECUTION_ENDED, request, detail)
+
+    def _emit_execution(
+        self,
+        kind: RecordKind,
+        request: EndpointRequest,
+        detail: str,
+    ) -> None:
+        self._emit(
+            kind,
+            operation=operation_of(request.body),
+            run_id=request.request_id,
+            idempotency_key=request.idempotency_key,
+            is_idempotent=not request.idempotency_key,
+            demand=request.demand,
+            content=request.body,
+            detail=detail,
+        )
+
+    def _emit(
+        self,
+        kind: RecordKind,
+        *,
+        age_ms: float = 0,
+        **fields: Any,
+    ) -> None:
+        self._recorder(
+            Record(
+                at_ms=self._clock.monotonic_ms() - age_ms,
+                kind=kind,
+                source=self._worker_id,
+                worker_id=self._worker_id,
+                **fields,
+            ),
+        )
+
+
+def operation_of(body: str) -> str:
+    """
+    Return the caller's operation id in a request body, or an empty string.
+    """
+    try:
+        return msgspec.json.decode(body, type=_Operation).operation
+    except msgspec.DecodeError:
+        return ''
--- /dev/null
+++ b/src/hawthornpier_standin/workers/_reports.py
@@ -0,0 +1,75 @@
+"""
+Usage reports that lag behind the worker's state.
+"""
+
+from collections import deque
+
+from hawthornpier.messages import Resources, WorkerReport
+from hawthornpier_standin.workers._executions import ExecutionTable
+from hawthornpier_standin.workers._state import WorkerState
+
+# States within the same span count as one, which bounds the kept states.
+_SPAN_MS = 50
+
+
+class ReportLog:
+    """
+    The recent states of a worker, of which a report shows an old one.
+    """
+
+    def __init__(
+        self,
+        state: WorkerState,
+        executions: ExecutionTable,
+    ) -> None:
+        self._state = state
+        self._executions = executions
+        self._past: deque[WorkerReport] = deque()
+
+    def note(self) -> None:
+        """
+        Remember the state as it is now.
+        """
+        now_ms = self._state.clock.wall_ms()
+        if self._past and now_ms - self._past[-1].measured_ms < _SPAN_MS:
+            return
+        self._past.append(
+            WorkerReport(
+                worker_id=self._state.worker_id,
+                measured_ms=now_ms,
+                usage=self._state.usage(),
+                run_ids=tuple(self._state.runs),
+            ),
+        )
+        oldest_ms = now_ms - 2 * self._state.model.report_lag_ms - _SPAN_MS
+        while len(self._past) > 1 and self._past[1].measured_ms < oldest_ms:
+            self._past.popleft()
+
+    def report(self) -> WorkerReport:
+        """
+        Return the state as it was before the lag.
+        """
+        model = self._state.model
+        limit_ms = self._state.clock.wall_ms() - model.report_lag_ms
+        shown = WorkerReport(
+            worker_id=self._state.worker_id,
+            measured_ms=limit_ms,
+            usage=Resources(),
+        )
+        for past in self._past:
+            if past.measured_ms > limit_ms:
+                break
+            shown = past
+        return WorkerReport(
+            worker_id=shown.worker_id,
+            measured_ms=limit_ms,
+            usage=shown.usage,
+            run_ids=shown.run_ids,
+            samples=tuple(
+                self._executions.samples(
+                    limit_ms - model.sample_window_ms,
+                    limit_ms,
+                ),
+            ),
+            is_leaving=self._state.faults.is_leaving,
+        )
--- /dev/null
+++ b/src/hawthornpier_standin/workers/_runs.py
@@ -0,0 +1,258 @@
+"""
+Runs of batch tasks under leases.
+"""
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Iterable
+
+from hawthornpier.messages import (
+    LeaseRenewal,
+    StartVerdict,
+    TaskAction,
+    TaskControl,
+    TaskControlReply,
+    TaskOutcome,
+    TaskResult,
+    TaskStart,
+)
+from hawthornpier_standin.workers._journal import DEAD_DETAIL
+from hawthornpier_standin.workers._state import Run, WorkerState
+
+# Bounds the memory of run ids that must not start again.
+_KEPT_RUN_ID_COUNT = 100_000
+
+_CHECKPOINT_PREFIX = 'checkpoints'
+
+
+def checkpoint_name(run: Run) -> str:
+    """
+    Return the name of a checkpoint of *run*; it carries the progress.
+
+    The progress is in the name so that a run can resume on any worker
+    without a second service.
+    """
+    return '/'.join(
+        (
+            _CHECKPOINT_PREFIX,
+            run.start.task_id,
+            run.start.run_id,
+            str(int(run.progress_ms)),
+        ),
+    )
+
+
+def progress_of(checkpoint: str) -> int:
+    """
+    Return the progress in ms that *checkpoint* holds.
+
+    Raises:
+        ValueError: The name is not one of a checkpoint.
+    """
+    if not checkpoint:
+        return 0
+    if not checkpoint.startswith(_CHECKPOINT_PREFIX):
+        raise ValueError(f'{checkpoint} is not a checkpoint')
+    return int(checkpoint.rpartition('/')[-1])
+
+
+class RunTable:
+    """
+    Starts, drives and ends the runs of one worker.
+
+    Every run compares the clock with its lease before each step of progress,
+    so that a worker that was paused past the lease does no more work for it.
+    """
+
+    def __init__(self, state: WorkerState) -> None:
+        self._state = state
+        self._seen: OrderedDict[str, None] = OrderedDict()
+        self._outcomes: dict[str, TaskOutcome] = {}
+
+    def outcomes(self) -> tuple[TaskOutcome, ...]:
+        """
+        Return the outcomes that are not acknowledged yet.
+        """
+        return tuple(self._outcomes.values())
+
+    def acknowledge(self, run_ids: Iterable[str]) -> None:
+        """
+        Drop the outcomes of *run_ids*.
+        """
+        for run_id in run_ids:
+            self._outcomes.pop(run_id, None)
+
+    def is_known(self, run_id: str) -> bool:
+        """
+        Tell whether the run was started here before.
+        """
+        return run_id in self._seen
+
+    def start(self, start: TaskStart) -> StartVerdict:
+        """
+        Start a run, unless the worker is full or the run is known.
+        """
+        if self.is_known(start.run_id):
+            return StartVerdict.STARTED
+        if self._state.faults.is_leaving:
+            return StartVerdict.REFUSED_LEAVING
+        if not self._state.admits(start.demand):
+            return StartVerdict.REFUSED_CAPACITY
+        self._seen[start.run_id] = None
+        while len(self._seen) > _KEPT_RUN_ID_COUNT:
+            self._seen.popitem(last=False)
+        self._launch(start)
+        return StartVerdict.STARTED
+
+    def renew(self, renewal: LeaseRenewal) -> tuple[str, ...]:
+        """
+        Extend the leases of the runs that are still held; return their ids.
+        """
+        held = tuple(
+            run_id for run_id in renewal.run_ids if run_id in self._state.runs
+        )
+        lease_end_ms = self._now_ms() + renewal.lease_ms
+        for run_id in held:
+            self._state.runs[run_id].lease_end_ms = lease_end_ms
+        return held
+
+    def expire(self) -> None:
+        """
+        End the runs whose lease has lapsed.
+        """
+        for run in tuple(self._state.runs.values()):
+            self._lapse(run)
+
+    async def control(self, control: TaskControl) -> TaskControlReply:
+        """
+        Apply an action to a run; a checkpoint's name is the reply's detail.
+        """
+        run = self._state.runs.get(control.run_id)
+        if run is None:
+            return TaskControlReply(
+                is_accepted=False,
+                detail=f'run {control.run_id} is not held',
+            )
+        if control.action in _CHECKPOINTING:
+            return await self._checkpoint(run, control.action)
+        if control.action == TaskAction.STOP:
+            self._end(run, TaskResult.STOPPED)
+        else:
+            run.is_throttled = control.action == TaskAction.THROTTLE
+        return TaskControlReply(is_accepted=True)
+
+    def lose_all(self) -> None:
+        """
+        Lose every run and outcome, as the worker dies.
+        """
+        for run in tuple(self._state.runs.values()):
+            self._release(run)
+            self._state.journal.run_ended(run.start, DEAD_DETAIL)
+        self._outcomes.clear()
+
+    def _now_ms(self) -> int:
+        return self._state.clock.monotonic_ms()
+
+    def _launch(self, start: TaskStart) -> None:
+        run = Run(
+            start=start,
+            lease_end_ms=self._now_ms() + start.lease_ms,
+            progress_ms=0,
+            checkpoint=start.checkpoint,
+            is_failing=(
+                self._state.faults.fails_all
+                or start.workload in self._state.model.failing_workloads
+            ),
+        )
+        self._state.runs[start.run_id] = run
+        self._state.journal.run_started(start)
+        run.task = asyncio.ensure_future(self._drive(run))
+
+    async def _drive(self, run: Run) -> None:
+        if run.is_failing:
+            await self._state.pass_time(self._state.model.fail_after_ms)
+            self._fail(run, 'the task exited with status 1')
+            return
+        try:
+            run.progress_ms = progress_of(run.checkpoint)
+        except ValueError as error:
+            self._fail(run, str(error))
+            return
+        while not run.is_complete:
+            await self._step(run)
+        self._end(run, TaskResult.DONE)
+
+    async def _step(self, run: Run) -> None:
+        speed = self._state.run_speed(run)
+        step_ms = min(
+            self._state.model.step_ms,
+            run.remaining_ms / speed,
+            max(run.lease_end_ms - self._now_ms(), 1),
+        )
+        await self._state.pass_time(step_ms)
+        if self._lapse(run):
+            # Ending a run cancels its task; this lets the task stop here.
+            await asyncio.sleep(0)
+        run.progress_ms += step_ms * speed
+
+    def _fail(self, run: Run, detail: str) -> None:
+        if not self._lapse(run):
+            self._end(run, TaskResult.FAILED, detail=detail)
+
+    def _lapse(self, run: Run) -> bool:
+        late_ms = self._now_ms() - run.lease_end_ms
+        if late_ms < 0:
+            return False
+        self._end(run, TaskResult.LEASE_LAPSED, age_ms=late_ms)
+        return True
+
+    async def _checkpoint(
+        self,
+        run: Run,
+        action: TaskAction,
+    ) -> TaskControlReply:
+        name = checkpoint_name(run)
+        await self._state.pass_time(self._state.model.checkpoint_ms)
+        self.expire()
+        if self._state.runs.get(run.start.run_id) is not run:
+            return TaskControlReply(
+                is_accepted=False,
+                detail='the run ended before its checkpoint was taken',
+            )
+        run.checkpoint = name
+        self._state.journal.run_checkpointed(run.start, name)
+        if action == TaskAction.EVICT:
+            self._end(run, TaskResult.EVICTED)
+        return TaskControlReply(is_accepted=True, detail=name)
+
+    def _end(
+        self,
+        run: Run,
+        outcome: TaskResult,
+        *,
+        detail: str = '',
+        age_ms: float = 0,
+    ) -> None:
+        self._release(run)
+        self._outcomes[run.start.run_id] = TaskOutcome(
+            run_id=run.start.run_id,
+            task_id=run.start.task_id,
+            result=outcome,
+            checkpoint=run.checkpoint,
+            progress_ms=int(run.progress_ms),
+            detail=detail,
+        )
+        self._state.journal.run_ended(
+            run.start,
+            outcome,
+            checkpoint=run.checkpoint,
+            age_ms=age_ms,
+        )
+
+    def _release(self, run: Run) -> None:
+        self._state.runs.pop(run.start.run_id, None)
+        if run.task is not None:
+            run.task.cancel()
+
+
+_CHECKPOINTING = frozenset((TaskAction.CHECKPOINT, TaskAction.EVICT))
