--- /dev/null
+++ b/tests/test_policy_ledger.py
@@ -0,0 +1,106 @@
+"""
+Tests of the worker ledger.
+"""
+
+import pytest
+
+from hawthornpier.messages import Resources
+from hawthornpier.policy import (
+    InvalidDemandError,
+    OvercommitError,
+    WorkerInfo,
+)
+from hawthornpier.policy._ledger import (
+    Charge,
+    ChargeKind,
+    WorkerLedger,
+    occupied,
+)
+
+_CAPACITY = Resources(processor_millis=4000, memory_bytes=100, slot_count=2)
+
+
+def make_worker(worker_id: str = 'w1') -> WorkerInfo:
+    """
+    Return a worker with two slots.
+    """
+    return WorkerInfo(
+        worker_id=worker_id,
+        region='r',
+        failure_domain='f',
+        rack='k',
+        capacity=_CAPACITY,
+    )
+
+
+def make_charge(charge_id: str, demand: Resources) -> Charge:
+    """
+    Return a task's charge on worker w1.
+    """
+    return Charge(
+        kind=ChargeKind.TASK,
+        charge_id=charge_id,
+        worker_id='w1',
+        member='m',
+        workload='b',
+        demand=demand,
+        started_ms=0,
+    )
+
+
+class TestWorkerLedger:
+    """
+    The ledger charges exactly what was admitted.
+    """
+
+    def test_overcommit_is_refused(self) -> None:
+        """
+        G1: a charge above the free amounts changes nothing.
+        """
+        ledger = WorkerLedger()
+        ledger.add_worker(make_worker())
+        ledger.charge(make_charge('t1', Resources(slot_count=2)))
+        with pytest.raises(OvercommitError):
+            ledger.charge(make_charge('t2', Resources(slot_count=1)))
+        assert ledger.free == _CAPACITY - Resources(slot_count=2)
+
+    def test_repeated_end_frees_once(self) -> None:
+        """
+        G1: an end that is reported twice does not free twice.
+        """
+        ledger = WorkerLedger()
+        ledger.add_worker(make_worker())
+        ledger.charge(make_charge('t1', Resources(slot_count=1)))
+        assert ledger.release(ChargeKind.TASK, 't1') is not None
+        assert ledger.release(ChargeKind.TASK, 't1') is None
+        assert ledger.free == _CAPACITY
+
+    def test_negative_demand_is_refused(self) -> None:
+        """
+        G1: a negative demand cannot create capacity.
+        """
+        with pytest.raises(InvalidDemandError):
+            occupied(Resources(processor_millis=-1))
+
+    def test_slotless_charge_is_refused(self) -> None:
+        """
+        G1: work that declares no slot still occupies one.
+        """
+        ledger = WorkerLedger()
+        ledger.add_worker(make_worker())
+        with pytest.raises(InvalidDemandError):
+            ledger.charge(make_charge('t1', Resources()))
+        assert occupied(Resources()).slot_count == 1
+
+    def test_closed_worker_keeps_its_charges(self) -> None:
+        """
+        G1: closing and reopening a worker does not lose what runs there.
+        """
+        ledger = WorkerLedger()
+        ledger.add_worker(make_worker())
+        ledger.charge(make_charge('t1', Resources(slot_count=2)))
+        ledger.close_worker('w1')
+        assert ledger.free == Resources()
+        ledger.add_worker(make_worker())
+        with pytest.raises(OvercommitError):
+            ledger.charge(make_charge('t2', Resources(slot_count=1)))
