--- /dev/null
+++ b/src/hawthornpier/settings/_convert.py
@@ -0,0 +1,153 @@
+"""
+Converts the text of a key to the type of its field.
+"""
+
+import enum
+import ipaddress
+import re
+from collections.abc import Callable, Mapping
+from types import MappingProxyType
+from typing import Any
+
+from hawthornpier.settings._model import BootstrapOperator, FailureDomain
+
+# Names are parts of row keys, paths and header fields.
+_NAME = re.compile('[A-Za-z0-9][A-Za-z0-9_.-]{0,63}')
+_BOOLEANS: Mapping[str, bool] = MappingProxyType(
+    {
+        'yes': True,
+        'true': True,
+        'on': True,
+        '1': True,
+        'no': False,
+        'false': False,
+        'off': False,
+        '0': False,
+    }
+)
+_MAX_PORT = 65535
+
+
+def convert(annotation: Any, text: str) -> Any:
+    """
+    Return *text* as a value of the field type *annotation*.
+
+    Raises:
+        ValueError: With the reason, if the text has the wrong form.
+    """
+    if isinstance(annotation, type) and issubclass(annotation, enum.StrEnum):
+        return _to_choice(annotation, text)
+    return _CONVERTERS[annotation](text)
+
+
+def to_name(text: str) -> str:
+    """
+    Return *text* if it is a plain name.
+    """
+    if not _NAME.fullmatch(text):
+        raise ValueError(
+            f'{text!r} is not a name of at most 64 letters, digits, ".", "_" '
+            'and "-"',
+        )
+    return text
+
+
+def to_ip(text: str) -> str:
+    """
+    Return *text* if it is an IP address.
+    """
+    try:
+        ipaddress.ip_address(text)
+    except ValueError as error:
+        raise ValueError(f'{text!r} is not an IP address') from error
+    return text
+
+
+def to_address(text: str) -> str:
+    """
+    Return *text* if it has the form ``ip:port`` or ``[ipv6]:port``.
+    """
+    host, colon, port = text.rpartition(':')
+    if not colon:
+        raise ValueError(f'{text!r} is not of the form ip:port')
+    bare = host.removeprefix('[').removesuffix(']')
+    to_ip(bare)
+    if (':' in bare) != (host != bare):
+        raise ValueError(f'{text!r}: only an IPv6 address is put in brackets')
+    to_port(_to_int(port))
+    return text
+
+
+def to_port(port: int) -> int:
+    """
+    Return *port* if a listener can have it.
+    """
+    if not 1 <= port <= _MAX_PORT:
+        raise ValueError(f'port {port} is not within 1 to {_MAX_PORT}')
+    return port
+
+
+def _to_choice(choices: type[enum.StrEnum], text: str) -> enum.StrEnum:
+    try:
+        return choices(text)
+    except ValueError as error:
+        known = ', '.join(choices)
+        raise ValueError(f'{text!r} is not one of {known}') from error
+
+
+def _to_int(text: str) -> int:
+    # int() also takes underscores, signs and digits of other scripts.
+    if not re.fullmatch('-?[0-9]{1,18}', text):
+        raise ValueError(f'{text!r} is not a whole number')
+    return int(text)
+
+
+def _to_bool(text: str) -> bool:
+    if text.lower() not in _BOOLEANS:
+        raise ValueError(f'{text!r} is neither yes nor no')
+    return _BOOLEANS[text.lower()]
+
+
+def _to_items(text: str) -> tuple[str, ...]:
+    parts = (part.strip() for part in re.split('[,\n]', text))
+    return tuple(part for part in parts if part)
+
+
+def _to_pairs(text: str) -> list[tuple[str, str]]:
+    pairs: list[tuple[str, str]] = []
+    for item in _to_items(text):
+        name, colon, rest = (part.strip() for part in item.partition(':'))
+        if not colon or not rest:
+            raise ValueError(f'{item!r} is not of the form "name: value"')
+        pairs.append((to_name(name), rest))
+    names = [name for name, _ in pairs]
+    repeated = sorted({name for name in names if names.count(name) > 1})
+    if repeated:
+        raise ValueError(f'listed twice: {", ".join(repeated)}')
+    return pairs
+
+
+def _to_domains(text: str) -> tuple[FailureDomain, ...]:
+    return tuple(
+        FailureDomain(name=name, region=to_name(region))
+        for name, region in _to_pairs(text)
+    )
+
+
+def _to_operators(text: str) -> tuple[BootstrapOperator, ...]:
+    return tuple(
+        BootstrapOperator(member=member, key_hash=key_hash)
+        for member, key_hash in _to_pairs(text)
+    )
+
+
+_CONVERTERS: Mapping[Any, Callable[[str], Any]] = MappingProxyType(
+    {
+        str: str,
+        int: _to_int,
+        bool: _to_bool,
+        tuple[str, ...]: _to_items,
+        tuple[FailureDomain, ...]: _to_domains,
+        tuple[BootstrapOperator, ...]: _to_operators,
+    }
+)
--- /dev/null
+++ b/src/hawthornpier/settings/_errors.py
@@ -0,0 +1,97 @@
+"""
+Errors of the settings file.
+"""
+
+from hawthornpier.errors import HawthornpierError
+
+
+class SettingsError(HawthornpierError):
+    """
+    One mistake in a settings file.
+
+    Args:
+        reason: What is wrong and what is expected.
+        path: The settings file.
+        section: The section, or an empty string.
+        key: The key within the section, or an empty string.
+        line: The line, counted from 1; 0 if the mistake has no line.
+    """
+
+    def __init__(
+        self,
+        reason: str,
+        *,
+        path: str,
+        section: str = '',
+        key: str = '',
+        line: int = 0,
+    ) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.path = path
+        self.section = section
+        self.key = key
+        self.line = line
+
+    def __str__(self) -> str:
+        """
+        Return one line that starts with the place in the file.
+        """
+        place = f'{self.path}:{self.line}' if self.line else self.path
+        section = f' [{self.section}]' if self.section else ''
+        key = f' {self.key}' if self.key else ''
+        return f'{place}:{section}{key}: {self.reason}'
+
+
+class UnreadableFileError(SettingsError):
+    """
+    The file cannot be read or is not text in UTF-8.
+    """
+
+
+class SyntaxFaultError(SettingsError):
+    """
+    A line is neither a section, a key with a value, nor a comment.
+    """
+
+
+class UnknownSectionError(SettingsError):
+    """
+    The section is not one of the known ones.
+    """
+
+
+class UnknownKeyError(SettingsError):
+    """
+    The section has no such key.
+    """
+
+
+class DuplicateKeyError(SettingsError):
+    """
+    The key occurs twice in its section.
+    """
+
+
+class MissingKeyError(SettingsError):
+    """
+    A key without a default is absent.
+    """
+
+
+class BadValueError(SettingsError):
+    """
+    The value has the wrong form or is out of range.
+    """
+
+
+class ContradictionError(SettingsError):
+    """
+    Two values that are valid alone do not fit together.
+    """
+
+
+class SettingsErrorGroup(ExceptionGroup[SettingsError], HawthornpierError):
+    """
+    All mistakes of one settings file, ordered by line.
+    """
--- /dev/null
+++ b/src/hawthornpier/settings/_rules.py
@@ -0,0 +1,296 @@
+"""
+Ranges of single values and rules between several values.
+"""
+
+import functools
+import ipaddress
+import pathlib
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import replace
+from types import MappingProxyType
+from typing import Any
+
+from hawthornpier.settings import _convert
+from hawthornpier.settings._errors import (
+    BadValueError,
+    ContradictionError,
+    UnreadableFileError,
+)
+from hawthornpier.settings._model import (
+    MAX_WORKER_CONNECTIONS,
+    SecuritySettings,
+    Settings,
+)
+from hawthornpier.settings._source import Source
+
+# One day: a longer interval is a slip of units.
+_MAX_INTERVAL_MS = 86400000
+_MAX_SHARDS = 4096
+_MAX_EVENT_COUNT = 1048576
+_MAX_BYTES_PER_S = 10**12
+# Three renewals must fit into a lease, so that one lost answer and one slow
+# one do not end it.
+_RENEWALS_PER_LEASE = 3
+# HMAC-SHA256 gains nothing from keys above 32 bytes; 16 resist guessing.
+_MIN_KEY_LENGTH = 16
+_TLS_KEYS = (
+    'tls_certificate_file',
+    'tls_private_key_file',
+    'tls_authority_file',
+)
+
+_Check = Callable[[Any], Any]
+# A contradiction: section, key and reason.
+_Fault = tuple[str, str, str]
+
+
+def _check_range(number: int, *, highest: int) -> int:
+    if not 1 <= number <= highest:
+        raise ValueError(f'{number} is not within 1 to {highest}')
+    return number
+
+
+def _up_to(highest: int) -> _Check:
+    return functools.partial(_check_range, highest=highest)
+
+
+def _addresses(addresses: tuple[str, ...]) -> tuple[str, ...]:
+    return tuple(_convert.to_address(address) for address in addresses)
+
+
+def _not_empty(domains: tuple[Any, ...]) -> tuple[Any, ...]:
+    if not domains:
+        raise ValueError('names no failure domain')
+    return domains
+
+
+_CHECKS: Mapping[tuple[str, str], _Check] = MappingProxyType(
+    {
+        ('process', 'process_id'): _convert.to_name,
+        ('process', 'region'): _convert.to_name,
+        ('process', 'failure_domain'): _convert.to_name,
+        ('process', 'listen_address'): _convert.to_ip,
+        ('process', 'listen_port'): _convert.to_port,
+        ('process', 'advertised_address'): _convert.to_address,
+        ('platform', 'store_address'): _convert.to_address,
+        ('platform', 'host_list_address'): _convert.to_address,
+        ('platform', 'worker_connections'): _up_to(MAX_WORKER_CONNECTIONS),
+        ('cluster', 'failure_domains'): _not_empty,
+        ('cluster', 'shards_per_failure_domain'): _up_to(_MAX_SHARDS),
+        ('cluster', 'seed_addresses'): _addresses,
+        ('link', 'link_bytes_per_s'): _up_to(_MAX_BYTES_PER_S),
+        ('link', 'budget_bytes_per_s'): _up_to(_MAX_BYTES_PER_S),
+        ('security', 'peer_key_id'): _convert.to_name,
+        ('security', 'previous_peer_key_id'): _convert.to_name,
+        ('observability', 'otlp_address'): _convert.to_address,
+        ('observability', 'event_ring_count'): _up_to(_MAX_EVENT_COUNT),
+    }
+)
+_check_interval = _up_to(_MAX_INTERVAL_MS)
+
+
+def check_value(section: str, key: str, value: Any) -> Any:
+    """
+    Return *value* if it is allowed for the key.
+
+    Raises:
+        ValueError: With the reason, if it is out of range.
+    """
+    if key.endswith('_ms'):
+        return _check_interval(value)
+    check = _CHECKS.get((section, key))
+    return check(value) if check else value
+
+
+def check_settings(
+    settings: Settings,
+    source: Source,
+    directory: pathlib.Path,
+) -> Settings:
+    """
+    Check the rules between values and read the key files.
+
+    Args:
+        settings: What the file says.
+        source: Where mistakes are recorded.
+        directory: Where relative file names start from.
+
+    Returns:
+        The settings with the content of the key files.
+    """
+    security = _read_files(settings.security, source, directory)
+    settings = replace(settings, security=security)
+    rules = (_check_domain, _check_timing, _check_link, _check_keys, _check_tls)
+    for rule in rules:
+        for section, key, reason in rule(settings):
+            source.add(ContradictionError, reason, section=section, key=key)
+    return settings
+
+
+def _check_domain(settings: Settings) -> Iterator[_Fault]:
+    process = settings.process
+    region = settings.cluster.region_of(process.failure_domain)
+    if region is None:
+        known = ', '.join(
+            domain.name for domain in settings.cluster.failure_domains
+        )
+        yield (
+            'process',
+            'failure_domain',
+            f'{process.failure_domain!r} is not in [cluster] '
+            f'failure_domains ({known})',
+        )
+    elif region != process.region:
+        yield (
+            'process',
+            'region',
+            f'{process.failure_domain!r} lies in {region!r} according to '
+            '[cluster] failure_domains',
+        )
+    listen = ipaddress.ip_address(process.listen_address)
+    if listen.is_unspecified and not process.advertised_address:
+        yield (
+            'process',
+            'advertised_address',
+            f'not set, and peers cannot connect to {listen}',
+        )
+
+
+def _check_timing(settings: Settings) -> Iterator[_Fault]:
+    timing = settings.timing
+    renewals = _RENEWALS_PER_LEASE
+    # Each row: a key, the smallest allowed value and the words for it.
+    limits = (
+        (
+            'lease_ms',
+            renewals * timing.renew_interval_ms,
+            'three times renew_interval_ms',
+        ),
+        (
+            'task_lease_ms',
+            renewals * timing.task_renew_interval_ms,
+            'three times task_renew_interval_ms',
+        ),
+        (
+            'suspect_after_ms',
+            2 * timing.heartbeat_interval_ms,
+            'twice heartbeat_interval_ms',
+        ),
+        (
+            'table_confirm_ms',
+            2 * timing.table_read_interval_ms,
+            'twice table_read_interval_ms',
+        ),
+        ('lease_ms', timing.clock_error_ms + 1, 'more than clock_error_ms'),
+    )
+    for key, smallest, words in limits:
+        actual = getattr(timing, key)
+        if actual < smallest:
+            reason = f'{actual} is less than {smallest} ({words})'
+            yield 'timing', key, reason
+
+
+def _check_link(settings: Settings) -> Iterator[_Fault]:
+    link = settings.link
+    if link.budget_bytes_per_s > link.link_bytes_per_s:
+        yield (
+            'link',
+            'budget_bytes_per_s',
+            f'{link.budget_bytes_per_s} is more than link_bytes_per_s',
+        )
+
+
+def _check_keys(settings: Settings) -> Iterator[_Fault]:
+    security = settings.security
+    listen = ipaddress.ip_address(settings.process.listen_address)
+    is_signed = security.peer_key or security.peer_key_file
+    if not is_signed and not listen.is_loopback:
+        yield (
+            'security',
+            'peer_key',
+            'not set; unsigned requests are allowed only on loopback, not '
+            f'on {listen}',
+        )
+    if security.previous_peer_key and not is_signed:
+        yield (
+            'security',
+            'previous_peer_key',
+            'set without a current peer_key',
+        )
+    for key in ('peer_key', 'previous_peer_key'):
+        secret, key_id = getattr(security, key), getattr(security, f'{key}_id')
+        if bool(secret) != bool(key_id):
+            yield (
+                'security',
+                f'{key}_id',
+                f'must be set if and only if {key} is',
+            )
+        if secret and len(secret) < _MIN_KEY_LENGTH:
+            yield (
+                'security',
+                key,
+                f'shorter than {_MIN_KEY_LENGTH} characters',
+            )
+    if security.peer_key_id and (
+        security.peer_key_id == security.previous_peer_key_id
+    ):
+        yield 'security', 'previous_peer_key_id', 'the same as peer_key_id'
+
+
+def _check_tls(settings: Settings) -> Iterator[_Fault]:
+    security = settings.security
+    present = [key for key in _TLS_KEYS if getattr(security, key)]
+    for key in _TLS_KEYS:
+        if present and key not in present:
+            yield 'security', key, f'not set, but {present[0]} is'
+
+
+def _read_files(
+    security: SecuritySettings,
+    source: Source,
+    directory: pathlib.Path,
+) -> SecuritySettings:
+    """
+    Return *security* with keys read from files and complete file names.
+    """
+    changes: dict[str, Any] = {}
+    for key in ('peer_key', 'previous_peer_key'):
+        name = getattr(security, f'{key}_file')
+        if name and getattr(security, key):
+            source.add(
+                ContradictionError,
+                f'set together with {key}',
+                section='security',
+                key=f'{key}_file',
+            )
+        elif name:
+            content = _read_file(source, f'{key}_file', directory / name)
+            changes[key] = content.strip()
+    for tls_key in _TLS_KEYS:
+        tls_name = getattr(security, tls_key)
+        if tls_name:
+            changes[tls_key] = str(directory / tls_name)
+            _read_file(source, tls_key, directory / tls_name)
+    return replace(security, **changes)
+
+
+def _read_file(source: Source, key: str, path: pathlib.Path) -> str:
+    try:
+        content = path.read_text(encoding='utf-8')
+    except (OSError, ValueError) as error:
+        source.add(
+            UnreadableFileError,
+            f'cannot read {path}: '
+            f'{getattr(error, "strerror", None) or "not text in UTF-8"}',
+            section='security',
+            key=key,
+        )
+        return ''
+    if not content.strip():
+        source.add(
+            BadValueError,
+            f'{path} is empty',
+            section='security',
+            key=key,
+        )
+    return content
--- /dev/null
+++ b/src/hawthornpier/settings/_source.py
@@ -0,0 +1,130 @@
+"""
+Reads an INI file with configparser and finds the line of each key.
+"""
+
+import configparser
+import re
+import sys
+from dataclasses import dataclass, field
+
+from hawthornpier.settings._errors import (
+    DuplicateKeyError,
+    SettingsError,
+    SyntaxFaultError,
+)
+
+_HEADER = re.compile(r'\[(?P<section>.+)\]')
+# configparser copies the keys of its default section into all others, which
+# would hide misplaced keys; no header can spell this name.
+_NO_DEFAULT_SECTION = ']'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Source:
+    """
+    The text of every key of a settings file, with its place.
+    """
+
+    path: str
+    entries: dict[str, dict[str, str]]
+    lines: dict[tuple[str, str], int]
+    errors: list[SettingsError] = field(default_factory=list)
+
+    def add(
+        self,
+        error_type: type[SettingsError],
+        reason: str,
+        *,
+        section: str = '',
+        key: str = '',
+    ) -> None:
+        """
+        Record a mistake at the line of the key, or else of its section.
+        """
+        line = self.lines.get((section, key), self.lines.get((section, ''), 0))
+        self.errors.append(
+            error_type(
+                reason,
+                path=self.path,
+                section=section,
+                key=key,
+                line=line,
+            ),
+        )
+
+
+def read_source(text: str, path: str) -> Source:
+    """
+    Split *text* into sections and keys; mistakes are in the result.
+    """
+    parser = configparser.RawConfigParser(
+        delimiters=('=',),
+        comment_prefixes=('#', ';'),
+        strict=False,
+        empty_lines_in_values=False,
+        default_section=_NO_DEFAULT_SECTION,
+    )
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    errors: list[SettingsError] = []
+    try:
+        parser.read_string(text, path)
+    except configparser.MissingSectionHeaderError as error:
+        errors.append(_syntax_fault('no section before it', path, error.lineno))
+    except configparser.ParsingError as error:
+        errors.extend(
+            _syntax_fault('expected "key = value"', path, line)
+            for line, _ in error.errors
+        )
+    source = Source(
+        path=path,
+        entries={
+            section: {
+                key: value or ''
+                for key, value in parser.items(section, raw=True)
+            }
+            for section in parser.sections()
+        },
+        lines={},
+        errors=errors,
+    )
+    _find_lines(text, source)
+    return source
+
+
+def _syntax_fault(reason: str, path: str, line: int) -> SettingsError:
+    return SyntaxFaultError(reason, path=path, line=line)
+
+
+def _find_lines(text: str, source: Source) -> None:
+    """
+    Fill in the line of each section and key; the first of duplicates counts.
+    """
+    section = ''
+    key_indent = sys.maxsize
+    for number, line in enumerate(text.split('\n'), start=1):
+        stripped = line.strip()
+        indent = len(line) - len(line.lstrip())
+        if not stripped or stripped[0] in '#;' or indent > key_indent:
+            continue  # Empty, a comment, or more of the value above.
+        header = _HEADER.match(stripped)
+        if header:
+            section, key_indent = header['section'], sys.maxsize
+            source.lines.setdefault((section, ''), number)
+        else:
+            key_indent = indent
+            key = stripped.partition('=')[0].rstrip()
+            _note_key(source, section, key, number)
+
+
+def _note_key(source: Source, section: str, key: str, line: int) -> None:
+    first = source.lines.setdefault((section, key), line)
+    if first != line:
+        source.errors.append(
+            DuplicateKeyError(
+                f'already set on line {first}',
+                path=source.path,
+                section=section,
+                key=key,
+                line=line,
+            ),
+        )
