--- /dev/null
+++ b/src/hawthornpier/events/__init__.py
@@ -0,0 +1,32 @@
+"""
+The time line: stamped events, their storage, merging and rendering.
+"""
+
+from hawthornpier.events._clock import DEFAULT_MAX_AHEAD_MS, HybridClock
+from hawthornpier.events._filter import EventFilter
+from hawthornpier.events._picture import render_html
+from hawthornpier.events._recorder import (
+    DEFAULT_RING_EVENT_COUNT,
+    EventRecorder,
+)
+from hawthornpier.events._timeline import (
+    EventsDecodeError,
+    decode_events,
+    encode_events,
+    merge_timelines,
+    render_text,
+)
+
+__all__ = [
+    'DEFAULT_MAX_AHEAD_MS',
+    'DEFAULT_RING_EVENT_COUNT',
+    'EventFilter',
+    'EventRecorder',
+    'EventsDecodeError',
+    'HybridClock',
+    'decode_events',
+    'encode_events',
+    'merge_timelines',
+    'render_html',
+    'render_text',
+]
--- /dev/null
+++ b/src/hawthornpier/events/_picture.py
@@ -0,0 +1,145 @@
+"""
+The time line as a self-contained HTML page with one lane per process.
+"""
+
+import html
+from collections.abc import Iterable, Sequence
+
+from hawthornpier.events._timeline import (
+    describe_subjects,
+    merge_timelines,
+    render_text,
+)
+from hawthornpier.messages import Event
+
+_WIDTH = 1200
+_LANE_HEIGHT = 44
+_LABEL_WIDTH = 170
+_MARGIN = 24
+
+# Colours by the prefix of the event kind, so that new kinds get one as well.
+_COLOURS = (
+    ('process_', '#444444'),
+    ('peer_', '#8c6bb1'),
+    ('lease_', '#c51b7d'),
+    ('shard_', '#d95f0e'),
+    ('store_', '#b30000'),
+    ('table_', '#1b7837'),
+    ('worker_', '#08519c'),
+    ('job_', '#5aae61'),
+    ('task_', '#2b8cbe'),
+    ('request_', '#969696'),
+    ('intent_', '#e7298a'),
+)
+_OTHER_COLOUR = '#000000'
+
+# Forbids every load, so that a fault in the escaping cannot run a script.
+_POLICY = "default-src 'none'; style-src 'unsafe-inline'"
+
+_PAGE = """<!DOCTYPE html>
+<html lang="en">
+<head>
+<meta charset="utf-8">
+<meta http-equiv="Content-Security-Policy" content="{policy}">
+<title>{title}</title>
+<style>
+body {{ font: 13px sans-serif; margin: 1em; }}
+pre {{ font: 12px monospace; }}
+text {{ font: 12px sans-serif; }}
+</style>
+</head>
+<body>
+<h1>{title}</h1>
+<p>{summary}</p>
+<svg width="{width}" height="{height}" role="img">
+{lanes}
+{marks}
+</svg>
+<pre>{lines}</pre>
+</body>
+</html>
+"""
+
+
+def render_html(
+    events: Iterable[Event],
+    *,
+    title: str = 'Time line',
+) -> str:
+    """
+    Render events as a page without scripts or outside resources.
+
+    Each process has a lane; each event is a mark whose tooltip tells the
+    details.  The full text of the time line follows the picture.
+    """
+    merged = merge_timelines([events])
+    processes = sorted({event.stamp.process_id for event in merged})
+    return _PAGE.format(
+        policy=html.escape(_POLICY),
+        title=html.escape(title),
+        summary=html.escape(_summary(merged, processes)),
+        width=_WIDTH,
+        height=_LANE_HEIGHT * len(processes) + _MARGIN,
+        lanes='\n'.join(
+            _lane(index, process_id)
+            for index, process_id in enumerate(processes)
+        ),
+        marks='\n'.join(_marks(merged, processes)),
+        lines=html.escape(render_text(merged)),
+    )
+
+
+def _summary(events: Sequence[Event], processes: Sequence[str]) -> str:
+    if not events:
+        return 'no events'
+    span_ms = events[-1].stamp.wall_ms - events[0].stamp.wall_ms
+    return f'{len(events)} events of {len(processes)} processes in {span_ms} ms'
+
+
+def _lane_y(index: int) -> int:
+    return _LANE_HEIGHT * index + _MARGIN
+
+
+def _lane(index: int, process_id: str) -> str:
+    lane_y = _lane_y(index)
+    return (
+        f'<line x1="{_LABEL_WIDTH}" y1="{lane_y}" x2="{_WIDTH}"'
+        f' y2="{lane_y}" stroke="#cccccc"/>'
+        f'<text x="0" y="{lane_y}">{html.escape(process_id)}</text>'
+    )
+
+
+def _marks(events: Sequence[Event], processes: Sequence[str]) -> list[str]:
+    if not events:
+        return []
+    first_ms = events[0].stamp.wall_ms
+    span_ms = max(1, events[-1].stamp.wall_ms - first_ms)
+    scale = (_WIDTH - _LABEL_WIDTH - _MARGIN) / span_ms
+    lane_indexes = {name: index for index, name in enumerate(processes)}
+    return [
+        _mark(
+            event,
+            _LABEL_WIDTH + (event.stamp.wall_ms - first_ms) * scale,
+            _lane_y(lane_indexes[event.stamp.process_id]),
+        )
+        for event in events
+    ]
+
+
+def _mark(event: Event, mark_x: float, mark_y: int) -> str:
+    tip = f'{event.kind} {describe_subjects(event)} {event.detail}'
+    return (
+        f'<circle cx="{mark_x:.1f}" cy="{mark_y}" r="4"'
+        f' fill="{_colour(event)}"><title>{html.escape(tip)}</title></circle>'
+    )
+
+
+def _colour(event: Event) -> str:
+    return next(
+        (
+            colour
+            for prefix, colour in _COLOURS
+            if event.kind.startswith(prefix)
+        ),
+        _OTHER_COLOUR,
+    )
--- /dev/null
+++ b/src/hawthornpier/metrics/__init__.py
@@ -0,0 +1,23 @@
+"""
+Counters, histograms and gauges of a process.
+"""
+
+from hawthornpier.metrics._metrics import GaugeReading, Metrics, MetricsError
+from hawthornpier.metrics._names import (
+    DEFINITIONS,
+    Definition,
+    InstrumentKind,
+    InstrumentName,
+    render_reference,
+)
+
+__all__ = [
+    'DEFINITIONS',
+    'Definition',
+    'GaugeReading',
+    'InstrumentKind',
+    'InstrumentName',
+    'Metrics',
+    'MetricsError',
+    'render_reference',
+]
