Stop using a worker that a request found unreachable

Cause: with first-fit placement every retry of a request went to the same dead worker, and all three attempts failed. Change: an unreachable worker is closed until it has confirmed the epoch again; tests of requests and orders under lost replies, dead workers, store outages and takeovers on virtual time.

--- a/src/hawthornpier/owner/_link.py
+++ b/src/hawthornpier/owner/_link.py
@@ -202,6 +202,16 @@
             sent_ms=now_ms,
         )
 
+    def suspect(self) -> None:
+        """
+        Stop using the worker until it has confirmed the epoch again.
+
+        Called when a request found the worker unreachable, so that the next
+        one does not have to find out as well.
+        """
+        if self.state is LinkState.OPEN:
+            self._close()
+
     async def request(self, request: EndpointRequest) -> EndpointReply:
         """
         Send a caller's request to the endpoint on this worker.
@@ -375,6 +385,9 @@
         self._failure_count += 1
         if self._failure_count < self._timing.close_after_failures:
             return
+        self._close()
+
+    def _close(self) -> None:
         # From here on no renewal is sent, so that the leases run out at a
         # known time; probing goes on by fencing, which renews nothing.
         self.state = LinkState.CLOSED
--- a/src/hawthornpier/owner/_orders.py
+++ b/src/hawthornpier/owner/_orders.py
@@ -199,6 +199,7 @@
         try:
             reply = await link.request(message)
         except WorkerUnreachableError:
+            link.suspect()
             self._release(order, RequestResult.LOST, sent_ms)
             await self._withdraw(order, 'worker_unreachable')
             return
--- a/src/hawthornpier/owner/_requests.py
+++ b/src/hawthornpier/owner/_requests.py
@@ -154,6 +154,7 @@
         try:
             reply = await link.request(message)
         except WorkerUnreachableError:
+            link.suspect()
             self._release(attempt, RequestResult.LOST)
             return _not_run(request, 'worker_unreachable')
         except (WorkerAnswerLostError, asyncio.CancelledError) as error:
--- /dev/null
+++ b/tests/owner_harness.py
@@ -0,0 +1,258 @@
+"""
+A shard's owner with stand-ins around it, on virtual time.
+"""
+
+import itertools
+from collections.abc import Sequence
+
+from virtual_time import VirtualClock
+
+from hawthornpier.messages import (
+    EventKind,
+    ForwardedRequest,
+    HostRecord,
+    HostState,
+    JobSpec,
+    Resources,
+    RowCheck,
+    RowPut,
+    Transaction,
+)
+from hawthornpier.owner import (
+    CommitNotAppliedError,
+    CommitUnknownError,
+    OwnerTiming,
+    ShardClosedError,
+    ShardOwner,
+)
+from hawthornpier.policy import PolicySettings, Scheduler, WorkloadLimits
+from hawthornpier.ports import StoreAnswerLostError, StoreUnavailableError
+from hawthornpier_standin.history import Record
+from hawthornpier_standin.platform import MemoryStore, StoreFaults
+from hawthornpier_standin.workers import MemoryWorker, WorkerModel
+
+SHARD = 'ipoh/0'
+CAPACITY = Resources(
+    processor_millis=32_000,
+    memory_bytes=125_000_000_000,
+    slot_count=8,
+)
+REQUEST_DEMAND = Resources(
+    processor_millis=1_000,
+    memory_bytes=100_000_000,
+    slot_count=1,
+)
+TASK_DEMAND = Resources(
+    processor_millis=4_000,
+    memory_bytes=1_000_000_000,
+    slot_count=1,
+)
+
+
+class OwnerRowCommitter:
+    """
+    Commits one transaction at a time that checks the shard's owner row.
+    """
+
+    def __init__(self, store: MemoryStore, version: int, prefix: str) -> None:
+        self._store = store
+        self._version = version
+        self._ids = (f'{prefix}.{count}' for count in itertools.count())
+
+    async def commit(
+        self,
+        puts: Sequence[RowPut],
+        deletes: Sequence[str] = (),
+        *,
+        timeout_ms: int,
+    ) -> None:
+        """
+        Apply the writes while the owner row is unchanged.
+        """
+        transaction = Transaction(
+            transaction_id=next(self._ids),
+            checks=(RowCheck(key=f'owner/{SHARD}', version=self._version),),
+            puts=tuple(puts),
+            deletes=tuple(deletes),
+        )
+        try:
+            outcome = await self._store.transact(transaction)
+        except StoreUnavailableError as error:
+            raise CommitNotAppliedError('the store is out') from error
+        except StoreAnswerLostError as error:
+            raise CommitUnknownError('the answer was lost') from error
+        if not outcome.is_committed:
+            raise ShardClosedError('another process owns the shard')
+
+
+class Catalog:
+    """
+    A table with one service that is idempotent and one that is not.
+    """
+
+    def demand(self, service: str) -> Resources:
+        """
+        Return the same demand for each service.
+        """
+        return REQUEST_DEMAND
+
+    def is_idempotent(self, service: str) -> bool:
+        """
+        Tell the stock check from the order.
+        """
+        return service == 'stock-check'
+
+    def limits(self) -> Sequence[WorkloadLimits]:
+        """
+        Return no limits.
+        """
+        return ()
+
+
+class OpenGate:
+    """
+    A process whose table version is confirmed.
+    """
+
+    def may_admit(self) -> bool:
+        """
+        Admit everything.
+        """
+        return True
+
+
+class SilentEvents:
+    """
+    Counts events by kind.
+    """
+
+    def __init__(self) -> None:
+        self.kinds: list[EventKind] = []
+
+    def record(self, kind: EventKind, **_fields: str) -> None:
+        """
+        Remember the kind of the event.
+        """
+        self.kinds.append(kind)
+
+
+class Platform:
+    """
+    A store, three workers and the owners that follow one another.
+    """
+
+    def __init__(self, *, worker_count: int = 3, seed: int = 1) -> None:
+        self.clock = VirtualClock()
+        self.store = MemoryStore(clock=self.clock)
+        self.history: list[Record] = []
+        self.events = SilentEvents()
+        self.workers = {
+            f'w{index}': MemoryWorker(
+                worker_id=f'w{index}',
+                capacity=CAPACITY,
+                clock=self.clock,
+                seed=seed + index,
+                model=WorkerModel(seed=seed),
+                recorder=self.history.append,
+            )
+            for index in range(worker_count)
+        }
+        self._epoch = 0
+
+    def hosts(self, *, leaving: Sequence[str] = ()) -> list[HostRecord]:
+        """
+        Return the host list's records of the workers.
+        """
+        return [
+            HostRecord(
+                worker_id=worker_id,
+                address=worker_id,
+                region='semenanjung',
+                failure_domain='ipoh',
+                rack='rack-0',
+                capacity=CAPACITY,
+                state=(
+                    HostState.LEAVING
+                    if worker_id in leaving
+                    else HostState.LIVE
+                ),
+            )
+            for worker_id in self.workers
+        ]
+
+    async def new_owner(self, timing: OwnerTiming | None = None) -> ShardOwner:
+        """
+        Take the shard over with the next epoch and open it.
+        """
+        self._epoch += 1
+        taken = await self.store.transact(
+            Transaction(
+                transaction_id=f'owner.{self._epoch}',
+                puts=(RowPut(key=f'owner/{SHARD}', text='{}'),),
+            ),
+        )
+        owner = ShardOwner(
+            shard=SHARD,
+            epoch=self._epoch,
+            policy=Scheduler(settings=PolicySettings(), seed=self._epoch),
+            committer=OwnerRowCommitter(
+                self.store,
+                taken.rows[0].version,
+                f'commit.{self._epoch}',
+            ),
+            store=self.store,
+            connect=lambda host: self.workers[host.worker_id],
+            catalog=Catalog(),
+            gate=OpenGate(),
+            clock=self.clock,
+            timing=timing or OwnerTiming(),
+            events=self.events,
+        )
+        await owner.open(self.hosts())
+        await self.clock.sleep_ms(50)
+        return owner
+
+    def set_store_out(self, *, is_out: bool) -> None:
+        """
+        Start or end an outage of the store.
+        """
+        self.store.apply_faults(StoreFaults(is_out=is_out))
+
+
+def request_of(
+    operation: str,
+    *,
+    key: str = '',
+    remaining_ms: int = 2_000,
+) -> ForwardedRequest:
+    """
+    Return a caller's request whose answer must repeat *operation*.
+    """
+    return ForwardedRequest(
+        request_id=f'request-{operation}',
+        shard=SHARD,
+        member='yayasan',
+        service='order' if key else 'stock-check',
+        body=f'{{"operation": "{operation}"}}',
+        remaining_ms=remaining_ms,
+        idempotency_key=key,
+    )
+
+
+def job_of(
+    task_count: int = 4,
+    *,
+    work_ms: int = 3_000,
+    is_idempotent: bool = True,
+) -> JobSpec:
+    """
+    Return a batch job of equal tasks.
+    """
+    return JobSpec(
+        member='yayasan',
+        workload='carving-plan',
+        task_count=task_count,
+        demand=TASK_DEMAND,
+        declared_work_ms=work_ms,
+        is_idempotent=is_idempotent,
+    )
--- /dev/null
+++ b/tests/test_owner_requests.py
@@ -0,0 +1,270 @@
+"""
+Tests of how a shard's owner serves callers' requests.
+"""
+
+import asyncio
+
+from owner_harness import Platform, request_of
+from virtual_time import run_virtual
+
+from hawthornpier.messages import Answer, NotRun, Unknown
+from hawthornpier.ports import StoreError
+from hawthornpier_standin.history import RecordKind
+from hawthornpier_standin.platform import StoreFaults
+from hawthornpier_standin.workers import WorkerFaults
+
+
+def _executions(platform: Platform, key: str = '') -> int:
+    return sum(
+        record.kind is RecordKind.EXECUTION_STARTED
+        and record.idempotency_key == key
+        for record in platform.history
+    )
+
+
+class TestIdempotentRequests:
+    """
+    Requests without a key.
+    """
+
+    def test_answer_belongs_to_the_request(self) -> None:
+        """
+        G4: concurrent callers each get the answer to their own request.
+        """
+
+        async def scenario() -> list[Answer]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            outcomes = await asyncio.gather(
+                *(owner.serve(request_of(f'op-{index}')) for index in range(9)),
+            )
+            return list(outcomes)
+
+        outcomes = run_virtual(scenario())
+        assert all(
+            isinstance(outcome, Answer) and f'op-{index}' in outcome.body
+            for index, outcome in enumerate(outcomes)
+        )
+
+    def test_stale_and_truncated_replies_reach_nobody(self) -> None:
+        """
+        G4: a reply to another request or a cut one is never handed on.
+        """
+
+        async def scenario() -> list[object]:
+            platform = Platform(worker_count=1)
+            owner = await platform.new_owner()
+            await owner.serve(request_of('first'))
+            platform.workers['w0'].apply_faults(
+                WorkerFaults(stale_reply_count=1, truncated_reply_count=1),
+            )
+            return [
+                await owner.serve(request_of(f'op-{name}')) for name in 'abc'
+            ]
+
+        outcomes = run_virtual(scenario())
+        for name, outcome in zip('abc', outcomes, strict=True):
+            assert not isinstance(outcome, Answer) or (
+                f'op-{name}' in outcome.body
+            )
+        assert any(isinstance(outcome, Answer) for outcome in outcomes)
+
+    def test_lost_reply_keeps_the_slot_charged(self) -> None:
+        """
+        G1: a worker whose replies are lost is not given more than it carries.
+        """
+
+        async def scenario() -> tuple[int, object]:
+            platform = Platform(worker_count=1)
+            owner = await platform.new_owner()
+            platform.workers['w0'].apply_faults(WorkerFaults(is_silent=True))
+            outcome = await owner.serve(
+                request_of('lost', remaining_ms=500),
+            )
+            return owner.load().free_slot_count, outcome
+
+        free_slot_count, outcome = run_virtual(scenario())
+        assert free_slot_count < 8
+        assert isinstance(outcome, Unknown)
+
+    def test_dead_worker_means_another_one(self) -> None:
+        """
+        An idempotent request is retried when its worker is unreachable.
+        """
+
+        async def scenario() -> object:
+            platform = Platform(worker_count=2)
+            owner = await platform.new_owner()
+            platform.workers['w0'].apply_faults(WorkerFaults(is_dead=True))
+            return [
+                await owner.serve(request_of(f'op-{index}'))
+                for index in range(4)
+            ]
+
+        assert all(
+            isinstance(outcome, Answer) for outcome in run_virtual(scenario())
+        )
+
+
+class TestOrders:
+    """
+    Requests with an idempotency key.
+    """
+
+    def test_repeat_gets_the_first_outcome(self) -> None:
+        """
+        G6: concurrent and later repeats of a key run once and agree.
+        """
+
+        async def scenario() -> tuple[set[str], int]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            outcomes = list(
+                await asyncio.gather(
+                    *(owner.serve(request_of('o', key='k')) for _ in range(5)),
+                ),
+            )
+            outcomes.append(await owner.serve(request_of('o', key='k')))
+            return (
+                {outcome.body for outcome in outcomes},
+                _executions(platform, 'k'),
+            )
+
+        bodies, executions = run_virtual(scenario())
+        assert len(bodies) == 1
+        assert executions == 1
+
+    def test_store_outage_refuses_before_sending(self) -> None:
+        """
+        G5, G6: without a durable intent nothing is sent and the caller is
+        told that the order did not run.
+        """
+
+        async def scenario() -> tuple[object, int, object]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            platform.set_store_out(is_out=True)
+            refused = await owner.serve(request_of('o', key='k'))
+            executions = _executions(platform, 'k')
+            platform.set_store_out(is_out=False)
+            return (
+                refused,
+                executions,
+                await owner.serve(
+                    request_of('o', key='k'),
+                ),
+            )
+
+        refused, executions, repeated = run_virtual(scenario())
+        assert isinstance(refused, NotRun)
+        assert executions == 0
+        assert isinstance(repeated, Answer)
+
+    def test_next_owner_knows_the_first_outcome(self) -> None:
+        """
+        G6: the outcome outlives the owner that recorded it.
+        """
+
+        async def scenario() -> tuple[Answer, Answer, int]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            first = await owner.serve(request_of('o', key='k'))
+            await owner.close()
+            successor = await platform.new_owner()
+            second = await successor.serve(request_of('o', key='k'))
+            return first, second, _executions(platform, 'k')
+
+        first, second, executions = run_virtual(scenario())
+        assert first.body == second.body
+        assert executions == 1
+
+    def test_owner_killed_between_intent_and_outcome(self) -> None:
+        """
+        G6: the next owner learns the outcome from the worker and does not
+        run the order again.
+        """
+
+        async def scenario() -> tuple[object, int]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            platform.store.apply_faults(StoreFaults(added_delay_ms=1))
+            serving = asyncio.ensure_future(
+                owner.serve(request_of('o', key='k')),
+            )
+            while not _executions(platform, 'k'):
+                await platform.clock.sleep_ms(1)
+            await owner.close()
+            serving.cancel()
+            successor = await platform.new_owner()
+            outcome = await successor.serve(
+                request_of('o', key='k', remaining_ms=10_000),
+            )
+            return outcome, _executions(platform, 'k')
+
+        outcome, executions = run_virtual(scenario())
+        assert isinstance(outcome, Answer)
+        assert executions == 1
+
+    def test_deposed_owner_sends_nothing(self) -> None:
+        """
+        G6: an owner that lost the shard without noticing cannot record an
+        intent, so it does not run an order that its successor may run.
+        """
+
+        async def scenario() -> tuple[object, int]:
+            platform = Platform()
+            deposed = await platform.new_owner()
+            await platform.new_owner()
+            outcome = await deposed.serve(request_of('o', key='k'))
+            return outcome, _executions(platform, 'k')
+
+        outcome, executions = run_virtual(scenario())
+        assert isinstance(outcome, NotRun)
+        assert executions == 0
+
+    def test_worker_silent_then_back(self) -> None:
+        """
+        G6: an order whose reply is lost is unknown until the worker tells,
+        and is then answered without a second execution.
+        """
+
+        async def scenario() -> tuple[object, object, int]:
+            platform = Platform(worker_count=1)
+            owner = await platform.new_owner()
+            worker = platform.workers['w0']
+            worker.apply_faults(WorkerFaults(is_silent=True))
+            lost = await owner.serve(
+                request_of('o', key='k', remaining_ms=1_000),
+            )
+            worker.apply_faults(WorkerFaults())
+            later = await owner.serve(
+                request_of('o', key='k', remaining_ms=10_000),
+            )
+            return lost, later, _executions(platform, 'k')
+
+        lost, later, executions = run_virtual(scenario())
+        assert isinstance(lost, Unknown)
+        assert isinstance(later, Answer)
+        assert executions == 1
+
+
+class TestStoreErrors:
+    """
+    The harness's committer.
+    """
+
+    def test_store_errors_are_not_leaked(self) -> None:
+        """
+        The owner never raises an error of the store to its caller.
+        """
+
+        async def scenario() -> object:
+            platform = Platform()
+            owner = await platform.new_owner()
+            platform.store.apply_faults(StoreFaults(lost_answer_count=1))
+            try:
+                return await owner.serve(request_of('o', key='k'))
+            except StoreError as error:
+                return error
+
+        assert isinstance(run_virtual(scenario()), NotRun)
