--- /dev/null
+++ b/src/hawthornpier/table/_csv.py
@@ -0,0 +1,118 @@
+"""
+The table as CSV, one line for each row, for spreadsheets.
+"""
+
+import csv
+import io
+from collections.abc import Iterable, Sequence
+
+from hawthornpier.table._columns import COLUMNS, format_cell, parse_cell
+from hawthornpier.table._documents import ROW_TYPES, build_row, row_to_document
+from hawthornpier.table._errors import RowError, RowErrorGroup
+from hawthornpier.table._rows import TableRow
+
+_KIND = 'kind'
+
+
+def rows_to_csv(rows: Iterable[TableRow]) -> str:
+    """
+    Return *rows* as CSV with a header line.
+
+    Cells of columns that a kind of row does not have are empty, and so are
+    limits that do not bind.
+    """
+    text = io.StringIO()
+    writer = csv.DictWriter(
+        text,
+        fieldnames=[_KIND, *COLUMNS],
+        restval='',
+        lineterminator='\n',
+    )
+    writer.writeheader()
+    for row in rows:
+        writer.writerow(
+            {
+                column: format_cell(cell)
+                for column, cell in row_to_document(row).items()
+            },
+        )
+    return text.getvalue()
+
+
+def rows_from_csv(text: str) -> tuple[TableRow, ...]:
+    """
+    Return the rows of a CSV file.
+
+    Columns may be in any order and may be left out; an empty cell has the
+    default of its column.
+
+    Raises:
+        RowErrorGroup: With all mistakes, each with its line and column.
+    """
+    reader = csv.reader(io.StringIO(text), strict=True)
+    rows: list[TableRow] = []
+    errors: list[RowError] = []
+    try:
+        lines = [(reader.line_num, cells) for cells in reader if any(cells)]
+    except csv.Error as error:
+        place = f'line {reader.line_num}'
+        raise RowErrorGroup(
+            'invalid CSV',
+            [RowError(f'not CSV: {error}', row=place)],
+        ) from error
+    header = _read_header(lines)
+    for number, cells in lines[1:]:
+        try:
+            rows.append(_read_row(header, cells, f'line {number}'))
+        except RowErrorGroup as group:
+            errors.extend(group.exceptions)  # type: ignore[arg-type]
+    if errors:
+        raise RowErrorGroup('invalid rows', errors)
+    return tuple(rows)
+
+
+def _read_header(lines: Sequence[tuple[int, list[str]]]) -> list[str]:
+    header = [name.strip() for name in lines[0][1]] if lines else []
+    errors = [
+        RowError('unknown column', row='header', column=name)
+        for name in header
+        if name not in COLUMNS and name != _KIND
+    ]
+    errors.extend(
+        RowError('occurs twice', row='header', column=name)
+        for name in sorted(set(header))
+        if header.count(name) > 1
+    )
+    if _KIND not in header:
+        errors.append(RowError('no such column', row='header', column=_KIND))
+    if errors:
+        raise RowErrorGroup('invalid header', errors)
+    return header
+
+
+def _read_row(header: list[str], cells: list[str], place: str) -> TableRow:
+    if len(cells) > len(header):
+        raise RowErrorGroup(
+            'invalid row',
+            [RowError(f'{len(cells)} cells, {len(header)} columns', row=place)],
+        )
+    stripped = (cell.strip() for cell in cells)
+    present = {
+        column: cell
+        for column, cell in zip(header, stripped, strict=False)
+        if cell
+    }
+    kind = present.pop(_KIND, '')
+    if kind not in ROW_TYPES:
+        known = ', '.join(ROW_TYPES)
+        raise RowErrorGroup(
+            'invalid row',
+            [
+                RowError(
+                    f'{kind!r} is not one of {known}',
+                    row=place,
+                    column=_KIND,
+                ),
+            ],
+        )
+    return build_row(ROW_TYPES[kind], present, convert=parse_cell, place=place)
--- /dev/null
+++ b/src/hawthornpier/table/_plan.py
@@ -0,0 +1,339 @@
+"""
+What an edit or an approval changes, as pure functions over the rows.
+
+The rules:
+
+- Only a member's own operators put or delete its rows.
+- A member row for a name that is not a member is a proposal.  It comes into
+  force when every member has approved it, each by its own operators.
+- A member may lower its own weight and quotas at once.  A raise takes from
+  the others, so it is a proposal that every other member has to approve.
+- On an empty table the founders named in the settings are members at once.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from dataclasses import replace
+from functools import singledispatch
+from typing import Any
+
+from hawthornpier.table._errors import (
+    EmptyEditError,
+    NotPermittedError,
+    RowError,
+    RowErrorGroup,
+)
+from hawthornpier.table._rows import (
+    QUOTA_COLUMNS,
+    Change,
+    DeleteRow,
+    Edit,
+    MemberRow,
+    ProposalRow,
+    PutRow,
+    TableRow,
+    WorkloadRow,
+    member_key,
+    proposal_key,
+    row_key,
+)
+from hawthornpier.table._validate import validate_rows
+
+_TERMS = ('weight', *QUOTA_COLUMNS)
+
+
+class Draft:
+    """
+    The rows of the next version while an edit is applied to them.
+
+    Args:
+        rows: The rows of the current version.
+        member: The member whose operator edits.
+        version: The version that the edit will have.
+        founders: Key hashes of the founding members, used if the table has
+            no member yet.
+    """
+
+    def __init__(
+        self,
+        rows: Mapping[str, TableRow],
+        *,
+        member: str,
+        version: int,
+        founders: Mapping[str, str],
+    ) -> None:
+        self.rows = dict(rows)
+        self.member = member
+        self.version = version
+        is_empty = not any(isinstance(row, MemberRow) for row in rows.values())
+        self.founders = dict(founders) if is_empty else {}
+
+    def members(self) -> frozenset[str]:
+        """
+        Return the names of the members in force.
+        """
+        return member_names(self.rows)
+
+    def put(self, row: TableRow) -> None:
+        """
+        Add or replace a row.
+        """
+        self.rows[row_key(row)] = row
+
+    def settle(self) -> None:
+        """
+        Put the proposals into force that every other member approved.
+        """
+        for key, row in tuple(self.rows.items()):
+            if not isinstance(row, ProposalRow):
+                continue
+            needed = self.members() - {row.member}
+            if needed and needed <= set(row.approved_by):
+                self.rows.pop(key)
+                self.put(_member_of(row, self.rows.get(member_key(row.member))))
+
+
+def member_names(rows: Mapping[str, TableRow]) -> frozenset[str]:
+    """
+    Return the names of the members in force.
+    """
+    return frozenset(
+        row.member for row in rows.values() if isinstance(row, MemberRow)
+    )
+
+
+def plan_edit(
+    rows: Mapping[str, TableRow],
+    edits: Sequence[Edit],
+    *,
+    member: str,
+    version: int,
+    founders: Mapping[str, str],
+) -> tuple[Change, ...]:
+    """
+    Return the changes that an operator's edits make.
+
+    Args:
+        rows: The rows of the current version by key.
+        edits: What the operator asks for, in order.
+        member: The member that the operator belongs to.
+        version: The version that the edit will have.
+        founders: Key hashes of the founding members.
+
+    Raises:
+        NotPermittedError: If a row is not the member's to change.
+        RowErrorGroup: If the resulting table is invalid.
+        EmptyEditError: If nothing changes.
+    """
+    draft = Draft(rows, member=member, version=version, founders=founders)
+    if member not in draft.members() | draft.founders.keys():
+        _check_newcomer(draft, edits)
+    for edit in edits:
+        _apply(edit, draft)
+    draft.settle()
+    return _changes(rows, draft)
+
+
+def plan_approval(
+    rows: Mapping[str, TableRow],
+    subject: str,
+    *,
+    member: str,
+    version: int,
+) -> tuple[Change, ...]:
+    """
+    Return the changes that *member*'s approval of *subject*'s proposal makes.
+
+    Raises:
+        NotPermittedError: If there is no proposal, or the approval is not
+            this member's to give or was given already.
+    """
+    draft = Draft(rows, member=member, version=version, founders={})
+    proposal = rows.get(proposal_key(subject))
+    if not isinstance(proposal, ProposalRow):
+        raise NotPermittedError(f'there is no proposal for {subject}')
+    if member not in draft.members() - {subject}:
+        raise NotPermittedError(
+            f'{member} has no approval to give for {subject}',
+        )
+    if member in proposal.approved_by:
+        raise NotPermittedError(f'{member} has already approved {subject}')
+    draft.put(replace(proposal, approved_by=(*proposal.approved_by, member)))
+    draft.settle()
+    return _changes(rows, draft)
+
+
+def apply_changes(
+    rows: Mapping[str, TableRow],
+    changes: Iterable[Change],
+) -> dict[str, TableRow]:
+    """
+    Return *rows* with *changes* made.
+    """
+    result = dict(rows)
+    for change in changes:
+        if change.after is None:
+            result.pop(change.key, None)
+        else:
+            result[change.key] = change.after
+    return result
+
+
+def diff_rows(
+    before: Mapping[str, TableRow],
+    after: Mapping[str, TableRow],
+) -> tuple[Change, ...]:
+    """
+    Return the rows that differ, ordered by key.
+    """
+    return tuple(
+        Change(key=key, before=before.get(key), after=after.get(key))
+        for key in sorted(before.keys() | after.keys())
+        if before.get(key) != after.get(key)
+    )
+
+
+def _changes(
+    rows: Mapping[str, TableRow],
+    draft: Draft,
+) -> tuple[Change, ...]:
+    changes = diff_rows(rows, draft.rows)
+    if not changes:
+        raise EmptyEditError('the edit changes nothing')
+    errors = tuple(validate_rows(draft.rows, changed=changes))
+    if errors:
+        raise RowErrorGroup('invalid table', errors)
+    return changes
+
+
+def _check_newcomer(draft: Draft, edits: Sequence[Edit]) -> None:
+    """
+    Let operators of a proposed member only withdraw the proposal.
+    """
+    own = DeleteRow(key=proposal_key(draft.member))
+    if any(edit != own for edit in edits):
+        raise NotPermittedError(f'{draft.member} is not a member yet')
+
+
+@singledispatch
+def _apply(edit: object, draft: Draft) -> None:
+    raise TypeError(f'{type(edit).__name__} is not an edit')
+
+
+@_apply.register
+def _apply_put(edit: PutRow, draft: Draft) -> None:
+    _put(edit.row, draft)
+
+
+@_apply.register
+def _apply_delete(edit: DeleteRow, draft: Draft) -> None:
+    row = draft.rows.get(edit.key)
+    if row is None:
+        raise RowErrorGroup(
+            'invalid edit',
+            [RowError('there is no such row', row=edit.key)],
+        )
+    owners = {row.member}
+    if isinstance(row, ProposalRow):
+        owners.add(row.proposed_by)
+    if draft.member not in owners:
+        raise NotPermittedError(
+            f'{edit.key} belongs to {row.member}, not to {draft.member}',
+        )
+    draft.rows.pop(edit.key)
+    if isinstance(row, MemberRow):
+        _withdraw(row.member, draft)
+
+
+def _withdraw(member: str, draft: Draft) -> None:
+    if not draft.members():
+        raise NotPermittedError('the last member cannot leave')
+    draft.rows.pop(proposal_key(member), None)
+    for row in tuple(draft.rows.values()):
+        if isinstance(row, ProposalRow):
+            approved_by = tuple(
+                name for name in row.approved_by if name != member
+            )
+            draft.put(replace(row, approved_by=approved_by))
+
+
+@singledispatch
+def _put(row: object, draft: Draft) -> None:
+    raise TypeError(f'{type(row).__name__} cannot be put into the table')
+
+
+@_put.register
+def _put_workload(row: WorkloadRow, draft: Draft) -> None:
+    if row.member != draft.member:
+        raise NotPermittedError(
+            f'{row_key(row)} belongs to {row.member}, not to {draft.member}',
+        )
+    draft.put(row)
+
+
+@_put.register
+def _put_member(row: MemberRow, draft: Draft) -> None:
+    current = draft.rows.get(member_key(row.member))
+    founder_hash = draft.founders.get(row.member)
+    if founder_hash:
+        key_hash = row.operator_key_hash or (founder_hash,)
+        draft.put(replace(row, operator_key_hash=key_hash))
+    elif current is None:
+        _propose(row, draft)
+    elif isinstance(current, MemberRow) and row.member == draft.member:
+        _change_own(row, current, draft)
+    else:
+        raise NotPermittedError(
+            f'{row_key(row)} is changed only by its own operators',
+        )
+
+
+def _change_own(row: MemberRow, current: MemberRow, draft: Draft) -> None:
+    others = draft.members() - {row.member}
+    if others and any(_raised(row, current)):
+        # A key rotation in the same edit takes effect at once.
+        draft.put(replace(current, operator_key_hash=row.operator_key_hash))
+        _propose(row, draft)
+        return
+    draft.put(row)
+    if any(getattr(row, term) != getattr(current, term) for term in _TERMS):
+        # Approving the older proposal would undo this change.
+        draft.rows.pop(proposal_key(row.member), None)
+
+
+def _propose(row: MemberRow, draft: Draft) -> None:
+    key = proposal_key(row.member)
+    open_proposal = draft.rows.get(key)
+    if isinstance(open_proposal, ProposalRow) and (
+        open_proposal.proposed_by != draft.member
+    ):
+        raise NotPermittedError(
+            f'{key} is changed only by operators of '
+            f'{open_proposal.proposed_by}',
+        )
+    draft.put(
+        ProposalRow(
+            **_terms_of(row),
+            proposed_by=draft.member,
+            proposed_version=draft.version,
+        ),
+    )
+
+
+def _raised(row: MemberRow, current: MemberRow) -> Iterator[bool]:
+    yield row.weight > current.weight
+    for column in QUOTA_COLUMNS:
+        asked, held = getattr(row, column), getattr(current, column)
+        yield held is not None and (asked is None or asked > held)
+
+
+def _member_of(proposal: ProposalRow, current: TableRow | None) -> MemberRow:
+    member = MemberRow(**_terms_of(proposal))
+    if isinstance(current, MemberRow):
+        # The keys may have been rotated since the proposal.
+        return replace(member, operator_key_hash=current.operator_key_hash)
+    return member
+
+
+def _terms_of(row: MemberRow | ProposalRow) -> dict[str, Any]:
+    columns = ('member', 'operator_key_hash', *_TERMS)
+    return {column: getattr(row, column) for column in columns}
--- /dev/null
+++ b/src/hawthornpier/table/_versioned.py
@@ -0,0 +1,266 @@
+"""
+The table of one process: a copy of the store's rows with one version.
+"""
+
+import uuid
+from collections.abc import Callable, Mapping, Sequence
+
+from hawthornpier.ports import Clock, EventSink, StoreError, TableStore
+from hawthornpier.table import _commit, _plan, _rows
+from hawthornpier.table._errors import (
+    EditConflictError,
+    TableUnavailableError,
+)
+from hawthornpier.table._local import LocalTable
+
+# Behind by more versions than this, reading all rows is cheaper.
+_MAX_DELTA_READS = 64
+# A scan is repeated if an edit was accepted meanwhile.
+_MAX_SCANS = 8
+# Approvals of several members race for the next version.
+_MAX_APPROVAL_ATTEMPTS = 16
+
+
+def _new_edit_id() -> str:
+    return uuid.uuid4().hex
+
+
+def _always() -> bool:
+    return True
+
+
+class VersionedTable(LocalTable):
+    """
+    Reads, edits and confirms the shared table.
+
+    The version of an instance never goes back.  All methods are called from
+    one event loop.
+
+    Args:
+        store: The platform's table service.
+        clock: The clock of the process.
+        founders: Key hashes of the founding members by name, from the
+            settings; used only while the table has no member.
+        has_majority: Tells whether the process hears from a majority of the
+            last known processes; without one, edits are refused.
+        events: Where changes of the version are recorded.
+        new_edit_id: Returns a new unique id.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: TableStore,
+        clock: Clock,
+        founders: Mapping[str, str] | None = None,
+        has_majority: Callable[[], bool] = _always,
+        events: EventSink | None = None,
+        new_edit_id: Callable[[], str] = _new_edit_id,
+    ) -> None:
+        super().__init__(clock=clock, founders=founders, events=events)
+        self._store = store
+        self._has_majority = has_majority
+        self._new_edit_id = new_edit_id
+
+    async def refresh(self) -> int:
+        """
+        Read the head, and what follows the own version, from the store.
+
+        Returns:
+            The version afterwards.
+
+        Raises:
+            TableUnavailableError: If the store does not answer.
+        """
+        started_at_ms = self._clock.monotonic_ms()
+        try:
+            head = await _commit.read_head(self._store)
+            await self._catch_up(head)
+        except StoreError as error:
+            raise TableUnavailableError(f'cannot read: {error}') from error
+        # The rows may be newer by now than the head that was read.
+        if self._version >= head.version:
+            self._confirm(started_at_ms)
+        return self._version
+
+    async def edit(
+        self,
+        edits: Sequence[_rows.Edit],
+        *,
+        member: str,
+        base_version: int,
+    ) -> _rows.Delta:
+        """
+        Make an operator's edits if the table is still at *base_version*.
+
+        The caller has checked that the operator belongs to *member*.
+
+        Returns:
+            The accepted edit.
+
+        Raises:
+            EditConflictError: If another edit was accepted since.
+            NotPermittedError: If a row is not the member's to change.
+            RowErrorGroup: If the resulting table is invalid.
+            EmptyEditError: If nothing changes.
+            TableUnavailableError: If nothing was applied.
+            EditOutcomeUnknownError: If the edit may have been applied.
+        """
+        head = await self._head_for_edit()
+        if head.version != base_version or self._version != base_version:
+            raise await self._conflict(base_version)
+        changes = _plan.plan_edit(
+            self._rows,
+            edits,
+            member=member,
+            version=base_version + 1,
+            founders=self._founders,
+        )
+        delta = await self._commit(head, changes, member)
+        if delta is None:
+            raise await self._conflict(base_version)
+        return delta
+
+    async def approve(
+        self,
+        subject: str,
+        *,
+        member: str,
+        base_version: int,
+    ) -> _rows.Delta:
+        """
+        Record *member*'s approval of the proposal for *subject*.
+
+        Edits of other rows since *base_version* do not matter: the approval
+        is valid if the proposal is still the one that the operator saw.
+
+        Returns:
+            The accepted approval.
+
+        Raises:
+            EditConflictError: If the proposal was changed since.
+            NotPermittedError: If there is nothing to approve.
+            TableUnavailableError: If nothing was applied.
+            EditOutcomeUnknownError: If the approval may have been applied.
+        """
+        for _ in range(_MAX_APPROVAL_ATTEMPTS):
+            head = await self._head_for_edit()
+            if self._version != head.version:
+                continue
+            proposal = self._rows.get(_rows.proposal_key(subject))
+            if isinstance(proposal, _rows.ProposalRow) and (
+                proposal.proposed_version > base_version
+            ):
+                raise await self._conflict(base_version)
+            changes = _plan.plan_approval(
+                self._rows,
+                subject,
+                member=member,
+                version=head.version + 1,
+            )
+            delta = await self._commit(head, changes, member)
+            if delta is not None:
+                return delta
+        raise TableUnavailableError('too many edits at the same time')
+
+    async def history(
+        self,
+        *,
+        since: int = 0,
+        limit: int = 100,
+    ) -> tuple[_rows.Delta, ...]:
+        """
+        Return the newest edits after version *since*, oldest first.
+
+        Edits that the store no longer keeps are left out.
+
+        Raises:
+            TableUnavailableError: If the store does not answer.
+        """
+        kept = {delta.version: delta for delta in self._deltas}
+        first = max(0, since, self._version - limit) + 1
+        try:
+            deltas = [
+                kept.get(version)
+                or await _commit.read_delta(self._store, version)
+                for version in range(first, self._version + 1)
+            ]
+        except StoreError as error:
+            raise TableUnavailableError(f'cannot read: {error}') from error
+        return tuple(delta for delta in deltas if delta is not None)
+
+    async def _head_for_edit(self) -> _commit.Head:
+        """
+        Return the head after catching up with it.
+        """
+        if not self._has_majority():
+            raise TableUnavailableError(
+                'this process does not hear from a majority of the processes',
+            )
+        try:
+            head = await _commit.read_head(self._store)
+            await self._catch_up(head)
+        except StoreError as error:
+            raise TableUnavailableError(f'cannot read: {error}') from error
+        return head
+
+    async def _catch_up(self, head: _commit.Head) -> None:
+        """
+        Bring the rows to the version of *head* or a later one.
+        """
+        if head.version - self._version <= _MAX_DELTA_READS:
+            await self._read_deltas(head)
+        for _ in range(_MAX_SCANS):
+            if self._version >= head.version:
+                return
+            rows = await self._store.scan(_commit.ROW_PREFIX)
+            newest = await _commit.read_head(self._store)
+            if newest == head:
+                self.apply_snapshot(_commit.decode_rows(rows, head))
+            head = newest
+        raise TableUnavailableError('the table changed during every read')
+
+    async def _read_deltas(self, head: _commit.Head) -> None:
+        """
+        Apply the deltas up to *head*, as far as the store keeps them.
+        """
+        while self._version < head.version:
+            delta = await _commit.read_delta(self._store, self._version + 1)
+            if delta is None:
+                return
+            self.apply_deltas((delta,))
+
+    async def _commit(
+        self,
+        head: _commit.Head,
+        changes: tuple[_rows.Change, ...],
+        member: str,
+    ) -> _rows.Delta | None:
+        """
+        Return the accepted delta, or None if another edit came first.
+        """
+        delta = _rows.Delta(
+            version=head.version + 1,
+            edit_id=self._new_edit_id(),
+            member=member,
+            at_ms=self._clock.wall_ms(),
+            changes=changes,
+        )
+        started_at_ms = self._clock.monotonic_ms()
+        if not await _commit.commit_delta(self._store, head, delta):
+            return None
+        self.apply_deltas((delta,))
+        if self._version >= delta.version:
+            self._confirm(started_at_ms)
+        return delta
+
+    async def _conflict(self, base_version: int) -> EditConflictError:
+        """
+        Return the error that shows the edits since *base_version*.
+        """
+        await self.refresh()
+        return EditConflictError(
+            base_version=base_version,
+            version=self._version,
+            deltas=await self.history(since=base_version),
+        )
--- /dev/null
+++ b/tests/test_table_versioned.py
@@ -0,0 +1,593 @@
+"""
+Tests of the table's versions, edits and approvals over a store fake.
+"""
+
+import asyncio
+import itertools
+from types import MappingProxyType
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    rule,
+)
+from virtual_time import VirtualClock, run_virtual
+
+from hawthornpier.messages import (
+    ABSENT_VERSION,
+    Row,
+    Transaction,
+    TransactionResult,
+)
+from hawthornpier.ports import StoreAnswerLostError, StoreUnavailableError
+from hawthornpier.table import (
+    DeleteRow,
+    EditConflictError,
+    EditOutcomeUnknownError,
+    MemberRow,
+    NotPermittedError,
+    PutRow,
+    TableError,
+    TableUnavailableError,
+    VersionedTable,
+    WorkloadClass,
+    WorkloadRow,
+    hash_operator_key,
+)
+
+FOUNDERS = MappingProxyType(
+    {
+        name: hash_operator_key(f'key of {name}', salt=b'salt of tests...')
+        for name in ('yayasan', 'picking')
+    }
+)
+
+
+class FakeStore:
+    """
+    A table service in memory that fails on request.
+
+    *failures* holds one entry for each coming transaction: None, 'out',
+    'lost_before' or 'lost_after'.  Without *knows_ids* a repeated transaction
+    is checked anew.
+    """
+
+    def __init__(self, *, knows_ids: bool = True) -> None:
+        self.failures: list[str | None] = []
+        self.is_out = False
+        self._knows_ids = knows_ids
+        self._results: dict[str, TransactionResult] = {}
+        self._rows: dict[str, Row] = {}
+        self._versions = itertools.count(1)
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        await asyncio.sleep(0)
+        failure = self.failures.pop(0) if self.failures else None
+        if failure == 'out':
+            raise StoreUnavailableError('out')
+        if failure == 'lost_before':
+            raise StoreAnswerLostError('lost before')
+        outcome = self._results.get(transaction.transaction_id)
+        if outcome is None or not self._knows_ids:
+            outcome = self._apply(transaction)
+            self._results[transaction.transaction_id] = outcome
+        if failure == 'lost_after':
+            raise StoreAnswerLostError('lost after')
+        return outcome
+
+    async def read(self, key: str) -> Row | None:
+        await asyncio.sleep(0)
+        if self.is_out:
+            raise StoreUnavailableError('out')
+        return self._rows.get(key)
+
+    async def scan(self, prefix: str) -> tuple[Row, ...]:
+        await asyncio.sleep(0)
+        return tuple(
+            self._rows[key]
+            for key in sorted(self._rows)
+            if key.startswith(prefix)
+        )
+
+    def _apply(self, transaction: Transaction) -> TransactionResult:
+        for check in transaction.checks:
+            row = self._rows.get(check.key)
+            version = row.version if row else ABSENT_VERSION
+            if version != check.version:
+                return TransactionResult(is_committed=False)
+        for put in transaction.puts:
+            self._rows[put.key] = Row(
+                key=put.key,
+                version=next(self._versions),
+                text=put.text,
+            )
+        for key in transaction.deletes:
+            self._rows.pop(key, None)
+        return TransactionResult(is_committed=True)
+
+
+def new_table(store: FakeStore, **options: object) -> VersionedTable:
+    """
+    Return a process's table over *store*.
+    """
+    return VersionedTable(
+        store=store,
+        clock=VirtualClock(),
+        founders=FOUNDERS,
+        **options,
+    )
+
+
+def workload(member: str, name: str, weight: float = 1) -> PutRow:
+    """
+    Return an edit of a service.
+    """
+    return PutRow(
+        row=WorkloadRow(
+            member=member,
+            name=name,
+            workload_class=WorkloadClass.SERVICE,
+            weight=weight,
+        ),
+    )
+
+
+def newcomer(weight: float = 1) -> PutRow:
+    """
+    Return an edit that proposes a new member.
+    """
+    return PutRow(
+        row=MemberRow(
+            member='mill',
+            weight=weight,
+            operator_key_hash=('hash',),
+        ),
+    )
+
+
+async def founded(store: FakeStore) -> VersionedTable:
+    """
+    Return a table at version 1 with both founders.
+    """
+    table = new_table(store)
+    members = [PutRow(row=MemberRow(member=name)) for name in FOUNDERS]
+    await table.edit(members, member='yayasan', base_version=0)
+    return table
+
+
+class TestEditing:
+    """
+    Edits are compare-and-set on the version that the operator saw.
+    """
+
+    def test_of_two_racing_edits_one_is_accepted(self) -> None:
+        """
+        A lost update: the loser gets a conflict that shows the winner.
+        """
+
+        async def scenario() -> list[object]:
+            store = FakeStore()
+            await founded(store)
+            tables = [new_table(store), new_table(store)]
+            return await asyncio.gather(
+                tables[0].edit(
+                    [workload('yayasan', 'desk')],
+                    member='yayasan',
+                    base_version=1,
+                ),
+                tables[1].edit(
+                    [workload('picking', 'planner')],
+                    member='picking',
+                    base_version=1,
+                ),
+                return_exceptions=True,
+            )
+
+        first, second = run_virtual(scenario())
+        assert first.version == 2
+        assert isinstance(second, EditConflictError)
+        assert second.deltas == (first,)
+
+    @pytest.mark.parametrize('knows_ids', [True, False])
+    def test_lost_answer_is_resolved(self, knows_ids: bool) -> None:
+        """
+        An accepted edit is not reported as a conflict with itself.
+        """
+
+        async def scenario() -> tuple[int, int]:
+            store = FakeStore(knows_ids=knows_ids)
+            table = await founded(store)
+            store.failures = ['lost_after', 'lost_before']
+            delta = await table.edit(
+                [workload('yayasan', 'desk')],
+                member='yayasan',
+                base_version=1,
+            )
+            history = await new_table(store).history()
+            await table.refresh()
+            return delta.version, len(await table.history()) + len(history)
+
+        assert run_virtual(scenario()) == (2, 2)
+
+    @pytest.mark.parametrize(
+        ('failures', 'error'),
+        [
+            (['out'], TableUnavailableError),
+            (
+                ['lost_after', 'lost_after', 'lost_after'],
+                EditOutcomeUnknownError,
+            ),
+            (['lost_before', 'out', 'out'], EditOutcomeUnknownError),
+        ],
+    )
+    def test_unresolved_edit_is_not_called_refused(
+        self,
+        failures: list[str | None],
+        error: type[TableError],
+    ) -> None:
+        """
+        "Not applied" is reported only when it is certain.
+        """
+
+        async def scenario() -> None:
+            store = FakeStore()
+            table = await founded(store)
+            store.failures = failures
+            with pytest.raises(error):
+                await table.edit(
+                    [workload('yayasan', 'desk')],
+                    member='yayasan',
+                    base_version=1,
+                )
+
+        run_virtual(scenario())
+
+    def test_no_edit_without_majority(self) -> None:
+        """
+        No edit is accepted on the small side of a network partition.
+        """
+
+        async def scenario() -> None:
+            store = FakeStore()
+            await founded(store)
+            table = new_table(store, has_majority=bool)
+            with pytest.raises(TableUnavailableError):
+                await table.edit(
+                    [workload('yayasan', 'desk')],
+                    member='yayasan',
+                    base_version=1,
+                )
+
+        run_virtual(scenario())
+
+
+class TestFollowing:
+    """
+    Processes catch up with the store and with their peers.
+    """
+
+    def test_deltas_snapshots_and_store_agree(self) -> None:
+        """
+        A process that follows a peer has the same rows as one that reads.
+        """
+
+        async def scenario() -> None:
+            store = FakeStore()
+            writer = await founded(store)
+            for version in range(1, 70):
+                await writer.edit(
+                    [workload('yayasan', 'desk', version)],
+                    member='yayasan',
+                    base_version=version,
+                )
+            reader, follower, late = (new_table(store) for _ in range(3))
+            assert await reader.refresh() == 70
+            deltas = writer.deltas_since(0)
+            assert follower.apply_deltas(reversed(deltas[:40])) == 40
+            assert follower.apply_deltas(deltas[41:]) == 40
+            assert follower.apply_deltas(deltas[30:]) == 70
+            assert late.apply_snapshot(writer.snapshot()) == 70
+            assert late.apply_snapshot(follower.snapshot()) == 70
+            assert late.deltas_since(3) is None
+            assert reader.rows == follower.rows == late.rows == writer.rows
+
+        run_virtual(scenario())
+
+    def test_age_counts_from_before_the_read(self) -> None:
+        """
+        A process is not confirmed by a peer that knows less, nor in an outage.
+        """
+
+        async def scenario() -> None:
+            store = FakeStore()
+            table = await founded(store)
+            await asyncio.sleep(5)
+            assert table.age_ms() == 5000
+            table.note_peer(version=2, age_ms=0, heard_at_ms=5000)
+            store.is_out = True
+            with pytest.raises(TableUnavailableError):
+                await table.refresh()
+            assert table.age_ms() == 5000
+            table.note_peer(version=1, age_ms=300, heard_at_ms=4000)
+            assert table.age_ms() == 1300
+
+        run_virtual(scenario())
+
+
+class TestMembers:
+    """
+    Members decide about their own rows and, together, about new members.
+    """
+
+    def test_new_member_waits_for_everyone(self) -> None:
+        """
+        A member does not join before every member's own approval.
+        """
+
+        async def scenario() -> None:
+            store = FakeStore()
+            table = await founded(store)
+            with pytest.raises(NotPermittedError):
+                await table.edit([newcomer()], member='mill', base_version=1)
+            await table.edit([newcomer()], member='yayasan', base_version=1)
+            await table.approve('mill', member='yayasan', base_version=2)
+            for member in ('yayasan', 'mill'):
+                with pytest.raises(NotPermittedError):
+                    await table.approve('mill', member=member, base_version=3)
+            assert 'mill' not in table.members()
+            assert len(table.limits()) == 2
+            await table.approve('mill', member='picking', base_version=2)
+            assert 'mill' in table.members()
+            assert [delta.member for delta in await table.history()] == [
+                'yayasan',
+                'yayasan',
+                'yayasan',
+                'picking',
+            ]
+
+        run_virtual(scenario())
+
+    def test_changed_proposal_needs_new_approvals(self) -> None:
+        """
+        Nobody approves terms that they have not seen.
+        """
+
+        async def scenario() -> None:
+            table = await founded(FakeStore())
+            for version, weight in ((1, 1), (2, 9)):
+                await table.edit(
+                    [newcomer(weight)],
+                    member='yayasan',
+                    base_version=version,
+                )
+            with pytest.raises(EditConflictError):
+                await table.approve('mill', member='picking', base_version=2)
+
+        run_virtual(scenario())
+
+    def test_racing_approvals_both_count(self) -> None:
+        """
+        Two members that approve at the same time are not refused.
+        """
+
+        async def scenario() -> None:
+            store = FakeStore()
+            table = await founded(store)
+            row = MemberRow(member='mill', operator_key_hash=('h',))
+            await table.edit(
+                [PutRow(row=row)], member='picking', base_version=1
+            )
+            await asyncio.gather(
+                *(
+                    new_table(store).approve(
+                        'mill', member=name, base_version=2
+                    )
+                    for name in FOUNDERS
+                ),
+            )
+            await table.refresh()
+            assert 'mill' in table.members()
+
+        run_virtual(scenario())
+
+    def test_raise_needs_the_others_and_lowering_does_not(self) -> None:
+        """
+        A member cannot enlarge its own share alone.
+        """
+
+        async def scenario() -> None:
+            table = await founded(FakeStore())
+            for version, weight in ((1, 2), (2, 0.5)):
+                row = MemberRow(
+                    member='picking',
+                    weight=weight,
+                    operator_key_hash=(FOUNDERS['picking'],),
+                )
+                await table.edit(
+                    [PutRow(row=row)],
+                    member='picking',
+                    base_version=version,
+                )
+                assert table.rows['member/picking'].weight <= 1
+            assert 'proposal/picking' not in table.rows
+            raised = MemberRow(
+                member='picking',
+                weight=3,
+                operator_key_hash=('rotated',),
+            )
+            await table.edit(
+                [PutRow(row=raised)],
+                member='picking',
+                base_version=3,
+            )
+            assert table.rows['member/picking'].operator_key_hash == (
+                'rotated',
+            )
+            await table.approve('picking', member='yayasan', base_version=4)
+            assert table.rows['member/picking'].weight == 3
+
+        run_virtual(scenario())
+
+    def test_rows_of_another_member_are_not_editable(self) -> None:
+        """
+        An operator changes nothing that belongs to another member.
+        """
+
+        async def scenario() -> None:
+            table = await founded(FakeStore())
+            await table.edit(
+                [workload('yayasan', 'desk')],
+                member='yayasan',
+                base_version=1,
+            )
+            for edit in (
+                workload('yayasan', 'desk', 5),
+                DeleteRow(key='workload/yayasan/desk'),
+                DeleteRow(key='member/yayasan'),
+                PutRow(row=MemberRow(member='yayasan', weight=0.1)),
+            ):
+                with pytest.raises(NotPermittedError):
+                    await table.edit([edit], member='picking', base_version=2)
+
+        run_virtual(scenario())
+
+    def test_withdrawal_completes_what_waited_for_it(self) -> None:
+        """
+        A proposal does not wait for a member that has left.
+        """
+
+        async def scenario() -> None:
+            table = await founded(FakeStore())
+            row = MemberRow(member='mill', operator_key_hash=('h',))
+            await table.edit(
+                [PutRow(row=row)], member='yayasan', base_version=1
+            )
+            await table.approve('mill', member='yayasan', base_version=2)
+            await table.edit(
+                [DeleteRow(key='member/picking')],
+                member='picking',
+                base_version=3,
+            )
+            assert table.members() == {'yayasan', 'mill'}
+
+        run_virtual(scenario())
+
+    def test_keys_authenticate_their_member_only(self) -> None:
+        """
+        An operator is known by its member's key, before and after bootstrap.
+        """
+
+        async def scenario() -> None:
+            for table in (new_table(FakeStore()), await founded(FakeStore())):
+                assert table.is_operator('yayasan', 'key of yayasan')
+                assert not table.is_operator('yayasan', 'key of picking')
+                assert not table.is_operator('mill', 'key of yayasan')
+
+        run_virtual(scenario())
+
+
+class RacingOperators(RuleBasedStateMachine):
+    """
+    Two processes' operators edit one table over a failing store.
+    """
+
+    @initialize(knows_ids=st.booleans())
+    def found(self, knows_ids: bool) -> None:
+        self.store = FakeStore(knows_ids=knows_ids)
+        run_virtual(founded(self.store))
+        self.tables = [new_table(self.store) for _ in range(2)]
+        self.seen = [0, 0]
+        self.accepted = 1
+        self.edit_ids: set[str] = set()
+        self.open_ids: set[str] = set()
+        self.weights = itertools.count(1)
+
+    @rule(
+        who=st.integers(0, 1),
+        behind=st.integers(0, 2),
+        failures=st.lists(
+            st.sampled_from([None, 'out', 'lost_before', 'lost_after']),
+            max_size=4,
+        ),
+    )
+    def edit(self, who: int, behind: int, failures: list[str | None]) -> None:
+        self.store.failures = failures
+        run_virtual(self._edits([who], behind))
+
+    @rule(failures=st.lists(st.sampled_from([None, 'lost_after']), max_size=4))
+    def race(self, failures: list[str | None]) -> None:
+        self.store.failures = failures
+        before = self.accepted
+        outcomes = run_virtual(self._edits([0, 1], 0))
+        unknown = any(
+            isinstance(outcome, EditOutcomeUnknownError) for outcome in outcomes
+        )
+        assert unknown or self.accepted == before + 1
+
+    @rule(who=st.integers(0, 1))
+    def refresh(self, who: int) -> None:
+        run_virtual(self.tables[who].refresh())
+
+    @rule(source=st.integers(0, 1))
+    def gossip(self, source: int) -> None:
+        deltas = self.tables[source].deltas_since(0)
+        self.tables[1 - source].apply_deltas(deltas or ())
+
+    @invariant()
+    def versions_never_go_back(self) -> None:
+        versions = [table.version for table in self.tables]
+        assert all(
+            now >= before
+            for now, before in zip(versions, self.seen, strict=True)
+        )
+        self.seen = versions
+
+    @invariant()
+    def accepted_edits_are_in_the_history_once(self) -> None:
+        reader = new_table(self.store)
+        run_virtual(reader.refresh())
+        ids = [delta.edit_id for delta in run_virtual(reader.history())]
+        assert len(ids) == len(set(ids)) == reader.version
+        assert self.edit_ids <= set(ids)
+        # Nothing else is there, but for the founding edit and for edits whose
+        # operator was told that the outcome is unknown.
+        assert len(set(ids) - self.edit_ids - self.open_ids) == 1
+
+    async def _edits(self, who: list[int], behind: int) -> list[object]:
+        names = ('yayasan', 'picking')
+        await self.tables[0].refresh()
+        base_version = max(0, self.tables[0].version - behind)
+        outcomes = await asyncio.gather(
+            *(
+                self.tables[one].edit(
+                    [workload(names[one], 'desk', next(self.weights))],
+                    member=names[one],
+                    base_version=base_version,
+                )
+                for one in who
+            ),
+            return_exceptions=True,
+        )
+        for outcome in outcomes:
+            if isinstance(outcome, EditOutcomeUnknownError):
+                self.open_ids.add(outcome.edit_id)
+            elif not isinstance(outcome, Exception):
+                assert outcome.version == base_version + 1
+                self.accepted += 1
+                self.edit_ids.add(outcome.edit_id)
+            elif not isinstance(outcome, TableError):
+                raise outcome
+        return outcomes
+
+
+RacingOperators.TestCase.settings = settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=30,
+    stateful_step_count=15,
+)
+TestRacingOperators = RacingOperators.TestCase
