--- a/src/hawthornpier_standin/history/__init__.py
+++ b/src/hawthornpier_standin/history/__init__.py
@@ -2,6 +2,36 @@
 Histories of runs and the checkers of the guarantees.
 """
 
-from hawthornpier_standin.history._records import Record, RecordKind
+from hawthornpier_standin.history._check import check_history
+from hawthornpier_standin.history._files import (
+    HistoryError,
+    HistoryWriter,
+    load_history,
+)
+from hawthornpier_standin.history._records import (
+    EXIT_KILLED,
+    TABLE_UNCONFIRMED,
+    Record,
+    RecordKind,
+)
+from hawthornpier_standin.history._report import (
+    Finding,
+    Guarantee,
+    Report,
+    Violation,
+)
 
-__all__ = ['Record', 'RecordKind']
+__all__ = [
+    'EXIT_KILLED',
+    'TABLE_UNCONFIRMED',
+    'Finding',
+    'Guarantee',
+    'HistoryError',
+    'HistoryWriter',
+    'Record',
+    'RecordKind',
+    'Report',
+    'Violation',
+    'check_history',
+    'load_history',
+]
--- /dev/null
+++ b/src/hawthornpier_standin/history/_index.py
@@ -0,0 +1,229 @@
+"""
+The records arranged for the checkers: spans of work and attempts of callers.
+"""
+
+import bisect
+import collections
+import functools
+import math
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
+
+from hawthornpier.messages import Resources
+from hawthornpier_standin.history._records import Record, RecordKind
+
+_OUTCOMES = frozenset(
+    (
+        RecordKind.REQUEST_ANSWERED,
+        RecordKind.REQUEST_NOT_RUN,
+        RecordKind.REQUEST_UNKNOWN,
+    )
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Span:
+    """
+    One run or execution on a worker.
+
+    *end_ms* is the recorded end, else the exit of the worker, else infinite.
+    """
+
+    started: Record
+    ended: Record | None
+    end_ms: float
+
+    @property
+    def start_ms(self) -> float:
+        """
+        When the work started.
+        """
+        return self.started.at_ms
+
+    @property
+    def worker_id(self) -> str:
+        """
+        Where the work ran.
+        """
+        return self.started.worker_id
+
+    @property
+    def demand(self) -> Resources:
+        """
+        What the work occupied.
+        """
+        return self.started.demand
+
+    @property
+    def result(self) -> str:
+        """
+        The recorded result, or empty if the worker recorded none.
+        """
+        return self.ended.detail if self.ended else ''
+
+
+@dataclass(slots=True, kw_only=True)
+class Attempt:
+    """
+    One invocation of an operation and the outcomes the caller got for it.
+    """
+
+    invoked: Record
+    outcomes: list[Record] = field(default_factory=list)
+    cut: Record | None = None
+
+    @property
+    def is_not_run(self) -> bool:
+        """
+        Whether the caller was promised that this attempt did not run.
+        """
+        return any(
+            outcome.kind is RecordKind.REQUEST_NOT_RUN
+            for outcome in self.outcomes
+        )
+
+
+class History:
+    """
+    A complete history, ordered by time.
+
+    Records with the same time keep the order in which they are given: a
+    recorder's own order is true even below the resolution of its clock.
+    """
+
+    def __init__(self, records: Iterable[Record]) -> None:
+        self.records: Sequence[Record] = sorted(
+            records,
+            key=lambda record: record.at_ms,
+        )
+        self._by_kind: dict[RecordKind, list[Record]] = collections.defaultdict(
+            list
+        )
+        for record in self.records:
+            self._by_kind[record.kind].append(record)
+
+    @property
+    def end_ms(self) -> float:
+        """
+        The time of the last record.
+        """
+        return self.records[-1].at_ms if self.records else 0
+
+    def of_kind(self, kind: RecordKind) -> Sequence[Record]:
+        """
+        Return the records of one kind, ordered by time.
+        """
+        return self._by_kind.get(kind, [])
+
+    def exit_after(self, worker_id: str, at_ms: float) -> float:
+        """
+        Return when the worker next exited at or after *at_ms*, or infinity.
+        """
+        exits = self._worker_exits.get(worker_id, [])
+        index = bisect.bisect_left(exits, at_ms)
+        return exits[index] if index < len(exits) else math.inf
+
+    @functools.cached_property
+    def runs(self) -> Sequence[Span]:
+        """
+        The runs of tasks, ordered by start.
+        """
+        return self._spans(
+            RecordKind.RUN_STARTED,
+            RecordKind.RUN_ENDED,
+            lambda record: (record.worker_id, record.run_id),
+        )
+
+    @functools.cached_property
+    def executions(self) -> Sequence[Span]:
+        """
+        The executions of requests, ordered by start.
+        """
+        return self._spans(
+            RecordKind.EXECUTION_STARTED,
+            RecordKind.EXECUTION_ENDED,
+            lambda record: (record.worker_id, record.operation),
+        )
+
+    @functools.cached_property
+    def attempts(self) -> Sequence[Attempt]:
+        """
+        The attempts of callers, ordered by invocation.
+        """
+        return self._paired[0]
+
+    @functools.cached_property
+    def stray_outcomes(self) -> Sequence[Record]:
+        """
+        The outcomes that no open attempt accounts for.
+        """
+        return self._paired[1]
+
+    @functools.cached_property
+    def _worker_exits(self) -> dict[str, list[float]]:
+        exits: dict[str, list[float]] = collections.defaultdict(list)
+        for record in self.of_kind(RecordKind.PROCESS_EXITED):
+            if record.worker_id:
+                exits[record.worker_id].append(record.at_ms)
+        return exits
+
+    @functools.cached_property
+    def _paired(self) -> tuple[list[Attempt], list[Record]]:
+        attempts: list[Attempt] = []
+        strays: list[Record] = []
+        by_caller: dict[tuple[str, str], list[Attempt]] = (
+            collections.defaultdict(list)
+        )
+        for record in self.records:
+            mine = by_caller[record.source, record.operation]
+            if record.kind is RecordKind.REQUEST_INVOKED:
+                mine.append(Attempt(invoked=record))
+                attempts.append(mine[-1])
+            elif record.kind is RecordKind.CONNECTION_CUT:
+                _note_cut(mine, record)
+            elif record.kind in _OUTCOMES and not _note_outcome(mine, record):
+                strays.append(record)
+        return attempts, strays
+
+    def _spans(
+        self,
+        start_kind: RecordKind,
+        end_kind: RecordKind,
+        key: Callable[[Record], tuple[str, str]],
+    ) -> list[Span]:
+        ends: dict[tuple[str, str], collections.deque[Record]] = (
+            collections.defaultdict(collections.deque)
+        )
+        for end in self.of_kind(end_kind):
+            ends[key(end)].append(end)
+        return [
+            self._span(start, ends[key(start)])
+            for start in self.of_kind(start_kind)
+        ]
+
+    def _span(self, start: Record, ends: collections.deque[Record]) -> Span:
+        # Ends before the start belong to spans whose start was not recorded.
+        while ends and ends[0].at_ms < start.at_ms:
+            ends.popleft()
+        exit_ms = self.exit_after(start.worker_id, start.at_ms)
+        if ends and ends[0].at_ms <= exit_ms:
+            end = ends.popleft()
+            return Span(started=start, ended=end, end_ms=end.at_ms)
+        return Span(started=start, ended=None, end_ms=exit_ms)
+
+
+def _note_cut(attempts: Sequence[Attempt], record: Record) -> None:
+    for attempt in attempts:
+        if not attempt.outcomes and attempt.cut is None:
+            attempt.cut = record
+            return
+
+
+def _note_outcome(attempts: Sequence[Attempt], record: Record) -> bool:
+    # A caller may repeat an operation after its connection was cut, so an
+    # outcome belongs to an uncut attempt if there is one.
+    still_open = [attempt for attempt in attempts if not attempt.outcomes]
+    still_open.sort(key=lambda attempt: attempt.cut is not None)
+    for attempt in still_open[:1]:
+        attempt.outcomes.append(record)
+    return bool(still_open)
--- /dev/null
+++ b/src/hawthornpier_standin/history/_placement.py
@@ -0,0 +1,311 @@
+"""
+Checkers of what runs where: capacity, placement, resumption, leaving hosts.
+"""
+
+import collections
+import enum
+import itertools
+from collections.abc import Iterable, Iterator, Sequence
+from dataclasses import dataclass
+
+from hawthornpier.messages import Resources, TaskResult
+from hawthornpier_standin.history._index import History, Span
+from hawthornpier_standin.history._records import Record, RecordKind
+from hawthornpier_standin.history._report import (
+    Finding,
+    Guarantee,
+    Violation,
+)
+
+_LEAVING_GRACE_MS = 3_000
+
+# A run that ended so may be repeated from the checkpoint it started from.
+_REPEATABLE = frozenset((TaskResult.FAILED, TaskResult.LEASE_LAPSED))
+
+
+class _Step(enum.IntEnum):
+    # Recorders truncate one shared clock, which keeps the order of events
+    # but can make them equal.  Work that ends and work that starts at the
+    # same recorded time are therefore not shown to overlap.
+    RELEASE = 0
+    DECLARE = 1
+    ACQUIRE = 2
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Checkpoint:
+    taken: Record
+    is_eviction: bool
+    run: Span | None
+
+
+def check_capacity(history: History) -> Finding:
+    """
+    The work on a worker never exceeds its declared capacity.
+    """
+    steps: dict[str, list[tuple[float, _Step, Record]]] = (
+        collections.defaultdict(list)
+    )
+    for declared in history.of_kind(RecordKind.CAPACITY_DECLARED):
+        step = (declared.at_ms, _Step.DECLARE, declared)
+        steps[declared.worker_id].append(step)
+    spans = [*history.runs, *history.executions]
+    for span in spans:
+        # Work without a recorded duration may have been there at no time
+        # together with other work.
+        if span.end_ms > span.start_ms:
+            steps[span.worker_id].extend(
+                (
+                    (span.start_ms, _Step.ACQUIRE, span.started),
+                    (span.end_ms, _Step.RELEASE, span.started),
+                )
+            )
+    violations = [
+        violation
+        for worker_id, worker_steps in steps.items()
+        for violation in _overloads(worker_id, worker_steps)
+    ]
+    return Finding(
+        guarantee=Guarantee.CAPACITY,
+        checked_count=len(spans),
+        violations=tuple(violations),
+    )
+
+
+def _overloads(
+    worker_id: str,
+    steps: list[tuple[float, _Step, Record]],
+) -> Iterator[Violation]:
+    capacity = Resources()
+    held = Resources()
+    for _at_ms, step, record in sorted(steps, key=lambda entry: entry[:2]):
+        if step is _Step.DECLARE:
+            capacity = record.demand
+        elif step is _Step.RELEASE:
+            held -= record.demand
+        else:
+            held += record.demand
+            if not held.fits_in(capacity):
+                yield Violation(
+                    guarantee=Guarantee.CAPACITY,
+                    subject=worker_id,
+                    reason=f'holds {held}, capacity {capacity}',
+                    records=(record,),
+                )
+
+
+def check_single_placement(history: History) -> Finding:
+    """
+    No two runs of a task overlap and no run id is used twice.
+    """
+    violations = [
+        Violation(
+            guarantee=Guarantee.SINGLE_PLACEMENT,
+            subject=task_id,
+            reason=f'runs on {first.worker_id} and {second.worker_id} at once',
+            records=(first.started, second.started),
+        )
+        for task_id, runs in _runs_by_task(history).items()
+        for first, second in _overlaps(runs)
+    ]
+    by_run: dict[str, list[Record]] = collections.defaultdict(list)
+    for run in history.runs:
+        by_run[run.started.run_id].append(run.started)
+    violations.extend(
+        Violation(
+            guarantee=Guarantee.SINGLE_PLACEMENT,
+            subject=run_id,
+            reason='the run id was started more than once',
+            records=tuple(starts),
+        )
+        for run_id, starts in by_run.items()
+        if len(starts) > 1
+    )
+    return Finding(
+        guarantee=Guarantee.SINGLE_PLACEMENT,
+        checked_count=len(history.runs),
+        violations=tuple(violations),
+    )
+
+
+def _runs_by_task(history: History) -> dict[str, list[Span]]:
+    by_task: dict[str, list[Span]] = collections.defaultdict(list)
+    for run in history.runs:
+        by_task[run.started.task_id].append(run)
+    return by_task
+
+
+def _overlaps(runs: Sequence[Span]) -> Iterator[tuple[Span, Span]]:
+    latest = runs[0]
+    for run in runs[1:]:
+        if run.start_ms < latest.end_ms:
+            yield latest, run
+        latest = max(latest, run, key=lambda span: span.end_ms)
+
+
+def check_resume_once(history: History) -> Finding:
+    """
+    Evicted work resumes once, from the latest checkpoint.
+    """
+    checkpoints = _checkpoints_by_task(history)
+    violations = [
+        violation
+        for task_id, runs in _runs_by_task(history).items()
+        for violation in (
+            *_wrong_resumptions(history, runs, checkpoints[task_id]),
+            *_repeated_resumptions(history, runs, checkpoints[task_id]),
+        )
+    ]
+    return Finding(
+        guarantee=Guarantee.RESUME_ONCE,
+        checked_count=sum(
+            checkpoint.is_eviction
+            for task_checkpoints in checkpoints.values()
+            for checkpoint in task_checkpoints
+        ),
+        violations=tuple(violations),
+    )
+
+
+def _checkpoints_by_task(history: History) -> dict[str, list[_Checkpoint]]:
+    runs = {run.started.run_id: run for run in history.runs}
+    taken = [
+        *history.of_kind(RecordKind.RUN_CHECKPOINTED),
+        *history.of_kind(RecordKind.RUN_ENDED),
+    ]
+    by_task: dict[str, list[_Checkpoint]] = collections.defaultdict(list)
+    for record in sorted(taken, key=lambda candidate: candidate.at_ms):
+        if not record.checkpoint:
+            continue
+        checkpoint = _Checkpoint(
+            taken=record,
+            is_eviction=record.detail == TaskResult.EVICTED,
+            run=runs.get(record.run_id),
+        )
+        by_task[record.task_id].append(checkpoint)
+    return by_task
+
+
+def _wrong_resumptions(
+    history: History,
+    runs: Iterable[Span],
+    checkpoints: Sequence[_Checkpoint],
+) -> Iterator[Violation]:
+    for run in runs:
+        earlier = [
+            checkpoint
+            for checkpoint in checkpoints
+            if checkpoint.taken.at_ms <= run.start_ms
+            and checkpoint.taken.run_id != run.started.run_id
+        ]
+        allowed = _allowed_names(history, earlier, run.start_ms)
+        if run.started.checkpoint not in allowed:
+            wanted = ' or '.join(repr(name) for name in sorted(allowed))
+            yield Violation(
+                guarantee=Guarantee.RESUME_ONCE,
+                subject=run.started.task_id,
+                reason=(
+                    f'resumed from {run.started.checkpoint!r},'
+                    f' expected {wanted}'
+                ),
+                records=(run.started,),
+            )
+
+
+def _allowed_names(
+    history: History,
+    earlier: Sequence[_Checkpoint],
+    start_ms: float,
+) -> set[str]:
+    allowed: set[str] = set()
+    for checkpoint in reversed(earlier):
+        allowed.add(checkpoint.taken.checkpoint)
+        if not _may_be_unheard(history, checkpoint, start_ms):
+            return allowed
+    return allowed | {''}
+
+
+def _may_be_unheard(
+    history: History,
+    checkpoint: _Checkpoint,
+    start_ms: float,
+) -> bool:
+    # A worker reports a checkpoint when it is next asked.  If it exits or is
+    # cut off until its lease lapses, nobody can know of the checkpoint, and
+    # an older one is then the latest that can be used.
+    taken = checkpoint.taken
+    if history.exit_after(taken.worker_id, taken.at_ms) <= start_ms:
+        return True
+    run = checkpoint.run
+    return run is not None and run.result == TaskResult.LEASE_LAPSED
+
+
+def _repeated_resumptions(
+    history: History,
+    runs: Sequence[Span],
+    checkpoints: Iterable[_Checkpoint],
+) -> Iterator[Violation]:
+    for checkpoint in checkpoints:
+        if not checkpoint.is_eviction:
+            continue
+        resumed = [
+            run
+            for run in runs
+            if run.started.checkpoint == checkpoint.taken.checkpoint
+            and run.start_ms >= checkpoint.taken.at_ms
+        ]
+        for first, second in itertools.pairwise(resumed):
+            if not _is_repeatable(history, first, second.start_ms):
+                yield Violation(
+                    guarantee=Guarantee.RESUME_ONCE,
+                    subject=first.started.task_id,
+                    reason=f'resumed twice from {first.started.checkpoint!r}',
+                    records=(first.started, second.started),
+                )
+
+
+def _is_repeatable(history: History, run: Span, before_ms: float) -> bool:
+    # The work of a run that failed or was lost with its worker is gone, so
+    # repeating it from the same checkpoint is recovery.
+    if run.end_ms > before_ms:
+        return False
+    if run.ended is None or run.result in _REPEATABLE:
+        return True
+    # An eviction without progress may keep the checkpoint it started from.
+    kept = ('', run.started.checkpoint)
+    if run.result == TaskResult.EVICTED and run.ended.checkpoint in kept:
+        return True
+    return history.exit_after(run.worker_id, run.end_ms) <= before_ms
+
+
+def check_leaving_endpoint(history: History) -> Finding:
+    """
+    Nothing starts on an endpoint later than 3 s after it began to leave.
+    """
+    leavings = history.of_kind(RecordKind.ENDPOINT_LEAVING)
+    violations = [
+        Violation(
+            guarantee=Guarantee.LEAVING_ENDPOINT,
+            subject=leaving.worker_id,
+            reason=f'new work {late.start_ms - leaving.at_ms:.0f} ms later',
+            records=(leaving, late.started),
+        )
+        for leaving in leavings
+        for late in _late_starts(history, leaving)
+    ]
+    return Finding(
+        guarantee=Guarantee.LEAVING_ENDPOINT,
+        checked_count=len(leavings),
+        violations=tuple(violations),
+    )
+
+
+def _late_starts(history: History, leaving: Record) -> Iterator[Span]:
+    # A host that exits and comes back under the same id is a new host.
+    exit_ms = history.exit_after(leaving.worker_id, leaving.at_ms)
+    deadline_ms = leaving.at_ms + _LEAVING_GRACE_MS
+    for span in itertools.chain(history.runs, history.executions):
+        if span.worker_id != leaving.worker_id:
+            continue
+        if deadline_ms < span.start_ms <= exit_ms:
+            yield span
--- /dev/null
+++ b/src/hawthornpier_standin/history/_processes.py
@@ -0,0 +1,299 @@
+"""
+Checkers of the processes: planned stops and the table.
+"""
+
+import bisect
+import collections
+import itertools
+import math
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass
+
+from hawthornpier_standin.history._index import History
+from hawthornpier_standin.history._records import (
+    EXIT_KILLED,
+    TABLE_UNCONFIRMED,
+    Record,
+    RecordKind,
+)
+from hawthornpier_standin.history._report import (
+    Finding,
+    Guarantee,
+    Violation,
+)
+
+_IN_FORCE_MS = 5_000
+
+
+def check_planned_stop(history: History) -> Finding:
+    """
+    A process that is asked to stop cuts no connection until it has exited.
+
+    A stop that ends with the recorder killing the process is not a planned
+    one.  A cut that names no process counts against every process.
+    """
+    stops = [
+        (stop, _exit_of(history, stop))
+        for stop in history.of_kind(RecordKind.STOP_REQUESTED)
+    ]
+    planned = [
+        (stop, exited)
+        for stop, exited in stops
+        if exited is None or exited.detail != EXIT_KILLED
+    ]
+    violations = [
+        Violation(
+            guarantee=Guarantee.PLANNED_STOP,
+            subject=stop.process,
+            reason=f'cut the connection of {cut.operation}',
+            records=(stop, cut),
+        )
+        for stop, exited in planned
+        for cut in _cuts(history, stop, exited)
+    ]
+    return Finding(
+        guarantee=Guarantee.PLANNED_STOP,
+        checked_count=len(planned),
+        violations=tuple(violations),
+    )
+
+
+def _exit_of(history: History, stop: Record) -> Record | None:
+    return next(
+        (
+            exited
+            for exited in history.of_kind(RecordKind.PROCESS_EXITED)
+            if exited.process == stop.process and exited.at_ms >= stop.at_ms
+        ),
+        None,
+    )
+
+
+def _cuts(
+    history: History,
+    stop: Record,
+    exited: Record | None,
+) -> Iterator[Record]:
+    exit_ms = exited.at_ms if exited else math.inf
+    # The caller may notice a cut only after the exit was recorded, so what
+    # counts is that the request was there before the exit.
+    invoked_at = {
+        attempt.cut: attempt.invoked.at_ms
+        for attempt in history.attempts
+        if attempt.cut is not None
+    }
+    for cut in history.of_kind(RecordKind.CONNECTION_CUT):
+        is_concerned = cut.process_id in {'', stop.process}
+        begin_ms = min(cut.at_ms, invoked_at.get(cut, math.inf))
+        if is_concerned and cut.at_ms >= stop.at_ms and begin_ms <= exit_ms:
+            yield cut
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Edit:
+    accepted: Record
+    invoked: Record | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Life:
+    """
+    One life of a process: what it was seen to have until it exited.
+    """
+
+    process: str
+    seen: Sequence[Record]
+    exit_ms: float
+
+
+def check_table(history: History) -> Finding:
+    """
+    Accepted edits are ordered and in force everywhere within 5 s.
+    """
+    edits = _edits(history)
+    lives = _lives(history)
+    return Finding(
+        guarantee=Guarantee.TABLE,
+        checked_count=len(edits),
+        violations=(
+            *_reverted(lives),
+            *_disordered(edits),
+            *_unfounded_conflicts(history, edits),
+            *_late(history, edits, lives),
+        ),
+    )
+
+
+def _table_violation(
+    subject: str,
+    reason: str,
+    *records: Record | None,
+) -> Violation:
+    return Violation(
+        guarantee=Guarantee.TABLE,
+        subject=subject,
+        reason=reason,
+        records=tuple(record for record in records if record is not None),
+    )
+
+
+def _edits(history: History) -> list[_Edit]:
+    invoked = {
+        record.operation: record
+        for record in history.of_kind(RecordKind.TABLE_EDIT_INVOKED)
+    }
+    return [
+        _Edit(accepted=record, invoked=invoked.get(record.operation))
+        for record in history.of_kind(RecordKind.TABLE_EDIT_ACCEPTED)
+    ]
+
+
+def _lives(history: History) -> list[_Life]:
+    exits: dict[str, list[float]] = collections.defaultdict(list)
+    for exited in history.of_kind(RecordKind.PROCESS_EXITED):
+        exits[exited.process].append(exited.at_ms)
+    seen: dict[tuple[str, float], list[Record]] = collections.defaultdict(list)
+    for record in history.of_kind(RecordKind.TABLE_VERSION_SEEN):
+        exit_ms = next(
+            (at_ms for at_ms in exits[record.process] if at_ms >= record.at_ms),
+            math.inf,
+        )
+        seen[record.process, exit_ms].append(record)
+    return [
+        _Life(process=process, seen=records, exit_ms=exit_ms)
+        for (process, exit_ms), records in seen.items()
+    ]
+
+
+def _reverted(lives: Sequence[_Life]) -> Iterator[Violation]:
+    for life in lives:
+        for before, after in itertools.pairwise(life.seen):
+            if after.version < before.version:
+                reason = f'went from {before.version} to {after.version}'
+                yield _table_violation(life.process, reason, before, after)
+
+
+def _disordered(edits: Sequence[_Edit]) -> Iterator[Violation]:
+    for first, second in itertools.combinations(edits, 2):
+        reason = _disorder(first, second) or _disorder(second, first)
+        if reason:
+            yield _table_violation(
+                second.accepted.operation,
+                reason,
+                first.accepted,
+                second.accepted,
+            )
+    for edit in edits:
+        if edit.invoked is None:
+            reason = 'accepted without an invocation'
+            yield _table_violation(
+                edit.accepted.operation,
+                reason,
+                edit.accepted,
+            )
+        elif edit.accepted.version <= edit.invoked.version:
+            reason = 'the new version is not above the one the operator saw'
+            yield _table_violation(
+                edit.accepted.operation,
+                reason,
+                edit.invoked,
+                edit.accepted,
+            )
+
+
+def _disorder(first: _Edit, second: _Edit) -> str:
+    """
+    Tell why *second* contradicts *first*, or return an empty text.
+    """
+    if first.accepted.version == second.accepted.version:
+        return f'version {second.accepted.version} was accepted twice'
+    invoked = second.invoked
+    if invoked is None:
+        return ''
+    if (
+        first.accepted.at_ms < invoked.at_ms
+        and first.accepted.version > second.accepted.version
+    ):
+        return 'invoked after a higher version had been accepted'
+    # An edit is a compare-and-set, so nothing lies between the version that
+    # the operator saw and the version that the edit made.
+    seen = invoked.version
+    if seen < first.accepted.version < second.accepted.version:
+        return f'overwrote version {first.accepted.version} unseen'
+    return ''
+
+
+def _unfounded_conflicts(
+    history: History,
+    edits: Sequence[_Edit],
+) -> Iterator[Violation]:
+    accepted = {edit.accepted.operation: edit.accepted for edit in edits}
+    conflicts = {
+        record.operation: record
+        for record in history.of_kind(RecordKind.TABLE_EDIT_CONFLICT)
+    }
+    invoked = history.of_kind(RecordKind.TABLE_EDIT_INVOKED)
+    for mine in invoked:
+        conflict = conflicts.get(mine.operation)
+        if conflict is None:
+            continue
+        # An edit without a recorded outcome may have been applied.
+        rivals = (
+            other
+            for other in invoked
+            if other.operation != mine.operation
+            and other.operation not in conflicts
+            and other.at_ms <= conflict.at_ms
+        )
+        if not any(
+            other.operation not in accepted
+            or accepted[other.operation].version > mine.version
+            for other in rivals
+        ):
+            reason = 'got a conflict without a rival edit'
+            yield _table_violation(mine.operation, reason, mine, conflict)
+
+
+def _late(
+    history: History,
+    edits: Sequence[_Edit],
+    lives: Sequence[_Life],
+) -> Iterator[Violation]:
+    for edit in edits:
+        deadline_ms = edit.accepted.at_ms + _IN_FORCE_MS
+        if deadline_ms > history.end_ms:
+            continue
+        for life in lives:
+            for record in _outdated(life, edit, deadline_ms):
+                reason = f'{life.process} still has version {record.version}'
+                yield _table_violation(
+                    edit.accepted.operation,
+                    reason,
+                    edit.accepted,
+                    record,
+                )
+
+
+def _outdated(
+    life: _Life,
+    edit: _Edit,
+    deadline_ms: float,
+) -> Iterator[Record]:
+    """
+    Yield the records of *life* that show an older version at the deadline.
+
+    A process that reports its version as unconfirmed admits nothing, so the
+    older version is not in force there.
+    """
+    split = bisect.bisect_right(
+        life.seen,
+        deadline_ms,
+        key=lambda record: record.at_ms,
+    )
+    # The last record before the deadline tells the version at the deadline,
+    # unless the process exited by then.
+    first = split - 1 if life.exit_ms > deadline_ms else split
+    for record in life.seen[max(0, first) :]:
+        is_excused = record.detail == TABLE_UNCONFIRMED
+        if record.version < edit.accepted.version and not is_excused:
+            yield record
--- a/src/hawthornpier_standin/history/_records.py
+++ b/src/hawthornpier_standin/history/_records.py
@@ -9,34 +9,62 @@
 
 from hawthornpier.messages import Resources
 
+# The `detail` of `PROCESS_EXITED` if the recorder itself killed the process.
+EXIT_KILLED = 'killed'
+
+# The `detail` of `TABLE_VERSION_SEEN` if the process reported at the same time
+# that its version is unconfirmed, so that it admits nothing.
+TABLE_UNCONFIRMED = 'unconfirmed'
+
 
 class RecordKind(enum.StrEnum):
     """
-    What happened.
+    What happened, with the fields that the checkers read.
     """
 
-    # Callers.
+    # Callers: operation, idempotency_key, is_idempotent, content.  Each
+    # attempt of an operation is one `REQUEST_INVOKED`.
     REQUEST_INVOKED = 'request_invoked'
+    # operation, content (the whole body as received).
     REQUEST_ANSWERED = 'request_answered'
     REQUEST_NOT_RUN = 'request_not_run'
     REQUEST_UNKNOWN = 'request_unknown'
+    # operation, process_id; a connection that carried a request was cut.
     CONNECTION_CUT = 'connection_cut'
-    # Workers.
+
+    # Workers: worker_id, demand (the capacity).
     CAPACITY_DECLARED = 'capacity_declared'
+    # worker_id, operation, idempotency_key, demand.
     EXECUTION_STARTED = 'execution_started'
+    # worker_id, operation, content (the whole body as sent).
     EXECUTION_ENDED = 'execution_ended'
+    # worker_id, task_id, run_id, demand, checkpoint (resumed from).
     RUN_STARTED = 'run_started'
+    # worker_id, task_id, run_id, detail (a `TaskResult`), checkpoint (taken).
     RUN_ENDED = 'run_ended'
+    # worker_id, task_id, run_id, checkpoint.
     RUN_CHECKPOINTED = 'run_checkpointed'
+    # worker_id.
     ENDPOINT_LEAVING = 'endpoint_leaving'
-    # Operators and processes.
+
+    # Operators: operation (the job id), task_ids, is_idempotent.
     JOB_ACCEPTED = 'job_accepted'
+    # operation (the job id).
     JOB_CANCELLED = 'job_cancelled'
+    # task_id, detail (a final `TaskState`); an operator saw the task's end.
+    TASK_SETTLED = 'task_settled'
+    # operation, version (the version that the operator saw).
     TABLE_EDIT_INVOKED = 'table_edit_invoked'
+    # operation, version (the new version).
     TABLE_EDIT_ACCEPTED = 'table_edit_accepted'
+    # operation.
     TABLE_EDIT_CONFLICT = 'table_edit_conflict'
+
+    # Processes: process_id, version, detail (`TABLE_UNCONFIRMED` or empty).
     TABLE_VERSION_SEEN = 'table_version_seen'
+    # process_id.
     STOP_REQUESTED = 'stop_requested'
+    # process_id, or worker_id if a worker exited; detail (`EXIT_KILLED`).
     PROCESS_EXITED = 'process_exited'
 
 
@@ -46,6 +74,7 @@
     One event of a history.
 
     *at_ms* is the machine's monotonic clock, which all recorders share.
+    *source* is the recorder; it stands for *process_id* where that is empty.
     *operation* is the caller's own id of a request, which the body repeats;
     *content* is what was sent or received; *detail* is the end of a run
     (a `TaskResult`) or a reason.
@@ -65,3 +94,12 @@
     checkpoint: str = ''
     content: str = ''
     detail: str = ''
+    process_id: str = ''
+    task_ids: tuple[str, ...] = ()
+
+    @property
+    def process(self) -> str:
+        """
+        The process that the record is about.
+        """
+        return self.process_id or self.source
--- /dev/null
+++ b/src/hawthornpier_standin/history/_requests.py
@@ -0,0 +1,213 @@
+"""
+Checkers of what callers are told.
+"""
+
+import collections
+import itertools
+import re
+from collections.abc import Iterable, Iterator, Sequence
+
+from hawthornpier_standin.history._index import Attempt, History
+from hawthornpier_standin.history._records import Record, RecordKind
+from hawthornpier_standin.history._report import (
+    Finding,
+    Guarantee,
+    Violation,
+)
+
+
+class _Operations:
+    """
+    The operations that share an answer: those with the same key.
+    """
+
+    def __init__(self, history: History) -> None:
+        self._key_of: dict[str, str] = {}
+        self._by_key: dict[str, set[str]] = collections.defaultdict(set)
+        for record in history.of_kind(RecordKind.REQUEST_INVOKED):
+            key = record.idempotency_key
+            if key:
+                self._key_of[record.operation] = key
+                self._by_key[key].add(record.operation)
+
+    def sharing_with(self, operation: str) -> set[str]:
+        """
+        Return the operations whose answer *operation* may receive.
+        """
+        key = self._key_of.get(operation, '')
+        return {operation, *self._by_key.get(key, ())}
+
+
+class _Bodies:
+    """
+    What was asked and what the executions sent, by operation.
+    """
+
+    def __init__(self, history: History) -> None:
+        self._started_ms: dict[str, float] = {}
+        for execution in history.executions:
+            operation = execution.started.operation
+            self._started_ms.setdefault(operation, execution.start_ms)
+        self._sent: dict[str, set[str]] = collections.defaultdict(set)
+        for ended in history.of_kind(RecordKind.EXECUTION_ENDED):
+            if ended.content:
+                self._sent[ended.operation].add(ended.content)
+        self._asked = {
+            record.operation: record.content
+            for record in history.of_kind(RecordKind.REQUEST_INVOKED)
+        }
+
+    def fault(self, answer: Record, names: Iterable[str]) -> str:
+        """
+        Tell what is wrong with *answer*, or return an empty text.
+
+        Args:
+            answer: the record of the answer.
+            names: the operations whose answer it may be.
+        """
+        started_ms = [
+            self._started_ms[name] for name in names if name in self._started_ms
+        ]
+        if not started_ms or min(started_ms) > answer.at_ms:
+            return 'answered without an execution'
+        if not self._is_whole(answer, names):
+            return f'incomplete or foreign body {answer.content[:40]!r}'
+        if not any(_repeats(answer.content, name) for name in names):
+            return 'the body does not repeat the operation'
+        return ''
+
+    def _is_whole(self, answer: Record, names: Iterable[str]) -> bool:
+        sent = {body for name in names for body in self._sent.get(name, ())}
+        if sent:
+            return answer.content in sent
+        # Without a record of what was sent, the body must at least repeat
+        # all that was asked.
+        return self._asked.get(answer.operation, '') in answer.content
+
+
+def check_own_answer(history: History) -> Finding:
+    """
+    Each attempt is answered once, with the whole answer to its operation.
+    """
+    operations = _Operations(history)
+    bodies = _Bodies(history)
+    answers = history.of_kind(RecordKind.REQUEST_ANSWERED)
+    faults = [
+        (stray, 'answered more often than invoked')
+        for stray in history.stray_outcomes
+        if stray.kind is RecordKind.REQUEST_ANSWERED
+    ]
+    for answer in answers:
+        fault = bodies.fault(answer, operations.sharing_with(answer.operation))
+        if fault:
+            faults.append((answer, fault))
+    return Finding(
+        guarantee=Guarantee.OWN_ANSWER,
+        checked_count=len(answers),
+        violations=tuple(
+            Violation(
+                guarantee=Guarantee.OWN_ANSWER,
+                subject=record.operation,
+                reason=reason,
+                records=(record,),
+            )
+            for record, reason in faults
+        ),
+    )
+
+
+def _repeats(content: str, operation: str) -> bool:
+    # Operation 12 does not count as a repetition of operation 1.
+    pattern = rf'(?<![\w.-]){re.escape(operation)}(?![\w.-])'
+    return re.search(pattern, content) is not None
+
+
+def check_not_run(history: History) -> Finding:
+    """
+    An execution belongs to an attempt that was not answered "not run".
+
+    An operation may be tried again after "not run".  Its executions then
+    belong to the later attempts, and none may start before those.
+    """
+    attempts: dict[str, list[Attempt]] = collections.defaultdict(list)
+    for attempt in history.attempts:
+        attempts[attempt.invoked.operation].append(attempt)
+    violations = [
+        violation
+        for execution in history.executions
+        for violation in _unjustified(
+            execution.started,
+            attempts.get(execution.started.operation, []),
+        )
+    ]
+    return Finding(
+        guarantee=Guarantee.NOT_RUN,
+        checked_count=len(history.of_kind(RecordKind.REQUEST_NOT_RUN)),
+        violations=tuple(violations),
+    )
+
+
+def _unjustified(
+    started: Record,
+    attempts: Sequence[Attempt],
+) -> Iterator[Violation]:
+    if any(
+        not attempt.is_not_run and attempt.invoked.at_ms <= started.at_ms
+        for attempt in attempts
+    ):
+        return
+    promises = [
+        outcome
+        for attempt in attempts
+        if attempt.is_not_run
+        for outcome in attempt.outcomes
+    ]
+    reason = 'was executed although the caller was told that it did not run'
+    yield Violation(
+        guarantee=Guarantee.NOT_RUN,
+        subject=started.operation,
+        reason=reason if promises else 'was executed before any invocation',
+        records=(started, *promises),
+    )
+
+
+def check_at_most_once(history: History) -> Finding:
+    """
+    A key is executed at most once, and so is a task that is not idempotent.
+
+    A task may run again from a checkpoint, once from each.
+    """
+    executions: dict[str, list[Record]] = collections.defaultdict(list)
+    for execution in history.executions:
+        if execution.started.idempotency_key:
+            key = execution.started.idempotency_key
+            executions[key].append(execution.started)
+    once_only = {
+        task_id
+        for job in history.of_kind(RecordKind.JOB_ACCEPTED)
+        if not job.is_idempotent
+        for task_id in job.task_ids
+    }
+    runs: dict[str, list[Record]] = collections.defaultdict(list)
+    for run in history.runs:
+        if run.started.task_id in once_only:
+            origin = f'{run.started.task_id} from {run.started.checkpoint!r}'
+            runs[origin].append(run.started)
+    violations = [
+        Violation(
+            guarantee=Guarantee.AT_MOST_ONCE,
+            subject=subject,
+            reason=f'ran {len(starts)} times',
+            records=tuple(starts),
+        )
+        for subject, starts in itertools.chain(
+            executions.items(),
+            runs.items(),
+        )
+        if len(starts) > 1
+    ]
+    return Finding(
+        guarantee=Guarantee.AT_MOST_ONCE,
+        checked_count=len(executions) + len(runs),
+        violations=tuple(violations),
+    )
--- /dev/null
+++ b/tests/test_history_checkers.py
@@ -0,0 +1,502 @@
+"""
+Tests of the checkers of the guarantees, one correct and some wrong histories.
+"""
+
+import dataclasses
+import pathlib
+from collections.abc import Sequence
+
+import pytest
+
+from hawthornpier.messages import Resources
+from hawthornpier_standin.history import (
+    EXIT_KILLED,
+    TABLE_UNCONFIRMED,
+    Guarantee,
+    HistoryError,
+    HistoryWriter,
+    Record,
+    RecordKind,
+    check_history,
+    load_history,
+)
+
+_SLOT = Resources(slot_count=1, memory_bytes=4)
+_CAPACITY = Resources(slot_count=2, memory_bytes=8)
+
+
+def rec(at_ms: float, kind: str, **fields: object) -> Record:
+    """
+    Build a record; work occupies one of two slots of worker ``w1``.
+    """
+    named = RecordKind(kind)
+    is_work = kind in {'run_started', 'execution_started'}
+    defaults: dict[str, object] = {'source': 'caller'}
+    if is_work or kind in {'run_ended', 'execution_ended'}:
+        defaults['worker_id'] = 'w1'
+        defaults['demand'] = _SLOT if is_work else Resources()
+    return Record(at_ms=at_ms, kind=named, **(defaults | fields))
+
+
+def _workers(*worker_ids: str) -> list[Record]:
+    return [
+        rec(0, 'capacity_declared', worker_id=worker_id, demand=_CAPACITY)
+        for worker_id in worker_ids
+    ]
+
+
+def _run(
+    start_ms: float,
+    end_ms: float,
+    run_id: str,
+    result: str,
+    *,
+    worker_id: str = 'w1',
+    origin: str = '',
+    taken: str = '',
+) -> list[Record]:
+    who = {'worker_id': worker_id, 'task_id': 't', 'run_id': run_id}
+    return [
+        rec(start_ms, 'run_started', checkpoint=origin, **who),
+        rec(end_ms, 'run_ended', checkpoint=taken, detail=result, **who),
+    ]
+
+
+def _request(
+    operation: str,
+    at_ms: float,
+    outcome: str = 'request_answered',
+    key: str = '',
+) -> list[Record]:
+    body = f'echo {operation} whole'
+    who = {'operation': operation, 'idempotency_key': key}
+    outcome_body = body if outcome == 'request_answered' else ''
+    return [
+        rec(at_ms, 'request_invoked', content=operation, **who),
+        rec(at_ms + 1, 'execution_started', **who),
+        rec(at_ms + 2, 'execution_ended', content=body, **who),
+        rec(at_ms + 3, outcome, operation=operation, content=outcome_body),
+    ]
+
+
+def _broken(records: Sequence[Record]) -> set[Guarantee]:
+    violations = check_history([*_workers('w1', 'w2'), *records]).violations
+    return {violation.guarantee for violation in violations}
+
+
+_EVICTED = (
+    *_run(1, 5, 'r1', 'evicted', taken='c1'),
+    *_run(6, 9, 'r2', 'done', origin='c1', worker_id='w2'),
+)
+
+
+class TestCapacity:
+    """
+    G1: capacity.
+    """
+
+    def test_overlapping_work_is_summed(self) -> None:
+        """
+        G1: a third piece of work on two slots is found, two are accepted.
+        """
+        first, second, third = (
+            _run(start_ms, start_ms + 10, f'r{start_ms}', 'done')
+            for start_ms in (1, 5, 11)
+        )
+        renamed = [
+            dataclasses.replace(record, task_id='u') for record in second
+        ]
+        assert not _broken([*first, *renamed, *third])
+        extra = rec(6, 'execution_started', operation='o')
+        invoked = rec(1, 'request_invoked', operation='o')
+        unknown = rec(20, 'request_unknown', operation='o')
+        assert _broken([*first, *renamed, invoked, extra, unknown]) == {
+            Guarantee.CAPACITY,
+        }
+
+    def test_every_dimension_counts(self) -> None:
+        """
+        G1: memory above the capacity is found while slots are free.
+        """
+        start, end = _run(1, 5, 'r1', 'done')
+        large = Resources(slot_count=1, memory_bytes=9)
+        heavy = dataclasses.replace(start, demand=large)
+        assert _broken([heavy, end]) == {Guarantee.CAPACITY}
+
+    def test_lost_work_is_released_with_its_worker(self) -> None:
+        """
+        G1: a worker that exited and came back is empty.
+        """
+        starts = [
+            rec(at_ms, 'run_started', task_id=f't{at_ms}', run_id=f'r{at_ms}')
+            for at_ms in (1, 2, 11, 12)
+        ]
+        exited = rec(10, 'process_exited', worker_id='w1')
+        assert not _broken([*starts, exited])
+        assert _broken(starts) == {Guarantee.CAPACITY}
+
+
+class TestSinglePlacement:
+    """
+    G2: single placement.
+    """
+
+    def test_overlap_is_found(self) -> None:
+        """
+        G2: a second run before the end of the first is found on any worker.
+        """
+        first = _run(1, 5, 'r1', 'lease_lapsed')
+        assert not _broken([*first, *_run(5, 9, 'r2', 'done', worker_id='w2')])
+        for worker_id in ('w1', 'w2'):
+            second = _run(4, 9, 'r2', 'done', worker_id=worker_id)
+            assert _broken([*first, *second]) == {Guarantee.SINGLE_PLACEMENT}
+
+    def test_reused_run_id_is_found(self) -> None:
+        """
+        G2: a repeated start message that runs the task again is found.
+        """
+        first = _run(1, 5, 'r1', 'failed')
+        assert _broken([*first, *_run(6, 9, 'r1', 'done')]) == {
+            Guarantee.SINGLE_PLACEMENT,
+        }
+
+
+class TestResumeOnce:
+    """
+    G3: resume exactly once.
+    """
+
+    def test_eviction_resumes_from_its_checkpoint(self) -> None:
+        """
+        G3: a run that ignores the checkpoint or invents one is found.
+        """
+        assert not _broken(_EVICTED)
+        for origin in ('', 'c0'):
+            wrong = _run(6, 9, 'r2', 'done', origin=origin)
+            assert _broken([*_EVICTED[:2], *wrong]) == {Guarantee.RESUME_ONCE}
+
+    def test_latest_checkpoint_is_used(self) -> None:
+        """
+        G3: going back to an older checkpoint is found unless the newer one
+        was lost with its worker.
+        """
+        second = _run(6, 9, 'r2', 'evicted', origin='c1', taken='c2')
+        stale = _run(12, 19, 'r3', 'done', origin='c1', worker_id='w2')
+        records = [*_EVICTED[:2], *second, *stale]
+        assert _broken(records) == {Guarantee.RESUME_ONCE}
+        exited = rec(10, 'process_exited', worker_id='w1')
+        assert not _broken([*records, exited])
+
+    def test_second_resumption_is_found(self) -> None:
+        """
+        G3: a second run from a checkpoint is found unless the first was lost.
+        """
+        again = _run(12, 19, 'r3', 'done', origin='c1')
+        assert _broken([*_EVICTED, *again]) == {Guarantee.RESUME_ONCE}
+        lapsed = dataclasses.replace(_EVICTED[3], detail='lease_lapsed')
+        assert not _broken([*_EVICTED[:3], lapsed, *again])
+
+
+class TestOwnAnswer:
+    """
+    G4: whole own answer.
+    """
+
+    @pytest.mark.parametrize(
+        'content',
+        ['', 'echo o1 who', 'echo o2 whole', 'echo o11 whole'],
+    )
+    def test_wrong_body_is_found(self, content: str) -> None:
+        """
+        G4: empty, truncated and foreign bodies are found.
+        """
+        *before, answer = _request('o1', 1)
+        others = [*_request('o2', 10), *_request('o11', 20)]
+        assert not _broken([*before, answer, *others])
+        wrong = dataclasses.replace(answer, content=content)
+        assert _broken([*before, wrong, *others]) == {Guarantee.OWN_ANSWER}
+
+    def test_body_without_execution_is_found(self) -> None:
+        """
+        G4: an answer that no endpoint gave is found.
+        """
+        invoked, *_executed, answer = _request('o1', 1)
+        assert _broken([invoked, answer]) == {Guarantee.OWN_ANSWER}
+
+    def test_second_answer_is_found(self) -> None:
+        """
+        G4: a late answer to an attempt that has one already is found.
+        """
+        records = _request('o1', 1)
+        late = dataclasses.replace(records[-1], at_ms=50)
+        assert Guarantee.OWN_ANSWER in _broken([*records, late])
+
+    def test_duplicate_order_receives_first_answer(self) -> None:
+        """
+        G4: the first answer is right for a repeated order with the same key.
+        """
+        records = _request('o1', 1, key='k')
+        again = rec(10, 'request_invoked', operation='o2', idempotency_key='k')
+        answer = dataclasses.replace(records[-1], at_ms=11, operation='o2')
+        assert not _broken([*records, again, answer])
+
+
+class TestNotRun:
+    """
+    G5: not run.
+    """
+
+    @pytest.mark.parametrize('outcome_ms', [0.5, 50])
+    def test_execution_before_or_after_is_found(
+        self, outcome_ms: float
+    ) -> None:
+        """
+        G5: work done before or after the promise is found.
+        """
+        *before, promise = _request('o1', 0, 'request_not_run')
+        moved = dataclasses.replace(promise, at_ms=outcome_ms)
+        assert _broken([*before, moved]) == {Guarantee.NOT_RUN}
+
+    def test_promise_concerns_the_attempt(self) -> None:
+        """
+        G5: a key that was not run may run in a later attempt, not earlier.
+        """
+        invoked = rec(1, 'request_invoked', operation='o', idempotency_key='k')
+        promise = rec(2, 'request_not_run', operation='o')
+        assert not _broken([invoked, promise, *_request('o', 10, key='k')])
+        early = _request('o', 10, key='k')
+        early[1] = dataclasses.replace(early[1], at_ms=9)
+        assert _broken([invoked, promise, *early]) == {Guarantee.NOT_RUN}
+
+
+class TestAtMostOnce:
+    """
+    G6: at most once.
+    """
+
+    def test_second_execution_of_a_key_is_found(self) -> None:
+        """
+        G6: an order that runs again under the same key is found.
+        """
+        records = _request('o1', 1, key='k')
+        assert not _broken(records)
+        again = _request('o2', 10, key='k')
+        assert _broken([*records, *again]) == {Guarantee.AT_MOST_ONCE}
+
+    def test_second_run_of_a_plan_is_found(self) -> None:
+        """
+        G6: a task that is not idempotent may only continue.
+        """
+        job = rec(
+            0,
+            'job_accepted',
+            operation='j',
+            task_ids=('t',),
+            is_idempotent=False,
+        )
+        assert not _broken([job, *_EVICTED])
+        again = [*_run(1, 5, 'r1', 'failed'), *_run(6, 9, 'r2', 'done')]
+        assert _broken([job, *again]) == {Guarantee.AT_MOST_ONCE}
+
+
+class TestLeavingEndpoint:
+    """
+    G7: leaving endpoint.
+    """
+
+    @pytest.mark.parametrize('kind', ['run_started', 'execution_started'])
+    def test_late_start_is_found(self, kind: str) -> None:
+        """
+        G7: new work later than 3 s after the endpoint began to leave is found.
+        """
+        leaving = rec(10, 'endpoint_leaving', worker_id='w1')
+        invoked = rec(1, 'request_invoked', operation='o')
+        cut = rec(9_000, 'request_unknown', operation='o')
+        for at_ms, broken in ((3_010, set()), (3_011, {kind})):
+            start = rec(at_ms, kind, operation='o', task_id='t', run_id='r')
+            expected = {Guarantee.LEAVING_ENDPOINT} if broken else set()
+            assert _broken([leaving, invoked, start, cut]) == expected
+
+
+class TestPlannedStop:
+    """
+    G8: planned stop.
+    """
+
+    @pytest.mark.parametrize('cut_ms', [10, 15, 21])
+    def test_cut_connection_is_found(self, cut_ms: float) -> None:
+        """
+        G8: a cut during the stop is found, also if it is noticed afterwards.
+        """
+        records = [
+            rec(5, 'request_invoked', operation='o'),
+            rec(10, 'stop_requested', process_id='p1'),
+            rec(20, 'process_exited', process_id='p1'),
+            rec(cut_ms, 'connection_cut', operation='o', process_id='p1'),
+        ]
+        assert _broken(records) == {Guarantee.PLANNED_STOP}
+        elsewhere = dataclasses.replace(records[-1], process_id='p2')
+        assert not _broken([*records[:-1], elsewhere])
+        killed = dataclasses.replace(records[2], detail=EXIT_KILLED)
+        assert not _broken([*records[:2], killed, records[-1]])
+
+
+class TestTable:
+    """
+    G9: the table.
+    """
+
+    @staticmethod
+    def _edit(at_ms: float, seen: int, made: int) -> list[Record]:
+        name = f'e{at_ms}'
+        return [
+            rec(at_ms, 'table_edit_invoked', operation=name, version=seen),
+            rec(at_ms + 5, 'table_edit_accepted', operation=name, version=made),
+        ]
+
+    @staticmethod
+    def _seen(at_ms: float, version: int, detail: str = '') -> Record:
+        return rec(
+            at_ms,
+            'table_version_seen',
+            process_id='p1',
+            version=version,
+            detail=detail,
+        )
+
+    @pytest.mark.parametrize(
+        ('seen_ms', 'is_late'),
+        [(5_015, False), (5_016, True), (5_500, True)],
+    )
+    def test_late_version_is_found(self, seen_ms: float, is_late: bool) -> None:
+        """
+        G9: an accepted edit that is not in force after 5 s is found.
+        """
+        records = [
+            self._seen(1, 1),
+            *self._edit(10, 1, 2),
+            self._seen(seen_ms, 2),
+            self._seen(6_000, 2),
+        ]
+        expected = {Guarantee.TABLE} if is_late else set()
+        assert _broken(records) == expected
+
+    def test_unconfirmed_process_must_catch_up(self) -> None:
+        """
+        G9: a process may lag while it admits nothing, not afterwards.
+        """
+        records = [
+            *self._edit(10, 1, 2),
+            self._seen(20, 1, TABLE_UNCONFIRMED),
+            self._seen(6_000, 1, TABLE_UNCONFIRMED),
+        ]
+        assert not _broken(records)
+        stale = self._seen(7_000, 1)
+        assert _broken([*records, stale]) == {Guarantee.TABLE}
+
+    def test_version_that_goes_back_is_found(self) -> None:
+        """
+        G9: a process that reverts is found; a new life may start lower.
+        """
+        records = [self._seen(1, 2), self._seen(9, 1)]
+        assert _broken(records) == {Guarantee.TABLE}
+        assert not _broken(
+            [*records, rec(5, 'process_exited', process_id='p1')]
+        )
+
+    @pytest.mark.parametrize(
+        'second',
+        [(10, 1, 2), (50, 0, 1), (10, 1, 3), (50, 3, 3)],
+    )
+    def test_disordered_edits_are_found(
+        self,
+        second: tuple[float, int, int],
+    ) -> None:
+        """
+        G9: equal versions, wrong order and lost updates are found.
+        """
+        first = self._edit(10, 1, 2)
+        assert not _broken([*first, *self._edit(20, 2, 3)])
+        edit = [
+            dataclasses.replace(record, operation='second')
+            for record in self._edit(*second)
+        ]
+        assert _broken([*first, *edit]) == {Guarantee.TABLE}
+
+    def test_unfounded_conflict_is_found(self) -> None:
+        """
+        G9: an edit may be refused only because of another one.
+        """
+        records = [
+            rec(20, 'table_edit_invoked', operation='e', version=1),
+            rec(25, 'table_edit_conflict', operation='e'),
+        ]
+        assert not _broken([*self._edit(10, 1, 2), *records])
+        assert _broken(records) == {Guarantee.TABLE}
+
+
+class TestNothingLost:
+    """
+    Every attempt and every accepted task comes to an end.
+    """
+
+    def test_missing_and_surplus_outcomes_are_found(self) -> None:
+        """
+        Nothing lost: no outcome and two outcomes are found; a cut is an end.
+        """
+        *records, answer = _request('o', 1)
+        assert _broken(records) == {Guarantee.NOTHING_LOST}
+        surplus = rec(9, 'request_unknown', operation='o')
+        broken = _broken([*records, answer, surplus])
+        assert broken == {Guarantee.NOTHING_LOST}
+        cut = rec(9, 'connection_cut', operation='o', process_id='p1')
+        assert not _broken([*records, cut])
+
+    def test_task_without_end_is_found(self) -> None:
+        """
+        Nothing lost: each accepted task is done, settled or cancelled.
+        """
+        job = rec(0, 'job_accepted', operation='j', task_ids=('t', 'u'))
+        for end in (
+            rec(9, 'task_settled', task_id='u', detail='failed'),
+            rec(9, 'job_cancelled', operation='j'),
+        ):
+            assert not _broken([job, *_EVICTED, end])
+        assert _broken([job, *_EVICTED]) == {Guarantee.NOTHING_LOST}
+        false_end = rec(9, 'task_settled', task_id='u', detail='done')
+        assert _broken([job, *_EVICTED, false_end]) == {Guarantee.NOTHING_LOST}
+
+
+class TestFiles:
+    """
+    Histories survive the death of their recorder.
+    """
+
+    def test_load_merges_and_skips_a_torn_line(
+        self,
+        tmp_path: pathlib.Path,
+    ) -> None:
+        """
+        Guards against a killed recorder that makes the history unreadable.
+        """
+        paths = [tmp_path / 'a.jsonl', tmp_path / 'b.jsonl']
+        records = _request('o', 1)
+        for index, path in enumerate(paths):
+            with HistoryWriter(path) as writer:
+                for record in records[index::2]:
+                    writer.write(record)
+        with paths[1].open('ab') as torn:
+            torn.write(b'{"at_ms": 1')
+        assert load_history(paths) == records
+        with paths[1].open('ab') as torn:
+            torn.write(b'\n')
+        with pytest.raises(HistoryError, match='line 3'):
+            load_history(paths)
+
+    def test_summary_names_what_was_not_exercised(self) -> None:
+        """
+        Guards against a run that proves nothing and looks like a success.
+        """
+        summary = check_history(_workers('w1')).summary()
+        assert summary.startswith('1 records; no violations; not exercised')
+        assert all(guarantee in summary for guarantee in Guarantee)
