--- /dev/null
+++ b/src/hawthornpier/policy/_batch.py
@@ -0,0 +1,208 @@
+"""
+Placement of batch tasks.
+"""
+
+import heapq
+from functools import partial
+
+from hawthornpier.messages import Resources
+from hawthornpier.policy._decisions import (
+    Decision,
+    PlaceTask,
+    RejectTask,
+    TaskDemand,
+)
+from hawthornpier.policy._headroom import HeadroomKeeper
+from hawthornpier.policy._ledger import WorkerAccount, occupied
+from hawthornpier.policy._parts import ShardParts
+from hawthornpier.policy._short_work import ShortWorkKeeper
+from hawthornpier.policy._task_queue import GroupKey
+
+# An urgent task gives up the worker it preempted after this long, if the
+# evicted tasks have not ended by then.
+_HOLD_MS = 3_000
+
+
+class BatchDispatcher:
+    """
+    Starts urgent tasks first, then the others by their shares.
+
+    Args:
+        parts: The parts of the shard.
+        headroom: Limits the free slots that batch work may take.
+        short_work: Limits the slots that long tasks may take.
+    """
+
+    def __init__(
+        self,
+        *,
+        parts: ShardParts,
+        headroom: HeadroomKeeper,
+        short_work: ShortWorkKeeper,
+    ) -> None:
+        self._parts = parts
+        self._headroom = headroom
+        self._short_work = short_work
+        self._unchecked: dict[str, None] = {}
+        self._holds: dict[str, tuple[str, int]] = {}
+
+    def add(self, task: TaskDemand) -> None:
+        """
+        Queue a task.
+        """
+        self._parts.tasks.push(task)
+        self._unchecked[task.task_id] = None
+
+    def cancel(self, task_id: str) -> None:
+        """
+        Forget a queued task.
+        """
+        self._parts.tasks.discard(task_id)
+        self._unchecked.pop(task_id, None)
+        self._drop_hold(task_id)
+
+    def decide(self, now_ms: int) -> list[Decision]:
+        """
+        Reject what can never run and start what fits.
+        """
+        decisions = self._reject(now_ms)
+        for task in self._parts.tasks.urgent():
+            decisions.extend(self._start_urgent(task, now_ms))
+        decisions.extend(self._start_ordinary(now_ms))
+        return decisions
+
+    def _reject(self, now_ms: int) -> list[Decision]:
+        decisions: list[Decision] = []
+        for task_id in tuple(self._unchecked):
+            task = self._parts.tasks.get(task_id)
+            if task is None:
+                self._unchecked.pop(task_id)
+                continue
+            demand = occupied(task.demand)
+            reason = self._parts.health.fault(task_id)
+            reason = reason or self._parts.shapes.rejection(demand, now_ms)
+            if reason:
+                self.cancel(task_id)
+                self._parts.health.forget_task(task_id)
+                decisions.append(RejectTask(task_id=task_id, reason=reason))
+            elif self._parts.shapes.holds(demand):
+                self._unchecked.pop(task_id)
+        return decisions
+
+    def _start_urgent(self, task: TaskDemand, now_ms: int) -> list[Decision]:
+        placed = self._try_start(task, now_ms)
+        if placed is not None:
+            self._drop_hold(task.task_id)
+            return [placed]
+        hold = self._holds.get(task.task_id)
+        if hold is not None and now_ms - hold[1] < _HOLD_MS:
+            return []
+        self._drop_hold(task.task_id)
+        worker_id, victims = self._parts.planner.preemption(
+            task.task_id,
+            occupied(task.demand),
+            now_ms,
+        )
+        if not worker_id:
+            return []
+        self._holds[task.task_id] = (worker_id, now_ms)
+        self._parts.held_workers[worker_id] = task.task_id
+        reason = f'urgent task {task.task_id} needs the worker'
+        return [self._parts.planner.evict(victim, reason) for victim in victims]
+
+    def _start_ordinary(self, now_ms: int) -> list[Decision]:
+        decisions: list[Decision] = []
+        failed: list[Resources] = []
+        heads = tuple(self._parts.tasks.heads())
+        self._short_work.update(heads, now_ms)
+        budget = self._headroom.batch_budget()
+        heap = [self._entry(key, task) for key, task in heads]
+        heapq.heapify(heap)
+        while heap and budget > 0:
+            key = heapq.heappop(heap)[-1]
+            decision = self._start_head(key, failed, now_ms)
+            if decision is None:
+                continue
+            decisions.append(decision)
+            budget -= isinstance(decision, PlaceTask)
+            head = self._parts.tasks.head(key)
+            if head is not None:
+                heapq.heappush(heap, self._entry(key, head))
+        if budget <= 0:
+            decisions.extend(self._short_work.preempt(now_ms))
+        return decisions
+
+    def _entry(
+        self,
+        key: GroupKey,
+        task: TaskDemand,
+    ) -> tuple[tuple[float, float], int, str, GroupKey]:
+        rank = self._parts.occupancy.shares.rank(
+            task.member,
+            task.workload,
+            self._parts.occupancy.ledger.capacity,
+        )
+        return (rank, task.done_work_ms, task.task_id, key)
+
+    def _start_head(
+        self,
+        key: GroupKey,
+        failed: list[Resources],
+        now_ms: int,
+    ) -> Decision | None:
+        task = self._parts.tasks.head(key)
+        if task is None or not self._short_work.allows(task):
+            return None
+        reason = self._parts.health.fault(task.task_id)
+        if reason:
+            self.cancel(task.task_id)
+            return RejectTask(task_id=task.task_id, reason=reason)
+        demand = occupied(task.demand)
+        if any(known.fits_in(demand) for known in failed):
+            return None
+        decision = self._try_start(task, now_ms)
+        if decision is None:
+            failed.append(demand)
+        return decision
+
+    def _try_start(self, task: TaskDemand, now_ms: int) -> PlaceTask | None:
+        demand = occupied(task.demand)
+        parts = self._parts
+        if parts.occupancy.shares.binding_limit(
+            task.member,
+            task.workload,
+            demand,
+        ):
+            return None
+
+        worker_id = parts.chooser.choose(
+            demand,
+            cost=partial(parts.costs.of_task, task.workload, now_ms),
+            is_allowed=partial(self._is_allowed, task, now_ms),
+        )
+        if worker_id is None:
+            return None
+        parts.tasks.discard(task.task_id)
+        parts.occupancy.admit_task(task, worker_id, now_ms)
+        parts.health.place_task(worker_id)
+        self._short_work.start(task.task_id, now_ms)
+        return PlaceTask(task_id=task.task_id, worker_id=worker_id)
+
+    def _is_allowed(
+        self,
+        task: TaskDemand,
+        now_ms: int,
+        account: WorkerAccount,
+    ) -> bool:
+        worker_id = account.info.worker_id
+        holder = self._parts.held_workers.get(worker_id, task.task_id)
+        return holder == task.task_id and self._parts.health.allows_task(
+            worker_id,
+            task.task_id,
+            now_ms,
+        )
+
+    def _drop_hold(self, task_id: str) -> None:
+        hold = self._holds.pop(task_id, None)
+        if hold is not None:
+            self._parts.held_workers.pop(hold[0], None)
--- /dev/null
+++ b/src/hawthornpier/policy/_costs.py
@@ -0,0 +1,78 @@
+"""
+Costs by which placement compares workers.
+"""
+
+from hawthornpier.policy._interference import CoResidents, InterferenceModel
+from hawthornpier.policy._ledger import WorkerAccount
+from hawthornpier.policy._occupancy import Occupancy
+from hawthornpier.policy._settings import Interference
+from hawthornpier.policy._traffic import TrafficMeter
+
+# Log slowdown that a fully occupied worker is expected to add to any work.
+_LOAD_COST = 0.1
+
+
+class PlacementCosts:
+    """
+    Predicts how much a placement slows services down.
+
+    Args:
+        occupancy: What occupies the workers.
+        model: The learned interference.
+        traffic: Where requests run.
+        choice: Whether interference counts, or load alone.
+    """
+
+    def __init__(
+        self,
+        *,
+        occupancy: Occupancy,
+        model: InterferenceModel,
+        traffic: TrafficMeter,
+        choice: Interference,
+    ) -> None:
+        self._occupancy = occupancy
+        self._model = model
+        self._traffic = traffic
+        self._is_learned = choice is Interference.LEARNED
+
+    def of_request(self, service: str, account: WorkerAccount) -> float:
+        """
+        Return the log slowdown that a request would have on a worker.
+        """
+        cost = _load(account)
+        if self._is_learned:
+            residents = self.residents(account.info.worker_id)
+            cost += self._model.slowdown(service, residents)
+        return cost
+
+    def of_task(
+        self,
+        workload: str,
+        now_ms: int,
+        account: WorkerAccount,
+    ) -> float:
+        """
+        Return the log slowdown that a task would cause, over all requests.
+        """
+        cost = _load(account)
+        if self._is_learned:
+            levels = self._traffic.levels(account.info.worker_id, now_ms)
+            cost += sum(
+                self._model.pair(service, workload) * level
+                for service, level in levels.items()
+            )
+        return cost
+
+    def residents(self, worker_id: str) -> CoResidents:
+        """
+        Return the workloads that run on a worker now.
+        """
+        history = self._occupancy.history(worker_id)
+        return history.latest if history else {}
+
+
+def _load(account: WorkerAccount) -> float:
+    capacity = account.info.capacity.processor_millis or 1
+    free = account.free.processor_millis / capacity
+    return _LOAD_COST * (1 - free)
--- /dev/null
+++ b/src/hawthornpier/policy/_fairness.py
@@ -0,0 +1,135 @@
+"""
+Weighted dominant shares of members and workloads, and their limits.
+"""
+
+from collections.abc import Iterable
+
+from hawthornpier.messages import Resources
+from hawthornpier.policy._decisions import WorkloadLimits
+
+_LIMITED = (
+    ('processor_millis', 'max_processor_millis'),
+    ('memory_bytes', 'max_memory_bytes'),
+    ('accelerator_count', 'max_accelerator_count'),
+)
+
+
+class FairShares:
+    """
+    Tracks what members and workloads occupy, against weights and limits.
+
+    A row whose name is its member holds for the member as a whole.
+    """
+
+    def __init__(self) -> None:
+        self._limits: dict[tuple[str, str], WorkloadLimits] = {}
+        self._usage: dict[tuple[str, str], Resources] = {}
+        self._counts: dict[tuple[str, str], int] = {}
+
+    def replace_limits(self, limits: Iterable[WorkloadLimits]) -> None:
+        """
+        Replace all rows of the table.
+        """
+        self._limits = {(row.member, row.name): row for row in limits}
+
+    def charge(self, member: str, workload: str, demand: Resources) -> None:
+        """
+        Add one running task or request.
+        """
+        for key in _keys(member, workload):
+            self._usage[key] = self._usage.get(key, Resources()) + demand
+            self._counts[key] = self._counts.get(key, 0) + 1
+
+    def release(self, member: str, workload: str, demand: Resources) -> None:
+        """
+        Take one running task or request away.
+        """
+        for key in _keys(member, workload):
+            self._usage[key] -= demand
+            self._counts[key] -= 1
+            if not self._counts[key]:
+                self._counts.pop(key)
+                self._usage.pop(key)
+
+    def weight(self, member: str, workload: str) -> float:
+        """
+        Return the workload's weight; 1 if the table has no row for it.
+        """
+        row = self._limits.get((member, workload))
+        return row.weight if row is not None and row.weight > 0 else 1.0
+
+    def latency_target_ms(self, member: str, workload: str) -> int | None:
+        """
+        Return the workload's latency target, if it has one.
+        """
+        row = self._limits.get((member, workload))
+        return None if row is None else row.latency_target_ms
+
+    def rank(
+        self,
+        member: str,
+        workload: str,
+        capacity: Resources,
+    ) -> tuple[float, float]:
+        """
+        Return the weighted dominant shares of the member and the workload.
+
+        The pair that is smallest is served next.
+        """
+        return (
+            self._weighted_share(member, member, capacity),
+            self._weighted_share(member, workload, capacity),
+        )
+
+    def binding_limit(
+        self,
+        member: str,
+        workload: str,
+        demand: Resources,
+    ) -> str:
+        """
+        Name the limit that one more charge would exceed, or return ''.
+        """
+        for key in _keys(member, workload):
+            row = self._limits.get(key)
+            reason = row and _exceeded(
+                row,
+                self._usage.get(key, Resources()) + demand,
+                self._counts.get(key, 0) + 1,
+            )
+            if reason:
+                return reason
+        return ''
+
+    def _weighted_share(
+        self,
+        member: str,
+        name: str,
+        capacity: Resources,
+    ) -> float:
+        usage = self._usage.get((member, name))
+        if usage is None:
+            return 0
+        share = max(
+            usage.processor_millis / max(capacity.processor_millis, 1),
+            usage.memory_bytes / max(capacity.memory_bytes, 1),
+            usage.accelerator_count / max(capacity.accelerator_count, 1),
+            usage.slot_count / max(capacity.slot_count, 1),
+        )
+        return share / self.weight(member, name)
+
+
+def _keys(member: str, workload: str) -> tuple[tuple[str, str], ...]:
+    if member == workload:
+        return ((member, member),)
+    return ((member, member), (member, workload))
+
+
+def _exceeded(row: WorkloadLimits, usage: Resources, count: int) -> str:
+    if row.max_running_count is not None and count > row.max_running_count:
+        return f'max_running_count of {row.name} is {row.max_running_count}'
+    for dimension, limit_name in _LIMITED:
+        limit = getattr(row, limit_name)
+        if limit is not None and getattr(usage, dimension) > limit:
+            return f'{limit_name} of {row.name} is {limit}'
+    return ''
--- /dev/null
+++ b/src/hawthornpier/policy/_headroom.py
@@ -0,0 +1,87 @@
+"""
+Slots kept free for services.
+"""
+
+import math
+
+from hawthornpier.policy._decisions import Decision
+from hawthornpier.policy._forecast import DemandForecast
+from hawthornpier.policy._parts import ShardParts
+from hawthornpier.policy._settings import Headroom
+
+# Batch tasks that end by themselves within this time need no eviction.
+_TURNOVER_MS = 300.0
+_RATE_MEMORY_MS = 5_000.0
+
+
+class HeadroomKeeper:
+    """
+    Keeps batch work off the slots that services need soon.
+
+    Batch starts stop first; running tasks are evicted only for requests that
+    already wait, as far as slots do not become free by themselves.
+
+    Args:
+        parts: The parts of the shard.
+    """
+
+    def __init__(self, parts: ShardParts) -> None:
+        self._occupancy = parts.occupancy
+        self._queue = parts.requests
+        self._planner = parts.planner
+        self._is_on = parts.settings.headroom is Headroom.PREDICTIVE
+        self._forecast = DemandForecast()
+        self._ends: float = 0
+        self._ends_ms = 0
+
+    def count_end(self, now_ms: int) -> None:
+        """
+        Count a batch task that ended, which frees a slot.
+        """
+        self._ends = self._decayed_ends(now_ms) + 1
+        self._ends_ms = now_ms
+
+    def batch_budget(self) -> int:
+        """
+        Return how many free slots batch work may take now.
+        """
+        free_count = self._occupancy.ledger.free.slot_count
+        reserved = self.service_slot_count - self._occupancy.request_count
+        return free_count - reserved
+
+    def decide(self, now_ms: int) -> list[Decision]:
+        """
+        Update the forecast and evict what waiting requests need.
+        """
+        waiting = len(self._queue)
+        self._forecast.update(
+            self._occupancy.request_count + waiting,
+            now_ms,
+        )
+        if not self._is_on or not waiting:
+            return []
+        turnover = self._decayed_ends(now_ms) * _TURNOVER_MS / _RATE_MEMORY_MS
+        wanted = waiting - self._occupancy.evicting_count - int(turnover)
+        if wanted <= 0:
+            return []
+        victims = self._planner.cheapest(
+            self._occupancy.running.values(),
+            wanted,
+            now_ms,
+        )
+        reason = f'{waiting} requests wait for a slot'
+        return [self._planner.evict(victim, reason) for victim in victims]
+
+    @property
+    def service_slot_count(self) -> int:
+        """
+        The slots that services hold or are expected to need soon.
+        """
+        if not self._is_on:
+            return self._occupancy.request_count
+        level = math.ceil(self._forecast.level)
+        return max(level, self._occupancy.request_count)
+
+    def _decayed_ends(self, now_ms: int) -> float:
+        elapsed_ms = now_ms - self._ends_ms
+        return self._ends * math.exp(-elapsed_ms / _RATE_MEMORY_MS)
--- /dev/null
+++ b/src/hawthornpier/policy/_mitigation.py
@@ -0,0 +1,157 @@
+"""
+Steps against batch tasks that slow a service down.
+"""
+
+from dataclasses import dataclass, field
+
+from hawthornpier.policy._decisions import Decision, ThrottleTask
+from hawthornpier.policy._interference import THROTTLED_WEIGHT
+from hawthornpier.policy._occupancy import RunningTask
+from hawthornpier.policy._parts import ShardParts
+from hawthornpier.policy._settings import Mitigation
+
+# Log slowdown of a service above which the next step is taken, and below
+# which a step is taken back.  The gap keeps a worker from alternating.
+_HIGH = 0.15
+_LOW = 0.08
+# A task whose own part is smaller is not worth a step.
+_MIN_PART = 0.03
+# Reports lag by about 2 s, so the effect of a step shows only after that.
+_HOLD_MS = 3_000
+# Recent requests from which a service counts as present on a worker.
+_MIN_TRAFFIC = 0.5
+
+
+@dataclass(slots=True)
+class _WorkerState:
+    """
+    When the last step on a worker was taken.
+    """
+
+    stepped_ms: int
+    throttled: dict[str, None] = field(default_factory=dict)
+
+
+class MitigationLadder:
+    """
+    Throttles, then evicts, the worst batch task beside a slowed service.
+
+    The third step, avoiding the pair, follows from the learned interference,
+    which stays known after the eviction and enters every later placement.
+
+    Args:
+        parts: The parts of the shard.
+    """
+
+    def __init__(self, parts: ShardParts) -> None:
+        self._occupancy = parts.occupancy
+        self._model = parts.model
+        self._traffic = parts.traffic
+        self._costs = parts.costs
+        self._planner = parts.planner
+        self._choice = parts.settings.mitigation
+        self._states: dict[str, _WorkerState] = {}
+        self._due: dict[str, None] = {}
+
+    def remove_worker(self, worker_id: str) -> None:
+        """
+        Forget a worker.
+        """
+        self._states.pop(worker_id, None)
+        self._due.pop(worker_id, None)
+
+    def mark_due(self, worker_id: str) -> None:
+        """
+        Look at the worker at the next decision, after a report of it.
+        """
+        if self._choice is not Mitigation.NONE:
+            self._due[worker_id] = None
+
+    def decide(self, now_ms: int) -> list[Decision]:
+        """
+        Return the steps on the workers that were reported on.
+        """
+        decisions: list[Decision] = []
+        for worker_id in self._due:
+            if worker_id in self._occupancy.ledger.accounts:
+                decisions.extend(self._step(worker_id, now_ms))
+        self._due.clear()
+        return decisions
+
+    def _step(self, worker_id: str, now_ms: int) -> list[Decision]:
+        state = self._states.setdefault(worker_id, _WorkerState(-_HOLD_MS))
+        if now_ms - state.stepped_ms < _HOLD_MS:
+            return []
+        service, slowdown = self._worst_service(worker_id, now_ms)
+        decisions: list[Decision] = []
+        if slowdown > _HIGH:
+            decisions = self._escalate(worker_id, service, slowdown, now_ms)
+        elif slowdown < _LOW:
+            decisions = self._relax(worker_id, service, slowdown, now_ms)
+        if decisions:
+            state.stepped_ms = now_ms
+        return decisions
+
+    def _worst_service(
+        self,
+        worker_id: str,
+        now_ms: int,
+    ) -> tuple[str, float]:
+        residents = self._costs.residents(worker_id)
+        worst: tuple[str, float] = ('', 0)
+        for service, level in self._traffic.levels(worker_id, now_ms).items():
+            slowdown = self._model.slowdown(service, residents)
+            if level >= _MIN_TRAFFIC and slowdown > worst[1]:
+                worst = (service, slowdown)
+        return worst
+
+    def _escalate(
+        self,
+        worker_id: str,
+        service: str,
+        slowdown: float,
+        now_ms: int,
+    ) -> list[Decision]:
+        decisions: list[Decision] = []
+        tasks = [
+            running
+            for running in self._occupancy.tasks_on(worker_id)
+            if running.is_evictable and self._part(service, running) > _MIN_PART
+        ]
+        tasks.sort(key=lambda running: -self._part(service, running))
+        if self._choice is Mitigation.LADDER:
+            for running in tasks:
+                if slowdown > _HIGH and not running.is_throttled:
+                    part = self._part(service, running)
+                    slowdown -= part * (1 - THROTTLED_WEIGHT)
+                    decisions.append(self._throttle(running, now_ms))
+        if not decisions and tasks:
+            reason = f'slows service {service} down'
+            decisions.append(self._planner.evict(tasks[0], reason))
+        return decisions
+
+    def _relax(
+        self,
+        worker_id: str,
+        service: str,
+        slowdown: float,
+        now_ms: int,
+    ) -> list[Decision]:
+        for running in self._occupancy.tasks_on(worker_id):
+            part = self._model.pair(service, running.task.workload)
+            resumed = slowdown + part * (1 - THROTTLED_WEIGHT)
+            if running.is_throttled and (resumed < _HIGH or not service):
+                return [self._throttle(running, now_ms)]
+        return []
+
+    def _part(self, service: str, running: RunningTask) -> float:
+        return self._model.pair(service, running.task.workload)
+
+    def _throttle(self, running: RunningTask, now_ms: int) -> ThrottleTask:
+        is_throttled = not running.is_throttled
+        self._occupancy.throttle(running, now_ms, is_throttled=is_throttled)
+        return ThrottleTask(
+            task_id=running.task.task_id,
+            worker_id=running.worker_id,
+            is_throttled=is_throttled,
+        )
--- /dev/null
+++ b/src/hawthornpier/policy/_parts.py
@@ -0,0 +1,83 @@
+"""
+The parts of one shard's scheduler that its dispatchers share.
+"""
+
+import random
+from dataclasses import dataclass
+
+from hawthornpier.policy._costs import PlacementCosts
+from hawthornpier.policy._eviction import EvictionPlanner
+from hawthornpier.policy._fairness import FairShares
+from hawthornpier.policy._health import HealthTracker
+from hawthornpier.policy._interference import InterferenceModel
+from hawthornpier.policy._occupancy import Occupancy
+from hawthornpier.policy._placement import WorkerChooser
+from hawthornpier.policy._request_queue import RequestQueue
+from hawthornpier.policy._settings import PolicySettings
+from hawthornpier.policy._shapes import CapacityShapes
+from hawthornpier.policy._sizes import SizeEstimator
+from hawthornpier.policy._task_queue import TaskQueue
+from hawthornpier.policy._traffic import TrafficMeter
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardParts:
+    """
+    One instance of each part; *held_workers* are kept for urgent tasks.
+    """
+
+    settings: PolicySettings
+    occupancy: Occupancy
+    requests: RequestQueue
+    tasks: TaskQueue
+    chooser: WorkerChooser
+    model: InterferenceModel
+    traffic: TrafficMeter
+    costs: PlacementCosts
+    sizes: SizeEstimator
+    health: HealthTracker
+    shapes: CapacityShapes
+    planner: EvictionPlanner
+    held_workers: dict[str, str]
+
+
+def build_parts(*, settings: PolicySettings, seed: int) -> ShardParts:
+    """
+    Create the parts of an empty shard.
+
+    Args:
+        settings: The choice made for each mechanism.
+        seed: Seed of all random choices.
+    """
+    occupancy = Occupancy(shares=FairShares(), source=random.Random(seed))
+    model = InterferenceModel()
+    traffic = TrafficMeter()
+    sizes = SizeEstimator(source=settings.size_estimate)
+    health = HealthTracker(choice=settings.health)
+    return ShardParts(
+        settings=settings,
+        occupancy=occupancy,
+        requests=RequestQueue(),
+        tasks=TaskQueue(order=settings.queue_order),
+        chooser=WorkerChooser(
+            occupancy=occupancy,
+            placement=settings.placement,
+        ),
+        model=model,
+        traffic=traffic,
+        costs=PlacementCosts(
+            occupancy=occupancy,
+            model=model,
+            traffic=traffic,
+            choice=settings.interference,
+        ),
+        sizes=sizes,
+        health=health,
+        shapes=CapacityShapes(),
+        planner=EvictionPlanner(
+            occupancy=occupancy,
+            sizes=sizes,
+            health=health,
+        ),
+        held_workers={},
+    )
--- /dev/null
+++ b/src/hawthornpier/policy/_request_queue.py
@@ -0,0 +1,109 @@
+"""
+Queue of callers' requests.
+"""
+
+import itertools
+
+from sortedcontainers import SortedDict
+
+from hawthornpier.policy._decisions import RequestDemand
+
+GroupKey = tuple[str, str]
+
+
+class RequestQueue:
+    """
+    Holds requests by service, earliest deadline first.
+
+    Services take turns in proportion to their weights (stride scheduling), so
+    that a surge of one does not hold up the others.
+    """
+
+    def __init__(self) -> None:
+        self._requests: dict[str, tuple[int, RequestDemand]] = {}
+        self._groups: dict[GroupKey, SortedDict] = {}
+        self._numbers = itertools.count()
+        self._passes: dict[GroupKey, float] = {}
+        self._virtual_time: float = 0
+
+    def __len__(self) -> int:
+        return len(self._requests)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._requests
+
+    def push(self, request: RequestDemand) -> None:
+        """
+        Queue a request; a request that is queued already is replaced.
+        """
+        self.discard(request.request_id)
+        number = next(self._numbers)
+        self._requests[request.request_id] = (number, request)
+        key = (request.member, request.service)
+        group = self._groups.get(key)
+        if group is None:
+            group = SortedDict()
+            self._groups[key] = group
+            # A service that was idle gets no credit for that time.
+            last = self._passes.get(key, 0)
+            self._passes[key] = max(last, self._virtual_time)
+        group[request.deadline_ms, number] = request
+
+    def discard(self, request_id: str) -> None:
+        """
+        Forget a request, if it is queued.
+        """
+        entry = self._requests.pop(request_id, None)
+        if entry is None:
+            return
+        number, request = entry
+        key = (request.member, request.service)
+        group = self._groups[key]
+        group.pop((request.deadline_ms, number))
+        if not group:
+            self._groups.pop(key)
+
+    def groups(self) -> list[tuple[float, GroupKey]]:
+        """
+        Return the services that have queued requests, with their turns.
+
+        The service with the smallest turn is next.
+        """
+        return [(self._passes[key], key) for key in self._groups]
+
+    def head(self, key: GroupKey) -> RequestDemand:
+        """
+        Return the request of a service that has the earliest deadline.
+        """
+        request: RequestDemand = self._groups[key].peekitem(0)[1]
+        return request
+
+    def count(self, key: GroupKey) -> int:
+        """
+        Return the number of queued requests of a service.
+        """
+        return len(self._groups.get(key, ()))
+
+    def position(self, request_id: str) -> int:
+        """
+        Return how many requests of its service go before a queued one.
+        """
+        number, request = self._requests[request_id]
+        group = self._groups[request.member, request.service]
+        position: int = group.index((request.deadline_ms, number))
+        return position
+
+    def get(self, request_id: str) -> RequestDemand | None:
+        """
+        Return a queued request.
+        """
+        entry = self._requests.get(request_id)
+        return entry[1] if entry else None
+
+    def take_turn(self, key: GroupKey, weight: float) -> float:
+        """
+        Count one placement against a service; return its next turn.
+        """
+        self._virtual_time = max(self._virtual_time, self._passes[key])
+        self._passes[key] += 1 / weight
+        return self._passes[key]
--- /dev/null
+++ b/src/hawthornpier/policy/_services.py
@@ -0,0 +1,214 @@
+"""
+Placement and shedding of callers' requests.
+"""
+
+import heapq
+from functools import partial
+
+from hawthornpier.policy._decisions import (
+    Decision,
+    PlaceRequest,
+    RequestDemand,
+    ShedReason,
+    ShedRequest,
+)
+from hawthornpier.policy._ledger import WorkerAccount, occupied
+from hawthornpier.policy._parts import ShardParts
+from hawthornpier.policy._request_queue import GroupKey
+from hawthornpier.policy._settings import Headroom, Shedding
+from hawthornpier.policy._sizes import SizeHistogram
+
+# Requests queued in one shard, so that memory stays bounded without shedding.
+_MAX_QUEUED_COUNT = 50_000
+# An eviction frees its slot after about this time.
+_EVICTION_MS = 400
+# The duration that an admitted request must still have time for.
+_DURATION_QUANTILE = 0.99
+_QUANTILE_INTERVAL_COUNT = 32
+
+
+class ServiceTimes:
+    """
+    Durations of the requests of one service, as its callers see them.
+    """
+
+    def __init__(self) -> None:
+        self._sizes = SizeHistogram()
+        self._sample_count = 0
+        self.mean_ms: float = 0
+        self.upper_ms: float = 0
+
+    def add(self, duration_ms: float) -> None:
+        """
+        Count one answered request.
+        """
+        self._sizes.add(duration_ms)
+        self._sample_count += 1
+        gain = max(1 / self._sample_count, 0.01)
+        self.mean_ms += gain * (duration_ms - self.mean_ms)
+        if self._sample_count % _QUANTILE_INTERVAL_COUNT == 0:
+            self.upper_ms = self._sizes.quantile(_DURATION_QUANTILE)
+
+
+class RequestDispatcher:
+    """
+    Places requests by deadline and weight, and sheds those that are too late.
+
+    Args:
+        parts: The parts of the shard.
+    """
+
+    def __init__(self, parts: ShardParts) -> None:
+        self._parts = parts
+        self._queue = parts.requests
+        self._occupancy = parts.occupancy
+        self._arrived: list[str] = []
+        self._times: dict[GroupKey, ServiceTimes] = {}
+
+    def add(self, request: RequestDemand) -> None:
+        """
+        Queue a request.
+        """
+        self._queue.push(request)
+        self._arrived.append(request.request_id)
+
+    def learn(self, member: str, service: str, duration_ms: float) -> None:
+        """
+        Learn from the duration of an answered request.
+        """
+        key = (member, service)
+        self._times.setdefault(key, ServiceTimes()).add(duration_ms)
+
+    def decide(self, now_ms: int) -> list[Decision]:
+        """
+        Place what fits, then shed what would wait too long.
+        """
+        decisions: list[Decision] = []
+        heap = self._queue.groups()
+        heapq.heapify(heap)
+        while heap:
+            turn, key = heapq.heappop(heap)
+            decision = self._decide_head(key, now_ms)
+            if decision is None:
+                continue
+            decisions.append(decision)
+            if isinstance(decision, PlaceRequest):
+                turn = self._queue.take_turn(key, self._weight(key))
+            if self._queue.count(key):
+                heapq.heappush(heap, (turn, key))
+        decisions.extend(self._shed_arrived(now_ms))
+        return decisions
+
+    def _decide_head(self, key: GroupKey, now_ms: int) -> Decision | None:
+        request = self._queue.head(key)
+        reason = self._refusal(request, now_ms)
+        if reason is not None:
+            return self._shed(request, reason)
+        worker_id = self._choose(request, now_ms)
+        if worker_id is None:
+            return None
+        self._queue.discard(request.request_id)
+        self._occupancy.admit_request(request, worker_id, now_ms)
+        self._parts.traffic.add(worker_id, request.service, now_ms)
+        self._parts.health.place_request(worker_id)
+        return PlaceRequest(
+            request_id=request.request_id,
+            worker_id=worker_id,
+        )
+
+    def _refusal(
+        self,
+        request: RequestDemand,
+        now_ms: int,
+    ) -> ShedReason | None:
+        if not self._occupancy.ledger.capacity.slot_count:
+            return ShedReason.NO_WORKER
+        if self._parts.shapes.rejection(occupied(request.demand), now_ms):
+            return ShedReason.TOO_LARGE
+        is_shedding = self._parts.settings.shedding is Shedding.DEADLINE
+        if is_shedding and request.deadline_ms <= now_ms:
+            return ShedReason.DEADLINE
+        return None
+
+    def _choose(self, request: RequestDemand, now_ms: int) -> str | None:
+        demand = occupied(request.demand)
+        shares = self._occupancy.shares
+        if shares.binding_limit(request.member, request.service, demand):
+            return None
+        return self._parts.chooser.choose(
+            demand,
+            cost=partial(self._parts.costs.of_request, request.service),
+            is_allowed=partial(self._is_allowed, now_ms),
+        )
+
+    def _is_allowed(self, now_ms: int, account: WorkerAccount) -> bool:
+        worker_id = account.info.worker_id
+        is_held = worker_id in self._parts.held_workers
+        return not is_held and self._parts.health.allows_request(
+            worker_id,
+            now_ms,
+        )
+
+    def _shed_arrived(self, now_ms: int) -> list[Decision]:
+        decisions: list[Decision] = []
+        arrived = self._arrived
+        self._arrived = []
+        is_shedding = self._parts.settings.shedding is Shedding.DEADLINE
+        for request_id in arrived:
+            request = self._queue.get(request_id)
+            if request is None:
+                continue
+            if is_shedding:
+                wait_ms = self.expected_wait_ms(request)
+                upper_ms = self._times_of(request).upper_ms
+                if now_ms + wait_ms + upper_ms > request.deadline_ms:
+                    decisions.append(
+                        self._shed(request, ShedReason.DEADLINE, int(wait_ms)),
+                    )
+            elif len(self._queue) > _MAX_QUEUED_COUNT:
+                decisions.append(self._shed(request, ShedReason.QUEUE_FULL))
+        return decisions
+
+    def expected_wait_ms(self, request: RequestDemand) -> float:
+        """
+        Estimate how long a queued request waits for its slot.
+
+        The slots that services hold, and those that they get by evictions,
+        are shared by the services in proportion to their weights.
+        """
+        free_count = self._occupancy.ledger.free.slot_count
+        slot_count = self._occupancy.request_count + max(free_count, 0)
+        wait_ms: float = 0
+        if self._parts.settings.headroom is Headroom.PREDICTIVE:
+            gained = sum(
+                running.is_evictable or running.is_evicting
+                for running in self._occupancy.running.values()
+            )
+            slot_count += gained
+            wait_ms = _EVICTION_MS if gained else 0
+        key = (request.member, request.service)
+        weights = sum(self._weight(group) for _, group in self._queue.groups())
+        share = self._weight(key) / weights
+        mean_ms = self._times_of(request).mean_ms
+        position = self._queue.position(request.request_id)
+        return wait_ms + position * mean_ms / max(slot_count * share, 1)
+
+    def _shed(
+        self,
+        request: RequestDemand,
+        reason: ShedReason,
+        retry_after_ms: int = 0,
+    ) -> ShedRequest:
+        self._queue.discard(request.request_id)
+        return ShedRequest(
+            request_id=request.request_id,
+            reason=reason,
+            retry_after_ms=retry_after_ms,
+        )
+
+    def _times_of(self, request: RequestDemand) -> ServiceTimes:
+        key = (request.member, request.service)
+        return self._times.setdefault(key, ServiceTimes())
+
+    def _weight(self, key: GroupKey) -> float:
+        return self._occupancy.shares.weight(*key)
--- /dev/null
+++ b/src/hawthornpier/policy/_shapes.py
@@ -0,0 +1,80 @@
+"""
+Capacities of the workers that the shard has or recently had.
+"""
+
+from hawthornpier.messages import Resources
+
+# A new owner learns of its workers one by one; work is rejected as too large
+# only after the set of capacities has been unchanged for this long.
+_SETTLE_MS = 2_000
+# The capacity of a removed worker is remembered for this long, since a lost
+# rack comes back.
+_MEMORY_MS = 600_000
+
+_DIMENSIONS = (
+    'processor_millis',
+    'memory_bytes',
+    'accelerator_count',
+    'slot_count',
+)
+
+
+class CapacityShapes:
+    """
+    Knows the distinct capacities, of which there are few.
+    """
+
+    def __init__(self) -> None:
+        self._counts: dict[Resources, int] = {}
+        self._gone_ms: dict[Resources, int] = {}
+        self._changed_ms = 0
+
+    def add(self, capacity: Resources, now_ms: int) -> None:
+        """
+        Count one more worker of this capacity.
+        """
+        if capacity not in self._counts:
+            self._changed_ms = now_ms
+        self._counts[capacity] = self._counts.get(capacity, 0) + 1
+        self._gone_ms.pop(capacity, None)
+
+    def remove(self, capacity: Resources, now_ms: int) -> None:
+        """
+        Count one worker of this capacity less.
+        """
+        self._counts[capacity] -= 1
+        if not self._counts[capacity]:
+            self._counts.pop(capacity)
+            self._gone_ms[capacity] = now_ms
+
+    def rejection(self, demand: Resources, now_ms: int) -> str:
+        """
+        Tell why no worker can ever hold the demand, or return ''.
+        """
+        self._expire(now_ms)
+        is_settled = now_ms - self._changed_ms >= _SETTLE_MS
+        if not self._counts or not is_settled or self.holds(demand):
+            return ''
+        for dimension in _DIMENSIONS:
+            largest = max(
+                getattr(capacity, dimension) for capacity in self._counts
+            )
+            if getattr(demand, dimension) > largest:
+                return (
+                    f'{dimension} {getattr(demand, dimension)} exceeds the '
+                    f'largest worker, which has {largest}'
+                )
+        return 'no single worker is large enough in all dimensions'
+
+    def holds(self, demand: Resources) -> bool:
+        """
+        Tell whether a present or recent worker could hold the demand.
+        """
+        return any(map(demand.fits_in, self._counts)) or any(
+            map(demand.fits_in, self._gone_ms),
+        )
+
+    def _expire(self, now_ms: int) -> None:
+        for capacity, gone_ms in tuple(self._gone_ms.items()):
+            if now_ms - gone_ms > _MEMORY_MS:
+                self._gone_ms.pop(capacity)
--- /dev/null
+++ b/src/hawthornpier/policy/_short_work.py
@@ -0,0 +1,120 @@
+"""
+Slots kept for short batch work, and stragglers kept off them.
+"""
+
+import heapq
+import math
+from collections.abc import Iterable
+
+from hawthornpier.policy._decisions import Decision, TaskDemand
+from hawthornpier.policy._forecast import DemandForecast
+from hawthornpier.policy._headroom import HeadroomKeeper
+from hawthornpier.policy._parts import ShardParts
+from hawthornpier.policy._settings import QueueOrder
+from hawthornpier.policy._task_queue import GroupKey
+
+# At most this fraction of the batch slots is kept for short work.
+_MAX_SHORT_FRACTION = 0.25
+# Running tasks are looked at again after at least this long.
+_CHECK_MS = 200
+# Long tasks evicted in one decision.
+_MAX_EVICTION_COUNT = 8
+
+
+class ShortWorkKeeper:
+    """
+    Limits the slots that long tasks hold, to what short work leaves.
+
+    Args:
+        parts: The parts of the shard.
+        headroom: Knows the slots that services need.
+    """
+
+    def __init__(self, *, parts: ShardParts, headroom: HeadroomKeeper) -> None:
+        self._parts = parts
+        self._headroom = headroom
+        order = parts.settings.queue_order
+        self._is_on = order is QueueOrder.ATTAINED_SERVICE
+        self._forecast = DemandForecast()
+        self._waiting_count = 0
+        self._checks: list[tuple[float, str, int]] = []
+
+    def start(self, task_id: str, now_ms: int) -> None:
+        """
+        Note the start of a task, which may turn out to be long.
+        """
+        heapq.heappush(self._checks, (now_ms, task_id, now_ms))
+
+    def update(
+        self,
+        heads: Iterable[tuple[GroupKey, TaskDemand]],
+        now_ms: int,
+    ) -> None:
+        """
+        Recognise long tasks and forecast the demand of short work.
+        """
+        self._recognise(now_ms)
+        self._waiting_count = sum(
+            self._parts.tasks.count(key)
+            for key, head in heads
+            if not self._parts.sizes.is_long(head)
+        )
+        occupancy = self._parts.occupancy
+        running_count = len(occupancy.running) - occupancy.long_count
+        self._forecast.update(running_count + self._waiting_count, now_ms)
+
+    def allows(self, task: TaskDemand) -> bool:
+        """
+        Tell whether the task may take a slot now.
+        """
+        if not self._is_on or not self._parts.sizes.is_long(task):
+            return True
+        return self._parts.occupancy.long_count < self.long_limit
+
+    @property
+    def long_limit(self) -> int:
+        """
+        The number of slots that long tasks may hold.
+        """
+        capacity = self._parts.occupancy.ledger.capacity.slot_count
+        batch_count = max(capacity - self._headroom.service_slot_count, 0)
+        kept_count = min(
+            math.ceil(self._forecast.level),
+            int(batch_count * _MAX_SHORT_FRACTION),
+        )
+        return batch_count - kept_count
+
+    def preempt(self, now_ms: int) -> list[Decision]:
+        """
+        Evict long tasks above their limit while short work waits.
+        """
+        occupancy = self._parts.occupancy
+        excess = min(
+            occupancy.long_count - self.long_limit,
+            self._waiting_count,
+            _MAX_EVICTION_COUNT,
+        )
+        excess -= occupancy.evicting_count
+        if not self._is_on or excess <= 0:
+            return []
+        victims = self._parts.planner.cheapest(
+            (task for task in occupancy.running.values() if task.is_long),
+            excess,
+            now_ms,
+        )
+        reason = 'long task on a slot kept for short work'
+        return [self._parts.planner.evict(victim, reason) for victim in victims]
+
+    def _recognise(self, now_ms: int) -> None:
+        while self._checks and self._checks[0][0] <= now_ms:
+            _, task_id, started_ms = heapq.heappop(self._checks)
+            running = self._parts.occupancy.running.get(task_id)
+            if running is None or running.started_ms != started_ms:
+                continue
+            run_ms = now_ms - started_ms
+            if self._parts.sizes.is_long(running.task, run_ms):
+                self._parts.occupancy.mark_long(running)
+                continue
+            due_ms = started_ms + self._parts.sizes.long_ms
+            due_ms = min(max(due_ms, now_ms + _CHECK_MS), now_ms + 5000)
+            heapq.heappush(self._checks, (due_ms, task_id, started_ms))
