Look services up by member and test batch jobs under faults

Cause: workload names are unique for one member only. Change: the catalog takes the member too; tests of jobs, evictions, takeovers and non-idempotent tasks on virtual time with stand-in workers.

--- a/src/hawthornpier/entry/_router.py
+++ b/src/hawthornpier/entry/_router.py
@@ -118,10 +118,13 @@
 
     def _check(self, request: CallerRequest) -> None:
         try:
-            is_idempotent = self._catalog.is_idempotent(request.service)
+            is_idempotent = self._catalog.is_idempotent(
+                request.member,
+                request.service,
+            )
         except KeyError as error:
             raise UnknownServiceError(
-                f'the table has no service {request.service!r}',
+                f'{request.member!r} has no service {request.service!r}',
             ) from error
         if not is_idempotent and not request.idempotency_key:
             raise KeyRequiredError(
--- a/src/hawthornpier/owner/_interfaces.py
+++ b/src/hawthornpier/owner/_interfaces.py
@@ -37,15 +37,21 @@
     What the shared table says of workloads.
     """
 
-    def demand(self, service: str) -> Resources:
+    def demand(self, member: str, service: str) -> Resources:
         """
         Return what one request of the service occupies.
+
+        Raises:
+            KeyError: The table has no such service.
         """
         ...
 
-    def is_idempotent(self, service: str) -> bool:
+    def is_idempotent(self, member: str, service: str) -> bool:
         """
         Tell whether a request may be repeated without a key.
+
+        Raises:
+            KeyError: The table has no such service.
         """
         ...
 
--- a/src/hawthornpier/owner/_orders.py
+++ b/src/hawthornpier/owner/_orders.py
@@ -131,7 +131,9 @@
             request_id=order.intent.request_id,
             member=request.member,
             service=request.service,
-            demand=self._context.catalog.demand(request.service),
+            demand=self._context.catalog.demand(
+                request.member, request.service
+            ),
             deadline_ms=deadline_ms,
         )
         if isinstance(placed, ShedRequest):
@@ -190,7 +192,9 @@
             service=request.service,
             shard=self._context.shard,
             epoch=self._context.epoch,
-            demand=self._context.catalog.demand(request.service),
+            demand=self._context.catalog.demand(
+                request.member, request.service
+            ),
             deadline_ms=max(1, deadline_ms - sent_ms),
             body=request.body,
             idempotency_key=request.idempotency_key,
--- a/src/hawthornpier/owner/_requests.py
+++ b/src/hawthornpier/owner/_requests.py
@@ -119,7 +119,9 @@
             request_id=attempt_id,
             member=request.member,
             service=request.service,
-            demand=self._context.catalog.demand(request.service),
+            demand=self._context.catalog.demand(
+                request.member, request.service
+            ),
             deadline_ms=deadline_ms,
         )
         if isinstance(placed, ShedRequest):
@@ -147,7 +149,9 @@
             service=request.service,
             shard=self._context.shard,
             epoch=self._context.epoch,
-            demand=self._context.catalog.demand(request.service),
+            demand=self._context.catalog.demand(
+                request.member, request.service
+            ),
             deadline_ms=max(1, self._remaining_ms(attempt.deadline_ms)),
             body=request.body,
         )
--- a/tests/owner_harness.py
+++ b/tests/owner_harness.py
@@ -90,13 +90,13 @@
     A table with one service that is idempotent and one that is not.
     """
 
-    def demand(self, service: str) -> Resources:
+    def demand(self, member: str, service: str) -> Resources:
         """
         Return the same demand for each service.
         """
         return REQUEST_DEMAND
 
-    def is_idempotent(self, service: str) -> bool:
+    def is_idempotent(self, member: str, service: str) -> bool:
         """
         Tell the stock check from the order.
         """
--- /dev/null
+++ b/tests/test_owner_jobs.py
@@ -0,0 +1,427 @@
+"""
+Tests of how a shard's owner runs batch jobs.
+"""
+
+import asyncio
+import itertools
+
+from owner_harness import TASK_DEMAND, Platform, job_of, request_of
+from virtual_time import run_virtual
+
+from hawthornpier.messages import Answer, JobView, TaskState
+from hawthornpier.owner import OwnerError, ShardOwner
+from hawthornpier.policy import EvictTask
+from hawthornpier_standin.history import Record, RecordKind
+from hawthornpier_standin.platform import StoreFaults
+from hawthornpier_standin.workers import WorkerFaults
+
+
+def _states(view: JobView | None) -> set[TaskState]:
+    assert view is not None
+    return {task.state for task in view.tasks}
+
+
+def _overlapping_runs(history: list[Record]) -> list[str]:
+    """
+    Return the tasks that two runs held at the same time.
+    """
+    running: dict[str, str] = {}
+    doubled = []
+    for record in history:
+        if record.kind is RecordKind.RUN_STARTED:
+            if record.task_id in running:
+                doubled.append(record.task_id)
+            running[record.task_id] = record.run_id
+        elif record.kind is RecordKind.RUN_ENDED:
+            running.pop(record.task_id, None)
+    return doubled
+
+
+def _starts(history: list[Record]) -> int:
+    return sum(record.kind is RecordKind.RUN_STARTED for record in history)
+
+
+async def _finish(
+    platform: Platform,
+    owner: ShardOwner,
+    job_id: str = 'j',
+    limit_ms: int = 120_000,
+) -> JobView:
+    """
+    Wait until every task of the job has ended.
+    """
+    for _ in range(limit_ms // 100):
+        view = owner.jobs.view(job_id)
+        if view and _states(view) <= {
+            TaskState.DONE,
+            TaskState.FAILED,
+            TaskState.CANCELLED,
+            TaskState.UNKNOWN,
+        }:
+            return view
+        await platform.clock.sleep_ms(100)
+    raise AssertionError(f'the job did not end: {owner.jobs.view(job_id)}')
+
+
+async def _disturb(
+    platform: Platform,
+    owner: ShardOwner,
+    number: int,
+) -> ShardOwner:
+    """
+    Cause one of four faults; returns the owner that is in charge afterwards.
+    """
+    kind = number % 4
+    if kind == 0:
+        await owner.close()
+        return await platform.new_owner()
+    if kind == 1:
+        worker = platform.workers[f'w{number % 3}']
+        worker.apply_faults(WorkerFaults(is_silent=True))
+    elif kind == 2:
+        platform.store.apply_faults(StoreFaults(lost_answer_count=3))
+    else:
+        platform.set_store_out(is_out=True)
+        await platform.clock.sleep_ms(2_000)
+        platform.set_store_out(is_out=False)
+    return owner
+
+
+class TestJobs:
+    """
+    Jobs without faults.
+    """
+
+    def test_more_tasks_than_slots_all_end(self) -> None:
+        """
+        Every task of an accepted job ends once, while requests are answered.
+        """
+
+        async def scenario() -> tuple[Platform, JobView, object]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await owner.submit_job('j', job_of(40, work_ms=2_000))
+            outcome = await owner.serve(request_of('op'))
+            return platform, await _finish(platform, owner), outcome
+
+        platform, view, outcome = run_virtual(scenario())
+        assert _states(view) == {TaskState.DONE}
+        evictions = sum(task.eviction_count for task in view.tasks)
+        assert _starts(platform.history) == 40 + evictions
+        assert isinstance(outcome, Answer)
+
+    def test_repeated_submission_is_one_job(self) -> None:
+        """
+        A submission whose answer was lost can be sent again safely.
+        """
+
+        async def scenario() -> tuple[Platform, int]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await asyncio.gather(
+                owner.submit_job('j', job_of(2, work_ms=500)),
+                owner.submit_job('j', job_of(2, work_ms=500)),
+            )
+            await _finish(platform, owner)
+            return platform, len(owner.jobs.views())
+
+        platform, job_count = run_virtual(scenario())
+        assert job_count == 1
+        assert _starts(platform.history) == 2
+
+    def test_cancelled_job_leaves_nothing_running(self) -> None:
+        """
+        Running and queued tasks of a cancelled job all end.
+        """
+
+        async def scenario() -> tuple[Platform, JobView]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await owner.submit_job('j', job_of(40, work_ms=60_000))
+            await platform.clock.sleep_ms(2_000)
+            await owner.cancel_job('j')
+            view = await _finish(platform, owner, limit_ms=10_000)
+            return platform, view
+
+        platform, view = run_virtual(scenario())
+        assert _states(view) == {TaskState.CANCELLED}
+        charged = [worker.charged for worker in platform.workers.values()]
+        assert all(amount.slot_count == 0 for amount in charged)
+
+
+class TestEviction:
+    """
+    Evicted tasks resume exactly once.
+    """
+
+    def test_eviction_resumes_from_its_checkpoint(self) -> None:
+        """
+        G3: an evicted task runs on from its checkpoint, once.
+        """
+
+        async def scenario() -> tuple[Platform, JobView]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await owner.submit_job('j', job_of(1, work_ms=5_000))
+            await platform.clock.sleep_ms(2_000)
+            task = owner.jobs.view('j').tasks[0]
+            owner.jobs.runner.evict(
+                EvictTask(
+                    task_id=task.task_id,
+                    worker_id=task.worker_id,
+                    reason='test',
+                ),
+            )
+            return platform, await _finish(platform, owner)
+
+        platform, view = run_virtual(scenario())
+        started = [
+            record
+            for record in platform.history
+            if record.kind is RecordKind.RUN_STARTED
+        ]
+        assert _states(view) == {TaskState.DONE}
+        assert view.tasks[0].eviction_count == 1
+        assert len(started) == 2
+        assert started[1].checkpoint
+
+    def test_owner_killed_after_eviction_resumes_once(self) -> None:
+        """
+        G3: an eviction whose record was not written is taken over from the
+        worker by the next owner.
+        """
+
+        async def scenario() -> tuple[Platform, JobView]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await owner.submit_job('j', job_of(1, work_ms=5_000))
+            await platform.clock.sleep_ms(2_000)
+            platform.set_store_out(is_out=True)
+            task = owner.jobs.view('j').tasks[0]
+            owner.jobs.runner.evict(
+                EvictTask(
+                    task_id=task.task_id,
+                    worker_id=task.worker_id,
+                    reason='test',
+                ),
+            )
+            await platform.clock.sleep_ms(2_000)
+            await owner.close()
+            platform.set_store_out(is_out=False)
+            successor = await platform.new_owner()
+            return platform, await _finish(platform, successor)
+
+        platform, view = run_virtual(scenario())
+        assert _states(view) == {TaskState.DONE}
+        assert _starts(platform.history) == 2
+        assert not _overlapping_runs(platform.history)
+
+
+class TestTakeover:
+    """
+    A new owner adopts what runs.
+    """
+
+    def test_running_tasks_are_adopted(self) -> None:
+        """
+        G2: tasks that run when the owner dies are not started again.
+        """
+
+        async def scenario() -> tuple[Platform, JobView]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await owner.submit_job('j', job_of(30, work_ms=8_000))
+            await platform.clock.sleep_ms(3_000)
+            await owner.close()
+            successor = await platform.new_owner()
+            return platform, await _finish(platform, successor)
+
+        platform, view = run_virtual(scenario())
+        assert _states(view) == {TaskState.DONE}
+        assert _starts(platform.history) == 30
+        assert not _overlapping_runs(platform.history)
+
+    def test_deposed_owner_that_runs_on_starts_nothing(self) -> None:
+        """
+        G2: an owner that was paused past its lease and goes on is refused by
+        every worker that its successor has fenced.
+        """
+
+        async def scenario() -> tuple[Platform, JobView]:
+            platform = Platform()
+            deposed = await platform.new_owner()
+            await deposed.submit_job('j', job_of(30, work_ms=4_000))
+            await platform.clock.sleep_ms(3_000)
+            successor = await platform.new_owner()
+            view = await _finish(platform, successor)
+            await deposed.close()
+            return platform, view
+
+        platform, view = run_virtual(scenario())
+        assert _states(view) == {TaskState.DONE}
+        assert not _overlapping_runs(platform.history)
+        assert _starts(platform.history) == 30
+
+    def test_worker_unreachable_during_takeover(self) -> None:
+        """
+        G2: tasks that a silent worker may hold start elsewhere only after
+        its leases have lapsed.
+        """
+
+        async def scenario() -> tuple[Platform, JobView]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await owner.submit_job('j', job_of(20, work_ms=30_000))
+            await platform.clock.sleep_ms(3_000)
+            await owner.close()
+            platform.workers['w0'].apply_faults(WorkerFaults(is_silent=True))
+            successor = await platform.new_owner()
+            return platform, await _finish(platform, successor)
+
+        platform, view = run_virtual(scenario())
+        assert _states(view) == {TaskState.DONE}
+        assert not _overlapping_runs(platform.history)
+
+    def test_paused_worker_wakes_after_its_tasks_moved(self) -> None:
+        """
+        G2: a worker that slept past its leases does not go on with tasks
+        that run elsewhere by then.
+        """
+
+        async def scenario() -> tuple[Platform, JobView]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await owner.submit_job('j', job_of(20, work_ms=30_000))
+            await platform.clock.sleep_ms(3_000)
+            platform.workers['w0'].apply_faults(WorkerFaults(is_paused=True))
+            await platform.clock.sleep_ms(40_000)
+            platform.workers['w0'].apply_faults(WorkerFaults())
+            return platform, await _finish(platform, owner)
+
+        platform, view = run_virtual(scenario())
+        assert _states(view) == {TaskState.DONE}
+
+
+class TestNonIdempotentTasks:
+    """
+    Tasks that run at most once.
+    """
+
+    def test_lost_worker_means_unknown(self) -> None:
+        """
+        G6: a task that is not idempotent is not started again when its
+        worker was lost.
+        """
+
+        async def scenario() -> tuple[Platform, JobView]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await owner.submit_job(
+                'j',
+                job_of(1, work_ms=5_000, is_idempotent=False),
+            )
+            await platform.clock.sleep_ms(2_000)
+            worker_id = owner.jobs.view('j').tasks[0].worker_id
+            platform.workers[worker_id].apply_faults(
+                WorkerFaults(is_dead=True),
+            )
+            return platform, await _finish(platform, owner)
+
+        platform, view = run_virtual(scenario())
+        assert _states(view) == {TaskState.UNKNOWN}
+        assert _starts(platform.history) == 1
+
+    def test_takeover_does_not_start_it_again(self) -> None:
+        """
+        G6: a task that is not idempotent runs once across owners.
+        """
+
+        async def scenario() -> tuple[Platform, JobView]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await owner.submit_job(
+                'j',
+                job_of(6, work_ms=4_000, is_idempotent=False),
+            )
+            await platform.clock.sleep_ms(1_000)
+            await owner.close()
+            successor = await platform.new_owner()
+            return platform, await _finish(platform, successor)
+
+        platform, view = run_virtual(scenario())
+        assert _states(view) == {TaskState.DONE}
+        assert _starts(platform.history) == 6
+
+
+class TestFaultsTogether:
+    """
+    Seeded sequences of faults.
+    """
+
+    def test_no_task_is_lost_or_doubled(self) -> None:
+        """
+        G2, G3: owners, workers and the store fail in turn; every task ends
+        once and never runs in two places.
+        """
+
+        async def scenario(seed: int) -> tuple[Platform, JobView]:
+            platform = Platform(seed=seed)
+            owner = await platform.new_owner()
+            await owner.submit_job('j', job_of(24, work_ms=9_000))
+            for step in range(4):
+                await platform.clock.sleep_ms(1_500 + 400 * seed)
+                owner = await _disturb(platform, owner, seed + step)
+            for worker in platform.workers.values():
+                worker.apply_faults(WorkerFaults())
+            return platform, await _finish(platform, owner)
+
+        for seed in range(8):
+            platform, view = run_virtual(scenario(seed))
+            assert _states(view) == {TaskState.DONE}, seed
+            assert not _overlapping_runs(platform.history), seed
+
+    def test_job_is_refused_while_the_store_is_out(self) -> None:
+        """
+        A job that could not be recorded is not accepted.
+        """
+
+        async def scenario() -> bool:
+            platform = Platform()
+            owner = await platform.new_owner()
+            platform.set_store_out(is_out=True)
+            try:
+                await owner.submit_job('j', job_of(1))
+            except OwnerError:
+                return owner.jobs.view('j') is None
+            return False
+
+        assert run_virtual(scenario())
+
+
+class TestDemand:
+    """
+    What a task is charged.
+    """
+
+    def test_charges_never_exceed_a_worker(self) -> None:
+        """
+        G1: at every moment the runs on a worker fit into its processors.
+        """
+
+        async def scenario() -> list[Record]:
+            platform = Platform()
+            owner = await platform.new_owner()
+            await owner.submit_job('j', job_of(60, work_ms=1_000))
+            await _finish(platform, owner)
+            return platform.history
+
+        history = run_virtual(scenario())
+        deltas = {RecordKind.RUN_STARTED: 1, RecordKind.RUN_ENDED: -1}
+        for worker_id in ('w0', 'w1', 'w2'):
+            held = itertools.accumulate(
+                deltas.get(record.kind, 0)
+                for record in history
+                if record.worker_id == worker_id
+            )
+            limit = 32_000 // TASK_DEMAND.processor_millis
+            assert max(held) <= limit
