--- a/tests/test_owner_jobs.py
+++ b/tests/test_owner_jobs.py
@@ -11,30 +11,39 @@
 from hawthornpier.messages import Answer, JobView, TaskState
 from hawthornpier.owner import OwnerError, ShardOwner
 from hawthornpier.policy import EvictTask
-from hawthornpier_standin.history import Record, RecordKind
+from hawthornpier_standin.history import (
+    Guarantee,
+    Record,
+    RecordKind,
+    check_history,
+)
 from hawthornpier_standin.platform import StoreFaults
 from hawthornpier_standin.workers import WorkerFaults
 
+_CHECKED = frozenset(
+    (
+        Guarantee.CAPACITY,
+        Guarantee.SINGLE_PLACEMENT,
+        Guarantee.RESUME_ONCE,
+    )
+)
+
 
 def _states(view: JobView | None) -> set[TaskState]:
     assert view is not None
     return {task.state for task in view.tasks}
 
 
-def _overlapping_runs(history: list[Record]) -> list[str]:
+def _violations(platform: Platform) -> list[str]:
     """
-    Return the tasks that two runs held at the same time.
+    Return what the checkers find in the workers' records.
     """
-    running: dict[str, str] = {}
-    doubled = []
-    for record in history:
-        if record.kind is RecordKind.RUN_STARTED:
-            if record.task_id in running:
-                doubled.append(record.task_id)
-            running[record.task_id] = record.run_id
-        elif record.kind is RecordKind.RUN_ENDED:
-            running.pop(record.task_id, None)
-    return doubled
+    report = check_history(platform.history)
+    return [
+        str(violation)
+        for violation in report.violations
+        if violation.guarantee in _CHECKED
+    ]
 
 
 def _starts(history: list[Record]) -> int:
@@ -214,7 +223,7 @@
         platform, view = run_virtual(scenario())
         assert _states(view) == {TaskState.DONE}
         assert _starts(platform.history) == 2
-        assert not _overlapping_runs(platform.history)
+        assert not _violations(platform)
 
 
 class TestTakeover:
@@ -239,7 +248,7 @@
         platform, view = run_virtual(scenario())
         assert _states(view) == {TaskState.DONE}
         assert _starts(platform.history) == 30
-        assert not _overlapping_runs(platform.history)
+        assert not _violations(platform)
 
     def test_deposed_owner_that_runs_on_starts_nothing(self) -> None:
         """
@@ -259,7 +268,7 @@
 
         platform, view = run_virtual(scenario())
         assert _states(view) == {TaskState.DONE}
-        assert not _overlapping_runs(platform.history)
+        assert not _violations(platform)
         assert _starts(platform.history) == 30
 
     def test_worker_unreachable_during_takeover(self) -> None:
@@ -280,7 +289,7 @@
 
         platform, view = run_virtual(scenario())
         assert _states(view) == {TaskState.DONE}
-        assert not _overlapping_runs(platform.history)
+        assert not _violations(platform)
 
     def test_paused_worker_wakes_after_its_tasks_moved(self) -> None:
         """
@@ -300,6 +309,7 @@
 
         platform, view = run_virtual(scenario())
         assert _states(view) == {TaskState.DONE}
+        assert not _violations(platform)
 
 
 class TestNonIdempotentTasks:
@@ -378,7 +388,7 @@
         for seed in range(8):
             platform, view = run_virtual(scenario(seed))
             assert _states(view) == {TaskState.DONE}, seed
-            assert not _overlapping_runs(platform.history), seed
+            assert not _violations(platform), seed
 
     def test_job_is_refused_while_the_store_is_out(self) -> None:
         """
