--- /dev/null
+++ b/src/hawthornpier/coordination/_batch.py
@@ -0,0 +1,117 @@
+"""
+Waiting commits, and how they are merged into one transaction.
+"""
+
+import asyncio
+from collections import deque
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+
+from hawthornpier.coordination._errors import CommitError
+from hawthornpier.messages import RowCheck, RowPut, Transaction
+
+Versions = Mapping[str, int]
+
+
+@dataclass(slots=True, kw_only=True, eq=False)
+class Entry:
+    """
+    One commit that waits; *is_sent* says that it may have been applied.
+    """
+
+    puts: tuple[RowPut, ...]
+    deletes: tuple[str, ...]
+    checks: tuple[RowCheck, ...]
+    future: 'asyncio.Future[Versions]'
+    is_sent: bool = False
+
+    @property
+    def row_count(self) -> int:
+        """
+        Return how many rows the commit writes or checks.
+        """
+        return len(self.puts) + len(self.deletes) + len(self.checks)
+
+    @property
+    def written_keys(self) -> set[str]:
+        """
+        Return the keys of all rows that the commit writes or deletes.
+        """
+        return {put.key for put in self.puts} | set(self.deletes)
+
+    def resolve(self, versions: Versions) -> None:
+        """
+        Return the versions of the commit's own rows to its task.
+        """
+        if not self.future.done():
+            keys = [put.key for put in self.puts if put.key in versions]
+            self.future.set_result({key: versions[key] for key in keys})
+
+    def fail(self, error: CommitError) -> None:
+        """
+        Raise *error* in the commit's task.
+        """
+        if not self.future.done():
+            self.future.set_exception(error)
+
+
+def take_batch(queue: deque[Entry], max_row_count: int) -> list[Entry]:
+    """
+    Take the waiting commits that fit into one transaction, in order.
+
+    A commit that checks a row which an earlier one of the batch writes waits
+    for the next transaction, because its check is about the new version.
+    """
+    batch: list[Entry] = []
+    written: set[str] = set()
+    row_count = 0
+    while queue:
+        entry = queue[0]
+        row_count += entry.row_count
+        if batch and row_count > max_row_count:
+            break
+        if any(check.key in written for check in entry.checks):
+            break
+        batch.append(queue.popleft())
+        written |= entry.written_keys
+    return batch
+
+
+def drop_abandoned(queue: deque[Entry]) -> None:
+    """
+    Remove the commits whose tasks no longer wait; none of them was sent.
+    """
+    waiting = [entry for entry in queue if not entry.future.done()]
+    queue.clear()
+    queue.extend(waiting)
+
+
+def merge(
+    transaction_id: str,
+    batch: Sequence[Entry],
+    checks: Iterable[RowCheck],
+    puts: Iterable[RowPut],
+) -> Transaction:
+    """
+    Build one transaction; of two writes to one row the later one wins.
+    """
+    versions = {check.key: check.version for check in checks}
+    texts: dict[str, str | None] = {}
+    for entry in batch:
+        versions.update((check.key, check.version) for check in entry.checks)
+        texts.update(dict.fromkeys(entry.deletes))
+        texts.update((put.key, put.text) for put in entry.puts)
+    texts.update((put.key, put.text) for put in puts)
+    return Transaction(
+        transaction_id=transaction_id,
+        checks=tuple(
+            RowCheck(key=key, version=version)
+            for key, version in versions.items()
+        ),
+        puts=tuple(
+            RowPut(key=key, text=text)
+            for key, text in texts.items()
+            if text is not None
+        ),
+        deletes=tuple(key for key, text in texts.items() if text is None),
+    )
--- /dev/null
+++ b/src/hawthornpier/coordination/_claim_writer.py
@@ -0,0 +1,236 @@
+"""
+The transactions that change owner rows.
+"""
+
+import asyncio
+import random
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from hawthornpier.coordination._directory import ProcessDirectory
+from hawthornpier.coordination._errors import LeaseLostError
+from hawthornpier.coordination._lease import ProcessLease
+from hawthornpier.coordination._lease_row import LeaseWrite
+from hawthornpier.coordination._link import Backoff, StoreLink, settle
+from hawthornpier.coordination._rows import (
+    LOST_PREFIX,
+    OWNER_PREFIX,
+    PROCESS_PREFIX,
+    LostRow,
+    OwnerRow,
+    encode,
+)
+from hawthornpier.coordination._vacancies import ShardOwner
+from hawthornpier.messages import (
+    ABSENT_VERSION,
+    RowCheck,
+    RowPut,
+    Transaction,
+)
+from hawthornpier.ports import Clock, StoreError
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class OwnedShard:
+    """
+    A shard that this process owns, under one epoch.
+
+    *version* is the version of the owner row, which every durable write
+    checks.  Work on workers without guards starts at *must_wait_until_ms* of
+    the own monotonic clock at the earliest.
+    """
+
+    shard: str
+    epoch: int
+    version: int
+    incarnation: str
+    must_wait_until_ms: int
+
+
+@dataclass(slots=True, kw_only=True)
+class _Claim:
+    """
+    The writes of one transaction that claims several shards.
+    """
+
+    checks: dict[str, int] = field(default_factory=dict)
+    puts: dict[str, str] = field(default_factory=dict)
+    deletes: set[str] = field(default_factory=set)
+
+
+class ClaimWriter:
+    """
+    Writes owner rows: claims under the lease, and hand-overs.
+
+    Args:
+        lease: The lease of this process.
+        directory: The lease rows of all processes.
+        link: The store.
+        clock: The clock of this process.
+        rng: The source of jitter.
+    """
+
+    def __init__(
+        self,
+        lease: ProcessLease,
+        directory: ProcessDirectory,
+        link: StoreLink,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self._lease = lease
+        self._directory = directory
+        self._link = link
+        self._clock = clock
+        self._rng = rng
+        self._hand_over_count = 0
+
+    async def claim(
+        self,
+        shards: Iterable[str],
+        owners: Mapping[str, ShardOwner],
+    ) -> LeaseWrite | None:
+        """
+        Claim vacant shards in one transaction.
+
+        It checks the owner rows, the process rows of the former owners and
+        the own process row, deletes expired process rows, and writes the next
+        epochs.
+
+        Returns:
+            The result, or None if nothing was written.
+        """
+        claim = _Claim()
+        for shard in shards:
+            key = OWNER_PREFIX + shard
+            owner = owners.get(shard)
+            epoch = 0
+            claim.checks[key] = ABSENT_VERSION
+            if owner is not None:
+                epoch = owner.row.epoch
+                claim.checks[key] = owner.version
+                self._check_process(
+                    claim,
+                    owner.row.process_id,
+                    owner.row.incarnation,
+                )
+            claim.puts[key] = self._owner_text(epoch + 1)
+        return await self._send(claim)
+
+    async def bury(self, process_id: str, incarnation: str) -> None:
+        """
+        Delete the row of an expired process that owns no shard.
+        """
+        claim = _Claim()
+        self._check_process(claim, process_id, incarnation)
+        await self._send(claim)
+
+    async def forget_lost(self, process_ids: Iterable[str]) -> None:
+        """
+        Delete the records of processes that were lost long ago.
+        """
+        claim = _Claim()
+        claim.deletes.update(LOST_PREFIX + lost_id for lost_id in process_ids)
+        await self._send(claim)
+
+    async def free(
+        self,
+        owned: OwnedShard,
+        successor: str,
+        timeout_ms: int,
+    ) -> bool:
+        """
+        Write the owner row as free, keeping the epoch.
+
+        Returns:
+            Whether the row is certainly free.
+        """
+        self._hand_over_count += 1
+        count = self._hand_over_count
+        key = OWNER_PREFIX + owned.shard
+        row = OwnerRow(
+            process_id='',
+            incarnation='',
+            address='',
+            epoch=owned.epoch,
+            successor=successor,
+        )
+        transaction = Transaction(
+            transaction_id=f'free.{owned.incarnation}.{owned.shard}.{count}',
+            checks=(RowCheck(key=key, version=owned.version),),
+            puts=(RowPut(key=key, text=encode(row)),),
+        )
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                return await self._settle_free(transaction)
+        except TimeoutError:
+            return False
+
+    async def _settle_free(self, transaction: Transaction) -> bool:
+        backoff = Backoff(
+            self._clock,
+            self._rng,
+            min_ms=self._lease.timings.retry_min_ms,
+            max_ms=self._lease.timings.retry_max_ms,
+        )
+        while True:
+            try:
+                _, answer = await settle(
+                    self._link,
+                    transaction,
+                    self._clock,
+                    backoff,
+                )
+            except StoreError:
+                await backoff.sleep()
+            else:
+                return answer.is_committed
+
+    async def _send(self, claim: _Claim) -> LeaseWrite | None:
+        checks = [
+            RowCheck(key=key, version=version)
+            for key, version in claim.checks.items()
+        ]
+        puts = [RowPut(key=key, text=text) for key, text in claim.puts.items()]
+        try:
+            return await self._lease.transact(checks, puts, claim.deletes)
+        except (LeaseLostError, StoreError):
+            return None
+
+    def _check_process(
+        self,
+        claim: _Claim,
+        process_id: str,
+        incarnation: str,
+    ) -> None:
+        """
+        Add the check of the former owner's process row, and its deletion.
+
+        The own process row is checked by the lease anyway.
+        """
+        if process_id in {'', self._lease.process_id}:
+            return
+        key = PROCESS_PREFIX + process_id
+        observed = self._directory.processes.get(process_id)
+        if observed is None:
+            claim.checks[key] = ABSENT_VERSION
+            return
+        claim.checks[key] = observed.version
+        if observed.row.incarnation == incarnation:
+            claim.deletes.add(key)
+            claim.puts[LOST_PREFIX + process_id] = encode(
+                LostRow(
+                    incarnation=incarnation,
+                    lost_wall_ms=self._clock.wall_ms(),
+                ),
+            )
+
+    def _owner_text(self, epoch: int) -> str:
+        return encode(
+            OwnerRow(
+                process_id=self._lease.process_id,
+                incarnation=self._lease.incarnation,
+                address=self._lease.identity.address,
+                epoch=epoch,
+            ),
+        )
--- /dev/null
+++ b/src/hawthornpier/coordination/_commit.py
@@ -0,0 +1,357 @@
+"""
+Durable writes of one shard, collected into one transaction per interval.
+"""
+
+import asyncio
+import contextlib
+import random
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterable
+
+from hawthornpier.coordination._batch import (
+    Entry,
+    Versions,
+    drop_abandoned,
+    merge,
+    take_batch,
+)
+from hawthornpier.coordination._claim_writer import OwnedShard
+from hawthornpier.coordination._errors import (
+    CommitClosedError,
+    CommitConflictError,
+    CommitDeposedError,
+    CommitNotAppliedError,
+    CommitUnknownError,
+)
+from hawthornpier.coordination._link import Backoff, read_settled
+from hawthornpier.coordination._marker import MarkerLog, Verdict
+from hawthornpier.coordination._rows import OWNER_PREFIX
+from hawthornpier.coordination._timings import CommitLimits
+from hawthornpier.messages import (
+    ABSENT_VERSION,
+    EventKind,
+    Row,
+    RowCheck,
+    RowPut,
+    Transaction,
+    TransactionResult,
+)
+from hawthornpier.ports import (
+    Clock,
+    EventSink,
+    StoreAnswerLostError,
+    StoreUnavailableError,
+    TableStore,
+)
+
+
+class GroupCommit:
+    """
+    Collects the durable writes of many tasks for one owned shard.
+
+    One transaction is in flight at a time and each checks the owner row, so
+    that a deposed owner commits nothing.  `run` must run in a task.
+
+    Args:
+        owned: The shard and the version of its owner row.
+        store: The store, usually a `StoreLink`.
+        clock: The clock of this process.
+        limits: Interval, sizes and retries.
+        on_deposed: Awaited with shard and epoch after the owner row was found
+            changed.
+        rng: The source of transaction ids and of jitter.
+        events: Where the loss of the shard is recorded.
+    """
+
+    def __init__(
+        self,
+        owned: OwnedShard,
+        store: TableStore,
+        clock: Clock,
+        limits: CommitLimits,
+        *,
+        on_deposed: Callable[[str, int], Awaitable[None]] | None = None,
+        rng: random.Random | None = None,
+        events: EventSink | None = None,
+    ) -> None:
+        rng = rng or random.SystemRandom()
+        self._owned = owned
+        self._store = store
+        self._clock = clock
+        self._limits = limits
+        self._on_deposed = on_deposed
+        self._events = events
+        self._owner_key = OWNER_PREFIX + owned.shard
+        self._backoff = Backoff(
+            clock,
+            rng,
+            min_ms=limits.retry_min_ms,
+            max_ms=limits.retry_max_ms,
+        )
+        self._marker: MarkerLog | None = None
+        if limits.has_marker_row:
+            self._marker = MarkerLog(
+                owned.shard,
+                owned.epoch,
+                store,
+                self._backoff,
+            )
+        self._queue: deque[Entry] = deque()
+        self._in_flight: list[Entry] = []
+        self._wakeup = asyncio.Event()
+        self._closed_by: type[CommitNotAppliedError] | None = None
+        self._is_draining = False
+        self._token = f'{rng.getrandbits(64):016x}'
+        self._sequence = 0
+
+    @property
+    def is_closed(self) -> bool:
+        """
+        Tell whether no more commits are taken.
+        """
+        return self._closed_by is not None
+
+    @property
+    def waiting_count(self) -> int:
+        """
+        Return how many commits wait or are in flight.
+        """
+        return len(self._queue) + len(self._in_flight)
+
+    async def commit(
+        self,
+        puts: Iterable[RowPut] = (),
+        deletes: Iterable[str] = (),
+        checks: Iterable[RowCheck] = (),
+        *,
+        deadline_ms: int,
+    ) -> Versions:
+        """
+        Make the writes durable together with those of other tasks.
+
+        Args:
+            puts: Rows to write.
+            deletes: Keys of rows to delete.
+            checks: Conditions of this commit alone, besides the ownership.
+            deadline_ms: When to give up, by the own monotonic clock.
+
+        Returns:
+            The new versions of the written rows by key.
+
+        Raises:
+            CommitNotAppliedError: Nothing was applied, nor will be; its
+                subclasses tell a failed check and a lost shard apart.
+            CommitUnknownError: It was sent, and the outcome is not known.
+        """
+        if self._closed_by is not None:
+            raise self._closed_by(self._closed_message())
+        entry = Entry(
+            puts=tuple(puts),
+            deletes=tuple(deletes),
+            checks=tuple(checks),
+            future=asyncio.get_running_loop().create_future(),
+        )
+        self._queue.append(entry)
+        self._wakeup.set()
+        remaining_ms = deadline_ms - self._clock.monotonic_ms()
+        try:
+            async with asyncio.timeout(max(0, remaining_ms) / 1000):
+                return await entry.future
+        except TimeoutError as error:
+            if not entry.future.cancelled():
+                return entry.future.result()
+            if entry.is_sent:
+                message = 'the deadline passed after the write was sent'
+                raise CommitUnknownError(message) from error
+            message = 'the deadline passed before the write was sent'
+            raise CommitNotAppliedError(message) from error
+
+    async def drain(self) -> None:
+        """
+        Take no more commits; `run` ends after those that wait.
+        """
+        self._closed_by = self._closed_by or CommitClosedError
+        self._is_draining = True
+        self._wakeup.set()
+
+    async def run(self) -> None:
+        """
+        Write the commits until the shard is lost or `drain` was called.
+        """
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._close, CommitClosedError)
+            while self._is_draining or not self.is_closed:
+                await self._step()
+
+    async def _step(self) -> None:
+        drop_abandoned(self._queue)
+        if not self._queue:
+            if self._is_draining:
+                self._is_draining = False
+                return
+            self._wakeup.clear()
+            await self._wakeup.wait()
+            return
+        await self._clock.sleep_ms(self._limits.commit_interval_ms)
+        checks = [
+            RowCheck(key=self._owner_key, version=self._owned.version),
+        ]
+        puts = []
+        self._sequence += 1
+        if self._marker is not None:
+            check, put = await self._marker.prepare(self._sequence)
+            checks.append(check)
+            puts.append(put)
+        drop_abandoned(self._queue)
+        self._in_flight = take_batch(self._queue, self._limits.max_row_count)
+        if self._in_flight:
+            name = f'{self._owned.shard}.{self._token}.{self._sequence}'
+            await self._write(
+                merge(f'commit.{name}', self._in_flight, checks, puts),
+            )
+
+    async def _write(self, transaction: Transaction) -> None:
+        for entry in self._in_flight:
+            entry.is_sent = True
+        answer, is_repeated = await self._send(transaction)
+        if answer is None:
+            self._requeue(self._in_flight)
+            await self._backoff.sleep()
+            return
+        self._backoff.reset()
+        if answer.is_committed:
+            self._resolve(answer.rows)
+        elif is_repeated and self._marker is not None:
+            await self._resolve_by_marker(self._marker, transaction)
+        else:
+            await self._resolve_conflict()
+
+    async def _send(
+        self,
+        transaction: Transaction,
+    ) -> tuple[TransactionResult | None, bool]:
+        """
+        Send until the outcome is certain; None means not applied.
+        """
+        is_maybe_applied = False
+        while True:
+            try:
+                answer = await self._store.transact(transaction)
+            except StoreAnswerLostError:
+                is_maybe_applied = True
+            except StoreUnavailableError:
+                if not is_maybe_applied:
+                    return None, False
+            else:
+                return answer, is_maybe_applied
+            await self._backoff.sleep()
+
+    def _requeue(self, entries: Iterable[Entry]) -> None:
+        """
+        Put commits that were certainly not applied back, in order.
+        """
+        waiting = tuple(entries)
+        for entry in waiting:
+            entry.is_sent = False
+        self._queue.extendleft(reversed(waiting))
+        self._in_flight = []
+
+    def _resolve(self, rows: Iterable[Row]) -> None:
+        versions = {row.key: row.version for row in rows}
+        if self._marker is not None:
+            self._marker.note_commit(
+                self._sequence,
+                self._marker.version_in(versions),
+            )
+        for entry in self._in_flight:
+            entry.resolve(versions)
+        self._in_flight = []
+
+    async def _resolve_conflict(self) -> None:
+        """
+        Fail the commits whose own checks fail, and send the others again.
+        """
+        batch = self._in_flight
+        keys = {check.key for entry in batch for check in entry.checks}
+        versions = await self._read_versions({self._owner_key, *keys})
+        if versions[self._owner_key] != self._owned.version:
+            await self._depose(CommitDeposedError(self._closed_message()))
+            return
+        kept = []
+        for entry in batch:
+            failed = [
+                check.key
+                for check in entry.checks
+                if versions[check.key] != check.version
+            ]
+            if failed:
+                message = f'rows have other versions: {failed}'
+                entry.fail(CommitConflictError(message))
+            else:
+                kept.append(entry)
+        self._requeue(kept)
+
+    async def _resolve_by_marker(
+        self,
+        marker: MarkerLog,
+        transaction: Transaction,
+    ) -> None:
+        """
+        Resolve a conflict that may come from the write's own first sending.
+        """
+        verdict = await marker.verdict(self._sequence)
+        if verdict is Verdict.APPLIED:
+            keys = [put.key for put in transaction.puts]
+            versions = await self._read_versions(keys)
+            self._resolve(
+                Row(key=key, version=version, text='')
+                for key, version in versions.items()
+            )
+        elif verdict is Verdict.UNKNOWN:
+            message = 'two later owners have replaced the marker row'
+            await self._depose(CommitUnknownError(message))
+        else:
+            await self._resolve_conflict()
+
+    async def _read_versions(self, keys: Iterable[str]) -> dict[str, int]:
+        versions = {}
+        for key in sorted(keys):
+            row = await read_settled(self._store, key, self._backoff)
+            versions[key] = ABSENT_VERSION if row is None else row.version
+        return versions
+
+    async def _depose(
+        self,
+        error: CommitDeposedError | CommitUnknownError,
+    ) -> None:
+        self._is_draining = False
+        for entry in self._in_flight:
+            entry.fail(error)
+        self._in_flight = []
+        self._closed_by = None
+        self._close(CommitDeposedError)
+        if self._events is not None:
+            self._events.record(
+                EventKind.SHARD_LOST,
+                shard=self._owned.shard,
+                detail='a commit found another owner',
+            )
+        if self._on_deposed is not None:
+            await self._on_deposed(self._owned.shard, self._owned.epoch)
+
+    def _close(self, error_type: type[CommitNotAppliedError]) -> None:
+        """
+        Take no more commits and fail those that wait.
+
+        Commits in flight when the task is cancelled stay unknown.
+        """
+        self._closed_by = self._closed_by or error_type
+        for entry in self._in_flight:
+            message = 'the write was sent when the shard was closed'
+            entry.fail(CommitUnknownError(message))
+        for entry in self._queue:
+            entry.fail(self._closed_by(self._closed_message()))
+        self._queue.clear()
+
+    def _closed_message(self) -> str:
+        return f'the shard {self._owned.shard} is no longer served'
--- /dev/null
+++ b/src/hawthornpier/coordination/_confirmation.py
@@ -0,0 +1,207 @@
+"""
+Whether the own copy of the table is recent enough to admit work.
+"""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from hawthornpier.coordination._timings import ConfirmationTimings
+from hawthornpier.messages import EventKind, Heartbeat
+from hawthornpier.ports import Clock, EventSink
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Statement:
+    """
+    What a peer said in its last reply, no earlier than *sent_ms*.
+    """
+
+    sent_ms: int
+    is_store_out: bool
+    table_version: int
+
+
+class TableConfirmation:
+    """
+    Applies the confirmation rule to the table of this process.
+
+    All times count from before a question was sent, so that an answer that
+    was delayed on its way never looks fresher than it is.
+
+    Args:
+        process_id: The id of this process.
+        clock: The clock of this process.
+        timings: The ages up to which statements count.
+        known_ids: Returns the last known processes, this one included.
+        is_store_out: Tells whether the store is out for this process.
+        events: Where the loss of the confirmation is recorded.
+    """
+
+    def __init__(
+        self,
+        process_id: str,
+        clock: Clock,
+        timings: ConfirmationTimings,
+        *,
+        known_ids: Callable[[], frozenset[str]],
+        is_store_out: Callable[[], bool],
+        events: EventSink | None = None,
+    ) -> None:
+        self._process_id = process_id
+        self._clock = clock
+        self._timings = timings
+        self._known_ids = known_ids
+        self._is_store_out = is_store_out
+        self._events = events
+        self._version = 0
+        self._confirmed_ms: int | None = None
+        self._pending_ms: dict[int, int] = {}
+        self._statements: dict[str, _Statement] = {}
+        self._was_admitting = False
+
+    @property
+    def is_confirmed(self) -> bool:
+        """
+        Tell whether the own table was the newest within `table_confirm_ms`.
+        """
+        age_ms = self.age_ms
+        return age_ms is not None and age_ms <= self._timings.table_confirm_ms
+
+    @property
+    def age_ms(self) -> int | None:
+        """
+        Return how long ago the own table was certainly the newest.
+
+        Returns:
+            The age for the own heartbeats, or None if it never was.
+        """
+        if self._confirmed_ms is None:
+            return None
+        return self._clock.monotonic_ms() - self._confirmed_ms
+
+    def note_version(self, version: int) -> None:
+        """
+        Take note that the own table has reached *version*.
+        """
+        self._version = max(self._version, version)
+        self._settle_pending()
+
+    def note_head(self, version: int, sent_ms: int) -> None:
+        """
+        Take note of a reading of the head, sent at *sent_ms*.
+        """
+        self._note_evidence(version, sent_ms)
+
+    def note_reply(self, heartbeat: Heartbeat, sent_ms: int) -> None:
+        """
+        Take note of a peer's reply to a heartbeat sent at *sent_ms*.
+
+        A negative `table_age_ms` says that the peer has no confirmation.
+        """
+        self._statements[heartbeat.process_id] = _Statement(
+            sent_ms=sent_ms,
+            is_store_out=heartbeat.is_store_out,
+            table_version=heartbeat.table_version,
+        )
+        if heartbeat.table_age_ms >= 0:
+            self._note_evidence(
+                heartbeat.table_version,
+                sent_ms - heartbeat.table_age_ms,
+            )
+
+    def may_admit(self) -> bool:
+        """
+        Tell whether this process may admit new work.
+        """
+        is_admitting = self.is_confirmed or self._is_shared_outage()
+        if self._was_admitting and not is_admitting:
+            self._record(EventKind.TABLE_UNCONFIRMED)
+        self._was_admitting = is_admitting
+        return is_admitting
+
+    def may_accept_edits(self) -> bool:
+        """
+        Tell whether this process may try an edit of the table.
+
+        It needs the store, and a majority that has it as well.
+        """
+        if self._is_store_out():
+            return False
+        return self._is_majority(
+            {
+                process_id
+                for process_id, statement in self._recent().items()
+                if not statement.is_store_out
+            },
+        )
+
+    def is_known_to_majority(self, version: int) -> bool:
+        """
+        Tell whether a majority has *version*, or a later one.
+
+        An edit should be reported as accepted only then.  A process that
+        admits work in a shared outage hears from a majority as well, hence
+        from one that knows of the edit.
+        """
+        if self._version < version:
+            return False
+        return self._is_majority(
+            {
+                process_id
+                for process_id, statement in self._recent().items()
+                if statement.table_version >= version
+            },
+        )
+
+    def _is_shared_outage(self) -> bool:
+        """
+        Tell whether the store is out for all that this process hears.
+        """
+        age_ms = self.age_ms
+        if age_ms is None or age_ms > self._timings.outage_limit_ms:
+            return False
+        if not self._is_store_out():
+            return False
+        recent = self._recent()
+        if not self._is_majority(set(recent)):
+            return False
+        return all(
+            statement.is_store_out and statement.table_version <= self._version
+            for statement in recent.values()
+        )
+
+    def _is_majority(self, heard_ids: set[str]) -> bool:
+        known_ids = self._known_ids()
+        if self._process_id not in known_ids:
+            return False
+        counted = (heard_ids | {self._process_id}) & known_ids
+        return len(counted) * 2 > len(known_ids)
+
+    def _recent(self) -> dict[str, _Statement]:
+        oldest_ms = self._clock.monotonic_ms() - self._timings.heard_within_ms
+        return {
+            process_id: statement
+            for process_id, statement in self._statements.items()
+            if statement.sent_ms >= oldest_ms
+        }
+
+    def _note_evidence(self, version: int, at_ms: int) -> None:
+        known_ms = self._pending_ms.get(version, at_ms)
+        self._pending_ms[version] = max(known_ms, at_ms)
+        self._settle_pending()
+
+    def _settle_pending(self) -> None:
+        """
+        Count the evidence about versions that the own table has reached.
+        """
+        for version in sorted(self._pending_ms):
+            if version > self._version:
+                return
+            at_ms = self._pending_ms.pop(version)
+            if self._confirmed_ms is None:
+                self._confirmed_ms = at_ms
+            self._confirmed_ms = max(self._confirmed_ms, at_ms)
+
+    def _record(self, kind: EventKind) -> None:
+        if self._events is not None:
+            self._events.record(kind)
--- /dev/null
+++ b/src/hawthornpier/coordination/_directory.py
@@ -0,0 +1,155 @@
+"""
+What this process has seen of the lease rows of all processes.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, replace
+
+from hawthornpier.coordination._link import StoreLink
+from hawthornpier.coordination._rows import (
+    LOST_PREFIX,
+    PROCESS_PREFIX,
+    ProcessRow,
+    decode,
+)
+from hawthornpier.coordination._timings import LeaseTimings
+from hawthornpier.messages import Row
+from hawthornpier.ports import Clock
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ObservedProcess:
+    """
+    A process row, and since when it was seen unchanged.
+    """
+
+    process_id: str
+    row: ProcessRow
+    version: int
+    unchanged_since_ms: int
+
+
+class ProcessDirectory:
+    """
+    The process rows as last read, with the time that each was unchanged.
+
+    Time during which this process could not watch the rows, or during which
+    the store took no writes, does not count.  Otherwise all processes would
+    take over each other's shards at the end of every outage.
+
+    Args:
+        link: The store.
+        clock: The clock of this process.
+        timings: The timings of all leases.
+    """
+
+    def __init__(
+        self,
+        link: StoreLink,
+        clock: Clock,
+        timings: LeaseTimings,
+    ) -> None:
+        self._link = link
+        self._clock = clock
+        self._timings = timings
+        self._observed: dict[str, ObservedProcess] = {}
+        self._lost_since_ms: dict[str, int] = {}
+        self._refreshed_ms: int | None = None
+
+    @property
+    def processes(self) -> Mapping[str, ObservedProcess]:
+        """
+        Return the observed processes by their ids.
+        """
+        return self._observed
+
+    @property
+    def last_known_ids(self) -> frozenset[str]:
+        """
+        Return all processes that count for majorities.
+
+        A process that vanished without a release still counts for
+        `lost_retention_ms`, since it may be alive behind a partition.
+        """
+        return frozenset(self._observed) | frozenset(self._lost_since_ms)
+
+    @property
+    def expired_lost_ids(self) -> tuple[str, ...]:
+        """
+        Return the lost processes whose rows are old enough to be deleted.
+        """
+        now_ms = self._clock.monotonic_ms()
+        retention_ms = self._timings.lost_retention_ms
+        return tuple(
+            process_id
+            for process_id, since_ms in self._lost_since_ms.items()
+            if now_ms - since_ms >= retention_ms
+        )
+
+    def is_expired(self, process_id: str) -> bool:
+        """
+        Tell whether the process's lease has certainly run out.
+        """
+        observed = self._observed.get(process_id)
+        if observed is None:
+            return True
+        return self._unchanged_ms(observed) >= self._timings.takeover_after_ms
+
+    def is_live(self, process_id: str) -> bool:
+        """
+        Tell whether the process renewed its lease within the last lease.
+        """
+        observed = self._observed.get(process_id)
+        if observed is None:
+            return False
+        return self._unchanged_ms(observed) < self._timings.lease_ms
+
+    async def refresh(self) -> None:
+        """
+        Read the rows again.
+
+        Raises:
+            StoreError: The store did not answer; nothing has changed.
+        """
+        rows = await self._link.scan(PROCESS_PREFIX)
+        lost = await self._link.scan(LOST_PREFIX)
+        # The time is taken after the answer: a row's holder measures its
+        # lease from a time before the row was written, hence before this.
+        now_ms = self._clock.monotonic_ms()
+        is_gap = self._is_gap(now_ms)
+        observed = (self._observe(row, now_ms, is_gap=is_gap) for row in rows)
+        self._observed = {entry.process_id: entry for entry in observed}
+        lost_ids = (row.key.removeprefix(LOST_PREFIX) for row in lost)
+        self._lost_since_ms = {
+            process_id: self._lost_since_ms.get(process_id, now_ms)
+            for process_id in lost_ids
+        }
+        self._refreshed_ms = now_ms
+
+    def _is_gap(self, now_ms: int) -> bool:
+        if self._refreshed_ms is None or self._link.is_out:
+            return True
+        return now_ms - self._refreshed_ms > self._timings.max_gap_ms
+
+    def _observe(
+        self,
+        row: Row,
+        now_ms: int,
+        *,
+        is_gap: bool,
+    ) -> ObservedProcess:
+        process_id = row.key.removeprefix(PROCESS_PREFIX)
+        known = self._observed.get(process_id)
+        if known is not None and known.version == row.version:
+            if is_gap:
+                return replace(known, unchanged_since_ms=now_ms)
+            return known
+        return ObservedProcess(
+            process_id=process_id,
+            row=decode(row, ProcessRow),
+            version=row.version,
+            unchanged_since_ms=now_ms,
+        )
+
+    def _unchanged_ms(self, observed: ObservedProcess) -> int:
+        return self._clock.monotonic_ms() - observed.unchanged_since_ms
--- /dev/null
+++ b/src/hawthornpier/coordination/_hosts.py
@@ -0,0 +1,254 @@
+"""
+The workers of each shard, from the host list and from the workers.
+"""
+
+import enum
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from hawthornpier.coordination._rows import shard_of_rack
+from hawthornpier.coordination._timings import HostViewTimings
+from hawthornpier.messages import EventKind, HostRecord, HostState
+from hawthornpier.ports import Clock, EventSink, HostList, PortError
+
+
+class WorkerState(enum.StrEnum):
+    """
+    Whether a worker may be sent new work; only `LIVE` means yes.
+    """
+
+    LIVE = 'live'
+    UNREACHABLE = 'unreachable'
+    LEAVING = 'leaving'
+    GONE = 'gone'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardWorker:
+    """
+    A worker, the shard it belongs to and its state.
+    """
+
+    record: HostRecord
+    shard: str
+    state: WorkerState
+
+
+@dataclass(slots=True, kw_only=True)
+class _Host:
+    """
+    What is known of one worker.
+
+    *leaving_ms* is when a source last said that it leaves, *gone_since_ms*
+    since when it is missing from the listings.
+    """
+
+    record: HostRecord
+    leaving_ms: int | None = None
+    gone_since_ms: int | None = None
+    is_unreachable: bool = False
+
+    @property
+    def state(self) -> WorkerState:
+        """
+        Return the state that all sources together make.
+        """
+        if self.gone_since_ms is not None:
+            return WorkerState.GONE
+        if self.leaving_ms is not None:
+            return WorkerState.LEAVING
+        if self.is_unreachable:
+            return WorkerState.UNREACHABLE
+        return WorkerState.LIVE
+
+
+_EVENTS = MappingProxyType(
+    {
+        WorkerState.LIVE: EventKind.WORKER_JOINED,
+        WorkerState.UNREACHABLE: EventKind.WORKER_LOST,
+        WorkerState.LEAVING: EventKind.WORKER_LEAVING,
+        WorkerState.GONE: EventKind.WORKER_LOST,
+    },
+)
+
+
+class HostView:
+    """
+    Merges the lagging host list with what workers and owners report.
+
+    Args:
+        hosts: The platform's host list.
+        clock: The clock of this process.
+        timings: How often to read, and when a worker may come back.
+        shard_count: How many shards each failure domain has.
+        on_change: Awaited with each worker whose record or state changed.
+        events: Where changes of state are recorded.
+    """
+
+    def __init__(
+        self,
+        hosts: HostList,
+        clock: Clock,
+        timings: HostViewTimings,
+        *,
+        shard_count: int,
+        on_change: Callable[[ShardWorker], Awaitable[None]],
+        events: EventSink | None = None,
+    ) -> None:
+        self._list = hosts
+        self._clock = clock
+        self._timings = timings
+        self._shard_count = shard_count
+        self._on_change = on_change
+        self._events = events
+        self._hosts: dict[str, _Host] = {}
+        self._reported: dict[str, ShardWorker] = {}
+
+    def workers(self, shard: str) -> tuple[ShardWorker, ...]:
+        """
+        Return all workers of a shard in any state, ordered by their ids.
+        """
+        return tuple(
+            worker
+            for worker in map(self._worker, self._sorted_hosts())
+            if worker.shard == shard
+        )
+
+    def live_workers(self, shard: str) -> tuple[ShardWorker, ...]:
+        """
+        Return the workers of a shard that may be sent new work.
+        """
+        return tuple(
+            worker
+            for worker in self.workers(shard)
+            if worker.state is WorkerState.LIVE
+        )
+
+    def state_of(self, worker_id: str) -> WorkerState:
+        """
+        Return the state of one worker; an unknown one is gone.
+        """
+        host = self._hosts.get(worker_id)
+        return WorkerState.GONE if host is None else host.state
+
+    async def run(self) -> None:
+        """
+        Read the list until the task is cancelled.
+        """
+        while True:
+            started_ms = self._clock.monotonic_ms()
+            await self.refresh()
+            elapsed_ms = self._clock.monotonic_ms() - started_ms
+            wait_ms = self._timings.read_interval_ms - elapsed_ms
+            await self._clock.sleep_ms(max(1, wait_ms))
+
+    async def refresh(self) -> None:
+        """
+        Read the list once; without an answer the last listing stays.
+        """
+        try:
+            listing = await self._list.listing()
+        except PortError:
+            return
+        now_ms = self._clock.monotonic_ms()
+        listed = {record.worker_id: record for record in listing.hosts}
+        for worker_id, host in self._hosts.items():
+            if worker_id not in listed and host.gone_since_ms is None:
+                host.gone_since_ms = now_ms
+        for record in listed.values():
+            self._merge(record, now_ms)
+        await self._report_changes()
+
+    async def report_leaving(self, worker_id: str) -> None:
+        """
+        Take note that the worker itself said that it leaves.
+        """
+        host = self._hosts.get(worker_id)
+        if host is not None:
+            host.leaving_ms = self._clock.monotonic_ms()
+            await self._report_changes()
+
+    async def report_unreachable(self, worker_id: str) -> None:
+        """
+        Take note that the worker does not answer.
+        """
+        await self._set_unreachable(worker_id, is_unreachable=True)
+
+    async def report_reachable(self, worker_id: str) -> None:
+        """
+        Take note that the worker answers again.
+        """
+        await self._set_unreachable(worker_id, is_unreachable=False)
+
+    def _merge(self, record: HostRecord, now_ms: int) -> None:
+        host = self._hosts.get(record.worker_id)
+        if host is None:
+            host = _Host(record=record)
+            self._hosts[record.worker_id] = host
+        host.record = record
+        if record.state is HostState.LEAVING:
+            host.leaving_ms = now_ms
+        elif host.leaving_ms is not None and self._is_back(host, now_ms):
+            host.leaving_ms = None
+        host.gone_since_ms = None
+
+    def _is_back(self, host: _Host, now_ms: int) -> bool:
+        """
+        Tell whether a worker that was leaving may be called live again.
+
+        An older listing may still call it live, so one listing is no proof.
+        """
+        if host.gone_since_ms is not None:
+            gone_ms = now_ms - host.gone_since_ms
+            if gone_ms >= self._timings.gone_settle_ms:
+                return True
+        leaving_ms = host.leaving_ms or 0
+        return now_ms - leaving_ms >= self._timings.live_settle_ms
+
+    async def _set_unreachable(
+        self,
+        worker_id: str,
+        *,
+        is_unreachable: bool,
+    ) -> None:
+        host = self._hosts.get(worker_id)
+        if host is not None:
+            host.is_unreachable = is_unreachable
+            await self._report_changes()
+
+    async def _report_changes(self) -> None:
+        for host in self._sorted_hosts():
+            worker = self._worker(host)
+            worker_id = host.record.worker_id
+            former = self._reported.get(worker_id)
+            if worker == former:
+                continue
+            self._reported[worker_id] = worker
+            if former is None or former.state is not worker.state:
+                self._record(worker)
+            await self._on_change(worker)
+
+    def _sorted_hosts(self) -> tuple[_Host, ...]:
+        return tuple(host for _, host in sorted(self._hosts.items()))
+
+    def _worker(self, host: _Host) -> ShardWorker:
+        record = host.record
+        return ShardWorker(
+            record=record,
+            shard=shard_of_rack(
+                record.failure_domain,
+                record.rack,
+                self._shard_count,
+            ),
+            state=host.state,
+        )
+
+    def _record(self, worker: ShardWorker) -> None:
+        if self._events is not None:
+            self._events.record(
+                _EVENTS[worker.state],
+                shard=worker.shard,
+                worker_id=worker.record.worker_id,
+                detail=worker.state.value,
+            )
--- /dev/null
+++ b/src/hawthornpier/coordination/_marker.py
@@ -0,0 +1,115 @@
+"""
+The marker row of group commits, for stores that forget transaction ids.
+"""
+
+import enum
+
+from hawthornpier.coordination._link import Backoff, read_settled
+from hawthornpier.coordination._rows import (
+    MARKER_PREFIX,
+    MarkerRow,
+    decode,
+    encode,
+)
+from hawthornpier.messages import ABSENT_VERSION, RowCheck, RowPut
+from hawthornpier.ports import TableStore
+
+
+class Verdict(enum.Enum):
+    """
+    What became of a transaction whose answer was lost.
+    """
+
+    APPLIED = 'applied'
+    NOT_APPLIED = 'not_applied'
+    UNKNOWN = 'unknown'
+
+
+class MarkerLog:
+    """
+    Row `commit/<shard>`, which every group commit checks and replaces.
+
+    A sending that arrives late then fails on the marker's version, and the
+    row tells which was the last commit that was applied.
+
+    Args:
+        shard: The shard.
+        epoch: The epoch of this owner.
+        store: The store.
+        backoff: The sleeps between attempts to read.
+    """
+
+    def __init__(
+        self,
+        shard: str,
+        epoch: int,
+        store: TableStore,
+        backoff: Backoff,
+    ) -> None:
+        self._key = MARKER_PREFIX + shard
+        self._epoch = epoch
+        self._store = store
+        self._backoff = backoff
+        self._version = ABSENT_VERSION
+        self._row = MarkerRow(epoch=0, sequence=0)
+        self._is_read = False
+
+    async def prepare(self, sequence: int) -> tuple[RowCheck, RowPut]:
+        """
+        Return the check and the write for the commit *sequence*.
+        """
+        if not self._is_read:
+            await self._read()
+        check = RowCheck(key=self._key, version=self._version)
+        return check, RowPut(key=self._key, text=encode(self._next(sequence)))
+
+    def note_commit(self, sequence: int, version: int | None) -> None:
+        """
+        Take note of a commit; without a version the row is read again.
+        """
+        self._row = self._next(sequence)
+        self._version = version or ABSENT_VERSION
+        self._is_read = version is not None
+
+    def version_in(self, versions: dict[str, int]) -> int | None:
+        """
+        Return the marker's version among those of all written rows.
+        """
+        return versions.get(self._key)
+
+    async def verdict(self, sequence: int) -> Verdict:
+        """
+        Find out whether the commit *sequence* of this epoch was applied.
+
+        The row tells it until two later owners have each replaced it.
+        """
+        await self._read()
+        wanted = (self._epoch, sequence)
+        last = (self._row.epoch, self._row.sequence)
+        previous = (self._row.previous_epoch, self._row.previous_sequence)
+        if wanted in {last, previous}:
+            return Verdict.APPLIED
+        if previous[0] > self._epoch:
+            return Verdict.UNKNOWN
+        return Verdict.NOT_APPLIED
+
+    async def _read(self) -> None:
+        row = await read_settled(self._store, self._key, self._backoff)
+        self._is_read = True
+        self._version = ABSENT_VERSION
+        self._row = MarkerRow(epoch=0, sequence=0)
+        if row is not None:
+            self._version = row.version
+            self._row = decode(row, MarkerRow)
+
+    def _next(self, sequence: int) -> MarkerRow:
+        row = self._row
+        is_first = row.epoch != self._epoch
+        return MarkerRow(
+            epoch=self._epoch,
+            sequence=sequence,
+            previous_epoch=row.epoch if is_first else row.previous_epoch,
+            previous_sequence=(
+                row.sequence if is_first else row.previous_sequence
+            ),
+        )
--- /dev/null
+++ b/src/hawthornpier/coordination/_membership.py
@@ -0,0 +1,298 @@
+"""
+Which other processes there are, and which of them are reachable.
+"""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+from hawthornpier.coordination._active_time import ActiveTime
+from hawthornpier.coordination._directory import ProcessDirectory
+from hawthornpier.coordination._peers import (
+    LoadMap,
+    PeerState,
+    PeerView,
+    merge_loads,
+    peer_from_heartbeat,
+    peer_from_row,
+)
+from hawthornpier.coordination._rows import ProcessIdentity
+from hawthornpier.coordination._timings import MembershipTimings
+from hawthornpier.messages import (
+    EventKind,
+    Heartbeat,
+    HeartbeatReply,
+    ShardLoad,
+)
+from hawthornpier.ports import Clock, EventSink, PeerError, PeerPort
+
+
+class Membership:
+    """
+    Exchanges heartbeats with peers, with one task for each peer.
+
+    Processes of a failure domain exchange them all to all.  Between domains
+    only the readers do, and they pass on the loads of their domains.
+
+    Args:
+        identity: Who this process is.
+        clock: The clock of this process.
+        timings: Intervals and the time to suspicion.
+        directory: The process rows, where peers are found.
+        connect: Returns the port to the process at an address.
+        describe: Returns the own heartbeat with the loads of own shards.
+        on_reply: Called with each reply and the time before the heartbeat
+            was sent, by the own monotonic clock.
+        events: Where changes of state are recorded.
+    """
+
+    def __init__(
+        self,
+        identity: ProcessIdentity,
+        clock: Clock,
+        timings: MembershipTimings,
+        directory: ProcessDirectory,
+        *,
+        connect: Callable[[str], PeerPort],
+        describe: Callable[[], Heartbeat],
+        on_reply: Callable[[Heartbeat, int], None] | None = None,
+        events: EventSink | None = None,
+    ) -> None:
+        self._identity = identity
+        self._clock = clock
+        self._timings = timings
+        self._directory = directory
+        self._connect = connect
+        self._describe = describe
+        self._on_reply = on_reply
+        self._events = events
+        self._active = ActiveTime(clock, timings.tick_ms * 2)
+        self._peers: dict[str, PeerState] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._loads = LoadMap(identity.failure_domain, timings.load_expiry_ms)
+        self._table_version_seen = 0
+
+    def peers(self) -> tuple[PeerView, ...]:
+        """
+        Return all known peers, ordered by their ids.
+        """
+        return tuple(
+            peer.view(self._is_live(peer))
+            for _, peer in sorted(self._peers.items())
+        )
+
+    def live_peers(self) -> tuple[PeerView, ...]:
+        """
+        Return the peers that may be sent work: live and not leaving.
+        """
+        return tuple(
+            view
+            for view in self.peers()
+            if view.is_live and not view.is_leaving
+        )
+
+    def reader_of(self, failure_domain: str) -> str:
+        """
+        Return the live process of the domain with the lowest id, or ''.
+        """
+        ids = [
+            view.process_id
+            for view in self.live_peers()
+            if view.failure_domain == failure_domain
+        ]
+        if failure_domain == self._identity.failure_domain:
+            ids.append(self._identity.process_id)
+        return min(ids, default='')
+
+    def loads(self) -> tuple[ShardLoad, ...]:
+        """
+        Return the load of all known shards, ordered by their ids.
+        """
+        learned = self._loads.newest(self._active.read_ms())
+        return merge_loads(self._describe().loads, learned)
+
+    def table_version_seen(self) -> int:
+        """
+        Return the highest table version that any heartbeat has named.
+        """
+        return self._table_version_seen
+
+    def observe(self, heartbeat: Heartbeat) -> None:
+        """
+        Take in a peer's heartbeat.
+        """
+        if heartbeat.process_id == self._identity.process_id:
+            return
+        peer = self._peers.get(heartbeat.process_id)
+        if peer is None:
+            peer = peer_from_heartbeat(heartbeat)
+            self._peers[heartbeat.process_id] = peer
+        if peer.is_outdated(heartbeat):
+            return
+        if peer.heard_ms is None or peer.is_suspected:
+            _record(self._events, EventKind.PEER_JOINED, peer)
+        active_ms = self._active.read_ms()
+        peer.update(heartbeat, active_ms)
+        self._table_version_seen = max(
+            self._table_version_seen,
+            heartbeat.table_version,
+        )
+        domain = self._identity.failure_domain
+        is_relayed = self.reader_of(domain) == peer.process_id
+        self._loads.learn(
+            heartbeat.loads,
+            active_ms,
+            is_from_owner=peer.failure_domain == domain and not is_relayed,
+        )
+
+    def answer(self, heartbeat: Heartbeat) -> HeartbeatReply:
+        """
+        Take in a peer's heartbeat and return the own state.
+        """
+        self.observe(heartbeat)
+        return HeartbeatReply(
+            heartbeat=self._compose(heartbeat.failure_domain),
+        )
+
+    async def run(self) -> None:
+        """
+        Exchange heartbeats until the task is cancelled.
+        """
+        async with asyncio.TaskGroup() as group:
+            while True:
+                self._update_peers()
+                self._update_tasks(group)
+                await self._clock.sleep_ms(self._timings.tick_ms)
+
+    def _update_peers(self) -> None:
+        """
+        Find peers in the process rows, and suspect those that are silent.
+        """
+        processes = self._directory.processes
+        for process_id in processes.keys() - {self._identity.process_id}:
+            observed = processes[process_id]
+            peer = self._peers.setdefault(process_id, peer_from_row(observed))
+            if peer.incarnation == observed.row.incarnation:
+                peer.is_leaving = peer.is_leaving or observed.row.is_leaving
+        for known in tuple(self._peers.values()):
+            self._suspect_if_silent(known)
+            if known.is_suspected and known.process_id not in processes:
+                self._stop_watching(known.process_id)
+                self._peers.pop(known.process_id)
+
+    def _suspect_if_silent(self, peer: PeerState) -> None:
+        limit_ms = self._timings.suspect_after_ms
+        if peer.is_suspected:
+            return
+        if peer.is_overdue(self._active.read_ms(), limit_ms):
+            peer.is_suspected = True
+            _record(self._events, EventKind.PEER_SUSPECTED, peer)
+
+    def _update_tasks(self, group: asyncio.TaskGroup) -> None:
+        """
+        Start and end the tasks, so that each target has one.
+        """
+        targets = {
+            peer.process_id: peer
+            for peer in self._peers.values()
+            if self._is_target(peer)
+        }
+        for old_id in self._tasks.keys() - targets.keys():
+            self._stop_watching(old_id)
+        for new_id in sorted(targets.keys() - self._tasks.keys()):
+            peer = targets[new_id]
+            peer.watched_since_ms = self._active.read_ms()
+            self._tasks[new_id] = group.create_task(self._beat(peer))
+
+    def _stop_watching(self, process_id: str) -> None:
+        task = self._tasks.pop(process_id, None)
+        if task is not None:
+            task.cancel()
+            self._peers[process_id].watched_since_ms = None
+
+    def _is_target(self, peer: PeerState) -> bool:
+        """
+        Tell whether this process sends heartbeats to the peer.
+
+        Of another domain these are its reader and all processes with lower
+        ids, so that a suspected one is noticed when it is back.
+        """
+        domain = self._identity.failure_domain
+        if self._timings.is_full_mesh or peer.failure_domain == domain:
+            return True
+        if self.reader_of(domain) != self._identity.process_id:
+            return False
+        reader = self.reader_of(peer.failure_domain)
+        return not reader or peer.process_id <= reader
+
+    async def _beat(self, peer: PeerState) -> None:
+        interval_ms = self._timings.heartbeat_interval_ms
+        if peer.failure_domain != self._identity.failure_domain:
+            interval_ms = self._timings.far_interval_ms
+        address = peer.address
+        port = self._connect(address)
+        while True:
+            started_ms = self._clock.monotonic_ms()
+            if peer.address != address:
+                address = peer.address
+                port = self._connect(address)
+            await self._exchange(port, peer.failure_domain)
+            elapsed_ms = self._clock.monotonic_ms() - started_ms
+            await self._clock.sleep_ms(max(1, interval_ms - elapsed_ms))
+
+    async def _exchange(self, port: PeerPort, failure_domain: str) -> None:
+        sent_ms = self._clock.monotonic_ms()
+        heartbeat = self._compose(failure_domain)
+        timeout_ms = self._timings.heartbeat_timeout_ms
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                reply = await port.heartbeat(heartbeat)
+        except (PeerError, TimeoutError):
+            return
+        self.observe(reply.heartbeat)
+        if self._on_reply is not None:
+            self._on_reply(reply.heartbeat, sent_ms)
+
+    def _compose(self, failure_domain: str) -> Heartbeat:
+        """
+        Return the heartbeat for a process of *failure_domain*.
+
+        A reader tells its own domain about the others, and the others about
+        its own.
+        """
+        own = self._describe()
+        domain = self._identity.failure_domain
+        if self.reader_of(domain) != self._identity.process_id:
+            return own
+        learned = self._loads.newest(
+            self._active.read_ms(),
+            is_home=failure_domain != domain,
+        )
+        return replace(own, loads=merge_loads(own.loads, learned))
+
+    def _is_live(self, peer: PeerState) -> bool:
+        """
+        Tell whether the peer is live: heard, or by its row if not watched.
+        """
+        if peer.is_suspected:
+            return False
+        active_ms = self._active.read_ms()
+        if peer.watched_since_ms is not None:
+            return not peer.is_overdue(
+                active_ms,
+                self._timings.suspect_after_ms,
+            )
+        if self._directory.is_live(peer.process_id):
+            return True
+        if peer.heard_ms is None:
+            return False
+        return active_ms - peer.heard_ms < self._timings.suspect_after_ms
+
+
+def _record(
+    events: EventSink | None,
+    kind: EventKind,
+    peer: PeerState,
+) -> None:
+    if events is not None:
+        events.record(kind, detail=peer.process_id)
--- /dev/null
+++ b/src/hawthornpier/coordination/_peers.py
@@ -0,0 +1,206 @@
+"""
+What this process knows of each peer, and of the load of all shards.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from hawthornpier.coordination._directory import ObservedProcess
+from hawthornpier.coordination._rows import failure_domain_of
+from hawthornpier.messages import Heartbeat, ShardLoad
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class PeerView:
+    """
+    One peer as this process sees it now.
+    """
+
+    process_id: str
+    incarnation: str
+    address: str
+    region: str
+    failure_domain: str
+    is_live: bool
+    is_leaving: bool
+    is_store_out: bool
+    table_version: int
+
+
+@dataclass(slots=True, kw_only=True)
+class PeerState:
+    """
+    The state of one peer; *heard_ms* is in active time.
+
+    *watched_since_ms* is set while heartbeats are sent to it.
+    """
+
+    process_id: str
+    incarnation: str
+    address: str
+    region: str
+    failure_domain: str
+    heard_ms: int | None = None
+    watched_since_ms: int | None = None
+    is_suspected: bool = False
+    is_leaving: bool = False
+    heartbeat: Heartbeat | None = None
+
+    def update(self, heartbeat: Heartbeat, active_ms: int) -> None:
+        """
+        Take in a heartbeat; a leaving peer stays so in this incarnation.
+        """
+        if heartbeat.incarnation != self.incarnation:
+            self.is_leaving = False
+        self.incarnation = heartbeat.incarnation
+        self.address = heartbeat.address
+        self.region = heartbeat.region
+        self.failure_domain = heartbeat.failure_domain
+        self.is_leaving = self.is_leaving or heartbeat.is_leaving
+        self.is_suspected = False
+        self.heard_ms = active_ms
+        self.heartbeat = heartbeat
+
+    def is_outdated(self, heartbeat: Heartbeat) -> bool:
+        """
+        Tell whether a later heartbeat has already been taken in.
+        """
+        if self.heartbeat is None:
+            return False
+        if heartbeat.incarnation != self.incarnation:
+            return False
+        return _order(heartbeat) < _order(self.heartbeat)
+
+    def is_overdue(self, active_ms: int, limit_ms: int) -> bool:
+        """
+        Tell whether a watched peer has not been heard for *limit_ms*.
+        """
+        if self.watched_since_ms is None:
+            return False
+        since_ms = max(self.watched_since_ms, self.heard_ms or 0)
+        return active_ms - since_ms >= limit_ms
+
+    def view(self, is_live: bool) -> PeerView:
+        """
+        Return the state as others see it.
+        """
+        last = self.heartbeat
+        return PeerView(
+            process_id=self.process_id,
+            incarnation=self.incarnation,
+            address=self.address,
+            region=self.region,
+            failure_domain=self.failure_domain,
+            is_live=is_live,
+            is_leaving=self.is_leaving,
+            is_store_out=last is not None and last.is_store_out,
+            table_version=0 if last is None else last.table_version,
+        )
+
+
+def peer_from_row(observed: ObservedProcess) -> PeerState:
+    """
+    Return the state of a peer that is known only from its process row.
+    """
+    return PeerState(
+        process_id=observed.process_id,
+        incarnation=observed.row.incarnation,
+        address=observed.row.address,
+        region=observed.row.region,
+        failure_domain=observed.row.failure_domain,
+        is_leaving=observed.row.is_leaving,
+    )
+
+
+def peer_from_heartbeat(heartbeat: Heartbeat) -> PeerState:
+    """
+    Return the state of a peer that is known only from its heartbeat.
+    """
+    return PeerState(
+        process_id=heartbeat.process_id,
+        incarnation=heartbeat.incarnation,
+        address=heartbeat.address,
+        region=heartbeat.region,
+        failure_domain=heartbeat.failure_domain,
+    )
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _KnownLoad:
+    load: ShardLoad
+    learned_ms: int
+    is_home: bool
+
+
+class LoadMap:
+    """
+    The load of all shards; the newest epoch wins, then the latest message.
+
+    Args:
+        failure_domain: The own failure domain.
+        expiry_ms: After which active time a load is forgotten.
+    """
+
+    def __init__(self, failure_domain: str, expiry_ms: int) -> None:
+        self._failure_domain = failure_domain
+        self._expiry_ms = expiry_ms
+        self._known: dict[str, _KnownLoad] = {}
+
+    def learn(
+        self,
+        loads: Iterable[ShardLoad],
+        active_ms: int,
+        *,
+        is_from_owner: bool,
+    ) -> None:
+        """
+        Take in loads from a heartbeat.
+
+        *is_from_owner* says that the sender is a process of the own domain
+        that relays nothing, so that all these loads are the domain's own.
+        """
+        for load in loads:
+            known = self._known.get(load.shard)
+            if known is not None and known.load.epoch > load.epoch:
+                continue
+            domain = failure_domain_of(load.shard)
+            self._known[load.shard] = _KnownLoad(
+                load=load,
+                learned_ms=active_ms,
+                is_home=is_from_owner or domain == self._failure_domain,
+            )
+
+    def newest(
+        self,
+        active_ms: int,
+        *,
+        is_home: bool | None = None,
+    ) -> tuple[ShardLoad, ...]:
+        """
+        Return the loads of all shards, or of the own or the other domains.
+        """
+        return tuple(
+            known.load
+            for _, known in sorted(self._known.items())
+            if active_ms - known.learned_ms < self._expiry_ms
+            and is_home in {None, known.is_home}
+        )
+
+
+def merge_loads(
+    own: Iterable[ShardLoad],
+    learned: Iterable[ShardLoad],
+) -> tuple[ShardLoad, ...]:
+    """
+    Merge loads by shard; an own load gives way only to a newer epoch.
+    """
+    merged = {own_load.shard: own_load for own_load in own}
+    for load in learned:
+        known = merged.get(load.shard)
+        if known is None or known.epoch < load.epoch:
+            merged[load.shard] = load
+    return tuple(merged[shard] for shard in sorted(merged))
+
+
+def _order(heartbeat: Heartbeat) -> tuple[int, int]:
+    return heartbeat.stamp.wall_ms, heartbeat.stamp.counter
--- /dev/null
+++ b/src/hawthornpier/coordination/_vacancies.py
@@ -0,0 +1,196 @@
+"""
+Which shards have no owner, and whose turn it is to claim them.
+"""
+
+from collections import Counter
+from collections.abc import Container, Iterable, Mapping
+from dataclasses import dataclass
+
+from hawthornpier.coordination._claims import (
+    Claimant,
+    Vacancy,
+    rank_claimants,
+)
+from hawthornpier.coordination._directory import ProcessDirectory
+from hawthornpier.coordination._lease import ProcessLease
+from hawthornpier.coordination._rows import (
+    OWNER_PREFIX,
+    OwnerRow,
+    decode,
+    failure_domain_of,
+)
+from hawthornpier.coordination._timings import OwnershipTimings
+from hawthornpier.messages import Row
+from hawthornpier.ports import Clock
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardOwner:
+    """
+    The owner row of a shard, as last read.
+    """
+
+    shard: str
+    version: int
+    row: OwnerRow
+
+
+def shard_owner(row: Row) -> ShardOwner:
+    """
+    Return the content of an owner row.
+    """
+    return ShardOwner(
+        shard=row.key.removeprefix(OWNER_PREFIX),
+        version=row.version,
+        row=decode(row, OwnerRow),
+    )
+
+
+class VacancyWatch:
+    """
+    Watches the shards without owners, from the rows that were last read.
+
+    Args:
+        shards: The ids of all shards.
+        lease: The lease of this process.
+        directory: The lease rows of all processes.
+        clock: The clock of this process.
+        timings: How long to leave a shard to better claimants.
+    """
+
+    def __init__(
+        self,
+        shards: Iterable[str],
+        lease: ProcessLease,
+        directory: ProcessDirectory,
+        clock: Clock,
+        timings: OwnershipTimings,
+    ) -> None:
+        self._shards = tuple(sorted(shards))
+        self._lease = lease
+        self._directory = directory
+        self._clock = clock
+        self._timings = timings
+        self._vacant_since_ms: dict[str, int] = {}
+        self._empty_since_ms: dict[str, int] = {}
+        self._regions: dict[str, str] = {}
+
+    def claimants(self) -> tuple[Claimant, ...]:
+        """
+        Return the live processes that do not leave.
+        """
+        return tuple(
+            Claimant(
+                process_id=process_id,
+                region=observed.row.region,
+                failure_domain=observed.row.failure_domain,
+            )
+            for process_id, observed in self._directory.processes.items()
+            if not observed.row.is_leaving
+            and self._directory.is_live(process_id)
+        )
+
+    def owned_counts(
+        self,
+        owners: Mapping[str, ShardOwner],
+    ) -> Counter[str]:
+        """
+        Return how many shards each process owns.
+        """
+        return Counter(
+            owner.row.process_id
+            for owner in owners.values()
+            if not self.is_vacant(owner)
+        )
+
+    def claimable(
+        self,
+        owners: Mapping[str, ShardOwner],
+        held: Container[str],
+    ) -> tuple[str, ...]:
+        """
+        Return the vacant shards that it is this process's turn to claim.
+
+        Args:
+            owners: The owner rows.
+            held: The shards that this process owns or is handing over.
+        """
+        now_ms = self._clock.monotonic_ms()
+        claimants = self.claimants()
+        self._watch_domains(claimants, now_ms)
+        vacant = [
+            shard
+            for shard in self._shards
+            if shard not in held and self._is_ownerless(owners.get(shard))
+        ]
+        self._vacant_since_ms = {
+            shard: self._vacant_since_ms.get(shard, now_ms) for shard in vacant
+        }
+        ranking = rank_claimants(
+            [self._vacancy(shard, owners.get(shard)) for shard in vacant],
+            claimants,
+            self.owned_counts(owners),
+        )
+        return tuple(
+            shard
+            for shard, ranked in ranking.items()
+            if self._is_turn(shard, ranked, now_ms)
+        )
+
+    def is_vacant(self, owner: ShardOwner) -> bool:
+        """
+        Tell whether the process in the owner row certainly has no lease.
+        """
+        process_id = owner.row.process_id
+        observed = self._directory.processes.get(process_id)
+        if not process_id or observed is None:
+            return True
+        if observed.row.incarnation != owner.row.incarnation:
+            return True
+        return self._directory.is_expired(process_id)
+
+    def _is_ownerless(self, owner: ShardOwner | None) -> bool:
+        if owner is None or self.is_vacant(owner):
+            return True
+        # The row names this process, which does not hold the shard: a claim
+        # or a hand-over has ended without a certain answer.
+        return owner.row.incarnation == self._lease.incarnation
+
+    def _is_turn(
+        self,
+        shard: str,
+        ranked: tuple[str, ...],
+        now_ms: int,
+    ) -> bool:
+        if self._lease.process_id not in ranked:
+            return False
+        rank = ranked.index(self._lease.process_id)
+        vacant_ms = now_ms - self._vacant_since_ms[shard]
+        return vacant_ms >= rank * self._timings.claim_patience_ms
+
+    def _vacancy(self, shard: str, owner: ShardOwner | None) -> Vacancy:
+        now_ms = self._clock.monotonic_ms()
+        domain = failure_domain_of(shard)
+        empty_since_ms = self._empty_since_ms.get(domain, now_ms)
+        return Vacancy(
+            shard=shard,
+            region=self._regions.get(domain, ''),
+            successor='' if owner is None else owner.row.successor,
+            is_foreign_allowed=(
+                now_ms - empty_since_ms >= self._timings.foreign_grace_ms
+            ),
+        )
+
+    def _watch_domains(
+        self,
+        claimants: Iterable[Claimant],
+        now_ms: int,
+    ) -> None:
+        self._regions.update(
+            (entry.failure_domain, entry.region) for entry in claimants
+        )
+        empty = {failure_domain_of(shard) for shard in self._shards}
+        empty.difference_update(entry.failure_domain for entry in claimants)
+        self._empty_since_ms = {
+            domain: self._empty_since_ms.get(domain, now_ms) for domain in empty
+        }
