--- /dev/null
+++ b/src/hawthornpier/adapters/_codec.py
@@ -0,0 +1,101 @@
+"""
+JSON forms of messages.
+"""
+
+from collections.abc import Mapping
+from functools import singledispatch
+from types import MappingProxyType
+from typing import Any, TypeVar
+
+import msgspec
+
+from hawthornpier.adapters._errors import MessageError
+from hawthornpier.messages import (
+    Answer,
+    NotRun,
+    Outcome,
+    OutcomeKind,
+    Unknown,
+)
+
+_Message = TypeVar('_Message')
+
+
+class _Tag(msgspec.Struct):
+    kind: OutcomeKind
+
+
+_OUTCOME_TYPES: Mapping[OutcomeKind, type[Outcome]] = MappingProxyType(
+    {
+        OutcomeKind.ANSWER: Answer,
+        OutcomeKind.NOT_RUN: NotRun,
+        OutcomeKind.UNKNOWN: Unknown,
+    },
+)
+
+
+def encode_message(message: object) -> bytes:
+    """
+    Return the JSON form of a message.
+    """
+    return msgspec.json.encode(message)
+
+
+def decode_message(body: bytes, message_type: type[_Message]) -> _Message:
+    """
+    Return the message that a JSON body holds.
+
+    Args:
+        body: The JSON document.
+        message_type: A class of `hawthornpier.messages`, or a type that
+            is made of such classes.
+
+    Raises:
+        MessageError: The body is not JSON or has wrong fields.
+    """
+    try:
+        return msgspec.json.decode(body, type=message_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise MessageError(f'malformed body: {error}') from error
+
+
+@singledispatch
+def outcome_kind(outcome: Any) -> OutcomeKind:
+    """
+    Return the value of the field *kind* in the JSON form of an outcome.
+    """
+    raise TypeError(f'{type(outcome).__name__} is not an outcome')
+
+
+@outcome_kind.register
+def _answer_kind(outcome: Answer) -> OutcomeKind:
+    return OutcomeKind.ANSWER
+
+
+@outcome_kind.register
+def _not_run_kind(outcome: NotRun) -> OutcomeKind:
+    return OutcomeKind.NOT_RUN
+
+
+@outcome_kind.register
+def _unknown_kind(outcome: Unknown) -> OutcomeKind:
+    return OutcomeKind.UNKNOWN
+
+
+def encode_outcome(outcome: Outcome) -> bytes:
+    """
+    Return the JSON form of an outcome, which has a field *kind*.
+    """
+    fields = msgspec.to_builtins(outcome)
+    return msgspec.json.encode({'kind': outcome_kind(outcome), **fields})
+
+
+def decode_outcome(body: bytes) -> Outcome:
+    """
+    Return the outcome that a JSON body with a field *kind* holds.
+
+    Raises:
+        MessageError: The body is not JSON or has wrong fields.
+    """
+    kind = decode_message(body, _Tag).kind
+    return decode_message(body, _OUTCOME_TYPES[kind])
--- /dev/null
+++ b/src/hawthornpier/adapters/_connections.py
@@ -0,0 +1,216 @@
+"""
+Persistent connections to one address.
+"""
+
+import asyncio
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from functools import partial
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
+from tornado.httpclient import HTTPRequest
+
+from hawthornpier.adapters._errors import NotSentError, ReplyLostError
+
+# curl reads a timeout of zero as no timeout.
+_LEAST_TIMEOUT_MS = 1
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpCall:
+    """
+    One HTTP request and the time that it may take in all.
+    """
+
+    method: str
+    path: str
+    deadline_ms: float
+    body: bytes | None = None
+    headers: Mapping[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HttpReply:
+    """
+    A complete HTTP response.
+    """
+
+    status: int
+    body: bytes
+
+
+class _Connection:
+    """
+    A client with a single connection.
+
+    One client for each connection, rather than a client with many, so that
+    a suspect connection can be closed without touching the others.
+    """
+
+    def __init__(self, generation: int) -> None:
+        self.generation = generation
+        self._is_sent = False
+        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=1)
+
+    async def fetch(self, request: HTTPRequest) -> HttpReply:
+        """
+        Send a request and return the complete response.
+
+        Raises:
+            NotSentError: Nothing was sent.
+            ReplyLostError: The request may have arrived.
+        """
+        self._is_sent = False
+        request.prepare_curl_callback = self._prepare
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except CurlError as error:
+            failure = ReplyLostError if self._is_sent else NotSentError
+            raise failure(str(error)) from error
+        except ValueError as error:
+            # tornado rejects the address or a header before it connects.
+            raise NotSentError(str(error)) from error
+        return HttpReply(status=response.code, body=response.body)
+
+    def close(self) -> None:
+        """
+        Close the connection.
+        """
+        self._client.close()
+
+    def _prepare(self, curl: pycurl.Curl) -> None:
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        # An empty name overrides a proxy from the environment.
+        curl.setopt(pycurl.PROXY, '')
+        curl.setopt(pycurl.SEEKFUNCTION, _refuse_seek)
+        # curl calls this when it is connected, just before the first byte.
+        # Its times do not tell: a failure to connect sets them as well.
+        curl.setopt(pycurl.PREREQFUNCTION, self._note_sending)
+
+    def _note_sending(self, *endpoints: object) -> int:
+        self._is_sent = True
+        return pycurl.PREREQFUNC_OK
+
+
+class ConnectionPool:
+    """
+    Sends HTTP requests to one address over a limited number of connections.
+
+    After a timeout no connection that was open at that time is used again,
+    because connections may hang for good while new ones work.
+
+    Each message is sent at most once: curl's own second attempt on a new
+    connection is switched off for messages with a body.
+
+    Args:
+        address: Host and port, or a URL without a path.
+        connection_limit: Largest number of open connections.
+        connect_ms: Longest time to connect.
+        ca_certs: File of the certificates to trust, for HTTPS.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        connection_limit: int = 8,
+        connect_ms: float = 1_000,
+        ca_certs: str = '',
+    ) -> None:
+        self._base = address if '://' in address else f'http://{address}'
+        self._connect_ms = connect_ms
+        self._ca_certs = ca_certs or None
+        self._slots = asyncio.Semaphore(connection_limit)
+        self._idle: list[_Connection] = []
+        self._generation = 0
+        self._is_closed = False
+
+    async def send(self, call: HttpCall) -> HttpReply:
+        """
+        Send *call* and return the complete response, whatever its status is.
+
+        Raises:
+            NotSentError: Nothing was sent.
+            ReplyLostError: The request may have arrived.
+        """
+        if self._is_closed or call.deadline_ms <= 0:
+            raise NotSentError('the connections are closed or time is over')
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + call.deadline_ms / 1000
+        await self._wait_for_slot(end_s)
+        remaining_s = end_s - loop.time()
+        connection = self._take()
+        # The exchange goes on when the caller is cancelled, and holds its
+        # slot, because the connection stays in use until then.
+        request = self._request(call, remaining_s)
+        exchange = asyncio.ensure_future(connection.fetch(request))
+        exchange.add_done_callback(partial(self._give_back, connection))
+        return await asyncio.shield(exchange)
+
+    def close(self) -> None:
+        """
+        Close idle connections now and the others when their calls end.
+        """
+        self._is_closed = True
+        self._retire_idle()
+
+    async def _wait_for_slot(self, end_s: float) -> None:
+        try:
+            async with asyncio.timeout_at(end_s):
+                await self._slots.acquire()
+        except TimeoutError as error:
+            raise NotSentError('no connection became free in time') from error
+
+    def _take(self) -> _Connection:
+        if self._idle:
+            return self._idle.pop()
+        return _Connection(self._generation)
+
+    def _give_back(
+        self,
+        connection: _Connection,
+        exchange: asyncio.Task[HttpReply],
+    ) -> None:
+        self._slots.release()
+        failure = None if exchange.cancelled() else exchange.exception()
+        if failure is not None and _is_timeout(failure.__cause__):
+            self._retire_idle()
+        is_sound = not exchange.cancelled() and failure is None
+        is_current = connection.generation == self._generation
+        if is_sound and is_current and not self._is_closed:
+            self._idle.append(connection)
+        else:
+            connection.close()
+
+    def _retire_idle(self) -> None:
+        self._generation += 1
+        while self._idle:
+            self._idle.pop().close()
+
+    def _request(self, call: HttpCall, remaining_s: float) -> HTTPRequest:
+        timeout_s = max(remaining_s, _LEAST_TIMEOUT_MS / 1000)
+        return HTTPRequest(
+            f'{self._base}{call.path}',
+            method=call.method,
+            body=call.body,
+            headers={'Content-Type': 'application/json', **call.headers},
+            connect_timeout=min(timeout_s, self._connect_ms / 1000),
+            request_timeout=timeout_s,
+            follow_redirects=False,
+            decompress_response=False,
+            ca_certs=self._ca_certs,
+        )
+
+
+def _refuse_seek(offset: int, origin: int) -> int:
+    # Without this, curl sends a request again when a reused connection
+    # closes before the first byte of the response.
+    return pycurl.SEEKFUNC_FAIL
+
+
+def _is_timeout(error: BaseException | None) -> bool:
+    return (
+        isinstance(error, CurlError)
+        and error.errno == pycurl.E_OPERATION_TIMEDOUT
+    )
--- /dev/null
+++ b/src/hawthornpier/adapters/_peer.py
@@ -0,0 +1,173 @@
+"""
+Another entry process over HTTP.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from hawthornpier.adapters._calls import Caller, PortErrors
+from hawthornpier.adapters._codec import decode_outcome, encode_message
+from hawthornpier.adapters._connections import ConnectionPool
+from hawthornpier.adapters._errors import MessageError
+from hawthornpier.adapters._signing import SigningKey, sign_headers
+from hawthornpier.messages import (
+    ForwardedRequest,
+    Heartbeat,
+    HeartbeatReply,
+    JobSpec,
+    JobView,
+    Outcome,
+)
+from hawthornpier.ports import (
+    Clock,
+    PeerAnswerLostError,
+    PeerRefusedError,
+    PeerUnreachableError,
+)
+
+_ERRORS = PortErrors(
+    not_sent=PeerUnreachableError,
+    refused=PeerRefusedError,
+    lost=PeerAnswerLostError,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobSubmission:
+    """
+    Body of a job submission between processes.
+    """
+
+    job_id: str
+    spec: JobSpec
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class JobReference:
+    """
+    Body of a question about a job, or of its cancellation.
+    """
+
+    job_id: str
+
+
+class HttpPeer:
+    """
+    The `PeerPort` over HTTP, with signed messages.
+
+    A peer refuses with a status from 400 to 499 or 503, and only when it
+    has done nothing.
+
+    Args:
+        address: Host and port, or a URL without a path.
+        key: The key that signs the messages.
+        clock: Source of the timestamps in the signatures.
+        deadline_ms: Longest time of a call; a forwarded request has its own.
+        connection_limit: Largest number of open connections.
+        ca_certs: File of the certificates to trust, for HTTPS.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        key: SigningKey,
+        clock: Clock,
+        deadline_ms: float = 2_000,
+        connection_limit: int = 32,
+        ca_certs: str = '',
+    ) -> None:
+        self._key = key
+        self._clock = clock
+        self._caller = Caller(
+            ConnectionPool(
+                address,
+                connection_limit=connection_limit,
+                ca_certs=ca_certs,
+            ),
+            errors=_ERRORS,
+            deadline_ms=deadline_ms,
+            headers=self._signature,
+        )
+
+    def close(self) -> None:
+        """
+        Close the connections.
+        """
+        self._caller.close()
+
+    async def heartbeat(self, heartbeat: Heartbeat) -> HeartbeatReply:
+        """
+        Exchange the states of two processes.
+        """
+        return await self._caller.post(
+            '/peer/v1/heartbeat',
+            heartbeat,
+            HeartbeatReply,
+        )
+
+    async def forward(self, request: ForwardedRequest) -> Outcome:
+        """
+        Have the owner of the request's shard serve it.
+        """
+        reply = await self._caller.exchange(
+            'POST',
+            '/peer/v1/forward',
+            encode_message(request),
+            deadline_ms=request.remaining_ms,
+        )
+        try:
+            return decode_outcome(reply.body)
+        except MessageError as error:
+            raise PeerAnswerLostError(str(error)) from error
+
+    async def submit_job(self, job_id: str, spec: JobSpec) -> JobView:
+        """
+        Have the owner of the job's shard accept it.
+        """
+        return await self._caller.post(
+            '/peer/v1/jobs/submit',
+            JobSubmission(job_id=job_id, spec=spec),
+            JobView,
+        )
+
+    async def show_job(self, job_id: str) -> JobView | None:
+        """
+        Return the job as its owner sees it.
+        """
+        return await self._ask('/peer/v1/jobs/show', job_id)
+
+    async def cancel_job(self, job_id: str) -> JobView | None:
+        """
+        Have the job's owner cancel it.
+        """
+        return await self._ask('/peer/v1/jobs/cancel', job_id)
+
+    async def _ask(self, path: str, job_id: str) -> JobView | None:
+        # A job that the owner does not know is the JSON document null: the
+        # status 404 would not tell it from a peer without this path.
+        reply = await self._caller.exchange(
+            'POST',
+            path,
+            encode_message(JobReference(job_id=job_id)),
+        )
+        if reply.body == _NO_JOB:
+            return None
+        return self._caller.decode(reply, JobView)
+
+    def _signature(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+    ) -> Mapping[str, str]:
+        return sign_headers(
+            self._key,
+            method=method,
+            path=path,
+            timestamp_ms=self._clock.wall_ms(),
+            body=body,
+        )
+
+
+_NO_JOB = b'null'
--- /dev/null
+++ b/src/hawthornpier/adapters/_signing.py
@@ -0,0 +1,117 @@
+"""
+Signatures of the messages between processes.
+
+The signature covers the method, the path, the timestamp and the body. It
+does not stop a repeated message within the accepted clock difference; all
+messages between processes may be repeated without harm.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+
+from hawthornpier.adapters._errors import SignatureError
+
+KEY_ID_HEADER = 'X-Hawthornpier-Key'
+TIMESTAMP_HEADER = 'X-Hawthornpier-Timestamp-Ms'
+SIGNATURE_HEADER = 'X-Hawthornpier-Signature'
+
+# Generous against the wall clock errors of hosts without a disk, which may
+# synchronise only some seconds after they start.
+_MAX_DIFFERENCE_MS = 30_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SigningKey:
+    """
+    A key that processes share.
+    """
+
+    key_id: str
+    secret: bytes = field(repr=False)
+
+
+def sign_headers(
+    key: SigningKey,
+    *,
+    method: str,
+    path: str,
+    timestamp_ms: int,
+    body: bytes,
+) -> dict[str, str]:
+    """
+    Return the headers that sign a message.
+
+    Args:
+        key: The key to sign with.
+        method: HTTP method in upper case.
+        path: Path of the request, with its query if there is one.
+        timestamp_ms: Wall clock of the sender.
+        body: Body as sent.
+    """
+    return {
+        KEY_ID_HEADER: key.key_id,
+        TIMESTAMP_HEADER: str(timestamp_ms),
+        SIGNATURE_HEADER: _digest(key, method, path, timestamp_ms, body),
+    }
+
+
+def verify_headers(
+    keys: Iterable[SigningKey],
+    headers: Mapping[str, str],
+    *,
+    method: str,
+    path: str,
+    body: bytes,
+    now_ms: int,
+    max_difference_ms: int = _MAX_DIFFERENCE_MS,
+) -> None:
+    """
+    Check the signature of a message; during a rotation two keys are valid.
+
+    Args:
+        keys: The valid keys.
+        headers: Headers of the request, with any case of their names.
+        method: HTTP method in upper case.
+        path: Path of the request, with its query if there is one.
+        body: Body as received.
+        now_ms: Wall clock of the receiver.
+        max_difference_ms: Largest accepted difference of the clocks.
+
+    Raises:
+        SignatureError: The message must not be acted on.
+    """
+    lowered = {name.lower(): text for name, text in headers.items()}
+    timestamp_ms = _timestamp(lowered)
+    if abs(now_ms - timestamp_ms) > max_difference_ms:
+        raise SignatureError(
+            f'the timestamp differs by {now_ms - timestamp_ms} ms',
+        )
+    key_id = lowered.get(KEY_ID_HEADER.lower(), '')
+    signature = lowered.get(SIGNATURE_HEADER.lower(), '').encode()
+    for key in keys:
+        expected = _digest(key, method, path, timestamp_ms, body).encode()
+        if key.key_id == key_id and hmac.compare_digest(expected, signature):
+            return
+    raise SignatureError(f'no valid signature by key {key_id!r}')
+
+
+def _timestamp(lowered: Mapping[str, str]) -> int:
+    try:
+        return int(lowered[TIMESTAMP_HEADER.lower()])
+    except (KeyError, ValueError) as error:
+        raise SignatureError('the timestamp is missing') from error
+
+
+def _digest(
+    key: SigningKey,
+    method: str,
+    path: str,
+    timestamp_ms: int,
+    body: bytes,
+) -> str:
+    head = '\n'.join((method, path, str(timestamp_ms), ''))
+    return hmac.new(
+        key.secret, head.encode() + body, hashlib.sha256
+    ).hexdigest()
--- /dev/null
+++ b/src/hawthornpier/adapters/_store.py
@@ -0,0 +1,128 @@
+"""
+The platform's table service, object store and host list over HTTP.
+"""
+
+from hawthornpier.adapters._calls import Caller, PortErrors, escaped
+from hawthornpier.adapters._connections import ConnectionPool
+from hawthornpier.messages import (
+    HostListing,
+    Row,
+    Transaction,
+    TransactionResult,
+)
+from hawthornpier.ports import StoreAnswerLostError, StoreUnavailableError
+
+_ERRORS = PortErrors(
+    not_sent=StoreUnavailableError,
+    refused=StoreUnavailableError,
+    lost=StoreAnswerLostError,
+)
+
+
+class _HttpPlatform:
+    """
+    A client of one of the platform's services.
+
+    Args:
+        address: Host and port, or a URL without a path.
+        deadline_ms: Longest time of a call.
+        connection_limit: Largest number of open connections.
+        ca_certs: File of the certificates to trust, for HTTPS.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        *,
+        deadline_ms: float = 2_000,
+        connection_limit: int = 8,
+        ca_certs: str = '',
+    ) -> None:
+        self._caller = Caller(
+            ConnectionPool(
+                address,
+                connection_limit=connection_limit,
+                ca_certs=ca_certs,
+            ),
+            errors=_ERRORS,
+            deadline_ms=deadline_ms,
+        )
+
+    def close(self) -> None:
+        """
+        Close the connections.
+        """
+        self._caller.close()
+
+
+class HttpTableStore(_HttpPlatform):
+    """
+    The `TableStore` port over HTTP.
+    """
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        """
+        Apply *transaction* atomically if all of its checks hold.
+        """
+        return await self._caller.post(
+            '/v1/transactions',
+            transaction,
+            TransactionResult,
+        )
+
+    async def read(self, key: str) -> Row | None:
+        """
+        Return the row *key*, or None if there is none.
+        """
+        return await self._caller.get(f'/v1/rows/{escaped(key)}', Row)
+
+    async def scan(self, prefix: str) -> tuple[Row, ...]:
+        """
+        Return all rows whose key starts with *prefix*, ordered by key.
+        """
+        rows = await self._caller.get(
+            f'/v1/rows?prefix={escaped(prefix)}',
+            tuple[Row, ...],
+        )
+        return rows or ()
+
+
+class HttpObjectStore(_HttpPlatform):
+    """
+    The `ObjectStore` port over HTTP.
+    """
+
+    async def put(self, name: str, content: bytes) -> None:
+        """
+        Store *content* under *name*, replacing what was there.
+        """
+        await self._caller.exchange('PUT', _object_path(name), content)
+
+    async def get(self, name: str) -> bytes | None:
+        """
+        Return the object *name*, or None if there is none.
+        """
+        reply = await self._caller.exchange('GET', _object_path(name))
+        return None if reply.status == _NOT_FOUND else reply.body
+
+
+class HttpHostList(_HttpPlatform):
+    """
+    The `HostList` port over HTTP.
+    """
+
+    async def listing(self) -> HostListing:
+        """
+        Return the current list.
+        """
+        listing = await self._caller.get('/v1/hosts', HostListing)
+        if listing is None:
+            raise StoreUnavailableError('the platform has no host list')
+        return listing
+
+
+_NOT_FOUND = 404
+
+
+def _object_path(name: str) -> str:
+    return f'/v1/objects/{escaped(name)}'
--- /dev/null
+++ b/tests/test_adapters_connections.py
@@ -0,0 +1,322 @@
+"""
+Tests of the HTTP adapters over real sockets on the loopback interface.
+"""
+
+import asyncio
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+
+from hawthornpier.adapters import (
+    ConnectionPool,
+    HttpTableStore,
+    HttpWorker,
+    encode_message,
+)
+from hawthornpier.messages import (
+    EndpointReply,
+    EndpointRequest,
+    EndpointStatus,
+    Fence,
+    FenceReply,
+    Resources,
+    Transaction,
+)
+from hawthornpier.ports import (
+    StoreAnswerLostError,
+    StoreUnavailableError,
+    WorkerAnswerLostError,
+    WorkerUnreachableError,
+)
+
+Reply = Callable[[int, asyncio.StreamWriter], Awaitable[None]]
+
+FENCE = Fence(shard='s1', epoch=1)
+FENCED = encode_message(FenceReply(is_accepted=True, highest_epoch=1))
+
+
+class RawServer:
+    """
+    Counts connections and requests and lets each test write the bytes.
+
+    Args:
+        reply: Called with the number of the request, from 1.
+    """
+
+    def __init__(self, reply: Reply) -> None:
+        self.connection_count = 0
+        self.request_count = 0
+        self._reply = reply
+
+    async def serve(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """
+        Serve one connection.
+        """
+        self.connection_count += 1
+        try:
+            while not writer.is_closing():
+                await self._exchange(reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+    async def _exchange(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
+        for line in head.splitlines():
+            if line.startswith('content-length:'):
+                await reader.readexactly(int(line.partition(':')[2]))
+        self.request_count += 1
+        await self._reply(self.request_count, writer)
+
+
+@asynccontextmanager
+async def serving(reply: Reply) -> AsyncIterator[tuple[RawServer, str]]:
+    """
+    Run a raw server and give its address.
+    """
+    raw = RawServer(reply)
+    server = await asyncio.start_server(raw.serve, '127.0.0.1', 0)
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield raw, f'127.0.0.1:{port}'
+    finally:
+        server.close()
+
+
+def response(body: bytes, *, status: int = 200, extra_bytes: int = 0) -> bytes:
+    """
+    Return an HTTP response that announces *extra_bytes* too many.
+    """
+    length = len(body) + extra_bytes
+    head = f'HTTP/1.1 {status} Status\r\nContent-Length: {length}\r\n\r\n'
+    return head.encode() + body
+
+
+def writes(*replies: bytes | None) -> Reply:
+    """
+    Write each reply in turn, the last one again and again; None hangs.
+    """
+
+    async def reply(number: int, writer: asyncio.StreamWriter) -> None:
+        body = replies[min(number, len(replies)) - 1]
+        if body is None:
+            await asyncio.Event().wait()
+        elif body == b'':
+            writer.close()
+        else:
+            writer.write(body)
+
+    return reply
+
+
+class TestFailures:
+    """
+    Every failure says whether the message may have arrived.
+    """
+
+    async def test_a_refused_connection_means_not_sent(self) -> None:
+        """
+        G5: a request that reached no worker is reported as not run.
+        """
+        address = f'127.0.0.1:{unused_port()}'
+        with pytest.raises(WorkerUnreachableError):
+            await HttpWorker(address).fence(FENCE)
+        with pytest.raises(StoreUnavailableError):
+            await HttpTableStore(address).read('key')
+
+    @pytest.mark.parametrize(
+        'reply',
+        [
+            pytest.param(b'', id='closed'),
+            pytest.param(None, id='timeout'),
+            pytest.param(response(FENCED, extra_bytes=9), id='truncated'),
+            pytest.param(response(b'{"is_accept'), id='malformed'),
+            pytest.param(response(b'\xff\xfe'), id='not_unicode'),
+            pytest.param(response(b'', status=500), id='server_error'),
+        ],
+    )
+    async def test_a_lost_reply_means_unknown(
+        self,
+        reply: bytes | None,
+    ) -> None:
+        """
+        G5: no failure after the send is reported as not run.
+        """
+
+        async def cut(number: int, writer: asyncio.StreamWriter) -> None:
+            await writes(reply)(number, writer)
+            writer.close()
+
+        async with serving(cut) as (_, address):
+            with pytest.raises(WorkerAnswerLostError):
+                await HttpWorker(address, deadline_ms=200).fence(FENCE)
+            with pytest.raises(StoreAnswerLostError):
+                await HttpTableStore(address, deadline_ms=200).transact(
+                    Transaction(transaction_id='t'),
+                )
+
+    async def test_a_refusal_means_not_done(self) -> None:
+        """
+        G5: a store that says that it is out has applied nothing.
+        """
+        async with serving(writes(response(b'', status=503))) as (_, address):
+            with pytest.raises(StoreUnavailableError):
+                await HttpTableStore(address).read('key')
+
+    async def test_a_message_is_sent_once(self) -> None:
+        """
+        G6: curl does not repeat a request on a new connection by itself.
+        """
+        replies = writes(response(FENCED), b'')
+        async with serving(replies) as (raw, address):
+            worker = HttpWorker(address)
+            await worker.fence(FENCE)
+            with pytest.raises(WorkerAnswerLostError):
+                await worker.fence(FENCE)
+            assert raw.request_count == 2
+
+    async def test_a_request_has_its_own_deadline(self) -> None:
+        """
+        A caller's deadline ends the wait, not the deadline of the port.
+        """
+        async with serving(writes(None)) as (_, address):
+            worker = HttpWorker(address, deadline_ms=3_600_000)
+            with pytest.raises(WorkerAnswerLostError):
+                await worker.request(request_of('r1', deadline_ms=50))
+            with pytest.raises(WorkerUnreachableError):
+                await worker.request(request_of('r2', deadline_ms=0))
+
+
+class TestConnections:
+    """
+    Connections are kept, limited, and dropped when they are suspect.
+    """
+
+    async def test_a_connection_is_reused(self) -> None:
+        """
+        Calls in sequence do not open a connection each.
+        """
+        async with serving(writes(response(FENCED))) as (raw, address):
+            worker = HttpWorker(address)
+            for _ in range(5):
+                await worker.fence(FENCE)
+            assert raw.connection_count == 1
+
+    async def test_a_hung_connection_is_not_reused(self) -> None:
+        """
+        Open connections that hang for good do not stop later calls.
+        """
+        replies = writes(response(FENCED), None, response(FENCED))
+        async with serving(replies) as (raw, address):
+            worker = HttpWorker(address, deadline_ms=200)
+            await worker.fence(FENCE)
+            with pytest.raises(WorkerAnswerLostError):
+                await worker.fence(FENCE)
+            assert await worker.fence(FENCE)
+            assert raw.connection_count == 2
+
+    async def test_connections_stay_below_the_limit(self) -> None:
+        """
+        D6: a worker's connections are not exhausted by one owner.
+        """
+        async with serving(writes(response(FENCED))) as (raw, address):
+            worker = HttpWorker(address, connection_limit=3)
+            await asyncio.gather(*[worker.fence(FENCE) for _ in range(20)])
+            assert raw.connection_count <= 3
+
+    async def test_a_cancelled_call_keeps_its_connection_until_the_end(
+        self,
+    ) -> None:
+        """
+        G4: the reply to a cancelled call is not given to the next call.
+        """
+        release = asyncio.Event()
+
+        async def reply(number: int, writer: asyncio.StreamWriter) -> None:
+            if number == 1:
+                await release.wait()
+            body = EndpointReply(
+                request_id=f'r{number}',
+                status=EndpointStatus.ANSWERED,
+            )
+            writer.write(response(encode_message(body)))
+
+        async with serving(reply) as (raw, address):
+            worker = HttpWorker(address)
+            first = asyncio.ensure_future(worker.request(request_of('r1')))
+            while not raw.request_count:
+                await asyncio.sleep(0)
+            first.cancel()
+            second = await worker.request(request_of('r2'))
+            release.set()
+            assert second.request_id == 'r2'
+            assert raw.connection_count == 2
+
+    async def test_a_second_response_is_not_taken_for_the_next_one(
+        self,
+    ) -> None:
+        """
+        G4: a response that was sent twice does not answer another request.
+        """
+        bodies = [
+            response(
+                encode_message(
+                    EndpointReply(
+                        request_id=f'r{number}',
+                        status=EndpointStatus.ANSWERED,
+                    ),
+                ),
+            )
+            for number in (1, 2)
+        ]
+        replies = writes(bodies[0] * 2, bodies[1])
+        async with serving(replies) as (_, address):
+            worker = HttpWorker(address)
+            for request_id in ('r1', 'r2'):
+                reply = await worker.request(request_of(request_id))
+                assert reply.request_id == request_id
+
+    async def test_a_closed_pool_sends_nothing(self) -> None:
+        """
+        After the end of a process's drain no message leaves it.
+        """
+        async with serving(writes(response(FENCED))) as (raw, address):
+            worker = HttpWorker(address)
+            worker.close()
+            with pytest.raises(WorkerUnreachableError):
+                await worker.fence(FENCE)
+            assert not raw.request_count
+            assert ConnectionPool(address).close() is None
+
+
+def unused_port() -> int:
+    """
+    Return a port on which nothing listens.
+    """
+    with socket.create_server(('127.0.0.1', 0)) as server:
+        port: int = server.getsockname()[1]
+    return port
+
+
+def request_of(request_id: str, *, deadline_ms: int = 5_000) -> EndpointRequest:
+    """
+    Return a small request.
+    """
+    return EndpointRequest(
+        request_id=request_id,
+        service='stock',
+        shard='s1',
+        epoch=1,
+        demand=Resources(slot_count=1),
+        deadline_ms=deadline_ms,
+        body='{}',
+    )
