--- a/src/hawthornpier/settings/_errors.py
+++ b/src/hawthornpier/settings/_errors.py
@@ -40,7 +40,8 @@
         place = f'{self.path}:{self.line}' if self.line else self.path
         section = f' [{self.section}]' if self.section else ''
         key = f' {self.key}' if self.key else ''
-        return f'{place}:{section}{key}: {self.reason}'
+        within = f'{section}{key}:' if section else ''
+        return f'{place}:{within} {self.reason}'
 
 
 class UnreadableFileError(SettingsError):
--- a/src/hawthornpier/settings/_load.py
+++ b/src/hawthornpier/settings/_load.py
@@ -3,7 +3,7 @@
 """
 
 import pathlib
-from dataclasses import MISSING, fields, replace
+from dataclasses import MISSING, fields
 from typing import Any, get_type_hints
 
 from hawthornpier.settings import _convert
@@ -16,7 +16,7 @@
     UnreadableFileError,
 )
 from hawthornpier.settings._model import Settings
-from hawthornpier.settings._rules import check_settings, check_value
+from hawthornpier.settings._rules import check_sections, check_value
 from hawthornpier.settings._source import Source, read_source
 
 
@@ -79,16 +79,8 @@
         section: _load_section(source, section, model)
         for section, model in hints.items()
     }
-    # Rules between sections need all of them, so they are checked only when
-    # each is complete.
-    settings = None
-    if all(section is not None for section in sections.values()):
-        settings = check_settings(
-            Settings(**sections),
-            source,
-            pathlib.Path(directory),
-        )
-    if source.errors or settings is None:
+    check_sections(sections, source, pathlib.Path(directory))
+    if source.errors:
         raise SettingsErrorGroup(
             'invalid settings',
             sorted(
@@ -96,46 +88,44 @@
                 key=lambda error: (error.line, error.section, error.key),
             ),
         )
-    if settings.process.advertised_address:
-        return settings
-    return replace(settings, process=_with_own_address(settings))
-
-
-def _with_own_address(settings: Settings) -> Any:
-    process = settings.process
-    host = process.listen_address
-    shown = f'[{host}]' if ':' in host else host
-    return replace(
-        process,
-        advertised_address=f'{shown}:{process.listen_port}',
-    )
+    return Settings(**sections)
 
 
 def _load_section(source: Source, section: str, model: type) -> Any:
     """
     Return an instance of *model*, or None if a required key is bad.
     """
+    entries = source.entries.get(section, {})
     hints = get_type_hints(model)
-    texts = source.entries.get(section, {})
-    for unknown in texts.keys() - hints.keys():
+    required = {
+        field.name for field in fields(model) if field.default is MISSING
+    }
+    # A key with an empty value counts as not set.
+    present = {key for key, text in entries.items() if text.strip()}
+    for unknown in entries.keys() - hints.keys():
         source.add(
             UnknownKeyError,
             f'unknown key; known are {", ".join(hints)}',
             section=section,
             key=unknown,
         )
-    required = {
-        field.name for field in fields(model) if field.default is MISSING
-    }
-    for missing in sorted(required - texts.keys()):
+    for missing in required - present:
         source.add(MissingKeyError, 'not set', section=section, key=missing)
-    found = {
-        key: _load_value(source, section, key, hint)
-        for key, hint in hints.items()
-        if key in texts
-    }
-    good = {key: entry for key, entry in found.items() if entry is not None}
-    return model(**good) if required <= good.keys() else None
+    found = _load_values(source, section, hints, present & hints.keys())
+    return model(**found) if required <= found.keys() else None
+
+
+def _load_values(
+    source: Source,
+    section: str,
+    hints: dict[str, Any],
+    keys: set[str],
+) -> dict[str, Any]:
+    """
+    Return the values of *keys* without the bad ones.
+    """
+    found = {key: _load_value(source, section, key, hints[key]) for key in keys}
+    return {key: entry for key, entry in found.items() if entry is not None}
 
 
 def _load_value(source: Source, section: str, key: str, hint: Any) -> Any:
--- a/src/hawthornpier/settings/_model.py
+++ b/src/hawthornpier/settings/_model.py
@@ -263,6 +263,16 @@
             if secret
         )
 
+    @property
+    def founders(self) -> dict[str, str]:
+        """
+        Return the key hashes of the founding members by name.
+        """
+        return {
+            operator.member: operator.key_hash
+            for operator in self.bootstrap_operators
+        }
+
     @property
     def is_tls_enabled(self) -> bool:
         """
--- a/src/hawthornpier/settings/_rules.py
+++ b/src/hawthornpier/settings/_rules.py
@@ -18,8 +18,11 @@
 )
 from hawthornpier.settings._model import (
     MAX_WORKER_CONNECTIONS,
+    ClusterSettings,
+    LinkSettings,
+    ProcessSettings,
     SecuritySettings,
-    Settings,
+    TimingSettings,
 )
 from hawthornpier.settings._source import Source
 
@@ -102,38 +105,59 @@
     return check(value) if check else value
 
 
-def check_settings(
-    settings: Settings,
+def check_sections(
+    sections: dict[str, Any],
     source: Source,
     directory: pathlib.Path,
-) -> Settings:
+) -> None:
     """
-    Check the rules between values and read the key files.
+    Check the rules between values, and fill in what the file leaves open.
+
+    A rule is checked if all sections that it needs are complete.
 
     Args:
-        settings: What the file says.
+        sections: The sections by name; None for an incomplete one.  Key files
+            and the advertised address are filled in.
         source: Where mistakes are recorded.
         directory: Where relative file names start from.
-
-    Returns:
-        The settings with the content of the key files.
     """
-    security = _read_files(settings.security, source, directory)
-    settings = replace(settings, security=security)
-    rules = (_check_domain, _check_timing, _check_link, _check_keys, _check_tls)
-    for rule in rules:
-        for section, key, reason in rule(settings):
+    sections['security'] = _read_files(sections['security'], source, directory)
+    for rule, names in _RULES:
+        needed = [sections[name] for name in names]
+        if None not in needed:
+            _check_rule(rule(*needed), source)
+    if sections['process'] is not None:
+        sections['process'] = _with_address(sections['process'])
+
+
+def _check_rule(faults: Iterator[_Fault], source: Source) -> None:
+    # A key whose value is bad has its default here, which may contradict
+    # others for no fault of the operator.
+    bad = {(error.section, error.key) for error in source.errors}
+    for section, key, reason in faults:
+        if (section, key) not in bad:
+            bad.add((section, key))
             source.add(ContradictionError, reason, section=section, key=key)
-    return settings
 
 
-def _check_domain(settings: Settings) -> Iterator[_Fault]:
-    process = settings.process
-    region = settings.cluster.region_of(process.failure_domain)
+def _with_address(process: ProcessSettings) -> ProcessSettings:
+    if process.advertised_address:
+        return process
+    host = process.listen_address
+    shown = f'[{host}]' if ':' in host else host
+    return replace(
+        process,
+        advertised_address=f'{shown}:{process.listen_port}',
+    )
+
+
+def _check_domain(
+    process: ProcessSettings,
+    cluster: ClusterSettings,
+) -> Iterator[_Fault]:
+    region = cluster.region_of(process.failure_domain)
     if region is None:
-        known = ', '.join(
-            domain.name for domain in settings.cluster.failure_domains
-        )
+        known = ', '.join(domain.name for domain in cluster.failure_domains)
         yield (
             'process',
             'failure_domain',
@@ -147,6 +171,9 @@
             f'{process.failure_domain!r} lies in {region!r} according to '
             '[cluster] failure_domains',
         )
+
+
+def _check_listener(process: ProcessSettings) -> Iterator[_Fault]:
     listen = ipaddress.ip_address(process.listen_address)
     if listen.is_unspecified and not process.advertised_address:
         yield (
@@ -156,8 +183,7 @@
         )
 
 
-def _check_timing(settings: Settings) -> Iterator[_Fault]:
-    timing = settings.timing
+def _check_timing(timing: TimingSettings) -> Iterator[_Fault]:
     renewals = _RENEWALS_PER_LEASE
     # Each row: a key, the smallest allowed value and the words for it.
     limits = (
@@ -190,8 +216,7 @@
             yield 'timing', key, reason
 
 
-def _check_link(settings: Settings) -> Iterator[_Fault]:
-    link = settings.link
+def _check_link(link: LinkSettings) -> Iterator[_Fault]:
     if link.budget_bytes_per_s > link.link_bytes_per_s:
         yield (
             'link',
@@ -200,9 +225,11 @@
         )
 
 
-def _check_keys(settings: Settings) -> Iterator[_Fault]:
-    security = settings.security
-    listen = ipaddress.ip_address(settings.process.listen_address)
+def _check_signing(
+    process: ProcessSettings,
+    security: SecuritySettings,
+) -> Iterator[_Fault]:
+    listen = ipaddress.ip_address(process.listen_address)
     is_signed = security.peer_key or security.peer_key_file
     if not is_signed and not listen.is_loopback:
         yield (
@@ -211,6 +238,10 @@
             'not set; unsigned requests are allowed only on loopback, not '
             f'on {listen}',
         )
+
+
+def _check_keys(security: SecuritySettings) -> Iterator[_Fault]:
+    is_signed = security.peer_key or security.peer_key_file
     if security.previous_peer_key and not is_signed:
         yield (
             'security',
@@ -237,8 +268,7 @@
         yield 'security', 'previous_peer_key_id', 'the same as peer_key_id'
 
 
-def _check_tls(settings: Settings) -> Iterator[_Fault]:
-    security = settings.security
+def _check_tls(security: SecuritySettings) -> Iterator[_Fault]:
     present = [key for key in _TLS_KEYS if getattr(security, key)]
     for key in _TLS_KEYS:
         if present and key not in present:
@@ -294,3 +324,15 @@
             key=key,
         )
     return content
+
+
+# Each rule with the sections that it needs, in the order of its arguments.
+_RULES: tuple[tuple[Callable[..., Iterator[_Fault]], tuple[str, ...]], ...] = (
+    (_check_domain, ('process', 'cluster')),
+    (_check_listener, ('process',)),
+    (_check_timing, ('timing',)),
+    (_check_link, ('link',)),
+    (_check_signing, ('process', 'security')),
+    (_check_keys, ('security',)),
+    (_check_tls, ('security',)),
+)
--- a/src/hawthornpier/settings/_source.py
+++ b/src/hawthornpier/settings/_source.py
@@ -10,6 +10,7 @@
 from hawthornpier.settings._errors import (
     DuplicateKeyError,
     SettingsError,
+    SettingsErrorGroup,
     SyntaxFaultError,
 )
 
@@ -56,12 +57,16 @@
 def read_source(text: str, path: str) -> Source:
     """
     Split *text* into sections and keys; mistakes are in the result.
+
+    Raises:
+        SettingsErrorGroup: If there is text before the first section.
     """
     parser = configparser.RawConfigParser(
         delimiters=('=',),
         comment_prefixes=('#', ';'),
         strict=False,
-        empty_lines_in_values=False,
+        # Otherwise a comment line would end a value of several lines.
+        empty_lines_in_values=True,
         default_section=_NO_DEFAULT_SECTION,
     )
     parser.optionxform = str  # type: ignore[assignment,method-assign]
@@ -69,7 +74,9 @@
     try:
         parser.read_string(text, path)
     except configparser.MissingSectionHeaderError as error:
-        errors.append(_syntax_fault('no section before it', path, error.lineno))
+        # configparser stops here, so any other report would be misleading.
+        fault = _syntax_fault('no section before it', path, error.lineno)
+        raise SettingsErrorGroup('invalid settings', [fault]) from error
     except configparser.ParsingError as error:
         errors.extend(
             _syntax_fault('expected "key = value"', path, line)
