--- a/src/hawthornpier_standin/history/__init__.py
+++ b/src/hawthornpier_standin/history/__init__.py
@@ -11,6 +11,7 @@
 from hawthornpier_standin.history._records import (
     EXIT_KILLED,
     TABLE_UNCONFIRMED,
+    WORKER_DEAD,
     Record,
     RecordKind,
 )
@@ -24,6 +25,7 @@
 __all__ = [
     'EXIT_KILLED',
     'TABLE_UNCONFIRMED',
+    'WORKER_DEAD',
     'Finding',
     'Guarantee',
     'HistoryError',
--- a/src/hawthornpier_standin/history/_placement.py
+++ b/src/hawthornpier_standin/history/_placement.py
@@ -10,7 +10,11 @@
 
 from hawthornpier.messages import Resources, TaskResult
 from hawthornpier_standin.history._index import History, Span
-from hawthornpier_standin.history._records import Record, RecordKind
+from hawthornpier_standin.history._records import (
+    WORKER_DEAD,
+    Record,
+    RecordKind,
+)
 from hawthornpier_standin.history._report import (
     Finding,
     Guarantee,
@@ -20,7 +24,13 @@
 _LEAVING_GRACE_MS = 3_000
 
 # A run that ended so may be repeated from the checkpoint it started from.
-_REPEATABLE = frozenset((TaskResult.FAILED, TaskResult.LEASE_LAPSED))
+_REPEATABLE = frozenset(
+    (
+        TaskResult.FAILED,
+        TaskResult.LEASE_LAPSED,
+        WORKER_DEAD,
+    )
+)
 
 
 class _Step(enum.IntEnum):
--- a/src/hawthornpier_standin/history/_records.py
+++ b/src/hawthornpier_standin/history/_records.py
@@ -12,6 +12,9 @@
 # The `detail` of `PROCESS_EXITED` if the recorder itself killed the process.
 EXIT_KILLED = 'killed'
 
+# The `detail` of the end of work that was lost because its worker died.
+WORKER_DEAD = 'worker_dead'
+
 # The `detail` of `TABLE_VERSION_SEEN` if the process reported at the same time
 # that its version is unconfirmed, so that it admits nothing.
 TABLE_UNCONFIRMED = 'unconfirmed'
@@ -22,25 +25,27 @@
     What happened, with the fields that the checkers read.
     """
 
-    # Callers: operation, idempotency_key, is_idempotent, content.  Each
-    # attempt of an operation is one `REQUEST_INVOKED`.
+    # Callers: operation, idempotency_key, is_idempotent, content (the body as
+    # sent).  Each attempt of an operation is one `REQUEST_INVOKED`.
     REQUEST_INVOKED = 'request_invoked'
-    # operation, content (the whole body as received).
+    # operation, content (the body as received: a JSON document whose field
+    # `echo` is the body of the request).
     REQUEST_ANSWERED = 'request_answered'
     REQUEST_NOT_RUN = 'request_not_run'
     REQUEST_UNKNOWN = 'request_unknown'
     # operation, process_id; a connection that carried a request was cut.
     CONNECTION_CUT = 'connection_cut'
 
-    # Workers: worker_id, demand (the capacity).
+    # Workers: worker_id, demand (the capacity); each life declares it once.
     CAPACITY_DECLARED = 'capacity_declared'
-    # worker_id, operation, idempotency_key, demand.
+    # worker_id, operation, run_id (the request id), idempotency_key, demand.
     EXECUTION_STARTED = 'execution_started'
-    # worker_id, operation, content (the whole body as sent).
+    # worker_id, operation, run_id, detail (`WORKER_DEAD` or a status).
     EXECUTION_ENDED = 'execution_ended'
     # worker_id, task_id, run_id, demand, checkpoint (resumed from).
     RUN_STARTED = 'run_started'
-    # worker_id, task_id, run_id, detail (a `TaskResult`), checkpoint (taken).
+    # worker_id, task_id, run_id, detail (a `TaskResult` or `WORKER_DEAD`),
+    # checkpoint (the latest one of the task that the worker knows).
     RUN_ENDED = 'run_ended'
     # worker_id, task_id, run_id, checkpoint.
     RUN_CHECKPOINTED = 'run_checkpointed'
@@ -53,7 +58,7 @@
     JOB_CANCELLED = 'job_cancelled'
     # task_id, detail (a final `TaskState`); an operator saw the task's end.
     TASK_SETTLED = 'task_settled'
-    # operation, version (the version that the operator saw).
+    # Also approvals: operation, version (the version the operator saw).
     TABLE_EDIT_INVOKED = 'table_edit_invoked'
     # operation, version (the new version).
     TABLE_EDIT_ACCEPTED = 'table_edit_accepted'
@@ -76,8 +81,8 @@
     *at_ms* is the machine's monotonic clock, which all recorders share.
     *source* is the recorder; it stands for *process_id* where that is empty.
     *operation* is the caller's own id of a request, which the body repeats;
-    *content* is what was sent or received; *detail* is the end of a run
-    (a `TaskResult`) or a reason.
+    *content* is what was sent or received; *detail* is a result
+    or a reason, as `RecordKind` says.
     """
 
     at_ms: float
