--- a/src/hawthornpier_standin/history/_placement.py
+++ b/src/hawthornpier_standin/history/_placement.py
@@ -201,36 +201,38 @@
     runs: Iterable[Span],
     checkpoints: Sequence[_Checkpoint],
 ) -> Iterator[Violation]:
+    heard: set[str] = set()
     for run in runs:
+        origin = run.started.checkpoint
         earlier = [
             checkpoint
             for checkpoint in checkpoints
             if checkpoint.taken.at_ms <= run.start_ms
             and checkpoint.taken.run_id != run.started.run_id
         ]
-        allowed = _allowed_names(history, earlier, run.start_ms)
-        if run.started.checkpoint not in allowed:
+        allowed = _allowed_names(history, earlier, heard, run.start_ms)
+        if origin not in allowed:
             wanted = ' or '.join(repr(name) for name in sorted(allowed))
             yield Violation(
                 guarantee=Guarantee.RESUME_ONCE,
                 subject=run.started.task_id,
-                reason=(
-                    f'resumed from {run.started.checkpoint!r},'
-                    f' expected {wanted}'
-                ),
+                reason=f'resumed from {origin!r}, expected {wanted}',
                 records=(run.started,),
             )
+        heard.add(origin)
 
 
 def _allowed_names(
     history: History,
     earlier: Sequence[_Checkpoint],
+    heard: set[str],
     start_ms: float,
 ) -> set[str]:
     allowed: set[str] = set()
     for checkpoint in reversed(earlier):
-        allowed.add(checkpoint.taken.checkpoint)
-        if not _may_be_unheard(history, checkpoint, start_ms):
+        name = checkpoint.taken.checkpoint
+        allowed.add(name)
+        if name in heard or not _may_be_unheard(history, checkpoint, start_ms):
             return allowed
     return allowed | {''}
 
--- a/tests/test_history_checkers.py
+++ b/tests/test_history_checkers.py
@@ -195,6 +195,17 @@
         exited = rec(10, 'process_exited', worker_id='w1')
         assert not _broken([*records, exited])
 
+    def test_used_checkpoint_is_not_forgotten(self) -> None:
+        """
+        G3: a run that resumed shows that its checkpoint outlived the worker.
+        """
+        exited = rec(5.5, 'process_exited', worker_id='w1')
+        scratch = _run(12, 19, 'r3', 'done')
+        assert not _broken([*_EVICTED[:2], exited, *scratch])
+        failed = dataclasses.replace(_EVICTED[3], detail='failed')
+        records = [*_EVICTED[:3], failed, exited, *scratch]
+        assert _broken(records) == {Guarantee.RESUME_ONCE}
+
     def test_second_resumption_is_found(self) -> None:
         """
         G3: a second run from a checkpoint is found unless the first was lost.
--- /dev/null
+++ b/tests/test_history_model.py
@@ -0,0 +1,537 @@
+"""
+Histories from a small reference model, and mutations the checkers must find.
+"""
+
+import dataclasses
+import json
+import random
+from collections.abc import Callable, Sequence
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from hawthornpier.messages import Resources
+from hawthornpier_standin.history import (
+    Guarantee,
+    Record,
+    RecordKind,
+    check_history,
+)
+
+_SLOTS = 3
+_WORKERS = ('w0', 'w1', 'w2')
+_PROCESSES = ('p0', 'p1')
+_SLOT = Resources(slot_count=1)
+
+
+class Model:
+    """
+    A correct scheduler of one process, whose history is correct by design.
+
+    Every step takes effect at once; *random_source* chooses among what is
+    allowed.
+    """
+
+    def __init__(self, random_source: random.Random) -> None:
+        self.records: list[Record] = []
+        self._random = random_source
+        self._now_ms: float = 0
+        self._is_ending = False
+        self._count = 0
+        self._version = 1
+        self._held: list[Record] = []
+        self._queue: list[tuple[str, str]] = []
+        self._leaving: set[str] = set()
+        for worker_id in _WORKERS:
+            self._write(
+                'capacity_declared',
+                worker_id=worker_id,
+                demand=Resources(slot_count=_SLOTS),
+            )
+        self._observe()
+
+    def step(self) -> None:
+        """
+        Do one random thing.
+        """
+        action = self._random.choice(
+            (
+                self.request,
+                self.request,
+                self.order,
+                self.job,
+                self.place,
+                self.place,
+                self.evict,
+                self.finish,
+                self.lapse,
+                self.edit,
+                self.leave,
+                self.die,
+            )
+        )
+        action()
+
+    def request(self, key: str = '') -> None:
+        """
+        A request is served, refused or left without an answer.
+        """
+        operation = self._name('o')
+        asked = {'operation': operation, 'content': f'ask {operation}'}
+        who = {'idempotency_key': key, 'is_idempotent': not key}
+        self._write('request_invoked', **asked, **who)
+        worker_id = self._free_worker()
+        if not worker_id:
+            self._write('request_not_run', operation=operation)
+            return
+        self._begin(
+            'execution_started',
+            worker_id,
+            operation=operation,
+            run_id=self._name('q'),
+            **who,
+        )
+        if self._is_rare():
+            self._write('request_unknown', operation=operation)
+
+    def order(self) -> None:
+        """
+        An order with a key.
+        """
+        self.request(key=self._name('k'))
+
+    def job(self) -> None:
+        """
+        A job is accepted, and sometimes cancelled before it starts.
+        """
+        task_ids = (self._name('t'), self._name('t'))
+        operation = self._name('j')
+        self._write('job_accepted', operation=operation, task_ids=task_ids)
+        if self._is_rare():
+            self._write('job_cancelled', operation=operation)
+        else:
+            self._queue.extend((task_id, '') for task_id in task_ids)
+
+    def place(self) -> None:
+        """
+        A queued task starts where there is room.
+        """
+        worker_id = self._free_worker()
+        if worker_id and self._queue:
+            task_id, checkpoint = self._queue.pop(0)
+            self._begin(
+                'run_started',
+                worker_id,
+                task_id=task_id,
+                run_id=self._name('r'),
+                checkpoint=checkpoint,
+            )
+
+    def evict(self) -> None:
+        """
+        A run is evicted with a checkpoint.
+        """
+        run = self._pick('run_started')
+        if run:
+            checkpoint = self._name('c')
+            self._end(run, detail='evicted', checkpoint=checkpoint)
+            self._queue.append((run.task_id, checkpoint))
+
+    def lapse(self) -> None:
+        """
+        A run loses its lease and is repeated.
+        """
+        run = self._pick('run_started')
+        if run:
+            self._end(run, detail='lease_lapsed', checkpoint=run.checkpoint)
+            self._queue.append((run.task_id, run.checkpoint))
+
+    def finish(self) -> None:
+        """
+        Some work completes.
+        """
+        work = self._pick('run_started') or self._pick('execution_started')
+        if work:
+            self._complete(work)
+
+    def edit(self) -> None:
+        """
+        An edit is accepted, a rival one conflicts, and all processes see it.
+        """
+        won, lost = self._name('e'), self._name('e')
+        for operation in (won, lost):
+            self._write(
+                'table_edit_invoked',
+                operation=operation,
+                version=self._version,
+            )
+        self._version += 1
+        self._write('table_edit_accepted', operation=won, version=self._version)
+        self._write('table_edit_conflict', operation=lost)
+        self._observe()
+
+    def leave(self) -> None:
+        """
+        A worker begins to leave, as long as another one stays.
+        """
+        if not self._leaving:
+            worker_id = self._random.choice(_WORKERS)
+            self._leaving.add(worker_id)
+            self._write('endpoint_leaving', worker_id=worker_id)
+
+    def die(self) -> None:
+        """
+        A worker dies with everything it holds and comes back empty.
+        """
+        worker_id = self._random.choice(_WORKERS)
+        self._write('process_exited', worker_id=worker_id)
+        lost = [work for work in self._held if work.worker_id == worker_id]
+        self._held = [work for work in self._held if work not in lost]
+        for work in lost:
+            if work.kind is RecordKind.RUN_STARTED:
+                self._queue.append((work.task_id, work.checkpoint))
+            elif not self._is_told(work.operation):
+                self._write('request_unknown', operation=work.operation)
+        self._leaving.discard(worker_id)
+        capacity = Resources(slot_count=_SLOTS)
+        self._write('capacity_declared', worker_id=worker_id, demand=capacity)
+
+    def complete(self) -> list[Record]:
+        """
+        Let every mutation have a target, then let everything end.
+        """
+        self._finish_all()
+        self._is_ending = True
+        self.request()
+        self.order()
+        self.job()
+        self.place()
+        self.evict()
+        self.edit()
+        self.edit()
+        self._finish_all()
+        self.leave()
+        self._now_ms += 5_000
+        # Without a free slot the next request is refused.
+        self._leaving.update(_WORKERS)
+        self.request()
+        self._write('stop_requested', process_id='p0')
+        self._write('process_exited', process_id='p0')
+        return self.records
+
+    def _is_rare(self) -> bool:
+        return not self._is_ending and self._random.randrange(5) == 0
+
+    def _finish_all(self) -> None:
+        while self._held or self._queue:
+            for work in tuple(self._held):
+                self._complete(work)
+            self.place()
+
+    def _complete(self, work: Record) -> None:
+        self._end(work, detail='done')
+        if work.operation and not self._is_told(work.operation):
+            body = json.dumps({'echo': f'ask {work.operation}'})
+            self._write(
+                'request_answered',
+                operation=work.operation,
+                content=body,
+            )
+
+    def _is_told(self, operation: str) -> bool:
+        return any(
+            record.operation == operation
+            and record.kind is RecordKind.REQUEST_UNKNOWN
+            for record in self.records
+        )
+
+    def _begin(self, kind: str, worker_id: str, **fields: object) -> None:
+        work = self._write(kind, worker_id=worker_id, demand=_SLOT, **fields)
+        self._held.append(work)
+
+    def _end(self, work: Record, **fields: object) -> None:
+        self._held.remove(work)
+        self._write(
+            work.kind.replace('started', 'ended'),
+            worker_id=work.worker_id,
+            task_id=work.task_id,
+            run_id=work.run_id,
+            operation=work.operation,
+            **fields,
+        )
+
+    def _pick(self, kind: str) -> Record | None:
+        work = [record for record in self._held if record.kind == kind]
+        return self._random.choice(work) if work else None
+
+    def _free_worker(self) -> str:
+        free = [
+            worker_id
+            for worker_id in _WORKERS
+            if worker_id not in self._leaving
+            and sum(work.worker_id == worker_id for work in self._held) < _SLOTS
+        ]
+        return self._random.choice(free) if free else ''
+
+    def _observe(self) -> None:
+        for process_id in _PROCESSES:
+            self._write(
+                'table_version_seen',
+                process_id=process_id,
+                version=self._version,
+            )
+
+    def _name(self, prefix: str) -> str:
+        self._count += 1
+        return f'{prefix}{self._count}'
+
+    def _write(self, kind: str, **fields: object) -> Record:
+        self._now_ms += self._random.choice((0.5, 1, 20))
+        record = Record(
+            at_ms=self._now_ms,
+            kind=RecordKind(kind),
+            source='model',
+            **fields,
+        )
+        self.records.append(record)
+        return record
+
+
+def _model_history(seed: int, step_count: int) -> list[Record]:
+    model = Model(random.Random(seed))
+    for _ in range(step_count):
+        model.step()
+    return model.complete()
+
+
+def _of(records: Sequence[Record], kind: str) -> list[Record]:
+    return [record for record in records if record.kind == kind]
+
+
+def _changed(
+    records: Sequence[Record],
+    record: Record,
+    **fields: object,
+) -> list[Record]:
+    """
+    Return the records with *record* changed.
+    """
+    changed = dataclasses.replace(record, **fields)
+    return [changed if other is record else other for other in records]
+
+
+def _without(records: Sequence[Record], record: Record) -> list[Record]:
+    return [other for other in records if other is not record]
+
+
+Mutation = Callable[[list[Record], random.Random], list[Record]]
+
+
+def _shrink_capacity(records: list[Record], rng: random.Random) -> list[Record]:
+    used = {work.worker_id for work in _of(records, 'run_started')}
+    victim = rng.choice(sorted(used))
+    return [
+        dataclasses.replace(record, demand=Resources())
+        if record.kind is RecordKind.CAPACITY_DECLARED
+        and record.worker_id == victim
+        else record
+        for record in records
+    ]
+
+
+def _run_twice(records: list[Record], rng: random.Random) -> list[Record]:
+    run = rng.choice(_of(records, 'run_started'))
+    twin = dataclasses.replace(run, at_ms=run.at_ms + 0.1, run_id='twin')
+    return [*records, twin]
+
+
+def _resume_from_scratch(
+    records: list[Record],
+    rng: random.Random,
+) -> list[Record]:
+    # No worker dies between the last eviction and its resumption, so that
+    # nothing excuses the lost checkpoint.
+    resumed = [run for run in _of(records, 'run_started') if run.checkpoint]
+    return _changed(records, resumed[-1], checkpoint='')
+
+
+def _resume_again(records: list[Record], rng: random.Random) -> list[Record]:
+    done = {
+        record.run_id: record.at_ms
+        for record in _of(records, 'run_ended')
+        if record.detail == 'done'
+    }
+    run = rng.choice(
+        [
+            run
+            for run in _of(records, 'run_started')
+            if run.checkpoint and run.run_id in done
+        ]
+    )
+    again = dataclasses.replace(run, run_id='twin', at_ms=done[run.run_id])
+    return [*records, again]
+
+
+def _truncate(records: list[Record], rng: random.Random) -> list[Record]:
+    answer = rng.choice(_of(records, 'request_answered'))
+    length = rng.randrange(len(answer.content))
+    return _changed(records, answer, content=answer.content[:length])
+
+
+def _swap_answers(records: list[Record], rng: random.Random) -> list[Record]:
+    first, second = rng.sample(_of(records, 'request_answered'), 2)
+    swapped = _changed(records, first, content=second.content)
+    return _changed(swapped, second, content=first.content)
+
+
+def _answer_twice(records: list[Record], rng: random.Random) -> list[Record]:
+    answer = rng.choice(_of(records, 'request_answered'))
+    return [*records, dataclasses.replace(answer, at_ms=answer.at_ms + 1)]
+
+
+def _deny_execution(records: list[Record], rng: random.Random) -> list[Record]:
+    answer = rng.choice(_of(records, 'request_answered'))
+    kind = RecordKind.REQUEST_NOT_RUN
+    return _changed(records, answer, kind=kind, content='')
+
+
+def _run_refused(records: list[Record], rng: random.Random) -> list[Record]:
+    refused = rng.choice(_of(records, 'request_not_run'))
+    started = dataclasses.replace(
+        refused,
+        kind=RecordKind.EXECUTION_STARTED,
+        at_ms=refused.at_ms + rng.choice((-0.1, 0, 7_000)),
+        worker_id='w0',
+    )
+    return [*records, started]
+
+
+def _repeat_order(records: list[Record], rng: random.Random) -> list[Record]:
+    orders = [
+        record
+        for record in _of(records, 'execution_started')
+        if record.idempotency_key
+    ]
+    order = rng.choice(orders)
+    return [*records, dataclasses.replace(order, run_id='twin')]
+
+
+def _start_on_leaving(
+    records: list[Record],
+    rng: random.Random,
+) -> list[Record]:
+    leaving = _of(records, 'endpoint_leaving')[-1]
+    late = dataclasses.replace(
+        leaving,
+        kind=RecordKind.RUN_STARTED,
+        at_ms=leaving.at_ms + 3_000 + rng.choice((0.1, 50)),
+        run_id='late',
+    )
+    return [*records, late]
+
+
+def _cut_on_stop(records: list[Record], rng: random.Random) -> list[Record]:
+    stop = rng.choice(_of(records, 'stop_requested'))
+    cut = dataclasses.replace(stop, kind=RecordKind.CONNECTION_CUT)
+    return [*records, cut]
+
+
+def _revert_table(records: list[Record], rng: random.Random) -> list[Record]:
+    seen = rng.choice(_of(records, 'table_version_seen')[len(_PROCESSES) :])
+    return _changed(records, seen, version=0)
+
+
+def _hide_last_version(
+    records: list[Record],
+    rng: random.Random,
+) -> list[Record]:
+    last = rng.choice(_of(records, 'table_version_seen')[-len(_PROCESSES) :])
+    return _without(records, last)
+
+
+def _swap_versions(records: list[Record], rng: random.Random) -> list[Record]:
+    first, second = rng.sample(_of(records, 'table_edit_accepted'), 2)
+    swapped = _changed(records, first, version=second.version)
+    return _changed(swapped, second, version=first.version)
+
+
+def _lose_outcome(records: list[Record], rng: random.Random) -> list[Record]:
+    return _without(records, rng.choice(_of(records, 'request_answered')))
+
+
+def _lose_task(records: list[Record], rng: random.Random) -> list[Record]:
+    cancelled = {record.operation for record in _of(records, 'job_cancelled')}
+    tasks = [
+        task_id
+        for job in _of(records, 'job_accepted')
+        if job.operation not in cancelled
+        for task_id in job.task_ids
+    ]
+    lost = rng.choice(tasks)
+    return [
+        record
+        for record in records
+        if record.kind is not RecordKind.RUN_ENDED or record.task_id != lost
+    ]
+
+
+_MUTATIONS: tuple[tuple[Mutation, Guarantee], ...] = (
+    (_shrink_capacity, Guarantee.CAPACITY),
+    (_run_twice, Guarantee.SINGLE_PLACEMENT),
+    (_resume_from_scratch, Guarantee.RESUME_ONCE),
+    (_resume_again, Guarantee.RESUME_ONCE),
+    (_truncate, Guarantee.OWN_ANSWER),
+    (_swap_answers, Guarantee.OWN_ANSWER),
+    (_answer_twice, Guarantee.OWN_ANSWER),
+    (_deny_execution, Guarantee.NOT_RUN),
+    (_run_refused, Guarantee.NOT_RUN),
+    (_repeat_order, Guarantee.AT_MOST_ONCE),
+    (_start_on_leaving, Guarantee.LEAVING_ENDPOINT),
+    (_cut_on_stop, Guarantee.PLANNED_STOP),
+    (_revert_table, Guarantee.TABLE),
+    (_hide_last_version, Guarantee.TABLE),
+    (_swap_versions, Guarantee.TABLE),
+    (_lose_outcome, Guarantee.NOTHING_LOST),
+    (_lose_task, Guarantee.NOTHING_LOST),
+)
+
+_SEEDS = st.integers(0, 2**32 - 1)
+_STEP_COUNTS = st.integers(0, 60)
+
+
+class TestModel:
+    """
+    The checkers accept every correct history and reject every mutation.
+    """
+
+    @settings(derandomize=True, deadline=None, max_examples=150)
+    @given(_SEEDS, _STEP_COUNTS)
+    def test_correct_history_passes(self, seed: int, step_count: int) -> None:
+        """
+        Guards against checkers that reject correct behaviour.
+        """
+        report = check_history(_model_history(seed, step_count))
+        assert not report.violations
+        assert all(finding.checked_count for finding in report.findings)
+
+    @pytest.mark.parametrize(('mutation', 'guarantee'), _MUTATIONS)
+    @settings(derandomize=True, deadline=None, max_examples=40)
+    @given(_SEEDS, _STEP_COUNTS)
+    def test_mutation_is_found(
+        self,
+        mutation: Mutation,
+        guarantee: Guarantee,
+        seed: int,
+        step_count: int,
+    ) -> None:
+        """
+        Guards against checkers that overlook a breach of their guarantee.
+        """
+        rng = random.Random(seed)
+        mutated = mutation(_model_history(seed, step_count), rng)
+        found = {
+            violation.guarantee
+            for violation in check_history(mutated).violations
+        }
+        assert guarantee in found
