--- a/src/hawthornpier/adapters/_peer.py
+++ b/src/hawthornpier/adapters/_peer.py
@@ -143,6 +143,13 @@
         """
         return await self._ask('/peer/v1/jobs/cancel', job_id)
 
+    async def events(self) -> bytes:
+        """
+        Return the peer's own events as JSON.
+        """
+        reply = await self._caller.exchange('GET', '/peer/v1/events', None)
+        return reply.body
+
     async def _ask(self, path: str, job_id: str) -> JobView | None:
         # A job that the owner does not know is the JSON document null: the
         # status 404 would not tell it from a peer without this path.
--- /dev/null
+++ b/src/hawthornpier/daemon/_application.py
@@ -0,0 +1,71 @@
+"""
+The routes of the daemon.
+"""
+
+from tornado.web import Application, ErrorHandler
+
+from hawthornpier.daemon._caller_handlers import (
+    JobHandler,
+    JobsHandler,
+    ServiceHandler,
+)
+from hawthornpier.daemon._operator_handlers import (
+    ApprovalHandler,
+    HealthHandler,
+    HistoryHandler,
+    MetricsHandler,
+    ReadyHandler,
+    StatusHandler,
+    TableHandler,
+    TimelineHandler,
+)
+from hawthornpier.daemon._peer_handlers import (
+    ForwardHandler,
+    HeartbeatHandler,
+    JobCancelHandler,
+    JobShowHandler,
+    JobSubmitHandler,
+    PeerEventsHandler,
+)
+from hawthornpier.daemon._services import Services
+
+_ROUTES = (
+    ('/v1/services/([^/]+)/requests', ServiceHandler),
+    ('/v1/jobs', JobsHandler),
+    ('/v1/jobs/([^/]+)', JobHandler),
+    ('/v1/table', TableHandler),
+    ('/v1/table/history', HistoryHandler),
+    ('/v1/table/approvals', ApprovalHandler),
+    ('/v1/status', StatusHandler),
+    ('/v1/timeline', TimelineHandler),
+    ('/healthz', HealthHandler),
+    ('/readyz', ReadyHandler),
+    ('/metrics', MetricsHandler),
+    ('/peer/v1/heartbeat', HeartbeatHandler),
+    ('/peer/v1/forward', ForwardHandler),
+    ('/peer/v1/jobs/submit', JobSubmitHandler),
+    ('/peer/v1/jobs/show', JobShowHandler),
+    ('/peer/v1/jobs/cancel', JobCancelHandler),
+    ('/peer/v1/events', PeerEventsHandler),
+)
+
+
+def make_application(services: Services) -> Application:
+    """
+    Return the application with all routes of the daemon.
+    """
+    return Application(
+        [
+            (route, handler, {'services': services})
+            for route, handler in _ROUTES
+        ],
+        default_handler_class=ErrorHandler,
+        default_handler_args={'status_code': 404},
+        log_function=_ignore_request,
+    )
+
+
+def _ignore_request(handler: object) -> None:
+    """
+    Requests are counted by metrics, not logged.
+    """
--- /dev/null
+++ b/src/hawthornpier/daemon/_caller_handlers.py
@@ -0,0 +1,248 @@
+"""
+HTTP for callers of services and for batch jobs.
+"""
+
+import uuid
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+from tornado.web import HTTPError
+
+from hawthornpier.adapters import encode_outcome
+from hawthornpier.daemon._http import ApiHandler
+from hawthornpier.entry import (
+    CallerRequest,
+    EntryError,
+    JobNotAcceptedError,
+    JobUnknownError,
+    KeyRequiredError,
+    UnknownServiceError,
+)
+from hawthornpier.messages import Answer, JobSpec, NotRun, Outcome, Unknown
+from hawthornpier.metrics import InstrumentName
+from hawthornpier.ports import StoreError
+
+DEADLINE_HEADER = 'Deadline-Ms'
+KEY_HEADER = 'Idempotency-Key'
+
+MAX_DEADLINE_MS = 600_000
+MAX_KEY_CHARS = 200
+# Jobs whose state is fetched for a listing, the newest first.
+MAX_LISTED_JOBS = 200
+
+_STATUSES = MappingProxyType(
+    {
+        Answer: HTTPStatus.OK,
+        NotRun: HTTPStatus.SERVICE_UNAVAILABLE,
+        Unknown: HTTPStatus.GATEWAY_TIMEOUT,
+    }
+)
+
+
+class _SubmittedJob(msgspec.Struct, forbid_unknown_fields=False):
+    job_id: str = ''
+
+
+class ServiceHandler(ApiHandler):
+    """
+    Serves a caller's request with one of the three outcomes.
+    """
+
+    async def post(self, service: str) -> None:
+        """
+        Run the request within its deadline.
+        """
+        request = CallerRequest(
+            request_id=uuid.uuid4().hex,
+            member=self.member(),
+            service=service,
+            body=self._body(),
+            deadline_ms=self._deadline_ms(service),
+            idempotency_key=self._key(),
+        )
+        started_ms = self.services.clock.monotonic_ms()
+        try:
+            outcome = await self.services.entry.serve(request)
+        except UnknownServiceError as error:
+            raise HTTPError(HTTPStatus.NOT_FOUND, str(error)) from error
+        except KeyRequiredError as error:
+            raise HTTPError(HTTPStatus.BAD_REQUEST, str(error)) from error
+        duration_ms = self.services.clock.monotonic_ms() - started_ms
+        self._count(request, outcome, duration_ms)
+        self._send(outcome)
+
+    def _send(self, outcome: Outcome) -> None:
+        self.set_status(_STATUSES[type(outcome)])
+        if isinstance(outcome, NotRun) and outcome.retry_after_ms:
+            seconds = -(-outcome.retry_after_ms // 1000)
+            self.set_header('Retry-After', str(seconds))
+        self.set_header('Content-Type', 'application/json')
+        self.finish(encode_outcome(outcome))
+
+    def _count(
+        self,
+        request: CallerRequest,
+        outcome: Outcome,
+        duration_ms: int,
+    ) -> None:
+        metrics = self.services.metrics
+        metrics.count(
+            InstrumentName.REQUESTS,
+            outcome=type(outcome).__name__,
+            service=request.service,
+        )
+        metrics.observe(
+            InstrumentName.REQUEST_DURATION,
+            duration_ms / 1000,
+            service=request.service,
+        )
+
+    def _body(self) -> str:
+        try:
+            return self.request.body.decode()
+        except UnicodeDecodeError as error:
+            raise HTTPError(
+                HTTPStatus.BAD_REQUEST,
+                'the body is not UTF-8',
+            ) from error
+
+    def _deadline_ms(self, service: str) -> int:
+        text = self.request.headers.get(DEADLINE_HEADER, '')
+        if not text:
+            return self._default_deadline_ms(service)
+        if not text.isascii() or not text.isdigit() or len(text) > 9:
+            raise HTTPError(
+                HTTPStatus.BAD_REQUEST,
+                f'header {DEADLINE_HEADER} is not a number of milliseconds',
+            )
+        return min(int(text), MAX_DEADLINE_MS)
+
+    def _default_deadline_ms(self, service: str) -> int:
+        try:
+            deadline_ms = self.services.catalog.deadline_ms(
+                self.member(),
+                service,
+            )
+        except KeyError:
+            deadline_ms = None
+        return deadline_ms or self.services.entry_timing.default_deadline_ms
+
+    def _key(self) -> str:
+        key = self.request.headers.get(KEY_HEADER, '')
+        if len(key) > MAX_KEY_CHARS:
+            raise HTTPError(
+                HTTPStatus.BAD_REQUEST,
+                f'header {KEY_HEADER} is longer than {MAX_KEY_CHARS}',
+            )
+        return key
+
+
+class JobsHandler(ApiHandler):
+    """
+    Submits and lists jobs.
+    """
+
+    async def post(self) -> None:
+        """
+        Accept a job; with the field *job_id*, one that was sent before.
+        """
+        member = self.operator()
+        spec = self.message(JobSpec)
+        job_id = self.message(_SubmittedJob).job_id
+        if spec.member != member:
+            raise HTTPError(
+                HTTPStatus.FORBIDDEN,
+                f'operators of {member} submit jobs of {member} only',
+            )
+        _check_spec(spec)
+        try:
+            view = await self.services.jobs.submit(spec, job_id=job_id)
+        except JobUnknownError as error:
+            self.refuse(HTTPStatus.GATEWAY_TIMEOUT, str(error))
+        except JobNotAcceptedError as error:
+            self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
+        else:
+            self.send_json(view, HTTPStatus.CREATED)
+
+    async def get(self) -> None:
+        """
+        List the jobs of the operator's member.
+        """
+        member = self.operator()
+        try:
+            rows = await self.services.store.scan('job/')
+        except StoreError as error:
+            self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
+            return
+        views = []
+        for row in rows[-MAX_LISTED_JOBS:]:
+            job_id = row.key.rpartition('/')[2]
+            view = await self._view(job_id)
+            if view is not None and view.spec.member == member:
+                views.append(view)
+        self.send_json({'jobs': views})
+
+    async def _view(self, job_id: str) -> Any:
+        try:
+            return await self.services.jobs.show(job_id)
+        except EntryError:
+            return None
+
+
+class JobHandler(ApiHandler):
+    """
+    Shows and cancels one job.
+    """
+
+    async def get(self, job_id: str) -> None:
+        """
+        Return the job and what it waits for.
+        """
+        await self._answer(job_id, is_cancel=False)
+
+    async def delete(self, job_id: str) -> None:
+        """
+        Cancel the job.
+        """
+        await self._answer(job_id, is_cancel=True)
+
+    async def _answer(self, job_id: str, *, is_cancel: bool) -> None:
+        member = self.operator()
+        jobs = self.services.jobs
+        try:
+            view = await jobs.show(job_id)
+            is_own = view is not None and view.spec.member == member
+            if is_own and is_cancel:
+                view = await jobs.cancel(job_id)
+        except EntryError as error:
+            self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
+            return
+        if view is None or not is_own:
+            self.refuse(HTTPStatus.NOT_FOUND, f'there is no job {job_id}')
+            return
+        self.send_json(view)
+
+
+# A larger job is split by its operator; the limit bounds one row's views.
+MAX_TASKS_PER_JOB = 10_000
+
+
+def _check_spec(spec: JobSpec) -> None:
+    demand = spec.demand
+    amounts = (
+        demand.processor_millis,
+        demand.memory_bytes,
+        demand.accelerator_count,
+        demand.slot_count,
+        spec.declared_work_ms,
+        spec.work_ms,
+    )
+    if not 0 < spec.task_count <= MAX_TASKS_PER_JOB:
+        raise HTTPError(
+            HTTPStatus.BAD_REQUEST,
+            f'task_count must be from 1 to {MAX_TASKS_PER_JOB}',
+        )
+    if min(amounts) < 0:
+        raise HTTPError(HTTPStatus.BAD_REQUEST, 'an amount is negative')
--- /dev/null
+++ b/src/hawthornpier/daemon/_ports.py
@@ -0,0 +1,115 @@
+"""
+The ports of a process, over HTTP.
+"""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from hawthornpier.adapters import (
+    HttpHostList,
+    HttpPeer,
+    HttpTableStore,
+    HttpWorker,
+    SigningKey,
+    SystemClock,
+)
+from hawthornpier.messages import HostRecord
+from hawthornpier.settings import Settings
+
+# Every forwarded request holds a connection while it waits and runs.
+PEER_CONNECTIONS = 256
+# Group commits of all shards, lease renewals and reads share them.
+STORE_CONNECTIONS = 16
+
+
+@dataclass(slots=True)
+class Connections:
+    """
+    One port for each peer and each worker, made at first use.
+    """
+
+    settings: Settings
+    clock: SystemClock
+    signing_keys: Sequence[SigningKey]
+    _peers: dict[str, HttpPeer]
+    _workers: dict[str, HttpWorker]
+
+    @classmethod
+    def of(cls, settings: Settings) -> 'Connections':
+        """
+        Return the connections that the settings describe, none open yet.
+        """
+        keys = tuple(
+            SigningKey(key_id=key.key_id, secret=key.secret)
+            for key in settings.security.peer_keys
+        )
+        return cls(settings, SystemClock(), keys, {}, {})
+
+    @property
+    def ca_certs(self) -> str:
+        """
+        Return the file of trusted certificates, or an empty string.
+        """
+        return self.settings.security.tls_authority_file
+
+    def store(self) -> HttpTableStore:
+        """
+        Return the platform's table service.
+        """
+        return HttpTableStore(
+            self.settings.platform.store_address,
+            deadline_ms=self.settings.timing.store_timeout_ms,
+            connection_limit=STORE_CONNECTIONS,
+        )
+
+    def host_list(self) -> HttpHostList:
+        """
+        Return the platform's host list.
+        """
+        return HttpHostList(
+            self.settings.platform.host_list_address,
+            deadline_ms=self.settings.timing.store_timeout_ms,
+        )
+
+    def worker(self, host: HostRecord) -> HttpWorker:
+        """
+        Return the port of a worker, shared by successive owners here.
+        """
+        port = self._workers.get(host.address)
+        if port is None:
+            port = HttpWorker(
+                host.address,
+                deadline_ms=self.settings.timing.silent_after_ms,
+                connection_limit=self.settings.platform.worker_connections,
+            )
+            self._workers[host.address] = port
+        return port
+
+    def peer(self, address: str) -> HttpPeer:
+        """
+        Return the port of the entry process at *address*.
+        """
+        port = self._peers.get(address)
+        if port is None:
+            port = self._new_peer(address)
+            self._peers[address] = port
+        return port
+
+    def close(self) -> None:
+        """
+        Close all connections.
+        """
+        for port in (*self._peers.values(), *self._workers.values()):
+            port.close()
+
+    def _new_peer(self, address: str) -> HttpPeer:
+        unsigned = SigningKey(key_id='', secret=b'')
+        scheme = 'https' if self.settings.security.is_tls_enabled else 'http'
+        return HttpPeer(
+            f'{scheme}://{address}',
+            key=self.signing_keys[0] if self.signing_keys else unsigned,
+            clock=self.clock,
+            deadline_ms=self.settings.timing.peer_timeout_ms,
+            connection_limit=PEER_CONNECTIONS,
+            ca_certs=self.ca_certs,
+        )
--- /dev/null
+++ b/src/hawthornpier/daemon/_run.py
@@ -0,0 +1,54 @@
+"""
+Runs an entry process until it is told to stop.
+"""
+
+import asyncio
+import logging
+import signal
+import sys
+
+import eliot
+
+from hawthornpier.daemon._process import EntryProcess
+from hawthornpier.settings import Settings
+
+
+def run(settings: Settings) -> int:
+    """
+    Run the daemon; SIGTERM and SIGINT stop it gracefully.
+
+    Returns:
+        The exit code, 0 after a graceful stop.
+    """
+    _set_up_logs(settings)
+    return asyncio.run(_serve(settings))
+
+
+async def _serve(settings: Settings) -> int:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    process = EntryProcess(settings)
+    await process.start()
+    failing = asyncio.create_task(process.wait_failed())
+    stopping = asyncio.create_task(stop.wait())
+    done, _ = await asyncio.wait(
+        (failing, stopping),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    failing.cancel()
+    await process.stop()
+    if failing in done:
+        failing.result()
+    return 0
+
+
+def _set_up_logs(settings: Settings) -> None:
+    log_file = settings.observability.log_file
+    if log_file:
+        eliot.to_file(open(log_file, 'a', encoding='utf-8'))
+    else:
+        eliot.to_file(sys.stderr)
+    # tornado's own records go to the same stream as plain lines.
+    logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
--- /dev/null
+++ b/src/hawthornpier/daemon/_services.py
@@ -0,0 +1,59 @@
+"""
+The parts of a process that its HTTP handlers use.
+"""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass
+
+from hawthornpier.adapters import SigningKey
+from hawthornpier.coordination import Membership, TableConfirmation
+from hawthornpier.daemon._catalog import TableCatalog
+from hawthornpier.daemon._shards import RoutingShardClient, ShardHost
+from hawthornpier.daemon._table_sync import TableSync
+from hawthornpier.entry import EntryRouter, EntryTiming, JobRouter
+from hawthornpier.events import EventRecorder, HybridClock
+from hawthornpier.metrics import Metrics
+from hawthornpier.ports import Clock, TableStore
+from hawthornpier.table import VersionedTable
+
+
+@dataclass(slots=True)
+class Activity:
+    """
+    How many requests are in flight, and whether the process stops.
+    """
+
+    open_count: int = 0
+    is_leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Services:
+    """
+    Everything that handlers reach.
+
+    *is_ready* tells whether the balancer should send callers here;
+    *peer_events* fetches the encoded events of all live peers.
+    """
+
+    process_id: str
+    clock: Clock
+    store: TableStore
+    hybrid_clock: HybridClock
+    recorder: EventRecorder
+    metrics: Metrics
+    table: VersionedTable
+    table_sync: TableSync
+    catalog: TableCatalog
+    confirmation: TableConfirmation
+    membership: Membership
+    shard_host: ShardHost
+    shard_client: RoutingShardClient
+    entry: EntryRouter
+    entry_timing: EntryTiming
+    jobs: JobRouter
+    signing_keys: Sequence[SigningKey]
+    is_ready: Callable[[], bool]
+    owner_of: Callable[[str], str]
+    peer_events: Callable[[], Awaitable[list[bytes]]]
+    activity: Activity
--- /dev/null
+++ b/src/hawthornpier/daemon/_shards.py
@@ -0,0 +1,318 @@
+"""
+The shards that this process owns, and the way to all others.
+"""
+
+import asyncio
+import functools
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from hawthornpier.coordination import (
+    CommitLimits,
+    GroupCommit,
+    HostView,
+    OwnedShard,
+    ShardOwnership,
+    ShardWorker,
+    WorkerState,
+)
+from hawthornpier.messages import (
+    ForwardedRequest,
+    HostRecord,
+    HostState,
+    JobSpec,
+    JobView,
+    Outcome,
+    ShardLoad,
+)
+from hawthornpier.owner import (
+    CommitNotAppliedError,
+    OwnerError,
+    ShardClosedError,
+    ShardOwner,
+)
+from hawthornpier.ports import (
+    Clock,
+    EventSink,
+    PeerAnswerLostError,
+    PeerPort,
+    PeerRefusedError,
+    PeerUnreachableError,
+    TableStore,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Served:
+    """
+    An owner with the tasks that it needs.
+    """
+
+    owner: ShardOwner
+    group_commit: GroupCommit
+    committing: asyncio.Task[None]
+    opening: asyncio.Task[None]
+
+
+OwnerFactory = Callable[[OwnedShard, GroupCommit], ShardOwner]
+
+
+class ShardHost:
+    """
+    Runs a `ShardOwner` for each shard that the process owns.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: TableStore,
+        clock: Clock,
+        limits: CommitLimits,
+        make_owner: OwnerFactory,
+        has_guards: bool,
+        events: EventSink,
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._limits = limits
+        self._make_owner = make_owner
+        self._has_guards = has_guards
+        self._events = events
+        self._served: dict[str, _Served] = {}
+        self._ownership: ShardOwnership | None = None
+        self._host_view: HostView | None = None
+
+    def bind(self, ownership: ShardOwnership, host_view: HostView) -> None:
+        """
+        Set the parts that call back into this one.
+        """
+        self._ownership = ownership
+        self._host_view = host_view
+
+    def owner(self, shard: str) -> ShardOwner | None:
+        """
+        Return the owner that runs here, or None.
+        """
+        served = self._served.get(shard)
+        return None if served is None else served.owner
+
+    def owners(self) -> Mapping[str, ShardOwner]:
+        """
+        Return all owners that run here, by shard.
+        """
+        return {shard: served.owner for shard, served in self._served.items()}
+
+    def loads(self) -> tuple[ShardLoad, ...]:
+        """
+        Return the loads of the shards that take work here.
+        """
+        return tuple(
+            owner.load() for owner in self.owners().values() if owner.is_open
+        )
+
+    def refresh_limits(self) -> None:
+        """
+        Let all owners take over the table's weights and limits.
+        """
+        for owner in self.owners().values():
+            owner.refresh_limits()
+
+    async def on_gain(self, owned: OwnedShard) -> None:
+        """
+        Start to serve a shard that was claimed.
+        """
+        await self.on_loss(owned.shard)
+        on_deposed = self._ownership.report_deposed if self._ownership else None
+        group_commit = GroupCommit(
+            owned,
+            self._store,
+            self._clock,
+            self._limits,
+            on_deposed=on_deposed,
+            events=self._events,
+        )
+        owner = self._make_owner(owned, group_commit)
+        wait_until_ms = 0 if self._has_guards else owned.must_wait_until_ms
+        loop = asyncio.get_running_loop()
+        self._served[owned.shard] = _Served(
+            owner=owner,
+            group_commit=group_commit,
+            committing=loop.create_task(group_commit.run()),
+            opening=loop.create_task(
+                owner.open(
+                    functools.partial(self._hosts_of, owned.shard),
+                    wait_until_ms=wait_until_ms,
+                ),
+            ),
+        )
+
+    async def on_loss(self, shard: str) -> None:
+        """
+        Stop to serve a shard that another process may own.
+        """
+        served = self._served.pop(shard, None)
+        if served is None:
+            return
+        served.opening.cancel()
+        await served.owner.close()
+        served.committing.cancel()
+
+    async def on_hand_over(self, shard: str) -> None:
+        """
+        Finish the requests in flight before the shard is given up.
+        """
+        served = self._served.get(shard)
+        if served is not None:
+            served.opening.cancel()
+            await served.owner.drain()
+            await served.group_commit.drain()
+            await asyncio.wait({served.committing})
+
+    async def on_host_change(self, worker: ShardWorker) -> None:
+        """
+        Let the owner of the worker's shard follow the host list.
+        """
+        owner = self.owner(worker.shard)
+        if owner is not None:
+            await owner.set_hosts(self._hosts_of(worker.shard))
+
+    def _hosts_of(self, shard: str) -> list[HostRecord]:
+        if self._host_view is None:
+            return []
+        return [
+            _host_record(worker)
+            for worker in self._host_view.workers(shard)
+            if worker.state is not WorkerState.GONE
+        ]
+
+
+class RoutingShardClient:
+    """
+    Reaches a shard's owner in this process or over a peer connection.
+    """
+
+    def __init__(
+        self,
+        *,
+        process_id: str,
+        host: ShardHost,
+        owner_address: Callable[[str], tuple[str, str] | None],
+        connect: Callable[[str], PeerPort],
+    ) -> None:
+        self._process_id = process_id
+        self._host = host
+        self._owner_address = owner_address
+        self._connect = connect
+
+    async def forward(self, request: ForwardedRequest) -> Outcome:
+        """
+        Have the owner of the request's shard serve it.
+        """
+        owner = self._host.owner(request.shard)
+        if owner is None:
+            return await self._peer_of(request.shard).forward(request)
+        return await serve_here(owner, request)
+
+    async def submit_job(
+        self,
+        shard: str,
+        job_id: str,
+        spec: JobSpec,
+    ) -> JobView:
+        """
+        Have the shard's owner accept a job.
+        """
+        owner = self._host.owner(shard)
+        if owner is None:
+            return await self._peer_of(shard).submit_job(job_id, spec)
+        return await submit_here(owner, job_id, spec)
+
+    async def show_job(self, shard: str, job_id: str) -> JobView | None:
+        """
+        Return the job as the shard's owner sees it.
+        """
+        owner = self._host.owner(shard)
+        if owner is None:
+            return await self._peer_of(shard).show_job(job_id)
+        return owner.jobs.view(job_id)
+
+    async def cancel_job(self, shard: str, job_id: str) -> JobView | None:
+        """
+        Have the shard's owner cancel the job.
+        """
+        owner = self._host.owner(shard)
+        if owner is None:
+            return await self._peer_of(shard).cancel_job(job_id)
+        return await cancel_here(owner, job_id)
+
+    def _peer_of(self, shard: str) -> PeerPort:
+        found = self._owner_address(shard)
+        if found is None:
+            raise PeerUnreachableError(f'shard {shard} has no owner')
+        process_id, address = found
+        if process_id == self._process_id:
+            raise PeerRefusedError(f'shard {shard} is not open here yet')
+        return self._connect(address)
+
+
+async def serve_here(owner: ShardOwner, request: ForwardedRequest) -> Outcome:
+    """
+    Serve a request on an owner in this process.
+
+    Raises:
+        PeerRefusedError: Nothing was done.
+    """
+    try:
+        return await owner.serve(request)
+    except ShardClosedError as error:
+        raise PeerRefusedError(str(error)) from error
+
+
+async def submit_here(
+    owner: ShardOwner,
+    job_id: str,
+    spec: JobSpec,
+) -> JobView:
+    """
+    Submit a job to an owner in this process.
+
+    Raises:
+        PeerRefusedError: The job was not accepted.
+        PeerAnswerLostError: The job may have been accepted.
+    """
+    try:
+        return await owner.submit_job(job_id, spec)
+    except (ShardClosedError, CommitNotAppliedError) as error:
+        raise PeerRefusedError(str(error)) from error
+    except OwnerError as error:
+        raise PeerAnswerLostError(str(error)) from error
+
+
+async def cancel_here(owner: ShardOwner, job_id: str) -> JobView | None:
+    """
+    Cancel a job on an owner in this process.
+
+    Raises:
+        PeerRefusedError: The cancellation was not recorded.
+        PeerAnswerLostError: It may have been recorded.
+    """
+    try:
+        return await owner.cancel_job(job_id)
+    except (ShardClosedError, CommitNotAppliedError) as error:
+        raise PeerRefusedError(str(error)) from error
+    except OwnerError as error:
+        raise PeerAnswerLostError(str(error)) from error
+
+
+def _host_record(worker: ShardWorker) -> HostRecord:
+    record = worker.record
+    is_leaving = worker.state is WorkerState.LEAVING
+    return HostRecord(
+        worker_id=record.worker_id,
+        address=record.address,
+        region=record.region,
+        failure_domain=record.failure_domain,
+        rack=record.rack,
+        capacity=record.capacity,
+        state=HostState.LEAVING if is_leaving else HostState.LIVE,
+    )
--- /dev/null
+++ b/src/hawthornpier/daemon/_table_sync.py
@@ -0,0 +1,159 @@
+"""
+Keeps the table of a process up to date and confirmed.
+"""
+
+import asyncio
+from collections.abc import Callable, Sequence
+
+from hawthornpier.coordination import TableConfirmation
+from hawthornpier.ports import Clock
+from hawthornpier.table import (
+    Delta,
+    Edit,
+    TableUnavailableError,
+    VersionedTable,
+)
+
+_TICK_MS = 100
+# A process that has heard no confirmation for this share of the limit reads
+# the head itself, before it has to stop admitting work.
+_STALE_SHARE = 0.5
+
+
+class TableSync:
+    """
+    Reads the table's head for a failure domain, or follows its reader.
+
+    Args:
+        table: The table of this process.
+        confirmation: Decides whether the table is recent enough.
+        clock: The clock of this process.
+        read_interval_ms: How often the reader reads the head.
+        confirm_ms: The age up to which the table counts as confirmed.
+        is_reader: Tells whether this process reads for its failure domain.
+        newest_version: Returns the highest version that a peer has named.
+        on_change: Called after the version has changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        table: VersionedTable,
+        confirmation: TableConfirmation,
+        clock: Clock,
+        read_interval_ms: int,
+        confirm_ms: int,
+        is_reader: Callable[[], bool],
+        newest_version: Callable[[], int],
+        on_change: Callable[[], None],
+    ) -> None:
+        self._table = table
+        self._confirmation = confirmation
+        self._clock = clock
+        self._read_interval_ms = read_interval_ms
+        self._confirm_ms = confirm_ms
+        self._is_reader = is_reader
+        self._newest_version = newest_version
+        self._on_change = on_change
+        self._read_ms: int | None = None
+        self._known_version = 0
+
+    async def run(self) -> None:
+        """
+        Follow the table until the task is cancelled.
+        """
+        while True:
+            if self._is_due():
+                await self.refresh()
+            await self._clock.sleep_ms(_TICK_MS)
+
+    async def refresh(self) -> None:
+        """
+        Read the table's head, and what follows the own version.
+        """
+        sent_ms = self._clock.monotonic_ms()
+        self._read_ms = sent_ms
+        try:
+            version = await self._table.refresh()
+        except TableUnavailableError:
+            return
+        self._confirmation.note_head(version, sent_ms)
+        self._note_version()
+
+    async def edit(
+        self,
+        edits: Sequence[Edit],
+        *,
+        member: str,
+        base_version: int,
+    ) -> Delta:
+        """
+        Make an edit; returns once a majority of the processes has it.
+
+        Raises:
+            TableError: The edit was not accepted, or that is not known.
+        """
+        delta = await self._table.edit(
+            edits,
+            member=member,
+            base_version=base_version,
+        )
+        await self._spread(delta)
+        return delta
+
+    async def approve(
+        self,
+        subject: str,
+        *,
+        member: str,
+        base_version: int,
+    ) -> Delta:
+        """
+        Record an approval; returns once a majority of the processes has it.
+
+        Raises:
+            TableError: It was not accepted, or that is not known.
+        """
+        delta = await self._table.approve(
+            subject,
+            member=member,
+            base_version=base_version,
+        )
+        await self._spread(delta)
+        return delta
+
+    async def _spread(self, delta: Delta) -> None:
+        """
+        Wait until a majority has the version, or the limit has passed.
+
+        After the limit every process either has the version or is not
+        confirmed and admits nothing.
+        """
+        self._note_version()
+        try:
+            async with asyncio.timeout(self._confirm_ms / 1000):
+                while not self._confirmation.is_known_to_majority(
+                    delta.version,
+                ):
+                    await self._clock.sleep_ms(_TICK_MS / 4)
+        except TimeoutError:
+            return
+
+    def _is_due(self) -> bool:
+        if self._newest_version() > self._table.version:
+            return True
+        if self._read_ms is None:
+            return True
+        since_ms = self._clock.monotonic_ms() - self._read_ms
+        if since_ms < self._read_interval_ms:
+            return False
+        age_ms = self._confirmation.age_ms
+        is_stale = age_ms is None or age_ms > self._confirm_ms * _STALE_SHARE
+        return is_stale or self._is_reader()
+
+    def _note_version(self) -> None:
+        version = self._table.version
+        self._confirmation.note_version(version)
+        if version != self._known_version:
+            self._known_version = version
+            self._on_change()
--- a/src/hawthornpier/entry/_jobs.py
+++ b/src/hawthornpier/entry/_jobs.py
@@ -22,7 +22,8 @@
     Return the shard that keeps the job, which is part of its id.
     """
     shard, _, _ = job_id.partition(_SEPARATOR)
-    return shard.replace('.', '/')
+    failure_domain, _, number = shard.rpartition('.')
+    return f'{failure_domain}/{number}'
 
 
 class JobRouter:
@@ -86,4 +87,5 @@
         if shard is None:
             raise JobNotAcceptedError('no shard has an owner')
         # Ids appear in URL paths, so the shard's slash is replaced.
-        return f'{shard.replace("/", ".")}{_SEPARATOR}{uuid.uuid4().hex[:16]}'
+        name = '.'.join(shard.rsplit('/', 1))
+        return f'{name}{_SEPARATOR}{uuid.uuid4().hex[:16]}'
--- a/src/hawthornpier/events/_recorder.py
+++ b/src/hawthornpier/events/_recorder.py
@@ -15,9 +15,23 @@
 DEFAULT_RING_EVENT_COUNT = 4096
 
 
+# Events of single requests are counted by metrics; a log line for each would
+# cost more than serving it.
+_UNLOGGED = frozenset(
+    (
+        EventKind.REQUEST_RECEIVED,
+        EventKind.REQUEST_SENT,
+        EventKind.REQUEST_SHED,
+        EventKind.REQUEST_ENDED,
+        EventKind.INTENT_RECORDED,
+        EventKind.INTENT_RESOLVED,
+    )
+)
+
+
 class EventRecorder:
     """
-    Implements the `EventSink` port: a ring of events and a log line for each.
+    Implements the `EventSink` port: a ring of events, and log lines.
 
     Args:
         hybrid_clock: stamps the events.
@@ -69,7 +83,8 @@
         )
         self._ring.append(event)
         self._recorded_count += 1
-        _log(event)
+        if kind not in _UNLOGGED:
+            _log(event)
 
     def events(self, wanted: EventFilter | None = None) -> list[Event]:
         """
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -2,6 +2,7 @@
 The owner of one shard: the only authority that admits work to its workers.
 """
 
+import enum
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
@@ -56,6 +57,17 @@
 _ADOPTED_PREFIX = 'adopted-request:'
 
 
+class Closing(enum.StrEnum):
+    """
+    Why nothing new is placed on a worker; several may hold at once.
+    """
+
+    LISTED_LEAVING = 'the host list says that it leaves'
+    SAID_LEAVING = 'it says that it leaves'
+    NO_ANSWER = 'it does not answer'
+    DEPOSED = 'it serves a later owner'
+
+
 class ShardOwner:
     """
     Admits requests and tasks to the workers of one shard.
@@ -96,6 +108,7 @@
         self._gained_ms = clock.monotonic_ms()
         self._unfenced: set[str] = set()
         self._known_workers: set[str] = set()
+        self._closings: dict[str, set[Closing]] = {}
         self._open_count = 0
         context = ShardContext(
             shard=shard,
@@ -129,7 +142,7 @@
 
     async def open(
         self,
-        hosts: Iterable[HostRecord],
+        list_hosts: Callable[[], Iterable[HostRecord]],
         *,
         wait_until_ms: int = 0,
     ) -> None:
@@ -137,7 +150,7 @@
         Load what is durable, then fence the workers and serve.
 
         Args:
-            hosts: The workers of the shard.
+            list_hosts: Returns the workers of the shard.
             wait_until_ms: Monotonic time before which nothing may start,
                 because workers without guards may still serve the old owner.
         """
@@ -156,7 +169,7 @@
         self._policy.set_limits(self._catalog.limits())
         self._orders.load(records.intents)
         self._is_open = True
-        await self.set_hosts(hosts)
+        await self.set_hosts(list_hosts())
         self._tasks.spawn(self._tick())
 
     async def set_hosts(self, hosts: Iterable[HostRecord]) -> None:
@@ -166,11 +179,13 @@
         if not self._is_open:
             return
         listed = {host.worker_id: host for host in hosts}
+        if not await self._remember_workers(listed.keys()):
+            self._tasks.spawn(self._follow_later(tuple(listed.values())))
         for host in listed.values():
-            await self._follow(host)
+            self._follow(host)
         for worker_id, link in self._links.items():
             if worker_id not in listed:
-                self._close_worker(link, 'not listed')
+                self._close_worker(link, Closing.LISTED_LEAVING)
 
     def refresh_limits(self) -> None:
         """
@@ -280,6 +295,7 @@
         for running in reply.running:
             if not self.jobs.adopt(link, running.run_id, running.task_id):
                 link.control(running.run_id, TaskAction.STOP)
+        self._reopen(link, Closing.NO_ANSWER, Closing.DEPOSED)
         for open_request in reply.open_requests:
             self._adopt_request(
                 link,
@@ -299,7 +315,7 @@
         """
         Place nothing more on a worker that does not answer.
         """
-        self._close_worker(link, 'no answer')
+        self._close_worker(link, Closing.NO_ANSWER)
 
     def on_lost(self, link: WorkerLink, runs: Iterable[LinkRun]) -> None:
         """
@@ -322,7 +338,7 @@
         Queue the task again, and stop using a leaving worker.
         """
         if verdict is StartVerdict.REFUSED_LEAVING:
-            self._close_worker(link, 'leaving')
+            self._close_worker(link, Closing.SAID_LEAVING)
         self.jobs.runner.refused(run)
 
     def on_outcome(self, link: WorkerLink, outcome: TaskOutcome) -> None:
@@ -343,7 +359,7 @@
         Pass a usage report to the policy.
         """
         if report.is_leaving:
-            self._close_worker(link, 'leaving')
+            self._close_worker(link, Closing.SAID_LEAVING)
         self._policy.observe(report, self._clock.monotonic_ms())
         self._dispatcher.pump()
 
@@ -351,7 +367,7 @@
         """
         Stop using a worker that serves a later owner.
         """
-        self._close_worker(link, f'epoch {highest_epoch} is in force')
+        self._close_worker(link, Closing.DEPOSED, f'epoch {highest_epoch}')
 
     # Internals.
 
@@ -361,19 +377,20 @@
         if not self._gate.may_admit():
             raise ShardClosedError('the table version is not confirmed')
 
-    async def _follow(self, host: HostRecord) -> None:
+    def _follow(self, host: HostRecord) -> None:
         link = self._links.get(host.worker_id)
         if host.state is HostState.LEAVING:
             if link is not None:
-                self._close_worker(link, 'leaving')
+                self._close_worker(link, Closing.LISTED_LEAVING)
             return
         if link is None:
-            await self._add_link(host)
+            self._add_link(host)
+        elif Closing.LISTED_LEAVING in self._closings.get(host.worker_id, ()):
+            # The host view calls a worker live again only once it is sure.
+            self._reopen(link, Closing.LISTED_LEAVING, Closing.SAID_LEAVING)
 
-    async def _add_link(self, host: HostRecord) -> None:
-        if not await self._remember_worker(host.worker_id):
-            return
-        if host.worker_id in self._links:
+    def _add_link(self, host: HostRecord) -> None:
+        if host.worker_id not in self._known_workers:
             return
         link = WorkerLink(
             host=host,
@@ -387,17 +404,17 @@
         self._links[host.worker_id] = link
         self._tasks.spawn(link.run())
 
-    async def _remember_worker(self, worker_id: str) -> bool:
+    async def _remember_workers(self, worker_ids: Iterable[str]) -> bool:
         """
-        Record the worker before its first start, so that a later owner knows
-        whom to fence; False if that is not possible now.
+        Record the workers before the first start on them, so that a later
+        owner knows whom to fence; False if that is not possible now.
         """
-        if worker_id in self._known_workers:
+        known = self._known_workers.union(worker_ids)
+        if known == self._known_workers:
             return True
-        worker_ids = {*self._known_workers, worker_id}
         row = put(
             worker_set_key(self.shard),
-            WorkerSet(worker_ids=tuple(sorted(worker_ids))),
+            WorkerSet(worker_ids=tuple(sorted(known))),
         )
         try:
             await self._committer.commit(
@@ -406,13 +423,45 @@
             )
         except OwnerError:
             return False
-        self._known_workers.add(worker_id)
+        self._known_workers = known
         return True
 
-    def _close_worker(self, link: WorkerLink, reason: str) -> None:
+    async def _follow_later(self, hosts: tuple[HostRecord, ...]) -> None:
+        await self._clock.sleep_ms(self._timing.worker_retry_ms)
+        await self.set_hosts(hosts)
+
+    def _close_worker(
+        self,
+        link: WorkerLink,
+        closing: Closing,
+        detail: str = '',
+    ) -> None:
+        """
+        Place nothing more on the worker until the reason is gone.
+        """
+        closings = self._closings.setdefault(link.worker_id, set())
+        if closing in closings:
+            return
+        closings.add(closing)
         now_ms = self._clock.monotonic_ms()
         self._policy.close_worker(link.worker_id, now_ms)
-        self._record(EventKind.WORKER_LEAVING, link, reason)
+        self._record(
+            EventKind.WORKER_LEAVING,
+            link,
+            f'{closing.value} {detail}'.strip(),
+        )
+
+    def _reopen(self, link: WorkerLink, *gone: Closing) -> None:
+        """
+        Use the worker again if no reason against it is left.
+        """
+        now_ms = self._clock.monotonic_ms()
+        closings = self._closings.setdefault(link.worker_id, set())
+        closings.difference_update(gone)
+        if closings:
+            self._policy.close_worker(link.worker_id, now_ms)
+        elif link.state is LinkState.OPEN:
+            self._policy.add_worker(_worker_info(link.host), now_ms)
 
     def _adopt_request(
         self,
--- a/tests/owner_harness.py
+++ b/tests/owner_harness.py
@@ -208,7 +208,7 @@
             timing=timing or OwnerTiming(),
             events=self.events,
         )
-        await owner.open(self.hosts())
+        await owner.open(self.hosts)
         await self.clock.sleep_ms(50)
         return owner
 
