--- a/src/hawthornpier/adapters/__init__.py
+++ b/src/hawthornpier/adapters/__init__.py
@@ -9,7 +9,11 @@
     encode_message,
     encode_outcome,
 )
-from hawthornpier.adapters._connections import ConnectionPool
+from hawthornpier.adapters._connections import (
+    ConnectionPool,
+    HttpCall,
+    HttpReply,
+)
 from hawthornpier.adapters._errors import (
     AdapterError,
     MessageError,
@@ -33,9 +37,11 @@
 __all__ = [
     'AdapterError',
     'ConnectionPool',
+    'HttpCall',
     'HttpHostList',
     'HttpObjectStore',
     'HttpPeer',
+    'HttpReply',
     'HttpTableStore',
     'HttpWorker',
     'JobReference',
--- /dev/null
+++ b/src/hawthornpier_standin/servers/_announcer.py
@@ -0,0 +1,82 @@
+"""
+Keeps the platform's host list up to date with the workers of a process.
+"""
+
+import asyncio
+from contextlib import closing
+from urllib.parse import quote
+
+from hawthornpier.adapters import (
+    AdapterError,
+    ConnectionPool,
+    HttpCall,
+    encode_message,
+)
+from hawthornpier.messages import HostRecord
+from hawthornpier_standin.servers._pool import WorkerPool
+
+_INTERVAL_S = 0.5
+_DEADLINE_MS = 2_000
+_HOSTS_PATH = '/control/v1/hosts'
+
+
+class Announcer:
+    """
+    Sends the changes of the host list to the platform.
+
+    Args:
+        platform_address: Address of the platform's server.
+        pool: The workers.
+    """
+
+    def __init__(self, platform_address: str, pool: WorkerPool) -> None:
+        self._connections = ConnectionPool(platform_address)
+        self._pool = pool
+        self._announced: dict[str, HostRecord] = {}
+
+    async def run(self) -> None:
+        """
+        Announce changes until the task is cancelled.
+        """
+        with closing(self._connections):
+            while True:
+                await self._try_to_announce()
+                await asyncio.sleep(_INTERVAL_S)
+
+    async def announce(self) -> None:
+        """
+        Send what changed since the last announcement.
+
+        Raises:
+            AdapterError: The platform did not take the change.
+        """
+        hosts = {host.worker_id: host for host in self._pool.hosts()}
+        if hosts == self._announced:
+            return
+        body = encode_message(tuple(hosts.values()))
+        await self._send('PUT', _HOSTS_PATH, body)
+        for worker_id in self._announced.keys() - hosts.keys():
+            await self._send('DELETE', f'{_HOSTS_PATH}/{quote(worker_id)}')
+        self._announced = hosts
+
+    async def _try_to_announce(self) -> None:
+        try:
+            await self.announce()
+        except AdapterError:
+            # The platform may start later; the next round tries again.
+            return
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+    ) -> None:
+        await self._connections.send(
+            HttpCall(
+                method=method,
+                path=path,
+                body=body,
+                deadline_ms=_DEADLINE_MS,
+            ),
+        )
--- /dev/null
+++ b/src/hawthornpier_standin/servers/_commands.py
@@ -0,0 +1,182 @@
+"""
+Commands that run the stand-ins as processes.
+"""
+
+import asyncio
+import signal
+import sys
+from argparse import ArgumentParser, Namespace
+from contextlib import ExitStack
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+
+from hawthornpier.adapters import SystemClock
+from hawthornpier.messages import Resources
+from hawthornpier_standin.platform import MemoryStore
+from hawthornpier_standin.servers._announcer import Announcer
+from hawthornpier_standin.servers._history_file import HistoryFile
+from hawthornpier_standin.servers._platform import PlatformServer
+from hawthornpier_standin.servers._pool import WorkerPool, WorkerPoolOptions
+from hawthornpier_standin.workers import Recorder, WorkerModel
+
+_MILLIS_PER_CORE = 1_000
+_BYTES_PER_GB = 1_000_000_000
+
+_WORKER_TEXTS = MappingProxyType(
+    {'--host': '127.0.0.1', '--region': '', '--failure-domain': ''},
+)
+_WORKER_NUMBERS = MappingProxyType(
+    {
+        '--first-port': 0,
+        '--control-port': 0,
+        '--count': 1,
+        '--rack-size': 8,
+        '--cores': 32,
+        '--memory-gb': 125,
+        '--accelerators': 0,
+        '--slots': 8,
+        '--seed': 0,
+    },
+)
+
+
+def add_commands(subparsers: Any) -> None:
+    """
+    Add the commands of the stand-ins to an argument parser.
+
+    Each command sets *run*, a function that takes the parsed arguments and
+    returns the exit status.
+
+    Args:
+        subparsers: What `ArgumentParser.add_subparsers` returns.
+    """
+    _add_platform(
+        subparsers.add_parser('standin-platform', help='run a platform'),
+    )
+    _add_workers(
+        subparsers.add_parser('standin-workers', help='run many workers'),
+    )
+
+
+def _add_platform(parser: ArgumentParser) -> None:
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument('--port', type=int, default=0)
+    parser.set_defaults(run=run_platform)
+
+
+def _add_workers(parser: ArgumentParser) -> None:
+    parser.add_argument('--name', required=True, help='start of worker ids')
+    for flag, default in _WORKER_TEXTS.items():
+        parser.add_argument(flag, default=default)
+    for number_flag, number in _WORKER_NUMBERS.items():
+        parser.add_argument(number_flag, type=int, default=number)
+    parser.add_argument('--no-guards', action='store_true')
+    parser.add_argument('--model', type=Path, help='JSON of a WorkerModel')
+    parser.add_argument('--platform', help='address that lists the workers')
+    parser.add_argument('--history', type=Path, help='file for JSON lines')
+    parser.set_defaults(run=run_workers)
+
+
+def run_platform(arguments: Namespace) -> int:
+    """
+    Run the platform until a signal asks for the end.
+    """
+    asyncio.run(_serve_platform(arguments))
+    return 0
+
+
+def run_workers(arguments: Namespace) -> int:
+    """
+    Run workers until a signal asks for the end.
+    """
+    with ExitStack() as stack:
+        recorder: Recorder = _no_history
+        if arguments.history:
+            history = stack.enter_context(HistoryFile(arguments.history))
+            recorder = history.record
+        asyncio.run(_serve_workers(arguments, recorder))
+    return 0
+
+
+def pool_options(arguments: Namespace) -> WorkerPoolOptions:
+    """
+    Return the options of a worker pool from parsed arguments.
+    """
+    model = WorkerModel()
+    if arguments.model:
+        model = msgspec.json.decode(
+            arguments.model.read_bytes(),
+            type=WorkerModel,
+        )
+    return WorkerPoolOptions(
+        name=arguments.name,
+        host=arguments.host,
+        first_port=arguments.first_port,
+        worker_count=arguments.count,
+        region=arguments.region,
+        failure_domain=arguments.failure_domain,
+        rack_size=arguments.rack_size,
+        capacity=Resources(
+            processor_millis=arguments.cores * _MILLIS_PER_CORE,
+            memory_bytes=arguments.memory_gb * _BYTES_PER_GB,
+            accelerator_count=arguments.accelerators,
+            slot_count=arguments.slots,
+        ),
+        seed=arguments.seed,
+        has_guards=not arguments.no_guards,
+        model=model,
+    )
+
+
+def _no_history(record: object) -> None:
+    """
+    Drop *record*.
+    """
+
+
+async def _serve_platform(arguments: Namespace) -> None:
+    server = PlatformServer(MemoryStore(clock=SystemClock()))
+    port = server.listen(arguments.host, arguments.port)
+    _report_ready({'address': f'{arguments.host}:{port}'})
+    await _wait_for_signal()
+    await server.close()
+
+
+async def _serve_workers(arguments: Namespace, recorder: Recorder) -> None:
+    pool = WorkerPool(
+        pool_options(arguments),
+        clock=SystemClock(),
+        recorder=recorder,
+    )
+    port = pool.listen(arguments.control_port)
+    announcing = None
+    if arguments.platform:
+        announcer = Announcer(arguments.platform, pool)
+        announcing = asyncio.ensure_future(announcer.run())
+    _report_ready(
+        {
+            'control': f'{arguments.host}:{port}',
+            'workers': [host.address for host in pool.hosts()],
+        },
+    )
+    await _wait_for_signal()
+    if announcing:
+        announcing.cancel()
+    await pool.close()
+
+
+def _report_ready(addresses: object) -> None:
+    # One line on the standard output tells a launcher the chosen ports.
+    sys.stdout.write(f'{msgspec.json.encode(addresses).decode()}\n')
+    sys.stdout.flush()
+
+
+async def _wait_for_signal() -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
--- /dev/null
+++ b/src/hawthornpier_standin/servers/_http.py
@@ -0,0 +1,157 @@
+"""
+What the HTTP servers of the stand-ins have in common.
+"""
+
+import asyncio
+from http import HTTPStatus
+from typing import Any, TypeVar
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.iostream import IOStream
+from tornado.netutil import bind_sockets
+from tornado.web import HTTPError, RequestHandler
+
+_Message = TypeVar('_Message')
+
+# Announces more than it sends: clients do not repeat a request by themselves
+# once a response has begun.
+_CUT_RESPONSE = b'HTTP/1.1 200 OK\r\nContent-Length: 64\r\n\r\n{'
+
+
+class LimitedServer(HTTPServer):
+    """
+    An HTTP server with a limit of connections, which can let them hang.
+    """
+
+    def initialize(
+        self,
+        *handlers: Any,
+        connection_limit: int = 0,
+        **options: Any,
+    ) -> None:
+        """
+        Set up the server.
+
+        Args:
+            handlers: The application that handles the requests.
+            connection_limit: Largest number of open connections, or 0 for
+                no limit; further ones are closed at once.
+            options: Options of tornado's server.
+        """
+        self._connection_limit = connection_limit
+        self._open: set[IOStream] = set()
+        self._hung: set[IOStream] = set()
+        super().initialize(*handlers, **options)
+
+    @property
+    def open_count(self) -> int:
+        """
+        Number of open connections.
+        """
+        return len(self._open)
+
+    def handle_stream(self, stream: IOStream, address: Any) -> None:
+        """
+        Serve a new connection, or close it when there are too many.
+        """
+        self._drop_closed()
+        if self._connection_limit and self.open_count >= self._connection_limit:
+            stream.close()
+            return
+        self._open.add(stream)
+        super().handle_stream(stream, address)
+
+    def on_close(self, server_conn: object) -> None:
+        """
+        Forget a closed connection.
+        """
+        super().on_close(server_conn)
+        self._drop_closed()
+
+    def hang_open_connections(self) -> None:
+        """
+        Ignore all further requests on the connections that are open now.
+        """
+        self._hung |= self._open
+
+    def is_hung(self, stream: IOStream) -> bool:
+        """
+        Tell whether the requests on a connection are ignored.
+        """
+        return stream in self._hung
+
+    def _drop_closed(self) -> None:
+        self._open = {stream for stream in self._open if not stream.closed()}
+        self._hung &= self._open
+
+
+class MessageHandler(RequestHandler):
+    """
+    Decodes and encodes JSON messages.
+    """
+
+    server: LimitedServer
+
+    def prepare(self) -> None:
+        """
+        Prepare to notice that the client has gone.
+        """
+        self._gone = asyncio.Event()
+
+    def on_connection_close(self) -> None:
+        """
+        Note that the client has gone.
+        """
+        self._gone.set()
+
+    def message(self, message_type: type[_Message]) -> _Message:
+        """
+        Return the message in the request's body.
+        """
+        try:
+            return msgspec.json.decode(self.request.body, type=message_type)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise HTTPError(
+                HTTPStatus.BAD_REQUEST,
+                log_message=str(error),
+            ) from error
+
+    def reply(self, message: object) -> None:
+        """
+        Send a message as the response.
+        """
+        self.set_header('Content-Type', 'application/json')
+        self.finish(msgspec.json.encode(message))
+
+    def cut(self) -> None:
+        """
+        Close the connection in the middle of a response.
+        """
+        stream = self.detach()
+        stream.write(_CUT_RESPONSE)
+        stream.close()
+
+    async def stay_silent(self) -> None:
+        """
+        Send nothing until the client closes the connection.
+        """
+        await self._gone.wait()
+
+    def stream(self) -> IOStream:
+        """
+        Return the connection of the request.
+        """
+        connection: Any = self.request.connection
+        stream: IOStream = connection.stream
+        return stream
+
+
+def listen(server: LimitedServer, host: str, port: int) -> int:
+    """
+    Let *server* listen; return the port, which is chosen if *port* is 0.
+    """
+    sockets = bind_sockets(port, host)
+    server.add_sockets(sockets)
+    chosen: int = sockets[0].getsockname()[1]
+    return chosen
--- /dev/null
+++ b/src/hawthornpier_standin/servers/_pool.py
@@ -0,0 +1,213 @@
+"""
+Many workers in one process, each on a port of its own.
+"""
+
+from dataclasses import dataclass
+from http import HTTPStatus
+
+from tornado.web import Application, HTTPError
+
+from hawthornpier.messages import HostRecord, HostState, Resources
+from hawthornpier.ports import Clock
+from hawthornpier_standin.servers._http import (
+    LimitedServer,
+    MessageHandler,
+    listen,
+)
+from hawthornpier_standin.servers._platform import ignore_request
+from hawthornpier_standin.servers._worker import WorkerServer
+from hawthornpier_standin.workers import (
+    MemoryWorker,
+    Recorder,
+    WorkerFaults,
+    WorkerModel,
+)
+
+# Longer than the deadline of any client, so that clients give up first.
+_DEADLINE_MS = 3_600_000
+
+_ALL_WORKERS = 'all'
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerPoolOptions:
+    """
+    Options of the workers of one process.
+
+    Args:
+        name: Beginning of the worker ids.
+        host: Address to listen on.
+        first_port: Port of the first worker; the others follow. With 0 all
+            ports are chosen.
+        worker_count: Number of workers.
+        region: Region of all workers.
+        failure_domain: Failure domain of all workers.
+        rack_size: Number of workers in a rack.
+        capacity: What each worker can carry.
+        seed: Determines the service times.
+        has_guards: Whether the workers enforce epochs and capacity.
+        model: Behaviour of all workers.
+    """
+
+    name: str
+    host: str = '127.0.0.1'
+    first_port: int = 0
+    worker_count: int = 1
+    region: str = ''
+    failure_domain: str = ''
+    rack_size: int = 8
+    capacity: Resources = Resources()
+    seed: int = 0
+    has_guards: bool = True
+    model: WorkerModel = WorkerModel()
+
+
+class WorkerPool:
+    """
+    The servers of the workers of one process, and their control server.
+
+    Args:
+        options: What to run.
+        clock: Time source of the workers.
+        recorder: Receives the history records of all workers.
+    """
+
+    def __init__(
+        self,
+        options: WorkerPoolOptions,
+        *,
+        clock: Clock,
+        recorder: Recorder,
+    ) -> None:
+        self._options = options
+        self._clock = clock
+        self._recorder = recorder
+        self._sites = {
+            site.worker.worker_id: site
+            for site in map(self._start_site, range(options.worker_count))
+        }
+        context = {'pool': self}
+        self._control = LimitedServer(
+            Application(
+                [
+                    ('/control/v1/workers', _HostsHandler, context),
+                    (
+                        '/control/v1/workers/([^/]+)/faults',
+                        _FaultsHandler,
+                        context,
+                    ),
+                    ('/control/v1/workers/([^/]+)/hang', _HangHandler, context),
+                ],
+                log_function=ignore_request,
+            ),
+        )
+
+    def listen(self, port: int = 0) -> int:
+        """
+        Start the control server; return its port.
+        """
+        return listen(self._control, self._options.host, port)
+
+    def hosts(self) -> tuple[HostRecord, ...]:
+        """
+        Return the workers that live, as the host list shows them.
+        """
+        return tuple(
+            self._host(number, site)
+            for number, site in enumerate(self._sites.values())
+            if not site.worker.faults.is_dead
+        )
+
+    def sites(self, worker_id: str) -> tuple[WorkerServer, ...]:
+        """
+        Return the servers of one worker, or of ``all``.
+
+        Raises:
+            KeyError: There is no such worker.
+        """
+        if worker_id == _ALL_WORKERS:
+            return tuple(self._sites.values())
+        return (self._sites[worker_id],)
+
+    async def close(self) -> None:
+        """
+        Stop all servers.
+        """
+        self._control.stop()
+        await self._control.close_all_connections()
+        for site in self._sites.values():
+            await site.close()
+
+    def _start_site(self, number: int) -> WorkerServer:
+        options = self._options
+        worker = MemoryWorker(
+            worker_id=f'{options.name}-{number}',
+            capacity=options.capacity,
+            clock=self._clock,
+            seed=options.seed,
+            has_guards=options.has_guards,
+            model=options.model,
+            recorder=self._recorder,
+            deadline_ms=_DEADLINE_MS,
+        )
+        return WorkerServer(
+            worker,
+            host=options.host,
+            port=options.first_port and options.first_port + number,
+        )
+
+    def _host(self, number: int, site: WorkerServer) -> HostRecord:
+        options = self._options
+        rack_number = number // options.rack_size
+        is_leaving = site.worker.faults.is_leaving
+        return HostRecord(
+            worker_id=site.worker.worker_id,
+            address=site.address,
+            region=options.region,
+            failure_domain=options.failure_domain,
+            rack=f'{options.failure_domain}-{options.name}-{rack_number}',
+            capacity=options.capacity,
+            state=HostState.LEAVING if is_leaving else HostState.LIVE,
+        )
+
+
+class _PoolHandler(MessageHandler):
+    def initialize(self, pool: WorkerPool) -> None:
+        self.pool = pool
+
+    def chosen(self, worker_id: str) -> tuple[WorkerServer, ...]:
+        """
+        Return the servers that a path names.
+        """
+        try:
+            return self.pool.sites(worker_id)
+        except KeyError as error:
+            raise HTTPError(HTTPStatus.NOT_FOUND) from error
+
+
+class _HostsHandler(_PoolHandler):
+    def get(self) -> None:
+        self.reply(self.pool.hosts())
+
+
+class _FaultsHandler(_PoolHandler):
+    def get(self, worker_id: str) -> None:
+        self.reply([site.worker.faults for site in self.chosen(worker_id)])
+
+    async def put(self, worker_id: str) -> None:
+        faults = self.message(WorkerFaults)
+        for site in self.chosen(worker_id):
+            try:
+                await site.apply_faults(faults)
+            except ValueError as error:
+                raise HTTPError(
+                    HTTPStatus.CONFLICT,
+                    log_message=str(error),
+                ) from error
+        self.reply(faults)
+
+
+class _HangHandler(_PoolHandler):
+    def post(self, worker_id: str) -> None:
+        for site in self.chosen(worker_id):
+            site.server.hang_open_connections()
--- /dev/null
+++ b/tests/test_standin_servers.py
@@ -0,0 +1,317 @@
+"""
+Tests of the stand-ins over HTTP, through the adapters.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from hawthornpier.adapters import (
+    ConnectionPool,
+    HttpCall,
+    HttpHostList,
+    HttpObjectStore,
+    HttpReply,
+    HttpTableStore,
+    HttpWorker,
+    SystemClock,
+    encode_message,
+)
+from hawthornpier.messages import (
+    EndpointRequest,
+    EndpointStatus,
+    Fence,
+    HostState,
+    LeaseRenewal,
+    Resources,
+    RowPut,
+    StartBatch,
+    StartVerdict,
+    TaskAction,
+    TaskControl,
+    TaskResult,
+    TaskStart,
+    Transaction,
+)
+from hawthornpier.ports import (
+    StoreAnswerLostError,
+    StoreUnavailableError,
+    WorkerAnswerLostError,
+    WorkerUnreachableError,
+)
+from hawthornpier_standin.history import Record, RecordKind
+from hawthornpier_standin.platform import MemoryStore, StoreFaults
+from hawthornpier_standin.servers import (
+    HistoryFile,
+    PlatformServer,
+    WorkerPool,
+    WorkerPoolOptions,
+)
+from hawthornpier_standin.servers._announcer import Announcer
+from hawthornpier_standin.workers import WorkerFaults
+
+CAPACITY = Resources(processor_millis=8000, slot_count=8)
+DEMAND = Resources(processor_millis=100, slot_count=1)
+
+
+@asynccontextmanager
+async def platform() -> AsyncIterator[tuple[MemoryStore, str]]:
+    """
+    Run a platform and give its address.
+    """
+    store = MemoryStore(clock=SystemClock())
+    server = PlatformServer(store)
+    port = server.listen('127.0.0.1')
+    yield store, f'127.0.0.1:{port}'
+    await server.close()
+
+
+@asynccontextmanager
+async def workers(
+    *records: list[Record],
+) -> AsyncIterator[tuple[WorkerPool, HttpWorker, str]]:
+    """
+    Run two workers; give a client of the first and the control address.
+    """
+    pool = WorkerPool(
+        WorkerPoolOptions(name='w', worker_count=2, capacity=CAPACITY),
+        clock=SystemClock(),
+        recorder=records[0].append if records else lambda record: None,
+    )
+    port = pool.listen()
+    client = HttpWorker(pool.hosts()[0].address, deadline_ms=1_000)
+    yield pool, client, f'127.0.0.1:{port}'
+    client.close()
+    await pool.close()
+
+
+async def put(address: str, path: str, message: object) -> HttpReply:
+    """
+    Set faults over the control path.
+    """
+    return await ConnectionPool(address).send(
+        HttpCall(
+            method='PUT',
+            path=path,
+            body=encode_message(message),
+            deadline_ms=1_000,
+        ),
+    )
+
+
+def request_of(request_id: str, deadline_ms: int = 5_000) -> EndpointRequest:
+    """
+    Return a request whose body has characters of several bytes.
+    """
+    return EndpointRequest(
+        request_id=request_id,
+        service='stock',
+        shard='s1',
+        epoch=1,
+        demand=DEMAND,
+        deadline_ms=deadline_ms,
+        body='{"operation": "böle-1"}',
+    )
+
+
+class TestPlatformServer:
+    """
+    The store behaves over HTTP as it does in memory.
+    """
+
+    async def test_rows_and_objects_round_trip(self) -> None:
+        """
+        Keys with slashes and any other character survive the path.
+        """
+        async with platform() as (_, address):
+            store = HttpTableStore(address)
+            key = 'table/row/ä b%2F?#'
+            written = await store.transact(
+                Transaction(
+                    transaction_id='t1',
+                    puts=(RowPut(key=key, text='{"a": 1}'),),
+                ),
+            )
+            assert await store.read(key) == written.rows[0]
+            assert await store.scan('table/row/ä') == written.rows
+            assert await store.read('table/row') is None
+            objects = HttpObjectStore(address)
+            await objects.put('a/b', b'\x00\xff')
+            assert await objects.get('a/b') == b'\x00\xff'
+            assert await objects.get('a') is None
+
+    async def test_faults_reach_the_client(self) -> None:
+        """
+        An outage is told from a lost answer, also over a kept connection.
+        """
+        async with platform() as (_, address):
+            store = HttpTableStore(address)
+            transaction = Transaction(
+                transaction_id='t1',
+                puts=(RowPut(key='k', text='1'),),
+            )
+            faults = StoreFaults(lost_answer_count=1)
+            await put(address, '/control/v1/faults', faults)
+            assert await store.read('k') is None
+            with pytest.raises(StoreAnswerLostError):
+                await store.transact(transaction)
+            row = await store.read('k')
+            assert (await store.transact(transaction)).rows == (row,)
+            await put(address, '/control/v1/faults', StoreFaults(is_out=True))
+            with pytest.raises(StoreUnavailableError):
+                await store.transact(transaction)
+            with pytest.raises(StoreUnavailableError):
+                await HttpHostList(address).listing()
+
+
+class TestWorkerServer:
+    """
+    A worker behaves over HTTP as it does in memory.
+    """
+
+    async def test_a_run_lives_through_its_calls(self) -> None:
+        """
+        Every call of the worker port has its path.
+        """
+        records: list[Record] = []
+        async with workers(records) as (_, worker, _):
+            start = TaskStart(
+                run_id='1.1',
+                task_id='j/0',
+                member='m',
+                workload='plan',
+                demand=DEMAND,
+                lease_ms=60_000,
+                work_ms=3_600_000,
+            )
+            batch = StartBatch(shard='s1', epoch=1, starts=(start,))
+            assert (await worker.start(batch)).verdicts == (
+                StartVerdict.STARTED,
+            )
+            fenced = await worker.fence(Fence(shard='s1', epoch=2))
+            assert [run.run_id for run in fenced.running] == ['1.1']
+            control = TaskControl(
+                shard='s1',
+                epoch=2,
+                run_id='1.1',
+                action=TaskAction.EVICT,
+            )
+            assert (await worker.control(control)).is_accepted
+            renewal = LeaseRenewal(shard='s1', epoch=2, lease_ms=1)
+            outcomes = (await worker.renew(renewal)).outcomes
+            assert [end.result for end in outcomes] == [TaskResult.EVICTED]
+            assert (await worker.report()).worker_id == 'w-0'
+            kinds = [record.kind for record in records if record.run_id]
+            assert kinds == [
+                RecordKind.RUN_STARTED,
+                RecordKind.RUN_CHECKPOINTED,
+                RecordKind.RUN_ENDED,
+            ]
+
+    async def test_a_reply_repeats_the_request(self) -> None:
+        """
+        G4: the reply has the request's id and its whole body.
+        """
+        async with workers() as (_, worker, _):
+            reply = await worker.request(request_of('r/1'))
+            assert reply.status == EndpointStatus.ANSWERED
+            assert len(reply.body.encode()) == reply.body_bytes
+            echo = msgspec.json.decode(reply.body)['echo']
+            assert echo == request_of('r/1').body
+            assert await worker.request_state('r/1') == reply
+
+    async def test_repeated_responses_confuse_nobody(self) -> None:
+        """
+        G4: a response that arrives twice does not answer another request.
+        """
+        async with workers() as (_, worker, control):
+            faults = WorkerFaults(duplicates_replies=True)
+            await put(control, '/control/v1/workers/w-0/faults', faults)
+            for number in range(5):
+                request = request_of(f'r{number}')
+                reply = await worker.request(request)
+                assert reply.request_id == request.request_id
+
+    async def test_a_silent_worker_loses_the_answer(self) -> None:
+        """
+        G5: a request that a silent worker ran is not reported as not run.
+        """
+        async with workers() as (_, worker, control):
+            path = '/control/v1/workers/all/faults'
+            await put(control, path, WorkerFaults(is_silent=True))
+            with pytest.raises(WorkerAnswerLostError):
+                await worker.request(request_of('r1', deadline_ms=500))
+            await put(control, path, WorkerFaults())
+            state = await worker.request_state('r1')
+            assert state.status != EndpointStatus.NEVER_SEEN
+
+    async def test_hung_connections_leave_new_ones_working(self) -> None:
+        """
+        A connection that hangs for good costs one call, not the worker.
+        """
+        async with workers() as (pool, worker, _):
+            await worker.report()
+            pool.sites('w-0')[0].server.hang_open_connections()
+            with pytest.raises(WorkerAnswerLostError):
+                await worker.request(request_of('r1', deadline_ms=500))
+            state = await worker.request_state('r1')
+            assert state.status == EndpointStatus.NEVER_SEEN
+
+    async def test_the_worker_limits_its_connections(self) -> None:
+        """
+        D6: a worker accepts 64 connections and no more.
+        """
+        async with workers() as (pool, _, _):
+            host, _, port = pool.hosts()[0].address.partition(':')
+            writers = []
+            for _ in range(65):
+                reader, writer = await asyncio.open_connection(host, port)
+                writers.append(writer)
+            assert await reader.read() == b''
+            assert pool.sites('w-0')[0].server.open_count == 64
+            for writer in writers:
+                writer.close()
+
+    async def test_a_dead_worker_refuses_connections(self) -> None:
+        """
+        A dead worker is unreachable, cannot come back, and leaves the list.
+        """
+        async with (
+            platform() as (_, address),
+            workers() as (pool, worker, control),
+        ):
+            announcer = Announcer(address, pool)
+            await announcer.announce()
+            path = '/control/v1/workers/w-0/faults'
+            await put(control, path, WorkerFaults(is_dead=True))
+            leaving = WorkerFaults(is_leaving=True)
+            await put(control, '/control/v1/workers/w-1/faults', leaving)
+            with pytest.raises(WorkerUnreachableError):
+                await worker.report()
+            assert (await put(control, path, WorkerFaults())).status == 409
+            await announcer.announce()
+            hosts = (await HttpHostList(address).listing()).hosts
+            assert [(host.worker_id, host.state) for host in hosts] == [
+                ('w-1', HostState.LEAVING),
+            ]
+
+
+class TestHistoryFile:
+    """
+    Histories survive the process that wrote them.
+    """
+
+    def test_records_are_lines_of_json(self, tmp_path: Path) -> None:
+        """
+        A record is in the file before the writer closes it.
+        """
+        record = Record(at_ms=1.5, kind=RecordKind.RUN_STARTED, source='w-0')
+        path = tmp_path / 'history'
+        with HistoryFile(path) as history:
+            history.record(record)
+            line = path.read_bytes()
+        assert msgspec.json.decode(line, type=Record) == record
