--- /dev/null
+++ b/tools/bench/__init__.py
@@ -0,0 +1,3 @@
+"""
+Measures the scheduler in virtual time; run by ``make bench``.
+"""
--- /dev/null
+++ b/tools/bench/feed.py
@@ -0,0 +1,130 @@
+"""
+Requests and tasks of a scenario, the same for every variant.
+"""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from hawthornpier.policy import RequestDemand, TaskDemand
+from tools.bench import members
+from tools.bench.scenario import BatchLoad, Scenario, ServiceLoad, lognormal
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class RequestArrival:
+    """
+    A request, and the work that it really is.
+    """
+
+    at_ms: float
+    demand: RequestDemand
+    work_ms: float
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TaskArrival:
+    """
+    A task, and the work and the processor use that it really has.
+    """
+
+    at_ms: float
+    demand: TaskDemand
+    work_ms: float
+    usage_millis: float
+    is_short: bool
+
+
+class Feed:
+    """
+    Draws the arrivals of a scenario.
+
+    Args:
+        scenario: What is drawn.
+        seed: Seed of the draws.
+    """
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self._scenario = scenario
+        self._seed = seed
+        self._sources: dict[str, random.Random] = {}
+        self._counts: dict[str, int] = {}
+
+    def requests(self) -> Iterator[RequestArrival]:
+        """
+        Yield all requests, service by service.
+        """
+        for service in self._scenario.services:
+            source = self._source(service.service)
+            for number, at_ms in enumerate(self._times(service, source)):
+                yield RequestArrival(
+                    at_ms=at_ms,
+                    demand=RequestDemand(
+                        request_id=f'{service.service}-{number}',
+                        member=self._scenario.profile.member,
+                        service=service.service,
+                        demand=members.REQUEST,
+                        deadline_ms=int(at_ms) + service.deadline_ms,
+                    ),
+                    work_ms=lognormal(source, service.mean_ms, service.sigma),
+                )
+
+    def jobs(self) -> Iterator[TaskArrival]:
+        """
+        Yield the tasks of all jobs that arrive by themselves.
+        """
+        for batch in self._scenario.batches:
+            source = self._source(f'{batch.workload}-times')
+            at_ms = float(batch.from_ms)
+            until_ms = min(batch.until_ms, self._scenario.duration_ms)
+            while batch.job_rate_per_s:
+                at_ms += source.expovariate(batch.job_rate_per_s / 1000)
+                if at_ms >= until_ms:
+                    break
+                for _ in range(batch.job_size):
+                    yield self.task(batch, at_ms)
+
+    def task(self, batch: BatchLoad, at_ms: float) -> TaskArrival:
+        """
+        Draw the next task of a workload.
+        """
+        source = self._source(batch.workload)
+        number = self._counts.get(batch.workload, 0)
+        self._counts[batch.workload] = number + 1
+        work_ms = lognormal(source, batch.mean_ms, batch.sigma)
+        if source.random() < batch.straggler_fraction:
+            work_ms *= batch.straggler_factor
+        error = batch.error_factor ** source.uniform(-1, 1)
+        usage_error = batch.error_factor ** source.uniform(-1, 1)
+        low, high = batch.usage
+        millis = batch.demand.processor_millis * source.uniform(low, high)
+        job = number // batch.job_size
+        return TaskArrival(
+            at_ms=at_ms,
+            demand=TaskDemand(
+                task_id=f'{batch.workload}-{job}/{number % batch.job_size}',
+                member=self._scenario.profile.member,
+                workload=batch.workload,
+                demand=batch.demand,
+                declared_work_ms=int(work_ms * error),
+            ),
+            work_ms=work_ms,
+            usage_millis=millis * usage_error,
+            is_short=batch.is_short,
+        )
+
+    def _times(
+        self,
+        service: ServiceLoad,
+        source: random.Random,
+    ) -> Iterator[float]:
+        peak = max(factor for _, factor in service.curve)
+        at_ms: float = 0
+        while at_ms < self._scenario.duration_ms:
+            at_ms += source.expovariate(service.rate_per_s * peak / 1000)
+            if source.random() * peak < service.factor(at_ms):
+                yield at_ms
+
+    def _source(self, name: str) -> random.Random:
+        key = f'{self._scenario.name}-{name}-{self._seed}'
+        return self._sources.setdefault(key, random.Random(key))
