--- /dev/null
+++ b/src/hawthornpier/cli/_client.py
@@ -0,0 +1,196 @@
+"""
+HTTP requests of an operator to an entry process.
+"""
+
+import asyncio
+import contextlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from http import HTTPStatus
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+from tornado import httpclient
+from tornado.simple_httpclient import (
+    HTTPStreamClosedError,
+    HTTPTimeoutError,
+)
+
+from hawthornpier.cli._errors import CommandError, ExitCode
+from hawthornpier.table import (
+    DocumentError,
+    delta_from_document,
+    describe_change,
+)
+
+_CONNECT_TIMEOUT_S = 3
+_CODES: Mapping[int, ExitCode] = MappingProxyType(
+    {
+        HTTPStatus.BAD_REQUEST: ExitCode.INPUT,
+        HTTPStatus.UNPROCESSABLE_ENTITY: ExitCode.INPUT,
+        HTTPStatus.UNAUTHORIZED: ExitCode.NOT_PERMITTED,
+        HTTPStatus.FORBIDDEN: ExitCode.NOT_PERMITTED,
+        HTTPStatus.NOT_FOUND: ExitCode.NOT_FOUND,
+        HTTPStatus.CONFLICT: ExitCode.CONFLICT,
+        HTTPStatus.SERVICE_UNAVAILABLE: ExitCode.UNAVAILABLE,
+        HTTPStatus.GATEWAY_TIMEOUT: ExitCode.UNKNOWN,
+    }
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EntryClient:
+    """
+    Sends requests to the first entry process that accepts a connection.
+
+    *authority_file* is the TLS authority; without one, HTTP is used.
+    """
+
+    addresses: tuple[str, ...]
+    member: str
+    operator_key: str
+    authority_file: str = ''
+    timeout_s: float = 10
+
+    def get(self, path: str) -> Any:
+        """
+        Return the decoded JSON of a read.
+
+        Raises:
+            CommandError: If there is no good answer.
+        """
+        return _decode(self.send('GET', path))
+
+    def change(self, method: str, path: str, document: Any = None) -> Any:
+        """
+        Return the decoded JSON of the answer to a change.
+
+        Raises:
+            CommandError: If there is no good answer.
+        """
+        return _decode(self.send(method, path, document))
+
+    def send(self, method: str, path: str, document: Any = None) -> bytes:
+        """
+        Return the body of a good answer.
+
+        Raises:
+            CommandError: If there is no good answer.
+        """
+        return asyncio.run(self._send(method, path, document))
+
+    async def _send(self, method: str, path: str, document: Any) -> bytes:
+        client = httpclient.AsyncHTTPClient(
+            force_instance=True,
+            defaults={
+                'connect_timeout': _CONNECT_TIMEOUT_S,
+                'request_timeout': self.timeout_s,
+                'ca_certs': self.authority_file or None,
+            },
+        )
+        body = None if document is None else msgspec.json.encode(document)
+        scheme = 'https' if self.authority_file else 'http'
+        failures: list[str] = []
+        with contextlib.closing(client):
+            for address in self.addresses:
+                request = httpclient.HTTPRequest(
+                    f'{scheme}://{address}{path}',
+                    method=method,
+                    headers=self._headers(),
+                    body=body,
+                    follow_redirects=False,
+                )
+                answer = await _fetch(client, request, failures)
+                if answer is not None:
+                    return _checked(answer)
+        raise CommandError(*failures, code=ExitCode.UNAVAILABLE)
+
+    def _headers(self) -> dict[str, str]:
+        headers = {'Content-Type': 'application/json'}
+        if self.member:
+            headers['X-Member'] = self.member
+        if self.operator_key:
+            headers['X-Operator-Key'] = self.operator_key
+        return headers
+
+
+async def _fetch(
+    client: httpclient.AsyncHTTPClient,
+    request: httpclient.HTTPRequest,
+    failures: list[str],
+) -> httpclient.HTTPResponse | None:
+    """
+    Return the answer, or None if the request was not sent.
+    """
+    try:
+        return await client.fetch(request, raise_error=False)
+    except HTTPTimeoutError as error:
+        failures.append(f'{request.url}: {error}')
+        if 'connecting' in str(error) or request.method == 'GET':
+            return None
+        raise _answer_lost(request, error) from error
+    except HTTPStreamClosedError as error:
+        failures.append(f'{request.url}: {error}')
+        if request.method == 'GET':
+            return None
+        raise _answer_lost(request, error) from error
+    except (OSError, ValueError) as error:
+        failures.append(f'{request.url}: {error}')
+        return None
+
+
+def _answer_lost(
+    request: httpclient.HTTPRequest,
+    error: Exception,
+) -> CommandError:
+    return CommandError(
+        f'{request.method} {request.url}: {error}; the change may be in force',
+        code=ExitCode.UNKNOWN,
+    )
+
+
+def _checked(answer: httpclient.HTTPResponse) -> bytes:
+    if answer.code in range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES):
+        return answer.body
+    code = _CODES.get(answer.code, ExitCode.FAILURE)
+    raise CommandError(*_reasons(answer), code=code)
+
+
+def _reasons(answer: httpclient.HTTPResponse) -> list[str]:
+    """
+    Return the lines of an error body: the reason and its details.
+    """
+    try:
+        document = msgspec.json.decode(answer.body)
+    except msgspec.DecodeError:
+        document = None
+    if not isinstance(document, dict):
+        return [f'{answer.effective_url}: {answer.code} {answer.reason}']
+    reason = document.get('reason', f'{answer.code} {answer.reason}')
+    lines = [str(reason), *map(str, document.get('errors', ()))]
+    for delta_document in document.get('deltas', ()):
+        lines.extend(_delta_lines(delta_document))
+    return lines
+
+
+def _delta_lines(document: Any) -> list[str]:
+    try:
+        delta = delta_from_document(document)
+    except DocumentError as error:
+        return [str(error)]
+    return [
+        f'version {delta.version} by {delta.member}: {line}'
+        for change in delta.changes
+        for line in describe_change(change)
+    ]
+
+
+def _decode(body: bytes) -> Any:
+    try:
+        return msgspec.json.decode(body) if body else None
+    except msgspec.DecodeError as error:
+        raise CommandError(
+            f'the answer is not JSON: {error}',
+            code=ExitCode.FAILURE,
+        ) from error
--- /dev/null
+++ b/src/hawthornpier/cli/_main.py
@@ -0,0 +1,110 @@
+"""
+Parses the command line, runs a command and reports its errors.
+"""
+
+import argparse
+import os
+import sys
+from collections.abc import Sequence
+from importlib import import_module
+from importlib.util import find_spec
+from typing import Any
+
+import hawthornpier
+from hawthornpier.cli import _job, _process, _table
+from hawthornpier.cli._errors import CommandError, ExitCode, error_lines
+from hawthornpier.settings import SettingsErrorGroup
+from hawthornpier.table import TableError
+
+_COMMANDS = frozenset(
+    ('daemon', 'check', 'table', 'job', 'status', 'timeline'),
+)
+_STAND_INS = 'hawthornpier_standin.servers'
+_ERROR_CODES = (
+    (CommandError, ExitCode.FAILURE),
+    (SettingsErrorGroup, ExitCode.SETTINGS),
+    (TableError, ExitCode.INPUT),
+    (KeyboardInterrupt, ExitCode.INTERRUPTED),
+)
+
+
+def main(argv: Sequence[str] | None = None) -> int:
+    """
+    Run one command.
+
+    Args:
+        argv: The arguments after the program's name; by default those of the
+            process.
+
+    Returns:
+        The exit code of the process.
+    """
+    words = list(sys.argv[1:] if argv is None else argv)
+    try:
+        arguments = _parse(words)
+    except SystemExit as error:
+        # argparse has already written to standard error.
+        return int(error.code or 0)
+    try:
+        code = arguments.run(arguments) or ExitCode.OK
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader of the output, for example "head", has gone; the flush
+        # at exit must not fail again.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        return ExitCode.OK
+    except (Exception, KeyboardInterrupt) as error:
+        if os.environ.get('HAWTHORNPIER_TRACEBACK'):
+            raise
+        return _report(error)
+    return int(code)
+
+
+def _report(error: BaseException) -> ExitCode:
+    for line in error_lines(error):
+        sys.stderr.write(f'hawthornpier: {line}\n')
+    if isinstance(error, CommandError):
+        return error.code
+    for error_type, code in _ERROR_CODES:
+        if isinstance(error, error_type):
+            return code
+    return ExitCode.FAILURE
+
+
+def _parse(words: list[str]) -> argparse.Namespace:
+    codes = '\n'.join(f'  {code.value:>3}  {code.meaning}' for code in ExitCode)
+    parser = argparse.ArgumentParser(
+        prog='hawthornpier',
+        description='A scheduler for colocated latency-critical and batch '
+        'work.',
+        epilog=f'exit codes:\n{codes}',
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        '--version',
+        action='version',
+        version=hawthornpier.__version__,
+    )
+    commands = parser.add_subparsers(
+        title='commands',
+        metavar='COMMAND',
+        required=True,
+    )
+    _process.add_commands(commands)
+    _table.add_commands(commands)
+    _job.add_commands(commands)
+    if not words or words[0] not in _COMMANDS:
+        _add_stand_ins(commands)
+    return parser.parse_args(words)
+
+
+def _add_stand_ins(commands: Any) -> None:
+    """
+    Add the commands of the development stand-ins if they are installed.
+
+    They are imported only for commands that are not the product's own, so
+    that a daemon does not carry them.
+    """
+    package = _STAND_INS.partition('.')[0]
+    if find_spec(package) and find_spec(_STAND_INS):
+        import_module(_STAND_INS).add_commands(commands)
--- /dev/null
+++ b/src/hawthornpier/cli/_options.py
@@ -0,0 +1,125 @@
+"""
+Options and output that several commands share.
+"""
+
+import argparse
+import os
+import sys
+from collections.abc import Callable, Iterable
+from typing import Any
+
+import msgspec
+
+from hawthornpier.cli._errors import CommandError, ExitCode
+from hawthornpier.cli._inputs import read_key
+
+Run = Callable[[argparse.Namespace], ExitCode]
+
+
+def add_command(
+    commands: Any,
+    name: str,
+    run: Run,
+    *,
+    summary: str,
+    is_remote: bool = True,
+) -> argparse.ArgumentParser:
+    """
+    Return the parser of a new command.
+
+    Args:
+        commands: The subparsers that the command is added to.
+        name: The word on the command line.
+        run: What runs the command.
+        summary: One line for the help.
+        is_remote: Whether the command talks to an entry process.
+    """
+    parser: argparse.ArgumentParser = commands.add_parser(
+        name,
+        help=summary,
+        description=f'{summary[0].upper()}{summary[1:]}.',
+    )
+    parser.set_defaults(run=run)
+    if is_remote:
+        _add_connection(parser)
+    return parser
+
+
+def connect(arguments: argparse.Namespace) -> Any:
+    """
+    Return the client for the entry processes on the command line.
+
+    Raises:
+        CommandError: If none is named.
+    """
+    # Imported here since the client takes most of the start time.
+    from hawthornpier.cli._client import EntryClient
+
+    addresses = tuple(
+        address.strip()
+        for address in arguments.entry.split(',')
+        if address.strip()
+    )
+    if not addresses:
+        raise CommandError(
+            'no entry process: give --entry or set HAWTHORNPIER_ENTRY',
+            code=ExitCode.USAGE,
+        )
+    return EntryClient(
+        addresses=addresses,
+        member=arguments.member,
+        operator_key=read_key(arguments.key_file),
+        authority_file=arguments.authority_file,
+        timeout_s=arguments.timeout_s,
+    )
+
+
+def print_lines(lines: Iterable[str]) -> None:
+    """
+    Write lines to standard output.
+    """
+    sys.stdout.writelines(f'{line}\n' for line in lines)
+
+
+def print_json(document: Any) -> None:
+    """
+    Write a document to standard output as indented JSON.
+    """
+    encoded = msgspec.json.format(msgspec.json.encode(document), indent=2)
+    print_lines([encoded.decode()])
+
+
+def _add_connection(parser: argparse.ArgumentParser) -> None:
+    group = parser.add_argument_group('entry process')
+    group.add_argument(
+        '--entry',
+        metavar='IP:PORT',
+        default=os.environ.get('HAWTHORNPIER_ENTRY', ''),
+        help='entry process, or several separated by commas that are tried '
+        'in turn; default: HAWTHORNPIER_ENTRY',
+    )
+    group.add_argument(
+        '--member',
+        default=os.environ.get('HAWTHORNPIER_MEMBER', ''),
+        help='member that you operate; default: HAWTHORNPIER_MEMBER',
+    )
+    group.add_argument(
+        '--key-file',
+        metavar='FILE',
+        default='',
+        help='file with the operator key; default: the key in '
+        'HAWTHORNPIER_OPERATOR_KEY',
+    )
+    group.add_argument(
+        '--authority-file',
+        metavar='FILE',
+        default='',
+        help='TLS authority of the entry processes; without it, HTTP is used',
+    )
+    group.add_argument(
+        '--timeout-s',
+        metavar='SECONDS',
+        type=float,
+        default=10,
+        help='how long to wait for an answer; default: 10',
+    )
--- /dev/null
+++ b/src/hawthornpier/cli/_process.py
@@ -0,0 +1,97 @@
+"""
+The commands ``daemon``, ``check``, ``status`` and ``timeline``.
+"""
+
+import argparse
+import sys
+from importlib import import_module
+from typing import Any
+
+from hawthornpier.cli import _options
+from hawthornpier.cli._errors import ExitCode, error_lines
+from hawthornpier.settings import SettingsErrorGroup, load_settings
+
+
+def add_commands(commands: Any) -> None:
+    """
+    Add the commands to the subparsers *commands*.
+    """
+    parser = _options.add_command(
+        commands,
+        'daemon',
+        run_daemon,
+        summary='run an entry process until it is told to stop',
+        is_remote=False,
+    )
+    parser.add_argument('settings', metavar='FILE', help='settings file')
+    parser = _options.add_command(
+        commands,
+        'check',
+        check,
+        summary='check settings files without starting anything',
+        is_remote=False,
+    )
+    parser.add_argument('settings', metavar='FILE', nargs='+')
+    _options.add_command(
+        commands,
+        'status',
+        show_status,
+        summary='show what an entry process knows of the others and itself',
+    )
+    parser = _options.add_command(
+        commands,
+        'timeline',
+        show_timeline,
+        summary='show the events of all processes in order',
+    )
+    parser.add_argument(
+        '--format',
+        choices=('json', 'html'),
+        default='json',
+        help='default: json',
+    )
+
+
+def run_daemon(arguments: argparse.Namespace) -> ExitCode:
+    """
+    Run an entry process.
+    """
+    settings = load_settings(arguments.settings)
+    daemon = import_module('hawthornpier.daemon')
+    return ExitCode(daemon.run(settings) or ExitCode.OK)
+
+
+def check(arguments: argparse.Namespace) -> ExitCode:
+    """
+    Report the mistakes of all files, not only of the first.
+    """
+    code = ExitCode.OK
+    for path in arguments.settings:
+        try:
+            load_settings(path)
+        except SettingsErrorGroup as group:
+            code = ExitCode.SETTINGS
+            sys.stderr.writelines(
+                f'hawthornpier: {line}\n' for line in error_lines(group)
+            )
+        else:
+            _options.print_lines([f'{path}: valid'])
+    return code
+
+
+def show_status(arguments: argparse.Namespace) -> ExitCode:
+    """
+    Print the status document.
+    """
+    _options.print_json(_options.connect(arguments).get('/v1/status'))
+    return ExitCode.OK
+
+
+def show_timeline(arguments: argparse.Namespace) -> ExitCode:
+    """
+    Print the events as the entry process renders them.
+    """
+    path = f'/v1/timeline?format={arguments.format}'
+    content = _options.connect(arguments).send('GET', path)
+    _options.print_lines([content.decode('utf-8', 'replace')])
+    return ExitCode.OK
--- /dev/null
+++ b/src/hawthornpier/cli/_table.py
@@ -0,0 +1,302 @@
+"""
+The commands ``table show``, ``set``, ``diff``, ``history`` and ``approve``.
+"""
+
+import argparse
+import datetime
+import sys
+from collections.abc import Iterator, Mapping, Sequence
+from typing import Any
+
+from hawthornpier import table
+from hawthornpier.cli import _keys, _options
+from hawthornpier.cli._errors import CommandError, ExitCode
+from hawthornpier.cli._inputs import read_rows
+
+_PATH = '/v1/table'
+_MS_PER_S = 1000
+
+
+def add_commands(commands: Any) -> None:
+    """
+    Add the commands to the subparsers *commands*.
+    """
+    group = commands.add_parser('table', help='show and edit the shared table')
+    tables = group.add_subparsers(metavar='COMMAND', required=True)
+    parser = _options.add_command(
+        tables,
+        'show',
+        show,
+        summary='print the table; its version goes to standard error',
+    )
+    _add_format(parser, 'csv', 'json')
+    _add_set(tables)
+    parser = _options.add_command(
+        tables,
+        'diff',
+        diff,
+        summary='show what "table set --file" would change',
+    )
+    _add_file(parser, is_required=True)
+    parser = _options.add_command(
+        tables,
+        'history',
+        show_history,
+        summary='show the accepted edits, oldest first',
+    )
+    parser.add_argument('--since', type=int, default=0, metavar='VERSION')
+    parser.add_argument('--limit', type=int, default=100, metavar='N')
+    _add_format(parser, 'text', 'json')
+    parser = _options.add_command(
+        tables,
+        'approve',
+        approve,
+        summary='approve the proposal for a member on behalf of yours',
+    )
+    parser.add_argument('subject', metavar='MEMBER')
+    _add_base_version(parser)
+    _keys.add_commands(tables)
+
+
+def show(arguments: argparse.Namespace) -> ExitCode:
+    """
+    Print the whole table.
+    """
+    snapshot = _read(arguments)
+    if arguments.format == 'json':
+        _options.print_json(table.snapshot_to_document(snapshot))
+    else:
+        sys.stdout.write(table.rows_to_csv(snapshot.rows))
+        sys.stderr.write(f'version {snapshot.version}\n')
+    return ExitCode.OK
+
+
+def set_cells(arguments: argparse.Namespace) -> ExitCode:
+    """
+    Edit the table from a file or cell by cell.
+    """
+    if bool(arguments.file) == bool(arguments.key):
+        raise CommandError('give either KEY or --file', code=ExitCode.USAGE)
+    snapshot = _read(arguments)
+    if arguments.file:
+        changes, seen_version = _file_changes(arguments, snapshot)
+    else:
+        changes, seen_version = _cell_changes(arguments, snapshot)
+    base_version = arguments.base_version or seen_version
+    if not base_version and snapshot.version:
+        raise CommandError(
+            'a CSV file needs --base-version, which "table show" printed',
+            code=ExitCode.USAGE,
+        )
+    _print_changes(changes)
+    if not changes:
+        _options.print_lines(['no change'])
+        return ExitCode.OK
+    document = {
+        'base_version': base_version,
+        'edits': [table.edit_to_document(_edit_of(one)) for one in changes],
+    }
+    answer = _options.connect(arguments).change('PUT', _PATH, document)
+    _print_version(answer)
+    return ExitCode.OK
+
+
+def diff(arguments: argparse.Namespace) -> ExitCode:
+    """
+    Print the differences between the table and a file.
+    """
+    changes, _ = _file_changes(arguments, _read(arguments))
+    _print_changes(changes)
+    return ExitCode.DIFFERENT if changes else ExitCode.OK
+
+
+def show_history(arguments: argparse.Namespace) -> ExitCode:
+    """
+    Print the accepted edits.
+    """
+    path = f'{_PATH}/history?since={arguments.since}&limit={arguments.limit}'
+    document = _options.connect(arguments).get(path)
+    deltas = document.get('deltas') if isinstance(document, dict) else document
+    if arguments.format == 'json':
+        _options.print_json(deltas)
+        return ExitCode.OK
+    for delta in map(table.delta_from_document, deltas or ()):
+        _options.print_lines(_describe(delta))
+    return ExitCode.OK
+
+
+def approve(arguments: argparse.Namespace) -> ExitCode:
+    """
+    Print the proposal and approve exactly that one.
+    """
+    snapshot = _read(arguments)
+    key = f'proposal/{arguments.subject}'
+    proposal = _by_key(snapshot).get(key)
+    if proposal is None:
+        raise CommandError(
+            f'there is no proposal for {arguments.subject}',
+            code=ExitCode.NOT_FOUND,
+        )
+    _print_changes([table.Change(key=key, before=None, after=proposal)])
+    document = {
+        'member': arguments.subject,
+        'base_version': arguments.base_version or snapshot.version,
+    }
+    client = _options.connect(arguments)
+    _print_version(client.change('POST', f'{_PATH}/approvals', document))
+    return ExitCode.OK
+
+
+def _add_set(tables: Any) -> None:
+    parser = _options.add_command(
+        tables,
+        'set',
+        set_cells,
+        summary='edit the table, cell by cell or from a file',
+    )
+    parser.add_argument(
+        'key',
+        metavar='KEY',
+        nargs='?',
+        help='row, for example member/yayasan or workload/yayasan/desk',
+    )
+    parser.add_argument(
+        'cells',
+        metavar='COLUMN=VALUE',
+        nargs='*',
+        help='new cells; an empty value removes a limit',
+    )
+    parser.add_argument('--delete', action='store_true', help='delete the row')
+    _add_file(parser, is_required=False)
+    _add_base_version(parser)
+
+
+def _add_file(parser: argparse.ArgumentParser, *, is_required: bool) -> None:
+    parser.add_argument(
+        '--file',
+        required=is_required,
+        default='',
+        help='CSV or JSON file (by its ending) as printed by "table show"',
+    )
+    parser.add_argument(
+        '--prune',
+        action='store_true',
+        help="delete your member's workloads that are not in the file",
+    )
+
+
+def _add_base_version(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument(
+        '--base-version',
+        type=int,
+        default=0,
+        metavar='VERSION',
+        help='version that you saw; needed with a CSV file',
+    )
+
+
+def _add_format(parser: argparse.ArgumentParser, *formats: str) -> None:
+    parser.add_argument(
+        '--format',
+        choices=formats,
+        default=formats[0],
+        help=f'default: {formats[0]}',
+    )
+
+
+def _read(arguments: argparse.Namespace) -> table.Snapshot:
+    document = _options.connect(arguments).get(_PATH)
+    return table.snapshot_from_document(document)
+
+
+def _by_key(snapshot: table.Snapshot) -> dict[str, table.TableRow]:
+    return {table.row_key(row): row for row in snapshot.rows}
+
+
+def _cell_changes(
+    arguments: argparse.Namespace,
+    snapshot: table.Snapshot,
+) -> tuple[Sequence[table.Change], int]:
+    """
+    Return the change of one row, and the version it was read at.
+    """
+    key = arguments.key
+    before = _by_key(snapshot).get(key)
+    after = None
+    if arguments.delete and before is None:
+        raise CommandError(f'{key}: no such row', code=ExitCode.NOT_FOUND)
+    if not arguments.delete:
+        after = table.change_row(key, before, dict(_split(arguments.cells)))
+    rows = {} if before is None else {key: before}
+    wanted = {} if after is None else {key: after}
+    return table.diff_rows(rows, wanted), snapshot.version
+
+
+def _split(cells: Sequence[str]) -> Iterator[tuple[str, str]]:
+    for cell in cells:
+        column, equals, text = cell.partition('=')
+        if not equals:
+            raise CommandError(
+                f'{cell!r} is not of the form COLUMN=VALUE',
+                code=ExitCode.USAGE,
+            )
+        yield column, text
+
+
+def _file_changes(
+    arguments: argparse.Namespace,
+    snapshot: table.Snapshot,
+) -> tuple[Sequence[table.Change], int]:
+    """
+    Return the changes that lead to the file, and the version it shows.
+
+    Proposals in the file are left out, since they are not edited directly.
+    """
+    wanted, shown_version = read_rows(arguments.file)
+    before = _by_key(snapshot)
+    after = dict(before)
+    if arguments.prune:
+        after = _without_workloads(before, arguments.member)
+    after.update(
+        {
+            table.row_key(row): row
+            for row in wanted
+            if not isinstance(row, table.ProposalRow)
+        }
+    )
+    return table.diff_rows(before, after), shown_version
+
+
+def _without_workloads(
+    rows: Mapping[str, table.TableRow],
+    member: str,
+) -> dict[str, table.TableRow]:
+    return {
+        key: row
+        for key, row in rows.items()
+        if not isinstance(row, table.WorkloadRow) or row.member != member
+    }
+
+
+def _edit_of(change: table.Change) -> table.Edit:
+    if isinstance(change.after, table.MemberRow | table.WorkloadRow):
+        return table.PutRow(row=change.after)
+    return table.DeleteRow(key=change.key)
+
+
+def _print_changes(changes: Sequence[table.Change]) -> None:
+    for change in changes:
+        _options.print_lines(table.describe_change(change))
+
+
+def _print_version(answer: Any) -> None:
+    version = answer.get('version') if isinstance(answer, dict) else answer
+    _options.print_lines([f'accepted as version {version}'])
+
+
+def _describe(delta: table.Delta) -> Iterator[str]:
+    at = datetime.datetime.fromtimestamp(delta.at_ms / _MS_PER_S, datetime.UTC)
+    yield f'version {delta.version} by {delta.member} at {at.isoformat()}'
+    for change in delta.changes:
+        for line in table.describe_change(change):
+            yield f'  {line}'
--- a/src/hawthornpier/table/__init__.py
+++ b/src/hawthornpier/table/__init__.py
@@ -2,6 +2,7 @@
 The shared table of members and workloads.
 """
 
+from hawthornpier.table._cells import change_row, describe_change
 from hawthornpier.table._csv import rows_from_csv, rows_to_csv
 from hawthornpier.table._documents import (
     DocumentError,
@@ -37,6 +38,7 @@
     plan_approval,
     plan_edit,
 )
+from hawthornpier.table._responses import ErrorResponse, error_response
 from hawthornpier.table._rows import (
     Change,
     DeleteRow,
@@ -64,6 +66,7 @@
     'EditConflictError',
     'EditOutcomeUnknownError',
     'EmptyEditError',
+    'ErrorResponse',
     'MemberRow',
     'NotPermittedError',
     'Priority',
@@ -79,11 +82,14 @@
     'WorkloadClass',
     'WorkloadRow',
     'apply_changes',
+    'change_row',
     'delta_from_document',
     'delta_to_document',
+    'describe_change',
     'diff_rows',
     'edit_to_document',
     'edits_from_documents',
+    'error_response',
     'hash_operator_key',
     'is_operator_key',
     'new_operator_key',
--- /dev/null
+++ b/src/hawthornpier/table/_cells.py
@@ -0,0 +1,75 @@
+"""
+Changes of single cells, and differences between rows as text.
+"""
+
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from hawthornpier.table._columns import format_cell, parse_cell
+from hawthornpier.table._documents import ROW_TYPES, build_row, row_to_document
+from hawthornpier.table._errors import RowError, RowErrorGroup
+from hawthornpier.table._rows import Change, TableRow, row_key
+
+# The columns that the parts of a key stand for, after the kind.
+_KEY_COLUMNS = ('member', 'name')
+
+
+def change_row(
+    key: str,
+    current: TableRow | None,
+    texts: Mapping[str, str],
+) -> TableRow:
+    """
+    Return *current* with some cells changed, or a new row.
+
+    Args:
+        key: The row's key, for example ``workload/yayasan/desk``.
+        current: The row as it is, or None.
+        texts: The new cells as text; an empty one gets its default.
+
+    Raises:
+        RowErrorGroup: If the key or a cell is wrong.
+    """
+    kind, *names = key.split('/')
+    if kind not in ROW_TYPES or len(names) > len(_KEY_COLUMNS):
+        reason = 'not of the form member/NAME or workload/MEMBER/NAME'
+        raise RowErrorGroup('invalid key', [RowError(reason, row=key)])
+    cells = dict(zip(_KEY_COLUMNS, names, strict=False))
+    if current is not None:
+        document = row_to_document(current)
+        document.pop('kind')
+        cells = {column: format_cell(cell) for column, cell in document.items()}
+    cells.update(texts)
+    row = build_row(
+        ROW_TYPES[kind],
+        {column: text for column, text in cells.items() if text},
+        convert=parse_cell,
+        place=key,
+    )
+    if row_key(row) == key:
+        return row
+    reason = f'the cells belong to {row_key(row)}'
+    raise RowErrorGroup('invalid row', [RowError(reason, row=key)])
+
+
+def describe_change(change: Change) -> Iterator[str]:
+    """
+    Yield a line for each cell that differs, with both values.
+    """
+    if change.after is None:
+        yield f'{change.key}: deleted'
+        return
+    if change.before is None:
+        yield f'{change.key}: added'
+    before = _cells_of(change.before)
+    for column, cell in _cells_of(change.after).items():
+        old, new = format_cell(before.get(column)), format_cell(cell)
+        if old != new:
+            yield f'{change.key} {column}: {old or "-"} -> {new or "-"}'
+
+
+def _cells_of(row: TableRow | None) -> dict[str, Any]:
+    document = {} if row is None else row_to_document(row)
+    return {
+        column: cell for column, cell in document.items() if column != 'kind'
+    }
