--- a/src/hawthornpier/daemon/_operator_handlers.py
+++ b/src/hawthornpier/daemon/_operator_handlers.py
@@ -3,6 +3,7 @@
 """
 
 from http import HTTPStatus
+from types import MappingProxyType
 from typing import Any
 
 import msgspec
@@ -165,10 +166,10 @@
         """
         self.operator()
         wanted = EventFilter(
-            **{
-                name: self.get_query_argument(name, '')
-                for name in ('shard', 'worker_id', 'task_id', 'request_id')
-            },
+            shard=self.get_query_argument('shard', ''),
+            worker_id=self.get_query_argument('worker_id', ''),
+            task_id=self.get_query_argument('task_id', ''),
+            request_id=self.get_query_argument('request_id', ''),
         )
         events = wanted.select(await self._merged())
         render = _RENDERERS.get(self.get_query_argument('format', 'text'))
@@ -196,7 +197,13 @@
     return 'text/html; charset=utf-8', render_html(events)
 
 
-_RENDERERS = {'text': _text, 'json': _json, 'html': _html}
+_RENDERERS = MappingProxyType(
+    {
+        'text': _text,
+        'json': _json,
+        'html': _html,
+    }
+)
 
 
 class HealthHandler(ApiHandler):
--- a/src/hawthornpier/daemon/_ports.py
+++ b/src/hawthornpier/daemon/_ports.py
@@ -99,8 +99,10 @@
         """
         Close all connections.
         """
-        for port in (*self._peers.values(), *self._workers.values()):
-            port.close()
+        for peer in self._peers.values():
+            peer.close()
+        for worker in self._workers.values():
+            worker.close()
 
     def _new_peer(self, address: str) -> HttpPeer:
         unsigned = SigningKey(key_id='', secret=b'')
--- a/src/hawthornpier/daemon/_run.py
+++ b/src/hawthornpier/daemon/_run.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import logging
+import pathlib
 import signal
 import sys
+from typing import TextIO
 
 import eliot
 
@@ -24,6 +26,12 @@
     return asyncio.run(_serve(settings))
 
 
+def _open_log(log_file: str) -> TextIO:
+    if not log_file:
+        return sys.stderr
+    return pathlib.Path(log_file).open('a', encoding='utf-8')
+
+
 async def _serve(settings: Settings) -> int:
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
@@ -45,10 +53,6 @@
 
 
 def _set_up_logs(settings: Settings) -> None:
-    log_file = settings.observability.log_file
-    if log_file:
-        eliot.to_file(open(log_file, 'a', encoding='utf-8'))
-    else:
-        eliot.to_file(sys.stderr)
+    eliot.to_file(_open_log(settings.observability.log_file))
     # tornado's own records go to the same stream as plain lines.
     logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
--- a/tools/bench/simulation.py
+++ b/tools/bench/simulation.py
@@ -429,7 +429,9 @@
 
     def _cancel(self, batch: BatchLoad) -> None:
         running = {
-            job_id for worker in self._workers.values() for job_id in worker.jobs
+            job_id
+            for worker in self._workers.values()
+            for job_id in worker.jobs
         }
         doomed = [
             task_id
