--- a/src/hawthornpier_standin/servers/_commands.py
+++ b/src/hawthornpier_standin/servers/_commands.py
@@ -26,7 +26,12 @@
 _BYTES_PER_GB = 1_000_000_000
 
 _WORKER_TEXTS = MappingProxyType(
-    {'--host': '127.0.0.1', '--region': '', '--failure-domain': ''},
+    {
+        '--host': '127.0.0.1',
+        '--region': '',
+        '--failure-domain': '',
+        '--rack': '',
+    },
 )
 _WORKER_NUMBERS = MappingProxyType(
     {
@@ -118,6 +123,7 @@
         worker_count=arguments.count,
         region=arguments.region,
         failure_domain=arguments.failure_domain,
+        rack=arguments.rack,
         rack_size=arguments.rack_size,
         capacity=Resources(
             processor_millis=arguments.cores * _MILLIS_PER_CORE,
--- a/src/hawthornpier_standin/servers/_pool.py
+++ b/src/hawthornpier_standin/servers/_pool.py
@@ -42,7 +42,8 @@
         worker_count: Number of workers.
         region: Region of all workers.
         failure_domain: Failure domain of all workers.
-        rack_size: Number of workers in a rack.
+        rack: Rack of all workers; if empty, racks are numbered.
+        rack_size: Number of workers in a numbered rack.
         capacity: What each worker can carry.
         seed: Determines the service times.
         has_guards: Whether the workers enforce epochs and capacity.
@@ -55,6 +56,7 @@
     worker_count: int = 1
     region: str = ''
     failure_domain: str = ''
+    rack: str = ''
     rack_size: int = 8
     capacity: Resources = Resources()
     seed: int = 0
@@ -165,7 +167,7 @@
             address=site.address,
             region=options.region,
             failure_domain=options.failure_domain,
-            rack=f'{options.failure_domain}-{options.name}-{rack_number}',
+            rack=options.rack or f'{options.name}-rack-{rack_number}',
             capacity=options.capacity,
             state=HostState.LEAVING if is_leaving else HostState.LIVE,
         )
--- /dev/null
+++ b/tests/test_adapters_messages.py
@@ -0,0 +1,314 @@
+"""
+Tests of signatures, outcome bodies and calls between processes.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPServerRequest, ResponseStartLine
+from tornado.netutil import bind_sockets
+
+from hawthornpier.adapters import (
+    HttpPeer,
+    JobSubmission,
+    MessageError,
+    SignatureError,
+    SigningKey,
+    SystemClock,
+    decode_message,
+    decode_outcome,
+    encode_message,
+    encode_outcome,
+    sign_headers,
+    verify_headers,
+)
+from hawthornpier.messages import (
+    Answer,
+    ClockStamp,
+    ForwardedRequest,
+    Heartbeat,
+    HeartbeatReply,
+    JobSpec,
+    JobView,
+    NotRun,
+    Outcome,
+    Resources,
+    Unknown,
+)
+from hawthornpier.ports import (
+    PeerAnswerLostError,
+    PeerRefusedError,
+    PeerUnreachableError,
+)
+
+OLD = SigningKey(key_id='old', secret=b'one')
+NEW = SigningKey(key_id='new', secret=b'two')
+SIGNED_MS = 1_000_000
+
+OUTCOMES = (
+    Answer(request_id='r1', body='{"a": "ü"}'),
+    NotRun(request_id='r1', reason='store_out', retry_after_ms=5),
+    Unknown(request_id='r1', reason='reply_lost', ask_again='same key'),
+)
+
+
+def verify(headers: dict[str, str], **changes: object) -> None:
+    """
+    Verify a message that was signed with the arguments of *signed*.
+    """
+    message = {'method': 'POST', 'path': '/p', 'body': b'{}'}
+    now = {'now_ms': SIGNED_MS}
+    verify_headers(
+        (OLD, NEW),
+        headers,
+        **{**message, **now, **changes},  # type: ignore[arg-type]
+    )
+
+
+def signed(key: SigningKey) -> dict[str, str]:
+    """
+    Return the headers of a small message.
+    """
+    return sign_headers(
+        key,
+        method='POST',
+        path='/p',
+        timestamp_ms=SIGNED_MS,
+        body=b'{}',
+    )
+
+
+class TestSigning:
+    """
+    Only messages of the group's processes are acted on.
+    """
+
+    @pytest.mark.parametrize('key', [OLD, NEW])
+    def test_two_keys_are_valid(self, key: SigningKey) -> None:
+        """
+        A rotation of the key stops no message.
+        """
+        verify({name.lower(): text for name, text in signed(key).items()})
+
+    @pytest.mark.parametrize(
+        'change',
+        [
+            {'method': 'GET'},
+            {'path': '/q'},
+            {'body': b'{ }'},
+            {'now_ms': SIGNED_MS + 30_001},
+            {'now_ms': SIGNED_MS - 30_001},
+        ],
+    )
+    def test_a_changed_message_is_refused(
+        self,
+        change: dict[str, object],
+    ) -> None:
+        """
+        A signature holds for one message and a limited time.
+        """
+        with pytest.raises(SignatureError):
+            verify(signed(OLD), **change)
+
+    @pytest.mark.parametrize(
+        'headers',
+        [
+            {},
+            {**signed(OLD), 'X-Hawthornpier-Timestamp-Ms': 'soon'},
+            {**signed(OLD), 'X-Hawthornpier-Timestamp-Ms': '1000001'},
+            {**signed(OLD), 'X-Hawthornpier-Signature': 'ä'},
+            signed(SigningKey(key_id='other', secret=b'one')),
+            signed(SigningKey(key_id='old', secret=b'guess')),
+        ],
+    )
+    def test_a_forged_header_is_refused(self, headers: dict[str, str]) -> None:
+        """
+        A message without a valid key's signature is refused.
+        """
+        with pytest.raises(SignatureError):
+            verify(headers)
+
+    def test_a_secret_is_not_shown(self) -> None:
+        """
+        Keys do not get into logs.
+        """
+        assert 'one' not in repr(OLD)
+
+
+class TestOutcomeBodies:
+    """
+    The three outcomes are told apart by their JSON form.
+    """
+
+    @pytest.mark.parametrize('outcome', OUTCOMES)
+    def test_an_outcome_round_trips(self, outcome: Outcome) -> None:
+        """
+        G4, G5: no outcome turns into another one on its way.
+        """
+        assert decode_outcome(encode_outcome(outcome)) == outcome
+
+    @settings(derandomize=True, deadline=None)
+    @given(st.binary(max_size=60))
+    def test_other_bodies_are_refused(self, body: bytes) -> None:
+        """
+        G4: a damaged body is an error, never an outcome.
+        """
+        with pytest.raises(MessageError):
+            decode_outcome(body)
+
+    def test_a_truncated_outcome_is_refused(self) -> None:
+        """
+        G4: no beginning of a body passes for the whole.
+        """
+        body = encode_outcome(OUTCOMES[0])
+        for length, _ in enumerate(body):
+            with pytest.raises(MessageError):
+                decode_outcome(body[:length])
+
+
+@asynccontextmanager
+async def peer(
+    answer: Callable[[HTTPServerRequest], bytes | int],
+) -> AsyncIterator[HttpPeer]:
+    """
+    Run a process that answers with a body or an error status.
+    """
+
+    def respond(request: HTTPServerRequest) -> None:
+        reply = answer(request)
+        status, body = (
+            (200, reply) if isinstance(reply, bytes) else (reply, b'')
+        )
+        connection = request.connection
+        assert connection
+        connection.write_headers(
+            ResponseStartLine('HTTP/1.1', status, ''),
+            type(request.headers)({'Content-Length': str(len(body))}),
+            body,
+        )
+        connection.finish()
+
+    server = HTTPServer(respond)
+    sockets = bind_sockets(0, '127.0.0.1')
+    server.add_sockets(sockets)
+    port = sockets[0].getsockname()[1]
+    client = HttpPeer(f'127.0.0.1:{port}', key=OLD, clock=SystemClock())
+    yield client
+    client.close()
+    server.stop()
+    await server.close_all_connections()
+
+
+def forwarded(remaining_ms: int = 5_000) -> ForwardedRequest:
+    """
+    Return a forwarded request.
+    """
+    return ForwardedRequest(
+        request_id='r1',
+        shard='s1',
+        member='m',
+        service='stock',
+        body='{}',
+        remaining_ms=remaining_ms,
+    )
+
+
+class TestHttpPeer:
+    """
+    Calls between processes are signed and end in one of three errors.
+    """
+
+    async def test_calls_are_signed_and_decoded(self) -> None:
+        """
+        Every call of the peer port has its path and passes verification.
+        """
+        spec = JobSpec(
+            member='m',
+            workload='plan',
+            task_count=1,
+            demand=Resources(),
+            declared_work_ms=1,
+        )
+        view = JobView(job_id='j', spec=spec, is_cancelled=False, tasks=())
+        beat = Heartbeat(
+            process_id='p',
+            incarnation='i',
+            address='a',
+            region='r',
+            failure_domain='d',
+            table_version=1,
+            table_age_ms=1,
+            is_store_out=False,
+            is_leaving=False,
+            stamp=ClockStamp(wall_ms=1, counter=0, process_id='p'),
+        )
+        replies = {
+            '/peer/v1/heartbeat': HeartbeatReply(heartbeat=beat),
+            '/peer/v1/jobs/submit': view,
+            '/peer/v1/jobs/show': view,
+            '/peer/v1/jobs/cancel': None,
+        }
+
+        def answer(request: HTTPServerRequest) -> bytes:
+            verify_headers(
+                (OLD,),
+                dict(request.headers.get_all()),
+                method=request.method or '',
+                path=request.uri or '',
+                body=request.body,
+                now_ms=SystemClock().wall_ms(),
+            )
+            if request.path == '/peer/v1/jobs/submit':
+                submission = decode_message(request.body, JobSubmission)
+                assert submission == JobSubmission(job_id='j', spec=spec)
+            if request.path == '/peer/v1/forward':
+                return encode_outcome(OUTCOMES[2])
+            return encode_message(replies[request.path])
+
+        async with peer(answer) as client:
+            assert (await client.heartbeat(beat)).heartbeat == beat
+            assert await client.forward(forwarded()) == OUTCOMES[2]
+            assert await client.submit_job('j', spec) == view
+            assert await client.show_job('j') == view
+            assert await client.cancel_job('j') is None
+
+    async def test_failures_are_told_apart(self) -> None:
+        """
+        G5: only a refusal or an unsent message allows a retry elsewhere.
+        """
+        replies = iter((409, 503, 500, b'{"kind": "answer"}', b''))
+        async with peer(lambda request: next(replies)) as client:
+            for error in (
+                PeerRefusedError,
+                PeerRefusedError,
+                PeerAnswerLostError,
+                PeerAnswerLostError,
+                PeerAnswerLostError,
+            ):
+                with pytest.raises(error):
+                    await client.forward(forwarded())
+            with pytest.raises(PeerUnreachableError):
+                await client.forward(forwarded(remaining_ms=0))
+        with pytest.raises(PeerUnreachableError):
+            await client.show_job('j')
+
+
+class TestSystemClock:
+    """
+    The clock of the operating system.
+    """
+
+    async def test_time_does_not_go_back(self) -> None:
+        """
+        Leases are measured on a clock that never goes back.
+        """
+        clock = SystemClock()
+        before = clock.monotonic_ms(), clock.wall_ms()
+        await asyncio.gather(clock.sleep_ms(1))
+        assert clock.monotonic_ms() >= before[0]
+        assert clock.wall_ms() > 0
