--- /dev/null
+++ b/src/hawthornpier_standin/callers/_commands.py
@@ -0,0 +1,148 @@
+"""
+A command that runs callers as a process.
+"""
+
+import asyncio
+import sys
+from argparse import ArgumentParser, ArgumentTypeError, Namespace
+from contextlib import ExitStack
+from pathlib import Path
+from types import MappingProxyType
+from typing import Any
+
+import msgspec
+
+from hawthornpier.adapters import SystemClock
+from hawthornpier_standin.callers._entry import HttpEntry
+from hawthornpier_standin.callers._generator import LoadGenerator
+from hawthornpier_standin.callers._plan import ServiceLoad, Surge
+from hawthornpier_standin.callers._summary import Summary
+from hawthornpier_standin.servers import HistoryFile
+from hawthornpier_standin.workers import Recorder, ignore_record
+
+_MS_PER_S = 1_000
+
+_NUMBERS = MappingProxyType(
+    {
+        '--rate': 100,
+        '--duration-s': 10,
+        '--order-share': 0,
+        '--repeat-share': 0,
+        '--deadline-ms': 1_000,
+    },
+)
+
+
+def add_commands(subparsers: Any) -> None:
+    """
+    Add the command ``standin-callers`` to an argument parser.
+
+    It sets *run*, a function that takes the parsed arguments and returns the
+    exit status.
+
+    Args:
+        subparsers: What `ArgumentParser.add_subparsers` returns.
+    """
+    _add_callers(subparsers.add_parser('standin-callers', help='run callers'))
+
+
+def _add_callers(parser: ArgumentParser) -> None:
+    parser.add_argument(
+        'entries',
+        nargs='+',
+        metavar='ENTRY',
+        help='address of an entry process',
+    )
+    parser.add_argument('--service', action='append', required=True)
+    parser.add_argument('--name', default='callers')
+    parser.add_argument('--seed', type=int, default=0)
+    for flag, number in _NUMBERS.items():
+        parser.add_argument(flag, type=float, default=number)
+    parser.add_argument(
+        '--surge',
+        action='append',
+        type=parse_surge,
+        default=[],
+        metavar='START_S:DURATION_S:FACTOR',
+    )
+    parser.add_argument(
+        '--header',
+        action='append',
+        type=parse_header,
+        default=[],
+        metavar='NAME:VALUE',
+    )
+    parser.add_argument('--history', type=Path, help='file for JSON lines')
+    parser.set_defaults(run=run_callers)
+
+
+def parse_surge(text: str) -> Surge:
+    """
+    Return the surge that an argument describes.
+    """
+    try:
+        start_s, duration_s, factor = map(float, text.split(':'))
+    except ValueError as error:
+        raise ArgumentTypeError(f'{text} is not a surge') from error
+    return Surge(
+        start_ms=start_s * _MS_PER_S,
+        duration_ms=duration_s * _MS_PER_S,
+        factor=factor,
+    )
+
+
+def parse_header(text: str) -> tuple[str, str]:
+    """
+    Return the name and value of a header.
+    """
+    name, _, content = text.partition(':')
+    return name.strip(), content.strip()
+
+
+def run_callers(arguments: Namespace) -> int:
+    """
+    Run the load and write a summary of each service and phase as JSON.
+    """
+    with ExitStack() as stack:
+        recorder: Recorder = ignore_record
+        if arguments.history:
+            history = stack.enter_context(HistoryFile(arguments.history))
+            recorder = history.record
+        summaries = asyncio.run(_send(arguments, recorder))
+    for summary in summaries:
+        sys.stdout.write(f'{msgspec.json.encode(summary).decode()}\n')
+    return 0
+
+
+async def _send(
+    arguments: Namespace,
+    recorder: Recorder,
+) -> tuple[Summary, ...]:
+    entries = [
+        HttpEntry(address=address, headers=dict(arguments.header))
+        for address in arguments.entries
+    ]
+    generator = LoadGenerator(
+        entries,
+        clock=SystemClock(),
+        recorder=recorder,
+        name=arguments.name,
+        seed=arguments.seed,
+    )
+    summaries = await generator.run(
+        [
+            ServiceLoad(
+                service=service,
+                rate_per_s=arguments.rate,
+                surges=tuple(arguments.surge),
+                order_share=arguments.order_share,
+                repeat_share=arguments.repeat_share,
+                deadline_ms=int(arguments.deadline_ms),
+            )
+            for service in arguments.service
+        ],
+        duration_ms=arguments.duration_s * _MS_PER_S,
+    )
+    for entry in entries:
+        entry.close()
+    return summaries
--- /dev/null
+++ b/src/hawthornpier_standin/callers/_generator.py
@@ -0,0 +1,245 @@
+"""
+Sends requests at planned times, however slow the answers are.
+"""
+
+import asyncio
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from types import MappingProxyType
+
+import msgspec
+
+from hawthornpier.ports import Clock
+from hawthornpier_standin.callers._entry import (
+    CallResult,
+    EntryCall,
+    EntryPort,
+    EntryReply,
+)
+from hawthornpier_standin.callers._plan import Arrival, ServiceLoad, arrivals
+from hawthornpier_standin.callers._summary import Summary, Tally
+from hawthornpier_standin.history import Record, RecordKind
+from hawthornpier_standin.workers import Recorder
+
+# How often a caller asks again for the outcome of an order, and how long it
+# waits before each time.
+_ASK_LIMIT = 5
+_ASK_AFTER_MS = 500
+
+_RECORD_KINDS: Mapping[CallResult, RecordKind] = MappingProxyType(
+    {
+        CallResult.ANSWERED: RecordKind.REQUEST_ANSWERED,
+        CallResult.WRONG: RecordKind.REQUEST_ANSWERED,
+        CallResult.NOT_RUN: RecordKind.REQUEST_NOT_RUN,
+        CallResult.UNKNOWN: RecordKind.REQUEST_UNKNOWN,
+        CallResult.CUT: RecordKind.CONNECTION_CUT,
+        CallResult.UNREACHABLE: RecordKind.CONNECTION_CUT,
+    },
+)
+_OPEN_ENDS = frozenset((CallResult.UNKNOWN, CallResult.CUT))
+
+
+class _Answer(msgspec.Struct):
+    service: str
+    echo: str
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Sending:
+    arrival: Arrival
+    source: str
+    planned_ms: float
+    call: EntryCall
+
+
+class LoadGenerator:
+    """
+    Callers that send requests to the entry addresses in turn.
+
+    Args:
+        entries: The entry addresses.
+        clock: Time source.
+        recorder: Receives the history records.
+        name: Name of the callers in the history; operation ids begin with
+            it, so it must be unique in a history.
+        seed: Determines the arrivals.
+    """
+
+    def __init__(
+        self,
+        entries: Sequence[EntryPort],
+        *,
+        clock: Clock,
+        recorder: Recorder,
+        name: str,
+        seed: int,
+    ) -> None:
+        self._entries = tuple(entries)
+        self._sent_count = 0
+        self._clock = clock
+        self._recorder = recorder
+        self._name = name
+        self._seed = seed
+        self._tallies: dict[tuple[str, str], Tally] = {}
+
+    async def run(
+        self,
+        loads: Iterable[ServiceLoad],
+        *,
+        duration_ms: float,
+    ) -> tuple[Summary, ...]:
+        """
+        Send all loads side by side; return a summary by service and phase.
+        """
+        async with asyncio.TaskGroup() as group:
+            for load in loads:
+                group.create_task(self._send_load(group, load, duration_ms))
+        return tuple(
+            tally.summary(*key) for key, tally in sorted(self._tallies.items())
+        )
+
+    async def _send_load(
+        self,
+        group: asyncio.TaskGroup,
+        load: ServiceLoad,
+        duration_ms: float,
+    ) -> None:
+        started_ms = self._clock.monotonic_ms()
+        for arrival in arrivals(
+            load,
+            source=self._name,
+            duration_ms=duration_ms,
+            seed=self._seed,
+        ):
+            planned_ms = started_ms + arrival.at_ms
+            await self._wait_until(planned_ms)
+            first = self._sending(arrival, self._name, planned_ms)
+            group.create_task(self._serve(first))
+            if arrival.repeat_after_ms:
+                group.create_task(self._repeat(arrival, planned_ms))
+
+    def _sending(
+        self,
+        arrival: Arrival,
+        source: str,
+        planned_ms: float,
+    ) -> _Sending:
+        return _Sending(
+            arrival=arrival,
+            source=source,
+            planned_ms=planned_ms,
+            call=EntryCall(
+                service=arrival.load.service,
+                body=request_body(arrival),
+                deadline_ms=arrival.load.deadline_ms,
+                idempotency_key=arrival.operation if arrival.is_order else '',
+            ),
+        )
+
+    async def _repeat(self, arrival: Arrival, planned_ms: float) -> None:
+        repeated_ms = planned_ms + arrival.repeat_after_ms
+        await self._wait_until(repeated_ms)
+        source = f'{self._name}/repeat'
+        await self._serve(self._sending(arrival, source, repeated_ms))
+
+    async def _serve(self, sending: _Sending) -> None:
+        reply = await self._exchange(sending)
+        asked_count = 0
+        while (
+            sending.arrival.is_order
+            and reply.ended in _OPEN_ENDS
+            and asked_count < _ASK_LIMIT
+        ):
+            asked_count += 1
+            await self._clock.sleep_ms(_ASK_AFTER_MS)
+            reply = await self._exchange(sending)
+        load = sending.arrival.load
+        phase = 'surge' if sending.arrival.is_in_surge else 'usual'
+        tally = self._tallies.setdefault((load.service, phase), Tally())
+        tally.add(
+            reply.ended,
+            self._clock.monotonic_ms() - sending.planned_ms,
+            load.deadline_ms,
+        )
+
+    async def _exchange(self, sending: _Sending) -> EntryReply:
+        self._record(sending, RecordKind.REQUEST_INVOKED, sending.call.body)
+        reply = checked(sending.call, await self._send(sending.call))
+        self._record(
+            sending,
+            _RECORD_KINDS[reply.ended],
+            reply.body,
+            reply.reason,
+        )
+        return reply
+
+    async def _send(self, call: EntryCall) -> EntryReply:
+        # A load balancer would not choose an address that refuses to
+        # connect either, and nothing was sent to it.
+        first = self._sent_count % len(self._entries)
+        self._sent_count += 1
+        reply = EntryReply(ended=CallResult.UNREACHABLE)
+        for entry in (*self._entries[first:], *self._entries[:first]):
+            reply = await entry.send(call)
+            if reply.ended != CallResult.UNREACHABLE:
+                break
+        return reply
+
+    async def _wait_until(self, at_ms: float) -> None:
+        wait_ms = at_ms - self._clock.monotonic_ms()
+        if wait_ms > 0:
+            await self._clock.sleep_ms(wait_ms)
+
+    def _record(
+        self,
+        sending: _Sending,
+        kind: RecordKind,
+        content: str,
+        detail: str = '',
+    ) -> None:
+        self._recorder(
+            Record(
+                at_ms=self._clock.monotonic_ms(),
+                kind=kind,
+                source=sending.source,
+                operation=sending.arrival.operation,
+                idempotency_key=sending.call.idempotency_key,
+                is_idempotent=not sending.arrival.is_order,
+                content=content,
+                detail=detail,
+            ),
+        )
+
+
+def request_body(arrival: Arrival) -> str:
+    """
+    Return the body of a request; a repeated order has the same body.
+    """
+    return msgspec.json.encode(
+        {
+            'operation': arrival.operation,
+            'padding': 'x' * arrival.load.padding_bytes,
+        },
+    ).decode()
+
+
+def checked(call: EntryCall, reply: EntryReply) -> EntryReply:
+    """
+    Return *reply*, as `WRONG` if it answers another request.
+    """
+    if reply.ended != CallResult.ANSWERED:
+        return reply
+    reason = _mismatch(call, reply.body)
+    if not reason:
+        return reply
+    return EntryReply(ended=CallResult.WRONG, body=reply.body, reason=reason)
+
+
+def _mismatch(call: EntryCall, body: str) -> str:
+    try:
+        answer = msgspec.json.decode(body, type=_Answer)
+    except msgspec.DecodeError as error:
+        return f'malformed answer: {error}'
+    if (answer.service, answer.echo) == (call.service, call.body):
+        return ''
+    return 'the answer repeats another request'
--- /dev/null
+++ b/src/hawthornpier_standin/callers/_plan.py
@@ -0,0 +1,117 @@
+"""
+When callers send which requests.
+"""
+
+import random
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+_MS_PER_S = 1_000
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Surge:
+    """
+    A time in which the rate of a service is multiplied.
+    """
+
+    start_ms: float
+    duration_ms: float
+    factor: float
+
+    def covers(self, at_ms: float) -> bool:
+        """
+        Tell whether the surge lasts at *at_ms*.
+        """
+        return 0 <= at_ms - self.start_ms < self.duration_ms
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ServiceLoad:
+    """
+    The load on one service.
+
+    Args:
+        service: Name of the service.
+        rate_per_s: Mean number of requests per second outside surges.
+        surges: Times with more requests.
+        order_share: Share of the requests that are orders, which must not
+            run twice and carry an idempotency key.
+        repeat_share: Share of the orders that are sent again to another
+            entry address while the first may still be running.
+        deadline_ms: Time within which a caller wants an answer.
+        padding_bytes: Size of the padding in each body.
+    """
+
+    service: str
+    rate_per_s: float
+    surges: tuple[Surge, ...] = ()
+    order_share: float = 0
+    repeat_share: float = 0
+    deadline_ms: int = 1_000
+    padding_bytes: int = 64
+
+    def factor(self, at_ms: float) -> float:
+        """
+        Return the multiple of the usual rate at *at_ms*.
+        """
+        factors = [surge.factor for surge in self.surges if surge.covers(at_ms)]
+        return max(factors, default=1)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Arrival:
+    """
+    One request that a caller sends.
+
+    *repeat_after_ms* is 0 for a request that is sent once.
+    """
+
+    at_ms: float
+    operation: str
+    load: ServiceLoad
+    is_order: bool
+    is_in_surge: bool
+    repeat_after_ms: float
+
+
+def arrivals(
+    load: ServiceLoad,
+    *,
+    source: str,
+    duration_ms: float,
+    seed: int,
+) -> Iterator[Arrival]:
+    """
+    Generate the requests to one service, as a Poisson process.
+
+    Args:
+        load: The load.
+        source: Beginning of the operation ids.
+        duration_ms: Time after which no more requests arrive.
+        seed: Determines the arrivals, together with the service's name.
+    """
+    draws = random.Random(f'{seed}/{source}/{load.service}')
+    # Candidates arrive at the highest rate; those that exceed the rate of
+    # their moment are left out.
+    highest = max([1, *(surge.factor for surge in load.surges)])
+    mean_gap_ms = _MS_PER_S / (load.rate_per_s * highest)
+    at_ms = draws.expovariate(1) * mean_gap_ms
+    number = 0
+    while at_ms < duration_ms:
+        factor = load.factor(at_ms)
+        if draws.random() * highest < factor:
+            number += 1
+            is_order = draws.random() < load.order_share
+            is_repeated = is_order and draws.random() < load.repeat_share
+            yield Arrival(
+                at_ms=at_ms,
+                operation=f'{source}/{load.service}/{number}',
+                load=load,
+                is_order=is_order,
+                is_in_surge=factor > 1,
+                repeat_after_ms=(
+                    draws.uniform(1, load.deadline_ms) if is_repeated else 0
+                ),
+            )
+        at_ms += draws.expovariate(1) * mean_gap_ms
--- a/src/hawthornpier_standin/servers/_commands.py
+++ b/src/hawthornpier_standin/servers/_commands.py
@@ -20,7 +20,11 @@
 from hawthornpier_standin.servers._history_file import HistoryFile
 from hawthornpier_standin.servers._platform import PlatformServer
 from hawthornpier_standin.servers._pool import WorkerPool, WorkerPoolOptions
-from hawthornpier_standin.workers import Recorder, WorkerModel
+from hawthornpier_standin.workers import (
+    Recorder,
+    WorkerModel,
+    ignore_record,
+)
 
 _MILLIS_PER_CORE = 1_000
 _BYTES_PER_GB = 1_000_000_000
@@ -98,7 +102,7 @@
     Run workers until a signal asks for the end.
     """
     with ExitStack() as stack:
-        recorder: Recorder = _no_history
+        recorder: Recorder = ignore_record
         if arguments.history:
             history = stack.enter_context(HistoryFile(arguments.history))
             recorder = history.record
@@ -137,12 +141,6 @@
     )
 
 
-def _no_history(record: object) -> None:
-    """
-    Drop *record*.
-    """
-
-
 async def _serve_platform(arguments: Namespace) -> None:
     server = PlatformServer(MemoryStore(clock=SystemClock()))
     port = server.listen(arguments.host, arguments.port)
--- a/src/hawthornpier_standin/workers/__init__.py
+++ b/src/hawthornpier_standin/workers/__init__.py
@@ -3,7 +3,7 @@
 """
 
 from hawthornpier_standin.workers._contention import Contention
-from hawthornpier_standin.workers._journal import Recorder
+from hawthornpier_standin.workers._journal import Recorder, ignore_record
 from hawthornpier_standin.workers._model import (
     ServiceTime,
     WorkerFaults,
@@ -18,4 +18,5 @@
     'ServiceTime',
     'WorkerFaults',
     'WorkerModel',
+    'ignore_record',
 ]
--- /dev/null
+++ b/tests/test_standin_callers.py
@@ -0,0 +1,257 @@
+"""
+Tests of the load generator.
+"""
+
+import asyncio
+from collections import Counter
+
+import msgspec
+import pytest
+from virtual_time import VirtualClock, run_virtual
+
+from hawthornpier_standin.callers import (
+    Arrival,
+    CallResult,
+    EntryCall,
+    EntryPort,
+    EntryReply,
+    HttpEntry,
+    LoadGenerator,
+    ServiceLoad,
+    Summary,
+    Surge,
+    arrivals,
+    percentile,
+)
+from hawthornpier_standin.history import Record, RecordKind
+
+LOAD = ServiceLoad(
+    service='stock',
+    rate_per_s=100,
+    surges=(Surge(start_ms=10_000, duration_ms=5_000, factor=5),),
+    order_share=0.5,
+    repeat_share=0.2,
+)
+
+
+class FakeEntry:
+    """
+    An entry address that ends the calls as the test says.
+
+    Args:
+        ends: The ends of the first calls; later ones are answered.
+        delay_ms: Time to each answer.
+    """
+
+    def __init__(
+        self,
+        *ends: CallResult,
+        delay_ms: float = 0,
+        echo: str = '',
+    ) -> None:
+        self.calls: list[EntryCall] = []
+        self._ends = list(ends)
+        self._delay_ms = delay_ms
+        self._echo = echo
+
+    async def send(self, call: EntryCall) -> EntryReply:
+        """
+        End one call.
+        """
+        self.calls.append(call)
+        await asyncio.sleep(self._delay_ms / 1000)
+        ended = self._ends.pop(0) if self._ends else CallResult.ANSWERED
+        answer = {'service': call.service, 'echo': self._echo or call.body}
+        return EntryReply(
+            ended=ended, body=msgspec.json.encode(answer).decode()
+        )
+
+
+def generate(
+    load: ServiceLoad,
+    *entries: EntryPort,
+    duration_ms: float = 20_000,
+) -> tuple[tuple[Summary, ...], list[Record]]:
+    """
+    Run a load over virtual time; return its summaries and its history.
+    """
+    records: list[Record] = []
+
+    async def main() -> tuple[Summary, ...]:
+        generator = LoadGenerator(
+            entries,
+            clock=VirtualClock(),
+            recorder=records.append,
+            name='c',
+            seed=1,
+        )
+        return await generator.run([load], duration_ms=duration_ms)
+
+    return run_virtual(main()), records
+
+
+class TestArrivals:
+    """
+    Arrivals follow the rate profile and repeat with the seed.
+    """
+
+    def plan(self, seed: int) -> list[Arrival]:
+        """
+        Return the arrivals of 20 s.
+        """
+        return list(
+            arrivals(LOAD, source='c', duration_ms=20_000, seed=seed),
+        )
+
+    def test_the_seed_determines_the_arrivals(self) -> None:
+        """
+        A failing run can be repeated with the same load.
+        """
+        assert self.plan(1) == self.plan(1)
+        assert self.plan(1) != self.plan(2)
+
+    def test_a_surge_multiplies_the_rate(self) -> None:
+        """
+        The peak of a surge is what the measures look at.
+        """
+        planned = self.plan(1)
+        surge_count = sum(arrival.is_in_surge for arrival in planned)
+        # Five standard deviations around 2,500 and 1,500.
+        assert 2_250 < surge_count < 2_750
+        assert 1_300 < len(planned) - surge_count < 1_700
+        orders = [arrival for arrival in planned if arrival.is_order]
+        assert 1_800 < len(orders) < 2_200
+        assert 0 < sum(bool(order.repeat_after_ms) for order in orders) < 600
+
+
+class TestLoadGenerator:
+    """
+    Callers do not wait for slow answers, and check what they get.
+    """
+
+    def test_latency_counts_from_the_planned_time(self) -> None:
+        """
+        Slow answers do not thin out the load that measures them.
+        """
+        entries = [FakeEntry(delay_ms=delay_ms) for delay_ms in (10, 30)]
+        summaries, records = generate(LOAD, *entries)
+        assert [summary.phase for summary in summaries] == ['surge', 'usual']
+        sent_count = sum(summary.sent_count for summary in summaries)
+        assert sent_count == sum(len(entry.calls) for entry in entries)
+        assert len(records) == 2 * sent_count
+        for summary in summaries:
+            assert summary.in_time_share == 1
+            assert summary.latencies.p99_ms == pytest.approx(30, abs=2)
+
+    def test_repeated_orders_keep_their_key(self) -> None:
+        """
+        G6 is tested with the same order at two entry addresses.
+        """
+        entries = (FakeEntry(), FakeEntry())
+        generate(LOAD, *entries)
+        calls = [call for entry in entries for call in entry.calls]
+        sent = Counter(call.idempotency_key for call in calls)
+        requests = {call.body for call in calls}
+        assert 2 in sent.values()
+        keyed = {call.idempotency_key: call.body for call in calls}
+        assert len(requests) == len(keyed) - 1 + sent['']
+
+    def test_an_open_order_is_asked_for_again(self) -> None:
+        """
+        A caller learns the outcome of an order with the same key.
+        """
+        load = ServiceLoad(service='stock', rate_per_s=2, order_share=1)
+        entry = FakeEntry(CallResult.UNKNOWN, CallResult.CUT)
+        summaries, records = generate(load, entry, duration_ms=5_000)
+        assert set(summaries[0].counts) == {CallResult.ANSWERED}
+        kinds = Counter(record.kind for record in records)
+        assert kinds[RecordKind.REQUEST_UNKNOWN] == 1
+        assert kinds[RecordKind.CONNECTION_CUT] == 1
+        assert kinds[RecordKind.REQUEST_INVOKED] == len(entry.calls)
+
+    def test_an_answer_to_another_request_is_wrong(self) -> None:
+        """
+        G4: the generator notices a mixed-up answer.
+        """
+        load = ServiceLoad(service='stock', rate_per_s=10)
+        summaries, _ = generate(load, FakeEntry(echo='{}'))
+        assert set(summaries[0].counts) == {CallResult.WRONG}
+
+    def test_an_unreachable_address_is_passed_over(self) -> None:
+        """
+        The load goes on while entry processes are replaced.
+        """
+        load = ServiceLoad(service='stock', rate_per_s=10)
+        gone = FakeEntry(*(CallResult.UNREACHABLE for _ in range(1_000)))
+        summaries, _ = generate(load, gone, FakeEntry())
+        assert set(summaries[0].counts) == {CallResult.ANSWERED}
+        alone, _ = generate(load, gone)
+        assert set(alone[0].counts) == {CallResult.UNREACHABLE}
+
+
+class TestPercentile:
+    """
+    Percentiles are values that occurred.
+    """
+
+    def test_percentiles_of_few_values(self) -> None:
+        """
+        A high percentile of few values is the highest one.
+        """
+        ordered = [float(number) for number in range(1, 101)]
+        assert percentile(ordered, 0.5) == 50
+        assert percentile(ordered, 0.99) == 99
+        assert percentile(ordered, 0.999) == 100
+        assert percentile([], 0.5) == 0
+
+
+class TestHttpEntry:
+    """
+    Every response of an entry address ends a request.
+    """
+
+    @pytest.mark.parametrize(
+        ('body', 'ended'),
+        [
+            ('{"kind": "answer", "body": "b"}', CallResult.ANSWERED),
+            ('{"outcome": "not_run", "reason": "r"}', CallResult.NOT_RUN),
+            ('{"kind": "unknown"}', CallResult.UNKNOWN),
+            ('{"kind": "ans', CallResult.CUT),
+            ('{}', CallResult.CUT),
+        ],
+    )
+    async def test_a_response_states_the_outcome(
+        self,
+        body: str,
+        ended: CallResult,
+    ) -> None:
+        """
+        A response without a clear outcome leaves the outcome open.
+        """
+        heads: list[str] = []
+
+        async def serve(
+            reader: asyncio.StreamReader,
+            writer: asyncio.StreamWriter,
+        ) -> None:
+            heads.append((await reader.readuntil(b'\r\n\r\n')).decode())
+            length = len(body)
+            head = f'HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n'
+            writer.write(f'{head}{body}'.encode())
+
+        server = await asyncio.start_server(serve, '127.0.0.1', 0)
+        port = server.sockets[0].getsockname()[1]
+        entry = HttpEntry(address=f'127.0.0.1:{port}')
+        call = EntryCall(
+            service='a/b',
+            body='{}',
+            deadline_ms=1_000,
+            idempotency_key='k',
+        )
+        assert (await entry.send(call)).ended == ended
+        assert heads[0].startswith('POST /v1/services/a%2Fb/requests HTTP')
+        assert 'Idempotency-Key: k' in heads[0]
+        server.close()
+        entry.close()
+        after = await HttpEntry(address=f'127.0.0.1:{port}').send(call)
+        assert after.ended == CallResult.UNREACHABLE
