--- a/src/hawthornpier_standin/servers/_commands.py
+++ b/src/hawthornpier_standin/servers/_commands.py
@@ -20,13 +20,22 @@
 from hawthornpier_standin.servers._history_file import HistoryFile
 from hawthornpier_standin.servers._platform import PlatformServer
 from hawthornpier_standin.servers._pool import WorkerPool, WorkerPoolOptions
-from hawthornpier_standin.workers import Recorder, WorkerModel
+from hawthornpier_standin.workers import (
+    Recorder,
+    WorkerModel,
+    ignore_record,
+)
 
 _MILLIS_PER_CORE = 1_000
 _BYTES_PER_GB = 1_000_000_000
 
 _WORKER_TEXTS = MappingProxyType(
-    {'--host': '127.0.0.1', '--region': '', '--failure-domain': ''},
+    {
+        '--host': '127.0.0.1',
+        '--region': '',
+        '--failure-domain': '',
+        '--rack': '',
+    },
 )
 _WORKER_NUMBERS = MappingProxyType(
     {
@@ -93,7 +102,7 @@
     Run workers until a signal asks for the end.
     """
     with ExitStack() as stack:
-        recorder: Recorder = _no_history
+        recorder: Recorder = ignore_record
         if arguments.history:
             history = stack.enter_context(HistoryFile(arguments.history))
             recorder = history.record
@@ -118,6 +127,7 @@
         worker_count=arguments.count,
         region=arguments.region,
         failure_domain=arguments.failure_domain,
+        rack=arguments.rack,
         rack_size=arguments.rack_size,
         capacity=Resources(
             processor_millis=arguments.cores * _MILLIS_PER_CORE,
@@ -131,12 +141,6 @@
     )
 
 
-def _no_history(record: object) -> None:
-    """
-    Drop *record*.
-    """
-
-
 async def _serve_platform(arguments: Namespace) -> None:
     server = PlatformServer(MemoryStore(clock=SystemClock()))
     port = server.listen(arguments.host, arguments.port)
