Add the demo; make run ids unique and planned stops clean

Cause: the first demo run found run ids shared by shards, since each shard counted epoch and run from one. A rolling restart cut a connection: the listener was closed while new connections waited in its queue. An order waited 5 s for its shard when the only process of a failure domain left or died. Change: run ids carry the shard; a leaving process serves until it has been quiet for a second and closes the listener last; a hand-over names a successor; a shard without a live process in its failure domain waits 1 s, not 5 s; the demo's callers skip processes that are not ready, as the balancer does.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.stamp-$(shell sha256sum requirements/dev.txt | cut -c1-12)
-export PYTHONPATH := $(CURDIR)/src
+export PYTHONPATH := $(CURDIR)/src:$(CURDIR)/tools
 
 .PHONY: test format lint types unit demo bench capacity soak binary clean
 
@@ -27,3 +27,7 @@
 
 unit: $(STAMP)
 	$(BIN)/python -m pytest
+
+# DEMO="--kill" kills an entry process in the middle, "--roll" restarts all.
+demo: $(STAMP)
+	$(BIN)/python -m demo $(DEMO)
--- a/src/hawthornpier/coordination/_ownership.py
+++ b/src/hawthornpier/coordination/_ownership.py
@@ -184,10 +184,15 @@
 
     async def hand_over_all(self) -> bool:
         """
-        Give up all shards, at the same time.
+        Give up all shards at the same time, each to a named successor.
         """
-        shards = tuple(self._owned)
-        results = await asyncio.gather(*map(self.hand_over, shards))
+        successors = self._vacancies.successors(self._owned, self._owners)
+        results = await asyncio.gather(
+            *(
+                self.hand_over(shard, successor)
+                for shard, successor in successors.items()
+            ),
+        )
         return all(results)
 
     async def _hand_over(self, shard: str, successor: str) -> bool:
--- a/src/hawthornpier/coordination/_timings.py
+++ b/src/hawthornpier/coordination/_timings.py
@@ -84,7 +84,7 @@
     observe_interval_ms: int = 500
     claim_patience_ms: int = 1_500
     claim_batch_count: int = 16
-    foreign_grace_ms: int = 5_000
+    foreign_grace_ms: int = 1_000
     rebalance_interval_ms: int = 5_000
     hand_over_timeout_ms: int = 5_000
     delivery_delay_ms: int = 2_000
--- a/src/hawthornpier/coordination/_vacancies.py
+++ b/src/hawthornpier/coordination/_vacancies.py
@@ -137,6 +137,36 @@
             if self._is_turn(shard, ranked, now_ms)
         )
 
+    def successors(
+        self,
+        shards: Iterable[str],
+        owners: Mapping[str, ShardOwner],
+    ) -> dict[str, str]:
+        """
+        Return for each shard the process that should own it after this one.
+        """
+        claimants = [
+            claimant
+            for claimant in self.claimants()
+            if claimant.process_id != self._lease.process_id
+        ]
+        ranking = rank_claimants(
+            [
+                Vacancy(
+                    shard=shard,
+                    region=self._regions.get(failure_domain_of(shard), ''),
+                    is_foreign_allowed=True,
+                )
+                for shard in shards
+            ],
+            claimants,
+            self.owned_counts(owners),
+        )
+        return {
+            shard: ranked[0] if ranked else ''
+            for shard, ranked in ranking.items()
+        }
+
     def is_vacant(self, owner: ShardOwner) -> bool:
         """
         Tell whether the process in the owner row certainly has no lease.
@@ -176,8 +206,11 @@
             shard=shard,
             region=self._regions.get(domain, ''),
             successor='' if owner is None else owner.row.successor,
+            # A named successor is chosen by an owner that leaves, so nobody
+            # has to wait for a process of the domain to come back.
             is_foreign_allowed=(
-                now_ms - empty_since_ms >= self._timings.foreign_grace_ms
+                bool(owner and owner.row.successor)
+                or now_ms - empty_since_ms >= self._timings.foreign_grace_ms
             ),
         )
 
--- a/src/hawthornpier/daemon/_process.py
+++ b/src/hawthornpier/daemon/_process.py
@@ -48,6 +48,9 @@
 
 # How long the balancer and the peers take to notice that a process leaves.
 LEAVE_NOTICE_MS = 1_000
+# How long kept connections are served after the last request.  Responses ask
+# clients to close, so a connection that is closed here later is idle.
+LINGER_MS = 1_000
 _POLL_MS = 20
 
 
@@ -165,19 +168,29 @@
             )
         await self._clock.sleep_ms(LEAVE_NOTICE_MS)
         await self._ownership.hand_over_all()
-        self._server.stop()
-        while self._activity.open_count:
-            await self._clock.sleep_ms(_POLL_MS)
         await self._lease.release()
+        await self._wait_quiet()
+
+    async def _wait_quiet(self) -> None:
+        """
+        Wait until no request has been open for the linger time.
+        """
+        quiet_since_ms = self._clock.monotonic_ms()
+        while self._clock.monotonic_ms() - quiet_since_ms < LINGER_MS:
+            if self._activity.open_count:
+                quiet_since_ms = self._clock.monotonic_ms()
+            await self._clock.sleep_ms(_POLL_MS)
 
     async def _close(self) -> None:
+        # Before anything is awaited, so that no request slips in between.
+        self._server.stop()
+        closing = asyncio.ensure_future(self._server.close_all_connections())
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for shard in tuple(self._shard_host.owners()):
             await self._shard_host.on_loss(shard)
-        self._server.stop()
-        await self._server.close_all_connections()
+        await closing
         self._connections.close()
         self._metrics.shutdown()
 
--- a/src/hawthornpier/owner/_job_state.py
+++ b/src/hawthornpier/owner/_job_state.py
@@ -269,6 +269,15 @@
     return replace(demand, slot_count=max(1, demand.slot_count))
 
 
+def new_run_id(shard: str, epoch: int, run_count: int) -> str:
+    """
+    Return the id of a run, which no other run of any shard has.
+
+    Ids appear in URL paths, so the shard's slash is replaced.
+    """
+    return f'{epoch}.{run_count}.{shard.replace("/", "~")}'
+
+
 def _run_order(run_id: str) -> tuple[int, int]:
-    epoch, _, counter = run_id.partition('.')
-    return int(epoch), int(counter)
+    epoch, run_count, _shard = run_id.split('.', 2)
+    return int(epoch), int(run_count)
--- a/src/hawthornpier/owner/_runs.py
+++ b/src/hawthornpier/owner/_runs.py
@@ -14,7 +14,12 @@
 )
 from hawthornpier.owner._context import ShardContext
 from hawthornpier.owner._errors import OwnerError
-from hawthornpier.owner._job_state import JobTable, TaskEntry, with_slot
+from hawthornpier.owner._job_state import (
+    JobTable,
+    TaskEntry,
+    new_run_id,
+    with_slot,
+)
 from hawthornpier.owner._link import LinkRun, WorkerLink
 from hawthornpier.policy import (
     EvictTask,
@@ -50,7 +55,11 @@
         task = self._known(decision.task_id)
         task.is_queued = False
         self._run_count += 1
-        task.run_id = f'{self._context.epoch}.{self._run_count}'
+        task.run_id = new_run_id(
+            self._context.shard,
+            self._context.epoch,
+            self._run_count,
+        )
         task.worker_id = decision.worker_id
         if self._is_closed:
             self._requeue(task, TaskResult.STOPPED)
--- a/tests/test_owner_jobs.py
+++ b/tests/test_owner_jobs.py
@@ -10,6 +10,7 @@
 
 from hawthornpier.messages import Answer, JobView, TaskState
 from hawthornpier.owner import OwnerError, ShardOwner
+from hawthornpier.owner._job_state import new_run_id
 from hawthornpier.policy import EvictTask
 from hawthornpier_standin.history import (
     Guarantee,
@@ -408,6 +409,24 @@
         assert run_virtual(scenario())
 
 
+class TestRunIds:
+    """
+    Names of runs.
+    """
+
+    def test_shards_never_share_a_run_id(self) -> None:
+        """
+        G2: two shards with the same epoch name their runs differently, so
+        that neither the workers nor the checkers take them for one run.
+        """
+        run_ids = {
+            new_run_id(shard, epoch, count)
+            for shard in ('ipoh/0', 'ipoh/1', 'kuching/0')
+            for epoch, count in ((1, 1), (1, 11), (11, 1), (11, 11))
+        }
+        assert len(run_ids) == 12
+
+
 class TestDemand:
     """
     What a task is charged.
--- /dev/null
+++ b/tools/demo/circle.py
@@ -0,0 +1,207 @@
+"""
+The circle of the demo: two members, three failure domains, their workloads.
+"""
+
+from dataclasses import dataclass
+from types import MappingProxyType
+
+from hawthornpier.messages import JobSpec, Resources
+from hawthornpier.table import (
+    MemberRow,
+    PutRow,
+    WorkloadClass,
+    WorkloadRow,
+    hash_operator_key,
+)
+from hawthornpier_standin.callers import ServiceLoad, Surge
+
+FOUNDER = 'yayasan'
+NEWCOMER = 'picking'
+KEYS = MappingProxyType(
+    {
+        FOUNDER: 'demo-operator-key-of-yayasan',
+        NEWCOMER: 'demo-operator-key-of-picking',
+    }
+)
+REGIONS = MappingProxyType(
+    {
+        'ipoh': 'semenanjung',
+        'melaka': 'semenanjung',
+        'kuching': 'borneo',
+    }
+)
+WORKERS_PER_DOMAIN = 4
+LIMITED_WORKLOAD = 'carving-plan'
+LIMITED_RUNNING_COUNT = 6
+
+_REQUEST_MILLIS = 2_000
+_REQUEST_BYTES = 500_000_000
+_TASK = Resources(
+    processor_millis=4_000,
+    memory_bytes=8_000_000_000,
+    slot_count=1,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class MemberPlan:
+    """
+    What one member sends while the demo runs.
+    """
+
+    member: str
+    loads: tuple[ServiceLoad, ...]
+    jobs: tuple[JobSpec, ...]
+
+
+def founding_edits() -> list[PutRow]:
+    """
+    Return the first edit: the founder and its workloads.
+    """
+    return [
+        PutRow(row=_member(FOUNDER)),
+        *_workloads(FOUNDER, ('stock-check', 'order'), (LIMITED_WORKLOAD,)),
+    ]
+
+
+def proposal_edit() -> PutRow:
+    """
+    Return the edit that proposes the second member.
+    """
+    return PutRow(row=_member(NEWCOMER))
+
+
+def newcomer_edits() -> list[PutRow]:
+    """
+    Return the second member's workloads, once it is approved.
+    """
+    return _workloads(
+        NEWCOMER,
+        ('pass-plan', 'bin-tally'),
+        ('row-photos', 'cold-room-watch'),
+    )
+
+
+def limit_edit(max_running_count: int | None) -> PutRow:
+    """
+    Return the edit that limits the carving plans.
+    """
+    return PutRow(
+        row=WorkloadRow(
+            member=FOUNDER,
+            name=LIMITED_WORKLOAD,
+            workload_class=WorkloadClass.BATCH,
+            max_running_count=max_running_count,
+        ),
+    )
+
+
+def weight_edit(weight: float) -> PutRow:
+    """
+    Return an edit of the second member that races with the first one's.
+    """
+    return PutRow(
+        row=WorkloadRow(
+            member=NEWCOMER,
+            name='row-photos',
+            workload_class=WorkloadClass.BATCH,
+            weight=weight,
+        ),
+    )
+
+
+def plans(duration_s: float) -> tuple[MemberPlan, ...]:
+    """
+    Return the load of both members.
+    """
+    dawn = Surge(
+        start_ms=duration_s * 400,
+        duration_ms=duration_s * 150,
+        factor=8,
+    )
+    return (
+        MemberPlan(
+            member=FOUNDER,
+            loads=(
+                ServiceLoad(service='stock-check', rate_per_s=40),
+                _orders('order', 12),
+            ),
+            jobs=(_job(FOUNDER, LIMITED_WORKLOAD, 160, 2_500),),
+        ),
+        MemberPlan(
+            member=NEWCOMER,
+            loads=(
+                ServiceLoad(
+                    service='pass-plan',
+                    rate_per_s=25,
+                    surges=(dawn,),
+                ),
+                _orders('bin-tally', 6),
+            ),
+            jobs=(
+                _job(NEWCOMER, 'row-photos', 60, 300),
+                _job(NEWCOMER, 'cold-room-watch', 3, 9_000),
+            ),
+        ),
+    )
+
+
+def _orders(service: str, rate_per_s: float) -> ServiceLoad:
+    return ServiceLoad(
+        service=service,
+        rate_per_s=rate_per_s,
+        order_share=1,
+        repeat_share=0.3,
+        deadline_ms=2_000,
+    )
+
+
+def _job(
+    member: str,
+    workload: str,
+    task_count: int,
+    work_ms: int,
+) -> JobSpec:
+    return JobSpec(
+        member=member,
+        workload=workload,
+        task_count=task_count,
+        demand=_TASK,
+        declared_work_ms=work_ms,
+    )
+
+
+def _member(member: str) -> MemberRow:
+    return MemberRow(
+        member=member,
+        operator_key_hash=(hash_operator_key(KEYS[member]),),
+    )
+
+
+def _workloads(
+    member: str,
+    services: tuple[str, ...],
+    batch: tuple[str, ...],
+) -> list[PutRow]:
+    service_rows = [
+        WorkloadRow(
+            member=member,
+            name=name,
+            workload_class=WorkloadClass.SERVICE,
+            latency_target_ms=200,
+            deadline_ms=1_000,
+            is_idempotent=name in {'stock-check', 'pass-plan'},
+            processor_millis=_REQUEST_MILLIS,
+            memory_bytes=_REQUEST_BYTES,
+        )
+        for name in services
+    ]
+    batch_rows = [
+        WorkloadRow(
+            member=member,
+            name=name,
+            workload_class=WorkloadClass.BATCH,
+        )
+        for name in batch
+    ]
+    return [PutRow(row=row) for row in (*service_rows, *batch_rows)]
--- /dev/null
+++ b/tools/demo/operators.py
@@ -0,0 +1,169 @@
+"""
+Operators and the balancer's probe, over HTTP.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+from demo.circle import KEYS
+from demo.processes import DemoError
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+
+from hawthornpier.messages import JobSpec, JobView
+from hawthornpier.table import PutRow, edit_to_document
+
+CONFLICT = 409
+UNAVAILABLE = 503
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """
+    The status and the document of a response; status 0 means none came.
+    """
+
+    status: int
+    document: Any
+
+    @property
+    def is_ok(self) -> bool:
+        """
+        Tell whether the entry process did what was asked.
+        """
+        return 200 <= self.status < 300
+
+
+async def call(
+    address: str,
+    method: str,
+    path: str,
+    *,
+    member: str,
+    document: object = None,
+) -> Reply:
+    """
+    Send one request of an operator.
+    """
+    request = HTTPRequest(
+        f'http://{address}{path}',
+        method=method,
+        headers={'X-Member': member, 'X-Operator-Key': KEYS[member]},
+        body=None if document is None else msgspec.json.encode(document),
+        request_timeout=10,
+    )
+    try:
+        response = await AsyncHTTPClient().fetch(request, raise_error=False)
+    except OSError as error:
+        return Reply(status=0, document={'reason': str(error)})
+    if response.code == 599:
+        return Reply(status=0, document={'reason': str(response.error)})
+    return Reply(
+        status=response.code,
+        document=msgspec.json.decode(response.body),
+    )
+
+
+class Operators:
+    """
+    The operators of both members, who use any entry process that answers.
+    """
+
+    def __init__(self, addresses: Sequence[str]) -> None:
+        self._addresses = tuple(addresses)
+
+    async def ask(
+        self,
+        method: str,
+        path: str,
+        *,
+        member: str,
+        document: object = None,
+    ) -> Reply:
+        """
+        Ask one entry process after the other until one answers.
+        """
+        reply = Reply(status=0, document={'reason': 'no entry process'})
+        for address in self._addresses:
+            reply = await call(
+                address,
+                method,
+                path,
+                member=member,
+                document=document,
+            )
+            if reply.status:
+                break
+        return reply
+
+    async def edit(
+        self,
+        edits: Sequence[PutRow],
+        *,
+        member: str,
+        base_version: int,
+    ) -> Reply:
+        """
+        Edit the table at the version that the operator saw.
+        """
+        return await self.ask(
+            'PUT',
+            '/v1/table',
+            member=member,
+            document={
+                'base_version': base_version,
+                'edits': [edit_to_document(edit) for edit in edits],
+            },
+        )
+
+    async def approve(self, subject: str, *, member: str, version: int) -> int:
+        """
+        Approve a proposal; returns the new version.
+        """
+        reply = await self.ask(
+            'POST',
+            '/v1/table/approvals',
+            member=member,
+            document={'member': subject, 'base_version': version},
+        )
+        return accepted_version(reply)
+
+    async def submit(self, spec: JobSpec) -> JobView:
+        """
+        Submit a job, again until it is accepted.
+        """
+        for _ in range(20):
+            reply = await self.ask(
+                'POST',
+                '/v1/jobs',
+                member=spec.member,
+                document=spec,
+            )
+            if reply.is_ok:
+                return msgspec.convert(reply.document, JobView)
+            await asyncio.sleep(0.5)
+        raise DemoError(f'a job was not accepted: {reply.document}')
+
+    async def show(self, view: JobView) -> JobView | None:
+        """
+        Return the job as it is now, or None while its owner changes.
+        """
+        reply = await self.ask(
+            'GET',
+            f'/v1/jobs/{view.job_id}',
+            member=view.spec.member,
+        )
+        if not reply.is_ok:
+            return None
+        return msgspec.convert(reply.document, JobView)
+
+
+def accepted_version(reply: Reply) -> int:
+    """
+    Return the version that an accepted edit made.
+    """
+    if not reply.is_ok:
+        raise DemoError(f'an edit was not accepted: {reply.document}')
+    return int(reply.document['version'])
--- /dev/null
+++ b/tools/demo/processes.py
@@ -0,0 +1,127 @@
+"""
+Starts and ends the processes of the demo.
+"""
+
+import contextlib
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from dataclasses import dataclass, field
+
+import msgspec
+
+READY_TIMEOUT_S = 20
+EXIT_TIMEOUT_S = 30
+
+
+class DemoError(Exception):
+    """
+    The demo could not be run.
+    """
+
+
+def free_ports(count: int) -> list[int]:
+    """
+    Return ports on the loopback address that nothing listens on.
+    """
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
+        for bound_socket in sockets:
+            bound_socket.bind(('127.0.0.1', 0))
+        return [_port_of(each) for each in sockets]
+
+
+def _port_of(listener: socket.socket) -> int:
+    return int(listener.getsockname()[1])
+
+
+@dataclass(slots=True)
+class Processes:
+    """
+    The processes that the demo has started, by name.
+    """
+
+    folder: pathlib.Path
+    _started: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
+
+    def start(self, name: str, *arguments: str) -> None:
+        """
+        Run one command of hawthornpier in a process of its own.
+        """
+        output = (self.folder / f'{name}.out').open('wb')
+        errors = (self.folder / f'{name}.err').open('ab')
+        with output, errors:
+            self._started[name] = subprocess.Popen(
+                [sys.executable, '-m', 'hawthornpier', *arguments],
+                stdout=output,
+                stderr=errors,
+                stdin=subprocess.DEVNULL,
+                env=dict(os.environ),
+            )
+
+    def ready(self, name: str) -> dict[str, object]:
+        """
+        Wait for the line in which a stand-in tells its addresses.
+        """
+        path = self.folder / f'{name}.out'
+        for _ in range(READY_TIMEOUT_S * 50):
+            line, found, _rest = path.read_text().partition('\n')
+            if found:
+                return dict(msgspec.json.decode(line))
+            if not self.is_alive(name):
+                break
+            time.sleep(0.02)
+        raise DemoError(f'{name} did not start: {self.last_error(name)}')
+
+    def is_alive(self, name: str) -> bool:
+        """
+        Tell whether the process runs.
+        """
+        return self._started[name].poll() is None
+
+    def process_id(self, name: str) -> int:
+        """
+        Return the operating system's id of the process.
+        """
+        return self._started[name].pid
+
+    def last_error(self, name: str) -> str:
+        """
+        Return the end of what the process wrote to its standard error.
+        """
+        return (self.folder / f'{name}.err').read_text()[-800:]
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """
+        Send a signal to a process of the demo.
+        """
+        self._started[name].send_signal(number)
+
+    def wait(self, name: str) -> int:
+        """
+        Wait until the process has ended; returns its exit code.
+        """
+        return self._started[name].wait(EXIT_TIMEOUT_S)
+
+    def exit_code(self, name: str) -> int | None:
+        """
+        Return the exit code, or None while the process runs.
+        """
+        return self._started[name].poll()
+
+    def end_all(self) -> None:
+        """
+        End what still runs; stand-ins write their files on SIGTERM.
+        """
+        running = [each for each in self._started.values() if not each.poll()]
+        for process in running:
+            process.terminate()
+        for process in running:
+            try:
+                process.wait(EXIT_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
--- /dev/null
+++ b/tools/demo/report.py
@@ -0,0 +1,113 @@
+"""
+What the demo measures and prints at its end.
+"""
+
+from collections.abc import Iterable, Sequence
+
+from demo.circle import LIMITED_RUNNING_COUNT
+
+from hawthornpier.messages import TaskResult
+from hawthornpier_standin.callers import CallResult, Summary, percentile
+from hawthornpier_standin.history import Record, RecordKind
+
+_MS_PER_S = 1_000
+
+
+def service_lines(summaries: Iterable[Summary]) -> list[str]:
+    """
+    Return the tail latency of each service, usual and in the surge.
+    """
+    lines = [
+        f'{"service":<13}{"phase":<7}{"sent":>6}{"answered":>9}'
+        f'{"not run":>8}{"unknown":>8}{"p50 ms":>8}{"p99 ms":>8}'
+        f'{"p99.9 ms":>9}{"in time":>9}',
+    ]
+    for summary in summaries:
+        counts = summary.counts
+        latencies = summary.latencies
+        lines.append(
+            f'{summary.service:<13}{summary.phase:<7}{summary.sent_count:>6}'
+            f'{counts.get(CallResult.ANSWERED, 0):>9}'
+            f'{counts.get(CallResult.NOT_RUN, 0):>8}'
+            f'{counts.get(CallResult.UNKNOWN, 0):>8}'
+            f'{latencies.p50_ms:>8.0f}{latencies.p99_ms:>8.0f}'
+            f'{latencies.p999_ms:>9.0f}{summary.in_time_share:>9.2%}',
+        )
+    return lines
+
+
+def batch_lines(
+    records: Sequence[Record],
+    *,
+    short_workload_tasks: Iterable[str],
+    duration_s: float,
+) -> list[str]:
+    """
+    Return throughput, evictions and the waits of short work.
+    """
+    ended = [each for each in records if each.kind is RecordKind.RUN_ENDED]
+    done = [each for each in ended if each.detail == TaskResult.DONE]
+    evicted = [each for each in ended if each.detail == TaskResult.EVICTED]
+    waits = sorted(_waits_ms(records, set(short_workload_tasks)))
+    return [
+        f'batch throughput         {len(done)} tasks ended,'
+        f' {len(done) / duration_s:.1f} each second',
+        f'evictions                {len(evicted)}',
+        f'wait of short work       p50 {percentile(waits, 0.5):.0f} ms,'
+        f' p99 {percentile(waits, 0.99):.0f} ms',
+    ]
+
+
+def most_running(
+    records: Sequence[Record],
+    task_ids: Iterable[str],
+    *,
+    from_ms: float,
+    to_ms: float,
+) -> int:
+    """
+    Return the most runs of the tasks that were started in the given time and
+    were held at once, to show that a limit of the table is in force.
+    """
+    wanted = set(task_ids)
+    held: set[str] = set()
+    most = 0
+    for record in sorted(records, key=lambda each: each.at_ms):
+        if record.task_id not in wanted:
+            continue
+        if record.kind is RecordKind.RUN_STARTED:
+            held.add(record.run_id)
+            if from_ms <= record.at_ms <= to_ms:
+                most = max(most, len(held))
+        elif record.kind is RecordKind.RUN_ENDED:
+            held.discard(record.run_id)
+    return most
+
+
+def limit_line(most: int) -> str:
+    """
+    Return the line about the operator's edit.
+    """
+    return (
+        f'table edit               carving plans limited to'
+        f' {LIMITED_RUNNING_COUNT}; the most held at a start while the limit'
+        f' was in force: {most}'
+    )
+
+
+def _waits_ms(
+    records: Sequence[Record],
+    task_ids: set[str],
+) -> list[float]:
+    accepted_ms: dict[str, float] = {}
+    started_ms: dict[str, float] = {}
+    for record in records:
+        if record.kind is RecordKind.JOB_ACCEPTED:
+            accepted_ms.update(dict.fromkeys(record.task_ids, record.at_ms))
+        elif record.kind is RecordKind.RUN_STARTED:
+            earlier_ms = started_ms.get(record.task_id, record.at_ms)
+            started_ms[record.task_id] = min(earlier_ms, record.at_ms)
+    return [
+        max(0, started_ms[task_id] - accepted_ms[task_id])
+        for task_id in task_ids & accepted_ms.keys() & started_ms.keys()
+    ]
