--- a/src/hawthornpier/cli/_job.py
+++ b/src/hawthornpier/cli/_job.py
@@ -63,7 +63,8 @@
         is_urgent=arguments.urgent,
     )
     client = _options.connect(arguments)
-    _print_job(arguments, client.change('POST', _PATH, spec))
+    document = {**msgspec.to_builtins(spec), 'job_id': arguments.job_id}
+    _print_job(arguments, client.change('POST', _PATH, document))
     return ExitCode.OK
 
 
@@ -123,6 +124,13 @@
             metavar='N',
             help=f'{meaning}; default: {default}',
         )
+    parser.add_argument(
+        '--job-id',
+        default='',
+        metavar='ID',
+        help='id from the message about a lost answer: submits that job '
+        'again, at most once',
+    )
     parser.add_argument(
         '--urgent',
         action='store_true',
--- a/src/hawthornpier/cli/_main.py
+++ b/src/hawthornpier/cli/_main.py
@@ -106,5 +106,12 @@
     that a daemon does not carry them.
     """
     package = _STAND_INS.partition('.')[0]
-    if find_spec(package) and find_spec(_STAND_INS):
-        import_module(_STAND_INS).add_commands(commands)
+    if not find_spec(package) or not find_spec(_STAND_INS):
+        return
+    try:
+        stand_ins = import_module(_STAND_INS)
+    except ImportError as error:
+        # The product's own commands work without them.
+        sys.stderr.write(f'hawthornpier: no stand-ins: {error}\n')
+    else:
+        stand_ins.add_commands(commands)
--- a/src/hawthornpier/cli/_process.py
+++ b/src/hawthornpier/cli/_process.py
@@ -6,11 +6,14 @@
 import sys
 from importlib import import_module
 from typing import Any
+from urllib.parse import urlencode
 
 from hawthornpier.cli import _options
 from hawthornpier.cli._errors import ExitCode, error_lines
 from hawthornpier.settings import SettingsErrorGroup, load_settings
 
+_FILTERS = ('shard', 'worker_id', 'task_id', 'request_id')
+
 
 def add_commands(commands: Any) -> None:
     """
@@ -46,10 +49,17 @@
     )
     parser.add_argument(
         '--format',
-        choices=('json', 'html'),
-        default='json',
-        help='default: json',
+        choices=('text', 'json', 'html'),
+        default='text',
+        help='default: text',
     )
+    for name in _FILTERS:
+        parser.add_argument(
+            f'--{name.replace("_", "-")}',
+            default='',
+            metavar='ID',
+            help=f'only events with this {name}',
+        )
 
 
 def run_daemon(arguments: argparse.Namespace) -> ExitCode:
@@ -91,7 +101,9 @@
     """
     Print the events as the entry process renders them.
     """
-    path = f'/v1/timeline?format={arguments.format}'
-    content = _options.connect(arguments).send('GET', path)
+    wanted = {name: getattr(arguments, name) for name in _FILTERS}
+    query = urlencode({'format': arguments.format, **wanted})
+    client = _options.connect(arguments)
+    content = client.send('GET', f'/v1/timeline?{query}')
     _options.print_lines([content.decode('utf-8', 'replace')])
     return ExitCode.OK
--- a/src/hawthornpier/cli/_table.py
+++ b/src/hawthornpier/cli/_table.py
@@ -88,7 +88,6 @@
             'a CSV file needs --base-version, which "table show" printed',
             code=ExitCode.USAGE,
         )
-    _print_changes(changes)
     if not changes:
         _options.print_lines(['no change'])
         return ExitCode.OK
@@ -97,6 +96,12 @@
         'edits': [table.edit_to_document(_edit_of(one)) for one in changes],
     }
     answer = _options.connect(arguments).change('PUT', _PATH, document)
+    # A raise of the own weight becomes a proposal, so what was asked for is
+    # not always what changed.
+    delta = answer.get('delta')
+    if delta is not None:
+        changes = table.delta_from_document(delta).changes
+    _print_changes(changes)
     _print_version(answer)
     return ExitCode.OK
 
--- a/src/hawthornpier/table/_cells.py
+++ b/src/hawthornpier/table/_cells.py
@@ -3,7 +3,6 @@
 """
 
 from collections.abc import Iterator, Mapping
-from typing import Any
 
 from hawthornpier.table._columns import format_cell, parse_cell
 from hawthornpier.table._documents import ROW_TYPES, build_row, row_to_document
@@ -54,22 +53,34 @@
 
 def describe_change(change: Change) -> Iterator[str]:
     """
-    Yield a line for each cell that differs, with both values.
+    Yield a line for each cell that differs, or one for a whole row.
     """
     if change.after is None:
         yield f'{change.key}: deleted'
-        return
-    if change.before is None:
-        yield f'{change.key}: added'
-    before = _cells_of(change.before)
-    for column, cell in _cells_of(change.after).items():
-        old, new = format_cell(before.get(column)), format_cell(cell)
-        if old != new:
-            yield f'{change.key} {column}: {old or "-"} -> {new or "-"}'
+    elif change.before is None:
+        cells = _cells_of(change.after).items()
+        shown = ' '.join(f'{column}={text!r}' for column, text in cells if text)
+        yield f'{change.key}: added {shown}'
+    else:
+        before, after = _cells_of(change.before), _cells_of(change.after)
+        for column in _differing(before, after):
+            old, new = before[column] or '-', after[column] or '-'
+            yield f'{change.key} {column}: {old} -> {new}'
 
 
-def _cells_of(row: TableRow | None) -> dict[str, Any]:
-    document = {} if row is None else row_to_document(row)
+def _differing(
+    before: Mapping[str, str],
+    after: Mapping[str, str],
+) -> Iterator[str]:
+    return (column for column in after if before[column] != after[column])
+
+
+def _cells_of(row: TableRow) -> dict[str, str]:
+    """
+    Return the texts of the cells that the key does not tell.
+    """
     return {
-        column: cell for column, cell in document.items() if column != 'kind'
+        column: format_cell(cell)
+        for column, cell in row_to_document(row).items()
+        if column not in {'kind', *_KEY_COLUMNS}
     }
--- /dev/null
+++ b/tests/table_fakes.py
@@ -0,0 +1,102 @@
+"""
+A table service in memory, for tests of the table and its commands.
+"""
+
+import asyncio
+import itertools
+import time
+from types import MappingProxyType
+
+from hawthornpier.messages import (
+    ABSENT_VERSION,
+    Row,
+    Transaction,
+    TransactionResult,
+)
+from hawthornpier.ports import StoreAnswerLostError, StoreUnavailableError
+from hawthornpier.table import hash_operator_key
+
+FOUNDERS = MappingProxyType(
+    {
+        name: hash_operator_key(f'key of {name}', salt=b'salt of tests...')
+        for name in ('yayasan', 'picking')
+    }
+)
+
+
+class FakeStore:
+    """
+    A table service in memory that fails on request.
+
+    *failures* holds one entry for each coming transaction: None, 'out',
+    'lost_before' or 'lost_after'.  Without *knows_ids* a repeated transaction
+    is checked anew.
+    """
+
+    def __init__(self, *, knows_ids: bool = True) -> None:
+        self.failures: list[str | None] = []
+        self.is_out = False
+        self._knows_ids = knows_ids
+        self._results: dict[str, TransactionResult] = {}
+        self._rows: dict[str, Row] = {}
+        self._versions = itertools.count(1)
+
+    async def transact(self, transaction: Transaction) -> TransactionResult:
+        await asyncio.sleep(0)
+        failure = self.failures.pop(0) if self.failures else None
+        if failure == 'out':
+            raise StoreUnavailableError('out')
+        if failure == 'lost_before':
+            raise StoreAnswerLostError('lost before')
+        outcome = self._results.get(transaction.transaction_id)
+        if outcome is None or not self._knows_ids:
+            outcome = self._apply(transaction)
+            self._results[transaction.transaction_id] = outcome
+        if failure == 'lost_after':
+            raise StoreAnswerLostError('lost after')
+        return outcome
+
+    async def read(self, key: str) -> Row | None:
+        await asyncio.sleep(0)
+        if self.is_out:
+            raise StoreUnavailableError('out')
+        return self._rows.get(key)
+
+    async def scan(self, prefix: str) -> tuple[Row, ...]:
+        await asyncio.sleep(0)
+        return tuple(
+            self._rows[key]
+            for key in sorted(self._rows)
+            if key.startswith(prefix)
+        )
+
+    def _apply(self, transaction: Transaction) -> TransactionResult:
+        for check in transaction.checks:
+            row = self._rows.get(check.key)
+            version = row.version if row else ABSENT_VERSION
+            if version != check.version:
+                return TransactionResult(is_committed=False)
+        for put in transaction.puts:
+            self._rows[put.key] = Row(
+                key=put.key,
+                version=next(self._versions),
+                text=put.text,
+            )
+        for key in transaction.deletes:
+            self._rows.pop(key, None)
+        return TransactionResult(is_committed=True)
+
+
+class RealClock:
+    """
+    The `Clock` port over the machine's clocks.
+    """
+
+    def monotonic_ms(self) -> int:
+        return time.monotonic_ns() // 1000000
+
+    def wall_ms(self) -> int:
+        return time.time_ns() // 1000000
+
+    async def sleep_ms(self, duration_ms: float) -> None:
+        await asyncio.sleep(duration_ms / 1000)
--- a/tests/test_table_rows.py
+++ b/tests/test_table_rows.py
@@ -15,6 +15,7 @@
     DocumentError,
     EmptyEditError,
     MemberRow,
+    NotPermittedError,
     Priority,
     ProposalRow,
     PutRow,
@@ -259,6 +260,28 @@
             with pytest.raises(RowErrorGroup):
                 self.plan(edit, rows=rows)
 
+    def test_last_member_stays(self) -> None:
+        """
+        The table is not left without anybody who could edit it.
+        """
+        with pytest.raises(NotPermittedError):
+            self.plan(DeleteRow(key='member/a'))
+
+    def test_founders_count_only_without_members(self) -> None:
+        """
+        Settings do not add members to a table that is in use.
+        """
+        row = MemberRow(member='b', operator_key_hash=('h',))
+        for rows, key in ((self.BEFORE, 'proposal/b'), ({}, 'member/b')):
+            changes = plan_edit(
+                rows,
+                [PutRow(row=row)],
+                member='a',
+                version=2,
+                founders={'a': 'h', 'b': 'h'},
+            )
+            assert [change.key for change in changes] == [key]
+
     def test_edit_without_effect(self) -> None:
         """
         A repeated edit does not make a new version.
