--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,7 @@
 
 unit: $(STAMP)
 	$(BIN)/python -m pytest
+
+# One executable file; see "The binary" in docs/operations.md.
+binary: $(STAMP)
+	$(BIN)/python tools/build_binary.py dist/hawthornpier
