--- a/src/hawthornpier/cli/_inputs.py
+++ b/src/hawthornpier/cli/_inputs.py
@@ -50,7 +50,9 @@
     try:
         if pathlib.Path(path).suffix != '.json':
             return table.rows_from_csv(text), 0
-        snapshot = table.snapshot_from_document(msgspec.json.decode(text))
+        document = msgspec.json.decode(text)
+        version = table.snapshot_from_document(document).version
+        return table.rows_from_documents(document['rows']), version
     except table.RowErrorGroup as group:
         raise CommandError(
             *(f'{path}: {error}' for error in group.exceptions),
@@ -58,4 +60,3 @@
         ) from group
     except (msgspec.DecodeError, table.DocumentError) as error:
         raise CommandError(f'{path}: {error}', code=ExitCode.INPUT) from error
-    return snapshot.rows, snapshot.version
--- a/src/hawthornpier/table/_commit.py
+++ b/src/hawthornpier/table/_commit.py
@@ -97,7 +97,11 @@
     for row in rows:
         try:
             decoded.append(
-                _documents.row_from_document(_decode(row), place=row.key),
+                _documents.row_from_document(
+                    _decode(row),
+                    place=row.key,
+                    is_lenient=True,
+                ),
             )
         except RowErrorGroup as group:
             reasons = '; '.join(str(error) for error in group.exceptions)
--- a/src/hawthornpier/table/_documents.py
+++ b/src/hawthornpier/table/_documents.py
@@ -56,13 +56,21 @@
     return {'kind': _KIND_OF[type(row)], **cells}
 
 
-def row_from_document(document: Any, *, place: str = 'row') -> TableRow:
+def row_from_document(
+    document: Any,
+    *,
+    place: str = 'row',
+    is_lenient: bool = False,
+) -> TableRow:
     """
     Return the row of a JSON form.
 
     Args:
         document: The decoded JSON.
         place: What errors call the row.
+        is_lenient: Leaves out unknown columns.  Rows of the store and of
+            peers may come from a newer version of the program in a roll;
+            those of operators are checked completely.
 
     Raises:
         RowErrorGroup: With all mistakes of the row.
@@ -74,7 +82,11 @@
     if not isinstance(kind, str) or kind not in ROW_TYPES:
         known = ', '.join(ROW_TYPES)
         raise _single(f'{kind!r} is not one of {known}', place, 'kind')
-    return build_row(ROW_TYPES[kind], cells, convert=check_cell, place=place)
+    row_type = ROW_TYPES[kind]
+    if is_lenient:
+        columns = {field.name for field in fields(row_type)}
+        cells = {column: cells[column] for column in cells if column in columns}
+    return build_row(row_type, cells, convert=check_cell, place=place)
 
 
 def build_row(
@@ -120,10 +132,18 @@
     return row_type(**typed)
 
 
-def rows_from_documents(documents: Any) -> tuple[TableRow, ...]:
+def rows_from_documents(
+    documents: Any,
+    *,
+    is_lenient: bool = False,
+) -> tuple[TableRow, ...]:
     """
     Return the rows of a JSON list.
 
+    Args:
+        documents: The decoded JSON.
+        is_lenient: Leaves out unknown columns, as in `row_from_document`.
+
     Raises:
         RowErrorGroup: With all mistakes of all rows.
     """
@@ -132,8 +152,11 @@
     rows: list[TableRow] = []
     errors: list[RowError] = []
     for number, document in enumerate(documents, start=1):
+        place = f'row {number}'
         try:
-            rows.append(row_from_document(document, place=f'row {number}'))
+            rows.append(
+                row_from_document(document, place=place, is_lenient=is_lenient),
+            )
         except RowErrorGroup as group:
             errors.extend(group.exceptions)  # type: ignore[arg-type]
     if errors:
@@ -263,7 +286,7 @@
     try:
         return Snapshot(
             version=int(document['version']),
-            rows=rows_from_documents(document['rows']),
+            rows=rows_from_documents(document['rows'], is_lenient=True),
         )
     except _FORM_ERRORS as error:
         raise DocumentError(f'not a table: {error}') from error
@@ -295,7 +318,9 @@
 
 def _change_from_document(document: Any) -> Change:
     before, after = (
-        None if document[side] is None else row_from_document(document[side])
+        None
+        if document[side] is None
+        else row_from_document(document[side], is_lenient=True)
         for side in ('before', 'after')
     )
     key = str(document['key'])
--- a/src/hawthornpier/table/_versioned.py
+++ b/src/hawthornpier/table/_versioned.py
@@ -14,7 +14,9 @@
 from hawthornpier.table._local import LocalTable
 
 # Behind by more versions than this, reading all rows is cheaper.
-_MAX_DELTA_READS = 64
+_MAX_DELTA_READS = 16
+# A longer history would take the store's reads from other work.
+_MAX_HISTORY_COUNT = 1000
 # A scan is repeated if an edit was accepted meanwhile.
 _MAX_SCANS = 8
 # Approvals of several members race for the next version.
@@ -172,13 +174,15 @@
         """
         Return the newest edits after version *since*, oldest first.
 
-        Edits that the store no longer keeps are left out.
+        Edits that the store no longer keeps are left out, and there are at
+        most 1000.
 
         Raises:
             TableUnavailableError: If the store does not answer.
         """
         kept = {delta.version: delta for delta in self._deltas}
-        first = max(0, since, self._version - limit) + 1
+        count = min(limit, _MAX_HISTORY_COUNT)
+        first = max(0, since, self._version - count) + 1
         try:
             deltas = [
                 kept.get(version)
--- a/tests/test_table_rows.py
+++ b/tests/test_table_rows.py
@@ -2,6 +2,7 @@
 Tests of the table's rows, their files and the rules between them.
 """
 
+import json
 from types import MappingProxyType
 
 import pytest
@@ -178,6 +179,16 @@
             'line 5, column name: not set',
         ]
 
+    def test_columns_of_a_newer_version(self) -> None:
+        """
+        A roll does not stop the old processes; a typing error is refused.
+        """
+        document = snapshot_to_document(Snapshot(version=1, rows=(service(),)))
+        document['rows'][0]['colour'] = 'red'
+        assert snapshot_from_document(document).rows == (service(),)
+        with pytest.raises(RowErrorGroup):
+            rows_from_json(json.dumps(document['rows']))
+
     def test_edits_round_trip_without_proposals(self) -> None:
         """
         Nobody writes a proposal with approvals that were not given.
--- a/tests/test_table_versioned.py
+++ b/tests/test_table_versioned.py
@@ -291,6 +291,46 @@
 
         run_virtual(scenario())
 
+    @pytest.mark.parametrize('is_edit_first', [True, False])
+    def test_approval_races_with_a_change_of_the_proposal(
+        self,
+        is_edit_first: bool,
+    ) -> None:
+        """
+        Whichever comes first, the new terms are not approved.
+        """
+
+        async def scenario() -> None:
+            store = FakeStore()
+            table = await founded(store)
+            await table.edit([newcomer()], member='yayasan', base_version=1)
+            await table.approve('mill', member='yayasan', base_version=2)
+            edit = new_table(store).edit(
+                [newcomer(9)],
+                member='yayasan',
+                base_version=3,
+            )
+            approval = new_table(store).approve(
+                'mill',
+                member='picking',
+                base_version=3,
+            )
+            racing = (edit, approval) if is_edit_first else (approval, edit)
+            outcomes = await asyncio.gather(*racing, return_exceptions=True)
+            conflicts = [
+                isinstance(outcome, EditConflictError) for outcome in outcomes
+            ]
+            assert conflicts == [False, True]
+            await table.refresh()
+            joined = [
+                row.weight
+                for key, row in table.rows.items()
+                if key == 'member/mill'
+            ]
+            assert joined == ([] if is_edit_first else [1])
+
+        run_virtual(scenario())
+
     def test_racing_approvals_both_count(self) -> None:
         """
         Two members that approve at the same time are not refused.
