--- a/tests/test_table_versioned.py
+++ b/tests/test_table_versioned.py
@@ -327,7 +327,8 @@
                 for key, row in table.rows.items()
                 if key == 'member/mill'
             ]
-            assert joined == ([] if is_edit_first else [1])
+            expected = [] if is_edit_first else [1]
+            assert joined == expected
 
         run_virtual(scenario())
 
