--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 # DEMO="--kill" kills an entry process in the middle, "--roll" restarts all.
 demo: $(STAMP)
 	$(BIN)/python -m demo $(DEMO)
+# One executable file; see "The binary" in docs/operations.md.
+binary: $(STAMP)
+	$(BIN)/python tools/build_binary.py dist/hawthornpier
--- a/tests/test_table_rows.py
+++ b/tests/test_table_rows.py
@@ -2,6 +2,7 @@
 Tests of the table's rows, their files and the rules between them.
 """
 
+import json
 from types import MappingProxyType
 
 import pytest
@@ -15,6 +16,7 @@
     DocumentError,
     EmptyEditError,
     MemberRow,
+    NotPermittedError,
     Priority,
     ProposalRow,
     PutRow,
@@ -177,6 +179,16 @@
             'line 5, column name: not set',
         ]
 
+    def test_columns_of_a_newer_version(self) -> None:
+        """
+        A roll does not stop the old processes; a typing error is refused.
+        """
+        document = snapshot_to_document(Snapshot(version=1, rows=(service(),)))
+        document['rows'][0]['colour'] = 'red'
+        assert snapshot_from_document(document).rows == (service(),)
+        with pytest.raises(RowErrorGroup):
+            rows_from_json(json.dumps(document['rows']))
+
     def test_edits_round_trip_without_proposals(self) -> None:
         """
         Nobody writes a proposal with approvals that were not given.
@@ -259,6 +271,28 @@
             with pytest.raises(RowErrorGroup):
                 self.plan(edit, rows=rows)
 
+    def test_last_member_stays(self) -> None:
+        """
+        The table is not left without anybody who could edit it.
+        """
+        with pytest.raises(NotPermittedError):
+            self.plan(DeleteRow(key='member/a'))
+
+    def test_founders_count_only_without_members(self) -> None:
+        """
+        Settings do not add members to a table that is in use.
+        """
+        row = MemberRow(member='b', operator_key_hash=('h',))
+        for rows, key in ((self.BEFORE, 'proposal/b'), ({}, 'member/b')):
+            changes = plan_edit(
+                rows,
+                [PutRow(row=row)],
+                member='a',
+                version=2,
+                founders={'a': 'h', 'b': 'h'},
+            )
+            assert [change.key for change in changes] == [key]
+
     def test_edit_without_effect(self) -> None:
         """
         A repeated edit does not make a new version.
