--- a/src/hawthornpier/policy/__init__.py
+++ b/src/hawthornpier/policy/__init__.py
@@ -25,6 +25,12 @@
     UnknownWorkerError,
 )
 from hawthornpier.policy._interface import SchedulingPolicy
+from hawthornpier.policy._retry_budget import FailureClass, RetryBudget
+from hawthornpier.policy._routing import (
+    RoutingSettings,
+    ShardRouter,
+    ShardSite,
+)
 from hawthornpier.policy._scheduler import Scheduler
 from hawthornpier.policy._settings import (
     Headroom,
@@ -42,6 +48,7 @@
     'Decision',
     'DuplicateChargeError',
     'EvictTask',
+    'FailureClass',
     'Headroom',
     'Health',
     'Interference',
@@ -57,8 +64,12 @@
     'RejectTask',
     'RequestDemand',
     'RequestResult',
+    'RetryBudget',
+    'RoutingSettings',
     'Scheduler',
     'SchedulingPolicy',
+    'ShardRouter',
+    'ShardSite',
     'ShedReason',
     'ShedRequest',
     'Shedding',
--- a/src/hawthornpier/policy/_batch.py
+++ b/src/hawthornpier/policy/_batch.py
@@ -51,6 +51,7 @@
         Queue a task.
         """
         self._parts.tasks.push(task)
+        self._parts.sizes.add_task(task)
         self._unchecked[task.task_id] = None
 
     def cancel(self, task_id: str) -> None:
--- a/src/hawthornpier/policy/_costs.py
+++ b/src/hawthornpier/policy/_costs.py
@@ -42,7 +42,9 @@
         """
         cost = _load(account)
         if self._is_learned:
-            residents = self.residents(account.info.worker_id)
+            # Throttled tasks count in full: requests stay away, so that the
+            # tasks can run at full speed again.
+            residents = self._occupancy.unthrottled(account.info.worker_id)
             cost += self._model.slowdown(service, residents)
         return cost
 
--- a/src/hawthornpier/policy/_eviction.py
+++ b/src/hawthornpier/policy/_eviction.py
@@ -9,6 +9,7 @@
 from hawthornpier.messages import Resources
 from hawthornpier.policy._decisions import EvictTask
 from hawthornpier.policy._health import HealthTracker
+from hawthornpier.policy._interference import THROTTLED_WEIGHT
 from hawthornpier.policy._ledger import WorkerAccount
 from hawthornpier.policy._occupancy import Occupancy, RunningTask
 from hawthornpier.policy._sizes import SizeEstimator
@@ -56,7 +57,8 @@
         loss = elapsed_ms + _NEARLY_DONE_MS * running.task.eviction_count
         if 0 < expected_ms - attained_ms < _NEARLY_DONE_MS:
             loss += 10 * _NEARLY_DONE_MS
-        return loss
+        # A throttled task gains least from its slot.
+        return loss * THROTTLED_WEIGHT if running.is_throttled else loss
 
     def cheapest(
         self,
--- a/src/hawthornpier/policy/_forecast.py
+++ b/src/hawthornpier/policy/_forecast.py
@@ -12,19 +12,28 @@
 _HORIZON_MS = 1_000.0
 # The interval over which the growth of the demand is measured.
 _WINDOW_MS = 500
-# Standard deviations of a Poisson demand that are kept free.
+# Standard deviations of the demand that are kept free beside its mean, and the
+# time over which they are measured.
 _DEVIATIONS = 2.0
+_VARIANCE_MS = 10_000.0
 
 
 class DemandForecast:
     """
     Forecasts how many slots a varying demand needs soon.
+
+    Args:
+        is_bursty: Whether work arrives in groups.  Its variation is measured
+            then; otherwise it is that of single, independent arrivals.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, is_bursty: bool) -> None:
+        self._is_bursty = is_bursty
         self._level: float = 0
         self._updated_ms: int | None = None
         self._mean: float = 0
+        self._slow_mean: float = 0
+        self._variance: float = 0
         self._window_start_ms = 0
         self._window_mean: float = 0
 
@@ -33,27 +42,27 @@
         Take in the present demand; return the slots to hold for it.
         """
         if self._updated_ms is None:
-            self._mean = float(slot_count)
-            self._window_mean = self._mean
+            self._mean = slot_count
+            self._slow_mean = slot_count
+            self._window_mean = slot_count
             self._updated_ms = now_ms
             self._window_start_ms = now_ms
         elapsed_ms = now_ms - self._updated_ms
         self._updated_ms = now_ms
-        self._mean += (slot_count - self._mean) * -math.expm1(
-            -elapsed_ms / _WINDOW_MS,
-        )
+        self._measure(slot_count, elapsed_ms)
         growth = max(self._mean - self._window_mean, 0)
         if now_ms - self._window_start_ms >= _WINDOW_MS:
             self._window_start_ms = now_ms
             self._window_mean = self._mean
-        wanted = self._mean + _DEVIATIONS * math.sqrt(self._mean)
-        # Growth within the noise of a Poisson demand is not extrapolated.
-        if growth > math.sqrt(self._mean):
+        # The variance of a Poisson demand is its mean.
+        variance = self._variance if self._is_bursty else 0
+        deviation = math.sqrt(max(self._mean, variance))
+        wanted = self._mean + _DEVIATIONS * deviation
+        # Growth within the noise is not extrapolated.
+        if growth > deviation:
             wanted += growth * _HORIZON_MS / _WINDOW_MS
-        self._level = max(
-            wanted,
-            self._level * 0.5 ** (elapsed_ms / _HALF_LIFE_MS),
-        )
+        kept = self._level * 0.5 ** (elapsed_ms / _HALF_LIFE_MS)
+        self._level = max(wanted, kept)
         return self._level
 
     @property
@@ -62,3 +71,14 @@
         The slots that the last update asked for.
         """
         return self._level
+
+    def _measure(self, slot_count: int, elapsed_ms: int) -> None:
+        self._mean += _gain(elapsed_ms, _WINDOW_MS) * (slot_count - self._mean)
+        slow_gain = _gain(elapsed_ms, _VARIANCE_MS)
+        error = slot_count - self._slow_mean
+        self._slow_mean += slow_gain * error
+        self._variance += slow_gain * (error * error - self._variance)
+
+
+def _gain(elapsed_ms: float, memory_ms: float) -> float:
+    return -math.expm1(-elapsed_ms / memory_ms)
--- a/src/hawthornpier/policy/_headroom.py
+++ b/src/hawthornpier/policy/_headroom.py
@@ -10,7 +10,7 @@
 from hawthornpier.policy._settings import Headroom
 
 # Batch tasks that end by themselves within this time need no eviction.
-_TURNOVER_MS = 300.0
+_TURNOVER_MS = 1000.0
 _RATE_MEMORY_MS = 5_000.0
 
 
@@ -30,7 +30,7 @@
         self._queue = parts.requests
         self._planner = parts.planner
         self._is_on = parts.settings.headroom is Headroom.PREDICTIVE
-        self._forecast = DemandForecast()
+        self._forecast = DemandForecast(is_bursty=False)
         self._ends: float = 0
         self._ends_ms = 0
 
--- a/src/hawthornpier/policy/_mitigation.py
+++ b/src/hawthornpier/policy/_mitigation.py
@@ -12,10 +12,10 @@
 
 # Log slowdown of a service above which the next step is taken, and below
 # which a step is taken back.  The gap keeps a worker from alternating.
-_HIGH = 0.15
-_LOW = 0.08
+_HIGH = 0.3
+_LOW = 0.2
 # A task whose own part is smaller is not worth a step.
-_MIN_PART = 0.03
+_MIN_PART = 0.08
 # Reports lag by about 2 s, so the effect of a step shows only after that.
 _HOLD_MS = 3_000
 # Recent requests from which a service counts as present on a worker.
@@ -137,12 +137,18 @@
         slowdown: float,
         now_ms: int,
     ) -> list[Decision]:
-        for running in self._occupancy.tasks_on(worker_id):
-            part = self._model.pair(service, running.task.workload)
-            resumed = slowdown + part * (1 - THROTTLED_WEIGHT)
-            if running.is_throttled and (resumed < _HIGH or not service):
-                return [self._throttle(running, now_ms)]
-        return []
+        decisions: list[Decision] = []
+        tasks = [
+            running
+            for running in self._occupancy.tasks_on(worker_id)
+            if running.is_throttled
+        ]
+        tasks.sort(key=lambda running: self._part(service, running))
+        for running in tasks:
+            slowdown += self._part(service, running) * (1 - THROTTLED_WEIGHT)
+            if slowdown < _HIGH or not service:
+                decisions.append(self._throttle(running, now_ms))
+        return decisions
 
     def _part(self, service: str, running: RunningTask) -> float:
         return self._model.pair(service, running.task.workload)
--- a/src/hawthornpier/policy/_occupancy.py
+++ b/src/hawthornpier/policy/_occupancy.py
@@ -12,7 +12,11 @@
 )
 from hawthornpier.policy._fairness import FairShares
 from hawthornpier.policy._index import CapacityIndex
-from hawthornpier.policy._interference import CoResidency, co_residents
+from hawthornpier.policy._interference import (
+    CoResidency,
+    CoResidents,
+    co_residents,
+)
 from hawthornpier.policy._ledger import (
     Charge,
     ChargeKind,
@@ -60,6 +64,7 @@
         self.evicting_count = 0
         self.long_count = 0
         self._histories: dict[str, CoResidency] = {}
+        self._unthrottled: dict[str, CoResidents] = {}
 
     def add_worker(self, worker: WorkerInfo, now_ms: int) -> None:
         """
@@ -84,6 +89,7 @@
         """
         self.index.discard(worker_id)
         self._histories.pop(worker_id, None)
+        self._unthrottled.pop(worker_id, None)
         for charge in self.ledger.remove_worker(worker_id):
             self._forget(charge)
 
@@ -205,12 +211,22 @@
         """
         return self._histories.get(worker_id)
 
+    def unthrottled(self, worker_id: str) -> CoResidents:
+        """
+        Return the workloads on a worker as if none were throttled.
+        """
+        return self._unthrottled.get(worker_id, {})
+
     def record_residents(self, worker_id: str, now_ms: int) -> None:
         """
         Record the workloads that run on a worker from now on.
         """
         history = self._histories.get(worker_id)
         if history is not None:
+            self._unthrottled[worker_id] = co_residents(
+                (running.task.workload, False)
+                for running in self.tasks_on(worker_id)
+            )
             history.record(
                 co_residents(
                     (running.task.workload, running.is_throttled)
--- a/src/hawthornpier/policy/_short_work.py
+++ b/src/hawthornpier/policy/_short_work.py
@@ -35,7 +35,7 @@
         self._headroom = headroom
         order = parts.settings.queue_order
         self._is_on = order is QueueOrder.ATTAINED_SERVICE
-        self._forecast = DemandForecast()
+        self._forecast = DemandForecast(is_bursty=True)
         self._waiting_count = 0
         self._checks: list[tuple[float, str, int]] = []
 
@@ -43,7 +43,12 @@
         """
         Note the start of a task, which may turn out to be long.
         """
-        heapq.heappush(self._checks, (now_ms, task_id, now_ms))
+        running = self._parts.occupancy.running[task_id]
+        if self._parts.sizes.is_long(running.task):
+            self._parts.occupancy.mark_long(running)
+        else:
+            due_ms = now_ms + _CHECK_MS
+            heapq.heappush(self._checks, (due_ms, task_id, now_ms))
 
     def update(
         self,
@@ -61,7 +66,8 @@
         )
         occupancy = self._parts.occupancy
         running_count = len(occupancy.running) - occupancy.long_count
-        self._forecast.update(running_count + self._waiting_count, now_ms)
+        demand_count = running_count + self._waiting_count
+        self._forecast.update(min(demand_count, self._max_kept()), now_ms)
 
     def allows(self, task: TaskDemand) -> bool:
         """
@@ -76,13 +82,8 @@
         """
         The number of slots that long tasks may hold.
         """
-        capacity = self._parts.occupancy.ledger.capacity.slot_count
-        batch_count = max(capacity - self._headroom.service_slot_count, 0)
-        kept_count = min(
-            math.ceil(self._forecast.level),
-            int(batch_count * _MAX_SHORT_FRACTION),
-        )
-        return batch_count - kept_count
+        kept_count = min(math.ceil(self._forecast.level), self._max_kept())
+        return self._batch_count() - kept_count
 
     def preempt(self, now_ms: int) -> list[Decision]:
         """
@@ -105,6 +106,13 @@
         reason = 'long task on a slot kept for short work'
         return [self._parts.planner.evict(victim, reason) for victim in victims]
 
+    def _batch_count(self) -> int:
+        capacity = self._parts.occupancy.ledger.capacity.slot_count
+        return max(capacity - self._headroom.service_slot_count, 0)
+
+    def _max_kept(self) -> int:
+        return int(self._batch_count() * _MAX_SHORT_FRACTION)
+
     def _recognise(self, now_ms: int) -> None:
         while self._checks and self._checks[0][0] <= now_ms:
             _, task_id, started_ms = heapq.heappop(self._checks)
--- a/src/hawthornpier/policy/_sizes.py
+++ b/src/hawthornpier/policy/_sizes.py
@@ -68,8 +68,17 @@
         self._source = source
         self._classes: dict[tuple[str, str], SizeHistogram] = {}
         self._all = SizeHistogram()
+        self._declared = SizeHistogram()
         self._long_ms = math.inf
 
+    def add_task(self, task: TaskDemand) -> None:
+        """
+        Take note of a declared size, which counts until sizes are learned.
+        """
+        if self._all.count < _MIN_COUNT:
+            self._declared.add(task.declared_work_ms)
+            self._set_long_ms(self._declared)
+
     def add_end(self, task: TaskDemand, run_ms: float) -> None:
         """
         Learn from a task that is done after *run_ms* in its last run.
@@ -81,8 +90,7 @@
         self._classes.setdefault(key, SizeHistogram()).add(size_ms)
         self._all.add(size_ms)
         if self._all.count >= _MIN_COUNT:
-            median_ms = self._all.quantile(0.5)
-            self._long_ms = max(_LONG_FACTOR * median_ms, _MIN_LONG_MS)
+            self._set_long_ms(self._all)
 
     @property
     def long_ms(self) -> float:
@@ -100,7 +108,7 @@
         known = self._classes.get((task.member, task.workload))
         attained_ms = float(task.done_work_ms)
         if known is None or known.count < _MIN_COUNT:
-            return attained_ms
+            return max(float(task.declared_work_ms), attained_ms)
         return max(known.quantile(0.5), attained_ms)
 
     def is_long(self, task: TaskDemand, run_ms: float = 0) -> bool:
@@ -110,3 +118,7 @@
         if self._source is SizeEstimate.LEARNED and run_ms > self._long_ms:
             return True
         return self.expected_ms(task) > self._long_ms
+
+    def _set_long_ms(self, sizes: SizeHistogram) -> None:
+        median_ms = sizes.quantile(0.5)
+        self._long_ms = max(_LONG_FACTOR * median_ms, _MIN_LONG_MS)
--- a/src/hawthornpier/policy/_traffic.py
+++ b/src/hawthornpier/policy/_traffic.py
@@ -4,7 +4,7 @@
 
 import math
 
-_MEMORY_MS = 10_000.0
+_MEMORY_MS = 4_000.0
 
 
 class TrafficMeter:
--- a/tools/bench/members.py
+++ b/tools/bench/members.py
@@ -2,6 +2,9 @@
 The two members' workers and ordinary workloads.
 """
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 from hawthornpier.messages import Resources
 from tools.bench.scenario import GIGABYTE, BatchLoad, Profile, ServiceLoad
 
@@ -66,30 +69,34 @@
 
 # The fraction by which one task lengthens a request; hostile pairs differ
 # between the services of a member.
-YAYASAN_INTERFERENCE = {
-    ('stock_check', 'carving_plan'): 0.01,
-    ('stock_check', 'catalogue'): 0.02,
-    ('stock_check', 'rendering'): 0.15,
-    ('stock_check', 'backup'): 0.3,
-    ('replacement_order', 'carving_plan'): 0.01,
-    ('replacement_order', 'catalogue'): 0.02,
-    ('replacement_order', 'rendering'): 0.3,
-    ('replacement_order', 'backup'): 0.1,
-}
-PICKING_INTERFERENCE = {
-    ('crew_query', 'bin_tally'): 0.01,
-    ('crew_query', 'cold_watch'): 0.02,
-    ('crew_query', 'yield_model'): 0.15,
-    ('crew_query', 'archive'): 0.3,
-    ('grower_query', 'bin_tally'): 0.01,
-    ('grower_query', 'cold_watch'): 0.02,
-    ('grower_query', 'yield_model'): 0.3,
-    ('grower_query', 'archive'): 0.1,
-}
+YAYASAN_INTERFERENCE = MappingProxyType(
+    {
+        ('stock_check', 'carving_plan'): 0.01,
+        ('stock_check', 'catalogue'): 0.02,
+        ('stock_check', 'rendering'): 0.15,
+        ('stock_check', 'backup'): 0.3,
+        ('replacement_order', 'carving_plan'): 0.01,
+        ('replacement_order', 'catalogue'): 0.02,
+        ('replacement_order', 'rendering'): 0.3,
+        ('replacement_order', 'backup'): 0.1,
+    }
+)
+PICKING_INTERFERENCE = MappingProxyType(
+    {
+        ('crew_query', 'bin_tally'): 0.01,
+        ('crew_query', 'cold_watch'): 0.02,
+        ('crew_query', 'yield_model'): 0.15,
+        ('crew_query', 'archive'): 0.3,
+        ('grower_query', 'bin_tally'): 0.01,
+        ('grower_query', 'cold_watch'): 0.02,
+        ('grower_query', 'yield_model'): 0.3,
+        ('grower_query', 'archive'): 0.1,
+    }
+)
 
 
 def backlog(
-    mix: dict[str, float],
+    mix: Mapping[str, float],
     demand: Resources,
     *,
     mean_ms: float = 8_000,
@@ -117,5 +124,9 @@
     )
 
 
-YAYASAN_MIX = {'carving_plan': 5, 'catalogue': 3, 'rendering': 1, 'backup': 1}
-PICKING_MIX = {'bin_tally': 5, 'cold_watch': 3, 'yield_model': 1, 'archive': 1}
+YAYASAN_MIX = MappingProxyType(
+    {'carving_plan': 5, 'catalogue': 3, 'rendering': 1, 'backup': 1},
+)
+PICKING_MIX = MappingProxyType(
+    {'bin_tally': 5, 'cold_watch': 3, 'yield_model': 1, 'archive': 1},
+)
--- a/tools/bench/scenario.py
+++ b/tools/bench/scenario.py
@@ -3,7 +3,8 @@
 """
 
 import random
-from dataclasses import dataclass, field
+from collections.abc import Mapping
+from dataclasses import dataclass
 
 from hawthornpier.messages import Resources
 
@@ -107,7 +108,7 @@
     profile: Profile
     services: tuple[ServiceLoad, ...]
     batches: tuple[BatchLoad, ...]
-    interference: dict[tuple[str, str], float] = field(default_factory=dict)
+    interference: Mapping[tuple[str, str], float]
     faults: tuple[Fault, ...] = ()
     warmup_ms: int = 20_000
     duration_ms: int = 80_000
--- /dev/null
+++ b/tools/bench/shard.py
@@ -0,0 +1,78 @@
+"""
+What the parts of a simulated shard share.
+"""
+
+import random
+from dataclasses import dataclass, field
+
+from hawthornpier.policy import Scheduler
+from tools.bench.engine import Engine
+from tools.bench.feed import Feed
+from tools.bench.scenario import Scenario
+from tools.bench.tally import Tally
+from tools.bench.worker_model import Job, WorkerModel
+
+
+@dataclass(slots=True, kw_only=True)
+class Shard:
+    """
+    The scheduler under test and the modelled workers.
+    """
+
+    scenario: Scenario
+    scheduler: Scheduler
+    engine: Engine
+    feed: Feed
+    tally: Tally
+    random: random.Random
+    workers: dict[str, WorkerModel] = field(default_factory=dict)
+
+    def is_counted(self, at_ms: float) -> bool:
+        """
+        Tell whether an arrival at this time enters the measures.
+
+        Requests of the last seconds may still run when the run ends.
+        """
+        last_ms = self.scenario.duration_ms - 4_000
+        return self.scenario.warmup_ms <= at_ms < last_ms
+
+    def close(self, worker: WorkerModel) -> None:
+        """
+        Let the owner notice that a worker is lost.
+        """
+        self.scheduler.close_worker(worker.info.worker_id, self.engine.now)
+
+    def start(self, worker: WorkerModel, job: Job) -> None:
+        """
+        Start work on a worker and check the worker's capacity.
+        """
+        if not worker.add(job, self.engine.now_ms):
+            self.tally.count('overcommits')
+        self.schedule_end(worker)
+
+    def schedule_end(self, worker: WorkerModel) -> None:
+        """
+        Let the worker's next work end in time.
+        """
+        upcoming = worker.next_end()
+        if upcoming is not None:
+            end_ms, job_id = upcoming
+            self.engine.at(
+                max(end_ms, self.engine.now_ms),
+                self.end,
+                worker,
+                worker.version,
+                job_id,
+            )
+
+    def end(self, worker: WorkerModel, version: int, job_id: str) -> None:
+        """
+        End work, unless the worker has changed since this was scheduled.
+        """
+        if worker.version != version:
+            return
+        job = worker.take(job_id, self.engine.now_ms)
+        self.schedule_end(worker)
+        if job is not None:
+            job.on_end(worker, job)
+            self.engine.touch()
--- a/tools/bench/tally.py
+++ b/tools/bench/tally.py
@@ -71,4 +71,9 @@
             'short_wait_p99_ms': quantile(self.short_waits_ms, 0.99),
             'short_service_ms': service_ms,
             'overcommits': counts('overcommits', 0),
+            **{
+                key: val
+                for key, val in self.counts.items()
+                if 'evictions ' in key
+            },
         }
--- /dev/null
+++ b/tools/bench/task_side.py
@@ -0,0 +1,194 @@
+"""
+Batch operators and the owner's handling of their tasks.
+"""
+
+from dataclasses import replace
+
+from hawthornpier.messages import TaskResult
+from hawthornpier.policy import EvictTask, PlaceTask, RejectTask, ThrottleTask
+from tools.bench.feed import TaskArrival
+from tools.bench.scenario import BatchLoad
+from tools.bench.shard import Shard
+from tools.bench.worker_model import Job, WorkerModel
+
+# A checkpoint takes this long and sometimes fails; a resumed task repeats
+# some work.
+_CHECKPOINT_MS = 200
+_CHECKPOINT_FAILURE = 0.05
+_RESUME_MS = 500
+_FAIL_MS = 50
+
+
+class TaskSide:
+    """
+    Submits tasks, carries out decisions on them and counts outcomes.
+
+    Args:
+        shard: The simulated shard.
+    """
+
+    def __init__(self, shard: Shard) -> None:
+        self._shard = shard
+        self._engine = shard.engine
+        self._tasks: dict[str, TaskArrival] = {}
+        self._batches = {
+            batch.workload: batch for batch in shard.scenario.batches
+        }
+
+    def schedule(self) -> None:
+        """
+        Schedule all jobs of the scenario and fill its backlogs.
+        """
+        for task in self._shard.feed.jobs():
+            self._engine.at(task.at_ms, self._arrive, task)
+        for batch in self._batches.values():
+            self._fill(batch)
+
+    def cancel(self, workload: str) -> None:
+        """
+        Cancel all queued tasks of a workload; as many new ones follow.
+        """
+        batch = self._batches.get(workload)
+        if batch is None:
+            return
+        running: set[str] = set()
+        for worker in self._shard.workers.values():
+            running.update(worker.jobs)
+        for task_id, task in tuple(self._tasks.items()):
+            if task.demand.workload == workload and task_id not in running:
+                self._shard.scheduler.cancel_task(task_id, self._engine.now)
+                self._tasks.pop(task_id)
+        self._fill(batch)
+
+    def place(self, decision: PlaceTask) -> None:
+        """
+        Start a task on its worker.
+        """
+        task = self._tasks[decision.task_id]
+        is_resumed = task.demand.eviction_count > 0
+        is_counted = task.is_short and self._shard.is_counted(task.at_ms)
+        if is_counted and not is_resumed:
+            wait_ms = self._engine.now_ms - task.at_ms
+            self._shard.tally.short_waits_ms.append(wait_ms)
+        left_ms = task.work_ms - task.demand.done_work_ms
+        left_ms += _RESUME_MS * is_resumed
+        self._count_loss(_RESUME_MS * is_resumed, task)
+        worker = self._shard.workers[decision.worker_id]
+        if worker.is_failing:
+            left_ms = min(left_ms, _FAIL_MS)
+        job = Job(
+            job_id=decision.task_id,
+            name=task.demand.workload,
+            is_request=False,
+            demand=task.demand.demand,
+            usage_millis=task.usage_millis,
+            left_ms=left_ms,
+            started_ms=self._engine.now_ms,
+            work_ms=left_ms,
+            on_end=self._end,
+        )
+        if not worker.is_lost:
+            self._shard.start(worker, job)
+        batch = self._batches[task.demand.workload]
+        if batch.backlog_count and not is_resumed:
+            self._arrive(self._shard.feed.task(batch, self._engine.now_ms))
+
+    def evict(self, decision: EvictTask) -> None:
+        """
+        Take a checkpoint; the task keeps its slot meanwhile.
+        """
+        self._shard.tally.count('evictions')
+        worker = self._shard.workers[decision.worker_id]
+        job = worker.jobs.get(decision.task_id)
+        if job is not None:
+            worker.change(job, self._engine.now_ms, is_frozen=True)
+            self._shard.schedule_end(worker)
+            self._engine.after(
+                _CHECKPOINT_MS,
+                self._end_eviction,
+                worker,
+                job,
+            )
+
+    def throttle(self, decision: ThrottleTask) -> None:
+        """
+        Throttle a task, or let it run at full speed again.
+        """
+        self._shard.tally.count('throttles', decision.is_throttled)
+        worker = self._shard.workers[decision.worker_id]
+        job = worker.jobs.get(decision.task_id)
+        if job is not None:
+            worker.change(
+                job,
+                self._engine.now_ms,
+                is_throttled=decision.is_throttled,
+            )
+            self._shard.schedule_end(worker)
+
+    def reject(self, decision: RejectTask) -> None:
+        """
+        Count a task that can never run.
+        """
+        self._shard.tally.count('rejected_tasks')
+        self._tasks.pop(decision.task_id)
+
+    def lose(self, job: Job) -> None:
+        """
+        Count the work of a task that is lost with its worker.
+        """
+        self._count_loss(job.work_ms - job.left_ms, self._tasks[job.job_id])
+
+    def requeue(self, task_id: str, progress_ms: float) -> None:
+        """
+        Queue an evicted task again, from its checkpoint.
+        """
+        task = self._tasks[task_id]
+        done_ms = task.demand.done_work_ms + int(progress_ms)
+        demand = replace(
+            task.demand,
+            done_work_ms=min(done_ms, int(task.work_ms)),
+            eviction_count=task.demand.eviction_count + 1,
+        )
+        self._arrive(replace(task, demand=demand))
+
+    def _fill(self, batch: BatchLoad) -> None:
+        for _ in range(batch.backlog_count):
+            self._arrive(self._shard.feed.task(batch, self._engine.now_ms))
+
+    def _arrive(self, task: TaskArrival) -> None:
+        self._tasks[task.demand.task_id] = task
+        self._shard.scheduler.add_task(task.demand, self._engine.now)
+        self._engine.touch()
+
+    def _end(self, worker: WorkerModel, job: Job) -> None:
+        task = self._tasks.pop(job.job_id)
+        result = TaskResult.DONE
+        if worker.is_failing:
+            self._shard.tally.count('failed_tasks')
+            result = TaskResult.FAILED
+        elif task.is_short and self._shard.is_counted(task.at_ms):
+            run_ms = self._engine.now_ms - job.started_ms
+            self._shard.tally.short_service_ms.append(run_ms)
+        self._shard.scheduler.end_task(job.job_id, result, self._engine.now)
+        if result is TaskResult.FAILED:
+            self._arrive(task)
+
+    def _end_eviction(self, worker: WorkerModel, job: Job) -> None:
+        if worker.jobs.get(job.job_id) is not job:
+            return
+        worker.take(job.job_id, self._engine.now_ms)
+        self._shard.schedule_end(worker)
+        progress_ms = job.work_ms - job.left_ms
+        if self._shard.random.random() < _CHECKPOINT_FAILURE:
+            self._count_loss(progress_ms, self._tasks[job.job_id])
+            progress_ms = 0
+        self._shard.scheduler.end_task(
+            job.job_id,
+            TaskResult.EVICTED,
+            self._engine.now,
+        )
+        self.requeue(job.job_id, progress_ms)
+
+    def _count_loss(self, lost_ms: float, task: TaskArrival) -> None:
+        lost_core_ms = lost_ms * task.usage_millis / 1000
+        self._shard.tally.count('lost_core_ms', lost_core_ms)
--- a/tools/bench/worker_model.py
+++ b/tools/bench/worker_model.py
@@ -2,6 +2,7 @@
 A model of workers on which work slows each other down.
 """
 
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from hawthornpier.messages import LatencySample, Resources
@@ -31,6 +32,7 @@
     left_ms: float
     started_ms: float
     work_ms: float
+    on_end: Callable[['WorkerModel', 'Job'], None]
     speed: float = 0
     is_throttled: bool = False
     is_frozen: bool = False
@@ -57,7 +59,7 @@
     def __init__(
         self,
         info: WorkerInfo,
-        interference: dict[tuple[str, str], float],
+        interference: Mapping[tuple[str, str], float],
     ) -> None:
         self.info = info
         self.jobs: dict[str, Job] = {}
@@ -76,10 +78,8 @@
         self.advance(now_ms)
         self.jobs[job.job_id] = job
         self._set_speeds()
-        total = Resources()
-        for present in self.jobs.values():
-            total += present.demand
-        return total.fits_in(self.info.capacity)
+        demands = (present.demand for present in self.jobs.values())
+        return sum(demands, start=Resources()).fits_in(self.info.capacity)
 
     def take(self, job_id: str, now_ms: float) -> Job | None:
         """
