--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,6 @@
 
 unit: $(STAMP)
 	$(BIN)/python -m pytest
+
+bench: $(STAMP)
+	PYTHONPATH=$(CURDIR)/src:$(CURDIR) $(BIN)/python -m tools.bench
--- a/src/hawthornpier/policy/_explain.py
+++ b/src/hawthornpier/policy/_explain.py
@@ -63,7 +63,7 @@
     def _free_slots(self, task: TaskDemand) -> str:
         if task.is_urgent:
             return ''
-        free_count = self._parts.occupancy.ledger.free.slot_count
+        free_count = self._parts.free_slot_count()
         if free_count > 0 and self._headroom.batch_budget() <= 0:
             return f'the {free_count} free slots are kept for services'
         if not self._short_work.allows(task):
--- a/src/hawthornpier/policy/_headroom.py
+++ b/src/hawthornpier/policy/_headroom.py
@@ -26,6 +26,7 @@
     """
 
     def __init__(self, parts: ShardParts) -> None:
+        self._parts = parts
         self._occupancy = parts.occupancy
         self._queue = parts.requests
         self._planner = parts.planner
@@ -45,7 +46,7 @@
         """
         Return how many free slots batch work may take now.
         """
-        free_count = self._occupancy.ledger.free.slot_count
+        free_count = self._parts.free_slot_count()
         reserved = self.service_slot_count - self._occupancy.request_count
         return free_count - reserved
 
--- a/src/hawthornpier/policy/_health.py
+++ b/src/hawthornpier/policy/_health.py
@@ -100,6 +100,7 @@
     def __init__(self, *, choice: Health) -> None:
         self._is_on = choice is Health.QUARANTINE
         self._workers: dict[str, _WorkerRecord] = {}
+        self._unusable: dict[str, None] = {}
         self._failed_workers: dict[str, set[str]] = {}
         self._faulty_jobs: dict[str, None] = {}
         self._sound_jobs: dict[str, None] = {}
@@ -109,6 +110,13 @@
         Forget a worker.
         """
         self._workers.pop(worker_id, None)
+        self._unusable.pop(worker_id, None)
+
+    def unusable_workers(self) -> tuple[str, ...]:
+        """
+        Return the workers that are out of use for tasks or for requests.
+        """
+        return tuple(self._unusable) if self._is_on else ()
 
     def allows_task(self, worker_id: str, task_id: str, now_ms: int) -> bool:
         """
@@ -191,6 +199,7 @@
         if is_failed:
             self._fail_task(record, worker_id, task_id)
             self._judge(record, now_ms)
+        self._mark(worker_id, record)
 
     def forget_task(self, task_id: str) -> None:
         """
@@ -222,6 +231,13 @@
             is_over = record.failed_request_count >= _EJECT_REQUEST_COUNT
             if (is_over or is_relapse) and now_ms >= record.requests.until_ms:
                 record.requests.start(now_ms)
+        self._mark(worker_id, record)
+
+    def _mark(self, worker_id: str, record: _WorkerRecord) -> None:
+        if record.tasks.is_active or record.requests.is_active:
+            self._unusable[worker_id] = None
+        else:
+            self._unusable.pop(worker_id, None)
 
     def _fail_task(
         self,
--- a/src/hawthornpier/policy/_parts.py
+++ b/src/hawthornpier/policy/_parts.py
@@ -40,6 +40,18 @@
     planner: EvictionPlanner
     held_workers: dict[str, str]
 
+    def free_slot_count(self) -> int:
+        """
+        Return the free slots of the workers that health does not rule out.
+        """
+        ledger = self.occupancy.ledger
+        unusable_count = 0
+        for worker_id in self.health.unusable_workers():
+            account = ledger.accounts.get(worker_id)
+            if account is not None and account.is_open:
+                unusable_count += account.free.slot_count
+        return ledger.free.slot_count - unusable_count
+
 
 def build_parts(*, settings: PolicySettings, seed: int) -> ShardParts:
     """
--- a/src/hawthornpier/policy/_services.py
+++ b/src/hawthornpier/policy/_services.py
@@ -176,7 +176,7 @@
         The slots that services hold, and those that they get by evictions,
         are shared by the services in proportion to their weights.
         """
-        free_count = self._occupancy.ledger.free.slot_count
+        free_count = self._parts.free_slot_count()
         slot_count = self._occupancy.request_count + max(free_count, 0)
         wait_ms: float = 0
         if self._parts.settings.headroom is Headroom.PREDICTIVE:
--- /dev/null
+++ b/tools/bench/plots.py
@@ -0,0 +1,69 @@
+"""
+Plots of the benchmark's results.
+"""
+
+from pathlib import Path
+
+import matplotlib as mpl
+from matplotlib import pyplot as plt
+
+from tools.bench.runs import BATCH_ALONE, SERVICE_ALONE, Results
+
+_LATENCY_SCENARIOS = ('steady_day', 'dawn_surge', 'hail')
+
+
+def draw_all(directory: Path, results: Results) -> None:
+    """
+    Write all plots into a directory.
+    """
+    mpl.rcParams['svg.hashsalt'] = 'bench'
+    _draw_tradeoff(directory / 'bench-tradeoff.svg', results)
+    _draw_evictions(directory / 'bench-evictions.svg', results)
+
+
+def _mean(runs: list[dict[str, float]], measure: str) -> float:
+    return sum(run[measure] for run in runs) / len(runs)
+
+
+def _draw_tradeoff(path: Path, results: Results) -> None:
+    figure, axes = plt.subplots(
+        1,
+        len(_LATENCY_SCENARIOS),
+        figsize=(11, 3.6),
+    )
+    for axis, name in zip(axes, _LATENCY_SCENARIOS, strict=True):
+        for variant, runs in results[name].items():
+            if variant not in {SERVICE_ALONE, BATCH_ALONE}:
+                across = _mean(runs, 'work_per_core_hour')
+                upwards = _mean(runs, 'p99_ms')
+                axis.plot(across, upwards, 'o', markersize=4)
+                axis.annotate(variant, (across, upwards), fontsize=6)
+        alone = _mean(results[name][SERVICE_ALONE], 'p99_ms')
+        axis.axhline(1.2 * alone, linewidth=0.8, linestyle='--')
+        axis.set_title(name, fontsize=9)
+        axis.set_xlabel('batch work per core-hour (core-s)', fontsize=8)
+        axis.set_yscale('log')
+    axes[0].set_ylabel('service p99 (ms); line: 1.2 x alone', fontsize=8)
+    _save(figure, path)
+
+
+def _draw_evictions(path: Path, results: Results) -> None:
+    figure, axis = plt.subplots(figsize=(8, 3.2))
+    names = list(results)
+    for shift, variant in ((-0.2, 'ours'), (0.2, 'evict_only')):
+        axis.bar(
+            [place + shift for place in range(len(names))],
+            [_mean(results[name][variant], 'evictions') for name in names],
+            width=0.4,
+            label=variant,
+        )
+    axis.set_xticks(range(len(names)), names, rotation=30, fontsize=7)
+    axis.set_ylabel('evictions', fontsize=8)
+    axis.legend(fontsize=7)
+    _save(figure, path)
+
+
+def _save(figure: plt.Figure, path: Path) -> None:
+    figure.tight_layout()
+    figure.savefig(path, metadata={'Date': None})
+    plt.close(figure)
--- /dev/null
+++ b/tools/bench/runs.py
@@ -0,0 +1,60 @@
+"""
+All runs of the benchmark, spread over processes.
+"""
+
+from collections.abc import Iterable
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import replace
+
+from tools.bench.scenario import Scenario
+from tools.bench.scenarios import SCENARIOS
+from tools.bench.simulation import Simulation
+from tools.bench.variants import OURS, VARIANTS
+
+SEEDS = (1, 2, 3)
+SERVICE_ALONE = 'service_alone'
+BATCH_ALONE = 'batch_alone'
+VARIANT_NAMES = (SERVICE_ALONE, BATCH_ALONE, *VARIANTS)
+_PROCESS_COUNT = 8
+
+# Measures by scenario, variant and seed.
+Results = dict[str, dict[str, list[dict[str, float]]]]
+
+
+def run_one(run: tuple[str, str, int]) -> dict[str, float]:
+    """
+    Run one scenario with one variant and one seed.
+    """
+    name, variant, seed = run
+    scenario = find_scenario(name)
+    if variant == SERVICE_ALONE:
+        scenario = replace(scenario, batches=())
+    if variant == BATCH_ALONE:
+        scenario = replace(scenario, services=())
+    settings = VARIANTS.get(variant, OURS)
+    return Simulation(scenario=scenario, settings=settings, seed=seed).run()
+
+
+def find_scenario(name: str) -> Scenario:
+    """
+    Return the scenario of this name.
+    """
+    return next(scenario for scenario in SCENARIOS if scenario.name == name)
+
+
+def run_all(names: Iterable[str]) -> Results:
+    """
+    Run scenarios with all variants and seeds.
+    """
+    runs = [
+        (name, variant, seed)
+        for name in names
+        for variant in VARIANT_NAMES
+        for seed in SEEDS
+    ]
+    results: Results = {}
+    with ProcessPoolExecutor(_PROCESS_COUNT) as pool:
+        for run, measures in zip(runs, pool.map(run_one, runs), strict=True):
+            variants = results.setdefault(run[0], {})
+            variants.setdefault(run[1], []).append(measures)
+    return results
--- /dev/null
+++ b/tools/bench/targets.py
@@ -0,0 +1,153 @@
+"""
+Measured figures against the targets.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from tools.bench.runs import BATCH_ALONE, SERVICE_ALONE, Results
+
+_STEADY = ('steady_day', 'steady_picking')
+_PEAKS = ('dawn_surge', 'hail', 'rack_loss')
+
+Measures = dict[str, float]
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class TargetRow:
+    """
+    One target in one scenario; *figures* has one entry for each seed.
+    """
+
+    target: str
+    scenario: str
+    figures: tuple[float, ...]
+    bound: float
+    is_upper: bool
+
+    @property
+    def is_met(self) -> bool:
+        """
+        Whether every seed meets the target.
+        """
+        if self.is_upper:
+            return max(self.figures) <= self.bound
+        return min(self.figures) >= self.bound
+
+
+def check(results: Results) -> list[TargetRow]:
+    """
+    Compare our variant with all targets.
+    """
+    rows = [
+        *_ratio_rows(results, 'p99_ms', SERVICE_ALONE, 1.2, is_upper=True),
+        *_ratio_rows(
+            results,
+            'work_per_core_hour',
+            BATCH_ALONE,
+            0.85,
+            is_upper=False,
+        ),
+    ]
+    rows.extend(
+        TargetRow(
+            target='share of admitted requests within the deadline at the peak',
+            scenario=name,
+            figures=_each(results[name]['ours'], _peak_share),
+            bound=0.99,
+            is_upper=False,
+        )
+        for name in _PEAKS
+    )
+    rows.append(_overcommits(results))
+    rows.append(
+        TargetRow(
+            target='p99 wait of short work over its service time',
+            scenario='stragglers',
+            figures=_each(results['stragglers']['ours'], _short_wait),
+            bound=2,
+            is_upper=True,
+        ),
+    )
+    rows.append(_evictions('all scenarios', results, tuple(results)))
+    rows.extend(_evictions(name, results, (name,)) for name in results)
+    return rows
+
+
+def _ratio_rows(
+    results: Results,
+    measure: str,
+    reference: str,
+    bound: float,
+    *,
+    is_upper: bool,
+) -> list[TargetRow]:
+    return [
+        TargetRow(
+            target=f'{measure} over {reference}',
+            scenario=name,
+            figures=tuple(
+                ours[measure] / alone[measure]
+                for ours, alone in zip(
+                    results[name]['ours'],
+                    results[name][reference],
+                    strict=True,
+                )
+            ),
+            bound=bound,
+            is_upper=is_upper,
+        )
+        for name in _STEADY
+    ]
+
+
+def _each(
+    runs: Iterable[Measures],
+    figure: Callable[[Measures], float],
+) -> tuple[float, ...]:
+    return tuple(figure(run) for run in runs)
+
+
+def _peak_share(run: Measures) -> float:
+    return run['peak_in_deadline']
+
+
+def _short_wait(run: Measures) -> float:
+    return run['short_wait_p99_ms'] / run['short_service_ms']
+
+
+def _overcommits(results: Results) -> TargetRow:
+    total = sum(
+        run['overcommits']
+        for variants in results.values()
+        for runs in variants.values()
+        for run in runs
+    )
+    return TargetRow(
+        target='overcommitted placements in all runs of all variants',
+        scenario='all scenarios',
+        figures=(total,),
+        bound=0,
+        is_upper=True,
+    )
+
+
+def _evictions(
+    scenario: str,
+    results: Results,
+    names: tuple[str, ...],
+) -> TargetRow:
+    figures = []
+    for seed in range(len(results[names[0]]['ours'])):
+        ours = sum(results[name]['ours'][seed]['evictions'] for name in names)
+        base = sum(
+            results[name]['evict_only'][seed]['evictions'] for name in names
+        )
+        figures.append(ours / max(base, 1))
+    return TargetRow(
+        target='evictions over those without throttling',
+        scenario=scenario,
+        figures=tuple(figures),
+        bound=0.5,
+        is_upper=True,
+    )
