--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,5 @@
 # One executable file; see "The binary" in docs/operations.md.
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py dist/hawthornpier
+bench: $(STAMP)
+	PYTHONPATH=$(CURDIR)/src:$(CURDIR) $(BIN)/python -m tools.bench
