--- a/tests/test_adapters_connections.py
+++ b/tests/test_adapters_connections.py
@@ -8,33 +8,16 @@
 from contextlib import asynccontextmanager
 
 import pytest
+from test_standin_workers import request_of
 
-from hawthornpier.adapters import (
-    ConnectionPool,
-    HttpTableStore,
-    HttpWorker,
-    encode_message,
-)
-from hawthornpier.messages import (
-    EndpointReply,
-    EndpointRequest,
-    EndpointStatus,
-    Fence,
-    FenceReply,
-    Resources,
-    Transaction,
-)
-from hawthornpier.ports import (
-    StoreAnswerLostError,
-    StoreUnavailableError,
-    WorkerAnswerLostError,
-    WorkerUnreachableError,
-)
+from hawthornpier import adapters, messages, ports
 
 Reply = Callable[[int, asyncio.StreamWriter], Awaitable[None]]
 
-FENCE = Fence(shard='s1', epoch=1)
-FENCED = encode_message(FenceReply(is_accepted=True, highest_epoch=1))
+FENCE = messages.Fence(shard='s1', epoch=1)
+FENCED = adapters.encode_message(
+    messages.FenceReply(is_accepted=True, highest_epoch=1)
+)
 
 
 class RawServer:
@@ -51,9 +34,7 @@
         self._reply = reply
 
     async def serve(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         """
         Serve one connection.
@@ -66,9 +47,7 @@
             writer.close()
 
     async def _exchange(
-        self,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         head = (await reader.readuntil(b'\r\n\r\n')).decode().lower()
         for line in head.splitlines():
@@ -128,10 +107,10 @@
         G5: a request that reached no worker is reported as not run.
         """
         address = f'127.0.0.1:{unused_port()}'
-        with pytest.raises(WorkerUnreachableError):
-            await HttpWorker(address).fence(FENCE)
-        with pytest.raises(StoreUnavailableError):
-            await HttpTableStore(address).read('key')
+        with pytest.raises(ports.WorkerUnreachableError):
+            await adapters.HttpWorker(address).fence(FENCE)
+        with pytest.raises(ports.StoreUnavailableError):
+            await adapters.HttpTableStore(address).read('key')
 
     @pytest.mark.parametrize(
         'reply',
@@ -145,8 +124,7 @@
         ],
     )
     async def test_a_lost_reply_means_unknown(
-        self,
-        reply: bytes | None,
+        self, reply: bytes | None
     ) -> None:
         """
         G5: no failure after the send is reported as not run.
@@ -157,20 +135,20 @@
             writer.close()
 
         async with serving(cut) as (_, address):
-            with pytest.raises(WorkerAnswerLostError):
-                await HttpWorker(address, deadline_ms=500).fence(FENCE)
-            with pytest.raises(StoreAnswerLostError):
-                await HttpTableStore(address, deadline_ms=500).transact(
-                    Transaction(transaction_id='t'),
-                )
+            with pytest.raises(ports.WorkerAnswerLostError):
+                await adapters.HttpWorker(address, deadline_ms=500).fence(FENCE)
+            with pytest.raises(ports.StoreAnswerLostError):
+                await adapters.HttpTableStore(
+                    address, deadline_ms=500
+                ).transact(messages.Transaction(transaction_id='t'))
 
     async def test_a_refusal_means_not_done(self) -> None:
         """
         G5: a store that says that it is out has applied nothing.
         """
         async with serving(writes(response(b'', status=503))) as (_, address):
-            with pytest.raises(StoreUnavailableError):
-                await HttpTableStore(address).read('key')
+            with pytest.raises(ports.StoreUnavailableError):
+                await adapters.HttpTableStore(address).read('key')
 
     async def test_a_message_is_sent_once(self) -> None:
         """
@@ -178,9 +156,9 @@
         """
         replies = writes(response(FENCED), b'')
         async with serving(replies) as (raw, address):
-            worker = HttpWorker(address)
+            worker = adapters.HttpWorker(address)
             await worker.fence(FENCE)
-            with pytest.raises(WorkerAnswerLostError):
+            with pytest.raises(ports.WorkerAnswerLostError):
                 await worker.fence(FENCE)
             assert raw.request_count == 2
 
@@ -189,10 +167,10 @@
         A caller's deadline ends the wait, not the deadline of the port.
         """
         async with serving(writes(None)) as (_, address):
-            worker = HttpWorker(address, deadline_ms=3_600_000)
-            with pytest.raises(WorkerAnswerLostError):
+            worker = adapters.HttpWorker(address, deadline_ms=3_600_000)
+            with pytest.raises(ports.WorkerAnswerLostError):
                 await worker.request(request_of('r1', deadline_ms=500))
-            with pytest.raises(WorkerUnreachableError):
+            with pytest.raises(ports.WorkerUnreachableError):
                 await worker.request(request_of('r2', deadline_ms=0))
 
 
@@ -206,7 +184,7 @@
         Calls in sequence do not open a connection each.
         """
         async with serving(writes(response(FENCED))) as (raw, address):
-            worker = HttpWorker(address)
+            worker = adapters.HttpWorker(address)
             for _ in range(5):
                 await worker.fence(FENCE)
             assert raw.connection_count == 1
@@ -217,9 +195,9 @@
         """
         replies = writes(response(FENCED), None, response(FENCED))
         async with serving(replies) as (raw, address):
-            worker = HttpWorker(address, deadline_ms=500)
+            worker = adapters.HttpWorker(address, deadline_ms=500)
             await worker.fence(FENCE)
-            with pytest.raises(WorkerAnswerLostError):
+            with pytest.raises(ports.WorkerAnswerLostError):
                 await worker.fence(FENCE)
             assert await worker.fence(FENCE)
             assert raw.connection_count == 2
@@ -229,7 +207,7 @@
         D6: a worker's connections are not exhausted by one owner.
         """
         async with serving(writes(response(FENCED))) as (raw, address):
-            worker = HttpWorker(address, connection_limit=3)
+            worker = adapters.HttpWorker(address, connection_limit=3)
             await asyncio.gather(*[worker.fence(FENCE) for _ in range(20)])
             assert raw.connection_count <= 3
 
@@ -244,14 +222,13 @@
         async def reply(number: int, writer: asyncio.StreamWriter) -> None:
             if number == 1:
                 await release.wait()
-            body = EndpointReply(
-                request_id=f'r{number}',
-                status=EndpointStatus.ANSWERED,
+            body = messages.EndpointReply(
+                request_id=f'r{number}', status=messages.EndpointStatus.ANSWERED
             )
-            writer.write(response(encode_message(body)))
+            writer.write(response(adapters.encode_message(body)))
 
         async with serving(reply) as (raw, address):
-            worker = HttpWorker(address)
+            worker = adapters.HttpWorker(address)
             first = asyncio.ensure_future(worker.request(request_of('r1')))
             while not raw.request_count:
                 await asyncio.sleep(0)
@@ -269,18 +246,18 @@
         """
         bodies = [
             response(
-                encode_message(
-                    EndpointReply(
+                adapters.encode_message(
+                    messages.EndpointReply(
                         request_id=f'r{number}',
-                        status=EndpointStatus.ANSWERED,
-                    ),
-                ),
+                        status=messages.EndpointStatus.ANSWERED,
+                    )
+                )
             )
             for number in (1, 2)
         ]
         replies = writes(bodies[0] * 2, bodies[1])
         async with serving(replies) as (_, address):
-            worker = HttpWorker(address)
+            worker = adapters.HttpWorker(address)
             for request_id in ('r1', 'r2'):
                 reply = await worker.request(request_of(request_id))
                 assert reply.request_id == request_id
@@ -290,12 +267,12 @@
         After the end of a process's drain no message leaves it.
         """
         async with serving(writes(response(FENCED))) as (raw, address):
-            worker = HttpWorker(address)
+            worker = adapters.HttpWorker(address)
             worker.close()
-            with pytest.raises(WorkerUnreachableError):
+            with pytest.raises(ports.WorkerUnreachableError):
                 await worker.fence(FENCE)
             assert not raw.request_count
-            assert ConnectionPool(address).close() is None
+            assert adapters.ConnectionPool(address).close() is None
 
 
 def unused_port() -> int:
@@ -305,18 +282,3 @@
     with socket.create_server(('127.0.0.1', 0)) as server:
         port: int = server.getsockname()[1]
     return port
-
-
-def request_of(request_id: str, *, deadline_ms: int = 5_000) -> EndpointRequest:
-    """
-    Return a small request.
-    """
-    return EndpointRequest(
-        request_id=request_id,
-        service='stock',
-        shard='s1',
-        epoch=1,
-        demand=Resources(slot_count=1),
-        deadline_ms=deadline_ms,
-        body='{}',
-    )
--- a/tests/test_adapters_messages.py
+++ b/tests/test_adapters_messages.py
@@ -13,47 +13,18 @@
 from tornado.httputil import HTTPServerRequest, ResponseStartLine
 from tornado.netutil import bind_sockets
 
-from hawthornpier.adapters import (
-    HttpPeer,
-    JobSubmission,
-    MessageError,
-    SignatureError,
-    SigningKey,
-    SystemClock,
-    decode_message,
-    decode_outcome,
-    encode_message,
-    encode_outcome,
-    sign_headers,
-    verify_headers,
-)
-from hawthornpier.messages import (
-    Answer,
-    ClockStamp,
-    ForwardedRequest,
-    Heartbeat,
-    HeartbeatReply,
-    JobSpec,
-    JobView,
-    NotRun,
-    Outcome,
-    Resources,
-    Unknown,
-)
-from hawthornpier.ports import (
-    PeerAnswerLostError,
-    PeerRefusedError,
-    PeerUnreachableError,
-)
+from hawthornpier import adapters, messages, ports
 
-OLD = SigningKey(key_id='old', secret=b'one')
-NEW = SigningKey(key_id='new', secret=b'two')
+OLD = adapters.SigningKey(key_id='old', secret=b'one')
+NEW = adapters.SigningKey(key_id='new', secret=b'two')
 SIGNED_MS = 1_000_000
 
 OUTCOMES = (
-    Answer(request_id='r1', body='{"a": "ü"}'),
-    NotRun(request_id='r1', reason='store_out', retry_after_ms=5),
-    Unknown(request_id='r1', reason='reply_lost', ask_again='same key'),
+    messages.Answer(request_id='r1', body='{"a": "ü"}'),
+    messages.NotRun(request_id='r1', reason='store_out', retry_after_ms=5),
+    messages.Unknown(
+        request_id='r1', reason='reply_lost', ask_again='same key'
+    ),
 )
 
 
@@ -63,23 +34,19 @@
     """
     message = {'method': 'POST', 'path': '/p', 'body': b'{}'}
     now = {'now_ms': SIGNED_MS}
-    verify_headers(
+    adapters.verify_headers(
         (OLD, NEW),
         headers,
         **{**message, **now, **changes},  # type: ignore[arg-type]
     )
 
 
-def signed(key: SigningKey) -> dict[str, str]:
+def signed(key: adapters.SigningKey) -> dict[str, str]:
     """
     Return the headers of a small message.
     """
-    return sign_headers(
-        key,
-        method='POST',
-        path='/p',
-        timestamp_ms=SIGNED_MS,
-        body=b'{}',
+    return adapters.sign_headers(
+        key, method='POST', path='/p', timestamp_ms=SIGNED_MS, body=b'{}'
     )
 
 
@@ -89,7 +56,7 @@
     """
 
     @pytest.mark.parametrize('key', [OLD, NEW])
-    def test_two_keys_are_valid(self, key: SigningKey) -> None:
+    def test_two_keys_are_valid(self, key: adapters.SigningKey) -> None:
         """
         A rotation of the key stops no message.
         """
@@ -106,13 +73,12 @@
         ],
     )
     def test_a_changed_message_is_refused(
-        self,
-        change: dict[str, object],
+        self, change: dict[str, object]
     ) -> None:
         """
         A signature holds for one message and a limited time.
         """
-        with pytest.raises(SignatureError):
+        with pytest.raises(adapters.SignatureError):
             verify(signed(OLD), **change)
 
     @pytest.mark.parametrize(
@@ -122,15 +88,15 @@
             {**signed(OLD), 'X-Hawthornpier-Timestamp-Ms': 'soon'},
             {**signed(OLD), 'X-Hawthornpier-Timestamp-Ms': '1000001'},
             {**signed(OLD), 'X-Hawthornpier-Signature': 'ä'},
-            signed(SigningKey(key_id='other', secret=b'one')),
-            signed(SigningKey(key_id='old', secret=b'guess')),
+            signed(adapters.SigningKey(key_id='other', secret=b'one')),
+            signed(adapters.SigningKey(key_id='old', secret=b'guess')),
         ],
     )
     def test_a_forged_header_is_refused(self, headers: dict[str, str]) -> None:
         """
         A message without a valid key's signature is refused.
         """
-        with pytest.raises(SignatureError):
+        with pytest.raises(adapters.SignatureError):
             verify(headers)
 
     def test_a_secret_is_not_shown(self) -> None:
@@ -146,11 +112,13 @@
     """
 
     @pytest.mark.parametrize('outcome', OUTCOMES)
-    def test_an_outcome_round_trips(self, outcome: Outcome) -> None:
+    def test_an_outcome_round_trips(self, outcome: messages.Outcome) -> None:
         """
         G4, G5: no outcome turns into another one on its way.
         """
-        assert decode_outcome(encode_outcome(outcome)) == outcome
+        assert (
+            adapters.decode_outcome(adapters.encode_outcome(outcome)) == outcome
+        )
 
     @settings(derandomize=True, deadline=None)
     @given(st.binary(max_size=60))
@@ -158,23 +126,23 @@
         """
         G4: a damaged body is an error, never an outcome.
         """
-        with pytest.raises(MessageError):
-            decode_outcome(body)
+        with pytest.raises(adapters.MessageError):
+            adapters.decode_outcome(body)
 
     def test_a_truncated_outcome_is_refused(self) -> None:
         """
         G4: no beginning of a body passes for the whole.
         """
-        body = encode_outcome(OUTCOMES[0])
+        body = adapters.encode_outcome(OUTCOMES[0])
         for length, _ in enumerate(body):
-            with pytest.raises(MessageError):
-                decode_outcome(body[:length])
+            with pytest.raises(adapters.MessageError):
+                adapters.decode_outcome(body[:length])
 
 
 @asynccontextmanager
 async def peer(
     answer: Callable[[HTTPServerRequest], bytes | int],
-) -> AsyncIterator[HttpPeer]:
+) -> AsyncIterator[adapters.HttpPeer]:
     """
     Run a process that answers with a body or an error status.
     """
@@ -197,18 +165,20 @@
     sockets = bind_sockets(0, '127.0.0.1')
     server.add_sockets(sockets)
     port = sockets[0].getsockname()[1]
-    client = HttpPeer(f'127.0.0.1:{port}', key=OLD, clock=SystemClock())
+    client = adapters.HttpPeer(
+        f'127.0.0.1:{port}', key=OLD, clock=adapters.SystemClock()
+    )
     yield client
     client.close()
     server.stop()
     await server.close_all_connections()
 
 
-def forwarded(remaining_ms: int = 5_000) -> ForwardedRequest:
+def forwarded(remaining_ms: int = 5_000) -> messages.ForwardedRequest:
     """
     Return a forwarded request.
     """
-    return ForwardedRequest(
+    return messages.ForwardedRequest(
         request_id='r1',
         shard='s1',
         member='m',
@@ -227,15 +197,17 @@
         """
         Every call of the peer port has its path and passes verification.
         """
-        spec = JobSpec(
+        spec = messages.JobSpec(
             member='m',
             workload='plan',
             task_count=1,
-            demand=Resources(),
+            demand=messages.Resources(),
             declared_work_ms=1,
         )
-        view = JobView(job_id='j', spec=spec, is_cancelled=False, tasks=())
-        beat = Heartbeat(
+        view = messages.JobView(
+            job_id='j', spec=spec, is_cancelled=False, tasks=()
+        )
+        beat = messages.Heartbeat(
             process_id='p',
             incarnation='i',
             address='a',
@@ -245,30 +217,34 @@
             table_age_ms=1,
             is_store_out=False,
             is_leaving=False,
-            stamp=ClockStamp(wall_ms=1, counter=0, process_id='p'),
+            stamp=messages.ClockStamp(wall_ms=1, counter=0, process_id='p'),
         )
         replies = {
-            '/peer/v1/heartbeat': HeartbeatReply(heartbeat=beat),
+            '/peer/v1/heartbeat': messages.HeartbeatReply(heartbeat=beat),
             '/peer/v1/jobs/submit': view,
             '/peer/v1/jobs/show': view,
             '/peer/v1/jobs/cancel': None,
         }
 
         def answer(request: HTTPServerRequest) -> bytes:
-            verify_headers(
+            adapters.verify_headers(
                 (OLD,),
                 dict(request.headers.get_all()),
                 method=request.method or '',
                 path=request.uri or '',
                 body=request.body,
-                now_ms=SystemClock().wall_ms(),
+                now_ms=adapters.SystemClock().wall_ms(),
             )
             if request.path == '/peer/v1/jobs/submit':
-                submission = decode_message(request.body, JobSubmission)
-                assert submission == JobSubmission(job_id='j', spec=spec)
+                submission = adapters.decode_message(
+                    request.body, adapters.JobSubmission
+                )
+                assert submission == adapters.JobSubmission(
+                    job_id='j', spec=spec
+                )
             if request.path == '/peer/v1/forward':
-                return encode_outcome(OUTCOMES[2])
-            return encode_message(replies[request.path])
+                return adapters.encode_outcome(OUTCOMES[2])
+            return adapters.encode_message(replies[request.path])
 
         async with peer(answer) as client:
             assert (await client.heartbeat(beat)).heartbeat == beat
@@ -284,17 +260,17 @@
         replies = iter((409, 503, 500, b'{"kind": "answer"}', b''))
         async with peer(lambda request: next(replies)) as client:
             for error in (
-                PeerRefusedError,
-                PeerRefusedError,
-                PeerAnswerLostError,
-                PeerAnswerLostError,
-                PeerAnswerLostError,
+                ports.PeerRefusedError,
+                ports.PeerRefusedError,
+                ports.PeerAnswerLostError,
+                ports.PeerAnswerLostError,
+                ports.PeerAnswerLostError,
             ):
                 with pytest.raises(error):
                     await client.forward(forwarded())
-            with pytest.raises(PeerUnreachableError):
+            with pytest.raises(ports.PeerUnreachableError):
                 await client.forward(forwarded(remaining_ms=0))
-        with pytest.raises(PeerUnreachableError):
+        with pytest.raises(ports.PeerUnreachableError):
             await client.show_job('j')
 
 
@@ -307,7 +283,7 @@
         """
         Leases are measured on a clock that never goes back.
         """
-        clock = SystemClock()
+        clock = adapters.SystemClock()
         before = clock.monotonic_ms(), clock.wall_ms()
         await asyncio.gather(clock.sleep_ms(1))
         assert clock.monotonic_ms() >= before[0]
--- a/tests/test_standin_callers.py
+++ b/tests/test_standin_callers.py
@@ -44,10 +44,7 @@
     """
 
     def __init__(
-        self,
-        *ends: CallResult,
-        delay_ms: float = 0,
-        echo: str = '',
+        self, *ends: CallResult, delay_ms: float = 0, echo: str = ''
     ) -> None:
         self.calls: list[EntryCall] = []
         self._ends = list(ends)
@@ -68,9 +65,7 @@
 
 
 def generate(
-    load: ServiceLoad,
-    *entries: EntryPort,
-    duration_ms: float = 20_000,
+    load: ServiceLoad, *entries: EntryPort, duration_ms: float = 20_000
 ) -> tuple[tuple[Summary, ...], list[Record]]:
     """
     Run a load over virtual time; return its summaries and its history.
@@ -99,9 +94,7 @@
         """
         Return the arrivals of 20 s.
         """
-        return list(
-            arrivals(LOAD, source='c', duration_ms=20_000, seed=seed),
-        )
+        return list(arrivals(LOAD, source='c', duration_ms=20_000, seed=seed))
 
     def test_the_seed_determines_the_arrivals(self) -> None:
         """
@@ -221,9 +214,7 @@
         ],
     )
     async def test_a_response_states_the_outcome(
-        self,
-        body: str,
-        ended: CallResult,
+        self, body: str, ended: CallResult
     ) -> None:
         """
         A response without a clear outcome leaves the outcome open.
@@ -231,8 +222,7 @@
         heads: list[str] = []
 
         async def serve(
-            reader: asyncio.StreamReader,
-            writer: asyncio.StreamWriter,
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
             heads.append((await reader.readuntil(b'\r\n\r\n')).decode())
             length = len(body)
@@ -243,10 +233,7 @@
         port = server.sockets[0].getsockname()[1]
         entry = HttpEntry(address=f'127.0.0.1:{port}')
         call = EntryCall(
-            service='a/b',
-            body='{}',
-            deadline_ms=1_000,
-            idempotency_key='k',
+            service='a/b', body='{}', deadline_ms=1_000, idempotency_key='k'
         )
         assert (await entry.send(call)).ended == ended
         assert heads[0].startswith('POST /v1/services/a%2Fb/requests HTTP')
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -3,6 +3,8 @@
 """
 
 import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 from hypothesis import settings
@@ -10,32 +12,42 @@
 from hypothesis.stateful import RuleBasedStateMachine, rule
 from virtual_time import VirtualClock, run_virtual
 
-from hawthornpier.messages import (
-    ABSENT_VERSION,
-    HostListing,
-    HostRecord,
-    HostState,
-    Resources,
-    Row,
-    RowCheck,
-    RowPut,
-    Transaction,
-)
-from hawthornpier.ports import StoreAnswerLostError, StoreUnavailableError
+from hawthornpier import messages, ports
 from hawthornpier_standin.platform import MemoryStore, StoreFaults
 
 
-def put(transaction_id: str, key: str, *checks: RowCheck) -> Transaction:
+def put(
+    transaction_id: str, key: str, *checks: messages.RowCheck
+) -> messages.Transaction:
     """
     Return a transaction that writes its own id into a row.
     """
-    return Transaction(
+    return messages.Transaction(
         transaction_id=transaction_id,
         checks=checks,
-        puts=(RowPut(key=key, text=transaction_id),),
+        puts=(messages.RowPut(key=key, text=transaction_id),),
     )
 
 
+Scenario = Callable[[Any, MemoryStore], Awaitable[None]]
+
+
+def virtual(scenario: Scenario) -> Callable[[Any], None]:
+    """
+    Run a test over virtual time, with a store that keeps one result.
+    """
+
+    async def run(case: Any) -> None:
+        store = MemoryStore(clock=VirtualClock(), kept_result_count=1)
+        await scenario(case, store)
+
+    def test(case: Any) -> None:
+        run_virtual(run(case))
+
+    test.__doc__ = scenario.__doc__
+    return test
+
+
 class StoreMachine(RuleBasedStateMachine):
     """
     Compares the store with a plain dictionary of rows.
@@ -44,7 +56,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.store = MemoryStore(clock=VirtualClock())
-        self.rows: dict[str, Row] = {}
+        self.rows: dict[str, messages.Row] = {}
         self.sent_count = 0
         self.used_versions: set[int] = set()
 
@@ -55,22 +67,18 @@
         error=st.sampled_from((0, 0, 1)),
     )
     def transact(
-        self,
-        checked: str,
-        written: list[str],
-        deleted: str,
-        error: int,
+        self, checked: str, written: list[str], deleted: str, error: int
     ) -> None:
         """
         A transaction applies completely or not at all.
         """
         known = self.rows.get(checked)
-        version = known.version if known else ABSENT_VERSION
+        version = known.version if known else messages.ABSENT_VERSION
         self.sent_count += 1
-        transaction = Transaction(
+        transaction = messages.Transaction(
             transaction_id=str(self.sent_count),
-            checks=(RowCheck(key=checked, version=version + error),),
-            puts=tuple(RowPut(key=key, text='x') for key in written),
+            checks=(messages.RowCheck(key=checked, version=version + error),),
+            puts=tuple(messages.RowPut(key=key, text='x') for key in written),
             deletes=(deleted,),
         )
         outcome = run_virtual(self.store.transact(transaction))
@@ -99,96 +107,85 @@
     Transactions are atomic, repeatable and subject to faults.
     """
 
-    def test_a_recreated_row_has_a_new_version(self) -> None:
+    @virtual
+    async def test_a_recreated_row_has_a_new_version(
+        self, store: MemoryStore
+    ) -> None:
         """
         G9: a check with the version of a deleted row fails for good.
         """
-
-        async def scenario() -> None:
-            store = MemoryStore(clock=VirtualClock())
-            first = (await store.transact(put('t1', 'k'))).rows[0]
-            await store.transact(
-                Transaction(transaction_id='t2', deletes=('k',)),
-            )
-            await store.transact(put('t3', 'k'))
-            check = RowCheck(key='k', version=first.version)
-            stale = await store.transact(put('t4', 'k', check))
-            assert not stale.is_committed
-            assert stale.rows[0].text == 't3'
-
-        run_virtual(scenario())
-
-    def test_a_repeated_transaction_gets_the_first_result(self) -> None:
+        first = (await store.transact(put('t1', 'k'))).rows[0]
+        await store.transact(
+            messages.Transaction(transaction_id='t2', deletes=('k',))
+        )
+        await store.transact(put('t3', 'k'))
+        check = messages.RowCheck(key='k', version=first.version)
+        stale = await store.transact(put('t4', 'k', check))
+        assert not stale.is_committed
+        assert stale.rows[0].text == 't3'
+
+    @virtual
+    async def test_a_repeated_transaction_gets_the_first_result(
+        self, store: MemoryStore
+    ) -> None:
         """
         A commit whose answer was lost is not applied a second time.
         """
-
-        async def scenario() -> None:
-            store = MemoryStore(clock=VirtualClock(), kept_result_count=1)
-            store.apply_faults(StoreFaults(lost_answer_count=1))
-            absent = RowCheck(key='k', version=ABSENT_VERSION)
-            with pytest.raises(StoreAnswerLostError):
-                await store.transact(put('t1', 'k', absent))
-            repeated = await store.transact(put('t1', 'k', absent))
-            assert repeated.is_committed
-            assert repeated.rows == (await store.read('k'),)
-            # Only one result is kept, so the first is forgotten by now.
-            await store.transact(put('t2', 'other'))
-            forgotten = await store.transact(put('t1', 'k', absent))
-            assert not forgotten.is_committed
-
-        run_virtual(scenario())
-
-    def test_an_outage_stops_delayed_calls(self) -> None:
+        store.apply_faults(StoreFaults(lost_answer_count=1))
+        absent = messages.RowCheck(key='k', version=messages.ABSENT_VERSION)
+        with pytest.raises(ports.StoreAnswerLostError):
+            await store.transact(put('t1', 'k', absent))
+        repeated = await store.transact(put('t1', 'k', absent))
+        assert repeated.is_committed
+        assert repeated.rows == (await store.read('k'),)
+        # Only one result is kept, so the first is forgotten by now.
+        await store.transact(put('t2', 'other'))
+        forgotten = await store.transact(put('t1', 'k', absent))
+        assert not forgotten.is_committed
+
+    @virtual
+    async def test_an_outage_stops_delayed_calls(
+        self, store: MemoryStore
+    ) -> None:
         """
         A call that the store refuses as unavailable took no effect.
         """
-
-        async def scenario() -> None:
-            store = MemoryStore(clock=VirtualClock())
-            store.apply_faults(StoreFaults(added_delay_ms=500))
-            call = asyncio.ensure_future(store.transact(put('t1', 'k')))
-            await asyncio.sleep(0.1)
-            store.apply_faults(StoreFaults(is_out=True))
-            with pytest.raises(StoreUnavailableError):
-                await call
-            store.apply_faults(StoreFaults())
-            assert await store.read('k') is None
-
-        run_virtual(scenario())
-
-    def test_the_host_list_lags(self) -> None:
+        store.apply_faults(StoreFaults(added_delay_ms=500))
+        call = asyncio.ensure_future(store.transact(put('t1', 'k')))
+        await asyncio.sleep(0.1)
+        store.apply_faults(StoreFaults(is_out=True))
+        with pytest.raises(ports.StoreUnavailableError):
+            await call
+        store.apply_faults(StoreFaults())
+        assert await store.read('k') is None
+
+    @virtual
+    async def test_the_host_list_lags(self, store: MemoryStore) -> None:
         """
         G7 is tested against a list that shows a change late.
         """
-
-        async def scenario() -> None:
-            clock = VirtualClock()
-            store = MemoryStore(clock=clock)
-            store.apply_faults(StoreFaults(host_list_lag_ms=2_000))
-            live = _host(HostState.LIVE)
-            leaving = _host(HostState.LEAVING)
-            assert not (await store.listing()).hosts
-            store.hosts.put(live)
-            await clock.sleep_ms(3_000)
-            store.hosts.put(leaving)
-            assert await store.listing() == HostListing(hosts=(live,))
-            await clock.sleep_ms(2_001)
-            assert await store.listing() == HostListing(hosts=(leaving,))
-            store.hosts.remove('w')
-            await clock.sleep_ms(2_001)
-            assert not (await store.listing()).hosts
-
-        run_virtual(scenario())
-
-
-def _host(state: HostState) -> HostRecord:
-    return HostRecord(
+        store.apply_faults(StoreFaults(host_list_lag_ms=2_000))
+        live = _host(messages.HostState.LIVE)
+        leaving = _host(messages.HostState.LEAVING)
+        assert not (await store.listing()).hosts
+        store.hosts.put(live)
+        await VirtualClock().sleep_ms(3_000)
+        store.hosts.put(leaving)
+        assert await store.listing() == messages.HostListing(hosts=(live,))
+        await VirtualClock().sleep_ms(2_001)
+        assert await store.listing() == messages.HostListing(hosts=(leaving,))
+        store.hosts.remove('w')
+        await VirtualClock().sleep_ms(2_001)
+        assert not (await store.listing()).hosts
+
+
+def _host(state: messages.HostState) -> messages.HostRecord:
+    return messages.HostRecord(
         worker_id='w',
         address='127.0.0.1:1',
         region='r',
         failure_domain='d',
         rack='r1',
-        capacity=Resources(),
+        capacity=messages.Resources(),
         state=state,
     )
--- a/tests/test_standin_servers.py
+++ b/tests/test_standin_servers.py
@@ -9,40 +9,9 @@
 
 import msgspec
 import pytest
+from test_standin_workers import CAPACITY, DEMAND, request_of
 
-from hawthornpier.adapters import (
-    ConnectionPool,
-    HttpCall,
-    HttpHostList,
-    HttpObjectStore,
-    HttpReply,
-    HttpTableStore,
-    HttpWorker,
-    SystemClock,
-    encode_message,
-)
-from hawthornpier.messages import (
-    EndpointRequest,
-    EndpointStatus,
-    Fence,
-    HostState,
-    LeaseRenewal,
-    Resources,
-    RowPut,
-    StartBatch,
-    StartVerdict,
-    TaskAction,
-    TaskControl,
-    TaskResult,
-    TaskStart,
-    Transaction,
-)
-from hawthornpier.ports import (
-    StoreAnswerLostError,
-    StoreUnavailableError,
-    WorkerAnswerLostError,
-    WorkerUnreachableError,
-)
+from hawthornpier import adapters, messages, ports
 from hawthornpier_standin.history import Record, RecordKind
 from hawthornpier_standin.platform import MemoryStore, StoreFaults
 from hawthornpier_standin.servers import (
@@ -54,16 +23,13 @@
 from hawthornpier_standin.servers._announcer import Announcer
 from hawthornpier_standin.workers import WorkerFaults
 
-CAPACITY = Resources(processor_millis=8000, slot_count=8)
-DEMAND = Resources(processor_millis=100, slot_count=1)
-
 
 @asynccontextmanager
 async def platform() -> AsyncIterator[tuple[MemoryStore, str]]:
     """
     Run a platform and give its address.
     """
-    store = MemoryStore(clock=SystemClock())
+    store = MemoryStore(clock=adapters.SystemClock())
     server = PlatformServer(store)
     port = server.listen('127.0.0.1')
     yield store, f'127.0.0.1:{port}'
@@ -73,48 +39,33 @@
 @asynccontextmanager
 async def workers(
     *records: list[Record],
-) -> AsyncIterator[tuple[WorkerPool, HttpWorker, str]]:
+) -> AsyncIterator[tuple[WorkerPool, adapters.HttpWorker, str]]:
     """
     Run two workers; give a client of the first and the control address.
     """
     pool = WorkerPool(
         WorkerPoolOptions(name='w', worker_count=2, capacity=CAPACITY),
-        clock=SystemClock(),
+        clock=adapters.SystemClock(),
         recorder=records[0].append if records else lambda record: None,
     )
     port = pool.listen()
-    client = HttpWorker(pool.hosts()[0].address, deadline_ms=1_000)
+    client = adapters.HttpWorker(pool.hosts()[0].address, deadline_ms=1_000)
     yield pool, client, f'127.0.0.1:{port}'
     client.close()
     await pool.close()
 
 
-async def put(address: str, path: str, message: object) -> HttpReply:
+async def put(address: str, path: str, message: object) -> adapters.HttpReply:
     """
     Set faults over the control path.
     """
-    return await ConnectionPool(address).send(
-        HttpCall(
+    return await adapters.ConnectionPool(address).send(
+        adapters.HttpCall(
             method='PUT',
             path=path,
-            body=encode_message(message),
+            body=adapters.encode_message(message),
             deadline_ms=1_000,
-        ),
-    )
-
-
-def request_of(request_id: str, deadline_ms: int = 5_000) -> EndpointRequest:
-    """
-    Return a request whose body has characters of several bytes.
-    """
-    return EndpointRequest(
-        request_id=request_id,
-        service='stock',
-        shard='s1',
-        epoch=1,
-        demand=DEMAND,
-        deadline_ms=deadline_ms,
-        body='{"operation": "böle-1"}',
+        )
     )
 
 
@@ -128,18 +79,18 @@
         Keys with slashes and any other character survive the path.
         """
         async with platform() as (_, address):
-            store = HttpTableStore(address)
+            store = adapters.HttpTableStore(address)
             key = 'table/row/ä b%2F?#'
             written = await store.transact(
-                Transaction(
+                messages.Transaction(
                     transaction_id='t1',
-                    puts=(RowPut(key=key, text='{"a": 1}'),),
-                ),
+                    puts=(messages.RowPut(key=key, text='{"a": 1}'),),
+                )
             )
             assert await store.read(key) == written.rows[0]
             assert await store.scan('table/row/ä') == written.rows
             assert await store.read('table/row') is None
-            objects = HttpObjectStore(address)
+            objects = adapters.HttpObjectStore(address)
             await objects.put('a/b', b'\x00\xff')
             assert await objects.get('a/b') == b'\x00\xff'
             assert await objects.get('a') is None
@@ -149,23 +100,22 @@
         An outage is told from a lost answer, also over a kept connection.
         """
         async with platform() as (_, address):
-            store = HttpTableStore(address)
-            transaction = Transaction(
-                transaction_id='t1',
-                puts=(RowPut(key='k', text='1'),),
+            store = adapters.HttpTableStore(address)
+            transaction = messages.Transaction(
+                transaction_id='t1', puts=(messages.RowPut(key='k', text='1'),)
             )
             faults = StoreFaults(lost_answer_count=1)
             await put(address, '/control/v1/faults', faults)
             assert await store.read('k') is None
-            with pytest.raises(StoreAnswerLostError):
+            with pytest.raises(ports.StoreAnswerLostError):
                 await store.transact(transaction)
             row = await store.read('k')
             assert (await store.transact(transaction)).rows == (row,)
             await put(address, '/control/v1/faults', StoreFaults(is_out=True))
-            with pytest.raises(StoreUnavailableError):
+            with pytest.raises(ports.StoreUnavailableError):
                 await store.transact(transaction)
-            with pytest.raises(StoreUnavailableError):
-                await HttpHostList(address).listing()
+            with pytest.raises(ports.StoreUnavailableError):
+                await adapters.HttpHostList(address).listing()
 
 
 class TestWorkerServer:
@@ -179,7 +129,7 @@
         """
         records: list[Record] = []
         async with workers(records) as (_, worker, _):
-            start = TaskStart(
+            start = messages.TaskStart(
                 run_id='1.1',
                 task_id='j/0',
                 member='m',
@@ -188,22 +138,24 @@
                 lease_ms=60_000,
                 work_ms=3_600_000,
             )
-            batch = StartBatch(shard='s1', epoch=1, starts=(start,))
+            batch = messages.StartBatch(shard='s1', epoch=1, starts=(start,))
             assert (await worker.start(batch)).verdicts == (
-                StartVerdict.STARTED,
+                messages.StartVerdict.STARTED,
             )
-            fenced = await worker.fence(Fence(shard='s1', epoch=2))
+            fenced = await worker.fence(messages.Fence(shard='s1', epoch=2))
             assert [run.run_id for run in fenced.running] == ['1.1']
-            control = TaskControl(
+            control = messages.TaskControl(
                 shard='s1',
                 epoch=2,
                 run_id='1.1',
-                action=TaskAction.EVICT,
+                action=messages.TaskAction.EVICT,
             )
             assert (await worker.control(control)).is_accepted
-            renewal = LeaseRenewal(shard='s1', epoch=2, lease_ms=1)
+            renewal = messages.LeaseRenewal(shard='s1', epoch=2, lease_ms=1)
             outcomes = (await worker.renew(renewal)).outcomes
-            assert [end.result for end in outcomes] == [TaskResult.EVICTED]
+            assert [end.result for end in outcomes] == [
+                messages.TaskResult.EVICTED
+            ]
             assert (await worker.report()).worker_id == 'w-0'
             kinds = [record.kind for record in records if record.run_id]
             assert kinds == [
@@ -218,7 +170,7 @@
         """
         async with workers() as (_, worker, _):
             reply = await worker.request(request_of('r/1'))
-            assert reply.status == EndpointStatus.ANSWERED
+            assert reply.status == messages.EndpointStatus.ANSWERED
             assert len(reply.body.encode()) == reply.body_bytes
             echo = msgspec.json.decode(reply.body)['echo']
             assert echo == request_of('r/1').body
@@ -243,11 +195,11 @@
         async with workers() as (_, worker, control):
             path = '/control/v1/workers/all/faults'
             await put(control, path, WorkerFaults(is_silent=True))
-            with pytest.raises(WorkerAnswerLostError):
+            with pytest.raises(ports.WorkerAnswerLostError):
                 await worker.request(request_of('r1', deadline_ms=500))
             await put(control, path, WorkerFaults())
             state = await worker.request_state('r1')
-            assert state.status != EndpointStatus.NEVER_SEEN
+            assert state.status != messages.EndpointStatus.NEVER_SEEN
 
     async def test_hung_connections_leave_new_ones_working(self) -> None:
         """
@@ -256,10 +208,10 @@
         async with workers() as (pool, worker, _):
             await worker.report()
             pool.sites('w-0')[0].server.hang_open_connections()
-            with pytest.raises(WorkerAnswerLostError):
+            with pytest.raises(ports.WorkerAnswerLostError):
                 await worker.request(request_of('r1', deadline_ms=500))
             state = await worker.request_state('r1')
-            assert state.status == EndpointStatus.NEVER_SEEN
+            assert state.status == messages.EndpointStatus.NEVER_SEEN
 
     async def test_the_worker_limits_its_connections(self) -> None:
         """
@@ -290,13 +242,13 @@
             await put(control, path, WorkerFaults(is_dead=True))
             leaving = WorkerFaults(is_leaving=True)
             await put(control, '/control/v1/workers/w-1/faults', leaving)
-            with pytest.raises(WorkerUnreachableError):
+            with pytest.raises(ports.WorkerUnreachableError):
                 await worker.report()
             assert (await put(control, path, WorkerFaults())).status == 409
             await announcer.announce()
-            hosts = (await HttpHostList(address).listing()).hosts
+            hosts = (await adapters.HttpHostList(address).listing()).hosts
             assert [(host.worker_id, host.state) for host in hosts] == [
-                ('w-1', HostState.LEAVING),
+                ('w-1', messages.HostState.LEAVING)
             ]
 
 
--- a/tests/test_standin_workers.py
+++ b/tests/test_standin_workers.py
@@ -5,26 +5,12 @@
 import asyncio
 import dataclasses
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 from virtual_time import VirtualClock, run_virtual
 
-from hawthornpier.messages import (
-    EndpointReply,
-    EndpointRequest,
-    EndpointStatus,
-    Fence,
-    LeaseRenewal,
-    Resources,
-    StartBatch,
-    StartVerdict,
-    TaskAction,
-    TaskControl,
-    TaskOutcome,
-    TaskResult,
-    TaskStart,
-)
-from hawthornpier.ports import WorkerAnswerLostError, WorkerUnreachableError
+from hawthornpier import messages, ports
 from hawthornpier_standin.history import Record, RecordKind
 from hawthornpier_standin.workers import (
     Contention,
@@ -34,8 +20,10 @@
     WorkerModel,
 )
 
-CAPACITY = Resources(processor_millis=8000, memory_bytes=100, slot_count=4)
-DEMAND = Resources(processor_millis=100, memory_bytes=1, slot_count=1)
+CAPACITY = messages.Resources(
+    processor_millis=8000, memory_bytes=100, slot_count=4
+)
+DEMAND = messages.Resources(processor_millis=100, memory_bytes=1, slot_count=1)
 QUIET = WorkerModel(
     noisy_share=0,
     quiet_coefficient=0,
@@ -43,6 +31,9 @@
     service_time=ServiceTime(median_ms=100, sigma=0),
 )
 
+NOISY = dataclasses.replace(QUIET, noisy_share=1, noisy_coefficient=90)
+Scenario = Callable[[Any, 'Site'], Awaitable[None]]
+
 
 class Site:
     """
@@ -50,10 +41,7 @@
     """
 
     def __init__(
-        self,
-        *,
-        has_guards: bool = True,
-        model: WorkerModel = QUIET,
+        self, *, has_guards: bool = True, model: WorkerModel = QUIET
     ) -> None:
         self.clock = VirtualClock()
         self.records: list[Record] = []
@@ -75,11 +63,11 @@
         lease_ms: int = 15_000,
         work_ms: int = 60_000,
         checkpoint: str = '',
-    ) -> StartVerdict:
+    ) -> messages.StartVerdict:
         """
         Start one run.
         """
-        start = TaskStart(
+        start = messages.TaskStart(
             run_id=run_id,
             task_id='j/0',
             member='m',
@@ -89,22 +77,26 @@
             work_ms=work_ms,
             checkpoint=checkpoint,
         )
-        batch = StartBatch(shard='s1', epoch=epoch, starts=(start,))
+        batch = messages.StartBatch(shard='s1', epoch=epoch, starts=(start,))
         return (await self.worker.start(batch)).verdicts[0]
 
-    async def outcomes(self, *acknowledged: str) -> dict[str, TaskOutcome]:
+    async def outcomes(
+        self, *acknowledged: str
+    ) -> dict[str, messages.TaskOutcome]:
         """
         Renew nothing and return the outcomes by run id.
         """
         reply = await self.worker.renew(renewal(acknowledged=acknowledged))
         return {outcome.run_id: outcome for outcome in reply.outcomes}
 
-    async def control(self, run_id: str, action: TaskAction) -> str:
+    async def control(self, run_id: str, action: messages.TaskAction) -> str:
         """
         Apply an accepted action; return its detail.
         """
         reply = await self.worker.control(
-            TaskControl(shard='s1', epoch=1, run_id=run_id, action=action),
+            messages.TaskControl(
+                shard='s1', epoch=1, run_id=run_id, action=action
+            )
         )
         assert reply.is_accepted
         return reply.detail
@@ -117,14 +109,12 @@
 
 
 def renewal(
-    *run_ids: str,
-    epoch: int = 1,
-    acknowledged: tuple[str, ...] = (),
-) -> LeaseRenewal:
+    *run_ids: str, epoch: int = 1, acknowledged: tuple[str, ...] = ()
+) -> messages.LeaseRenewal:
     """
     Return a renewal by 15 s.
     """
-    return LeaseRenewal(
+    return messages.LeaseRenewal(
         shard='s1',
         epoch=epoch,
         lease_ms=15_000,
@@ -134,39 +124,39 @@
 
 
 def request_of(
-    request_id: str,
-    *,
-    epoch: int = 1,
-    key: str = '',
-    deadline_ms: int = 1_000,
-) -> EndpointRequest:
+    request_id: str, *, epoch: int = 1, key: str = '', deadline_ms: int = 1_000
+) -> messages.EndpointRequest:
     """
-    Return a request with an operation id in its body.
+    Return a request whose body has a character of several bytes.
     """
-    return EndpointRequest(
+    return messages.EndpointRequest(
         request_id=request_id,
         service='stock',
         shard='s1',
         epoch=epoch,
         demand=DEMAND,
         deadline_ms=deadline_ms,
-        body='{"operation": "op-1"}',
+        body='{"operation": "op-ü"}',
         idempotency_key=key,
     )
 
 
-def over_virtual_time(
-    scenario: Callable[[Site], Awaitable[None]],
-    **options: object,
-) -> None:
+def virtual(**options: Any) -> Callable[[Scenario], Callable[[Any], None]]:
     """
-    Run *scenario* with a new worker.
+    Run a test over virtual time, with a worker that has these options.
     """
 
-    async def main() -> None:
-        await scenario(Site(**options))  # type: ignore[arg-type]
+    def decorate(scenario: Scenario) -> Callable[[Any], None]:
+        async def run(case: Any) -> None:
+            await scenario(case, Site(**options))
+
+        def test(case: Any) -> None:
+            run_virtual(run(case))
+
+        test.__doc__ = scenario.__doc__
+        return test
 
-    run_virtual(main())
+    return decorate
 
 
 class TestFencing:
@@ -174,95 +164,85 @@
     A worker obeys only the highest epoch that it was shown.
     """
 
-    def test_a_deposed_owner_is_refused(self) -> None:
+    @virtual()
+    async def test_a_deposed_owner_is_refused(self, site: Site) -> None:
         """
         G2: nothing of a lower epoch takes effect after a fence.
         """
-
-        async def scenario(site: Site) -> None:
-            worker = site.worker
-            await site.start('1.1')
-            await worker.fence(Fence(shard='s1', epoch=2))
-            assert await site.start('1.2') == StartVerdict.REFUSED_EPOCH
-            assert not (await worker.renew(renewal('1.1'))).is_accepted
-            control = TaskControl(
-                shard='s1',
-                epoch=1,
-                run_id='1.1',
-                action=TaskAction.STOP,
-            )
-            assert not (await worker.control(control)).is_accepted
-            reply = await worker.request(request_of('r1'))
-            assert reply.status == EndpointStatus.REFUSED_EPOCH
-            low = await worker.fence(Fence(shard='s1', epoch=1))
-            assert (low.is_accepted, low.highest_epoch) == (False, 2)
-            assert (await worker.fence(Fence(shard='s2', epoch=1))).is_accepted
-
-        over_virtual_time(scenario)
-
-    def test_a_fence_lists_everything_held(self) -> None:
+        worker = site.worker
+        await site.start('1.1')
+        await worker.fence(messages.Fence(shard='s1', epoch=2))
+        assert await site.start('1.2') == messages.StartVerdict.REFUSED_EPOCH
+        assert not (await worker.renew(renewal('1.1'))).is_accepted
+        control = messages.TaskControl(
+            shard='s1', epoch=1, run_id='1.1', action=messages.TaskAction.STOP
+        )
+        assert not (await worker.control(control)).is_accepted
+        reply = await worker.request(request_of('r1'))
+        assert reply.status == messages.EndpointStatus.REFUSED_EPOCH
+        low = await worker.fence(messages.Fence(shard='s1', epoch=1))
+        assert (low.is_accepted, low.highest_epoch) == (False, 2)
+        assert (
+            await worker.fence(messages.Fence(shard='s2', epoch=1))
+        ).is_accepted
+
+    @virtual()
+    async def test_a_fence_lists_everything_held(self, site: Site) -> None:
         """
         A new owner learns of runs, outcomes and requests of the old one.
         """
-
-        async def scenario(site: Site) -> None:
-            await site.start('1.1')
-            await site.start('1.2', work_ms=10)
-            request = site.worker.request(request_of('r1'))
-            answer = asyncio.ensure_future(request)
-            await site.clock.sleep_ms(50)
-            held = await site.worker.fence(Fence(shard='s1', epoch=2))
-            assert [run.run_id for run in held.running] == ['1.1']
-            assert [end.run_id for end in held.outcomes] == ['1.2']
-            assert [known.request_id for known in held.open_requests] == ['r1']
-            assert (await answer).status == EndpointStatus.ANSWERED
-
-        over_virtual_time(scenario)
-
-    def test_a_repeated_message_reports_the_first_effect(self) -> None:
+        await site.start('1.1')
+        await site.start('1.2', work_ms=10)
+        request = site.worker.request(request_of('r1'))
+        answer = asyncio.ensure_future(request)
+        await site.clock.sleep_ms(50)
+        held = await site.worker.fence(messages.Fence(shard='s1', epoch=2))
+        assert [run.run_id for run in held.running] == ['1.1']
+        assert [end.run_id for end in held.outcomes] == ['1.2']
+        assert [known.request_id for known in held.open_requests] == ['r1']
+        assert (await answer).status == messages.EndpointStatus.ANSWERED
+
+    @virtual()
+    async def test_a_repeated_message_reports_the_first_effect(
+        self, site: Site
+    ) -> None:
         """
         G5: what ran before a fence is not reported as refused after it.
         """
-
-        async def scenario(site: Site) -> None:
-            await site.start('1.1', work_ms=10)
-            first = await site.worker.request(request_of('r1'))
-            await site.worker.fence(Fence(shard='s1', epoch=2))
-            assert await site.start('1.1') == StartVerdict.STARTED
-            assert await site.worker.request(request_of('r1')) == first
-            assert site.kinds().count(RecordKind.RUN_STARTED) == 1
-            assert site.kinds().count(RecordKind.EXECUTION_STARTED) == 1
-
-        over_virtual_time(scenario)
-
-    def test_a_platform_without_guards_accepts_all(self) -> None:
+        await site.start('1.1', work_ms=10)
+        first = await site.worker.request(request_of('r1'))
+        await site.worker.fence(messages.Fence(shard='s1', epoch=2))
+        assert await site.start('1.1') == messages.StartVerdict.STARTED
+        assert await site.worker.request(request_of('r1')) == first
+        assert site.kinds().count(RecordKind.RUN_STARTED) == 1
+        assert site.kinds().count(RecordKind.EXECUTION_STARTED) == 1
+
+    @virtual(has_guards=False)
+    async def test_a_platform_without_guards_accepts_all(
+        self, site: Site
+    ) -> None:
         """
         The scheduler is tested on platforms that do not help it.
         """
+        await site.worker.fence(messages.Fence(shard='s1', epoch=2))
+        for number in range(6):
+            assert (
+                await site.start(f'1.{number}') == messages.StartVerdict.STARTED
+            )
+        assert not site.worker.charged.fits_in(CAPACITY)
 
-        async def scenario(site: Site) -> None:
-            await site.worker.fence(Fence(shard='s1', epoch=2))
-            for number in range(6):
-                assert await site.start(f'1.{number}') == StartVerdict.STARTED
-            assert not site.worker.charged.fits_in(CAPACITY)
-
-        over_virtual_time(scenario, has_guards=False)
-
-    def test_a_full_worker_refuses(self) -> None:
+    @virtual()
+    async def test_a_full_worker_refuses(self, site: Site) -> None:
         """
         G1: runs and requests together do not exceed the slots.
         """
-
-        async def scenario(site: Site) -> None:
-            for number in range(4):
-                await site.start(f'1.{number}')
-            assert await site.start('1.9') == StartVerdict.REFUSED_CAPACITY
-            reply = await site.worker.request(request_of('r1'))
-            assert reply.status == EndpointStatus.REFUSED_CAPACITY
-            state = await site.worker.request_state('r1')
-            assert state.status == EndpointStatus.NEVER_SEEN
-
-        over_virtual_time(scenario)
+        for number in range(4):
+            await site.start(f'1.{number}')
+        assert await site.start('1.9') == messages.StartVerdict.REFUSED_CAPACITY
+        reply = await site.worker.request(request_of('r1'))
+        assert reply.status == messages.EndpointStatus.REFUSED_CAPACITY
+        state = await site.worker.request_state('r1')
+        assert state.status == messages.EndpointStatus.NEVER_SEEN
 
 
 class TestRuns:
@@ -270,100 +250,91 @@
     Runs progress under leases and resume from checkpoints.
     """
 
-    def test_a_lapsed_lease_ends_the_run(self) -> None:
+    @virtual()
+    async def test_a_lapsed_lease_ends_the_run(self, site: Site) -> None:
         """
         G2: a run ends at the moment at which its lease lapses.
         """
-
-        async def scenario(site: Site) -> None:
-            await site.start('1.1')
-            await site.clock.sleep_ms(10_000)
-            reply = await site.worker.renew(renewal('1.1', '1.2'))
-            assert reply.renewed_run_ids == ('1.1',)
-            await site.clock.sleep_ms(14_000)
-            assert not await site.outcomes()
-            await site.clock.sleep_ms(2_000)
-            ended = (await site.outcomes())['1.1']
-            assert ended.result == TaskResult.LEASE_LAPSED
-            assert site.records[-1].at_ms - site.records[-2].at_ms == 25_000
-            assert not (await site.worker.renew(renewal('1.1'))).renewed_run_ids
-
-        over_virtual_time(scenario)
-
-    def test_a_worker_that_wakes_up_late_does_no_more_work(self) -> None:
+        await site.start('1.1')
+        await site.clock.sleep_ms(10_000)
+        reply = await site.worker.renew(renewal('1.1', '1.2'))
+        assert reply.renewed_run_ids == ('1.1',)
+        await site.clock.sleep_ms(14_000)
+        assert not await site.outcomes()
+        await site.clock.sleep_ms(2_000)
+        ended = (await site.outcomes())['1.1']
+        assert ended.result == messages.TaskResult.LEASE_LAPSED
+        assert site.records[-1].at_ms - site.records[-2].at_ms == 25_000
+        assert not (await site.worker.renew(renewal('1.1'))).renewed_run_ids
+
+    @virtual()
+    async def test_a_worker_that_wakes_up_late_does_no_more_work(
+        self, site: Site
+    ) -> None:
         """
         G2: a pause past the lease does not let the run go on or be renewed.
         """
-
-        async def scenario(site: Site) -> None:
-            await site.start('1.1', work_ms=2_000)
-            await site.clock.sleep_ms(1_000)
-            site.worker.apply_faults(WorkerFaults(is_paused=True))
-            late = asyncio.ensure_future(site.worker.renew(renewal('1.1')))
-            await site.clock.sleep_ms(30_000)
-            with pytest.raises(WorkerAnswerLostError):
-                await late
-            site.worker.apply_faults(WorkerFaults())
-            ended = (await site.outcomes())['1.1']
-            assert ended.result == TaskResult.LEASE_LAPSED
-            assert ended.progress_ms <= 1_000
-            assert site.records[-1].at_ms - site.records[-2].at_ms == 15_000
-
-        over_virtual_time(scenario)
-
-    def test_an_evicted_run_resumes_its_progress(self) -> None:
+        await site.start('1.1', work_ms=2_000)
+        await site.clock.sleep_ms(1_000)
+        site.worker.apply_faults(WorkerFaults(is_paused=True))
+        late = asyncio.ensure_future(site.worker.renew(renewal('1.1')))
+        await site.clock.sleep_ms(30_000)
+        with pytest.raises(ports.WorkerAnswerLostError):
+            await late
+        site.worker.apply_faults(WorkerFaults())
+        ended = (await site.outcomes())['1.1']
+        assert ended.result == messages.TaskResult.LEASE_LAPSED
+        assert ended.progress_ms <= 1_000
+        assert site.records[-1].at_ms - site.records[-2].at_ms == 15_000
+
+    @virtual()
+    async def test_an_evicted_run_resumes_its_progress(
+        self, site: Site
+    ) -> None:
         """
         G3: work before a checkpoint is neither lost nor repeated.
         """
-
-        async def scenario(site: Site) -> None:
-            await site.start('1.1', work_ms=10_000)
-            await site.clock.sleep_ms(8_000)
-            checkpoint = await site.control('1.1', TaskAction.EVICT)
-            ended = (await site.outcomes())['1.1']
-            assert ended.result == TaskResult.EVICTED
-            assert ended.checkpoint == checkpoint
-            assert ended.progress_ms >= 7_000
-            await site.start('1.2', work_ms=10_000, checkpoint=checkpoint)
-            await site.clock.sleep_ms(3_100)
-            assert (await site.outcomes())['1.2'].result == TaskResult.DONE
-
-        over_virtual_time(scenario)
-
-    def test_outcomes_wait_for_their_acknowledgement(self) -> None:
+        await site.start('1.1', work_ms=10_000)
+        await site.clock.sleep_ms(8_000)
+        checkpoint = await site.control('1.1', messages.TaskAction.EVICT)
+        ended = (await site.outcomes())['1.1']
+        assert ended.result == messages.TaskResult.EVICTED
+        assert ended.checkpoint == checkpoint
+        assert ended.progress_ms >= 7_000
+        await site.start('1.2', work_ms=10_000, checkpoint=checkpoint)
+        await site.clock.sleep_ms(3_100)
+        assert (await site.outcomes())['1.2'].result == messages.TaskResult.DONE
+
+    @virtual()
+    async def test_outcomes_wait_for_their_acknowledgement(
+        self, site: Site
+    ) -> None:
         """
         An outcome whose report was lost is reported again.
         """
+        await site.start('1.1', work_ms=10)
+        await site.clock.sleep_ms(100)
+        assert set(await site.outcomes()) == {'1.1'}
+        assert set(await site.outcomes()) == {'1.1'}
+        assert not await site.outcomes('1.1')
 
-        async def scenario(site: Site) -> None:
-            await site.start('1.1', work_ms=10)
-            await site.clock.sleep_ms(100)
-            assert set(await site.outcomes()) == {'1.1'}
-            assert set(await site.outcomes()) == {'1.1'}
-            assert not await site.outcomes('1.1')
-
-        over_virtual_time(scenario)
-
-    def test_throttling_slows_and_stopping_ends(self) -> None:
+    @virtual()
+    async def test_throttling_slows_and_stopping_ends(self, site: Site) -> None:
         """
         Mitigation acts on the run that it names.
         """
-
-        async def scenario(site: Site) -> None:
-            for run_id in ('1.1', '1.2', '1.3'):
-                await site.start(run_id, work_ms=5_000)
-            await site.control('1.1', TaskAction.THROTTLE)
-            await site.control('1.2', TaskAction.STOP)
-            await site.clock.sleep_ms(6_000)
-            ends = await site.outcomes()
-            assert ends['1.2'].result == TaskResult.STOPPED
-            assert ends['1.3'].result == TaskResult.DONE
-            assert '1.1' not in ends
-            await site.control('1.1', TaskAction.RESUME)
-            await site.clock.sleep_ms(5_000)
-            assert (await site.outcomes())['1.1'].result == TaskResult.DONE
-
-        over_virtual_time(scenario)
+        for run_id in ('1.1', '1.2', '1.3'):
+            await site.start(run_id, work_ms=5_000)
+        await site.control('1.1', messages.TaskAction.THROTTLE)
+        await site.control('1.2', messages.TaskAction.STOP)
+        await site.clock.sleep_ms(6_000)
+        ends = await site.outcomes()
+        assert ends['1.2'].result == messages.TaskResult.STOPPED
+        assert ends['1.3'].result == messages.TaskResult.DONE
+        assert '1.1' not in ends
+        await site.control('1.1', messages.TaskAction.RESUME)
+        await site.clock.sleep_ms(5_000)
+        assert (await site.outcomes())['1.1'].result == messages.TaskResult.DONE
 
 
 class TestRequests:
@@ -371,65 +342,60 @@
     A request runs at most once and its reply can be asked for.
     """
 
-    def test_a_key_runs_once(self) -> None:
+    @virtual()
+    async def test_a_key_runs_once(self, site: Site) -> None:
         """
         G6: a repeated key gets the first reply, even while it runs.
         """
-
-        async def scenario(site: Site) -> None:
-            replies: list[EndpointReply] = await asyncio.gather(
-                site.worker.request(request_of('r1', key='k')),
-                site.worker.request(request_of('r2', key='k')),
-                site.worker.request(request_of('r1', key='k')),
-            )
-            ids = [reply.request_id for reply in replies]
-            assert ids == ['r1', 'r2', 'r1']
-            assert len({reply.body for reply in replies}) == 1
-            started = [
-                record
-                for record in site.records
-                if record.kind == RecordKind.EXECUTION_STARTED
-            ]
-            assert [record.operation for record in started] == ['op-1']
-
-        over_virtual_time(scenario)
-
-    def test_a_caller_that_gives_up_can_ask_later(self) -> None:
+        replies: list[messages.EndpointReply] = await asyncio.gather(
+            site.worker.request(request_of('r1', key='k')),
+            site.worker.request(request_of('r2', key='k')),
+            site.worker.request(request_of('r1', key='k')),
+        )
+        ids = [reply.request_id for reply in replies]
+        assert ids == ['r1', 'r2', 'r1']
+        assert len({reply.body for reply in replies}) == 1
+        started = [
+            record
+            for record in site.records
+            if record.kind == RecordKind.EXECUTION_STARTED
+        ]
+        assert [record.operation for record in started] == ['op-ü']
+
+    @virtual()
+    async def test_a_caller_that_gives_up_can_ask_later(
+        self, site: Site
+    ) -> None:
         """
         G5: a request whose deadline passed is known to run and to have run.
         """
-
-        async def scenario(site: Site) -> None:
-            with pytest.raises(WorkerAnswerLostError):
-                await site.worker.request(request_of('r1', deadline_ms=10))
-            state = await site.worker.request_state('r1')
-            assert state.status == EndpointStatus.RUNNING
-            await site.clock.sleep_ms(100)
-            state = await site.worker.request_state('r1')
-            assert state.status == EndpointStatus.ANSWERED
-            await site.clock.sleep_ms(QUIET.reply_retention_ms + 1)
-            await site.worker.request(request_of('r2'))
-            state = await site.worker.request_state('r1')
-            assert state.status == EndpointStatus.FAILED
-
-        over_virtual_time(scenario)
-
-    def test_stale_and_truncated_replies_can_be_told(self) -> None:
+        with pytest.raises(ports.WorkerAnswerLostError):
+            await site.worker.request(request_of('r1', deadline_ms=10))
+        state = await site.worker.request_state('r1')
+        assert state.status == messages.EndpointStatus.RUNNING
+        await site.clock.sleep_ms(100)
+        state = await site.worker.request_state('r1')
+        assert state.status == messages.EndpointStatus.ANSWERED
+        await site.clock.sleep_ms(QUIET.reply_retention_ms + 1)
+        await site.worker.request(request_of('r2'))
+        state = await site.worker.request_state('r1')
+        assert state.status == messages.EndpointStatus.FAILED
+
+    @virtual()
+    async def test_stale_and_truncated_replies_can_be_told(
+        self, site: Site
+    ) -> None:
         """
         G4: the id and the length field give away a wrong reply.
         """
-
-        async def scenario(site: Site) -> None:
-            await site.worker.request(request_of('r1'))
-            site.worker.apply_faults(
-                WorkerFaults(stale_reply_count=1, truncated_reply_count=1),
-            )
-            stale = await site.worker.request(request_of('r2'))
-            assert stale.request_id == 'r1'
-            cut = await site.worker.request(request_of('r3'))
-            assert len(cut.body.encode()) < cut.body_bytes
-
-        over_virtual_time(scenario)
+        await site.worker.request(request_of('r1'))
+        site.worker.apply_faults(
+            WorkerFaults(stale_reply_count=1, truncated_reply_count=1)
+        )
+        stale = await site.worker.request(request_of('r2'))
+        assert stale.request_id == 'r1'
+        cut = await site.worker.request(request_of('r3'))
+        assert len(cut.body.encode()) < cut.body_bytes
 
 
 class TestFaults:
@@ -437,79 +403,71 @@
     Faults act as their names say.
     """
 
-    def test_a_dead_worker_loses_its_calls_and_work(self) -> None:
+    @virtual()
+    async def test_a_dead_worker_loses_its_calls_and_work(
+        self, site: Site
+    ) -> None:
         """
         A call in flight is lost; a later one is not sent.
         """
+        await site.start('1.1')
+        call = site.worker.request(request_of('r1'))
+        answer = asyncio.ensure_future(call)
+        await site.clock.sleep_ms(10)
+        site.worker.apply_faults(WorkerFaults(is_dead=True))
+        with pytest.raises(ports.WorkerAnswerLostError):
+            await answer
+        with pytest.raises(ports.WorkerUnreachableError):
+            await site.worker.report()
+        with pytest.raises(ValueError, match='stays dead'):
+            site.worker.apply_faults(WorkerFaults())
+        assert site.kinds()[-2:] == [
+            RecordKind.RUN_ENDED,
+            RecordKind.EXECUTION_ENDED,
+        ]
 
-        async def scenario(site: Site) -> None:
-            await site.start('1.1')
-            call = site.worker.request(request_of('r1'))
-            answer = asyncio.ensure_future(call)
-            await site.clock.sleep_ms(10)
-            site.worker.apply_faults(WorkerFaults(is_dead=True))
-            with pytest.raises(WorkerAnswerLostError):
-                await answer
-            with pytest.raises(WorkerUnreachableError):
-                await site.worker.report()
-            with pytest.raises(ValueError, match='stays dead'):
-                site.worker.apply_faults(WorkerFaults())
-            assert site.kinds()[-2:] == [
-                RecordKind.RUN_ENDED,
-                RecordKind.EXECUTION_ENDED,
-            ]
-
-        over_virtual_time(scenario)
-
-    def test_a_leaving_worker_refuses_new_work(self) -> None:
+    @virtual()
+    async def test_a_leaving_worker_refuses_new_work(self, site: Site) -> None:
         """
         G7: the refusal states that nothing ran.
         """
+        site.worker.apply_faults(WorkerFaults(is_leaving=True))
+        assert await site.start('1.1') == messages.StartVerdict.REFUSED_LEAVING
+        reply = await site.worker.request(request_of('r1'))
+        assert reply.status == messages.EndpointStatus.LEAVING
+        assert (await site.worker.report()).is_leaving
+        assert RecordKind.ENDPOINT_LEAVING in site.kinds()
 
-        async def scenario(site: Site) -> None:
-            site.worker.apply_faults(WorkerFaults(is_leaving=True))
-            assert await site.start('1.1') == StartVerdict.REFUSED_LEAVING
-            reply = await site.worker.request(request_of('r1'))
-            assert reply.status == EndpointStatus.LEAVING
-            assert (await site.worker.report()).is_leaving
-            assert RecordKind.ENDPOINT_LEAVING in site.kinds()
-
-        over_virtual_time(scenario)
-
-    def test_failing_work_fails_everywhere(self) -> None:
+    @virtual()
+    async def test_failing_work_fails_everywhere(self, site: Site) -> None:
         """
         A bad worker and a bad job can be told apart by their outcomes.
         """
-
-        async def scenario(site: Site) -> None:
-            await site.start('1.1')
-            site.worker.apply_faults(WorkerFaults(fails_all=True))
-            await site.start('1.2')
-            reply = await site.worker.request(request_of('r1'))
-            assert reply.status == EndpointStatus.FAILED
-            ends = await site.outcomes()
-            assert [end.result for end in ends.values()] == [TaskResult.FAILED]
-            await site.start('1.3', checkpoint='no checkpoint')
-            await site.clock.sleep_ms(100)
-            assert '1.3' in await site.outcomes()
-
-        over_virtual_time(scenario)
-
-    def test_a_late_message_takes_effect_late(self) -> None:
+        await site.start('1.1')
+        site.worker.apply_faults(WorkerFaults(fails_all=True))
+        await site.start('1.2')
+        reply = await site.worker.request(request_of('r1'))
+        assert reply.status == messages.EndpointStatus.FAILED
+        ends = await site.outcomes()
+        assert [end.result for end in ends.values()] == [
+            messages.TaskResult.FAILED
+        ]
+        await site.start('1.3', checkpoint='no checkpoint')
+        await site.clock.sleep_ms(100)
+        assert '1.3' in await site.outcomes()
+
+    @virtual()
+    async def test_a_late_message_takes_effect_late(self, site: Site) -> None:
         """
         G2: a start that its owner gave up may arrive after a fence.
         """
-
-        async def scenario(site: Site) -> None:
-            site.worker.apply_faults(WorkerFaults(delivery_delay_ms=5_000))
-            with pytest.raises(WorkerAnswerLostError):
-                await site.start('1.1')
-            site.worker.apply_faults(WorkerFaults())
-            await site.worker.fence(Fence(shard='s1', epoch=2))
-            await site.clock.sleep_ms(5_000)
-            assert RecordKind.RUN_STARTED not in site.kinds()
-
-        over_virtual_time(scenario)
+        site.worker.apply_faults(WorkerFaults(delivery_delay_ms=5_000))
+        with pytest.raises(ports.WorkerAnswerLostError):
+            await site.start('1.1')
+        site.worker.apply_faults(WorkerFaults())
+        await site.worker.fence(messages.Fence(shard='s1', epoch=2))
+        await site.clock.sleep_ms(5_000)
+        assert RecordKind.RUN_STARTED not in site.kinds()
 
 
 class TestContention:
@@ -534,23 +492,21 @@
         noisy = sum(found == model.noisy_coefficient for found in ours)
         assert 0 < noisy < len(pairs) / 2
 
-    def test_a_noisy_neighbour_slows_requests_late_in_reports(self) -> None:
+    @virtual(model=NOISY)
+    async def test_a_noisy_neighbour_slows_requests_late_in_reports(
+        self, site: Site
+    ) -> None:
         """
         The scheduler can learn of interference from delayed samples only.
         """
-        noisy = dataclasses.replace(QUIET, noisy_share=1, noisy_coefficient=90)
-
-        async def scenario(site: Site) -> None:
-            await site.worker.request(request_of('r1'))
-            await site.start('1.1')
-            await site.worker.request(request_of('r2'))
-            assert not (await site.worker.report()).samples
-            await site.clock.sleep_ms(noisy.report_lag_ms)
-            report = await site.worker.report()
-            alone, beside = (sample.duration_ms for sample in report.samples)
-            assert alone == pytest.approx(100, abs=2)
-            assert beside > 120
-            assert report.run_ids == ('1.1',)
-            assert report.usage.processor_millis
-
-        over_virtual_time(scenario, model=noisy)
+        await site.worker.request(request_of('r1'))
+        await site.start('1.1')
+        await site.worker.request(request_of('r2'))
+        assert not (await site.worker.report()).samples
+        await site.clock.sleep_ms(NOISY.report_lag_ms)
+        report = await site.worker.report()
+        alone, beside = (sample.duration_ms for sample in report.samples)
+        assert alone == pytest.approx(100, abs=2)
+        assert beside > 120
+        assert report.run_ids == ('1.1',)
+        assert report.usage.processor_millis
