--- a/src/hawthornpier/adapters/_connections.py
+++ b/src/hawthornpier/adapters/_connections.py
@@ -84,6 +84,8 @@
         # An empty name overrides a proxy from the environment.
         curl.setopt(pycurl.PROXY, '')
         curl.setopt(pycurl.SEEKFUNCTION, _refuse_seek)
+        # Nothing in the headers is used, and tornado parses them at length.
+        curl.setopt(pycurl.HEADERFUNCTION, _ignore_header)
         # curl calls this when it is connected, just before the first byte.
         # Its times do not tell: a failure to connect sets them as well.
         curl.setopt(pycurl.PREREQFUNCTION, self._note_sending)
@@ -203,6 +205,12 @@
         )
 
 
+def _ignore_header(line: bytes) -> None:
+    """
+    Drop a line of the response's head.
+    """
+
+
 def _refuse_seek(offset: int, origin: int) -> int:
     # Without this, curl sends a request again when a reused connection
     # closes before the first byte of the response.
--- a/src/hawthornpier_standin/platform/_store.py
+++ b/src/hawthornpier_standin/platform/_store.py
@@ -22,6 +22,7 @@
 )
 from hawthornpier_standin.platform._faults import StoreFaults
 from hawthornpier_standin.platform._hosts import HostLog
+from hawthornpier_standin.platform._limits import RateLimit
 
 # Covers two minutes of 500 transactions per second, which is longer than any
 # writer repeats a transaction.
@@ -40,6 +41,9 @@
         clock: Time source of the delays and of the host list.
         kept_result_count: Number of transactions whose results are kept for
             repeated transaction ids; the oldest is dropped first.
+        writes_per_s: Largest rate of transactions and stored objects, or 0
+            for no limit.
+        reads_per_s: Largest rate of all other calls, or 0 for no limit.
     """
 
     def __init__(
@@ -47,9 +51,13 @@
         *,
         clock: Clock,
         kept_result_count: int = _KEPT_RESULT_COUNT,
+        writes_per_s: float = 0,
+        reads_per_s: float = 0,
     ) -> None:
         self.hosts = HostLog(now_ms=clock.monotonic_ms)
         self._clock = clock
+        self._writes = RateLimit(clock=clock, per_s=writes_per_s)
+        self._reads = RateLimit(clock=clock, per_s=reads_per_s)
         self._kept_result_count = kept_result_count
         self._faults = StoreFaults()
         self._last_version = ABSENT_VERSION
@@ -79,7 +87,7 @@
             StoreAnswerLostError: The transaction took effect or conflicted,
                 and the answer is lost.
         """
-        await self._enter()
+        await self._enter(self._writes)
         outcome = self._results.get(transaction.transaction_id)
         if outcome is None:
             outcome = self._apply(transaction)
@@ -96,14 +104,14 @@
         """
         Return the row *key*, or None if there is none.
         """
-        await self._enter()
+        await self._enter(self._reads)
         return self._row(key)
 
     async def scan(self, prefix: str) -> tuple[Row, ...]:
         """
         Return all rows whose key starts with *prefix*, ordered by key.
         """
-        await self._enter()
+        await self._enter(self._reads)
         rows: list[Row] = []
         for key in self._rows.irange(minimum=prefix):
             if not key.startswith(prefix):
@@ -115,29 +123,30 @@
         """
         Store *content* under *name*, replacing what was there.
         """
-        await self._enter()
+        await self._enter(self._writes)
         self._objects[name] = content
 
     async def get(self, name: str) -> bytes | None:
         """
         Return the object *name*, or None if there is none.
         """
-        await self._enter()
+        await self._enter(self._reads)
         return self._objects.get(name)
 
     async def listing(self) -> HostListing:
         """
         Return the host list as it was before the lag in force.
         """
-        await self._enter()
+        await self._enter(self._reads)
         return self.hosts.listing(self._faults.host_list_lag_ms)
 
-    async def _enter(self) -> None:
+    async def _enter(self, limit: RateLimit) -> None:
         self._refuse_if_out()
+        await limit.wait_for_turn()
         if self._faults.added_delay_ms:
             await self._clock.sleep_ms(self._faults.added_delay_ms)
-            # An outage that began during the delay stops the call as well.
-            self._refuse_if_out()
+        # An outage that began during the wait stops the call as well.
+        self._refuse_if_out()
 
     def _refuse_if_out(self) -> None:
         if self._faults.is_out:
--- a/src/hawthornpier_standin/servers/_commands.py
+++ b/src/hawthornpier_standin/servers/_commands.py
@@ -29,6 +29,10 @@
 _MILLIS_PER_CORE = 1_000
 _BYTES_PER_GB = 1_000_000_000
 
+# What the design page states of the platform; 0 means no limit.
+_PLATFORM_RATES = MappingProxyType(
+    {'--writes-per-s': 400, '--reads-per-s': 2_000},
+)
 _WORKER_TEXTS = MappingProxyType(
     {
         '--host': '127.0.0.1',
@@ -73,6 +77,8 @@
 def _add_platform(parser: ArgumentParser) -> None:
     parser.add_argument('--host', default='127.0.0.1')
     parser.add_argument('--port', type=int, default=0)
+    for flag, rate in _PLATFORM_RATES.items():
+        parser.add_argument(flag, type=float, default=rate)
     parser.set_defaults(run=run_platform)
 
 
@@ -142,7 +148,12 @@
 
 
 async def _serve_platform(arguments: Namespace) -> None:
-    server = PlatformServer(MemoryStore(clock=SystemClock()))
+    store = MemoryStore(
+        clock=SystemClock(),
+        writes_per_s=arguments.writes_per_s,
+        reads_per_s=arguments.reads_per_s,
+    )
+    server = PlatformServer(store)
     port = server.listen(arguments.host, arguments.port)
     _report_ready({'address': f'{arguments.host}:{port}'})
     await _wait_for_signal()
--- a/src/hawthornpier_standin/servers/_http.py
+++ b/src/hawthornpier_standin/servers/_http.py
@@ -93,6 +93,18 @@
 
     server: LimitedServer
 
+    def set_default_headers(self) -> None:
+        """
+        Leave out headers that no client uses.
+        """
+        self.clear_header('Server')
+        self.clear_header('Date')
+
+    def compute_etag(self) -> None:
+        """
+        Compute no hash of the response.
+        """
+
     def prepare(self) -> None:
         """
         Prepare to notice that the client has gone.
--- a/tests/test_standin_platform.py
+++ b/tests/test_standin_platform.py
@@ -159,6 +159,19 @@
         store.apply_faults(StoreFaults())
         assert await store.read('k') is None
 
+    @virtual
+    async def test_calls_beyond_the_rate_wait(self, store: MemoryStore) -> None:
+        """
+        Group commits are needed because the platform takes few writes.
+        """
+        clock = VirtualClock()
+        limited = MemoryStore(clock=clock, writes_per_s=100)
+        await asyncio.gather(*(store.put(str(n), b'') for n in range(50)))
+        assert clock.monotonic_ms() == 0
+        await asyncio.gather(*(limited.put(str(n), b'') for n in range(50)))
+        await limited.get('1')
+        assert clock.monotonic_ms() in range(480, 500)
+
     @virtual
     async def test_the_host_list_lags(self, store: MemoryStore) -> None:
         """
