--- a/src/hawthornpier_standin/servers/_announcer.py
+++ b/src/hawthornpier_standin/servers/_announcer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from contextlib import closing
+from http import HTTPStatus
 from urllib.parse import quote
 
 from hawthornpier.adapters import (
@@ -72,7 +73,7 @@
         path: str,
         body: bytes | None = None,
     ) -> None:
-        await self._connections.send(
+        reply = await self._connections.send(
             HttpCall(
                 method=method,
                 path=path,
@@ -80,3 +81,5 @@
                 deadline_ms=_DEADLINE_MS,
             ),
         )
+        if reply.status != HTTPStatus.OK:
+            raise AdapterError(f'{method} {path}: status {reply.status}')
--- a/src/hawthornpier_standin/servers/_http.py
+++ b/src/hawthornpier_standin/servers/_http.py
@@ -10,7 +10,7 @@
 from tornado.httpserver import HTTPServer
 from tornado.iostream import IOStream
 from tornado.netutil import bind_sockets
-from tornado.web import HTTPError, RequestHandler
+from tornado.web import Finish, HTTPError, RequestHandler
 
 _Message = TypeVar('_Message')
 
@@ -26,7 +26,7 @@
 
     def initialize(
         self,
-        *handlers: Any,
+        *applications: Any,
         connection_limit: int = 0,
         **options: Any,
     ) -> None:
@@ -34,7 +34,8 @@
         Set up the server.
 
         Args:
-            handlers: The application that handles the requests.
+            applications: The application that handles the requests; its
+                handlers find this server in its settings.
             connection_limit: Largest number of open connections, or 0 for
                 no limit; further ones are closed at once.
             options: Options of tornado's server.
@@ -42,7 +43,9 @@
         self._connection_limit = connection_limit
         self._open: set[IOStream] = set()
         self._hung: set[IOStream] = set()
-        super().initialize(*handlers, **options)
+        for application in applications:
+            application.settings['server'] = self
+        super().initialize(*applications, **options)
 
     @property
     def open_count(self) -> int:
@@ -91,7 +94,13 @@
     Decodes and encodes JSON messages.
     """
 
-    server: LimitedServer
+    @property
+    def server(self) -> LimitedServer:
+        """
+        The server of the connection.
+        """
+        server: LimitedServer = self.settings['server']
+        return server
 
     def set_default_headers(self) -> None:
         """
@@ -105,11 +114,15 @@
         Compute no hash of the response.
         """
 
-    def prepare(self) -> None:
+    async def prepare(self) -> None:
         """
-        Prepare to notice that the client has gone.
+        Ignore the request if its connection hangs.
         """
         self._gone = asyncio.Event()
+        if self.server.is_hung(self.stream()):
+            await self.stay_silent()
+            # The client has gone; the request must not take effect.
+            raise Finish
 
     def on_connection_close(self) -> None:
         """
--- a/src/hawthornpier_standin/servers/_platform.py
+++ b/src/hawthornpier_standin/servers/_platform.py
@@ -39,6 +39,7 @@
                     ('/v1/objects/(.+)', _ObjectHandler, context),
                     ('/v1/hosts', _HostsHandler, context),
                     ('/control/v1/faults', _FaultsHandler, context),
+                    ('/control/v1/hang', _HangHandler, context),
                     ('/control/v1/hosts', _HostControlHandler, context),
                     ('/control/v1/hosts/(.+)', _HostControlHandler, context),
                 ],
@@ -145,6 +146,11 @@
         self.reply(self.store.faults)
 
 
+class _HangHandler(_StoreHandler):
+    def post(self) -> None:
+        self.server.hang_open_connections()
+
+
 class _HostControlHandler(_StoreHandler):
     def put(self) -> None:
         self.store.hosts.put(*self.message(tuple[HostRecord, ...]))
