--- a/src/hawthornpier/adapters/__init__.py
+++ b/src/hawthornpier/adapters/__init__.py
@@ -10,6 +10,7 @@
     encode_outcome,
 )
 from hawthornpier.adapters._connections import (
+    REQUEST_ID_HEADER,
     ConnectionPool,
     HttpCall,
     HttpReply,
@@ -35,6 +36,7 @@
 from hawthornpier.adapters._worker import HttpWorker
 
 __all__ = [
+    'REQUEST_ID_HEADER',
     'AdapterError',
     'ConnectionPool',
     'HttpCall',
--- a/src/hawthornpier/adapters/_calls.py
+++ b/src/hawthornpier/adapters/_calls.py
@@ -84,6 +84,12 @@
         """
         self._pool.close()
 
+    def retire_connections(self) -> None:
+        """
+        Use no connection again that is open now.
+        """
+        self._pool.retire()
+
     async def post(
         self,
         path: str,
--- a/src/hawthornpier/adapters/_connections.py
+++ b/src/hawthornpier/adapters/_connections.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import itertools
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import partial
@@ -13,6 +14,12 @@
 
 from hawthornpier.adapters._errors import NotSentError, ReplyLostError
 
+# A server that repeats this header in its response lets the client notice a
+# response that was meant for an earlier request on the same connection.
+REQUEST_ID_HEADER = 'X-Request-Id'
+_ECHO_NAME = REQUEST_ID_HEADER.lower().encode()
+_CALL_IDS = map(str, itertools.count(1))
+
 # curl reads a timeout of zero as no timeout.
 _LEAST_TIMEOUT_MS = 1
 
@@ -51,6 +58,8 @@
     def __init__(self, generation: int) -> None:
         self.generation = generation
         self._is_sent = False
+        self._call_id = ''
+        self._echoed_id = ''
         self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=1)
 
     async def fetch(self, request: HTTPRequest) -> HttpReply:
@@ -62,6 +71,9 @@
             ReplyLostError: The request may have arrived.
         """
         self._is_sent = False
+        self._call_id = next(_CALL_IDS)
+        self._echoed_id = self._call_id
+        request.headers[REQUEST_ID_HEADER] = self._call_id
         request.prepare_curl_callback = self._prepare
         try:
             response = await self._client.fetch(request, raise_error=False)
@@ -71,6 +83,8 @@
         except ValueError as error:
             # tornado rejects the address or a header before it connects.
             raise NotSentError(str(error)) from error
+        if self._echoed_id != self._call_id:
+            raise ReplyLostError('the response belongs to another request')
         return HttpReply(status=response.code, body=response.body)
 
     def close(self) -> None:
@@ -84,12 +98,17 @@
         # An empty name overrides a proxy from the environment.
         curl.setopt(pycurl.PROXY, '')
         curl.setopt(pycurl.SEEKFUNCTION, _refuse_seek)
-        # Nothing in the headers is used, and tornado parses them at length.
-        curl.setopt(pycurl.HEADERFUNCTION, _ignore_header)
+        # Only one header is used, and tornado parses all of them at length.
+        curl.setopt(pycurl.HEADERFUNCTION, self._note_header)
         # curl calls this when it is connected, just before the first byte.
         # Its times do not tell: a failure to connect sets them as well.
         curl.setopt(pycurl.PREREQFUNCTION, self._note_sending)
 
+    def _note_header(self, line: bytes) -> None:
+        name, _, text = line.partition(b':')
+        if name.lower() == _ECHO_NAME:
+            self._echoed_id = text.strip().decode('latin1')
+
     def _note_sending(self, *endpoints: object) -> int:
         self._is_sent = True
         return pycurl.PREREQFUNC_OK
@@ -155,7 +174,15 @@
         Close idle connections now and the others when their calls end.
         """
         self._is_closed = True
-        self._retire_idle()
+        self.retire()
+
+    def retire(self) -> None:
+        """
+        Use no connection again that is open now.
+        """
+        self._generation += 1
+        while self._idle:
+            self._idle.pop().close()
 
     async def _wait_for_slot(self, end_s: float) -> None:
         try:
@@ -177,7 +204,7 @@
         self._slots.release()
         failure = None if exchange.cancelled() else exchange.exception()
         if failure is not None and _is_timeout(failure.__cause__):
-            self._retire_idle()
+            self.retire()
         is_sound = not exchange.cancelled() and failure is None
         is_current = connection.generation == self._generation
         if is_sound and is_current and not self._is_closed:
@@ -185,11 +212,6 @@
         else:
             connection.close()
 
-    def _retire_idle(self) -> None:
-        self._generation += 1
-        while self._idle:
-            self._idle.pop().close()
-
     def _request(self, call: HttpCall, remaining_s: float) -> HTTPRequest:
         timeout_s = max(remaining_s, _LEAST_TIMEOUT_MS / 1000)
         return HTTPRequest(
@@ -205,12 +227,6 @@
         )
 
 
-def _ignore_header(line: bytes) -> None:
-    """
-    Drop a line of the response's head.
-    """
-
-
 def _refuse_seek(offset: int, origin: int) -> int:
     # Without this, curl sends a request again when a reused connection
     # closes before the first byte of the response.
--- a/src/hawthornpier/adapters/_worker.py
+++ b/src/hawthornpier/adapters/_worker.py
@@ -102,26 +102,28 @@
         """
         Send a caller's request to the service's endpoint on this worker.
 
-        The reply is returned as it came; its request id and length are for
-        the caller of this method to check.
+        A reply to another request counts as lost. The length of the body is
+        for the caller of this method to check.
         """
-        return await self._caller.post(
+        reply = await self._caller.post(
             '/v1/requests',
             request,
             EndpointReply,
             deadline_ms=request.deadline_ms,
         )
+        return self._own_reply(request.request_id, reply)
 
     async def request_state(self, request_id: str) -> EndpointReply:
         """
         Ask what became of a request.
         """
-        return _present(
+        reply = _present(
             await self._caller.get(
                 f'/v1/requests/{escaped(request_id)}',
                 EndpointReply,
             ),
         )
+        return self._own_reply(request_id, reply)
 
     async def report(self) -> WorkerReport:
         """
@@ -129,6 +131,19 @@
         """
         return _present(await self._caller.get('/v1/report', WorkerReport))
 
+    def _own_reply(
+        self,
+        request_id: str,
+        reply: EndpointReply,
+    ) -> EndpointReply:
+        if reply.request_id != request_id:
+            # The right reply may still come on the same connection.
+            self._caller.retire_connections()
+            raise WorkerAnswerLostError(
+                f'the reply to {request_id} is one to {reply.request_id}',
+            )
+        return reply
+
 
 def _present(reply: _Reply | None) -> _Reply:
     if reply is None:
--- a/src/hawthornpier_standin/servers/_http.py
+++ b/src/hawthornpier_standin/servers/_http.py
@@ -12,6 +12,8 @@
 from tornado.netutil import bind_sockets
 from tornado.web import Finish, HTTPError, RequestHandler
 
+from hawthornpier.adapters import REQUEST_ID_HEADER
+
 _Message = TypeVar('_Message')
 
 # Announces more than it sends: clients do not repeat a request by themselves
@@ -104,10 +106,18 @@
 
     def set_default_headers(self) -> None:
         """
-        Leave out headers that no client uses.
+        Repeat the id of the request, and leave out headers without use.
         """
         self.clear_header('Server')
         self.clear_header('Date')
+        self.set_header(REQUEST_ID_HEADER, self.request_id)
+
+    @property
+    def request_id(self) -> str:
+        """
+        The id of the HTTP request, which its response repeats.
+        """
+        return self.request.headers.get(REQUEST_ID_HEADER, '')
 
     def compute_etag(self) -> None:
         """
--- a/src/hawthornpier_standin/servers/_worker.py
+++ b/src/hawthornpier_standin/servers/_worker.py
@@ -3,12 +3,15 @@
 """
 
 from collections.abc import Awaitable
+from contextlib import suppress
 from http import HTTPStatus
 from typing import TypeVar
 
 import msgspec
+from tornado.iostream import StreamClosedError
 from tornado.web import Application
 
+from hawthornpier.adapters import REQUEST_ID_HEADER
 from hawthornpier.messages import (
     EndpointRequest,
     Fence,
@@ -114,8 +117,14 @@
             self._repeat(msgspec.json.encode(answer))
 
     def _repeat(self, body: bytes) -> None:
-        head = f'HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n'
-        self.stream().write(head.encode() + body)
+        lines = (
+            'HTTP/1.1 200 OK',
+            f'{REQUEST_ID_HEADER}: {self.request_id}',
+            f'Content-Length: {len(body)}\r\n\r\n',
+        )
+        # The client may close the connection when it sees a second response.
+        with suppress(StreamClosedError):
+            self.stream().write('\r\n'.join(lines).encode() + body)
 
 
 class _FenceHandler(_WorkerHandler):
--- a/tests/test_adapters_connections.py
+++ b/tests/test_adapters_connections.py
@@ -224,6 +224,22 @@
             assert second.request_id == 'r2'
             assert raw.connection_count == 2
 
+    async def test_a_reply_to_another_call_is_lost(self) -> None:
+        """
+        G4: a late second response on a kept connection is noticed.
+        """
+        late = response(FENCED).replace(b'\r\n', b'\r\nX-Request-Id: 0\r\n', 1)
+        other = response(b'{"request_id": "r0", "status": "answered"}')
+        replies = writes(late, other, response(FENCED))
+        async with serving(replies) as (raw, address):
+            worker = HttpWorker(address)
+            with pytest.raises(ports.WorkerAnswerLostError):
+                await worker.fence(FENCE)
+            with pytest.raises(ports.WorkerAnswerLostError):
+                await worker.request(request_of('r1'))
+            await worker.fence(FENCE)
+            assert raw.connection_count == 3
+
     async def test_a_closed_pool_sends_nothing(self) -> None:
         """
         After the end of a process's drain no message leaves it.
