--- /dev/null
+++ b/src/hawthornpier/daemon/_run.py
@@ -0,0 +1,58 @@
+"""
+Runs an entry process until it is told to stop.
+"""
+
+import asyncio
+import logging
+import pathlib
+import signal
+import sys
+from typing import TextIO
+
+import eliot
+
+from hawthornpier.daemon._process import EntryProcess
+from hawthornpier.settings import Settings
+
+
+def run(settings: Settings) -> int:
+    """
+    Run the daemon; SIGTERM and SIGINT stop it gracefully.
+
+    Returns:
+        The exit code, 0 after a graceful stop.
+    """
+    _set_up_logs(settings)
+    return asyncio.run(_serve(settings))
+
+
+def _open_log(log_file: str) -> TextIO:
+    if not log_file:
+        return sys.stderr
+    return pathlib.Path(log_file).open('a', encoding='utf-8')
+
+
+async def _serve(settings: Settings) -> int:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    process = EntryProcess(settings)
+    await process.start()
+    failing = asyncio.create_task(process.wait_failed())
+    stopping = asyncio.create_task(stop.wait())
+    done, _ = await asyncio.wait(
+        (failing, stopping),
+        return_when=asyncio.FIRST_COMPLETED,
+    )
+    failing.cancel()
+    await process.stop()
+    if failing in done:
+        failing.result()
+    return 0
+
+
+def _set_up_logs(settings: Settings) -> None:
+    eliot.to_file(_open_log(settings.observability.log_file))
+    # tornado's own records go to the same stream as plain lines.
+    logging.basicConfig(level=logging.WARNING, stream=sys.stderr)
