--- a/src/hawthornpier_standin/callers/_commands.py
+++ b/src/hawthornpier_standin/callers/_commands.py
@@ -17,7 +17,7 @@
 from hawthornpier_standin.callers._generator import LoadGenerator
 from hawthornpier_standin.callers._plan import ServiceLoad, Surge
 from hawthornpier_standin.callers._summary import Summary
-from hawthornpier_standin.servers import HistoryFile
+from hawthornpier_standin.history import HistoryWriter
 from hawthornpier_standin.workers import Recorder, ignore_record
 
 _MS_PER_S = 1_000
@@ -50,8 +50,9 @@
     parser.add_argument(
         'entries',
         nargs='+',
-        metavar='ENTRY',
-        help='address of an entry process',
+        type=parse_entry,
+        metavar='[NAME=]ADDRESS',
+        help='entry process, and its name in the history',
     )
     parser.add_argument('--service', action='append', required=True)
     parser.add_argument('--name', default='callers')
@@ -91,6 +92,14 @@
     )
 
 
+def parse_entry(text: str) -> tuple[str, str]:
+    """
+    Return the name and address of an entry process.
+    """
+    name, _, address = text.rpartition('=')
+    return name or address, address
+
+
 def parse_header(text: str) -> tuple[str, str]:
     """
     Return the name and value of a header.
@@ -106,8 +115,8 @@
     with ExitStack() as stack:
         recorder: Recorder = ignore_record
         if arguments.history:
-            history = stack.enter_context(HistoryFile(arguments.history))
-            recorder = history.record
+            history = stack.enter_context(HistoryWriter(arguments.history))
+            recorder = history.write
         summaries = asyncio.run(_send(arguments, recorder))
     for summary in summaries:
         sys.stdout.write(f'{msgspec.json.encode(summary).decode()}\n')
@@ -119,8 +128,8 @@
     recorder: Recorder,
 ) -> tuple[Summary, ...]:
     entries = [
-        HttpEntry(address=address, headers=dict(arguments.header))
-        for address in arguments.entries
+        HttpEntry(name=name, address=address, headers=dict(arguments.header))
+        for name, address in arguments.entries
     ]
     generator = LoadGenerator(
         entries,
--- a/src/hawthornpier_standin/callers/_entry.py
+++ b/src/hawthornpier_standin/callers/_entry.py
@@ -4,7 +4,8 @@
 
 import enum
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from http import HTTPStatus
 from types import MappingProxyType
 from typing import Protocol
 from urllib.parse import quote
@@ -58,11 +59,14 @@
 class EntryReply:
     """
     How a request ended; *body* is the answer and *reason* explains others.
+
+    *entry* names the entry process that the request was sent to.
     """
 
     ended: CallResult
     body: str = ''
     reason: str = ''
+    entry: str = ''
 
 
 class EntryPort(Protocol):
@@ -99,10 +103,12 @@
     An entry address over HTTP.
 
     Args:
+        name: Name of the entry process in histories.
         address: Host and port, or a URL without a path.
         headers: Added to each request, for example to authenticate.
     """
 
+    name: str
     address: str
     headers: Mapping[str, str] = field(default_factory=dict)
     pool: ConnectionPool = field(init=False, repr=False)
@@ -128,6 +134,9 @@
             headers=self._headers(call),
             deadline_ms=call.deadline_ms + _GRACE_MS,
         )
+        return replace(await self._exchange(http_call), entry=self.name)
+
+    async def _exchange(self, http_call: HttpCall) -> EntryReply:
         try:
             reply = await self.pool.send(http_call)
         except NotSentError as error:
@@ -144,12 +153,21 @@
 
 
 def _reply_of(status: int, body: bytes) -> EntryReply:
+    # A whole response that states no outcome leaves it open, unless its
+    # status says that the request was refused.
+    default = CallResult.NOT_RUN if _is_refusal(status) else CallResult.CUT
     try:
         outcome = decode_message(body, _OutcomeBody)
     except MessageError as error:
-        # A whole response that states no outcome leaves it open.
         reason = f'status {status}: {error}'
-        return EntryReply(ended=CallResult.CUT, reason=reason)
-    ended = _ENDS.get(outcome.kind or outcome.outcome, CallResult.CUT)
+        return EntryReply(ended=default, reason=reason)
+    ended = _ENDS.get(outcome.kind or outcome.outcome, default)
     reason = outcome.reason or f'status {status}'
     return EntryReply(ended=ended, body=outcome.body, reason=reason)
+
+
+def _is_refusal(status: int) -> bool:
+    is_client_error = (
+        HTTPStatus.BAD_REQUEST <= status < HTTPStatus.INTERNAL_SERVER_ERROR
+    )
+    return is_client_error or status == HTTPStatus.SERVICE_UNAVAILABLE
--- a/src/hawthornpier_standin/callers/_generator.py
+++ b/src/hawthornpier_standin/callers/_generator.py
@@ -4,8 +4,9 @@
 
 import asyncio
 from collections.abc import Iterable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from types import MappingProxyType
+from typing import Any
 
 import msgspec
 
@@ -33,7 +34,8 @@
         CallResult.NOT_RUN: RecordKind.REQUEST_NOT_RUN,
         CallResult.UNKNOWN: RecordKind.REQUEST_UNKNOWN,
         CallResult.CUT: RecordKind.CONNECTION_CUT,
-        CallResult.UNREACHABLE: RecordKind.CONNECTION_CUT,
+        # Nothing was sent.
+        CallResult.UNREACHABLE: RecordKind.REQUEST_NOT_RUN,
     },
 )
 _OPEN_ENDS = frozenset((CallResult.UNKNOWN, CallResult.CUT))
@@ -169,7 +171,8 @@
             sending,
             _RECORD_KINDS[reply.ended],
             reply.body,
-            reply.reason,
+            detail=reply.reason,
+            process_id=reply.entry,
         )
         return reply
 
@@ -195,7 +198,7 @@
         sending: _Sending,
         kind: RecordKind,
         content: str,
-        detail: str = '',
+        **fields: Any,
     ) -> None:
         self._recorder(
             Record(
@@ -206,7 +209,7 @@
                 idempotency_key=sending.call.idempotency_key,
                 is_idempotent=not sending.arrival.is_order,
                 content=content,
-                detail=detail,
+                **fields,
             ),
         )
 
@@ -232,7 +235,7 @@
     reason = _mismatch(call, reply.body)
     if not reason:
         return reply
-    return EntryReply(ended=CallResult.WRONG, body=reply.body, reason=reason)
+    return replace(reply, ended=CallResult.WRONG, reason=reason)
 
 
 def _mismatch(call: EntryCall, body: str) -> str:
--- a/src/hawthornpier_standin/servers/__init__.py
+++ b/src/hawthornpier_standin/servers/__init__.py
@@ -3,13 +3,11 @@
 """
 
 from hawthornpier_standin.servers._commands import add_commands
-from hawthornpier_standin.servers._history_file import HistoryFile
 from hawthornpier_standin.servers._platform import PlatformServer
 from hawthornpier_standin.servers._pool import WorkerPool, WorkerPoolOptions
 from hawthornpier_standin.servers._worker import WorkerServer
 
 __all__ = [
-    'HistoryFile',
     'PlatformServer',
     'WorkerPool',
     'WorkerPoolOptions',
--- a/src/hawthornpier_standin/servers/_commands.py
+++ b/src/hawthornpier_standin/servers/_commands.py
@@ -15,9 +15,10 @@
 
 from hawthornpier.adapters import SystemClock
 from hawthornpier.messages import Resources
+from hawthornpier_standin import callers
+from hawthornpier_standin.history import HistoryWriter
 from hawthornpier_standin.platform import MemoryStore
 from hawthornpier_standin.servers._announcer import Announcer
-from hawthornpier_standin.servers._history_file import HistoryFile
 from hawthornpier_standin.servers._platform import PlatformServer
 from hawthornpier_standin.servers._pool import WorkerPool, WorkerPoolOptions
 from hawthornpier_standin.workers import (
@@ -72,6 +73,7 @@
     _add_workers(
         subparsers.add_parser('standin-workers', help='run many workers'),
     )
+    callers.add_commands(subparsers)
 
 
 def _add_platform(parser: ArgumentParser) -> None:
@@ -110,8 +112,8 @@
     with ExitStack() as stack:
         recorder: Recorder = ignore_record
         if arguments.history:
-            history = stack.enter_context(HistoryFile(arguments.history))
-            recorder = history.record
+            history = stack.enter_context(HistoryWriter(arguments.history))
+            recorder = history.write
         asyncio.run(_serve_workers(arguments, recorder))
     return 0
 
--- a/src/hawthornpier_standin/workers/_engine.py
+++ b/src/hawthornpier_standin/workers/_engine.py
@@ -60,6 +60,7 @@
         """
         self._runs.lose_all()
         self._executions.lose_all()
+        self._state.journal.died()
 
     async def fence(self, fence: Fence) -> FenceReply:
         """
--- a/src/hawthornpier_standin/workers/_executions.py
+++ b/src/hawthornpier_standin/workers/_executions.py
@@ -16,7 +16,7 @@
     LatencySample,
 )
 from hawthornpier.ports import WorkerAnswerLostError
-from hawthornpier_standin.workers._journal import DEAD_DETAIL
+from hawthornpier_standin.history import WORKER_DEAD
 from hawthornpier_standin.workers._state import Execution, WorkerState
 
 # Bounds the memory of request ids that must not run again.
@@ -122,7 +122,7 @@
         for task in self._tasks:
             task.cancel()
         for execution in self._state.executions.values():
-            self._state.journal.execution_ended(execution.request, DEAD_DETAIL)
+            self._state.journal.execution_ended(execution.request, WORKER_DEAD)
             execution.reply.set_exception(
                 WorkerAnswerLostError('the worker died'),
             )
--- a/src/hawthornpier_standin/workers/_journal.py
+++ b/src/hawthornpier_standin/workers/_journal.py
@@ -14,13 +14,10 @@
     TaskStart,
 )
 from hawthornpier.ports import Clock
-from hawthornpier_standin.history import Record, RecordKind
+from hawthornpier_standin.history import WORKER_DEAD, Record, RecordKind
 
 Recorder = Callable[[Record], None]
 
-# Detail of the end of work that was lost with its worker.
-DEAD_DETAIL = 'worker_dead'
-
 
 def ignore_record(record: Record) -> None:
     """
@@ -60,6 +57,12 @@
         """
         self._emit(RecordKind.ENDPOINT_LEAVING)
 
+    def died(self) -> None:
+        """
+        Record that the worker and everything it held is gone.
+        """
+        self._emit(RecordKind.PROCESS_EXITED, detail=WORKER_DEAD)
+
     def run_started(self, start: TaskStart) -> None:
         """
         Record the start of a run.
--- a/src/hawthornpier_standin/workers/_runs.py
+++ b/src/hawthornpier_standin/workers/_runs.py
@@ -16,7 +16,7 @@
     TaskResult,
     TaskStart,
 )
-from hawthornpier_standin.workers._journal import DEAD_DETAIL
+from hawthornpier_standin.history import WORKER_DEAD
 from hawthornpier_standin.workers._state import Run, WorkerState
 
 # Bounds the memory of run ids that must not start again.
@@ -147,7 +147,7 @@
         """
         for run in tuple(self._state.runs.values()):
             self._release(run)
-            self._state.journal.run_ended(run.start, DEAD_DETAIL)
+            self._state.journal.run_ended(run.start, WORKER_DEAD)
         self._outcomes.clear()
 
     def _now_ms(self) -> int:
--- a/tests/test_standin_callers.py
+++ b/tests/test_standin_callers.py
@@ -3,7 +3,10 @@
 """
 
 import asyncio
+import dataclasses
+import itertools
 from collections import Counter
+from typing import Any
 
 import msgspec
 import pytest
@@ -13,8 +16,10 @@
     serving,
     writes,
 )
+from test_standin_workers import Site, request_of
 from virtual_time import VirtualClock, run_virtual
 
+from hawthornpier.messages import EndpointStatus
 from hawthornpier_standin.callers import (
     Arrival,
     CallResult,
@@ -29,7 +34,8 @@
     arrivals,
     percentile,
 )
-from hawthornpier_standin.history import Record, RecordKind
+from hawthornpier_standin.history import Record, RecordKind, check_history
+from hawthornpier_standin.workers import MemoryWorker, WorkerFaults
 
 LOAD = ServiceLoad(
     service='stock',
@@ -179,6 +185,62 @@
         assert set(alone[0].counts) == {CallResult.UNREACHABLE}
 
 
+class WorkerEntry:
+    """
+    An entry address that passes every request to one worker.
+    """
+
+    def __init__(self, worker: MemoryWorker) -> None:
+        self._worker = worker
+        self._ids = itertools.count()
+
+    async def send(self, call: EntryCall) -> EntryReply:
+        """
+        Run a request and state its outcome.
+        """
+        request = dataclasses.replace(
+            request_of(f'r{next(self._ids)}', key=call.idempotency_key),
+            service=call.service,
+            body=call.body,
+        )
+        reply = await self._worker.request(request)
+        if reply.status == EndpointStatus.ANSWERED:
+            return EntryReply(ended=CallResult.ANSWERED, body=reply.body)
+        return EntryReply(ended=CallResult.NOT_RUN, reason=reply.status)
+
+
+class TestHistory:
+    """
+    The stand-ins write histories that the checkers can judge.
+    """
+
+    @pytest.mark.parametrize(
+        ('faults', 'is_clean'),
+        [({}, True), ({'stale_reply_count': 3}, False)],
+    )
+    def test_the_checkers_judge(self, faults: Any, is_clean: bool) -> None:
+        """
+        G1, G4, G5, G6: a fault shows and nothing else does.
+        """
+
+        async def main() -> list[Record]:
+            site = Site()
+            site.worker.apply_faults(WorkerFaults(**faults))
+            generator = LoadGenerator(
+                [WorkerEntry(site.worker)],
+                clock=site.clock,
+                recorder=site.records.append,
+                name='c',
+                seed=1,
+            )
+            load = dataclasses.replace(LOAD, rate_per_s=10)
+            await generator.run([load], duration_ms=8_000)
+            return site.records
+
+        report = check_history(run_virtual(main()))
+        assert (not report.violations) == is_clean, report.summary()
+
+
 class TestPercentile:
     """
     Percentiles are values that occurred.
@@ -220,8 +282,10 @@
             service='a/b', body='{}', deadline_ms=60_000, idempotency_key='k'
         )
         async with serving(writes(response(body.encode()))) as (raw, address):
-            assert (await HttpEntry(address=address).send(call)).ended == ended
+            assert (
+                await HttpEntry(name='p1', address=address).send(call)
+            ).ended == ended
         assert raw.heads[0].startswith('post /v1/services/a%2fb/requests http')
         assert 'idempotency-key: k' in raw.heads[0]
-        after = await HttpEntry(address=CLOSED_ADDRESS).send(call)
+        after = await HttpEntry(name='p1', address=CLOSED_ADDRESS).send(call)
         assert after.ended == CallResult.UNREACHABLE
--- a/tests/test_standin_servers.py
+++ b/tests/test_standin_servers.py
@@ -5,7 +5,6 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
-from pathlib import Path
 
 import msgspec
 import pytest
@@ -15,7 +14,6 @@
 from hawthornpier_standin.history import Record, RecordKind
 from hawthornpier_standin.platform import MemoryStore, StoreFaults
 from hawthornpier_standin.servers import (
-    HistoryFile,
     PlatformServer,
     WorkerPool,
     WorkerPoolOptions,
@@ -244,19 +242,3 @@
             assert [(host.worker_id, host.state) for host in hosts] == [
                 ('w-1', messages.HostState.LEAVING)
             ]
-
-
-class TestHistoryFile:
-    """
-    Histories survive the process that wrote them.
-    """
-
-    def test_records_are_lines_of_json(self, tmp_path: Path) -> None:
-        """
-        A record is in the file before the writer closes it.
-        """
-        record = Record(at_ms=1.5, kind=RecordKind.RUN_STARTED, source='w-0')
-        with HistoryFile(tmp_path / 'history') as history:
-            history.record(record)
-            line = (tmp_path / 'history').read_bytes()
-        assert msgspec.json.decode(line, type=Record) == record
--- a/tests/test_standin_workers.py
+++ b/tests/test_standin_workers.py
@@ -388,7 +388,7 @@
         with pytest.raises(ValueError, match='stays dead'):
             site.worker.apply_faults(WorkerFaults())
         ends = [RecordKind.RUN_ENDED, RecordKind.EXECUTION_ENDED]
-        assert site.kinds()[-2:] == ends
+        assert site.kinds()[-3:] == [*ends, RecordKind.PROCESS_EXITED]
 
     @virtual()
     async def test_a_leaving_worker_refuses_new_work(self, site: Site) -> None:
