--- a/src/hawthornpier_standin/servers/_commands.py
+++ b/src/hawthornpier_standin/servers/_commands.py
@@ -15,9 +15,10 @@
 
 from hawthornpier.adapters import SystemClock
 from hawthornpier.messages import Resources
+from hawthornpier_standin import callers
+from hawthornpier_standin.history import HistoryWriter
 from hawthornpier_standin.platform import MemoryStore
 from hawthornpier_standin.servers._announcer import Announcer
-from hawthornpier_standin.servers._history_file import HistoryFile
 from hawthornpier_standin.servers._platform import PlatformServer
 from hawthornpier_standin.servers._pool import WorkerPool, WorkerPoolOptions
 from hawthornpier_standin.workers import (
@@ -29,6 +30,10 @@
 _MILLIS_PER_CORE = 1_000
 _BYTES_PER_GB = 1_000_000_000
 
+# What the design page states of the platform; 0 means no limit.
+_PLATFORM_RATES = MappingProxyType(
+    {'--writes-per-s': 400, '--reads-per-s': 2_000},
+)
 _WORKER_TEXTS = MappingProxyType(
     {
         '--host': '127.0.0.1',
@@ -68,11 +73,14 @@
     _add_workers(
         subparsers.add_parser('standin-workers', help='run many workers'),
     )
+    callers.add_commands(subparsers)
 
 
 def _add_platform(parser: ArgumentParser) -> None:
     parser.add_argument('--host', default='127.0.0.1')
     parser.add_argument('--port', type=int, default=0)
+    for flag, rate in _PLATFORM_RATES.items():
+        parser.add_argument(flag, type=float, default=rate)
     parser.set_defaults(run=run_platform)
 
 
@@ -104,8 +112,8 @@
     with ExitStack() as stack:
         recorder: Recorder = ignore_record
         if arguments.history:
-            history = stack.enter_context(HistoryFile(arguments.history))
-            recorder = history.record
+            history = stack.enter_context(HistoryWriter(arguments.history))
+            recorder = history.write
         asyncio.run(_serve_workers(arguments, recorder))
     return 0
 
@@ -142,7 +150,12 @@
 
 
 async def _serve_platform(arguments: Namespace) -> None:
-    server = PlatformServer(MemoryStore(clock=SystemClock()))
+    store = MemoryStore(
+        clock=SystemClock(),
+        writes_per_s=arguments.writes_per_s,
+        reads_per_s=arguments.reads_per_s,
+    )
+    server = PlatformServer(store)
     port = server.listen(arguments.host, arguments.port)
     _report_ready({'address': f'{arguments.host}:{port}'})
     await _wait_for_signal()
