--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,8 @@
 
 unit: $(STAMP)
 	$(BIN)/python -m pytest
+
+# Writes the measured slopes that docs/CAPACITY.md refers to.
+capacity: export PYTHONPATH := $(CURDIR)/src:$(CURDIR)/tools
+capacity: $(STAMP)
+	$(BIN)/python -m capacity docs/capacity.json
--- /dev/null
+++ b/tools/capacity/__init__.py
@@ -0,0 +1,3 @@
+"""
+Measures the slopes from which docs/CAPACITY.md extrapolates.
+"""
--- /dev/null
+++ b/tools/capacity/codec.py
@@ -0,0 +1,216 @@
+"""
+Processor time and size of the JSON form of frequent messages.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+import msgspec
+from capacity.measurement import Measurement, processor_microseconds
+
+from hawthornpier.messages import (
+    ClockStamp,
+    Heartbeat,
+    LatencySample,
+    LeaseRenewal,
+    Resources,
+    ShardLoad,
+    StartBatch,
+    TaskStart,
+    WorkerReport,
+)
+from hawthornpier.table import (
+    Change,
+    Delta,
+    WorkloadClass,
+    WorkloadRow,
+    delta_from_document,
+    delta_to_document,
+    row_key,
+)
+
+_CALL_COUNT = 300
+_SMALL, _LARGE = 1, 17
+_DEMAND = Resources(
+    processor_millis=4_000,
+    memory_bytes=6_000_000_000,
+    slot_count=1,
+)
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Codec:
+    """
+    How a message of a given number of parts is built, encoded and decoded.
+    """
+
+    name: str
+    part: str
+    build: Callable[[int], object]
+    encode: Callable[[object], bytes]
+    decode: Callable[[bytes], object]
+
+
+def _plain(
+    name: str,
+    part: str,
+    build: Callable[[int], object],
+    message_type: type,
+) -> _Codec:
+    return _Codec(
+        name=name,
+        part=part,
+        build=build,
+        encode=msgspec.json.Encoder().encode,
+        decode=msgspec.json.Decoder(message_type).decode,
+    )
+
+
+def _start_batch(count: int) -> StartBatch:
+    return StartBatch(
+        shard='moose-jaw/0',
+        epoch=12,
+        starts=tuple(
+            TaskStart(
+                run_id=f'12.{index + 100_000}',
+                task_id=f'moose-jaw/0-4f9a3c{index:06d}.17',
+                member='saskaton',
+                workload='cold-room-watch',
+                demand=_DEMAND,
+                lease_ms=15_000,
+                work_ms=60_000,
+            )
+            for index in range(count)
+        ),
+    )
+
+
+def _report(count: int) -> WorkerReport:
+    return WorkerReport(
+        worker_id='worker-moose-jaw-07',
+        measured_ms=1_750_000_000_000,
+        usage=_DEMAND,
+        run_ids=tuple(f'12.{index + 100_000}' for index in range(count)),
+        samples=tuple(
+            LatencySample(
+                service='pass-planner',
+                duration_ms=12.5,
+                ended_ms=1_750_000_000_000,
+            )
+            for _ in range(count)
+        ),
+    )
+
+
+def _heartbeat(count: int) -> Heartbeat:
+    return Heartbeat(
+        process_id='entry-moose-jaw-1',
+        incarnation='5d0c2a9e',
+        address='10.20.30.40:7400',
+        region='south-saskatchewan',
+        failure_domain='moose-jaw',
+        table_version=45_000,
+        table_age_ms=700,
+        is_store_out=False,
+        is_leaving=False,
+        stamp=ClockStamp(
+            wall_ms=1_750_000_000_000,
+            counter=3,
+            process_id='entry-moose-jaw-1',
+        ),
+        loads=tuple(
+            ShardLoad(
+                shard=f'moose-jaw/{index}',
+                epoch=12,
+                free_slot_count=20,
+                slot_count=64,
+                queued_request_count=3,
+                queued_task_count=400,
+                services=('pass-planner', 'bin-tally'),
+            )
+            for index in range(count)
+        ),
+    )
+
+
+def _renewal(count: int) -> LeaseRenewal:
+    return LeaseRenewal(
+        shard='moose-jaw/0',
+        epoch=12,
+        lease_ms=15_000,
+        run_ids=tuple(f'12.{index + 100_000}' for index in range(count)),
+    )
+
+
+def _delta(count: int) -> Delta:
+    rows = [
+        WorkloadRow(
+            member='saskaton',
+            name=f'workload-{index}',
+            workload_class=WorkloadClass.BATCH,
+            weight=2,
+            max_running_count=64,
+        )
+        for index in range(count)
+    ]
+    return Delta(
+        version=45_000,
+        edit_id='4f9a3c2b1d',
+        member='saskaton',
+        at_ms=1_750_000_000_000,
+        changes=tuple(
+            Change(key=row_key(row), before=row, after=row) for row in rows
+        ),
+    )
+
+
+_CODECS = (
+    _plain('start batch', 'start', _start_batch, StartBatch),
+    _plain('report', 'run and sample', _report, WorkerReport),
+    _plain('heartbeat', 'shard load', _heartbeat, Heartbeat),
+    _plain('lease renewal', 'run', _renewal, LeaseRenewal),
+    _Codec(
+        name='table delta',
+        part='changed row',
+        build=_delta,
+        encode=lambda delta: msgspec.json.encode(delta_to_document(delta)),
+        decode=lambda body: delta_from_document(msgspec.json.decode(body)),
+    ),
+)
+
+
+def measure() -> Iterator[Measurement]:
+    """
+    Yield the cost of a message with one part and of each further part.
+    """
+    for codec in _CODECS:
+        small = _costs(codec, _SMALL)
+        large = _costs(codec, _LARGE)
+        for (aspect, unit), amount in small.items():
+            slope = (large[aspect, unit] - amount) / (_LARGE - _SMALL)
+            yield Measurement(
+                name=f'{codec.name}.{aspect}',
+                amount=amount,
+                unit=unit,
+            )
+            yield Measurement(
+                name=f'{codec.name}.{aspect} per further {codec.part}',
+                amount=slope,
+                unit=unit,
+            )
+
+
+def _costs(codec: _Codec, count: int) -> dict[tuple[str, str], float]:
+    message = codec.build(count)
+    body = codec.encode(message)
+    return {
+        ('encode', 'us'): processor_microseconds(
+            lambda: codec.encode(message),
+            _CALL_COUNT,
+        ),
+        ('decode', 'us'): processor_microseconds(
+            lambda: codec.decode(body),
+            _CALL_COUNT,
+        ),
+        ('size', 'B'): len(body),
+    }
--- /dev/null
+++ b/tools/capacity/measurement.py
@@ -0,0 +1,55 @@
+"""
+Results, timing and memory readings that all measurements share.
+"""
+
+import gc
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+
+_ROUND_COUNT = 15
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Measurement:
+    """
+    One measured figure.
+    """
+
+    name: str
+    amount: float
+    unit: str
+
+
+def processor_microseconds(work: Callable[[], object], count: int) -> float:
+    """
+    Return the processor time of one call of *work*.
+
+    The median of several rounds of *count* calls leaves out the rounds that
+    another process disturbed.
+    """
+    rounds = []
+    for _ in range(_ROUND_COUNT):
+        started = time.process_time_ns()
+        for _ in range(count):
+            work()
+        rounds.append((time.process_time_ns() - started) / count / 1000)
+    return statistics.median(rounds)
+
+
+def bytes_each(build: Callable[[], Sequence[object]]) -> float:
+    """
+    Return the memory that each object that *build* returns keeps alive.
+    """
+    gc.collect()
+    tracemalloc.start()
+    try:
+        before, _ = tracemalloc.get_traced_memory()
+        built = build()
+        gc.collect()
+        after, _ = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+    return (after - before) / len(built)
--- /dev/null
+++ b/tools/capacity/memory.py
@@ -0,0 +1,75 @@
+"""
+Resident memory after each step of the daemon's imports.
+"""
+
+import json
+import os
+import subprocess
+import sys
+from collections.abc import Iterator
+
+from capacity.measurement import Measurement
+
+# The steps in the order in which the daemon needs them, with the modules of
+# each.  The exporters come last: they are imported only when switched on.
+_STEPS = (
+    ('interpreter', ()),
+    ('asyncio', ('asyncio',)),
+    ('messages', ('hawthornpier.messages', 'msgspec.json')),
+    ('eliot', ('eliot',)),
+    ('tornado', ('tornado.web', 'tornado.httpserver')),
+    ('curl', ('tornado.curl_httpclient',)),
+    ('metrics', ('hawthornpier.metrics',)),
+    (
+        'own modules',
+        (
+            'hawthornpier.events',
+            'hawthornpier.policy',
+            'hawthornpier.table',
+            'hawthornpier.owner',
+            'hawthornpier.entry',
+            'hawthornpier.settings',
+        ),
+    ),
+    ('scrape exporter', ('opentelemetry.exporter.prometheus',)),
+    (
+        'OTLP exporter',
+        ('opentelemetry.exporter.otlp.proto.http.metric_exporter',),
+    ),
+)
+
+# Reads the memory with nothing but what the interpreter and JSON need.
+_CHILD = """
+import importlib, json, sys
+
+def resident_kilobytes():
+    with open('/proc/self/status') as status:
+        return next(
+            int(line.split()[1]) for line in status if line.startswith('VmRSS:')
+        )
+
+readings = []
+for name, modules in json.loads(sys.argv[1]):
+    for module in modules:
+        importlib.import_module(module)
+    readings.append((name, resident_kilobytes()))
+print(json.dumps(readings))
+"""
+
+
+def measure() -> Iterator[Measurement]:
+    """
+    Import the steps in a fresh interpreter and read its memory after each.
+    """
+    child = subprocess.run(
+        [sys.executable, '-c', _CHILD, json.dumps(_STEPS)],
+        check=True,
+        capture_output=True,
+        env={'PYTHONPATH': os.pathsep.join(sys.path)},
+    )
+    for name, kilobytes in json.loads(child.stdout):
+        yield Measurement(
+            name=f'memory.after.{name}',
+            amount=kilobytes / 1024,
+            unit='MiB',
+        )
--- /dev/null
+++ b/tools/capacity/shard.py
@@ -0,0 +1,38 @@
+"""
+The shard that the measurements of the policy use.
+"""
+
+from hawthornpier.messages import Resources
+from hawthornpier.policy import PolicySettings, Scheduler, WorkerInfo
+
+CAPACITY = Resources(
+    processor_millis=32_000,
+    memory_bytes=125_000_000_000,
+    slot_count=8,
+)
+# Eight of these fill a worker's slots and leave its other dimensions free.
+DEMAND = Resources(
+    processor_millis=2_000,
+    memory_bytes=4_000_000_000,
+    slot_count=1,
+)
+
+
+def new_scheduler() -> Scheduler:
+    """
+    Return a scheduler with the mechanisms of the product.
+    """
+    return Scheduler(settings=PolicySettings(), seed=1)
+
+
+def worker(index: int) -> WorkerInfo:
+    """
+    Return the worker with this number.
+    """
+    return WorkerInfo(
+        worker_id=f'worker-moose-jaw-{index:05d}',
+        region='south-saskatchewan',
+        failure_domain='moose-jaw',
+        rack=f'rack-{index // 8}',
+        capacity=CAPACITY,
+    )
