--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -7,8 +7,11 @@
 import pathlib
 import platform
 import sys
+from collections.abc import Sequence
 
 from capacity import codec, decisions, http, memory, observing, state
+from capacity.extrapolate import extrapolate
+from capacity.measurement import Measurement
 
 _SUITES = (
     memory.measure,
@@ -27,23 +30,35 @@
     parser = argparse.ArgumentParser(description=main.__doc__)
     parser.add_argument('output', type=pathlib.Path)
     options = parser.parse_args()
-    measured = {}
+    measurements = []
     for suite in _SUITES:
         for measurement in suite():
-            measured[measurement.name] = {
-                'amount': round(measurement.amount, 2),
-                'unit': measurement.unit,
-            }
-            sys.stdout.write(
-                f'{measurement.name}: {measurement.amount:.2f}'
-                f' {measurement.unit}\n',
-            )
-    document = {
+            measurements.append(measurement)
+            sys.stdout.write(f'{measurement}\n')
+    document = _document(measurements)
+    options.output.write_text(f'{json.dumps(document, indent=2)}\n')
+
+
+def _document(measurements: Sequence[Measurement]) -> dict[str, object]:
+    amounts = {
+        measurement.name: round(measurement.amount, 2)
+        for measurement in measurements
+    }
+    return {
         'python': platform.python_version(),
         'processor': _processor(),
-        'measured': measured,
+        'measured': {
+            measurement.name: {
+                'amount': amounts[measurement.name],
+                'unit': measurement.unit,
+            }
+            for measurement in measurements
+        },
+        'extrapolated': {
+            scale: {name: round(amount, 2) for name, amount in figures.items()}
+            for scale, figures in extrapolate(amounts).items()
+        },
     }
-    options.output.write_text(f'{json.dumps(document, indent=2)}\n')
 
 
 def _processor() -> str:
--- a/tools/capacity/codec.py
+++ b/tools/capacity/codec.py
@@ -11,9 +11,12 @@
 from hawthornpier.messages import (
     ClockStamp,
     Heartbeat,
+    HostListing,
+    HostRecord,
     LatencySample,
     LeaseRenewal,
     Resources,
+    Row,
     ShardLoad,
     StartBatch,
     TaskStart,
@@ -55,7 +58,7 @@
     name: str,
     part: str,
     build: Callable[[int], object],
-    message_type: type,
+    message_type: object,
 ) -> _Codec:
     return _Codec(
         name=name,
@@ -164,11 +167,40 @@
     )
 
 
+def _host_list(count: int) -> HostListing:
+    return HostListing(
+        hosts=tuple(
+            HostRecord(
+                worker_id=f'worker-moose-jaw-{index:05d}',
+                address=f'10.20.30.{index}:7000',
+                region='south-saskatchewan',
+                failure_domain='moose-jaw',
+                rack='rack-3',
+                capacity=_DEMAND,
+            )
+            for index in range(count)
+        ),
+    )
+
+
+def _scanned_rows(count: int) -> tuple[Row, ...]:
+    text = (
+        '{"process":"entry-moose-jaw-1","incarnation":"5d0c2a9e",'
+        '"address":"10.20.30.40:7400","epoch":12}'
+    )
+    return tuple(
+        Row(key=f'owner/moose-jaw/{index}', version=4_711, text=text)
+        for index in range(count)
+    )
+
+
 _CODECS = (
     _plain('start batch', 'start', _start_batch, StartBatch),
     _plain('report', 'run and sample', _report, WorkerReport),
     _plain('heartbeat', 'shard load', _heartbeat, Heartbeat),
     _plain('lease renewal', 'run', _renewal, LeaseRenewal),
+    _plain('host list', 'host', _host_list, HostListing),
+    _plain('scan reply', 'row', _scanned_rows, tuple[Row, ...]),
     _Codec(
         name='table delta',
         part='changed row',
--- a/tools/capacity/measurement.py
+++ b/tools/capacity/measurement.py
@@ -22,6 +22,9 @@
     amount: float
     unit: str
 
+    def __str__(self) -> str:
+        return f'{self.name}: {self.amount:.2f} {self.unit}'
+
 
 def processor_microseconds(work: Callable[[], object], count: int) -> float:
     """
