--- a/Makefile
+++ b/Makefile
@@ -29,10 +29,21 @@
 	$(BIN)/python -m pytest
 
 # DEMO="--kill" kills an entry process in the middle, "--roll" restarts all.
+
 demo: $(STAMP)
 	$(BIN)/python -m demo $(DEMO)
+
 # One executable file; see "The binary" in docs/operations.md.
+
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py dist/hawthornpier
+
 bench: $(STAMP)
 	PYTHONPATH=$(CURDIR)/src:$(CURDIR) $(BIN)/python -m tools.bench
+
+# Writes the measured slopes that docs/CAPACITY.md refers to.
+
+capacity: export PYTHONPATH := $(CURDIR)/src:$(CURDIR)/tools
+
+capacity: $(STAMP)
+	$(BIN)/python -m capacity docs/capacity.json
