--- /dev/null
+++ b/src/hawthornpier/daemon/_node.py
@@ -0,0 +1,371 @@
+"""
+An entry process without its listener: all parts wired together.
+"""
+
+import asyncio
+import contextlib
+import random
+
+from hawthornpier.coordination import (
+    CoordinationError,
+    GroupCommit,
+    HostView,
+    Membership,
+    OwnedShard,
+    ProcessDirectory,
+    ProcessIdentity,
+    ProcessLease,
+    ShardOwnership,
+    StoreLink,
+    TableConfirmation,
+)
+from hawthornpier.daemon import _timings
+from hawthornpier.daemon._catalog import TableCatalog
+from hawthornpier.daemon._chooser import NearestShardChooser
+from hawthornpier.daemon._committer import GroupCommitter
+from hawthornpier.daemon._policy import make_policy
+from hawthornpier.daemon._ports import Connections
+from hawthornpier.daemon._services import Activity, Services
+from hawthornpier.daemon._shards import RoutingShardClient, ShardHost
+from hawthornpier.daemon._table_sync import TableSync
+from hawthornpier.entry import EntryRouter, EntryTiming, JobRouter
+from hawthornpier.events import EventRecorder, HybridClock
+from hawthornpier.messages import EventKind, Heartbeat
+from hawthornpier.metrics import Metrics
+from hawthornpier.owner import ShardOwner
+from hawthornpier.ports import PeerError, StoreError
+from hawthornpier.settings import Settings
+from hawthornpier.table import VersionedTable
+
+# How long the balancer and the peers take to notice that a process leaves.
+LEAVE_NOTICE_MS = 1_000
+
+
+class Node:
+    """
+    Everything that an entry process does, behind ports.
+
+    Args:
+        settings: The settings of the process.
+        connections: The ports to the platform, the workers and the peers.
+        metrics: The counters of the process.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        connections: Connections,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self._connections = connections
+        self._clock = connections.clock
+        process = settings.process
+        timing = settings.timing
+        self.activity = Activity()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._rng = random.SystemRandom()
+        self._identity = ProcessIdentity(
+            process_id=process.process_id,
+            address=process.advertised_address,
+            region=process.region,
+            failure_domain=process.failure_domain,
+        )
+        self._hybrid_clock = HybridClock(process.process_id, self._clock)
+        self.recorder = EventRecorder(
+            self._hybrid_clock,
+            max_event_count=settings.observability.event_ring_count,
+        )
+        self._metrics = metrics
+        leases = _timings.lease_timings(timing)
+        self._link = StoreLink(
+            self._connections.store(),
+            self._clock,
+            leases,
+            events=self.recorder,
+        )
+        self._lease = ProcessLease(
+            self._identity,
+            self._link,
+            self._clock,
+            leases,
+            events=self.recorder,
+        )
+        self._directory = ProcessDirectory(self._link, self._clock, leases)
+        self._wire_table()
+        self._wire_shards()
+        self._wire_entry()
+
+    async def start(self) -> None:
+        """
+        Join the others and claim shards.
+        """
+        self.recorder.record(EventKind.PROCESS_STARTED)
+        # A first claim must know its workers.
+        await self._host_view.refresh()
+        runs = (
+            self._lease.run(),
+            self._membership.run(),
+            self._host_view.run(),
+            self._table_sync.run(),
+            self._ownership.run(),
+        )
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(run) for run in runs]
+
+    async def wait_failed(self) -> None:
+        """
+        Return when one of the permanent tasks has failed.
+        """
+        done, _ = await asyncio.wait(
+            self._tasks,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+        for task in done:
+            task.result()
+
+    async def leave(self) -> None:
+        """
+        Announce the stop, hand over all shards and give up the lease.
+        """
+        self.activity.is_leaving = True
+        self.recorder.record(EventKind.PROCESS_STOPPING)
+        with contextlib.suppress(CoordinationError, StoreError):
+            # The heartbeats announce it as well.
+            await self._lease.announce_leaving()
+        await self._clock.sleep_ms(LEAVE_NOTICE_MS)
+        await self._ownership.hand_over_all()
+        await self._lease.release()
+
+    async def close(self) -> None:
+        """
+        Stop at once; whoever takes over finds everything in the store.
+        """
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for shard in tuple(self._shard_host.owners()):
+            await self._shard_host.on_loss(shard)
+
+    # Wiring.
+
+    def _wire_table(self) -> None:
+        timing = self.settings.timing
+        self._membership = Membership(
+            self._identity,
+            self._clock,
+            _timings.membership_timings(timing),
+            self._directory,
+            connect=self._connections.peer,
+            describe=self._heartbeat,
+            on_reply=self._on_heartbeat_reply,
+            events=self.recorder,
+        )
+        self._confirmation = TableConfirmation(
+            self._identity.process_id,
+            self._clock,
+            _timings.confirmation_timings(timing),
+            known_ids=lambda: self._directory.last_known_ids,
+            is_store_out=lambda: self._link.is_out,
+            events=self.recorder,
+        )
+        self._table = VersionedTable(
+            store=self._link,
+            clock=self._clock,
+            founders={
+                operator.member: operator.key_hash
+                for operator in self.settings.security.bootstrap_operators
+            },
+            has_majority=self._confirmation.may_accept_edits,
+            events=self.recorder,
+        )
+        self._catalog = TableCatalog(self._table)
+        self._table_sync = TableSync(
+            table=self._table,
+            confirmation=self._confirmation,
+            clock=self._clock,
+            read_interval_ms=timing.table_read_interval_ms,
+            confirm_ms=timing.table_confirm_ms,
+            is_reader=self._is_reader,
+            newest_version=self._membership.table_version_seen,
+            on_change=self._on_table_change,
+        )
+
+    def _wire_shards(self) -> None:
+        timing = self.settings.timing
+        cluster = self.settings.cluster
+        self._shard_host = ShardHost(
+            store=self._link,
+            clock=self._clock,
+            limits=_timings.commit_limits(timing),
+            make_owner=self._make_owner,
+            has_guards=self.settings.platform.has_worker_guards,
+            events=self.recorder,
+        )
+        self._ownership = ShardOwnership(
+            self._shards(),
+            self._lease,
+            self._directory,
+            self._link,
+            self._clock,
+            _timings.ownership_timings(timing),
+            on_gain=self._shard_host.on_gain,
+            on_loss=self._shard_host.on_loss,
+            on_hand_over=self._shard_host.on_hand_over,
+            events=self.recorder,
+        )
+        self._host_view = HostView(
+            self._connections.host_list(),
+            self._clock,
+            _timings.host_view_timings(timing),
+            shard_count=cluster.shards_per_failure_domain,
+            on_change=self._shard_host.on_host_change,
+            events=self.recorder,
+        )
+        self._shard_host.bind(self._ownership, self._host_view)
+
+    def _wire_entry(self) -> None:
+        process = self.settings.process
+        client = RoutingShardClient(
+            process_id=process.process_id,
+            host=self._shard_host,
+            owner_address=self._owner_address,
+            connect=self._connections.peer,
+        )
+        chooser = NearestShardChooser(
+            region=process.region,
+            failure_domain=process.failure_domain,
+            regions={
+                domain.name: domain.region
+                for domain in self.settings.cluster.failure_domains
+            },
+            loads=self._membership.loads,
+            rng=random.Random(self._rng.getrandbits(64)),
+        )
+        entry_timing = EntryTiming(
+            default_deadline_ms=self.settings.timing.default_deadline_ms,
+        )
+        self.services = Services(
+            process_id=process.process_id,
+            clock=self._clock,
+            store=self._link,
+            hybrid_clock=self._hybrid_clock,
+            recorder=self.recorder,
+            metrics=self._metrics,
+            table=self._table,
+            table_sync=self._table_sync,
+            catalog=self._catalog,
+            confirmation=self._confirmation,
+            membership=self._membership,
+            shard_host=self._shard_host,
+            shard_client=client,
+            entry=EntryRouter(
+                shards=self._shards(),
+                client=client,
+                chooser=chooser,
+                catalog=self._catalog,
+                gate=self._confirmation,
+                clock=self._clock,
+                timing=entry_timing,
+                events=self.recorder,
+            ),
+            entry_timing=entry_timing,
+            jobs=JobRouter(client=client, chooser=chooser),
+            signing_keys=self._connections.signing_keys,
+            is_ready=self._is_ready,
+            owner_of=self._owner_name,
+            peer_events=self._peer_events,
+            activity=self.activity,
+        )
+
+    def _make_owner(
+        self,
+        owned: OwnedShard,
+        group_commit: GroupCommit,
+    ) -> ShardOwner:
+        return ShardOwner(
+            shard=owned.shard,
+            epoch=owned.epoch,
+            policy=make_policy(
+                self.settings.policy,
+                seed=self._rng.getrandbits(32),
+            ),
+            committer=GroupCommitter(group_commit, self._clock),
+            store=self._link,
+            connect=self._connections.worker,
+            catalog=self._catalog,
+            gate=self._confirmation,
+            clock=self._clock,
+            timing=_timings.owner_timing(self.settings.timing),
+            events=self.recorder,
+        )
+
+    # What the parts ask of each other.
+
+    def _shards(self) -> list[str]:
+        cluster = self.settings.cluster
+        return [
+            f'{domain.name}/{number}'
+            for domain in cluster.failure_domains
+            for number in range(cluster.shards_per_failure_domain)
+        ]
+
+    def _heartbeat(self) -> Heartbeat:
+        age_ms = self._confirmation.age_ms
+        return Heartbeat(
+            process_id=self._identity.process_id,
+            incarnation=self._lease.incarnation,
+            address=self._identity.address,
+            region=self._identity.region,
+            failure_domain=self._identity.failure_domain,
+            table_version=self._table.version,
+            table_age_ms=-1 if age_ms is None else age_ms,
+            is_store_out=self._link.is_out,
+            is_leaving=self.activity.is_leaving,
+            stamp=self._hybrid_clock.tick(),
+            loads=self._shard_host.loads(),
+        )
+
+    def _on_heartbeat_reply(self, heartbeat: Heartbeat, sent_ms: int) -> None:
+        self._hybrid_clock.merge(heartbeat.stamp)
+        self._confirmation.note_reply(heartbeat, sent_ms)
+
+    def _on_table_change(self) -> None:
+        self._shard_host.refresh_limits()
+
+    def _is_reader(self) -> bool:
+        domain = self._identity.failure_domain
+        reader = self._membership.reader_of(domain)
+        return reader == self._identity.process_id
+
+    def _is_ready(self) -> bool:
+        if self.activity.is_leaving:
+            return False
+        return self._confirmation.may_admit()
+
+    def _owner_address(self, shard: str) -> tuple[str, str] | None:
+        owner = self._ownership.owners.get(shard)
+        if owner is None or not owner.row.process_id:
+            return None
+        return owner.row.process_id, owner.row.address
+
+    def _owner_name(self, shard: str) -> str:
+        found = self._owner_address(shard)
+        return found[0] if found else ''
+
+    async def _peer_events(self) -> list[bytes]:
+        fetched = await asyncio.gather(
+            *(
+                self._connections.peer(peer.address).events()
+                for peer in self._membership.live_peers()
+            ),
+            return_exceptions=True,
+        )
+        # A peer that does not answer is left out of the time line.
+        failures = [
+            result for result in fetched if isinstance(result, BaseException)
+        ]
+        for failure in failures:
+            if not isinstance(failure, PeerError):
+                raise failure
+        return [result for result in fetched if isinstance(result, bytes)]
--- a/src/hawthornpier/daemon/_peer_handlers.py
+++ b/src/hawthornpier/daemon/_peer_handlers.py
@@ -2,69 +2,73 @@
 HTTP between entry processes.
 """
 
+from collections.abc import Awaitable
 from http import HTTPStatus
 
-from tornado.web import HTTPError
-
 from hawthornpier.adapters import (
     JobReference,
     JobSubmission,
     encode_outcome,
 )
 from hawthornpier.daemon._http import PeerHandler
-from hawthornpier.daemon._shards import cancel_here, serve_here, submit_here
-from hawthornpier.entry import shard_of_job
-from hawthornpier.events import encode_events
+from hawthornpier.daemon._peer_service import PeerService
 from hawthornpier.messages import ForwardedRequest, Heartbeat
-from hawthornpier.owner import ShardOwner
 from hawthornpier.ports import PeerAnswerLostError, PeerRefusedError
 
 
-class HeartbeatHandler(PeerHandler):
+class _ServiceHandler(PeerHandler):
     """
-    Exchanges states with a peer.
+    Answers with what the `PeerService` returns.
+
+    Status 503 says that nothing was done, status 504 that it is not known.
     """
 
-    def post(self) -> None:
+    @property
+    def service(self) -> PeerService:
         """
-        Take the peer's heartbeat and answer with the own one.
+        Return the receiving side of the peers' messages.
         """
-        heartbeat = self.message(Heartbeat)
-        self.services.hybrid_clock.merge(heartbeat.stamp)
-        self.send_json(self.services.membership.answer(heartbeat))
+        return PeerService(self.services)
+
+    async def answer(self, result: Awaitable[object]) -> None:
+        """
+        Await the result and send it as JSON.
+        """
+        try:
+            document = await result
+        except PeerRefusedError as error:
+            self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
+        except PeerAnswerLostError as error:
+            self.refuse(HTTPStatus.GATEWAY_TIMEOUT, str(error))
+        else:
+            self.send_json(document)
 
 
-class _OwnerHandler(PeerHandler):
+class HeartbeatHandler(_ServiceHandler):
     """
-    Passes work to an owner in this process.
+    Exchanges states with a peer.
     """
 
-    def owner_of(self, shard: str) -> ShardOwner:
+    async def post(self) -> None:
         """
-        Return the owner, or answer with status 503: nothing was done.
+        Take the peer's heartbeat and answer with the own one.
         """
-        owner = self.services.shard_host.owner(shard)
-        if owner is None:
-            raise HTTPError(
-                HTTPStatus.SERVICE_UNAVAILABLE,
-                f'shard {shard} is not owned here',
-            )
-        return owner
+        heartbeat = self.message(Heartbeat)
+        await self.answer(self.service.heartbeat(heartbeat))
 
 
-class ForwardHandler(_OwnerHandler):
+class ForwardHandler(_ServiceHandler):
     """
     Serves requests that another entry process has forwarded.
     """
 
     async def post(self) -> None:
         """
-        Answer with one of the three outcomes, or with status 503.
+        Answer with one of the three outcomes.
         """
         request = self.message(ForwardedRequest)
-        owner = self.owner_of(request.shard)
         try:
-            outcome = await serve_here(owner, request)
+            outcome = await self.service.forward(request)
         except PeerRefusedError as error:
             self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
             return
@@ -72,70 +76,55 @@
         self.finish(encode_outcome(outcome))
 
 
-class JobSubmitHandler(_OwnerHandler):
+class JobSubmitHandler(_ServiceHandler):
     """
     Accepts jobs for shards that are owned here.
     """
 
     async def post(self) -> None:
         """
-        Answer with the job; status 503 says that it was not accepted.
+        Answer with the job.
         """
         submission = self.message(JobSubmission)
-        owner = self.owner_of(shard_of_job(submission.job_id))
-        try:
-            view = await submit_here(owner, submission.job_id, submission.spec)
-        except PeerRefusedError as error:
-            self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
-        except PeerAnswerLostError as error:
-            self.refuse(HTTPStatus.GATEWAY_TIMEOUT, str(error))
-        else:
-            self.send_json(view)
+        await self.answer(
+            self.service.submit_job(submission.job_id, submission.spec),
+        )
 
 
-class JobShowHandler(_OwnerHandler):
+class JobShowHandler(_ServiceHandler):
     """
     Shows jobs of shards that are owned here.
     """
 
-    def post(self) -> None:
+    async def post(self) -> None:
         """
         Answer with the job or null.
         """
         job_id = self.message(JobReference).job_id
-        owner = self.owner_of(shard_of_job(job_id))
-        self.send_json(owner.jobs.view(job_id))
+        await self.answer(self.service.show_job(job_id))
 
 
-class JobCancelHandler(_OwnerHandler):
+class JobCancelHandler(_ServiceHandler):
     """
     Cancels jobs of shards that are owned here.
     """
 
     async def post(self) -> None:
         """
-        Answer with the job or null; status 503 says that nothing was done.
+        Answer with the job or null.
         """
         job_id = self.message(JobReference).job_id
-        owner = self.owner_of(shard_of_job(job_id))
-        try:
-            view = await cancel_here(owner, job_id)
-        except PeerRefusedError as error:
-            self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
-        except PeerAnswerLostError as error:
-            self.refuse(HTTPStatus.GATEWAY_TIMEOUT, str(error))
-        else:
-            self.send_json(view)
+        await self.answer(self.service.cancel_job(job_id))
 
 
-class PeerEventsHandler(PeerHandler):
+class PeerEventsHandler(_ServiceHandler):
     """
     Hands the own events to a peer that merges them.
     """
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """
         Return the ring of events as JSON.
         """
         self.set_header('Content-Type', 'application/json')
-        self.finish(encode_events(self.services.recorder.events()))
+        self.finish(await self.service.events())
--- /dev/null
+++ b/src/hawthornpier/daemon/_peer_service.py
@@ -0,0 +1,71 @@
+"""
+What an entry process does for its peers.
+"""
+
+from hawthornpier.daemon._services import Services
+from hawthornpier.daemon._shards import cancel_here, serve_here, submit_here
+from hawthornpier.entry import shard_of_job
+from hawthornpier.events import encode_events
+from hawthornpier.messages import (
+    ForwardedRequest,
+    Heartbeat,
+    HeartbeatReply,
+    JobSpec,
+    JobView,
+    Outcome,
+)
+from hawthornpier.owner import ShardOwner
+from hawthornpier.ports import PeerRefusedError
+
+
+class PeerService:
+    """
+    The receiving side of the `PeerPort`; it raises the same errors.
+    """
+
+    def __init__(self, services: Services) -> None:
+        self._services = services
+
+    async def heartbeat(self, heartbeat: Heartbeat) -> HeartbeatReply:
+        """
+        Take a peer's heartbeat and answer with the own one.
+        """
+        self._services.hybrid_clock.merge(heartbeat.stamp)
+        return self._services.membership.answer(heartbeat)
+
+    async def forward(self, request: ForwardedRequest) -> Outcome:
+        """
+        Serve a request for a shard that is owned here.
+        """
+        return await serve_here(self._owner(request.shard), request)
+
+    async def submit_job(self, job_id: str, spec: JobSpec) -> JobView:
+        """
+        Accept a job for a shard that is owned here.
+        """
+        owner = self._owner(shard_of_job(job_id))
+        return await submit_here(owner, job_id, spec)
+
+    async def show_job(self, job_id: str) -> JobView | None:
+        """
+        Return a job of a shard that is owned here.
+        """
+        return self._owner(shard_of_job(job_id)).jobs.view(job_id)
+
+    async def cancel_job(self, job_id: str) -> JobView | None:
+        """
+        Cancel a job of a shard that is owned here.
+        """
+        return await cancel_here(self._owner(shard_of_job(job_id)), job_id)
+
+    async def events(self) -> bytes:
+        """
+        Return the own events as JSON.
+        """
+        return encode_events(self._services.recorder.events())
+
+    def _owner(self, shard: str) -> ShardOwner:
+        owner = self._services.shard_host.owner(shard)
+        if owner is None:
+            raise PeerRefusedError(f'shard {shard} is not owned here')
+        return owner
--- a/src/hawthornpier/daemon/_ports.py
+++ b/src/hawthornpier/daemon/_ports.py
@@ -1,9 +1,10 @@
 """
-The ports of a process, over HTTP.
+The ports of a process.
 """
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import Protocol
 
 from hawthornpier.adapters import (
     HttpHostList,
@@ -14,6 +15,13 @@
     SystemClock,
 )
 from hawthornpier.messages import HostRecord
+from hawthornpier.ports import (
+    Clock,
+    HostList,
+    PeerPort,
+    TableStore,
+    WorkerPort,
+)
 from hawthornpier.settings import Settings
 
 # Every forwarded request holds a connection while it waits and runs.
@@ -22,8 +30,52 @@
 STORE_CONNECTIONS = 16
 
 
+class Connections(Protocol):
+    """
+    The ports to everything outside a process.
+    """
+
+    @property
+    def clock(self) -> Clock:
+        """
+        Return the clock of the process.
+        """
+        ...
+
+    @property
+    def signing_keys(self) -> Sequence[SigningKey]:
+        """
+        Return the keys of messages between processes, the own one first.
+        """
+        ...
+
+    def store(self) -> TableStore:
+        """
+        Return the platform's table service.
+        """
+        ...
+
+    def host_list(self) -> HostList:
+        """
+        Return the platform's host list.
+        """
+        ...
+
+    def worker(self, host: HostRecord) -> WorkerPort:
+        """
+        Return the port of a worker.
+        """
+        ...
+
+    def peer(self, address: str) -> PeerPort:
+        """
+        Return the port of the entry process at *address*.
+        """
+        ...
+
+
 @dataclass(slots=True)
-class Connections:
+class HttpConnections:
     """
     One port for each peer and each worker, made at first use.
     """
@@ -35,7 +87,7 @@
     _workers: dict[str, HttpWorker]
 
     @classmethod
-    def of(cls, settings: Settings) -> 'Connections':
+    def of(cls, settings: Settings) -> 'HttpConnections':
         """
         Return the connections that the settings describe, none open yet.
         """
@@ -60,6 +112,7 @@
             self.settings.platform.store_address,
             deadline_ms=self.settings.timing.store_timeout_ms,
             connection_limit=STORE_CONNECTIONS,
+            ca_certs=self.ca_certs,
         )
 
     def host_list(self) -> HttpHostList:
@@ -69,6 +122,7 @@
         return HttpHostList(
             self.settings.platform.host_list_address,
             deadline_ms=self.settings.timing.store_timeout_ms,
+            ca_certs=self.ca_certs,
         )
 
     def worker(self, host: HostRecord) -> HttpWorker:
@@ -81,6 +135,7 @@
                 host.address,
                 deadline_ms=self.settings.timing.silent_after_ms,
                 connection_limit=self.settings.platform.worker_connections,
+                ca_certs=self.ca_certs,
             )
             self._workers[host.address] = port
         return port
--- a/src/hawthornpier/entry/_router.py
+++ b/src/hawthornpier/entry/_router.py
@@ -92,8 +92,9 @@
             UnknownServiceError: The table has no such service.
             KeyRequiredError: The service needs an idempotency key.
         """
-        self._check(request)
         self._record(EventKind.REQUEST_RECEIVED, request, request.service)
+        # A process that has just started has no rows yet, so the gate comes
+        # before the look-up of the service.
         if not self._gate.may_admit():
             return self._end(
                 request,
@@ -102,6 +103,7 @@
                     reason='table_unconfirmed',
                 ),
             )
+        self._check(request)
         end_ms = self._clock.monotonic_ms() + request.deadline_ms
         if request.idempotency_key:
             outcome = await self._serve_once(request, end_ms)
--- a/src/hawthornpier/owner/_dispatch.py
+++ b/src/hawthornpier/owner/_dispatch.py
@@ -45,6 +45,7 @@
         self._waiting: dict[
             str, asyncio.Future[PlaceRequest | ShedRequest]
         ] = {}
+        self._charged: set[str] = set()
         self._is_pumping = False
 
     async def place(
@@ -93,9 +94,16 @@
         Give back the slot of a placed request.
         """
         now_ms = self._clock.monotonic_ms()
+        self._charged.discard(request_id)
         self.policy.end_request(request_id, outcome, duration_ms, now_ms)
         self.pump()
 
+    def is_charged(self, request_id: str) -> bool:
+        """
+        Tell whether the request holds a slot that this owner gave it.
+        """
+        return request_id in self._charged
+
     def pump(self) -> None:
         """
         Carry out everything that the policy decides now.
@@ -140,6 +148,8 @@
     def _settle(self, decision: PlaceRequest | ShedRequest) -> None:
         future = self._waiting.get(decision.request_id)
         if future is not None and not future.done():
+            if isinstance(decision, PlaceRequest):
+                self._charged.add(decision.request_id)
             future.set_result(decision)
             return
         if isinstance(decision, PlaceRequest):
@@ -168,6 +178,7 @@
             self.policy.cancel_request(request_id, now_ms)
             return
         if isinstance(future.result(), PlaceRequest):
+            self._charged.discard(request_id)
             self.policy.end_request(
                 request_id,
                 RequestResult.REFUSED,
--- a/src/hawthornpier/owner/_link.py
+++ b/src/hawthornpier/owner/_link.py
@@ -36,6 +36,11 @@
 MAX_STARTS_PER_BATCH = 256
 
 
+# The worker sees one number: the shard's epoch with the link's generation in
+# its low bits.  A million fences of one worker by one owner are out of reach.
+_GENERATION_BITS = 20
+
+
 class LinkState(enum.StrEnum):
     """
     What the owner may do with the worker.
@@ -142,6 +147,7 @@
         self.host = host
         self.state = LinkState.FENCING
         self.incarnation = ''
+        self.confirmed_epoch = -1
         self.runs: dict[str, LinkRun] = {}
         self._port = port
         self._shard = shard
@@ -150,10 +156,11 @@
         self._timing = timing
         self._listener = listener
         self._starts: list[TaskStart] = []
-        self._controls: list[TaskControl] = []
+        self._controls: list[tuple[str, TaskAction]] = []
         self._acknowledged: set[str] = set()
         self._reported_run_ids: set[str] = set()
         self._wake = asyncio.Event()
+        self._generation = 0
         self._failure_count = 0
         self._last_renewal_ms = clock.monotonic_ms()
         self._last_report_ms = 0
@@ -165,6 +172,18 @@
         """
         return self.host.worker_id
 
+    def refence(self) -> None:
+        """
+        Have the worker refuse every message that was sent before now.
+
+        A message without a reply may still arrive, however late: a paused
+        worker takes it up when it goes on.
+        """
+        if self.state is LinkState.OPEN:
+            self.state = LinkState.FENCING
+            self._generation += 1
+            self._wake.set()
+
     def start(self, start: TaskStart) -> None:
         """
         Queue a start; it goes out with the next batch.
@@ -176,13 +195,7 @@
         """
         Queue an action on a run.
         """
-        control = TaskControl(
-            shard=self._shard,
-            epoch=self._epoch,
-            run_id=run_id,
-            action=action,
-        )
-        self._controls.append(control)
+        self._controls.append((run_id, action))
         self._wake.set()
 
     def acknowledge(self, run_id: str) -> None:
@@ -242,7 +255,8 @@
         """
         Present the epoch, which renews no lease, until the worker accepts.
         """
-        fence = Fence(shard=self._shard, epoch=self._epoch)
+        epoch = (self._epoch << _GENERATION_BITS) + self._generation
+        fence = Fence(shard=self._shard, epoch=epoch)
         try:
             reply = await self._port.fence(fence)
         except WorkerError:
@@ -253,7 +267,10 @@
             self._listener.on_deposed(self, reply.highest_epoch)
             await self._clock.sleep_ms(self._timing.worker_retry_ms)
             return
+        if epoch != (self._epoch << _GENERATION_BITS) + self._generation:
+            return
         self.state = LinkState.OPEN
+        self.confirmed_epoch = epoch
         self.incarnation = reply.incarnation
         self._failure_count = 0
         self._listener.on_fenced(self, reply)
@@ -302,11 +319,17 @@
             for start in starts
         ]
         self.runs.update((run.run_id, run) for run in runs)
-        batch = StartBatch(shard=self._shard, epoch=self._epoch, starts=starts)
+        batch = StartBatch(
+            shard=self._shard,
+            epoch=self.confirmed_epoch,
+            starts=starts,
+        )
         try:
             reply = await self._port.start(batch)
         except WorkerAnswerLostError:
-            # The runs may have started: the next renewals tell.
+            # The runs may have started or may still start; after the next
+            # fence the worker tells which it holds, and starts no others.
+            self.refence()
             raise
         except WorkerError:
             for run in runs:
@@ -324,7 +347,15 @@
         while self._controls:
             # An action is taken off after it was sent: a lost one is repeated,
             # since all actions are idempotent.
-            await self._port.control(self._controls[0])
+            run_id, action = self._controls[0]
+            await self._port.control(
+                TaskControl(
+                    shard=self._shard,
+                    epoch=self.confirmed_epoch,
+                    run_id=run_id,
+                    action=action,
+                ),
+            )
             self._controls.pop(0)
 
     async def _renew(self) -> None:
@@ -333,7 +364,7 @@
         acknowledged = tuple(self._acknowledged)
         renewal = LeaseRenewal(
             shard=self._shard,
-            epoch=self._epoch,
+            epoch=self.confirmed_epoch,
             lease_ms=self._timing.task_lease_ms,
             run_ids=tuple(self.runs),
             acknowledged_run_ids=acknowledged,
@@ -341,14 +372,14 @@
         reply = await self._port.renew(renewal)
         self._failure_count = 0
         if not reply.is_accepted:
-            self.state = LinkState.FENCING
+            self.refence()
             self._listener.on_deposed(self, reply.highest_epoch)
             return
         self._forget(acknowledged)
         if reply.incarnation != self.incarnation:
             # A restarted worker has forgotten the epoch: it must be fenced
             # again before it takes more work.
-            self.state = LinkState.FENCING
+            self.refence()
         self._reconcile(set(reply.renewed_run_ids), reply.outcomes, sent_ms)
 
     def _forget(self, acknowledged: Iterable[str]) -> None:
@@ -391,6 +422,7 @@
         # From here on no renewal is sent, so that the leases run out at a
         # known time; probing goes on by fencing, which renews nothing.
         self.state = LinkState.CLOSED
+        self._generation += 1
         self._refuse_unsent()
         self._listener.on_closed(self)
 
--- a/src/hawthornpier/owner/_orders.py
+++ b/src/hawthornpier/owner/_orders.py
@@ -32,7 +32,7 @@
 from hawthornpier.owner._link import LinkState, WorkerLink
 from hawthornpier.owner._records import IntentRecord, intent_key, put
 from hawthornpier.owner._requests import is_whole
-from hawthornpier.owner._settle import did_not_run, settle
+from hawthornpier.owner._settle import SentRequest, did_not_run, settle
 from hawthornpier.policy import RequestResult, ShedRequest
 from hawthornpier.ports import (
     WorkerAnswerLostError,
@@ -115,7 +115,7 @@
                 service=request.service,
                 worker_id='',
                 worker_incarnation='',
-                epoch=self._context.epoch,
+                epoch=0,
                 created_wall_ms=self._context.clock.wall_ms(),
             ),
         )
@@ -139,12 +139,12 @@
         if isinstance(placed, ShedRequest):
             self._not_run(order, placed.reason.value, placed.retry_after_ms)
             return
+        link = self._context.links[placed.worker_id]
         order.intent = replace(
             order.intent,
             worker_id=placed.worker_id,
-            worker_incarnation=self._context.links[
-                placed.worker_id
-            ].incarnation,
+            worker_incarnation=link.incarnation,
+            epoch=link.confirmed_epoch,
         )
         if not await self._record_intent(order, deadline_ms):
             self._release(order, RequestResult.REFUSED, 0)
@@ -191,7 +191,7 @@
             request_id=order.intent.request_id,
             service=request.service,
             shard=self._context.shard,
-            epoch=self._context.epoch,
+            epoch=order.intent.epoch,
             demand=self._context.catalog.demand(
                 request.member, request.service
             ),
@@ -233,9 +233,12 @@
     ) -> EndpointReply | None:
         return await settle(
             link,
-            request_id=order.intent.request_id,
-            incarnation=order.intent.worker_incarnation,
-            sent_ms=sent_ms,
+            SentRequest(
+                request_id=order.intent.request_id,
+                epoch=order.intent.epoch,
+                incarnation=order.intent.worker_incarnation,
+                sent_ms=sent_ms,
+            ),
             clock=self._context.clock,
             timing=self._context.timing,
         )
--- a/src/hawthornpier/owner/_records.py
+++ b/src/hawthornpier/owner/_records.py
@@ -64,6 +64,7 @@
     """
     A non-idempotent request that was or will be sent to one worker.
 
+    *epoch* is what the worker had confirmed when the request was sent.
     *outcome_kind* is empty until the outcome is known.
     """
 
--- a/src/hawthornpier/owner/_requests.py
+++ b/src/hawthornpier/owner/_requests.py
@@ -20,7 +20,7 @@
 from hawthornpier.owner._context import ShardContext
 from hawthornpier.owner._dispatch import Dispatcher
 from hawthornpier.owner._link import WorkerLink
-from hawthornpier.owner._settle import did_not_run, settle
+from hawthornpier.owner._settle import SentRequest, did_not_run, settle
 from hawthornpier.policy import RequestResult, ShedReason, ShedRequest
 from hawthornpier.ports import (
     WorkerAnswerLostError,
@@ -55,6 +55,8 @@
     attempt_id: str
     deadline_ms: int
     sent_ms: int
+    epoch: int
+    incarnation: str
 
 
 def is_whole(reply: EndpointReply, attempt_id: str) -> bool:
@@ -130,25 +132,27 @@
                 reason=placed.reason.value,
                 retry_after_ms=placed.retry_after_ms,
             )
+        link = self._context.links[placed.worker_id]
         attempt = Attempt(
             attempt_id=attempt_id,
             deadline_ms=deadline_ms,
             sent_ms=self._context.now_ms(),
+            epoch=link.confirmed_epoch,
+            incarnation=link.incarnation,
         )
-        return await self._send(request, attempt, placed.worker_id)
+        return await self._send(request, attempt, link)
 
     async def _send(
         self,
         request: ForwardedRequest,
         attempt: Attempt,
-        worker_id: str,
+        link: WorkerLink,
     ) -> Outcome:
-        link = self._context.links[worker_id]
         message = EndpointRequest(
             request_id=attempt.attempt_id,
             service=request.service,
             shard=self._context.shard,
-            epoch=self._context.epoch,
+            epoch=attempt.epoch,
             demand=self._context.catalog.demand(
                 request.member, request.service
             ),
@@ -186,9 +190,12 @@
     async def _settle(self, link: WorkerLink, attempt: Attempt) -> None:
         await settle(
             link,
-            request_id=attempt.attempt_id,
-            incarnation=link.incarnation,
-            sent_ms=attempt.sent_ms,
+            SentRequest(
+                request_id=attempt.attempt_id,
+                epoch=attempt.epoch,
+                incarnation=attempt.incarnation,
+                sent_ms=attempt.sent_ms,
+            ),
             clock=self._context.clock,
             timing=self._context.timing,
         )
--- a/src/hawthornpier/owner/_settle.py
+++ b/src/hawthornpier/owner/_settle.py
@@ -2,6 +2,9 @@
 Finds out what became of a request whose reply was lost.
 """
 
+import enum
+from dataclasses import dataclass
+
 from hawthornpier.messages import EndpointReply, EndpointStatus
 from hawthornpier.owner._link import LinkState, WorkerLink
 from hawthornpier.owner._timing import OwnerTiming
@@ -24,21 +27,34 @@
     return status in _NOT_RUN
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class SentRequest:
+    """
+    A request as it was sent to a worker.
+
+    *epoch* and *incarnation* are those of the link at that time.
+    """
+
+    request_id: str
+    epoch: int
+    incarnation: str
+    sent_ms: int
+
+
 async def settle(
     link: WorkerLink,
+    sent: SentRequest,
     *,
-    request_id: str,
-    incarnation: str,
-    sent_ms: int,
     clock: Clock,
     timing: OwnerTiming,
 ) -> EndpointReply | None:
     """
     Ask the worker until it knows the end of the request.
 
-    "Never seen" counts only once a message sent at *sent_ms* can no longer
-    arrive: it could still be on its way when the worker answers.  It never
-    counts from another *incarnation* of the worker, which has forgotten what
+    "Never seen" counts only once the worker has confirmed a later epoch than
+    the request carries, since it could still arrive otherwise, and once a
+    message can no longer be on its way, for workers without guards.  It never
+    counts from another incarnation of the worker, which has forgotten what
     ran before its restart.
 
     Returns:
@@ -46,19 +62,51 @@
         lost or has forgotten the request.
     """
     while link.state is not LinkState.LOST:
-        reply = await _ask(link, request_id)
-        age_ms = clock.monotonic_ms() - sent_ms
-        if reply is not None and reply.status is not EndpointStatus.RUNNING:
-            if not did_not_run(reply.status):
-                return reply
-            if reply.incarnation != incarnation:
-                return None
-            if age_ms > timing.delivery_delay_ms:
-                return reply
+        asked_epoch = link.confirmed_epoch
+        reply = await _ask(link, sent.request_id)
+        verdict = _judge(reply, sent, asked_epoch)
+        age_ms = clock.monotonic_ms() - sent.sent_ms
+        if verdict is _Verdict.NOT_RUN and age_ms <= timing.delivery_delay_ms:
+            verdict = _Verdict.OPEN
+        if verdict in _FINAL:
+            return None if verdict is _Verdict.FORGOTTEN else reply
+        if verdict is _Verdict.UNFENCED:
+            link.refence()
         await clock.sleep_ms(timing.settle_interval_ms)
     return None
 
 
+class _Verdict(enum.Enum):
+    """
+    What a worker's statement about a request is worth.
+    """
+
+    OPEN = enum.auto()
+    RAN = enum.auto()
+    NOT_RUN = enum.auto()
+    UNFENCED = enum.auto()
+    FORGOTTEN = enum.auto()
+
+
+_FINAL = frozenset((_Verdict.RAN, _Verdict.NOT_RUN, _Verdict.FORGOTTEN))
+
+
+def _judge(
+    reply: EndpointReply | None,
+    sent: SentRequest,
+    asked_epoch: int,
+) -> _Verdict:
+    if reply is None or reply.status is EndpointStatus.RUNNING:
+        return _Verdict.OPEN
+    if not did_not_run(reply.status):
+        return _Verdict.RAN
+    if reply.incarnation != sent.incarnation:
+        return _Verdict.FORGOTTEN
+    if asked_epoch <= sent.epoch:
+        return _Verdict.UNFENCED
+    return _Verdict.NOT_RUN
+
+
 async def _ask(link: WorkerLink, request_id: str) -> EndpointReply | None:
     try:
         return await link.request_state(request_id)
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -36,7 +36,7 @@
 from hawthornpier.owner._records import WorkerSet, put, worker_set_key
 from hawthornpier.owner._recovery import load_records
 from hawthornpier.owner._requests import RequestServer
-from hawthornpier.owner._settle import settle
+from hawthornpier.owner._settle import SentRequest, settle
 from hawthornpier.owner._tasks import TaskGroup
 from hawthornpier.owner._timing import OwnerTiming
 from hawthornpier.policy import (
@@ -109,6 +109,7 @@
         self._unfenced: set[str] = set()
         self._known_workers: set[str] = set()
         self._closings: dict[str, set[Closing]] = {}
+        self._adopted_request_ids: set[str] = set()
         self._open_count = 0
         context = ShardContext(
             shard=shard,
@@ -297,6 +298,8 @@
                 link.control(running.run_id, TaskAction.STOP)
         self._reopen(link, Closing.NO_ANSWER, Closing.DEPOSED)
         for open_request in reply.open_requests:
+            if self._dispatcher.is_charged(open_request.request_id):
+                continue
             self._adopt_request(
                 link,
                 open_request.request_id,
@@ -469,6 +472,9 @@
         request_id: str,
         demand: TaskDemand,
     ) -> None:
+        if request_id in self._adopted_request_ids:
+            return
+        self._adopted_request_ids.add(request_id)
         now_ms = self._clock.monotonic_ms()
         self._policy.adopt_task(demand, link.worker_id, now_ms)
         self._tasks.spawn(self._release_adopted(link, request_id, demand))
@@ -481,17 +487,24 @@
     ) -> None:
         await settle(
             link,
-            request_id=request_id,
-            incarnation=link.incarnation,
-            sent_ms=self._clock.monotonic_ms(),
+            SentRequest(
+                request_id=request_id,
+                epoch=link.confirmed_epoch - 1,
+                incarnation=link.incarnation,
+                sent_ms=self._clock.monotonic_ms(),
+            ),
             clock=self._clock,
             timing=self._timing,
         )
+        self._adopted_request_ids.discard(request_id)
         now_ms = self._clock.monotonic_ms()
         self._policy.end_task(demand.task_id, TaskResult.STOPPED, now_ms)
         self._dispatcher.pump()
 
     def _on_task_decision(self, decision: TaskDecision) -> None:
+        if decision.task_id.startswith(_ADOPTED_PREFIX):
+            # A caller's request can be neither throttled nor evicted.
+            return
         self._task_handlers[type(decision)](decision)
 
     async def _tick(self) -> None:
--- a/src/hawthornpier/ports/_protocols.py
+++ b/src/hawthornpier/ports/_protocols.py
@@ -219,3 +219,9 @@
         Have the job's owner cancel it.
         """
         ...
+
+    async def events(self) -> bytes:
+        """
+        Return the peer's own events as JSON.
+        """
+        ...
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -86,6 +86,13 @@
         self._running = asyncio.Event()
         self._running.set()
 
+    @property
+    def is_running(self) -> bool:
+        """
+        Tell whether the process is not paused.
+        """
+        return self._running.is_set()
+
     def pause(self) -> None:
         """
         Let no task of the process get past its next wait.
--- /dev/null
+++ b/tests/node_world.py
@@ -0,0 +1,701 @@
+"""
+Several entry processes with stand-ins around them, in one loop.
+
+Everything runs on virtual time through the real ports.  A process can be
+killed, or paused past its leases; the network can cut, delay, lose and repeat
+messages; the store and the workers have the faults of their stand-ins.
+"""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from fake_store import PausableClock
+from virtual_time import VirtualClock
+
+from hawthornpier.daemon import Node, PeerService
+from hawthornpier.entry import CallerRequest, EntryError
+from hawthornpier.messages import (
+    Answer,
+    HostRecord,
+    JobSpec,
+    JobView,
+    NotRun,
+    Outcome,
+    Resources,
+    TaskState,
+)
+from hawthornpier.metrics import Metrics
+from hawthornpier.ports import (
+    PeerAnswerLostError,
+    PeerUnreachableError,
+    StoreAnswerLostError,
+    StoreUnavailableError,
+    WorkerAnswerLostError,
+    WorkerUnreachableError,
+)
+from hawthornpier.settings import Settings, parse_settings
+from hawthornpier.table import (
+    EditConflictError,
+    MemberRow,
+    PutRow,
+    TableError,
+    WorkloadClass,
+    WorkloadRow,
+    hash_operator_key,
+)
+from hawthornpier_standin.history import (
+    EXIT_KILLED,
+    TABLE_UNCONFIRMED,
+    Record,
+    RecordKind,
+    Report,
+    check_history,
+)
+from hawthornpier_standin.platform import MemoryStore
+from hawthornpier_standin.workers import MemoryWorker, WorkerModel
+
+MEMBER = 'yayasan'
+IDEMPOTENT = 'stock-check'
+ORDER = 'order'
+REGIONS = {'ipoh': 'semenanjung', 'melaka': 'semenanjung', 'kuching': 'borneo'}
+CAPACITY = Resources(
+    processor_millis=32_000,
+    memory_bytes=125_000_000_000,
+    slot_count=8,
+)
+_KEY_HASH = hash_operator_key('operator-key-of-the-tests')
+# A message that is lost is noticed by its sender after this long.
+LOST_MS = 1_000
+ENDED = frozenset(
+    (
+        TaskState.DONE,
+        TaskState.FAILED,
+        TaskState.CANCELLED,
+        TaskState.UNKNOWN,
+    )
+)
+
+
+@dataclass(slots=True)
+class Network:
+    """
+    The network between processes, workers and the store.
+
+    *cuts* holds pairs of names that do not reach each other.
+    """
+
+    rng: random.Random
+    delay_ms: float = 1
+    lost_percent: int = 0
+    repeated_percent: int = 0
+    cuts: set[frozenset[str]] = field(default_factory=set)
+
+    def is_cut(self, source: str, target: str) -> bool:
+        """
+        Tell whether nothing gets from one to the other.
+        """
+        return frozenset((source, target)) in self.cuts
+
+    def happens(self, percent: int) -> bool:
+        """
+        Draw whether a fault of this probability happens.
+        """
+        return self.rng.randrange(100) < percent
+
+
+class Channel:
+    """
+    Carries one process's calls to one target.
+
+    *unreachable* and *lost* are the errors of the port that it serves.
+    """
+
+    def __init__(
+        self,
+        world: 'World',
+        source: str,
+        target: str,
+        unreachable: type[Exception],
+        lost: type[Exception],
+    ) -> None:
+        self._world = world
+        self._source = source
+        self._target = target
+        self._unreachable = unreachable
+        self._lost = lost
+
+    async def call(
+        self,
+        action: Callable[[], Awaitable[Any]],
+        *,
+        timeout_ms: float = LOST_MS,
+    ) -> Any:
+        """
+        Carry a call there and its result back.
+        """
+        network = self._world.network
+        clock = self._world.clock_of(self._source)
+        await clock.sleep_ms(network.delay_ms)
+        if self._is_lost():
+            await clock.sleep_ms(timeout_ms)
+            raise self._lost('the message was lost')
+        if network.happens(network.repeated_percent):
+            self._world.spawn(self._arrive(action))
+        arriving = self._world.spawn(self._arrive(action))
+        await asyncio.wait({arriving}, timeout=timeout_ms / 1000)
+        await clock.until_running()
+        if not arriving.done() or self._is_lost():
+            raise self._lost('no reply came')
+        return arriving.result()
+
+    def _is_lost(self) -> bool:
+        network = self._world.network
+        if network.is_cut(self._source, self._target):
+            return True
+        return network.happens(network.lost_percent)
+
+    async def _arrive(self, action: Callable[[], Awaitable[Any]]) -> Any:
+        process = self._world.processes.get(self._target)
+        if process is None:
+            return await action()
+        if process.node is None:
+            raise self._unreachable(f'{self._target} does not run')
+        # A paused process takes the message up when it goes on.
+        await process.clock.until_running()
+        node = process.node
+        reply = await action()
+        await process.clock.until_running()
+        if node is None or process.node is not node:
+            raise self._lost(f'{self._target} died')
+        return reply
+
+
+class StorePort:
+    """
+    The store as one process reaches it.
+    """
+
+    def __init__(self, channel: Channel, store: MemoryStore) -> None:
+        self._channel = channel
+        self._store = store
+
+    def __getattr__(self, name: str) -> Callable[..., Coroutine[Any, Any, Any]]:
+        method = getattr(self._store, name)
+
+        async def call(*arguments: Any) -> Any:
+            return await self._channel.call(lambda: method(*arguments))
+
+        return call
+
+
+class WorkerChannel(StorePort):
+    """
+    A worker as one process reaches it; requests have their own deadline.
+    """
+
+    async def request(self, request: Any) -> Any:
+        """
+        Carry a caller's request.
+        """
+        return await self._channel.call(
+            lambda: self._store.request(request),
+            timeout_ms=request.deadline_ms,
+        )
+
+
+class PeerChannel(StorePort):
+    """
+    A peer as one process reaches it.
+    """
+
+    def __init__(self, channel: Channel, process: 'Process') -> None:
+        self._channel = channel
+        self._process = process
+
+    def __getattr__(self, name: str) -> Callable[..., Coroutine[Any, Any, Any]]:
+        async def call(*arguments: Any) -> Any:
+            return await self._channel.call(
+                lambda: getattr(self._process.peer_service(), name)(
+                    *arguments,
+                ),
+            )
+
+        return call
+
+    async def forward(self, request: Any) -> Any:
+        """
+        Carry a forwarded request within its own time.
+        """
+        return await self._channel.call(
+            lambda: self._process.peer_service().forward(request),
+            timeout_ms=request.remaining_ms,
+        )
+
+
+class Process:
+    """
+    One entry process, which can be started, killed, paused and stopped.
+    """
+
+    def __init__(self, world: 'World', name: str, rate: float) -> None:
+        self.world = world
+        self.name = name
+        self.clock = PausableClock(rate=rate)
+        self.node: Node | None = None
+        self.signing_keys = ()
+        self.is_stopping = False
+
+    @property
+    def is_running(self) -> bool:
+        """
+        Tell whether the process takes callers.
+        """
+        return self.node is not None and not self.is_stopping
+
+    def peer_service(self) -> PeerService:
+        """
+        Return the receiving side of the peers' messages.
+        """
+        if self.node is None:
+            raise PeerUnreachableError(f'{self.name} does not run')
+        return PeerService(self.node.services)
+
+    async def start(self) -> None:
+        """
+        Start the process anew, with nothing in memory.
+        """
+        self.is_stopping = False
+        self.node = Node(
+            self.world.settings_of(self.name),
+            self,
+            Metrics(self.name),
+        )
+        await self.node.start()
+
+    async def kill(self) -> None:
+        """
+        End the process without any farewell.
+        """
+        node = self.node
+        if node is None:
+            return
+        self.node = None
+        self.world.record(
+            RecordKind.PROCESS_EXITED,
+            process_id=self.name,
+            detail=EXIT_KILLED,
+        )
+        self.clock.resume()
+        await node.close()
+
+    async def stop(self) -> None:
+        """
+        Stop the process gracefully.
+        """
+        node = self.node
+        if node is None or self.is_stopping:
+            return
+        self.is_stopping = True
+        self.world.record(RecordKind.STOP_REQUESTED, process_id=self.name)
+        await node.leave()
+        while node.activity.open_count and self.node is node:
+            await self.clock.sleep_ms(20)
+        if self.node is not node:
+            return
+        self.node = None
+        self.world.record(RecordKind.PROCESS_EXITED, process_id=self.name)
+        await node.close()
+
+    # The `Connections` of the process.
+
+    def store(self) -> Any:
+        """
+        Return the store over the network.
+        """
+        channel = Channel(
+            self.world,
+            self.name,
+            'store',
+            StoreUnavailableError,
+            StoreAnswerLostError,
+        )
+        return StorePort(channel, self.world.store)
+
+    def host_list(self) -> Any:
+        """
+        Return the host list over the network.
+        """
+        return self.store()
+
+    def worker(self, host: HostRecord) -> Any:
+        """
+        Return a worker over the network.
+        """
+        channel = Channel(
+            self.world,
+            self.name,
+            host.worker_id,
+            WorkerUnreachableError,
+            WorkerAnswerLostError,
+        )
+        return WorkerChannel(channel, self.world.workers[host.worker_id])
+
+    def peer(self, address: str) -> Any:
+        """
+        Return a peer over the network.
+        """
+        name = self.world.name_at(address)
+        channel = Channel(
+            self.world,
+            self.name,
+            name,
+            PeerUnreachableError,
+            PeerAnswerLostError,
+        )
+        return PeerChannel(channel, self.world.processes[name])
+
+
+class World:
+    """
+    All processes, the platform, the callers and the operators.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        processes_per_domain: int = 1,
+        workers_per_domain: int = 2,
+    ) -> None:
+        self.rng = random.Random(seed)
+        self.network = Network(random.Random(seed + 1))
+        self.clock = VirtualClock()
+        self.store = MemoryStore(clock=self.clock)
+        self.history: list[Record] = []
+        self.views: list[JobView] = []
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._call_count = 0
+        self.workers: dict[str, MemoryWorker] = {}
+        self.processes: dict[str, Process] = {}
+        for domain in REGIONS:
+            for number in range(workers_per_domain):
+                self._add_worker(domain, f'{domain}-w{number}', seed)
+            for number in range(processes_per_domain):
+                name = f'{domain}-{number}'
+                # Clocks run up to a thousandth apart.
+                rate = 1 + self.rng.uniform(-0.0005, 0.0005)
+                self.processes[name] = Process(self, name, rate)
+
+    async def start(self) -> None:
+        """
+        Start all processes and found the table.
+        """
+        await asyncio.gather(
+            *(process.start() for process in self.processes.values()),
+        )
+        await self.clock.sleep_ms(3_000)
+        assert await self.edit(_founding_rows(), base_version=0)
+        await self.clock.sleep_ms(2_000)
+
+    async def finish(self, limit_ms: int = 180_000) -> Report:
+        """
+        Wait until all jobs have ended and check the history.
+        """
+        open_views = list(self.views)
+        for _ in range(limit_ms // 500):
+            open_views = [
+                view for view in open_views if not await self._settle(view)
+            ]
+            if not open_views:
+                break
+            await self.clock.sleep_ms(500)
+        # Runs that the workers still end are part of the history.
+        await self.clock.sleep_ms(2_000)
+        for process in self.processes.values():
+            await process.kill()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        return check_history(self.history)
+
+    def spawn(
+        self,
+        coroutine: Coroutine[Any, Any, Any],
+    ) -> 'asyncio.Task[Any]':
+        """
+        Run something that outlives its starter.
+        """
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    def clock_of(self, name: str) -> PausableClock:
+        """
+        Return the clock of a process.
+        """
+        return self.processes[name].clock
+
+    def running(self) -> list[Process]:
+        """
+        Return the processes that take callers.
+        """
+        return [each for each in self.processes.values() if each.is_running]
+
+    def record(self, kind: RecordKind, **fields: Any) -> None:
+        """
+        Add a record to the history.
+        """
+        self.history.append(
+            Record(
+                at_ms=self.clock.monotonic_ms(),
+                kind=kind,
+                source=fields.pop('source', 'world'),
+                **fields,
+            ),
+        )
+
+    def name_at(self, address: str) -> str:
+        """
+        Return the process that listens at an address.
+        """
+        port = int(address.rpartition(':')[2])
+        return list(self.processes)[port - 10_000]
+
+    # Callers.
+
+    def call(
+        self,
+        process: Process,
+        service: str,
+        *,
+        key: str = '',
+        deadline_ms: int = 2_000,
+    ) -> 'asyncio.Task[None]':
+        """
+        Let a caller send a request without waiting for its end.
+        """
+        self._call_count += 1
+        operation = f'op-{self._call_count}'
+        request = CallerRequest(
+            request_id=operation,
+            member=MEMBER,
+            service=service,
+            body=f'{{"operation": "{operation}"}}',
+            deadline_ms=deadline_ms,
+            idempotency_key=key,
+        )
+        return self.spawn(self._call(process, request))
+
+    async def _call(self, process: Process, request: CallerRequest) -> None:
+        node = process.node
+        if node is None:
+            return
+        fields = {
+            'source': f'caller-{request.request_id}',
+            'operation': request.request_id,
+            'idempotency_key': request.idempotency_key,
+            'is_idempotent': not request.idempotency_key,
+        }
+        self.record(
+            RecordKind.REQUEST_INVOKED,
+            content=request.body,
+            **fields,
+        )
+        await process.clock.until_running()
+        node.activity.open_count += 1
+        try:
+            outcome = await node.services.entry.serve(request)
+        finally:
+            node.activity.open_count -= 1
+        await process.clock.until_running()
+        if process.node is not node:
+            kind = RecordKind.CONNECTION_CUT
+            self.record(kind, process_id=process.name, **fields)
+            return
+        kind, content = _ending(outcome)
+        self.record(kind, content=content, **fields)
+
+    # Operators.
+
+    async def submit(
+        self,
+        spec: JobSpec,
+        process: Process,
+    ) -> JobView | None:
+        """
+        Submit a job; returns it if it was accepted.
+        """
+        if process.node is None:
+            return None
+        try:
+            view = await process.node.services.jobs.submit(spec)
+        except EntryError:
+            return None
+        self.views.append(view)
+        self.record(
+            RecordKind.JOB_ACCEPTED,
+            operation=view.job_id,
+            is_idempotent=spec.is_idempotent,
+            task_ids=tuple(task.task_id for task in view.tasks),
+        )
+        return view
+
+    async def edit(
+        self,
+        rows: Iterable[MemberRow | WorkloadRow],
+        *,
+        base_version: int,
+        process: Process | None = None,
+    ) -> bool:
+        """
+        Edit the table; returns whether the edit was accepted.
+        """
+        process = process or self.running()[0]
+        self._call_count += 1
+        operation = f'edit-{self._call_count}'
+        self.record(
+            RecordKind.TABLE_EDIT_INVOKED,
+            operation=operation,
+            version=base_version,
+        )
+        if process.node is None:
+            return False
+        try:
+            delta = await process.node.services.table_sync.edit(
+                [PutRow(row=row) for row in rows],
+                member=MEMBER,
+                base_version=base_version,
+            )
+        except EditConflictError:
+            self.record(RecordKind.TABLE_EDIT_CONFLICT, operation=operation)
+            return False
+        except TableError:
+            return False
+        self.record(
+            RecordKind.TABLE_EDIT_ACCEPTED,
+            operation=operation,
+            version=delta.version,
+        )
+        return True
+
+    def note_versions(self) -> None:
+        """
+        Record which table version each process has in force.
+        """
+        for process in self.processes.values():
+            if process.node is None or not process.clock.is_running:
+                continue
+            services = process.node.services
+            may_admit = services.confirmation.may_admit()
+            self.record(
+                RecordKind.TABLE_VERSION_SEEN,
+                process_id=process.name,
+                version=services.table.version,
+                detail='' if may_admit else TABLE_UNCONFIRMED,
+            )
+
+    # Internals.
+
+    async def _settle(self, view: JobView) -> bool:
+        for process in self.running():
+            assert process.node is not None
+            try:
+                current = await process.node.services.jobs.show(view.job_id)
+            except EntryError:
+                continue
+            if current is None:
+                continue
+            if any(task.state not in ENDED for task in current.tasks):
+                return False
+            for task in current.tasks:
+                self.record(
+                    RecordKind.TASK_SETTLED,
+                    task_id=task.task_id,
+                    detail=task.state.value,
+                )
+            return True
+        return False
+
+    def settings_of(self, name: str) -> Settings:
+        """
+        Return the settings of a process.
+        """
+        domain = name.rpartition('-')[0]
+        port = 10_000 + list(self.processes).index(name)
+        domains = '\n'.join(f'    {each}: {REGIONS[each]}' for each in REGIONS)
+        return parse_settings(
+            f'[process]\nprocess_id = {name}\nregion = {REGIONS[domain]}\n'
+            f'failure_domain = {domain}\nlisten_port = {port}\n'
+            f'[platform]\nstore_address = 127.0.0.1:9\n'
+            f'host_list_address = 127.0.0.1:9\n'
+            f'[cluster]\nfailure_domains =\n{domains}\n'
+            f'[security]\nbootstrap_operators =\n    {MEMBER}: {_KEY_HASH}\n',
+            path=f'{name}.ini',
+        )
+
+    def _add_worker(self, domain: str, worker_id: str, seed: int) -> None:
+        self.workers[worker_id] = MemoryWorker(
+            worker_id=worker_id,
+            capacity=CAPACITY,
+            clock=self.clock,
+            seed=seed,
+            model=WorkerModel(seed=seed),
+            recorder=self.history.append,
+        )
+        self.store.hosts.put(
+            HostRecord(
+                worker_id=worker_id,
+                address=worker_id,
+                region=REGIONS[domain],
+                failure_domain=domain,
+                rack=f'{domain}-rack',
+                capacity=CAPACITY,
+            ),
+        )
+
+    def _finished(self, task: 'asyncio.Task[Any]') -> None:
+        self._tasks.discard(task)
+        if not task.cancelled():
+            # Errors of the ports are expected; they end at the caller.
+            task.exception()
+
+
+def _founding_rows() -> list[MemberRow | WorkloadRow]:
+    return [
+        MemberRow(member=MEMBER, operator_key_hash=(_KEY_HASH,)),
+        *(
+            WorkloadRow(
+                member=MEMBER,
+                name=name,
+                workload_class=WorkloadClass.SERVICE,
+                latency_target_ms=500,
+                is_idempotent=name == IDEMPOTENT,
+                processor_millis=1_000,
+                memory_bytes=100_000_000,
+            )
+            for name in (IDEMPOTENT, ORDER)
+        ),
+        batch_row(weight=1),
+    ]
+
+
+def batch_row(weight: float) -> WorkloadRow:
+    """
+    Return the row of the batch workload.
+    """
+    return WorkloadRow(
+        member=MEMBER,
+        name='carving-plan',
+        workload_class=WorkloadClass.BATCH,
+        weight=weight,
+    )
+
+
+def _ending(outcome: Outcome) -> tuple[RecordKind, str]:
+    if isinstance(outcome, Answer):
+        return RecordKind.REQUEST_ANSWERED, outcome.body
+    if isinstance(outcome, NotRun):
+        return RecordKind.REQUEST_NOT_RUN, ''
+    return RecordKind.REQUEST_UNKNOWN, ''
--- /dev/null
+++ b/tests/test_node_faults.py
@@ -0,0 +1,268 @@
+"""
+Whole processes under faults, judged from the history alone.
+"""
+
+import asyncio
+import random
+
+import pytest
+from node_world import IDEMPOTENT, MEMBER, ORDER, World, batch_row
+from virtual_time import run_virtual
+
+from hawthornpier.messages import JobSpec, Resources
+from hawthornpier_standin.history import RecordKind, Report
+from hawthornpier_standin.platform import StoreFaults
+from hawthornpier_standin.workers import WorkerFaults
+
+
+def _job(*, is_idempotent: bool = True) -> JobSpec:
+    return JobSpec(
+        member=MEMBER,
+        workload='carving-plan',
+        task_count=12,
+        demand=Resources(
+            processor_millis=4_000,
+            memory_bytes=1_000_000_000,
+            slot_count=1,
+        ),
+        declared_work_ms=4_000,
+        is_idempotent=is_idempotent,
+    )
+
+
+async def _load(world: World, duration_ms: int) -> None:
+    """
+    Let callers send requests, orders and repeats for a while.
+    """
+    count = 0
+    end_ms = world.clock.monotonic_ms() + duration_ms
+    while world.clock.monotonic_ms() < end_ms:
+        count += 1
+        running = world.running()
+        if running:
+            entry = world.rng.choice(running)
+            world.call(entry, IDEMPOTENT)
+            # Every third key is sent again by another process later.
+            key = f'key-{count - count % 3}'
+            world.call(entry, ORDER, key=key, deadline_ms=4_000)
+        world.note_versions()
+        await world.clock.sleep_ms(200)
+
+
+def _answered(world: World) -> int:
+    return sum(
+        record.kind is RecordKind.REQUEST_ANSWERED for record in world.history
+    )
+
+
+def _problems(report: Report) -> list[str]:
+    return list(map(str, report.violations))
+
+
+class TestWithoutFaults:
+    """
+    The whole path in one loop.
+    """
+
+    def test_everything_is_answered(self) -> None:
+        """
+        Requests, orders, repeats and a job end as they should.
+        """
+
+        async def scenario() -> tuple[World, Report]:
+            world = World(seed=1)
+            await world.start()
+            assert await world.submit(_job(), world.running()[0])
+            await _load(world, 5_000)
+            return world, await world.finish()
+
+        world, report = run_virtual(scenario())
+        assert not _problems(report)
+        invoked = sum(
+            record.kind is RecordKind.REQUEST_INVOKED
+            for record in world.history
+        )
+        assert _answered(world) == invoked
+
+
+async def _kill_and_restart(world: World) -> None:
+    process = world.rng.choice(list(world.processes.values()))
+    await process.kill()
+    await world.clock.sleep_ms(world.rng.uniform(500, 9_000))
+    await process.start()
+
+
+async def _pause_past_lease(world: World) -> None:
+    process = world.rng.choice(list(world.processes.values()))
+    process.clock.pause()
+    await world.clock.sleep_ms(world.rng.uniform(1_000, 9_000))
+    process.clock.resume()
+
+
+async def _roll(world: World) -> None:
+    for process in world.processes.values():
+        await process.stop()
+        await process.start()
+        await world.clock.sleep_ms(2_000)
+
+
+async def _store_out(world: World) -> None:
+    world.store.apply_faults(StoreFaults(is_out=True))
+    await world.clock.sleep_ms(world.rng.uniform(1_000, 12_000))
+    world.store.apply_faults(StoreFaults())
+
+
+async def _store_slow(world: World) -> None:
+    world.store.apply_faults(
+        StoreFaults(added_delay_ms=400, lost_answer_count=20),
+    )
+    await world.clock.sleep_ms(6_000)
+    world.store.apply_faults(StoreFaults())
+
+
+async def _cut_region(world: World) -> None:
+    """
+    Part Borneo from Semenanjung, where the store is.
+    """
+    far = [name for name in world.processes if name.startswith('kuching')]
+    near = [name for name in world.processes if name not in far]
+    near_workers = [name for name in world.workers if 'kuching' not in name]
+    cuts = {
+        frozenset((name, other))
+        for name in far
+        for other in ('store', *near, *near_workers)
+    }
+    world.network.cuts |= cuts
+    await world.clock.sleep_ms(world.rng.uniform(3_000, 12_000))
+    world.network.cuts -= cuts
+
+
+async def _lossy_network(world: World) -> None:
+    world.network.lost_percent = 8
+    world.network.repeated_percent = 8
+    world.network.delay_ms = 15
+    await world.clock.sleep_ms(6_000)
+    world.network.lost_percent = 0
+    world.network.repeated_percent = 0
+    world.network.delay_ms = 1
+
+
+async def _worker_dies(world: World) -> None:
+    live = [each for each in world.workers.values() if not each.faults.is_dead]
+    if len(live) > 2:
+        worker = world.rng.choice(live)
+        worker.apply_faults(WorkerFaults(is_dead=True))
+        world.store.hosts.remove(worker.worker_id)
+
+
+async def _worker_silent(world: World) -> None:
+    worker = world.rng.choice(list(world.workers.values()))
+    if worker.faults.is_dead:
+        return
+    worker.apply_faults(WorkerFaults(is_silent=True))
+    await world.clock.sleep_ms(world.rng.uniform(500, 8_000))
+    if not worker.faults.is_dead:
+        worker.apply_faults(WorkerFaults())
+
+
+async def _worker_paused(world: World) -> None:
+    worker = world.rng.choice(list(world.workers.values()))
+    if worker.faults.is_dead:
+        return
+    worker.apply_faults(WorkerFaults(is_paused=True))
+    await world.clock.sleep_ms(world.rng.uniform(500, 25_000))
+    if not worker.faults.is_dead:
+        worker.apply_faults(WorkerFaults())
+
+
+async def _worker_leaves(world: World) -> None:
+    worker = world.rng.choice(list(world.workers.values()))
+    if not worker.faults.is_dead:
+        worker.apply_faults(WorkerFaults(is_leaving=True))
+
+
+async def _operators_race(world: World) -> None:
+    for number in range(4):
+        running = world.running()
+        versions = [
+            each.node.services.table.version for each in running if each.node
+        ]
+        await asyncio.gather(
+            *(
+                world.edit(
+                    [batch_row(weight=1 + number + index / 10)],
+                    base_version=max(versions, default=0),
+                    process=process,
+                )
+                for index, process in enumerate(running)
+            ),
+        )
+        await world.clock.sleep_ms(1_000)
+
+
+FAULTS = (
+    _kill_and_restart,
+    _pause_past_lease,
+    _roll,
+    _store_out,
+    _store_slow,
+    _cut_region,
+    _lossy_network,
+    _worker_dies,
+    _worker_silent,
+    _worker_paused,
+    _worker_leaves,
+    _operators_race,
+)
+
+
+async def _run_faults(seed: int, numbers: tuple[int, ...]) -> Report:
+    """
+    Let faults happen one after the other and at the same time, under load.
+    """
+    world = World(seed=seed, processes_per_domain=2)
+    await world.start()
+    for process, is_idempotent in zip(
+        world.running(),
+        (True, False, True),
+        strict=False,
+    ):
+        await world.submit(_job(is_idempotent=is_idempotent), process)
+    loading = world.spawn(_load(world, 24_000))
+    disturbing = []
+    for number in numbers:
+        disturbing.append(world.spawn(FAULTS[number](world)))
+        await world.clock.sleep_ms(world.rng.uniform(500, 4_000))
+    await asyncio.gather(loading, *disturbing)
+    return await world.finish()
+
+
+class TestOneFault:
+    """
+    Each kind of fault alone.
+    """
+
+    @pytest.mark.parametrize('number', range(len(FAULTS)))
+    def test_guarantees_hold(self, number: int) -> None:
+        """
+        G1 to G9: no guarantee is broken by one fault under load.
+        """
+        report = run_virtual(_run_faults(number, (number,)))
+        assert not _problems(report), FAULTS[number].__name__
+
+
+class TestFaultsTogether:
+    """
+    Several faults at any moment, together or twice.
+    """
+
+    @pytest.mark.parametrize('seed', range(6))
+    def test_guarantees_hold(self, seed: int) -> None:
+        """
+        G1 to G9: no guarantee is broken by faults that overlap.
+        """
+        draws = random.Random(seed)
+        numbers = tuple(draws.randrange(len(FAULTS)) for _ in range(5))
+        report = run_virtual(_run_faults(seed, numbers))
+        names = [FAULTS[number].__name__ for number in numbers]
+        assert not _problems(report), names
