--- a/src/hawthornpier/policy/_batch.py
+++ b/src/hawthornpier/policy/_batch.py
@@ -103,6 +103,7 @@
             task.task_id,
             occupied(task.demand),
             now_ms,
+            held_workers=self._parts.held_workers,
         )
         if not worker_id:
             return []
--- a/src/hawthornpier/policy/_eviction.py
+++ b/src/hawthornpier/policy/_eviction.py
@@ -4,7 +4,7 @@
 
 import heapq
 import itertools
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from hawthornpier.messages import Resources
 from hawthornpier.policy._decisions import EvictTask
@@ -92,11 +92,14 @@
         task_id: str,
         demand: Resources,
         now_ms: int,
+        *,
+        held_workers: Container[str],
     ) -> tuple[str, list[RunningTask]]:
         """
         Return the worker, and its tasks to evict, that lose least.
 
-        The worker is '' if no eviction makes room.
+        Workers held for other tasks are left out.  The worker is '' if no
+        eviction makes room.
         """
         best_loss = float('inf')
         best: tuple[str, list[RunningTask]] = ('', [])
@@ -104,7 +107,8 @@
             0,
             _PREEMPTION_WORKER_COUNT,
         ):
-            if not self._health.allows_task(worker_id, task_id, now_ms):
+            is_allowed = self._health.allows_task(worker_id, task_id, now_ms)
+            if worker_id in held_workers or not is_allowed:
                 continue
             account = self._occupancy.ledger.accounts[worker_id]
             victims = self._victims(account, demand, now_ms)
--- a/src/hawthornpier/policy/_headroom.py
+++ b/src/hawthornpier/policy/_headroom.py
@@ -28,7 +28,6 @@
     def __init__(self, parts: ShardParts) -> None:
         self._parts = parts
         self._occupancy = parts.occupancy
-        self._queue = parts.requests
         self._planner = parts.planner
         self._is_on = parts.settings.headroom is Headroom.PREDICTIVE
         self._forecast = DemandForecast(is_bursty=False)
@@ -50,11 +49,14 @@
         reserved = self.service_slot_count - self._occupancy.request_count
         return free_count - reserved
 
-    def decide(self, now_ms: int) -> list[Decision]:
+    def decide(self, waiting: int, now_ms: int) -> list[Decision]:
         """
         Update the forecast and evict what waiting requests need.
+
+        Args:
+            waiting: Requests that wait for want of a slot.
+            now_ms: Monotonic time.
         """
-        waiting = len(self._queue)
         self._forecast.update(
             self._occupancy.request_count + waiting,
             now_ms,
--- a/src/hawthornpier/policy/_health.py
+++ b/src/hawthornpier/policy/_health.py
@@ -12,8 +12,9 @@
 # Distinct healthy workers on which one task fails before the task, or its job
 # if none of its tasks ever ended, is held to be at fault.
 _FAULTY_TASK_WORKER_COUNT = 3
-# Failures of this many tasks and ends of this many jobs are remembered.
-_MEMORY_COUNT = 10_000
+# Failures of this many tasks and workers, and ends of this many jobs, are
+# remembered.
+_MEMORY_COUNT = 25_000
 _PROBATION_MS = 30_000
 _MAX_PROBATION_MS = 3_600_000
 # Requests that fail in a row before an endpoint is ejected.
@@ -107,10 +108,12 @@
 
     def remove_worker(self, worker_id: str) -> None:
         """
-        Forget a worker.
+        Forget the probes of a worker; its record holds if it comes back.
         """
-        self._workers.pop(worker_id, None)
-        self._unusable.pop(worker_id, None)
+        record = self._workers.get(worker_id)
+        if record is not None:
+            record.tasks.is_probing = False
+            record.requests.is_probing = False
 
     def unusable_workers(self) -> tuple[str, ...]:
         """
@@ -189,7 +192,7 @@
         """
         Learn from the end of a run.
         """
-        record = self._workers.setdefault(worker_id, _WorkerRecord())
+        record = self._record(worker_id)
         record.tasks.is_probing = False
         if is_done:
             _remember(self._sound_jobs, job_of(task_id))
@@ -218,7 +221,7 @@
         """
         Learn from the end of a request.
         """
-        record = self._workers.setdefault(worker_id, _WorkerRecord())
+        record = self._record(worker_id)
         record.requests.is_probing = False
         if is_answered:
             record.failed_request_count = 0
@@ -233,6 +236,12 @@
                 record.requests.start(now_ms)
         self._mark(worker_id, record)
 
+    def _record(self, worker_id: str) -> _WorkerRecord:
+        if worker_id not in self._workers:
+            _trim(self._workers)
+            self._workers[worker_id] = _WorkerRecord()
+        return self._workers[worker_id]
+
     def _mark(self, worker_id: str, record: _WorkerRecord) -> None:
         if record.tasks.is_active or record.requests.is_active:
             self._unusable[worker_id] = None
--- a/src/hawthornpier/policy/_mitigation.py
+++ b/src/hawthornpier/policy/_mitigation.py
@@ -44,6 +44,7 @@
     """
 
     def __init__(self, parts: ShardParts) -> None:
+        self._parts = parts
         self._occupancy = parts.occupancy
         self._model = parts.model
         self._traffic = parts.traffic
@@ -100,8 +101,10 @@
         residents = self._costs.residents(worker_id)
         worst: tuple[str, float] = ('', 0)
         for service, level in self._traffic.levels(worker_id, now_ms).items():
+            if level < _MIN_TRAFFIC or self._parts.meets_target(service):
+                continue
             slowdown = self._model.slowdown(service, residents)
-            if level >= _MIN_TRAFFIC and slowdown > worst[1]:
+            if slowdown > worst[1]:
                 worst = (service, slowdown)
         return worst
 
--- a/src/hawthornpier/policy/_parts.py
+++ b/src/hawthornpier/policy/_parts.py
@@ -13,12 +13,17 @@
 from hawthornpier.policy._occupancy import Occupancy
 from hawthornpier.policy._placement import WorkerChooser
 from hawthornpier.policy._request_queue import RequestQueue
+from hawthornpier.policy._service_times import ServiceTimes
 from hawthornpier.policy._settings import PolicySettings
 from hawthornpier.policy._shapes import CapacityShapes
 from hawthornpier.policy._sizes import SizeEstimator
 from hawthornpier.policy._task_queue import TaskQueue
 from hawthornpier.policy._traffic import TrafficMeter
 
+# Batch work is left alone while the p99 of a service is below this fraction of
+# its latency target.
+_TARGET_MARGIN = 0.8
+
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class ShardParts:
@@ -39,6 +44,19 @@
     shapes: CapacityShapes
     planner: EvictionPlanner
     held_workers: dict[str, str]
+    times: dict[tuple[str, str], ServiceTimes]
+
+    def meets_target(self, service: str) -> bool:
+        """
+        Tell whether a service stays well within its latency target.
+
+        A service without a target is never held to meet it.
+        """
+        for key, times in self.times.items():
+            target_ms = self.occupancy.shares.latency_target_ms(*key)
+            if key[1] == service and target_ms is not None:
+                return 0 < times.upper_ms <= _TARGET_MARGIN * target_ms
+        return False
 
     def free_slot_count(self) -> int:
         """
@@ -92,4 +110,5 @@
             health=health,
         ),
         held_workers={},
+        times={},
     )
--- a/src/hawthornpier/policy/_scheduler.py
+++ b/src/hawthornpier/policy/_scheduler.py
@@ -214,9 +214,10 @@
         """
         Return what to do now, in order; each decision is already charged.
         """
+        served = self._services.decide(now_ms)
         return [
-            *self._services.decide(now_ms),
-            *self._headroom.decide(now_ms),
+            *served,
+            *self._headroom.decide(self._services.starved_count, now_ms),
             *self._mitigation.decide(now_ms),
             *self._batch.decide(now_ms),
         ]
--- a/src/hawthornpier/policy/_services.py
+++ b/src/hawthornpier/policy/_services.py
@@ -15,39 +15,13 @@
 from hawthornpier.policy._ledger import WorkerAccount, occupied
 from hawthornpier.policy._parts import ShardParts
 from hawthornpier.policy._request_queue import GroupKey
+from hawthornpier.policy._service_times import ServiceTimes
 from hawthornpier.policy._settings import Headroom, Shedding
-from hawthornpier.policy._sizes import SizeHistogram
 
 # Requests queued in one shard, so that memory stays bounded without shedding.
 _MAX_QUEUED_COUNT = 50_000
 # An eviction frees its slot after about this time.
 _EVICTION_MS = 400
-# The duration that an admitted request must still have time for.
-_DURATION_QUANTILE = 0.99
-_QUANTILE_INTERVAL_COUNT = 32
-
-
-class ServiceTimes:
-    """
-    Durations of the requests of one service, as its callers see them.
-    """
-
-    def __init__(self) -> None:
-        self._sizes = SizeHistogram()
-        self._sample_count = 0
-        self.mean_ms: float = 0
-        self.upper_ms: float = 0
-
-    def add(self, duration_ms: float) -> None:
-        """
-        Count one answered request.
-        """
-        self._sizes.add(duration_ms)
-        self._sample_count += 1
-        gain = max(1 / self._sample_count, 0.01)
-        self.mean_ms += gain * (duration_ms - self.mean_ms)
-        if self._sample_count % _QUANTILE_INTERVAL_COUNT == 0:
-            self.upper_ms = self._sizes.quantile(_DURATION_QUANTILE)
 
 
 class RequestDispatcher:
@@ -63,7 +37,7 @@
         self._queue = parts.requests
         self._occupancy = parts.occupancy
         self._arrived: list[str] = []
-        self._times: dict[GroupKey, ServiceTimes] = {}
+        self.starved_count = 0
 
     def add(self, request: RequestDemand) -> None:
         """
@@ -77,19 +51,24 @@
         Learn from the duration of an answered request.
         """
         key = (member, service)
-        self._times.setdefault(key, ServiceTimes()).add(duration_ms)
+        self._parts.times.setdefault(key, ServiceTimes()).add(duration_ms)
 
     def decide(self, now_ms: int) -> list[Decision]:
         """
         Place what fits, then shed what would wait too long.
+
+        Requests that wait only for want of a slot are counted as starved.
         """
         decisions: list[Decision] = []
+        self.starved_count = 0
         heap = self._queue.groups()
         heapq.heapify(heap)
         while heap:
             turn, key = heapq.heappop(heap)
             decision = self._decide_head(key, now_ms)
             if decision is None:
+                if not self._limit_of(self._queue.head(key)):
+                    self.starved_count += self._queue.count(key)
                 continue
             decisions.append(decision)
             if isinstance(decision, PlaceRequest):
@@ -131,16 +110,21 @@
         return None
 
     def _choose(self, request: RequestDemand, now_ms: int) -> str | None:
-        demand = occupied(request.demand)
-        shares = self._occupancy.shares
-        if shares.binding_limit(request.member, request.service, demand):
+        if self._limit_of(request):
             return None
         return self._parts.chooser.choose(
-            demand,
+            occupied(request.demand),
             cost=partial(self._parts.costs.of_request, request.service),
             is_allowed=partial(self._is_allowed, now_ms),
         )
 
+    def _limit_of(self, request: RequestDemand) -> str:
+        return self._occupancy.shares.binding_limit(
+            request.member,
+            request.service,
+            occupied(request.demand),
+        )
+
     def _is_allowed(self, now_ms: int, account: WorkerAccount) -> bool:
         worker_id = account.info.worker_id
         is_held = worker_id in self._parts.held_workers
@@ -208,7 +192,7 @@
 
     def _times_of(self, request: RequestDemand) -> ServiceTimes:
         key = (request.member, request.service)
-        return self._times.setdefault(key, ServiceTimes())
+        return self._parts.times.setdefault(key, ServiceTimes())
 
     def _weight(self, key: GroupKey) -> float:
         return self._occupancy.shares.weight(*key)
--- a/tests/test_policy_batch.py
+++ b/tests/test_policy_batch.py
@@ -75,6 +75,19 @@
         placed = of_kind(decisions, PlaceTask)
         assert [item.task_id for item in placed] == ['u/1']
 
+    def test_two_urgent_tasks_preempt_two_workers(self) -> None:
+        """
+        The second urgent task does not take the first one's worker.
+        """
+        scheduler = make_scheduler(2, slot_count=1)
+        scheduler.add_task(make_task('j/0'), 0)
+        scheduler.add_task(make_task('j/1'), 0)
+        scheduler.decide(0)
+        for number in range(2):
+            scheduler.add_task(make_task(f'u/{number}', is_urgent=True), 100)
+        evicted = of_kind(scheduler.decide(100), EvictTask)
+        assert {item.task_id for item in evicted} == {'j/0', 'j/1'}
+
     def test_cancelled_urgent_task_gives_its_worker_back(self) -> None:
         """
         A worker is not lost to a task that is gone.
--- a/tests/test_policy_health.py
+++ b/tests/test_policy_health.py
@@ -101,6 +101,22 @@
             )
         assert not health.fault('j/9')
 
+    def test_probe_that_is_lost_with_its_worker_is_repeated(self) -> None:
+        """
+        A worker that vanished during its probe is not out of use for ever.
+        """
+        health = HealthTracker(choice=Health.QUARANTINE)
+        for number in range(5):
+            health.end_task(
+                'w0', f'j{number}/0', 0, is_done=False, is_failed=True
+            )
+        assert not health.allows_task('w0', 'k/0', 29_000)
+        assert health.allows_task('w0', 'k/0', 30_000)
+        health.place_task('w0')
+        assert not health.allows_task('w0', 'k/1', 31_000)
+        health.remove_worker('w0')
+        assert health.allows_task('w0', 'k/1', 32_000)
+
     def test_failing_endpoint_is_ejected_and_probed(self) -> None:
         """
         An endpoint that fails requests fails few of them.
--- a/tests/test_policy_interference.py
+++ b/tests/test_policy_interference.py
@@ -23,6 +23,7 @@
     RequestResult,
     Scheduler,
     ThrottleTask,
+    WorkloadLimits,
 )
 from hawthornpier.policy._interference import CoResidency, InterferenceModel
 
@@ -152,6 +153,24 @@
         steps = of_kind(scheduler.decide(42_000), ThrottleTask)
         assert [step.is_throttled for step in steps] == [False]
 
+    def test_service_within_its_target_is_left_alone(self) -> None:
+        """
+        Batch work is not throttled for a service that meets its target.
+        """
+        for target_ms, count in ((100, 0), (10, 1)):
+            scheduler = colocate(PolicySettings())
+            scheduler.set_limits(
+                [
+                    WorkloadLimits(
+                        name='s', member='m', latency_target_ms=target_ms
+                    ),
+                ]
+            )
+            for _ in range(40):
+                scheduler._services.learn('m', 's', 9)
+            steps = report(scheduler, 1000)
+            assert len(of_kind(steps, ThrottleTask)) == count
+
     def test_baselines_skip_steps(self) -> None:
         """
         The benchmark compares the ladder with what it claims to.
--- a/tests/test_policy_services.py
+++ b/tests/test_policy_services.py
@@ -156,6 +156,23 @@
         assert of_kind(placed, PlaceRequest)
         assert not of_kind(placed, PlaceTask)
 
+    def test_limited_service_evicts_nothing(self) -> None:
+        """
+        Batch work does not give way to requests that their own limit holds.
+        """
+        scheduler = make_scheduler(1)
+        scheduler.set_limits(
+            [
+                WorkloadLimits(name='s', member='m', max_running_count=1),
+            ]
+        )
+        scheduler.add_task(make_task('j/0'), 0)
+        scheduler.decide(0)
+        scheduler.add_request(make_request('r0'), 10)
+        scheduler.add_request(make_request('r1'), 10)
+        assert len(of_kind(scheduler.decide(10), PlaceRequest)) == 1
+        assert not of_kind(scheduler.decide(20), EvictTask)
+
     def test_without_headroom_nothing_is_evicted(self) -> None:
         """
         The baseline of the benchmark really lacks the mechanism.
