--- a/src/hawthornpier/policy/_services.py
+++ b/src/hawthornpier/policy/_services.py
@@ -51,7 +51,7 @@
         Learn from the duration of an answered request.
         """
         key = (member, service)
-        self._parts.times.setdefault(key, ServiceTimes()).add(duration_ms)
+        self._times_of(key).add(duration_ms)
 
     def decide(self, now_ms: int) -> list[Decision]:
         """
@@ -144,7 +144,8 @@
                 continue
             if is_shedding:
                 wait_ms = self.expected_wait_ms(request)
-                upper_ms = self._times_of(request).upper_ms
+                key = (request.member, request.service)
+                upper_ms = self._times_of(key).upper_ms
                 if now_ms + wait_ms + upper_ms > request.deadline_ms:
                     decisions.append(
                         self._shed(request, ShedReason.DEADLINE, int(wait_ms)),
@@ -173,7 +174,7 @@
         key = (request.member, request.service)
         weights = sum(self._weight(group) for _, group in self._queue.groups())
         share = self._weight(key) / weights
-        mean_ms = self._times_of(request).mean_ms
+        mean_ms = self._times_of(key).mean_ms
         position = self._queue.position(request.request_id)
         return wait_ms + position * mean_ms / max(slot_count * share, 1)
 
@@ -190,9 +191,12 @@
             retry_after_ms=retry_after_ms,
         )
 
-    def _times_of(self, request: RequestDemand) -> ServiceTimes:
-        key = (request.member, request.service)
-        return self._parts.times.setdefault(key, ServiceTimes())
+    def _times_of(self, key: GroupKey) -> ServiceTimes:
+        times = self._parts.times.get(key)
+        if times is None:
+            times = ServiceTimes()
+            self._parts.times[key] = times
+        return times
 
     def _weight(self, key: GroupKey) -> float:
         return self._occupancy.shares.weight(*key)
--- a/src/hawthornpier/policy/_sizes.py
+++ b/src/hawthornpier/policy/_sizes.py
@@ -101,7 +101,9 @@
         size_ms = task.done_work_ms + run_ms
         if self._source is SizeEstimate.DECLARED_SIZES:
             size_ms = task.declared_work_ms
-        self._classes.setdefault(key, SizeHistogram()).add(size_ms)
+        if key not in self._classes:
+            self._classes[key] = SizeHistogram()
+        self._classes[key].add(size_ms)
         self._all.add(size_ms)
         if self._all.count >= _MIN_COUNT:
             self._set_long_ms(self._all)
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -3,13 +3,12 @@
 """
 
 import argparse
-import json
 from concurrent.futures import ProcessPoolExecutor
 from pathlib import Path
 
 from tools.bench import placement_cost
 from tools.bench.plots import draw_all
-from tools.bench.report import write_page
+from tools.bench.report import write_json, write_page
 from tools.bench.runs import run_all
 from tools.bench.scenarios import SCENARIOS
 
@@ -31,10 +30,9 @@
     with ProcessPoolExecutor(1) as pool:
         costs = pool.submit(placement_cost.measure)
         results = run_all(scenario.name for scenario in SCENARIOS)
-        report = {'results': results, 'placement_us': costs.result()}
-    text = json.dumps(report, indent=1, sort_keys=True)
-    (arguments.docs / 'bench.json').write_text(f'{text}\n', encoding='utf-8')
-    write_page(arguments.docs / 'bench.md', results, report['placement_us'])
+        placement_us = costs.result()
+    write_json(arguments.docs / 'bench.json', results, placement_us)
+    write_page(arguments.docs / 'bench.md', results, placement_us)
     draw_all(arguments.docs, results)
 
 
--- a/tools/bench/report.py
+++ b/tools/bench/report.py
@@ -2,7 +2,8 @@
 Results as Markdown tables and plots.
 """
 
-from collections.abc import Sequence
+import json
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 from tools.bench.runs import (
@@ -31,6 +32,33 @@
 )
 
 
+def write_json(
+    path: Path,
+    results: Results,
+    costs: dict[str, dict[str, float]],
+) -> None:
+    """
+    Write the measures of each run, one run a line.
+    """
+    lines = [json.dumps({'placement_us': costs})]
+    for name, variants in results.items():
+        for variant, runs in variants.items():
+            lines.extend(_json_lines(name, variant, runs))
+    text = ',\n'.join(lines)
+    path.write_text(f'[\n{text}\n]\n', encoding='utf-8')
+
+
+def _json_lines(
+    name: str,
+    variant: str,
+    runs: Sequence[dict[str, float]],
+) -> Iterator[str]:
+    for seed, measures in enumerate(runs, start=1):
+        figures = {key: round(figure, 4) for key, figure in measures.items()}
+        record = {'scenario': name, 'variant': variant, 'seed': seed}
+        yield json.dumps(record | figures)
+
+
 def write_page(
     page: Path,
     results: Results,
--- a/tools/bench/worker_model.py
+++ b/tools/bench/worker_model.py
@@ -70,6 +70,7 @@
         self.done_core_ms: float = 0
         self._interference = interference
         self._updated_ms: float = 0
+        self._demand = Resources()
 
     def add(self, job: Job, now_ms: float) -> bool:
         """
@@ -77,9 +78,9 @@
         """
         self.advance(now_ms)
         self.jobs[job.job_id] = job
+        self._demand += job.demand
         self._set_speeds()
-        demands = (present.demand for present in self.jobs.values())
-        return sum(demands, start=Resources()).fits_in(self.info.capacity)
+        return self._demand.fits_in(self.info.capacity)
 
     def take(self, job_id: str, now_ms: float) -> Job | None:
         """
@@ -87,6 +88,8 @@
         """
         self.advance(now_ms)
         job = self.jobs.pop(job_id, None)
+        if job is not None:
+            self._demand -= job.demand
         self._set_speeds()
         return job
 
