--- a/tests/test_policy_batch.py
+++ b/tests/test_policy_batch.py
@@ -3,6 +3,7 @@
 """
 
 from test_policy_builders import (
+    SLOT,
     make_request,
     make_scheduler,
     make_task,
@@ -75,9 +76,47 @@
         placed = of_kind(decisions, PlaceTask)
         assert [item.task_id for item in placed] == ['u/1']
 
+    def test_partly_freed_worker_is_kept(self) -> None:
+        """
+        Ordinary tasks do not take the first of several slots that an urgent
+        task waits for.
+        """
+        scheduler = make_scheduler(1)
+        scheduler.add_task(make_task('j/0'), 0)
+        scheduler.add_task(make_task('j/1'), 0)
+        scheduler.decide(0)
+        scheduler.add_task(
+            make_task('u/0', demand=SLOT + SLOT, is_urgent=True), 100
+        )
+        assert len(of_kind(scheduler.decide(100), EvictTask)) == 2
+        scheduler.end_task('j/0', TaskResult.EVICTED, 200)
+        scheduler.add_task(make_task('j/2'), 200)
+        assert not of_kind(scheduler.decide(200), PlaceTask)
+        scheduler.end_task('j/1', TaskResult.EVICTED, 300)
+        placed = of_kind(scheduler.decide(300), PlaceTask)
+        assert [item.task_id for item in placed] == ['u/0']
+
+    def test_held_worker_is_not_preempted_again(self) -> None:
+        """
+        A second urgent task does not displace the first one's hold.
+        """
+        scheduler = make_scheduler(1)
+        scheduler.add_task(make_task('j/0'), 0)
+        scheduler.add_task(make_task('j/1'), 0)
+        scheduler.decide(0)
+        for number in range(2):
+            scheduler.add_task(make_task(f'u/{number}', is_urgent=True), 100)
+        evicted = of_kind(scheduler.decide(100), EvictTask)
+        assert len(evicted) == 1
+        scheduler.end_task(evicted[0].task_id, TaskResult.EVICTED, 200)
+        decisions = scheduler.decide(200)
+        placed = of_kind(decisions, PlaceTask)
+        assert [item.task_id for item in placed] == ['u/0']
+        assert len(of_kind(decisions, EvictTask)) == 1
+
     def test_two_urgent_tasks_preempt_two_workers(self) -> None:
         """
-        The second urgent task does not take the first one's worker.
+        Urgent tasks do not wait for one another while others can give way.
         """
         scheduler = make_scheduler(2, slot_count=1)
         scheduler.add_task(make_task('j/0'), 0)
--- a/tests/test_policy_services.py
+++ b/tests/test_policy_services.py
@@ -218,6 +218,18 @@
         scheduler.end_request('r0', RequestResult.ANSWERED, 5, 2)
         assert of_kind(scheduler.decide(2), PlaceRequest)
 
+    def test_queued_work_that_already_runs_is_not_placed_again(self) -> None:
+        """
+        G2: work found on a worker leaves the queue.
+        """
+        scheduler = make_scheduler(2)
+        scheduler.add_request(make_request('r0'), 0)
+        scheduler.add_task(make_task('j/0'), 0)
+        scheduler.adopt_request(make_request('r0'), 'w0', 1)
+        scheduler.adopt_task(make_task('j/0'), 'w0', 1)
+        assert scheduler.queued_counts() == (0, 0)
+        assert not scheduler.decide(2)
+
     def test_adopted_work_beyond_capacity_blocks_the_worker(self) -> None:
         """
         G1: a worker that shrank admits nothing until it fits again.
