--- /dev/null
+++ b/tests/test_policy_bench.py
@@ -0,0 +1,88 @@
+"""
+Tests of the benchmark's model, on which all measured figures rest.
+"""
+
+from dataclasses import replace
+
+from test_policy_builders import SLOT, make_worker
+
+from hawthornpier.messages import Resources
+from tools.bench.runs import find_scenario
+from tools.bench.simulation import Simulation
+from tools.bench.variants import OURS
+from tools.bench.worker_model import Job, WorkerModel
+
+
+def make_job(job_id: str, *, is_request: bool, left_ms: float) -> Job:
+    """
+    Return work that uses half a core.
+    """
+    return Job(
+        job_id=job_id,
+        name='s' if is_request else 'hostile',
+        is_request=is_request,
+        demand=SLOT,
+        usage_millis=500,
+        left_ms=left_ms,
+        started_ms=0,
+        work_ms=left_ms,
+        on_end=lambda worker, job: None,
+    )
+
+
+class TestWorkerModel:
+    """
+    Work slows each other down as the scenario says.
+    """
+
+    def test_hostile_task_lengthens_a_request(self) -> None:
+        """
+        Interference in the model is that of the pair, and throttling eases it.
+        """
+        worker = WorkerModel(make_worker('w0'), {('s', 'hostile'): 0.5})
+        task = make_job('t', is_request=False, left_ms=1000)
+        worker.add(make_job('r', is_request=True, left_ms=100), 0)
+        worker.add(task, 0)
+        assert worker.next_end() == (150, 'r')
+        worker.change(task, 0, is_throttled=True)
+        end_ms, _ = worker.next_end() or (0, '')
+        assert round(end_ms) == 110
+
+    def test_overcommit_is_noticed(self) -> None:
+        """
+        G1: the benchmark counts a placement that the worker cannot hold.
+        """
+        worker = WorkerModel(make_worker('w0', 1), {})
+        assert worker.add(make_job('a', is_request=True, left_ms=9), 0)
+        assert not worker.add(make_job('b', is_request=True, left_ms=9), 0)
+        worker.take('a', 1)
+        worker.take('b', 1)
+        assert worker.add(make_job('c', is_request=True, left_ms=9), 2)
+        assert worker.info.capacity == Resources(
+            processor_millis=1000, memory_bytes=10, slot_count=1
+        )
+
+
+class TestSimulation:
+    """
+    A run depends on its seed alone.
+    """
+
+    def test_same_seed_gives_the_same_measures(self) -> None:
+        """
+        A figure in the report can be reproduced.
+        """
+        scenario = replace(
+            find_scenario('failing_worker'),
+            warmup_ms=0,
+            duration_ms=6_000,
+            faults=(),
+        )
+        runs = [
+            Simulation(scenario=scenario, settings=OURS, seed=seed).run()
+            for seed in (1, 1, 2)
+        ]
+        assert runs[0] == runs[1]
+        assert runs[0] != runs[2]
+        assert runs[0]['overcommits'] == 0
+        assert runs[0]['arrived'] > 50
