--- a/tests/test_policy_scheduler.py
+++ b/tests/test_policy_scheduler.py
@@ -63,6 +63,14 @@
 )
 
 
+def occupy(work: RequestDemand | TaskDemand) -> Resources:
+    """
+    Return what work occupies: what it demands, and at least one slot.
+    """
+    slots = Resources(slot_count=0 if work.demand.slot_count else 1)
+    return work.demand + slots
+
+
 class SchedulerMachine(RuleBasedStateMachine):
     """
     G1 and G2 hold for any order of events and any settings.
@@ -221,6 +229,24 @@
             self.queued[key] = work
             self.scheduler.add_task(work, self.now_ms)
 
+    @precondition(lambda machine: machine.queued and machine.capacity)
+    @rule(pick=st.integers(0, 99))
+    def adopt(self, pick: int) -> None:
+        """
+        Find queued work running on a worker that has room for it.
+        """
+        key = sorted(self.queued)[pick % len(self.queued)]
+        name = sorted(self.capacity)[pick % len(self.capacity)]
+        work = self.queued[key]
+        if not occupy(work).fits_in(self.free_of(name)):
+            return
+        self.queued.pop(key)
+        self.placed[key] = (name, work, occupy(work))
+        if isinstance(work, RequestDemand):
+            self.scheduler.adopt_request(work, name, self.now_ms)
+        else:
+            self.scheduler.adopt_task(work, name, self.now_ms)
+
     @rule(name=_WORKERS, duration_ms=st.floats(0, 5000))
     def observe(self, name: str, duration_ms: float) -> None:
         """
@@ -266,8 +292,17 @@
         assert key not in self.placed
         assert name in self.open
         work = self.queued.pop(key)
-        slots = Resources(slot_count=0 if work.demand.slot_count else 1)
-        self.placed[key] = (name, work, work.demand + slots)
+        self.placed[key] = (name, work, occupy(work))
+
+    def free_of(self, name: str) -> Resources:
+        """
+        Return what the independent account has free on a worker.
+        """
+        free = self.capacity[name]
+        for worker_id, _, demand in self.placed.values():
+            if worker_id == name:
+                free -= demand
+        return free
 
     @invariant()
     def no_worker_is_overcommitted(self) -> None:
@@ -275,13 +310,10 @@
         G1: the sum of admitted demands fits into each worker.
         """
         free = Resources()
-        for name, capacity in self.capacity.items():
-            for worker_id, _, demand in self.placed.values():
-                if worker_id == name:
-                    capacity -= demand
-            assert Resources().fits_in(capacity)
+        for name in self.capacity:
+            assert Resources().fits_in(self.free_of(name))
             if name in self.open:
-                free += capacity
+                free += self.free_of(name)
         assert self.scheduler.free() == free
 
     @invariant()
--- a/tools/bench/report.py
+++ b/tools/bench/report.py
@@ -21,7 +21,9 @@
     ('p50 ms', 'p50_ms', '.0f', 1),
     ('p99 ms', 'p99_ms', '.0f', 1),
     ('p99.9 ms', 'p99_9_ms', '.0f', 1),
+    ('peak p99 ms', 'peak_p99_ms', '.0f', 1),
     ('in deadline %', 'in_deadline', '.1f', 100),
+    ('in deadline at peak %', 'peak_in_deadline', '.1f', 100),
     ('shed', 'shed', '.0f', 1),
     ('goodput /s', 'goodput_per_s', '.0f', 1),
     ('batch work per core-hour', 'work_per_core_hour', '.0f', 1),
@@ -31,6 +33,22 @@
     ('failed tasks', 'failed_tasks', '.0f', 1),
 )
 
+_HEADLINES = (
+    ('steady_day', 'p99 ms', 'p99_ms', '.0f', 1),
+    ('steady_day', 'p99.9 ms', 'p99_9_ms', '.0f', 1),
+    ('noisy_waves', 'p99.9 ms', 'p99_9_ms', '.0f', 1),
+    ('stragglers', 'short wait p99 ms', 'short_wait_p99_ms', '.0f', 1),
+    ('declared_sizes', 'short wait p99 ms', 'short_wait_p99_ms', '.0f', 1),
+    ('dawn_surge', 'in deadline at peak %', 'peak_in_deadline', '.1f', 100),
+    ('dawn_surge', 'peak p99 ms', 'peak_p99_ms', '.0f', 1),
+    ('dawn_surge', 'evictions', 'evictions', '.0f', 1),
+    ('hail', 'in deadline at peak %', 'peak_in_deadline', '.1f', 100),
+    ('hail', 'goodput /s', 'goodput_per_s', '.0f', 1),
+    ('hail', 'evictions', 'evictions', '.0f', 1),
+    ('rack_loss', 'in deadline at peak %', 'peak_in_deadline', '.1f', 100),
+    ('rack_loss', 'evictions', 'evictions', '.0f', 1),
+)
+
 
 def write_json(
     path: Path,
@@ -73,6 +91,7 @@
     tables = '\n\n'.join(
         (
             _targets_table(check(results)),
+            _members_table(results),
             _cost_table(costs),
             *(_scenario_table(name, results) for name in results),
         )
@@ -103,6 +122,30 @@
     return '\n'.join(lines)
 
 
+def _members_table(results: Results) -> str:
+    variants = (SERVICE_ALONE, 'ours', 'evict_only', 'all_baselines')
+    lines = [
+        '### What counts most for each member',
+        '',
+        'Means of the seeds, and half of their range.',
+        '',
+        f'| member | measure | {" | ".join(variants)} |',
+        f'| --- | --- |{" --- |" * len(variants)}',
+    ]
+    for name, title, measure, layout, factor in _HEADLINES:
+        cells = ' | '.join(
+            _cell(
+                variant,
+                [run[measure] * factor for run in results[name][variant]],
+                layout,
+            )
+            for variant in variants
+        )
+        member = find_scenario(name).profile.member
+        lines.append(f'| {member} | {name}: {title} | {cells} |')
+    return '\n'.join(lines)
+
+
 def _cost_table(costs: dict[str, dict[str, float]]) -> str:
     counts = next(iter(costs.values()))
     lines = [
@@ -122,24 +165,34 @@
 
 def _scenario_table(name: str, results: Results) -> str:
     scenario = find_scenario(name)
-    titles = ' | '.join(column[0] for column in _COLUMNS)
+    columns = [
+        column for column in _COLUMNS if _has_figures(results[name], column[1])
+    ]
+    titles = ' | '.join(column[0] for column in columns)
     lines = [
         f'### {name} ({scenario.profile.member})',
         '',
         scenario.question,
         '',
         f'| variant | {titles} |',
-        f'| --- |{" --- |" * len(_COLUMNS)}',
+        f'| --- |{" --- |" * len(columns)}',
     ]
     for variant, runs in results[name].items():
         cells = ' | '.join(
             _cell(variant, [run[key] * factor for run in runs], layout)
-            for _, key, layout, factor in _COLUMNS
+            for _, key, layout, factor in columns
         )
         lines.append(f'| {variant} | {cells} |')
     return '\n'.join(lines)
 
 
+def _has_figures(
+    variants: dict[str, list[dict[str, float]]],
+    measure: str,
+) -> bool:
+    return any(run[measure] for runs in variants.values() for run in runs)
+
+
 def _cell(variant: str, figures: list[float], layout: str) -> str:
     is_alone = variant in {SERVICE_ALONE, BATCH_ALONE}
     if is_alone and not any(figures):
--- a/tools/bench/shard.py
+++ b/tools/bench/shard.py
@@ -12,6 +12,8 @@
 from tools.bench.tally import Tally
 from tools.bench.worker_model import Job, WorkerModel
 
+COOL_DOWN_MS = 4_000
+
 
 @dataclass(slots=True, kw_only=True)
 class Shard:
@@ -33,7 +35,7 @@
 
         Requests of the last seconds may still run when the run ends.
         """
-        last_ms = self.scenario.duration_ms - 4_000
+        last_ms = self.scenario.duration_ms - COOL_DOWN_MS
         return self.scenario.warmup_ms <= at_ms < last_ms
 
     def close(self, worker: WorkerModel) -> None:
--- a/tools/bench/simulation.py
+++ b/tools/bench/simulation.py
@@ -23,7 +23,7 @@
 from tools.bench.feed import Feed
 from tools.bench.request_side import DETECT_MS, RequestSide
 from tools.bench.scenario import Fault, Scenario
-from tools.bench.shard import Shard
+from tools.bench.shard import COOL_DOWN_MS, Shard
 from tools.bench.tally import Tally
 from tools.bench.task_side import TaskSide
 from tools.bench.worker_model import Job, WorkerModel
@@ -81,8 +81,10 @@
             worker.advance(self._engine.now_ms)
             self._shard.tally.count('core_ms', worker.done_core_ms)
             core_count += worker.info.capacity.processor_millis / 1000
+        span_ms = self._scenario.duration_ms - self._scenario.warmup_ms
         return self._shard.tally.summary(
-            span_ms=self._scenario.duration_ms - self._scenario.warmup_ms,
+            span_ms=span_ms,
+            request_span_ms=span_ms - COOL_DOWN_MS,
             core_count=core_count,
         )
 
--- a/tools/bench/tally.py
+++ b/tools/bench/tally.py
@@ -37,9 +37,20 @@
         """
         self.counts[name] = self.counts.get(name, 0) + amount
 
-    def summary(self, *, span_ms: float, core_count: float) -> dict[str, float]:
+    def summary(
+        self,
+        *,
+        span_ms: float,
+        request_span_ms: float,
+        core_count: float,
+    ) -> dict[str, float]:
         """
         Return the measures that the tables show.
+
+        Args:
+            span_ms: Time in which batch work is counted.
+            request_span_ms: Time in which arriving requests are counted.
+            core_count: Processors of all workers.
         """
         counts = self.counts.get
         admitted = counts('admitted', 0)
@@ -61,7 +72,7 @@
             'shed': counts('shed', 0),
             'shed_late': counts('shed_late', 0),
             'failed_requests': counts('failed_requests', 0),
-            'goodput_per_s': counts('in_deadline', 0) * 1000 / span_ms,
+            'goodput_per_s': counts('in_deadline', 0) * 1000 / request_span_ms,
             'work_per_core_hour': work_s / hours,
             'evictions': counts('evictions', 0),
             'throttles': counts('throttles', 0),
