Test ownership and group commits under faults, and fix what that showed

- A hand-over without an answer left its shard without an owner for ever.
- Two commits of one interval that check different versions of one row were merged into one check.
- Of processes that start together the first one claimed all shards.

--- a/src/hawthornpier/coordination/_batch.py
+++ b/src/hawthornpier/coordination/_batch.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Container, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 
 from hawthornpier.coordination._errors import CommitError
@@ -39,6 +39,20 @@
         """
         return {put.key for put in self.puts} | set(self.deletes)
 
+    def contradicts(
+        self,
+        written: Container[str],
+        versions: Mapping[str, int],
+    ) -> bool:
+        """
+        Tell whether a check cannot be made in the same transaction.
+        """
+        return any(
+            check.key in written
+            or versions.get(check.key, check.version) != check.version
+            for check in self.checks
+        )
+
     def resolve(self, versions: Versions) -> None:
         """
         Return the versions of the commit's own rows to its task.
@@ -60,20 +74,24 @@
     Take the waiting commits that fit into one transaction, in order.
 
     A commit that checks a row which an earlier one of the batch writes waits
-    for the next transaction, because its check is about the new version.
+    for the next transaction, because its check is about the new version.  So
+    does one that expects another version of a row than an earlier one does,
+    because a transaction can check only one of them.
     """
     batch: list[Entry] = []
     written: set[str] = set()
+    versions: dict[str, int] = {}
     row_count = 0
     while queue:
         entry = queue[0]
         row_count += entry.row_count
         if batch and row_count > max_row_count:
             break
-        if any(check.key in written for check in entry.checks):
+        if entry.contradicts(written, versions):
             break
         batch.append(queue.popleft())
         written |= entry.written_keys
+        versions.update((check.key, check.version) for check in entry.checks)
     return batch
 
 
--- a/src/hawthornpier/coordination/_commit.py
+++ b/src/hawthornpier/coordination/_commit.py
@@ -151,6 +151,9 @@
             checks=tuple(checks),
             future=asyncio.get_running_loop().create_future(),
         )
+        if entry.contradicts((), {self._owner_key: self._owned.version}):
+            message = 'the commit expects another version of the owner row'
+            raise CommitConflictError(message)
         self._queue.append(entry)
         self._wakeup.set()
         remaining_ms = deadline_ms - self._clock.monotonic_ms()
--- a/src/hawthornpier/coordination/_ownership.py
+++ b/src/hawthornpier/coordination/_ownership.py
@@ -295,7 +295,7 @@
         interval_ms = self._timings.rebalance_interval_ms
         if now_ms - self._rebalanced_ms < interval_ms:
             return None
-        if not self._lease.is_held:
+        if self._link.is_out or not self._lease.is_held:
             return None
         return pick_hand_over(
             self._lease.process_id,
--- a/src/hawthornpier/coordination/_timings.py
+++ b/src/hawthornpier/coordination/_timings.py
@@ -76,12 +76,14 @@
     """
     Timings of the claims and hand-overs of shards.
 
-    *claim_patience_ms* is how long the next best process leaves a free shard
+    *claim_settle_ms* is how long a new process only watches, and
+    *claim_patience_ms* how long the next best process leaves a free shard
     to the best one.  *foreign_grace_ms* is how long a failure domain must be
     without a live process before others take its shards.
     """
 
     observe_interval_ms: int = 500
+    claim_settle_ms: int = 1_000
     claim_patience_ms: int = 1_500
     claim_batch_count: int = 16
     foreign_grace_ms: int = 5_000
--- a/src/hawthornpier/coordination/_vacancies.py
+++ b/src/hawthornpier/coordination/_vacancies.py
@@ -74,6 +74,7 @@
         self._vacant_since_ms: dict[str, int] = {}
         self._empty_since_ms: dict[str, int] = {}
         self._regions: dict[str, str] = {}
+        self._watching_since_ms: int | None = None
 
     def claimants(self) -> tuple[Claimant, ...]:
         """
@@ -116,6 +117,8 @@
             held: The shards that this process owns or is handing over.
         """
         now_ms = self._clock.monotonic_ms()
+        if self._watching_since_ms is None:
+            self._watching_since_ms = now_ms
         claimants = self.claimants()
         self._watch_domains(claimants, now_ms)
         vacant = [
@@ -134,7 +137,8 @@
         return tuple(
             shard
             for shard, ranked in ranking.items()
-            if self._is_turn(shard, ranked, now_ms)
+            if self._is_left_over(owners.get(shard))
+            or self._is_turn(shard, ranked)
         )
 
     def is_vacant(self, owner: ShardOwner) -> bool:
@@ -150,20 +154,30 @@
         return self._directory.is_expired(process_id)
 
     def _is_ownerless(self, owner: ShardOwner | None) -> bool:
-        if owner is None or self.is_vacant(owner):
-            return True
-        # The row names this process, which does not hold the shard: a claim
-        # or a hand-over has ended without a certain answer.
+        return (
+            owner is None or self.is_vacant(owner) or self._is_left_over(owner)
+        )
+
+    def _is_left_over(self, owner: ShardOwner | None) -> bool:
+        """
+        Tell whether the row names this process, which does not hold it.
+
+        A claim or a hand-over then ended without a certain answer.  Only this
+        process can correct it, since all others take the row for valid.
+        """
+        if owner is None:
+            return False
         return owner.row.incarnation == self._lease.incarnation
 
-    def _is_turn(
-        self,
-        shard: str,
-        ranked: tuple[str, ...],
-        now_ms: int,
-    ) -> bool:
+    def _is_turn(self, shard: str, ranked: tuple[str, ...]) -> bool:
         if self._lease.process_id not in ranked:
             return False
+        now_ms = self._clock.monotonic_ms()
+        # Of several processes that start together the first would otherwise
+        # claim everything.
+        watching_ms = now_ms - (self._watching_since_ms or 0)
+        if watching_ms < self._timings.claim_settle_ms:
+            return False
         rank = ranked.index(self._lease.process_id)
         vacant_ms = now_ms - self._vacant_since_ms[shard]
         return vacant_ms >= rank * self._timings.claim_patience_ms
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -1,9 +1,10 @@
 """
-An in-memory table service with faults, and processes that can be paused.
+An in-memory table service with faults, and a clock that can be paused.
 """
 
 import asyncio
 import random
+from collections.abc import Callable
 
 from virtual_time import VirtualClock
 
@@ -23,6 +24,7 @@
 
     *forgets_ids* applies a repeated transaction again.  *ignores_checks* is a
     planted fault, which tests use to show that their own checks can fail.
+    *on_apply* sees each transaction just before its writes.
     """
 
     def __init__(
@@ -30,12 +32,14 @@
         *,
         forgets_ids: bool = False,
         ignores_checks: bool = False,
+        on_apply: Callable[[Transaction], None] | None = None,
     ) -> None:
         self.rows: dict[str, Row] = {}
         self.applied: list[Transaction] = []
         self.is_out = False
         self._forgets_ids = forgets_ids
         self._ignores_checks = ignores_checks
+        self.on_apply = on_apply
         self._results: dict[str, TransactionResult] = {}
         self._version = 0
 
@@ -64,6 +68,8 @@
         return version != check.version and not self._ignores_checks
 
     def _commit(self, transaction: Transaction) -> TransactionResult:
+        if self.on_apply is not None:
+            self.on_apply(transaction)
         written = []
         for key in transaction.deletes:
             self.rows.pop(key, None)
@@ -114,9 +120,11 @@
 
 class FakeStorePort:
     """
-    The `TableStore` of one process, with delays and lost answers.
+    The `TableStore` of one process, over a network with faults.
 
-    *lost_percent* of the transactions lose their answer or the request.
+    *lost_percent* of the transactions lose their request or their answer.  A
+    transaction that the caller has given up may still arrive, up to
+    *delay_ms* after it was sent.
     """
 
     def __init__(
@@ -127,50 +135,72 @@
     ) -> None:
         self.store = store
         self.lost_percent = 0
-        self.delay_ms = 2.0
+        self.delay_ms = 2
         self.is_cut_off = False
         self._clock = clock
         self._rng = rng
+        self._arriving: set[asyncio.Task[TransactionResult | None]] = set()
 
     async def transact(self, transaction: Transaction) -> TransactionResult:
         """
         Apply the transaction after a delay on the network.
         """
-        await self._travel()
-        if self._rng.randrange(100) < self.lost_percent:
-            if self._rng.randrange(2):
-                self.store.apply(transaction)
-            await self._travel()
-            raise StoreAnswerLostError('the answer was lost')
-        answer = self.store.apply(transaction)
+        self._refuse_if_cut_off()
+        arriving = asyncio.ensure_future(self._arrive(transaction))
+        self._arriving.add(arriving)
+        arriving.add_done_callback(self._arriving.discard)
+        answer = await asyncio.shield(arriving)
+        if answer is None:
+            raise StoreUnavailableError('the store is out')
         await self._return()
+        if self._is_lost():
+            raise StoreAnswerLostError('the answer was lost')
         return answer
 
     async def read(self, key: str) -> Row | None:
         """
         Return one row as it is at one instant.
         """
-        await self._travel()
-        row = self.store.rows.get(key)
-        await self._return()
-        return row
+        return next(iter(await self._rows(lambda other: other == key)), None)
 
     async def scan(self, prefix: str) -> tuple[Row, ...]:
         """
         Return the rows as they are at one instant.
         """
+        return await self._rows(lambda other: other.startswith(prefix))
+
+    async def _rows(self, has_key: Callable[[str], bool]) -> tuple[Row, ...]:
+        self._refuse_if_cut_off()
         await self._travel()
-        keys = [key for key in self.store.rows if key.startswith(prefix)]
-        rows = tuple(self.store.rows[key] for key in sorted(keys))
+        if self.store.is_out:
+            raise StoreUnavailableError('the store is out')
+        rows = self.store.rows
+        found = tuple(rows[key] for key in sorted(rows) if has_key(key))
         await self._return()
-        return rows
+        return found
+
+    async def _arrive(
+        self,
+        transaction: Transaction,
+    ) -> TransactionResult | None:
+        await self._travel()
+        if self._is_lost():
+            # Waits until the caller gives up.
+            await asyncio.sleep(60)
+        return None if self.store.is_out else self.store.apply(transaction)
+
+    def _refuse_if_cut_off(self) -> None:
+        if self.is_cut_off:
+            raise StoreUnavailableError('no route to the store')
+
+    def _is_lost(self) -> bool:
+        return self._rng.randrange(100) < self.lost_percent
 
     async def _travel(self) -> None:
-        await self._clock.sleep_ms(self._rng.uniform(0, self.delay_ms))
-        if self.store.is_out or self.is_cut_off:
-            raise StoreUnavailableError('the store is out')
+        await asyncio.sleep(self._rng.uniform(0, self.delay_ms) / 1000)
 
     async def _return(self) -> None:
-        await self._clock.sleep_ms(self._rng.uniform(0, self.delay_ms))
+        await self._travel()
+        await self._clock.until_running()
         if self.is_cut_off:
             raise StoreAnswerLostError('the answer was lost')
