--- a/src/hawthornpier/coordination/__init__.py
+++ b/src/hawthornpier/coordination/__init__.py
@@ -35,6 +35,7 @@
 from hawthornpier.coordination._lease_row import LeaseWrite
 from hawthornpier.coordination._link import StoreLink
 from hawthornpier.coordination._membership import Membership
+from hawthornpier.coordination._owner_rows import ShardOwner
 from hawthornpier.coordination._ownership import ShardOwnership
 from hawthornpier.coordination._peers import PeerView
 from hawthornpier.coordination._rows import (
@@ -53,7 +54,6 @@
     MembershipTimings,
     OwnershipTimings,
 )
-from hawthornpier.coordination._vacancies import ShardOwner
 
 __all__ = [
     'Claimant',
--- a/src/hawthornpier/coordination/_claim_writer.py
+++ b/src/hawthornpier/coordination/_claim_writer.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from hawthornpier.coordination._directory import ProcessDirectory
@@ -12,6 +12,7 @@
 from hawthornpier.coordination._lease import ProcessLease
 from hawthornpier.coordination._lease_row import LeaseWrite
 from hawthornpier.coordination._link import Backoff, StoreLink, settle
+from hawthornpier.coordination._owner_rows import ShardOwner
 from hawthornpier.coordination._rows import (
     LOST_PREFIX,
     OWNER_PREFIX,
@@ -20,7 +21,6 @@
     OwnerRow,
     encode,
 )
-from hawthornpier.coordination._vacancies import ShardOwner
 from hawthornpier.messages import (
     ABSENT_VERSION,
     RowCheck,
@@ -47,6 +47,23 @@
     must_wait_until_ms: int
 
 
+def owned_shard(owner: ShardOwner, now_ms: int, delay_ms: int) -> OwnedShard:
+    """
+    Return the ownership that a claim has written.
+
+    Messages of a former owner may be under way for *delay_ms*.
+    """
+    if owner.row.epoch > 1:
+        now_ms += delay_ms
+    return OwnedShard(
+        shard=owner.shard,
+        epoch=owner.row.epoch,
+        version=owner.version,
+        incarnation=owner.row.incarnation,
+        must_wait_until_ms=now_ms,
+    )
+
+
 @dataclass(slots=True, kw_only=True)
 class _Claim:
     """
@@ -117,21 +134,33 @@
             claim.puts[key] = self._owner_text(epoch + 1)
         return await self._send(claim)
 
-    async def bury(self, process_id: str, incarnation: str) -> None:
-        """
-        Delete the row of an expired process that owns no shard.
+    async def bury(self, owner_ids: Container[str]) -> None:
         """
-        claim = _Claim()
-        self._check_process(claim, process_id, incarnation)
-        await self._send(claim)
+        Delete the rows of lost processes that no claim deletes.
 
-    async def forget_lost(self, process_ids: Iterable[str]) -> None:
-        """
-        Delete the records of processes that were lost long ago.
+        These are processes that expired without a shard, and records of lost
+        processes past their retention.  The live process with the lowest id
+        does it for all.
+
+        Args:
+            owner_ids: The processes that own shards.
         """
-        claim = _Claim()
-        claim.deletes.update(LOST_PREFIX + lost_id for lost_id in process_ids)
-        await self._send(claim)
+        processes = self._directory.processes
+        live_ids = filter(self._directory.is_live, processes)
+        if self._lease.process_id != min(live_ids, default=''):
+            return
+        for process_id, observed in processes.items():
+            is_expired = self._directory.is_expired(process_id)
+            if is_expired and process_id not in owner_ids:
+                claim = _Claim()
+                incarnation = observed.row.incarnation
+                self._check_process(claim, process_id, incarnation)
+                await self._send(claim)
+        old_ids = self._directory.expired_lost_ids
+        if old_ids:
+            claim = _Claim()
+            claim.deletes.update(LOST_PREFIX + old_id for old_id in old_ids)
+            await self._send(claim)
 
     async def free(
         self,
--- a/src/hawthornpier/coordination/_directory.py
+++ b/src/hawthornpier/coordination/_directory.py
@@ -2,6 +2,7 @@
 What this process has seen of the lease rows of all processes.
 """
 
+import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
@@ -111,8 +112,10 @@
         Raises:
             StoreError: The store did not answer; nothing has changed.
         """
-        rows = await self._link.scan(PROCESS_PREFIX)
-        lost = await self._link.scan(LOST_PREFIX)
+        rows, lost = await asyncio.gather(
+            self._link.scan(PROCESS_PREFIX),
+            self._link.scan(LOST_PREFIX),
+        )
         # The time is taken after the answer: a row's holder measures its
         # lease from a time before the row was written, hence before this.
         now_ms = self._clock.monotonic_ms()
--- a/src/hawthornpier/coordination/_lease.py
+++ b/src/hawthornpier/coordination/_lease.py
@@ -147,6 +147,10 @@
             LeaseLostError: The process has no row, or has just lost it.
             StoreUnavailableError: Nothing was applied.
         """
+        if self._row.version is None:
+            # The lock may be held until another incarnation's row expires.
+            message = f'there is no row {self._row.key}'
+            raise LeaseLostError(message)
         async with self._lock:
             written = await self._row.renew(checks, puts, deletes)
         if written is None:
--- /dev/null
+++ b/src/hawthornpier/coordination/_owner_rows.py
@@ -0,0 +1,114 @@
+"""
+The owner rows of all shards, as last read.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from hawthornpier.coordination._link import StoreLink
+from hawthornpier.coordination._rows import OWNER_PREFIX, OwnerRow, decode
+from hawthornpier.coordination._timings import OwnershipTimings
+from hawthornpier.messages import Row
+from hawthornpier.ports import Clock
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ShardOwner:
+    """
+    The owner row of a shard, as last read.
+    """
+
+    shard: str
+    version: int
+    row: OwnerRow
+
+
+def shard_owner(row: Row) -> ShardOwner:
+    """
+    Return the content of an owner row.
+    """
+    return ShardOwner(
+        shard=row.key.removeprefix(OWNER_PREFIX),
+        version=row.version,
+        row=decode(row, OwnerRow),
+    )
+
+
+class OwnerRows:
+    """
+    Reads owner rows: often those of one failure domain, seldom all.
+
+    Args:
+        link: The store.
+        clock: The clock of this process.
+        timings: How often to read all rows.
+        failure_domain: The domain whose rows are read each time.
+    """
+
+    def __init__(
+        self,
+        link: StoreLink,
+        clock: Clock,
+        timings: OwnershipTimings,
+        failure_domain: str,
+    ) -> None:
+        self._link = link
+        self._clock = clock
+        self._timings = timings
+        self._domain_prefix = f'{failure_domain}/'
+        self._due_ms = clock.monotonic_ms()
+        self._owners: dict[str, ShardOwner] = {}
+
+    @property
+    def owners(self) -> Mapping[str, ShardOwner]:
+        """
+        Return the owner rows by shard.
+        """
+        return self._owners
+
+    def note(self, owner: ShardOwner) -> None:
+        """
+        Take in a row that was read or written on its own.
+        """
+        known = self._owners.get(owner.shard)
+        if known is None or known.version <= owner.version:
+            self._owners[owner.shard] = owner
+
+    async def read(self) -> bool:
+        """
+        Read the rows of the own domain, and those of all when it is time.
+
+        Returns:
+            Whether all rows were read.
+
+        Raises:
+            StoreError: The store did not answer; nothing has changed.
+        """
+        now_ms = self._clock.monotonic_ms()
+        is_full = now_ms >= self._due_ms
+        prefix = '' if is_full else self._domain_prefix
+        rows = await self._link.scan(OWNER_PREFIX + prefix)
+        if is_full:
+            self._due_ms = now_ms + self._timings.far_observe_interval_ms
+        kept = {
+            shard: owner
+            for shard, owner in self._owners.items()
+            if not shard.startswith(prefix)
+        }
+        read = {owner.shard: owner for owner in map(shard_owner, rows)}
+        self._owners = kept | read
+        return is_full
+
+    async def look_up(self, shard: str) -> ShardOwner | None:
+        """
+        Read one row.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        row = await self._link.read(OWNER_PREFIX + shard)
+        if row is None:
+            return None
+        owner = shard_owner(row)
+        self.note(owner)
+        return owner
--- a/src/hawthornpier/coordination/_ownership.py
+++ b/src/hawthornpier/coordination/_ownership.py
@@ -6,19 +6,24 @@
 import random
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 
-from hawthornpier.coordination._claim_writer import ClaimWriter, OwnedShard
+from hawthornpier.coordination._claim_writer import (
+    ClaimWriter,
+    OwnedShard,
+    owned_shard,
+)
 from hawthornpier.coordination._claims import pick_hand_over
 from hawthornpier.coordination._directory import ProcessDirectory
 from hawthornpier.coordination._lease import ProcessLease
 from hawthornpier.coordination._lease_row import LeaseWrite
 from hawthornpier.coordination._link import StoreLink
-from hawthornpier.coordination._rows import OWNER_PREFIX
-from hawthornpier.coordination._timings import OwnershipTimings
-from hawthornpier.coordination._vacancies import (
+from hawthornpier.coordination._owner_rows import (
+    OwnerRows,
     ShardOwner,
-    VacancyWatch,
     shard_owner,
 )
+from hawthornpier.coordination._rows import OWNER_PREFIX, failure_domain_of
+from hawthornpier.coordination._timings import OwnershipTimings
+from hawthornpier.coordination._vacancies import VacancyWatch
 from hawthornpier.messages import EventKind
 from hawthornpier.ports import Clock, EventSink, StoreError
 
@@ -78,7 +83,12 @@
             timings,
         )
         self._writer = ClaimWriter(lease, directory, link, clock, self._rng)
-        self._owners: dict[str, ShardOwner] = {}
+        self._rows = OwnerRows(
+            link,
+            clock,
+            timings,
+            lease.identity.failure_domain,
+        )
         self._owned: dict[str, OwnedShard] = {}
         self._handing_over: set[str] = set()
         self._rebalanced_ms = clock.monotonic_ms()
@@ -97,7 +107,7 @@
         """
         Return the owner rows as last read, by shard.
         """
-        return self._owners
+        return self._rows.owners
 
     def holds(self, shard: str) -> bool:
         """
@@ -129,23 +139,27 @@
         Read the rows once and claim what this process should own.
         """
         try:
-            rows = await self._link.scan(OWNER_PREFIX)
+            # The owner rows come first.  A process row that is absent from
+            # the later reading then belongs to no owner row of the earlier
+            # one, unless it has been deleted since.
+            is_full = await self._rows.read()
             await self._directory.refresh()
         except StoreError:
             return
-        owners = map(shard_owner, rows)
-        self._owners = {owner.shard: owner for owner in owners}
         await self._drop_changed()
-        if self._lease.version is None or self._lease.is_leaving:
-            return
-        held = self._owned.keys() | self._handing_over
-        claimable = self._vacancies.claimable(self._owners, held)
-        while claimable:
-            batch = claimable[: self._batch_count]
-            claimable = claimable[len(batch) :]
-            if not await self._claim(batch):
-                return
-        await self._bury()
+        if self._lease.version is not None and not self._lease.is_leaving:
+            await self._claim_vacant(is_full=is_full)
+            owner_ids = {owner.row.process_id for owner in self.owners.values()}
+            await self._writer.bury(owner_ids)
+
+    async def look_up(self, shard: str) -> ShardOwner | None:
+        """
+        Read one owner row, after the known owner refused or was silent.
+
+        Raises:
+            StoreError: The store did not answer.
+        """
+        return await self._rows.look_up(shard)
 
     async def drop_all(self) -> None:
         """
@@ -203,9 +217,23 @@
             self._timings.hand_over_timeout_ms,
         )
 
+    async def _claim_vacant(self, *, is_full: bool) -> None:
+        domain = self._lease.identity.failure_domain
+        held = self._owned.keys() | self._handing_over
+        claimable = [
+            shard
+            for shard in self._vacancies.claimable(self.owners, held)
+            if is_full or failure_domain_of(shard) == domain
+        ]
+        while claimable:
+            batch = claimable[: self._batch_count]
+            claimable = claimable[len(batch) :]
+            if not await self._claim(batch):
+                return
+
     async def _drop_changed(self) -> None:
         for shard, owned in tuple(self._owned.items()):
-            owner = self._owners.get(shard)
+            owner = self.owners.get(shard)
             if owner is None or owner.version != owned.version:
                 await self._drop(shard, 'owner row changed')
             elif owned.incarnation != self._lease.incarnation:
@@ -221,8 +249,8 @@
                 )
             await self._on_loss(shard)
 
-    async def _claim(self, shards: tuple[str, ...]) -> bool:
-        written = await self._writer.claim(shards, self._owners)
+    async def _claim(self, shards: Iterable[str]) -> bool:
+        written = await self._writer.claim(shards, self.owners)
         if written is None:
             return False
         if not written.is_committed:
@@ -240,13 +268,15 @@
         now_ms = self._clock.monotonic_ms()
         if written.incarnation != self._lease.incarnation:
             return
-        gained = [
-            self._owned_shard(shard_owner(row), now_ms)
-            for row in written.rows
-            if row.key.startswith(OWNER_PREFIX)
-        ]
-        for owned in gained:
-            self._owned[owned.shard] = owned
+        gained = []
+        for row in written.rows:
+            if row.key.startswith(OWNER_PREFIX):
+                owner = shard_owner(row)
+                self._rows.note(owner)
+                delay_ms = self._timings.delivery_delay_ms
+                owned = owned_shard(owner, now_ms, delay_ms)
+                self._owned[owned.shard] = owned
+                gained.append(owned)
         for owned in gained:
             if self._events is not None:
                 self._events.record(
@@ -257,37 +287,6 @@
             if self._owned.get(owned.shard) is owned:
                 await self._on_gain(owned)
 
-    def _owned_shard(self, owner: ShardOwner, now_ms: int) -> OwnedShard:
-        self._owners[owner.shard] = owner
-        has_former_owner = owner.row.epoch > 1
-        delay_ms = self._timings.delivery_delay_ms if has_former_owner else 0
-        return OwnedShard(
-            shard=owner.shard,
-            epoch=owner.row.epoch,
-            version=owner.version,
-            incarnation=owner.row.incarnation,
-            must_wait_until_ms=now_ms + delay_ms,
-        )
-
-    async def _bury(self) -> None:
-        """
-        Delete the rows of lost processes that no claim deletes.
-
-        These are processes that expired without a shard, and records of lost
-        processes past their retention.  One process does it for all.
-        """
-        live_ids = [entry.process_id for entry in self._vacancies.claimants()]
-        if self._lease.process_id != min(live_ids, default=''):
-            return
-        owner_ids = {owner.row.process_id for owner in self._owners.values()}
-        processes = self._directory.processes
-        for process_id in processes.keys() - owner_ids:
-            if self._directory.is_expired(process_id):
-                incarnation = processes[process_id].row.incarnation
-                await self._writer.bury(process_id, incarnation)
-        if self._directory.expired_lost_ids:
-            await self._writer.forget_lost(self._directory.expired_lost_ids)
-
     def _next_hand_over(self) -> tuple[str, str] | None:
         if self._handing_over or self._lease.is_leaving:
             return None
@@ -301,5 +300,5 @@
             self._lease.process_id,
             self._owned,
             self._vacancies.claimants(),
-            self._vacancies.owned_counts(self._owners),
+            self._vacancies.owned_counts(self.owners),
         )
--- a/src/hawthornpier/coordination/_timings.py
+++ b/src/hawthornpier/coordination/_timings.py
@@ -42,10 +42,10 @@
     clock_error_ms: int = 300
     retry_min_ms: int = 50
     retry_max_ms: int = 400
-    store_timeout_ms: int = 1_000
+    store_timeout_ms: int = 1_500
     store_out_after_ms: int = 1_000
     release_timeout_ms: int = 2_000
-    max_gap_ms: int = 2_000
+    max_gap_ms: int = 2_800
     lost_retention_ms: int = 3_600_000
 
     def __post_init__(self) -> None:
@@ -76,6 +76,9 @@
     """
     Timings of the claims and hand-overs of shards.
 
+    The owners of the own failure domain are read every *observe_interval_ms*,
+    those of all domains every *far_observe_interval_ms*; with thousands of
+    shards the latter is what the process reads most.
     *claim_settle_ms* is how long a new process only watches, and
     *claim_patience_ms* how long the next best process leaves a free shard
     to the best one.  *foreign_grace_ms* is how long a failure domain must be
@@ -83,6 +86,7 @@
     """
 
     observe_interval_ms: int = 500
+    far_observe_interval_ms: int = 2_000
     claim_settle_ms: int = 1_000
     claim_patience_ms: int = 1_500
     claim_batch_count: int = 16
--- a/src/hawthornpier/coordination/_vacancies.py
+++ b/src/hawthornpier/coordination/_vacancies.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from collections.abc import Container, Iterable, Mapping
-from dataclasses import dataclass
 
 from hawthornpier.coordination._claims import (
     Claimant,
@@ -13,39 +12,12 @@
 )
 from hawthornpier.coordination._directory import ProcessDirectory
 from hawthornpier.coordination._lease import ProcessLease
-from hawthornpier.coordination._rows import (
-    OWNER_PREFIX,
-    OwnerRow,
-    decode,
-    failure_domain_of,
-)
+from hawthornpier.coordination._owner_rows import ShardOwner
+from hawthornpier.coordination._rows import failure_domain_of
 from hawthornpier.coordination._timings import OwnershipTimings
-from hawthornpier.messages import Row
 from hawthornpier.ports import Clock
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ShardOwner:
-    """
-    The owner row of a shard, as last read.
-    """
-
-    shard: str
-    version: int
-    row: OwnerRow
-
-
-def shard_owner(row: Row) -> ShardOwner:
-    """
-    Return the content of an owner row.
-    """
-    return ShardOwner(
-        shard=row.key.removeprefix(OWNER_PREFIX),
-        version=row.version,
-        row=decode(row, OwnerRow),
-    )
-
-
 class VacancyWatch:
     """
     Watches the shards without owners, from the rows that were last read.
@@ -74,7 +46,7 @@
         self._vacant_since_ms: dict[str, int] = {}
         self._empty_since_ms: dict[str, int] = {}
         self._regions: dict[str, str] = {}
-        self._watching_since_ms: int | None = None
+        self._settled_ms: int | None = None
 
     def claimants(self) -> tuple[Claimant, ...]:
         """
@@ -117,8 +89,10 @@
             held: The shards that this process owns or is handing over.
         """
         now_ms = self._clock.monotonic_ms()
-        if self._watching_since_ms is None:
-            self._watching_since_ms = now_ms
+        if self._settled_ms is None:
+            # Of several processes that start together the first would
+            # otherwise claim everything.
+            self._settled_ms = now_ms + self._timings.claim_settle_ms
         claimants = self.claimants()
         self._watch_domains(claimants, now_ms)
         vacant = [
@@ -172,15 +146,10 @@
     def _is_turn(self, shard: str, ranked: tuple[str, ...]) -> bool:
         if self._lease.process_id not in ranked:
             return False
-        now_ms = self._clock.monotonic_ms()
-        # Of several processes that start together the first would otherwise
-        # claim everything.
-        watching_ms = now_ms - (self._watching_since_ms or 0)
-        if watching_ms < self._timings.claim_settle_ms:
-            return False
+        since_ms = max(self._settled_ms or 0, self._vacant_since_ms[shard])
         rank = ranked.index(self._lease.process_id)
-        vacant_ms = now_ms - self._vacant_since_ms[shard]
-        return vacant_ms >= rank * self._timings.claim_patience_ms
+        due_ms = since_ms + rank * self._timings.claim_patience_ms
+        return self._clock.monotonic_ms() >= due_ms
 
     def _vacancy(self, shard: str, owner: ShardOwner | None) -> Vacancy:
         now_ms = self._clock.monotonic_ms()
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -161,8 +161,8 @@
     ) -> TransactionResult | None:
         await self._travel()
         if self._is_lost():
-            # Waits until the caller gives up.
-            await asyncio.sleep(60)
+            # Arrives long after the caller has given up.
+            await asyncio.sleep(8)
         return None if self.store.is_out else self.store.apply(transaction)
 
     def _refuse_if_cut_off(self) -> None:
--- a/tests/test_coordination_commit.py
+++ b/tests/test_coordination_commit.py
@@ -208,7 +208,7 @@
             await sent
         with pytest.raises(CommitNotAppliedError):
             await late
-        await asyncio.sleep(70)
+        await asyncio.sleep(20)
         assert 'job/2' not in bench.store.rows
 
     async def test_an_outage_delays_commits_until_their_deadline(self, bench):
--- a/tests/test_coordination_world.py
+++ b/tests/test_coordination_world.py
@@ -289,6 +289,7 @@
             ),
         )
         self.stops = {}
+        self.count = 0
         self.runner.run(self.set_up())
 
     async def set_up(self):
@@ -318,8 +319,8 @@
     )
     def start(self, domain, rate, wait_ms):
         async def start_node():
-            name = f'p{len(self.world.store.applied)}'
-            self.world.start(name, domain, rate=rate)
+            self.count += 1
+            self.world.start(f'p{self.count}', domain, rate=rate)
 
         self.runner.run(start_node())
         self.run_for(wait_ms)
