--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -3,17 +3,12 @@
 """
 
 import asyncio
-import random
-from collections.abc import Callable
-from typing import Any
 
 from virtual_time import VirtualClock, run_virtual
 
 from hawthornpier.messages import (
     ABSENT_VERSION,
     Row,
-    RowCheck,
-    Transaction,
     TransactionResult,
 )
 from hawthornpier.ports import StoreAnswerLostError, StoreUnavailableError
@@ -28,22 +23,17 @@
     *on_apply* sees each transaction just before its writes.
     """
 
-    def __init__(
-        self,
-        *,
-        forgets_ids: bool = False,
-        on_apply: Callable[[Transaction], None] | None = None,
-    ) -> None:
-        self.rows: dict[str, Row] = {}
-        self.applied: list[Transaction] = []
+    def __init__(self, *, forgets_ids=False):
+        self.rows = {}
+        self.applied = []
         self.is_out = False
         self.forgets_ids = forgets_ids
         self.ignores_checks = False
-        self.on_apply = on_apply
-        self._results: dict[str, TransactionResult] = {}
+        self.on_apply = None
+        self._results = {}
         self._version = 0
 
-    def apply(self, transaction: Transaction) -> TransactionResult:
+    def apply(self, transaction):
         known = self._results.get(transaction.transaction_id)
         if known is not None and not self.forgets_ids:
             return known
@@ -59,12 +49,12 @@
         self._results[transaction.transaction_id] = answer
         return answer
 
-    def _fails(self, check: RowCheck) -> bool:
+    def _fails(self, check):
         row = self.rows.get(check.key)
         version = ABSENT_VERSION if row is None else row.version
         return version != check.version and not self.ignores_checks
 
-    def _commit(self, transaction: Transaction) -> TransactionResult:
+    def _commit(self, transaction):
         if self.on_apply is not None:
             self.on_apply(transaction)
         written = []
@@ -84,21 +74,21 @@
     The clock of a process whose tasks do not run while it is paused.
     """
 
-    def __init__(self, *, rate: float = 1.0) -> None:
+    def __init__(self, *, rate=1.0):
         super().__init__(rate=rate)
         self._running = asyncio.Event()
         self._running.set()
 
-    def pause(self) -> None:
+    def pause(self):
         self._running.clear()
 
-    def resume(self) -> None:
+    def resume(self):
         self._running.set()
 
-    async def until_running(self) -> None:
+    async def until_running(self):
         await self._running.wait()
 
-    async def sleep_ms(self, duration_ms: float) -> None:
+    async def sleep_ms(self, duration_ms):
         await super().sleep_ms(duration_ms)
         await self.until_running()
 
@@ -112,21 +102,16 @@
     *delay_ms* after it was sent.
     """
 
-    def __init__(
-        self,
-        store: FakeStore,
-        clock: PausableClock,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, store, clock, rng):
         self.store = store
         self.lost_percent = 0
         self.delay_ms = 2
         self.is_cut_off = False
         self._clock = clock
         self._rng = rng
-        self._arriving: set[asyncio.Task[TransactionResult | None]] = set()
+        self._arriving = set()
 
-    async def transact(self, transaction: Transaction) -> TransactionResult:
+    async def transact(self, transaction):
         self._refuse_if_cut_off()
         arriving = asyncio.ensure_future(self._arrive(transaction))
         self._arriving.add(arriving)
@@ -139,13 +124,13 @@
             raise StoreAnswerLostError('the answer was lost')
         return answer
 
-    async def read(self, key: str) -> Row | None:
+    async def read(self, key):
         return next(iter(await self._rows(lambda other: other == key)), None)
 
-    async def scan(self, prefix: str) -> tuple[Row, ...]:
+    async def scan(self, prefix):
         return await self._rows(lambda other: other.startswith(prefix))
 
-    async def _rows(self, has_key: Callable[[str], bool]) -> tuple[Row, ...]:
+    async def _rows(self, has_key):
         self._refuse_if_cut_off()
         await self._travel()
         if self.store.is_out:
@@ -155,41 +140,38 @@
         await self._return()
         return found
 
-    async def _arrive(
-        self,
-        transaction: Transaction,
-    ) -> TransactionResult | None:
+    async def _arrive(self, transaction):
         await self._travel()
         if self._is_lost():
             # Arrives long after the caller has given up.
             await asyncio.sleep(8)
         return None if self.store.is_out else self.store.apply(transaction)
 
-    def _refuse_if_cut_off(self) -> None:
+    def _refuse_if_cut_off(self):
         if self.is_cut_off:
             raise StoreUnavailableError('no route to the store')
 
-    def _is_lost(self) -> bool:
+    def _is_lost(self):
         return self._rng.randrange(100) < self.lost_percent
 
-    async def _travel(self) -> None:
+    async def _travel(self):
         await asyncio.sleep(self._rng.uniform(0, self.delay_ms) / 1000)
 
-    async def _return(self) -> None:
+    async def _return(self):
         await self._travel()
         await self._clock.until_running()
         if self.is_cut_off:
             raise StoreAnswerLostError('the answer was lost')
 
 
-def virtual_tests(make: Callable[..., Any]) -> Callable[[type], type]:
+def virtual_tests(make):
     """
     Run each test of a class in virtual time, on what *make* returns.
 
     The attribute `options` of the class holds the arguments of *make*.
     """
 
-    def decorate(test_class: type) -> type:
+    def decorate(test_class):
         for name, test in tuple(test_class.__dict__.items()):
             if name.startswith('test_'):
                 setattr(test_class, name, _wrap(test, make))
@@ -198,12 +180,9 @@
     return decorate
 
 
-def _wrap(
-    test: Callable[..., Any],
-    make: Callable[..., Any],
-) -> Callable[[Any], None]:
-    def run(case: Any) -> None:
-        async def scenario() -> None:
+def _wrap(test, make):
+    def run(case):
+        async def scenario():
             subject = make(**getattr(case, 'options', {}))
             await test(case, subject)
             subject.finish()
--- a/tests/test_coordination_commit.py
+++ b/tests/test_coordination_commit.py
@@ -3,108 +3,87 @@
 """
 
 import asyncio
-import random
 
 import pytest
-from fake_store import (
-    FakeStore,
-    FakeStorePort,
-    PausableClock,
-    virtual_tests,
-)
-
-from hawthornpier.coordination import (
-    CommitClosedError,
-    CommitConflictError,
-    CommitDeposedError,
-    CommitLimits,
-    CommitNotAppliedError,
-    CommitUnknownError,
-    GroupCommit,
-    OwnedShard,
-)
+from fake_store import FakeStore, virtual_tests
+from test_coordination_world import Process
+
+from hawthornpier import coordination as co
 from hawthornpier.messages import RowCheck, RowPut, Transaction
 from hawthornpier.ports import StoreAnswerLostError
 
 _OWNER_KEY = 'owner/ipoh/0'
 
 
-class Bench:
+class Bench(Process):
     """
     One owned shard with its group commit.
     """
 
-    def __init__(self, **options: object) -> None:
-        self.store = FakeStore(forgets_ids=options.get('has_marker_row', False))
-        self.clock = PausableClock()
-        self.port = FakeStorePort(self.store, self.clock, random.Random(0))
-        self.deposed: list[str] = []
+    def __init__(self, **options):
+        self.store = FakeStore(forgets_ids='has_marker_row' in options)
+        super().__init__(self.store, 'p0', 'ipoh')
+        self.tasks.pop().cancel()
+        self.deposed = []
         self.options = options
         self.commits = self.open(1)
 
-    def finish(self) -> None:
+    def finish(self):
         ids = [entry.transaction_id for entry in self.store.applied]
         assert len(ids) == len(set(ids))
 
-    def depose(self, epoch: int) -> int:
+    def depose(self, epoch):
         transaction = Transaction(
             transaction_id=f'own {epoch}',
             puts=(RowPut(key=_OWNER_KEY, text=str(epoch)),),
         )
         return self.store.apply(transaction).rows[0].version
 
-    def open(self, epoch: int, **options: int) -> GroupCommit:
-        owned = OwnedShard(
+    def open(self, epoch, **options):
+        owned = co.OwnedShard(
             shard='ipoh/0',
             epoch=epoch,
             version=self.depose(epoch),
             incarnation='i',
             must_wait_until_ms=0,
         )
-        commits = GroupCommit(
+        commits = co.GroupCommit(
             owned,
             self.port,
             self.clock,
-            CommitLimits(**self.options, **options),
+            co.CommitLimits(**self.options, **options),
             on_deposed=self._on_deposed,
-            rng=random.Random(epoch),
         )
-        self.running = asyncio.create_task(commits.run())
+        self.tasks.append(asyncio.create_task(commits.run()))
         return commits
 
-    async def put(
-        self,
-        key: str,
-        text: str = '',
-        *,
-        checks: dict[str, int] | None = None,
-        limit_ms: int = 10_000,
-    ) -> int:
+    async def put(self, key, text='', *, expected=(), limit_ms=10_000):
         versions = await self.commits.commit(
             [RowPut(key=key, text=text)],
-            checks=[
-                RowCheck(key=name, version=version)
-                for name, version in (checks or {}).items()
-            ],
+            checks=[RowCheck(key='key/1', version=n) for n in expected],
             deadline_ms=self.clock.monotonic_ms() + limit_ms,
         )
         return versions[key]
 
-    def commit_count(self) -> int:
+    async def until_written(self, key):
+        while key not in self.store.rows:
+            await asyncio.sleep(0.001)
+
+    def commit_count(self):
         ids = [entry.transaction_id for entry in self.store.applied]
         return sum(name.startswith('commit.') for name in ids)
 
-    def lose_next_answer(self) -> None:
+    def lose_next_answer(self):
         transact = self.port.transact
 
-        async def lose(transaction: Transaction) -> None:
+        async def lose(transaction):
             self.port.transact = transact
             await transact(transaction)
             raise StoreAnswerLostError('the answer was lost')
 
         self.port.transact = lose
 
-    async def _on_deposed(self, shard: str, epoch: int) -> None:
+    async def _on_deposed(self, shard, epoch):
         self.deposed.append(f'{shard} {epoch}')
 
 
@@ -151,10 +130,10 @@
         await bench.put('job/1')
         bench.lose_next_answer()
         writing = asyncio.create_task(bench.put('job/2'))
-        await asyncio.sleep(0.012)
+        await bench.until_written('job/2')
         bench.depose(2)
         assert await writing == bench.store.rows['job/2'].version
-        with pytest.raises(CommitDeposedError):
+        with pytest.raises(co.CommitDeposedError):
             await bench.put('job/3')
 
     async def test_a_deposed_owner_commits_nothing(self, bench):
@@ -164,7 +143,7 @@
         bench.depose(2)
         writes = [bench.put('job/1'), bench.put('job/2')]
         results = await asyncio.gather(*writes, return_exceptions=True)
-        assert {type(error) for error in results} == {CommitDeposedError}
+        assert {type(error) for error in results} == {co.CommitDeposedError}
         assert bench.commits.is_closed
         assert bench.deposed == ['ipoh/0 1']
         assert bench.commit_count() == 0
@@ -175,11 +154,11 @@
         """
         results = await asyncio.gather(
             bench.put('job/1'),
-            bench.put('job/2', checks={'key/1': 17}),
-            bench.put('job/3', checks={'key/1': 0}),
+            bench.put('job/2', expected=[17]),
+            bench.put('job/3', expected=[0]),
             return_exceptions=True,
         )
-        assert isinstance(results[1], CommitConflictError)
+        assert isinstance(results[1], co.CommitConflictError)
         assert 'job/2' not in bench.store.rows
         assert bench.store.rows['job/1'].version == results[0]
         assert bench.store.rows['job/3'].version == results[2]
@@ -189,11 +168,11 @@
         Two commits of one interval cannot both create the same row.
         """
         results = await asyncio.gather(
-            bench.put('key/1', 'first', checks={'key/1': 0}),
-            bench.put('key/1', 'second', checks={'key/1': 0}),
+            bench.put('key/1', 'first', expected=[0]),
+            bench.put('key/1', 'second', expected=[0]),
             return_exceptions=True,
         )
-        assert isinstance(results[1], CommitConflictError)
+        assert isinstance(results[1], co.CommitConflictError)
         assert bench.store.rows['key/1'].text == 'first'
 
     async def test_deadlines_tell_unknown_from_not_applied(self, bench):
@@ -204,9 +183,9 @@
         sent = asyncio.create_task(bench.put('job/1', limit_ms=500))
         await asyncio.sleep(0.1)
         late = asyncio.create_task(bench.put('job/2', limit_ms=500))
-        with pytest.raises(CommitUnknownError):
+        with pytest.raises(co.CommitUnknownError):
             await sent
-        with pytest.raises(CommitNotAppliedError):
+        with pytest.raises(co.CommitNotAppliedError):
             await late
         await asyncio.sleep(20)
         assert 'job/2' not in bench.store.rows
@@ -219,7 +198,7 @@
         short = asyncio.create_task(bench.put('job/1', limit_ms=2_000))
         long = asyncio.create_task(bench.put('job/2', limit_ms=60_000))
         await asyncio.sleep(30)
-        with pytest.raises((CommitNotAppliedError, CommitUnknownError)):
+        with pytest.raises((co.CommitNotAppliedError, co.CommitUnknownError)):
             await short
         bench.store.is_out = False
         await long
@@ -233,7 +212,7 @@
         writing = asyncio.create_task(bench.put('job/1'))
         await asyncio.sleep(0)
         await bench.commits.drain()
-        with pytest.raises(CommitClosedError):
+        with pytest.raises(co.CommitClosedError):
             await bench.put('job/2')
         assert await writing == bench.store.rows['job/1'].version
 
@@ -261,10 +240,10 @@
         bench.commits = bench.open(2, retry_min_ms=200)
         bench.lose_next_answer()
         writing = asyncio.create_task(bench.put('job/2'))
-        await asyncio.sleep(0.012)
+        await bench.until_written('job/2')
         for epoch in (3, 4):
             later = bench.open(epoch)
             row = RowPut(key='job/3', text='')
             await later.commit([row], deadline_ms=10_000)
-        with pytest.raises(CommitUnknownError):
+        with pytest.raises(co.CommitUnknownError):
             await writing
--- a/tests/test_coordination_hosts.py
+++ b/tests/test_coordination_hosts.py
@@ -7,19 +7,8 @@
 
 from fake_store import PausableClock, virtual_tests
 
-from hawthornpier.coordination import (
-    HostView,
-    HostViewTimings,
-    ShardWorker,
-    WorkerState,
-    shard_of_rack,
-)
-from hawthornpier.messages import (
-    HostListing,
-    HostRecord,
-    HostState,
-    Resources,
-)
+from hawthornpier import coordination as co
+from hawthornpier import messages as ms
 from hawthornpier.ports import StoreUnavailableError
 
 
@@ -28,46 +17,46 @@
     A host list whose content the test sets, and the view of it.
     """
 
-    def __init__(self) -> None:
-        self.states = dict.fromkeys('abc', HostState.LIVE)
+    def __init__(self):
+        self.states = dict.fromkeys('abc', ms.HostState.LIVE)
         self.is_out = False
-        self.changes: list[tuple[str, WorkerState]] = []
-        self.view = HostView(
+        self.changes = []
+        self.view = co.HostView(
             self,
             PausableClock(),
-            HostViewTimings(),
+            co.HostViewTimings(),
             shard_count=2,
             on_change=self._on_change,
         )
         self.reading = asyncio.create_task(self.view.run())
 
-    def finish(self) -> None:
+    def finish(self):
         assert not self.reading.done()
 
-    async def listing(self) -> HostListing:
+    async def listing(self):
         if self.is_out:
             raise StoreUnavailableError('the store is out')
-        return HostListing(
+        return ms.HostListing(
             hosts=tuple(
-                HostRecord(
+                ms.HostRecord(
                     worker_id=worker_id,
                     address=worker_id,
                     region='semenanjung',
                     failure_domain='ipoh',
                     rack='r1',
-                    capacity=Resources(slot_count=8),
+                    capacity=ms.Resources(slot_count=8),
                     state=state,
                 )
                 for worker_id, state in self.states.items()
             ),
         )
 
-    def live(self) -> str:
-        shard = shard_of_rack('ipoh', 'r1', 2)
+    def live(self):
+        shard = co.shard_of_rack('ipoh', 'r1', 2)
         workers = self.view.live_workers(shard)
         return ''.join(worker.record.worker_id for worker in workers)
 
-    async def _on_change(self, worker: ShardWorker) -> None:
+    async def _on_change(self, worker: co.ShardWorker):
         self.changes.append((worker.record.worker_id, worker.state))
 
 
@@ -83,10 +72,10 @@
         """
         await asyncio.sleep(0.5)
         hosts.changes.clear()
-        hosts.states['b'] = HostState.LEAVING
+        hosts.states['b'] = ms.HostState.LEAVING
         await asyncio.sleep(1.1)
         assert hosts.live() == 'ac'
-        assert hosts.changes == [('b', WorkerState.LEAVING)]
+        assert hosts.changes == [('b', co.WorkerState.LEAVING)]
 
     async def test_an_older_listing_does_not_bring_a_host_back(self, hosts):
         """
@@ -99,7 +88,7 @@
             assert hosts.live() == 'ac'
         hosts.states.pop('b')
         await asyncio.sleep(2)
-        hosts.states['b'] = HostState.LIVE
+        hosts.states['b'] = ms.HostState.LIVE
         await asyncio.sleep(2)
         assert hosts.live() == 'ac'
 
@@ -112,7 +101,7 @@
         await hosts.view.report_leaving('b')
         hosts.states.pop('b')
         await asyncio.sleep(7)
-        hosts.states['b'] = HostState.LIVE
+        hosts.states['b'] = ms.HostState.LIVE
         await asyncio.sleep(1)
         assert hosts.live() == 'bc'
         await asyncio.sleep(30)
@@ -134,9 +123,9 @@
         await hosts.view.report_reachable('c')
         assert hosts.live() == 'ab'
         assert hosts.changes == [
-            ('a', WorkerState.UNREACHABLE),
-            ('c', WorkerState.LEAVING),
-            ('a', WorkerState.LIVE),
+            ('a', co.WorkerState.UNREACHABLE),
+            ('c', co.WorkerState.LEAVING),
+            ('a', co.WorkerState.LIVE),
         ]
 
     async def test_racks_spread_over_the_shards(self, hosts):
@@ -144,7 +133,7 @@
         The racks of a large domain are shared evenly among its shards.
         """
         counts = Counter(
-            shard_of_rack('ipoh', f'rack-{number}', 8)
+            co.shard_of_rack('ipoh', f'rack-{number}', 8)
             for number in range(8_000)
         )
         assert len(counts) == 8
--- a/tests/test_coordination_membership.py
+++ b/tests/test_coordination_membership.py
@@ -3,24 +3,15 @@
 """
 
 import asyncio
-from dataclasses import replace
+import contextlib
+from dataclasses import asdict, replace
 
 from fake_store import FakeStore, virtual_tests
 from test_coordination_world import Process
 
-from hawthornpier.coordination import (
-    ConfirmationTimings,
-    Membership,
-    MembershipTimings,
-    TableConfirmation,
-)
-from hawthornpier.messages import (
-    ClockStamp,
-    Heartbeat,
-    HeartbeatReply,
-    ShardLoad,
-)
-from hawthornpier.ports import PeerUnreachableError
+from hawthornpier import coordination as co
+from hawthornpier import messages as ms
+from hawthornpier.ports import PeerUnreachableError, PortError
 
 
 class Peer(Process):
@@ -30,22 +21,21 @@
 
     def __init__(self, network, process_id):
         super().__init__(network.store, process_id, process_id.split('-')[0])
-        self.network = network
         self.version = 1
         self.epoch = 1
         self.count = 0
         self.is_leaving = False
-        self.confirmation = TableConfirmation(
+        self.confirmation = co.TableConfirmation(
             process_id,
             self.clock,
-            ConfirmationTimings(),
+            co.ConfirmationTimings(),
             known_ids=lambda: self.directory.last_known_ids,
             is_store_out=lambda: self.lease.store_is_out,
         )
-        self.members = Membership(
+        self.members = co.Membership(
             self.identity,
             self.clock,
-            MembershipTimings(),
+            network.timings,
             self.directory,
             connect=lambda address: Wire(network, process_id, address),
             describe=self.describe,
@@ -54,46 +44,39 @@
         self.tasks.append(asyncio.create_task(self.members.run()))
         self.tasks.append(asyncio.create_task(self.read_store()))
 
-    def describe(self) -> Heartbeat:
+    def describe(self):
         self.count += 1
         age_ms = self.confirmation.age_ms
-        load = ShardLoad(
-            shard=f'{self.identity.failure_domain}/{self.identity.process_id}',
+        load = ms.ShardLoad(
+            shard=f'{self.identity.failure_domain}/{self.process_id}',
             epoch=self.epoch,
             free_slot_count=self.count,
             slot_count=8,
             queued_request_count=0,
             queued_task_count=0,
         )
-        return Heartbeat(
-            process_id=self.identity.process_id,
+        return ms.Heartbeat(
+            **asdict(self.identity),
             incarnation=self.lease.incarnation,
-            address=self.identity.address,
-            region=self.identity.region,
-            failure_domain=self.identity.failure_domain,
             table_version=self.version,
             table_age_ms=-1 if age_ms is None else age_ms,
             is_store_out=self.lease.store_is_out,
             is_leaving=self.is_leaving,
-            stamp=ClockStamp(
+            stamp=ms.ClockStamp(
                 wall_ms=self.clock.wall_ms(),
                 counter=self.count,
-                process_id=self.identity.process_id,
+                process_id=self.process_id,
             ),
             loads=(load,),
         )
 
-    async def read_store(self) -> None:
+    async def read_store(self):
+        domain = self.identity.failure_domain
         while True:
             sent_ms = self.clock.monotonic_ms()
-            try:
+            with contextlib.suppress(PortError):
                 await self.directory.refresh()
-            except Exception:
-                self.network.failure_count += 1
-            else:
-                domain = self.identity.failure_domain
-                if self.members.reader_of(domain) == self.identity.process_id:
-                    self.version = self.network.version
+                if self.members.reader_of(domain) == self.process_id:
                     self.confirmation.note_head(self.version, sent_ms)
             # Stands for the deltas that peers fetch from each other.
             seen = self.members.table_version_seen()
@@ -101,7 +84,7 @@
             self.confirmation.note_version(self.version)
             await self.clock.sleep_ms(500)
 
-    def live_ids(self) -> set[str]:
+    def live_ids(self):
         return {view.process_id for view in self.members.live_peers()}
 
 
@@ -110,55 +93,47 @@
     The `PeerPort` from one process to another.
     """
 
-    def __init__(self, network: 'Network', source: str, target: str) -> None:
+    def __init__(self, network, source, target):
         self.network = network
-        self.source = source
-        self.target = target
+        self.ends = source, target
 
-    async def heartbeat(self, heartbeat: Heartbeat) -> HeartbeatReply:
-        network = self.network
-        network.sent.append((self.source, self.target))
-        if network.side(self.source) != network.side(self.target):
+    async def heartbeat(self, heartbeat):
+        self.network.sent.append(self.ends)
+        source, target = map(self.network.processes.get, self.ends)
+        if len(self.network.cut_off.intersection(self.ends)) == 1:
             raise PeerUnreachableError('no route')
-        target = network.processes[self.target]
         await target.clock.until_running()
         await asyncio.sleep(0.012)
         reply = target.members.answer(heartbeat)
-        await network.processes[self.source].clock.until_running()
+        await source.clock.until_running()
         return reply
 
 
 class Network:
     """
-    All processes, the store, and the partition between them.
+    All processes, the store, and the processes on one side of a partition.
     """
 
-    def __init__(self) -> None:
+    def __init__(self):
         self.store = FakeStore()
-        self.version = 1
-        self.processes: dict[str, Process] = {}
-        self.cut_off: set[str] = set()
-        self.sent: list[tuple[str, str]] = []
-        self.failure_count = 0
+        self.processes = {}
+        self.cut_off = set()
+        self.sent = []
+        self.timings = co.MembershipTimings()
 
-    def finish(self) -> None:
+    def finish(self):
         for process in self.processes.values():
             assert not any(task.done() for task in process.tasks)
 
-    def side(self, process_id: str) -> bool:
-        return process_id in self.cut_off
+    def start(self, *names):
+        started = {name: Peer(self, name) for name in names}
+        self.processes.update(started)
+        return list(started.values())
 
-    def start(self, *process_ids):
-        started = [Peer(self, process_id) for process_id in process_ids]
-        self.processes.update(
-            (process.identity.process_id, process) for process in started
-        )
-        return started
-
-    def admitting(self) -> set[str]:
+    def admitting(self):
         return {
-            process_id
-            for process_id, process in self.processes.items()
+            name
+            for name, process in self.processes.items()
             if process.confirmation.may_admit()
         }
 
@@ -311,6 +286,19 @@
         assert network.admitting() == set(_NAMES)
         assert not first.confirmation.may_accept_edits()
 
+    async def test_majorities_of_several_domains(self, network):
+        """
+        With heartbeats among all, each process can tell a shared outage.
+        """
+        network.timings = co.MembershipTimings(is_full_mesh=True)
+        names = {'ipoh-1', 'ipoh-2', 'melaka-1', 'melaka-2', 'melaka-3'}
+        first = network.start(*sorted(names))[0]
+        await asyncio.sleep(6)
+        assert first.confirmation.may_accept_edits()
+        network.store.is_out = True
+        await asyncio.sleep(10)
+        assert network.admitting() == names
+
     async def test_a_minority_stops_even_if_the_store_is_out(self, network):
         """
         Processes that hear only a minority cannot tell an outage for all.
--- a/tests/test_coordination_ownership.py
+++ b/tests/test_coordination_ownership.py
@@ -5,7 +5,7 @@
 from fake_store import virtual_tests
 from test_coordination_world import World
 
-from hawthornpier.coordination import OwnershipTimings
+from hawthornpier import coordination as co
 
 
 def owned_count(node):
@@ -215,7 +215,7 @@
         """
         The check fails when no process may claim the shards in time.
         """
-        world.ownership_timings = OwnershipTimings(
+        world.ownership_timings = co.OwnershipTimings(
             foreign_grace_ms=3_600_000,
         )
         world.start('p0', 'melaka')
--- a/tests/test_coordination_world.py
+++ b/tests/test_coordination_world.py
@@ -14,20 +14,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from hawthornpier.coordination import (
-    CommitLimits,
-    CommitNotAppliedError,
-    CommitUnknownError,
-    CoordinationError,
-    GroupCommit,
-    LeaseTimings,
-    OwnershipTimings,
-    ProcessDirectory,
-    ProcessIdentity,
-    ProcessLease,
-    ShardOwnership,
-    StoreLink,
-)
+from hawthornpier import coordination as co
 from hawthornpier.messages import RowPut
 from hawthornpier.ports import PortError
 
@@ -44,26 +31,26 @@
     """
 
     def __init__(self, store, process_id, domain, *, rate=1.0, lease_ms=3_000):
-        timings = LeaseTimings(lease_ms=lease_ms)
+        timings = co.LeaseTimings(lease_ms=lease_ms)
         self.process_id = process_id
         self.rng = random.Random(f'{process_id} {len(store.applied)}')
         self.clock = PausableClock(rate=rate)
         self.port = FakeStorePort(store, self.clock, self.rng)
-        self.link = StoreLink(self.port, self.clock, timings)
-        self.identity = ProcessIdentity(
+        self.link = co.StoreLink(self.port, self.clock, timings)
+        self.identity = co.ProcessIdentity(
             process_id=process_id,
             address=process_id,
             region='semenanjung',
             failure_domain=domain,
         )
-        self.lease = ProcessLease(
+        self.lease = co.ProcessLease(
             self.identity,
             self.link,
             self.clock,
             timings,
             rng=self.rng,
         )
-        self.directory = ProcessDirectory(self.link, self.clock, timings)
+        self.directory = co.ProcessDirectory(self.link, self.clock, timings)
         self.tasks = [asyncio.create_task(self.lease.run())]
 
 
@@ -76,7 +63,7 @@
         super().__init__(world.store, process_id, domain, **options)
         self.world = world
         self.commits = {}
-        self.ownership = ShardOwnership(
+        self.ownership = co.ShardOwnership(
             world.shards,
             self.lease,
             self.directory,
@@ -95,7 +82,7 @@
             task.cancel()
 
     async def stop(self):
-        with contextlib.suppress(CoordinationError, PortError):
+        with contextlib.suppress(co.CoordinationError, PortError):
             await self.lease.announce_leaving()
         await self.ownership.hand_over_all()
         await self.lease.release()
@@ -103,7 +90,7 @@
 
     async def on_gain(self, owned):
         self.world.check_holders()
-        commits = GroupCommit(
+        commits = co.GroupCommit(
             owned,
             self.link,
             self.clock,
@@ -142,9 +129,9 @@
                 [RowPut(key=key, text=text)],
                 deadline_ms=self.clock.monotonic_ms() + limit_ms,
             )
-        except CommitNotAppliedError:
+        except co.CommitNotAppliedError:
             self.world.outcomes[key] = 'not applied'
-        except CommitUnknownError:
+        except co.CommitUnknownError:
             self.world.outcomes[key] = 'unknown'
         else:
             self.world.outcomes[key] = 'acknowledged'
@@ -158,8 +145,8 @@
     def __init__(self, *, domains=('ipoh',), has_marker_row=False):
         self.store = FakeStore(forgets_ids=has_marker_row)
         self.store.on_apply = self.check_transaction
-        self.ownership_timings = OwnershipTimings()
-        self.commit_limits = CommitLimits(has_marker_row=has_marker_row)
+        self.ownership_timings = co.OwnershipTimings()
+        self.commit_limits = co.CommitLimits(has_marker_row=has_marker_row)
         count = 4 // len(domains)
         self.shards = [f'{name}/{n}' for name in domains for n in range(count)]
         self.nodes = []
