--- a/src/hawthornpier/coordination/_claims.py
+++ b/src/hawthornpier/coordination/_claims.py
@@ -65,7 +65,7 @@
 
 
 def pick_hand_over(
-    process_id: str,
+    own: Claimant,
     owned_shards: Iterable[str],
     claimants: Sequence[Claimant],
     owned_counts: Mapping[str, int],
@@ -77,19 +77,27 @@
     domain goes to the process with the fewest shards if that differs by two
     or more, so that a shard never moves back and forth.
 
+    Args:
+        own: This process.
+        owned_shards: The shards that it owns.
+        claimants: The processes that may get one.
+        owned_counts: How many shards each process owns now.
+
     Returns:
         The shard and the id of its successor, or None if all is balanced.
     """
-    domains = {entry.process_id: entry.failure_domain for entry in claimants}
     for shard in sorted(owned_shards):
         domain = failure_domain_of(shard)
-        others = domains.keys() - {process_id}
         best_count, best = _least_loaded(
-            {other for other in others if domains[other] == domain},
+            (
+                entry.process_id
+                for entry in claimants
+                if entry.failure_domain == domain and entry != own
+            ),
             owned_counts,
         )
-        excess = owned_counts.get(process_id, 0) - best_count
-        is_foreign = domains.get(process_id) != domain
+        excess = owned_counts.get(own.process_id, 0) - best_count
+        is_foreign = own.failure_domain != domain
         if best and (excess >= 2 or is_foreign):
             return shard, best
     return None
--- a/src/hawthornpier/coordination/_directory.py
+++ b/src/hawthornpier/coordination/_directory.py
@@ -22,12 +22,16 @@
 class ObservedProcess:
     """
     A process row, and since when it was seen unchanged.
+
+    *has_renewed* says that this incarnation was seen to renew its row.  A row
+    alone may come from a message that arrived after its sender had died.
     """
 
     process_id: str
     row: ProcessRow
     version: int
     unchanged_since_ms: int
+    has_renewed: bool = False
 
 
 class ProcessDirectory:
@@ -105,6 +109,16 @@
             return False
         return self._unchanged_ms(observed) < self._timings.lease_ms
 
+    def is_fresh(self, process_id: str) -> bool:
+        """
+        Tell whether the process was just seen to renew its lease.
+        """
+        observed = self._observed.get(process_id)
+        if observed is None or not observed.has_renewed:
+            return False
+        limit_ms = self._timings.renew_interval_ms * 2
+        return self._unchanged_ms(observed) < limit_ms
+
     async def refresh(self) -> None:
         """
         Read the rows again.
@@ -147,11 +161,16 @@
             if is_gap:
                 return replace(known, unchanged_since_ms=now_ms)
             return known
+        record = decode(row, ProcessRow)
         return ObservedProcess(
             process_id=process_id,
-            row=decode(row, ProcessRow),
+            row=record,
             version=row.version,
             unchanged_since_ms=now_ms,
+            has_renewed=(
+                known is not None
+                and known.row.incarnation == record.incarnation
+            ),
         )
 
     def _unchanged_ms(self, observed: ObservedProcess) -> int:
--- a/src/hawthornpier/coordination/_ownership.py
+++ b/src/hawthornpier/coordination/_ownership.py
@@ -11,7 +11,7 @@
     OwnedShard,
     owned_shard,
 )
-from hawthornpier.coordination._claims import pick_hand_over
+from hawthornpier.coordination._claims import Claimant, pick_hand_over
 from hawthornpier.coordination._directory import ProcessDirectory
 from hawthornpier.coordination._lease import ProcessLease
 from hawthornpier.coordination._lease_row import LeaseWrite
@@ -296,9 +296,14 @@
             return None
         if self._link.is_out or not self._lease.is_held:
             return None
+        identity = self._lease.identity
         return pick_hand_over(
-            self._lease.process_id,
+            Claimant(
+                process_id=identity.process_id,
+                region=identity.region,
+                failure_domain=identity.failure_domain,
+            ),
             self._owned,
-            self._vacancies.claimants(),
+            self._vacancies.successors(),
             self._vacancies.owned_counts(self.owners),
         )
--- a/src/hawthornpier/coordination/_vacancies.py
+++ b/src/hawthornpier/coordination/_vacancies.py
@@ -48,6 +48,16 @@
         self._regions: dict[str, str] = {}
         self._settled_ms: int | None = None
 
+    def successors(self) -> tuple[Claimant, ...]:
+        """
+        Return the processes that a shard may be handed over to.
+        """
+        return tuple(
+            claimant
+            for claimant in self.claimants()
+            if self._directory.is_fresh(claimant.process_id)
+        )
+
     def claimants(self) -> tuple[Claimant, ...]:
         """
         Return the live processes that do not leave.
@@ -103,15 +113,22 @@
         self._vacant_since_ms = {
             shard: self._vacant_since_ms.get(shard, now_ms) for shard in vacant
         }
+        vacancies = [self._vacancy(name, owners.get(name)) for name in vacant]
         ranking = rank_claimants(
-            [self._vacancy(shard, owners.get(shard)) for shard in vacant],
+            vacancies,
             claimants,
             self.owned_counts(owners),
         )
+        handed_over = {
+            vacancy.shard
+            for vacancy in vacancies
+            if vacancy.successor == self._lease.process_id
+        }
         return tuple(
             shard
             for shard, ranked in ranking.items()
-            if self._is_left_over(owners.get(shard))
+            if shard in handed_over
+            or self._is_left_over(owners.get(shard))
             or self._is_turn(shard, ranked)
         )
 
--- a/tests/test_coordination_ownership.py
+++ b/tests/test_coordination_ownership.py
@@ -2,6 +2,8 @@
 Tests of the process lease and of shard ownership.
 """
 
+import asyncio
+
 from fake_store import virtual_tests
 from test_coordination_world import World
 
@@ -49,6 +51,68 @@
         regained = first.ownership.owned.values()
         assert all(owned.epoch > 1 for owned in regained)
 
+    async def test_a_renewal_beats_a_takeover(self, world):
+        """
+        A takeover fails if the owner renewed its lease just before it.
+        """
+        first, second = world.start('p0'), world.start('p1')
+        await world.run_for(3_000)
+        owned = dict(first.ownership.owned)
+        first.port.is_cut_off = True
+        transact = second.port.transact
+
+        async def renew_first(transaction):
+            if 'process/p0' in transaction.deletes:
+                first.port.is_cut_off = False
+                await first.lease.transact((), ())
+            return await transact(transaction)
+
+        second.port.transact = renew_first
+        await world.run_for(8_000)
+        assert first.ownership.owned == owned
+        assert not first.port.is_cut_off
+
+    async def test_a_pause_during_a_renewal_extends_no_lease(self, world):
+        """
+        The lease counts from before the renewal was sent, not from the answer.
+        """
+        first, second = world.start('p0'), world.start('p1')
+        await world.run_for(3_000)
+        transact = first.port.transact
+
+        async def pause(transaction):
+            if transaction.transaction_id.startswith('lease.'):
+                first.port.transact = transact
+                first.clock.pause()
+            return await transact(transaction)
+
+        first.port.transact = pause
+        await world.run_for(6_000)
+        assert owned_count(second) == 4
+        first.clock.resume()
+        await world.run_for(2_000)
+
+    async def test_a_slow_reading_does_not_age_a_row(self, world):
+        """
+        An observer counts from after it has read a row, not from before.
+        """
+        first, second = world.start('p0'), world.start('p1')
+        await world.run_for(3_000)
+        scan = second.port.scan
+
+        async def scan_slowly(prefix):
+            await asyncio.sleep(1)
+            if prefix != 'process/' or first.port.is_cut_off:
+                return await scan(prefix)
+            await first.lease.transact((), ())
+            rows = await scan(prefix)
+            first.port.is_cut_off = True
+            return rows
+
+        second.port.scan = scan_slowly
+        await world.run_for(12_000)
+        assert owned_count(second) == 4
+
     async def test_an_outage_alone_moves_no_shard(self, world):
         """
         After an outage of the store the owners are the same as before.
