--- a/tests/test_coordination_ownership.py
+++ b/tests/test_coordination_ownership.py
@@ -87,10 +87,13 @@
             return await transact(transaction)
 
         first.port.transact = pause
+        incarnation = first.lease.incarnation
         await world.run_for(6_000)
         assert owned_count(second) == 4
         first.clock.resume()
-        await world.run_for(2_000)
+        while first.lease.incarnation == incarnation:
+            assert not first.lease.is_held
+            await world.run_for(20)
 
     async def test_a_slow_reading_does_not_age_a_row(self, world):
         """
@@ -126,6 +129,10 @@
         assert all(node.lease.store_age_ms > 55_000 for node in nodes)
         assert not any(node.lease.is_held for node in nodes)
         world.store.is_out = False
+        # One process needs 2.5 s longer to reach the store again.
+        nodes[0].port.is_cut_off = True
+        await world.run_for(2_500)
+        nodes[0].port.is_cut_off = False
         await world.run_for(10_000)
         assert not any(node.lease.store_is_out for node in nodes)
         assert [node.ownership.owned for node in nodes] == before
@@ -198,10 +205,14 @@
         twin = world.start('p0')
         await world.run_for(8_000)
         assert twin.lease.version is None
-        world.kill(first)
+        first.clock.pause()
         await world.run_for(8_000)
         assert twin.lease.is_held
         assert owned_count(twin) == 4
+        first.clock.resume()
+        await world.run_for(8_000)
+        assert first.lease.version is None
+        assert twin.lease.is_held
 
 
 @virtual_tests(World)
