--- a/src/hawthornpier/coordination/_directory.py
+++ b/src/hawthornpier/coordination/_directory.py
@@ -2,6 +2,7 @@
 What this process has seen of the lease rows of all processes.
 """
 
+import asyncio
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
@@ -21,12 +22,16 @@
 class ObservedProcess:
     """
     A process row, and since when it was seen unchanged.
+
+    *has_renewed* says that this incarnation was seen to renew its row.  A row
+    alone may come from a message that arrived after its sender had died.
     """
 
     process_id: str
     row: ProcessRow
     version: int
     unchanged_since_ms: int
+    has_renewed: bool = False
 
 
 class ProcessDirectory:
@@ -104,6 +109,16 @@
             return False
         return self._unchanged_ms(observed) < self._timings.lease_ms
 
+    def is_fresh(self, process_id: str) -> bool:
+        """
+        Tell whether the process was just seen to renew its lease.
+        """
+        observed = self._observed.get(process_id)
+        if observed is None or not observed.has_renewed:
+            return False
+        limit_ms = self._timings.renew_interval_ms * 2
+        return self._unchanged_ms(observed) < limit_ms
+
     async def refresh(self) -> None:
         """
         Read the rows again.
@@ -111,8 +126,10 @@
         Raises:
             StoreError: The store did not answer; nothing has changed.
         """
-        rows = await self._link.scan(PROCESS_PREFIX)
-        lost = await self._link.scan(LOST_PREFIX)
+        rows, lost = await asyncio.gather(
+            self._link.scan(PROCESS_PREFIX),
+            self._link.scan(LOST_PREFIX),
+        )
         # The time is taken after the answer: a row's holder measures its
         # lease from a time before the row was written, hence before this.
         now_ms = self._clock.monotonic_ms()
@@ -144,11 +161,16 @@
             if is_gap:
                 return replace(known, unchanged_since_ms=now_ms)
             return known
+        record = decode(row, ProcessRow)
         return ObservedProcess(
             process_id=process_id,
-            row=decode(row, ProcessRow),
+            row=record,
             version=row.version,
             unchanged_since_ms=now_ms,
+            has_renewed=(
+                known is not None
+                and known.row.incarnation == record.incarnation
+            ),
         )
 
     def _unchanged_ms(self, observed: ObservedProcess) -> int:
--- a/src/hawthornpier/coordination/_vacancies.py
+++ b/src/hawthornpier/coordination/_vacancies.py
@@ -4,7 +4,6 @@
 
 from collections import Counter
 from collections.abc import Container, Iterable, Mapping
-from dataclasses import dataclass
 
 from hawthornpier.coordination._claims import (
     Claimant,
@@ -13,39 +12,12 @@
 )
 from hawthornpier.coordination._directory import ProcessDirectory
 from hawthornpier.coordination._lease import ProcessLease
-from hawthornpier.coordination._rows import (
-    OWNER_PREFIX,
-    OwnerRow,
-    decode,
-    failure_domain_of,
-)
+from hawthornpier.coordination._owner_rows import ShardOwner
+from hawthornpier.coordination._rows import failure_domain_of
 from hawthornpier.coordination._timings import OwnershipTimings
-from hawthornpier.messages import Row
 from hawthornpier.ports import Clock
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class ShardOwner:
-    """
-    The owner row of a shard, as last read.
-    """
-
-    shard: str
-    version: int
-    row: OwnerRow
-
-
-def shard_owner(row: Row) -> ShardOwner:
-    """
-    Return the content of an owner row.
-    """
-    return ShardOwner(
-        shard=row.key.removeprefix(OWNER_PREFIX),
-        version=row.version,
-        row=decode(row, OwnerRow),
-    )
-
-
 class VacancyWatch:
     """
     Watches the shards without owners, from the rows that were last read.
@@ -74,6 +46,17 @@
         self._vacant_since_ms: dict[str, int] = {}
         self._empty_since_ms: dict[str, int] = {}
         self._regions: dict[str, str] = {}
+        self._settled_ms: int | None = None
+
+    def successors(self) -> tuple[Claimant, ...]:
+        """
+        Return the processes that a shard may be handed over to.
+        """
+        return tuple(
+            claimant
+            for claimant in self.claimants()
+            if self._directory.is_fresh(claimant.process_id)
+        )
 
     def claimants(self) -> tuple[Claimant, ...]:
         """
@@ -116,6 +99,10 @@
             held: The shards that this process owns or is handing over.
         """
         now_ms = self._clock.monotonic_ms()
+        if self._settled_ms is None:
+            # Of several processes that start together the first would
+            # otherwise claim everything.
+            self._settled_ms = now_ms + self._timings.claim_settle_ms
         claimants = self.claimants()
         self._watch_domains(claimants, now_ms)
         vacant = [
@@ -126,15 +113,23 @@
         self._vacant_since_ms = {
             shard: self._vacant_since_ms.get(shard, now_ms) for shard in vacant
         }
+        vacancies = [self._vacancy(name, owners.get(name)) for name in vacant]
         ranking = rank_claimants(
-            [self._vacancy(shard, owners.get(shard)) for shard in vacant],
+            vacancies,
             claimants,
             self.owned_counts(owners),
         )
+        handed_over = {
+            vacancy.shard
+            for vacancy in vacancies
+            if vacancy.successor == self._lease.process_id
+        }
         return tuple(
             shard
             for shard, ranked in ranking.items()
-            if self._is_turn(shard, ranked, now_ms)
+            if shard in handed_over
+            or self._is_left_over(owners.get(shard))
+            or self._is_turn(shard, ranked)
         )
 
     def successors(
@@ -180,23 +175,28 @@
         return self._directory.is_expired(process_id)
 
     def _is_ownerless(self, owner: ShardOwner | None) -> bool:
-        if owner is None or self.is_vacant(owner):
-            return True
-        # The row names this process, which does not hold the shard: a claim
-        # or a hand-over has ended without a certain answer.
+        return (
+            owner is None or self.is_vacant(owner) or self._is_left_over(owner)
+        )
+
+    def _is_left_over(self, owner: ShardOwner | None) -> bool:
+        """
+        Tell whether the row names this process, which does not hold it.
+
+        A claim or a hand-over then ended without a certain answer.  Only this
+        process can correct it, since all others take the row for valid.
+        """
+        if owner is None:
+            return False
         return owner.row.incarnation == self._lease.incarnation
 
-    def _is_turn(
-        self,
-        shard: str,
-        ranked: tuple[str, ...],
-        now_ms: int,
-    ) -> bool:
+    def _is_turn(self, shard: str, ranked: tuple[str, ...]) -> bool:
         if self._lease.process_id not in ranked:
             return False
+        since_ms = max(self._settled_ms or 0, self._vacant_since_ms[shard])
         rank = ranked.index(self._lease.process_id)
-        vacant_ms = now_ms - self._vacant_since_ms[shard]
-        return vacant_ms >= rank * self._timings.claim_patience_ms
+        due_ms = since_ms + rank * self._timings.claim_patience_ms
+        return self._clock.monotonic_ms() >= due_ms
 
     def _vacancy(self, shard: str, owner: ShardOwner | None) -> Vacancy:
         now_ms = self._clock.monotonic_ms()
--- a/tests/fake_store.py
+++ b/tests/fake_store.py
@@ -1,17 +1,14 @@
 """
-An in-memory table service with faults, and processes that can be paused.
+An in-memory table service with faults, and a clock that can be paused.
 """
 
 import asyncio
-import random
 
-from virtual_time import VirtualClock
+from virtual_time import VirtualClock, run_virtual
 
 from hawthornpier.messages import (
     ABSENT_VERSION,
     Row,
-    RowCheck,
-    Transaction,
     TransactionResult,
 )
 from hawthornpier.ports import StoreAnswerLostError, StoreUnavailableError
@@ -23,28 +20,22 @@
 
     *forgets_ids* applies a repeated transaction again.  *ignores_checks* is a
     planted fault, which tests use to show that their own checks can fail.
+    *on_apply* sees each transaction just before its writes.
     """
 
-    def __init__(
-        self,
-        *,
-        forgets_ids: bool = False,
-        ignores_checks: bool = False,
-    ) -> None:
-        self.rows: dict[str, Row] = {}
-        self.applied: list[Transaction] = []
+    def __init__(self, *, forgets_ids=False):
+        self.rows = {}
+        self.applied = []
         self.is_out = False
-        self._forgets_ids = forgets_ids
-        self._ignores_checks = ignores_checks
-        self._results: dict[str, TransactionResult] = {}
+        self.forgets_ids = forgets_ids
+        self.ignores_checks = False
+        self.on_apply = None
+        self._results = {}
         self._version = 0
 
-    def apply(self, transaction: Transaction) -> TransactionResult:
-        """
-        Apply the transaction now, or return its first result.
-        """
+    def apply(self, transaction):
         known = self._results.get(transaction.transaction_id)
-        if known is not None and not self._forgets_ids:
+        if known is not None and not self.forgets_ids:
             return known
         failed = [check for check in transaction.checks if self._fails(check)]
         if failed:
@@ -58,12 +49,14 @@
         self._results[transaction.transaction_id] = answer
         return answer
 
-    def _fails(self, check: RowCheck) -> bool:
+    def _fails(self, check):
         row = self.rows.get(check.key)
         version = ABSENT_VERSION if row is None else row.version
-        return version != check.version and not self._ignores_checks
+        return version != check.version and not self.ignores_checks
 
-    def _commit(self, transaction: Transaction) -> TransactionResult:
+    def _commit(self, transaction):
+        if self.on_apply is not None:
+            self.on_apply(transaction)
         written = []
         for key in transaction.deletes:
             self.rows.pop(key, None)
@@ -81,103 +74,124 @@
     The clock of a process whose tasks do not run while it is paused.
     """
 
-    def __init__(self, *, rate: float = 1.0) -> None:
+    def __init__(self, *, rate=1.0):
         super().__init__(rate=rate)
         self._running = asyncio.Event()
         self._running.set()
 
     @property
-    def is_running(self) -> bool:
-        """
-        Tell whether the process is not paused.
-        """
+    def is_running(self):
         return self._running.is_set()
 
-    def pause(self) -> None:
-        """
-        Let no task of the process get past its next wait.
-        """
+    def pause(self):
         self._running.clear()
 
-    def resume(self) -> None:
-        """
-        Let the tasks of the process run on.
-        """
+    def resume(self):
         self._running.set()
 
-    async def until_running(self) -> None:
-        """
-        Wait while the process is paused.
-        """
+    async def until_running(self):
         await self._running.wait()
 
-    async def sleep_ms(self, duration_ms: float) -> None:
-        """
-        Sleep, and then wait while the process is paused.
-        """
+    async def sleep_ms(self, duration_ms):
         await super().sleep_ms(duration_ms)
         await self.until_running()
 
 
 class FakeStorePort:
     """
-    The `TableStore` of one process, with delays and lost answers.
+    The `TableStore` of one process, over a network with faults.
 
-    *lost_percent* of the transactions lose their answer or the request.
+    *lost_percent* of the transactions lose their request or their answer.  A
+    transaction that the caller has given up may still arrive, up to
+    *delay_ms* after it was sent.
     """
 
-    def __init__(
-        self,
-        store: FakeStore,
-        clock: PausableClock,
-        rng: random.Random,
-    ) -> None:
+    def __init__(self, store, clock, rng):
         self.store = store
         self.lost_percent = 0
-        self.delay_ms = 2.0
+        self.delay_ms = 2
         self.is_cut_off = False
         self._clock = clock
         self._rng = rng
-
-    async def transact(self, transaction: Transaction) -> TransactionResult:
-        """
-        Apply the transaction after a delay on the network.
-        """
-        await self._travel()
-        if self._rng.randrange(100) < self.lost_percent:
-            if self._rng.randrange(2):
-                self.store.apply(transaction)
-            await self._travel()
-            raise StoreAnswerLostError('the answer was lost')
-        answer = self.store.apply(transaction)
+        self._arriving = set()
+
+    async def transact(self, transaction):
+        self._refuse_if_cut_off()
+        arriving = asyncio.ensure_future(self._arrive(transaction))
+        self._arriving.add(arriving)
+        arriving.add_done_callback(self._arriving.discard)
+        answer = await asyncio.shield(arriving)
+        if answer is None:
+            raise StoreUnavailableError('the store is out')
         await self._return()
+        if self._is_lost():
+            raise StoreAnswerLostError('the answer was lost')
         return answer
 
-    async def read(self, key: str) -> Row | None:
-        """
-        Return one row as it is at one instant.
-        """
+    async def read(self, key):
+        return next(iter(await self._rows(lambda other: other == key)), None)
+
+    async def scan(self, prefix):
+        return await self._rows(lambda other: other.startswith(prefix))
+
+    async def _rows(self, has_key):
+        self._refuse_if_cut_off()
         await self._travel()
-        row = self.store.rows.get(key)
+        if self.store.is_out:
+            raise StoreUnavailableError('the store is out')
+        rows = self.store.rows
+        found = tuple(rows[key] for key in sorted(rows) if has_key(key))
         await self._return()
-        return row
+        return found
 
-    async def scan(self, prefix: str) -> tuple[Row, ...]:
-        """
-        Return the rows as they are at one instant.
-        """
+    async def _arrive(self, transaction):
         await self._travel()
-        keys = [key for key in self.store.rows if key.startswith(prefix)]
-        rows = tuple(self.store.rows[key] for key in sorted(keys))
-        await self._return()
-        return rows
+        if self._is_lost():
+            # Arrives long after the caller has given up.
+            await asyncio.sleep(8)
+        return None if self.store.is_out else self.store.apply(transaction)
 
-    async def _travel(self) -> None:
-        await self._clock.sleep_ms(self._rng.uniform(0, self.delay_ms))
-        if self.store.is_out or self.is_cut_off:
-            raise StoreUnavailableError('the store is out')
+    def _refuse_if_cut_off(self):
+        if self.is_cut_off:
+            raise StoreUnavailableError('no route to the store')
+
+    def _is_lost(self):
+        return self._rng.randrange(100) < self.lost_percent
+
+    async def _travel(self):
+        await asyncio.sleep(self._rng.uniform(0, self.delay_ms) / 1000)
 
-    async def _return(self) -> None:
-        await self._clock.sleep_ms(self._rng.uniform(0, self.delay_ms))
+    async def _return(self):
+        await self._travel()
+        await self._clock.until_running()
         if self.is_cut_off:
             raise StoreAnswerLostError('the answer was lost')
+
+
+def virtual_tests(make):
+    """
+    Run each test of a class in virtual time, on what *make* returns.
+
+    The attribute `options` of the class holds the arguments of *make*.
+    """
+
+    def decorate(test_class):
+        for name, test in tuple(test_class.__dict__.items()):
+            if name.startswith('test_'):
+                setattr(test_class, name, _wrap(test, make))
+        return test_class
+
+    return decorate
+
+
+def _wrap(test, make):
+    def run(case):
+        async def scenario():
+            subject = make(**getattr(case, 'options', {}))
+            await test(case, subject)
+            subject.finish()
+
+        run_virtual(scenario())
+
+    run.__doc__ = test.__doc__
+    return run
--- /dev/null
+++ b/tests/test_coordination_commit.py
@@ -0,0 +1,249 @@
+"""
+Tests of group commits.
+"""
+
+import asyncio
+
+import pytest
+from fake_store import FakeStore, virtual_tests
+from test_coordination_world import Process
+
+from hawthornpier import coordination as co
+from hawthornpier.messages import RowCheck, RowPut, Transaction
+from hawthornpier.ports import StoreAnswerLostError
+
+_OWNER_KEY = 'owner/ipoh/0'
+
+
+class Bench(Process):
+    """
+    One owned shard with its group commit.
+    """
+
+    def __init__(self, **options):
+        self.store = FakeStore(forgets_ids='has_marker_row' in options)
+        super().__init__(self.store, 'p0', 'ipoh')
+        self.tasks.pop().cancel()
+        self.deposed = []
+        self.options = options
+        self.commits = self.open(1)
+
+    def finish(self):
+        ids = [entry.transaction_id for entry in self.store.applied]
+        assert len(ids) == len(set(ids))
+
+    def depose(self, epoch):
+        transaction = Transaction(
+            transaction_id=f'own {epoch}',
+            puts=(RowPut(key=_OWNER_KEY, text=str(epoch)),),
+        )
+        return self.store.apply(transaction).rows[0].version
+
+    def open(self, epoch, **options):
+        owned = co.OwnedShard(
+            shard='ipoh/0',
+            epoch=epoch,
+            version=self.depose(epoch),
+            incarnation='i',
+            must_wait_until_ms=0,
+        )
+        commits = co.GroupCommit(
+            owned,
+            self.port,
+            self.clock,
+            co.CommitLimits(**self.options, **options),
+            on_deposed=self._on_deposed,
+        )
+        self.tasks.append(asyncio.create_task(commits.run()))
+        return commits
+
+    async def put(self, key, text='', *, expected=(), limit_ms=10_000):
+        versions = await self.commits.commit(
+            [RowPut(key=key, text=text)],
+            checks=[RowCheck(key='key/1', version=n) for n in expected],
+            deadline_ms=self.clock.monotonic_ms() + limit_ms,
+        )
+        return versions[key]
+
+    async def until_written(self, key):
+        while key not in self.store.rows:
+            await asyncio.sleep(0.001)
+
+    def commit_count(self):
+        ids = [entry.transaction_id for entry in self.store.applied]
+        return sum(name.startswith('commit.') for name in ids)
+
+    def lose_next_answer(self):
+        transact = self.port.transact
+
+        async def lose(transaction):
+            self.port.transact = transact
+            await transact(transaction)
+            raise StoreAnswerLostError('the answer was lost')
+
+        self.port.transact = lose
+
+    async def _on_deposed(self, shard, epoch):
+        self.deposed.append(f'{shard} {epoch}')
+
+
+@virtual_tests(Bench)
+class TestGroupCommit:
+    """
+    Commits are collected, ordered, fenced and applied exactly once.
+    """
+
+    async def test_commits_of_one_interval_share_a_transaction(self, bench):
+        """
+        A hundred commits at once cost one write of the store.
+        """
+        keys = [f'job/{number}' for number in range(100)]
+        versions = await asyncio.gather(*map(bench.put, keys))
+        assert bench.commit_count() == 1
+        stored = [bench.store.rows[key].version for key in keys]
+        assert versions == stored
+
+    async def test_a_full_transaction_leaves_the_rest_in_order(self, bench):
+        """
+        No transaction is larger than allowed, and later writes win.
+        """
+        bench.commits = bench.open(2, max_row_count=3)
+        texts = [str(number) for number in range(7)]
+        await asyncio.gather(*(bench.put('job/1', text) for text in texts))
+        assert bench.commit_count() == 3
+        assert bench.store.rows['job/1'].text == '6'
+
+    async def test_a_lost_answer_is_applied_once(self, bench):
+        """
+        A write whose answer was lost is acknowledged, and applied once.
+        """
+        for name in ('job/1', 'job/2', 'job/3'):
+            bench.lose_next_answer()
+            version = await bench.put(name)
+            assert bench.store.rows[name].version == version
+        assert bench.commit_count() == 3
+
+    async def test_a_lost_answer_before_a_takeover(self, bench):
+        """
+        A write that was applied before the takeover is acknowledged.
+        """
+        await bench.put('job/1')
+        bench.lose_next_answer()
+        writing = asyncio.create_task(bench.put('job/2'))
+        await bench.until_written('job/2')
+        bench.depose(2)
+        assert await writing == bench.store.rows['job/2'].version
+        with pytest.raises(co.CommitDeposedError):
+            await bench.put('job/3')
+
+    async def test_a_deposed_owner_commits_nothing(self, bench):
+        """
+        All waiting commits fail, and later ones are refused.
+        """
+        bench.depose(2)
+        writes = [bench.put('job/1'), bench.put('job/2')]
+        results = await asyncio.gather(*writes, return_exceptions=True)
+        assert {type(error) for error in results} == {co.CommitDeposedError}
+        assert bench.commits.is_closed
+        assert bench.deposed == ['ipoh/0 1']
+        assert bench.commit_count() == 0
+
+    async def test_a_failed_check_fails_only_its_own_commit(self, bench):
+        """
+        One caller's conflict does not fail the writes of others.
+        """
+        results = await asyncio.gather(
+            bench.put('job/1'),
+            bench.put('job/2', expected=[17]),
+            bench.put('job/3', expected=[0]),
+            return_exceptions=True,
+        )
+        assert isinstance(results[1], co.CommitConflictError)
+        assert 'job/2' not in bench.store.rows
+        assert bench.store.rows['job/1'].version == results[0]
+        assert bench.store.rows['job/3'].version == results[2]
+
+    async def test_of_two_first_writers_one_wins(self, bench):
+        """
+        Two commits of one interval cannot both create the same row.
+        """
+        results = await asyncio.gather(
+            bench.put('key/1', 'first', expected=[0]),
+            bench.put('key/1', 'second', expected=[0]),
+            return_exceptions=True,
+        )
+        assert isinstance(results[1], co.CommitConflictError)
+        assert bench.store.rows['key/1'].text == 'first'
+
+    async def test_deadlines_tell_unknown_from_not_applied(self, bench):
+        """
+        Only a write that was never sent is said to be not applied.
+        """
+        bench.port.lost_percent = 100
+        sent = asyncio.create_task(bench.put('job/1', limit_ms=500))
+        await asyncio.sleep(0.1)
+        late = asyncio.create_task(bench.put('job/2', limit_ms=500))
+        with pytest.raises(co.CommitUnknownError):
+            await sent
+        with pytest.raises(co.CommitNotAppliedError):
+            await late
+        await asyncio.sleep(20)
+        assert 'job/2' not in bench.store.rows
+
+    async def test_an_outage_delays_commits_until_their_deadline(self, bench):
+        """
+        In an outage a commit is not applied, or applied when it ends.
+        """
+        bench.store.is_out = True
+        short = asyncio.create_task(bench.put('job/1', limit_ms=2_000))
+        long = asyncio.create_task(bench.put('job/2', limit_ms=60_000))
+        await asyncio.sleep(30)
+        with pytest.raises((co.CommitNotAppliedError, co.CommitUnknownError)):
+            await short
+        bench.store.is_out = False
+        await long
+        assert 'job/1' not in bench.store.rows
+        assert 'job/2' in bench.store.rows
+
+    async def test_a_drain_writes_what_waits(self, bench):
+        """
+        A graceful stop loses no commit that was accepted.
+        """
+        writing = asyncio.create_task(bench.put('job/1'))
+        await asyncio.sleep(0)
+        await bench.commits.drain()
+        with pytest.raises(co.CommitClosedError):
+            await bench.put('job/2')
+        assert await writing == bench.store.rows['job/1'].version
+
+
+class TestMarkerRow(TestGroupCommit):
+    """
+    The same holds for a store that forgets transaction ids.
+    """
+
+    options = {'has_marker_row': True}
+
+
+@virtual_tests(Bench)
+class TestMarkerTrace:
+    """
+    The marker row shows the last commit of the owner before.
+    """
+
+    options = {'has_marker_row': True}
+
+    async def test_a_marker_replaced_twice_is_unknown(self, bench):
+        """
+        Without a trace of the write its outcome is said to be unknown.
+        """
+        bench.commits = bench.open(2, retry_min_ms=200)
+        bench.lose_next_answer()
+        writing = asyncio.create_task(bench.put('job/2'))
+        await bench.until_written('job/2')
+        for epoch in (3, 4):
+            later = bench.open(epoch)
+            row = RowPut(key='job/3', text='')
+            await later.commit([row], deadline_ms=10_000)
+        with pytest.raises(co.CommitUnknownError):
+            await writing
--- a/tests/test_coordination_world.py
+++ b/tests/test_coordination_world.py
@@ -1,148 +1,381 @@
 """
-Several processes with leases and shards in one event loop.
+Processes with leases, shards and durable writes under random faults.
 """
 
 import asyncio
+import contextlib
+import json
 import random
+from collections import Counter
 
+import looptime
 from fake_store import FakeStore, FakeStorePort, PausableClock
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, precondition, rule
 
-from hawthornpier.coordination import (
-    LeaseTimings,
-    OwnedShard,
-    OwnershipTimings,
-    ProcessDirectory,
-    ProcessIdentity,
-    ProcessLease,
-    ShardOwnership,
-    StoreLink,
-)
+from hawthornpier import coordination as co
+from hawthornpier.messages import RowPut
+from hawthornpier.ports import PortError
+
+# Within this time after the last fault, every shard has an owner.
+RECOVERY_MS = 15_000
+
+# A hand-over leaves a shard without an owner for no longer than this.
+HAND_OVER_MS = 1_500
 
 
-class Node:
+class Process:
     """
-    One process: its clock, its store port, its lease and its shards.
+    One process with its clock, its way to the store and its lease.
     """
 
-    def __init__(
-        self,
-        world: 'World',
-        process_id: str,
-        failure_domain: str,
-        rate: float,
-    ) -> None:
-        rng = random.Random(f'{process_id}-{world.seed}')
-        self.world = world
+    def __init__(self, store, process_id, domain, *, rate=1.0, lease_ms=3_000):
+        timings = co.LeaseTimings(lease_ms=lease_ms)
         self.process_id = process_id
+        self.rng = random.Random(f'{process_id} {len(store.applied)}')
         self.clock = PausableClock(rate=rate)
-        self.port = FakeStorePort(world.store, self.clock, rng)
-        self.link = StoreLink(self.port, self.clock, world.lease_timings)
-        self.lease = ProcessLease(
-            ProcessIdentity(
-                process_id=process_id,
-                address=f'{process_id}:1',
-                region='semenanjung',
-                failure_domain=failure_domain,
-            ),
-            self.link,
-            self.clock,
-            world.lease_timings,
-            rng=rng,
+        self.port = FakeStorePort(store, self.clock, self.rng)
+        self.link = co.StoreLink(self.port, self.clock, timings)
+        self.identity = co.ProcessIdentity(
+            process_id=process_id,
+            address=process_id,
+            region='semenanjung',
+            failure_domain=domain,
         )
-        self.directory = ProcessDirectory(
+        self.lease = co.ProcessLease(
+            self.identity,
             self.link,
             self.clock,
-            world.lease_timings,
+            timings,
+            rng=self.rng,
         )
-        self.gained: list[OwnedShard] = []
-        self.lost: list[str] = []
-        self.ownership = ShardOwnership(
+        self.directory = co.ProcessDirectory(self.link, self.clock, timings)
+        self.tasks = [asyncio.create_task(self.lease.run())]
+
+
+class Node(Process):
+    """
+    A process that claims shards and writes rows for each of them.
+    """
+
+    def __init__(self, world, process_id, domain, **options):
+        super().__init__(world.store, process_id, domain, **options)
+        self.world = world
+        self.commits = {}
+        self.ownership = co.ShardOwnership(
             world.shards,
             self.lease,
             self.directory,
             self.link,
             self.clock,
-            OwnershipTimings(),
-            on_gain=self._on_gain,
-            on_loss=self._on_loss,
-            rng=rng,
+            world.ownership_timings,
+            on_gain=self.on_gain,
+            on_loss=self.on_loss,
+            on_hand_over=self.on_hand_over,
+            rng=self.rng,
+        )
+        self.tasks.append(asyncio.create_task(self.ownership.run()))
+
+    def kill(self):
+        for task in self.tasks:
+            task.cancel()
+
+    async def stop(self):
+        with contextlib.suppress(co.CoordinationError, PortError):
+            await self.lease.announce_leaving()
+        await self.ownership.hand_over_all()
+        await self.lease.release()
+        self.kill()
+
+    async def on_gain(self, owned):
+        self.world.check_holders()
+        commits = co.GroupCommit(
+            owned,
+            self.link,
+            self.clock,
+            self.world.commit_limits,
+            on_deposed=self.ownership.report_deposed,
+            rng=self.rng,
         )
-        self.tasks = [
-            world.group.create_task(self.lease.run()),
-            world.group.create_task(self.ownership.run()),
-        ]
+        self.commits[owned.shard] = commits
+        self.tasks.append(asyncio.create_task(commits.run()))
+        self.tasks.append(asyncio.create_task(self.write(owned, commits)))
+
+    async def on_loss(self, shard):
+        # The group commit goes on until it finds out by itself, as in a
+        # process that was paused.
+        self.commits.pop(shard)
 
-    async def _on_gain(self, owned: OwnedShard) -> None:
-        self.gained.append(owned)
+    async def on_hand_over(self, shard):
+        await self.commits[shard].drain()
 
-    async def _on_loss(self, shard: str) -> None:
-        self.lost.append(shard)
+    async def write(self, owned, commits):
+        number = 0
+        async with asyncio.TaskGroup() as group:
+            while not commits.is_closed:
+                for _ in range(self.rng.randrange(4)):
+                    number += 1
+                    key = f'entry/{owned.shard}/{owned.epoch}.{number}'
+                    group.create_task(self.write_one(owned, commits, key))
+                await self.clock.sleep_ms(self.rng.randrange(1, 900))
+
+    async def write_one(self, owned, commits, key):
+        limit_ms = self.rng.choice((50, 2_000, 30_000))
+        text = json.dumps([owned.incarnation, owned.epoch])
+        self.world.outcomes[key] = 'unknown'
+        try:
+            await commits.commit(
+                [RowPut(key=key, text=text)],
+                deadline_ms=self.clock.monotonic_ms() + limit_ms,
+            )
+        except co.CommitNotAppliedError:
+            self.world.outcomes[key] = 'not applied'
+        except co.CommitUnknownError:
+            self.world.outcomes[key] = 'unknown'
+        else:
+            self.world.outcomes[key] = 'acknowledged'
 
 
 class World:
     """
-    The store and all processes.
+    The store and all processes, and the invariants that they must keep.
     """
 
-    def __init__(
-        self,
-        group: asyncio.TaskGroup,
-        *,
-        shard_count: int = 4,
-        domains: tuple[str, ...] = ('ipoh',),
-        seed: int = 0,
-    ) -> None:
-        self.group = group
-        self.seed = seed
-        self.store = FakeStore()
-        self.lease_timings = LeaseTimings()
-        self.shards = [
-            f'{domain}/{number}'
-            for domain in domains
-            for number in range(shard_count)
-        ]
-        self.nodes: list[Node] = []
-
-    def start(
-        self,
-        process_id: str,
-        failure_domain: str,
-        rate: float = 1.0,
-    ) -> Node:
-        """
-        Start a process.
-        """
-        node = Node(self, process_id, failure_domain, rate)
+    def __init__(self, *, domains=('ipoh',), has_marker_row=False):
+        self.store = FakeStore(forgets_ids=has_marker_row)
+        self.store.on_apply = self.check_transaction
+        self.ownership_timings = co.OwnershipTimings()
+        self.commit_limits = co.CommitLimits(has_marker_row=has_marker_row)
+        count = 4 // len(domains)
+        self.shards = [f'{name}/{n}' for name in domains for n in range(count)]
+        self.nodes = []
+        self.outcomes = {}
+        self.violations = []
+        self.applied_counts = Counter()
+        self.epochs = {}
+        self.held_at = {}
+
+    def start(self, process_id, domain='ipoh', **options):
+        node = Node(self, process_id, domain, **options)
         self.nodes.append(node)
         return node
 
-    def kill(self, process_id: str) -> None:
-        """
-        End a process without any notice.
-        """
-        for node in tuple(self.nodes):
-            if node.process_id == process_id:
-                self.nodes.remove(node)
-                for task in node.tasks:
-                    task.cancel()
-
-    def stop(self) -> None:
-        """
-        End all processes.
-        """
-        for node in tuple(self.nodes):
-            self.kill(node.process_id)
-
-    def holders(self, shard: str) -> list[Node]:
-        """
-        Return the processes that believe to hold the shard.
-        """
-        return [node for node in self.nodes if node.ownership.holds(shard)]
-
-    def assert_all_owned(self) -> None:
-        """
-        Check that each shard has exactly one holder.
-        """
+    def kill(self, node):
+        self.nodes.remove(node)
+        node.kill()
+
+    async def stop(self, node):
+        await node.stop()
+        if node in self.nodes:
+            self.nodes.remove(node)
+
+    def finish(self):
+        self.check_commits()
+        assert not self.violations, self.violations
+
+    def take_violations(self):
+        self.check_commits()
+        violations = ' '.join(self.violations)
+        self.violations.clear()
+        self.outcomes.clear()
+        return violations
+
+    async def run_for(self, duration_ms):
+        for _ in range(duration_ms // 20):
+            await asyncio.sleep(0.02)
+            self.check_holders()
+        ended = [task for node in self.nodes for task in node.tasks]
+        for task in ended:
+            if task.done() and not task.cancelled() and task.exception():
+                self.violations.append(repr(task.exception()))
+
+    async def recover(self):
+        self.store.is_out = False
+        for node in self.nodes:
+            node.clock.resume()
+            node.port.is_cut_off = False
+            node.port.lost_percent = 0
+            node.port.delay_ms = 2
+        # All others may be about to stop.
+        self.start('last')
+        await self.run_for(RECOVERY_MS)
+        for _ in range(10):
+            self.check_all_owned()
+            await self.run_for(1_000)
+        self.finish()
+
+    def check_holders(self):
+        now = asyncio.get_running_loop().time()
+        for shard in self.shards:
+            holders = [
+                node.process_id
+                for node in self.nodes
+                if node.ownership.holds(shard)
+            ]
+            if holders:
+                self.held_at[shard] = now
+            if len(holders) > 1:
+                self.violations.append(f'{shard} is held by {holders}')
+
+    def check_all_owned(self):
+        now = asyncio.get_running_loop().time()
         for shard in self.shards:
-            holders = [node.process_id for node in self.holders(shard)]
-            assert len(holders) == 1, (shard, holders)
+            free_ms = (now - self.held_at.get(shard, 0)) * 1_000
+            if free_ms > HAND_OVER_MS:
+                self.violations.append(f'{shard} is free for {free_ms} ms')
+
+    def check_commits(self):
+        counts = {'acknowledged': {1}, 'not applied': {0}, 'unknown': {0, 1}}
+        for key, outcome in self.outcomes.items():
+            count = self.applied_counts[key]
+            if count not in counts[outcome]:
+                self.violations.append(f'{key}: {outcome}, applied {count}')
+
+    def check_transaction(self, transaction):
+        for put in transaction.puts:
+            kind, _, name = put.key.partition('/')
+            if kind == 'owner':
+                self.check_epoch(name, json.loads(put.text))
+            elif kind == 'entry':
+                self.applied_counts[put.key] += 1
+                self.check_writer(name, json.loads(put.text))
+
+    def check_epoch(self, shard, row):
+        if row['process_id']:
+            if row['epoch'] <= self.epochs.get(shard, 0):
+                self.violations.append(f'{shard} got its epoch again')
+            self.epochs[shard] = row['epoch']
+
+    def check_writer(self, name, text):
+        shard = name.rpartition('/')[0]
+        owner = json.loads(self.store.rows[f'owner/{shard}'].text)
+        if [owner['incarnation'], owner['epoch']] != text:
+            self.violations.append(f'{name} was written by a deposed owner')
+
+
+_INDEXES = st.integers(0, 4)
+_WAITS_MS = st.sampled_from([20, 100, 500, 1_500, 3_200, 5_000, 9_000])
+_NETWORK_FAULTS = st.sampled_from(
+    [
+        *(('lost_percent', percent) for percent in (0, 30, 90)),
+        *(('delay_ms', delay_ms) for delay_ms in (2, 700, 6_000)),
+        *(('is_cut_off', is_cut_off) for is_cut_off in (True, False)),
+    ],
+)
+
+
+class CoordinationMachine(RuleBasedStateMachine):
+    """
+    Faults of every kind, at random times, on up to five processes.
+
+    The clocks differ, but within the clock error.
+    """
+
+    has_marker_row = False
+
+    def __init__(self):
+        super().__init__()
+        self.runner = asyncio.Runner(
+            loop_factory=lambda: looptime.new_event_loop(
+                start=0,
+                noop_cycles=0,
+            ),
+        )
+        self.stops = {}
+        self.count = 0
+        self.world = self.call(
+            World,
+            domains=('ipoh', 'melaka'),
+            has_marker_row=self.has_marker_row,
+        )
+        self.start('ipoh', 1.0, 20)
+        self.start('melaka', 1.0, 20)
+
+    @property
+    def staying(self):
+        return [node for node in self.world.nodes if node not in self.stops]
+
+    def node(self, index):
+        return self.staying[index % len(self.staying)]
+
+    def call(self, function, *args, **options):
+        async def in_loop():
+            return function(*args, **options)
+
+        return self.runner.run(in_loop())
+
+    def run_for(self, duration_ms):
+        self.runner.run(self.world.run_for(duration_ms))
+        assert not self.world.violations, self.world.violations
+
+    @precondition(lambda machine: len(machine.staying) < 5)
+    @rule(
+        domain=st.sampled_from(['ipoh', 'melaka']),
+        rate=st.sampled_from([0.96, 1.0, 1.04]),
+        wait_ms=_WAITS_MS,
+    )
+    def start(self, domain, rate, wait_ms):
+        self.count += 1
+        self.call(self.world.start, f'p{self.count}', domain, rate=rate)
+        self.run_for(wait_ms)
+
+    @precondition(lambda machine: len(machine.staying) > 1)
+    @rule(index=_INDEXES, is_graceful=st.booleans(), wait_ms=_WAITS_MS)
+    def end(self, index, is_graceful, wait_ms):
+        node = self.node(index)
+        if is_graceful:
+            stop = self.world.stop(node)
+            self.stops[node] = self.call(asyncio.ensure_future, stop)
+        else:
+            self.call(self.world.kill, node)
+        self.run_for(wait_ms)
+
+    @rule(index=_INDEXES, pause_ms=_WAITS_MS, is_final=st.booleans())
+    def pause(self, index, pause_ms, is_final):
+        clock = self.node(index).clock
+        clock.pause()
+        self.run_for(pause_ms)
+        if not is_final:
+            clock.resume()
+
+    @rule(is_out=st.booleans(), wait_ms=_WAITS_MS)
+    def store_outage(self, is_out, wait_ms):
+        self.world.store.is_out = is_out
+        self.run_for(wait_ms)
+
+    @rule(index=_INDEXES, fault=_NETWORK_FAULTS, wait_ms=_WAITS_MS)
+    def network(self, index, fault, wait_ms):
+        setattr(self.node(index).port, *fault)
+        self.run_for(wait_ms)
+
+    def teardown(self):
+        try:
+            self.runner.run(self.world.recover())
+            assert all(stop.done() for stop in self.stops.values())
+        finally:
+            self.runner.close()
+
+
+class MarkerMachine(CoordinationMachine):
+    """
+    The same with a store that forgets transaction ids.
+    """
+
+    has_marker_row = True
+
+
+_SETTINGS = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=10,
+    phases=(Phase.generate,),
+    stateful_step_count=12,
+    suppress_health_check=list(HealthCheck),
+)
+
+TestCoordinationMachine = CoordinationMachine.TestCase
+TestCoordinationMachine.settings = _SETTINGS
+TestMarkerMachine = MarkerMachine.TestCase
+TestMarkerMachine.settings = _SETTINGS
