--- a/src/hawthornpier/policy/_headroom.py
+++ b/src/hawthornpier/policy/_headroom.py
@@ -10,7 +10,7 @@
 from hawthornpier.policy._settings import Headroom
 
 # Batch tasks that end by themselves within this time need no eviction.
-_TURNOVER_MS = 300.0
+_TURNOVER_MS = 1000.0
 _RATE_MEMORY_MS = 5_000.0
 
 
@@ -26,11 +26,12 @@
     """
 
     def __init__(self, parts: ShardParts) -> None:
+        self._parts = parts
         self._occupancy = parts.occupancy
         self._queue = parts.requests
         self._planner = parts.planner
         self._is_on = parts.settings.headroom is Headroom.PREDICTIVE
-        self._forecast = DemandForecast()
+        self._forecast = DemandForecast(is_bursty=False)
         self._ends: float = 0
         self._ends_ms = 0
 
@@ -45,7 +46,7 @@
         """
         Return how many free slots batch work may take now.
         """
-        free_count = self._occupancy.ledger.free.slot_count
+        free_count = self._parts.free_slot_count()
         reserved = self.service_slot_count - self._occupancy.request_count
         return free_count - reserved
 
