--- a/src/hawthornpier/adapters/_connections.py
+++ b/src/hawthornpier/adapters/_connections.py
@@ -79,7 +79,7 @@
             response = await self._client.fetch(request, raise_error=False)
         except CurlError as error:
             failure = ReplyLostError if self._is_sent else NotSentError
-            raise failure(str(error)) from error
+            raise failure(_describe(error)) from error
         except ValueError as error:
             # tornado rejects the address or a header before it connects.
             raise NotSentError(str(error)) from error
@@ -233,6 +233,13 @@
     return pycurl.SEEKFUNC_FAIL
 
 
+def _describe(error: CurlError) -> str:
+    # curl reports the seek that it was refused, not the closed connection.
+    if error.errno == pycurl.E_SEND_FAIL_REWIND:
+        return 'the connection closed before a response began'
+    return str(error)
+
+
 def _is_timeout(error: BaseException | None) -> bool:
     return (
         isinstance(error, CurlError)
