--- a/src/hawthornpier/adapters/_connections.py
+++ b/src/hawthornpier/adapters/_connections.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from functools import partial
@@ -20,6 +21,10 @@
 _ECHO_NAME = REQUEST_ID_HEADER.lower().encode()
 _CALL_IDS = map(str, itertools.count(1))
 
+# The least that curl takes. Each connection has a buffer of its own, and the
+# default of 64 KiB is far above the size of a message.
+_BUFFER_BYTES = 16_384
+
 # curl reads a timeout of zero as no timeout.
 _LEAST_TIMEOUT_MS = 1
 
@@ -57,6 +62,7 @@
 
     def __init__(self, generation: int) -> None:
         self.generation = generation
+        self.used_s: float = 0
         self._is_sent = False
         self._call_id = ''
         self._echoed_id = ''
@@ -98,6 +104,7 @@
         # An empty name overrides a proxy from the environment.
         curl.setopt(pycurl.PROXY, '')
         curl.setopt(pycurl.SEEKFUNCTION, _refuse_seek)
+        curl.setopt(pycurl.UPLOAD_BUFFERSIZE, _BUFFER_BYTES)
         # Only one header is used, and tornado parses all of them at length.
         curl.setopt(pycurl.HEADERFUNCTION, self._note_header)
         # curl calls this when it is connected, just before the first byte.
@@ -128,6 +135,8 @@
         address: Host and port, or a URL without a path.
         connection_limit: Largest number of open connections.
         connect_ms: Longest time to connect.
+        idle_ms: Time after which an unused connection is closed; a burst
+            would otherwise hold its memory for good.
         ca_certs: File of the certificates to trust, for HTTPS.
     """
 
@@ -137,13 +146,16 @@
         *,
         connection_limit: int = 8,
         connect_ms: float = 1_000,
+        idle_ms: float = 30_000,
         ca_certs: str = '',
     ) -> None:
         self._base = address if '://' in address else f'http://{address}'
         self._connect_ms = connect_ms
+        self._idle_s = idle_ms / 1000
         self._ca_certs = ca_certs or None
         self._slots = asyncio.Semaphore(connection_limit)
-        self._idle: list[_Connection] = []
+        # The connection that was used last is at the end and is used next.
+        self._idle: deque[_Connection] = deque()
         self._generation = 0
         self._is_closed = False
 
@@ -208,10 +220,17 @@
         is_sound = not exchange.cancelled() and failure is None
         is_current = connection.generation == self._generation
         if is_sound and is_current and not self._is_closed:
-            self._idle.append(connection)
+            self._keep(connection)
         else:
             connection.close()
 
+    def _keep(self, connection: _Connection) -> None:
+        now_s = asyncio.get_running_loop().time()
+        while self._idle and self._idle[0].used_s < now_s - self._idle_s:
+            self._idle.popleft().close()
+        connection.used_s = now_s
+        self._idle.append(connection)
+
     def _request(self, call: HttpCall, remaining_s: float) -> HTTPRequest:
         timeout_s = max(remaining_s, _LEAST_TIMEOUT_MS / 1000)
         return HTTPRequest(
--- a/tests/test_adapters_connections.py
+++ b/tests/test_adapters_connections.py
@@ -31,6 +31,7 @@
 
     def __init__(self, reply: Reply) -> None:
         self.connection_count = 0
+        self.open_count = 0
         self.heads: list[str] = []
         self.bodies: list[bytes] = []
         self._reply = reply
@@ -42,10 +43,12 @@
         Serve one connection.
         """
         self.connection_count += 1
+        self.open_count += 1
         try:
             while not writer.is_closing():
                 await self._exchange(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
+            self.open_count -= 1
             writer.close()
 
     async def _exchange(
@@ -179,14 +182,25 @@
             assert await worker.fence(FENCE)
             assert raw.connection_count == 2
 
-    async def test_connections_stay_below_the_limit(self) -> None:
+    async def test_connections_are_limited_and_closed(self) -> None:
         """
-        D6: a worker's connections are not exhausted by one owner.
+        D6: one owner does not exhaust a worker's connections, and those of
+        a burst do not hold their memory for good; a closed pool sends nothing.
         """
+        get = adapters.HttpCall(method='GET', path='/', deadline_ms=60_000)
         async with serving(writes(response(FENCED))) as (raw, address):
-            worker = HttpWorker(address, connection_limit=3)
-            await asyncio.gather(*[worker.fence(FENCE) for _ in range(20)])
+            limited = adapters.ConnectionPool(address, connection_limit=3)
+            await asyncio.gather(*(limited.send(get) for _ in range(20)))
             assert raw.connection_count <= 3
+            limited.close()
+            with pytest.raises(adapters.NotSentError):
+                await limited.send(get)
+            assert len(raw.heads) == 20
+            brief = adapters.ConnectionPool(address, idle_ms=0)
+            await asyncio.gather(*(brief.send(get) for _ in range(5)))
+            async with asyncio.timeout(60):
+                while raw.open_count > 1:
+                    await brief.send(get)
 
     async def test_a_cancelled_call_keeps_its_connection(self) -> None:
         """
@@ -228,14 +242,3 @@
                 await worker.request(request_of('r1'))
             await worker.fence(FENCE)
             assert raw.connection_count == 3
-
-    async def test_a_closed_pool_sends_nothing(self) -> None:
-        """
-        After the end of a process's drain no message leaves it.
-        """
-        async with serving(writes(response(FENCED))) as (raw, address):
-            worker = HttpWorker(address)
-            worker.close()
-            with pytest.raises(ports.WorkerUnreachableError):
-                await worker.fence(FENCE)
-            assert not raw.heads
