--- a/tools/capacity/__main__.py
+++ b/tools/capacity/__main__.py
@@ -9,7 +9,15 @@
 import sys
 from collections.abc import Sequence
 
-from capacity import codec, decisions, http, memory, observing, state
+from capacity import (
+    codec,
+    decisions,
+    http,
+    idle,
+    memory,
+    observing,
+    state,
+)
 from capacity.extrapolate import extrapolate
 from capacity.measurement import Measurement
 
@@ -20,6 +28,7 @@
     observing.measure,
     state.measure,
     decisions.measure,
+    idle.measure,
 )
 
 
--- a/tools/capacity/extrapolate.py
+++ b/tools/capacity/extrapolate.py
@@ -180,16 +180,16 @@
 
 
 def _memory(slopes: Slopes, scale: Scale) -> dict[str, float]:
-    imports = slopes['memory.after.own modules'] * _MEBIBYTE
+    process = slopes['idle process.memory'] * _MEBIBYTE
     ring = _RING_EVENT_COUNT * slopes['state.event in the ring']
     hosts = scale.workers * slopes['state.host record']
     each_run = slopes['state.running task in the policy']
     each_run += slopes['state.task view']
     runs = scale.running_tasks / scale.workers
     each_worker = slopes['state.worker in the policy'] + runs * each_run
-    free = _MEMORY_BOUND_BYTES - imports - ring - hosts
+    free = _MEMORY_BOUND_BYTES - process - ring - hosts
     return {
-        'B of imports': imports,
+        'B of an idle process': process,
         'B of the event ring': ring,
         'B of the host list': hosts,
         'B per worker with its runs': each_worker,
