--- a/src/hawthornpier_standin/history/_processes.py
+++ b/src/hawthornpier_standin/history/_processes.py
@@ -6,10 +6,10 @@
 import collections
 import itertools
 import math
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from dataclasses import dataclass
 
-from hawthornpier_standin.history._index import History
+from hawthornpier_standin.history._index import Attempt, History
 from hawthornpier_standin.history._records import (
     EXIT_KILLED,
     TABLE_UNCONFIRMED,
@@ -120,6 +120,7 @@
             *_disordered(edits),
             *_unfounded_conflicts(history, edits),
             *_late(history, edits, lives),
+            *_admitted_unconfirmed(history, edits, lives),
         ),
     )
 
@@ -297,3 +298,62 @@
         is_excused = record.detail == TABLE_UNCONFIRMED
         if record.version < edit.accepted.version and not is_excused:
             yield record
+
+
+def _admitted_unconfirmed(
+    history: History,
+    edits: Sequence[_Edit],
+    lives: Sequence[_Life],
+) -> Iterator[Violation]:
+    """
+    Find requests that an excused process served under an older version.
+
+    Whatever a process serves between two reports of an older version, it
+    serves under that version.
+    """
+    answered = _answered_by_process(history)
+    for life in lives:
+        served = answered[life.process]
+        for before, after in itertools.pairwise(life.seen):
+            if not _is_overdue(edits, before, after):
+                continue
+            for invoked in _served_between(served, before, after):
+                reason = f'{life.process} answered while it was unconfirmed'
+                yield _table_violation(life.process, reason, before, invoked)
+
+
+def _answered_by_process(history: History) -> dict[str, list[Attempt]]:
+    answered: dict[str, list[Attempt]] = collections.defaultdict(list)
+    for attempt in history.attempts:
+        for outcome in attempt.outcomes:
+            if outcome.kind is RecordKind.REQUEST_ANSWERED:
+                answered[outcome.process_id].append(attempt)
+    return answered
+
+
+def _served_between(
+    attempts: Iterable[Attempt],
+    before: Record,
+    after: Record,
+) -> Iterator[Record]:
+    for attempt in attempts:
+        answered_ms = attempt.outcomes[0].at_ms
+        if before.at_ms < attempt.invoked.at_ms and answered_ms < after.at_ms:
+            yield attempt.invoked
+
+
+def _is_overdue(
+    edits: Sequence[_Edit],
+    before: Record,
+    after: Record,
+) -> bool:
+    """
+    Tell whether both reports are excused for not showing some edit.
+    """
+    if {before.detail, after.detail} != {TABLE_UNCONFIRMED}:
+        return False
+    return any(
+        edit.accepted.version > after.version
+        and edit.accepted.at_ms + _IN_FORCE_MS <= before.at_ms
+        for edit in edits
+    )
--- a/src/hawthornpier_standin/history/_records.py
+++ b/src/hawthornpier_standin/history/_records.py
@@ -28,8 +28,8 @@
     # Callers: operation, idempotency_key, is_idempotent, content (the body as
     # sent).  Each attempt of an operation is one `REQUEST_INVOKED`.
     REQUEST_INVOKED = 'request_invoked'
-    # operation, content (the body as received: a JSON document whose field
-    # `echo` is the body of the request).
+    # operation, process_id, content (the body as received: a JSON document
+    # whose field `echo` is the body of the request).
     REQUEST_ANSWERED = 'request_answered'
     REQUEST_NOT_RUN = 'request_not_run'
     REQUEST_UNKNOWN = 'request_unknown'
--- a/tests/test_history_checkers.py
+++ b/tests/test_history_checkers.py
@@ -414,6 +414,30 @@
         stale = self._seen(7_000, 1)
         assert _broken([*records, stale]) == {Guarantee.TABLE}
 
+    @pytest.mark.parametrize(
+        ('invoked_ms', 'is_broken'),
+        [(5_990, False), (6_001, True), (6_098, False)],
+    )
+    def test_unconfirmed_process_admits_nothing(
+        self,
+        invoked_ms: float,
+        is_broken: bool,
+    ) -> None:
+        """
+        G9: a request that is served under the old version meanwhile is found.
+        """
+        *request, answer = _request('o', invoked_ms)
+        records = [
+            *self._edit(10, 1, 2),
+            self._seen(20, 1, TABLE_UNCONFIRMED),
+            self._seen(6_000, 1, TABLE_UNCONFIRMED),
+            self._seen(6_100, 1, TABLE_UNCONFIRMED),
+            *request,
+            dataclasses.replace(answer, process_id='p1'),
+        ]
+        expected = {Guarantee.TABLE} if is_broken else set()
+        assert _broken(records) == expected
+
     def test_version_that_goes_back_is_found(self) -> None:
         """
         G9: a process that reverts is found; a new life may start lower.
