--- a/src/hawthornpier/coordination/_ownership.py
+++ b/src/hawthornpier/coordination/_ownership.py
@@ -200,7 +200,10 @@
         """
         Give up all shards at the same time, each to a named successor.
         """
-        successors = self._vacancies.successors(self._owned, self._owners)
+        successors = self._vacancies.named_successors(
+            self._owned,
+            self.owners,
+        )
         results = await asyncio.gather(
             *(
                 self.hand_over(shard, successor)
--- a/src/hawthornpier/coordination/_vacancies.py
+++ b/src/hawthornpier/coordination/_vacancies.py
@@ -132,7 +132,7 @@
             or self._is_turn(shard, ranked)
         )
 
-    def successors(
+    def named_successors(
         self,
         shards: Iterable[str],
         owners: Mapping[str, ShardOwner],
@@ -142,7 +142,7 @@
         """
         claimants = [
             claimant
-            for claimant in self.claimants()
+            for claimant in self.successors()
             if claimant.process_id != self._lease.process_id
         ]
         ranking = rank_claimants(
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -10,6 +10,7 @@
 import random
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from dataclasses import dataclass, field
+from types import MappingProxyType
 from typing import Any
 
 from fake_store import PausableClock
@@ -60,7 +61,13 @@
 MEMBER = 'yayasan'
 IDEMPOTENT = 'stock-check'
 ORDER = 'order'
-REGIONS = {'ipoh': 'semenanjung', 'melaka': 'semenanjung', 'kuching': 'borneo'}
+REGIONS = MappingProxyType(
+    {
+        'ipoh': 'semenanjung',
+        'melaka': 'semenanjung',
+        'kuching': 'borneo',
+    }
+)
 CAPACITY = Resources(
     processor_millis=32_000,
     memory_bytes=125_000_000_000,
