--- a/src/hawthornpier/policy/_headroom.py
+++ b/src/hawthornpier/policy/_headroom.py
@@ -64,7 +64,11 @@
         if not self._is_on or not waiting:
             return []
         turnover = self._decayed_ends(now_ms) * _TURNOVER_MS / _RATE_MEMORY_MS
-        wanted = waiting - self._occupancy.evicting_count - int(turnover)
+        # Slots that are free already are of no use to these requests, which
+        # need more of something else; further evictions would not help either.
+        free_count = max(self._parts.free_slot_count(), 0)
+        coming = self._occupancy.evicting_count + int(turnover) + free_count
+        wanted = waiting - coming
         if wanted <= 0:
             return []
         victims = self._planner.cheapest(
--- a/tests/test_policy_services.py
+++ b/tests/test_policy_services.py
@@ -3,6 +3,7 @@
 """
 
 from test_policy_builders import (
+    SLOT,
     make_request,
     make_scheduler,
     make_task,
@@ -173,6 +174,23 @@
         assert len(of_kind(scheduler.decide(10), PlaceRequest)) == 1
         assert not of_kind(scheduler.decide(20), EvictTask)
 
+    def test_large_request_does_not_empty_the_shard(self) -> None:
+        """
+        A request that no single eviction makes room for does not cause one
+        eviction after the other.
+        """
+        scheduler = make_scheduler(8)
+        for number in range(16):
+            scheduler.add_task(make_task(f'j/{number}'), 0)
+        assert len(of_kind(scheduler.decide(0), PlaceTask)) == 16
+        scheduler.add_request(make_request('r', demand=SLOT + SLOT), 10)
+        evicted = []
+        for now_ms in range(10, 5000, 100):
+            for step in of_kind(scheduler.decide(now_ms), EvictTask):
+                evicted.append(step.task_id)
+                scheduler.end_task(step.task_id, TaskResult.EVICTED, now_ms)
+        assert len(evicted) <= 2
+
     def test_without_headroom_nothing_is_evicted(self) -> None:
         """
         The baseline of the benchmark really lacks the mechanism.
