--- a/tools/bench/plots.py
+++ b/tools/bench/plots.py
@@ -7,7 +7,11 @@
 import matplotlib as mpl
 from matplotlib import pyplot as plt
 
-from tools.bench.runs import BATCH_ALONE, SERVICE_ALONE, Results
+from tools.bench.runs import SERVICE_ALONE, Results
+from tools.bench.variants import VARIANTS
+
+# One marker for each variant.
+_MARKERS = 'o^v<>sPXDd*p'
 
 _LATENCY_SCENARIOS = ('steady_day', 'dawn_surge', 'hail')
 
@@ -30,25 +34,34 @@
         1,
         len(_LATENCY_SCENARIOS),
         figsize=(11, 3.6),
+        layout='constrained',
     )
     for axis, name in zip(axes, _LATENCY_SCENARIOS, strict=True):
-        for variant, runs in results[name].items():
-            if variant not in {SERVICE_ALONE, BATCH_ALONE}:
-                across = _mean(runs, 'work_per_core_hour')
-                upwards = _mean(runs, 'p99_ms')
-                axis.plot(across, upwards, 'o', markersize=4)
-                axis.annotate(variant, (across, upwards), fontsize=6)
+        for variant, marker in zip(VARIANTS, _MARKERS, strict=True):
+            runs = results[name][variant]
+            axis.plot(
+                _mean(runs, 'work_per_core_hour'),
+                _mean(runs, 'p99_ms'),
+                marker,
+                label=variant,
+                alpha=0.7,
+            )
         alone = _mean(results[name][SERVICE_ALONE], 'p99_ms')
         axis.axhline(1.2 * alone, linewidth=0.8, linestyle='--')
         axis.set_title(name, fontsize=9)
         axis.set_xlabel('batch work per core-hour (core-s)', fontsize=8)
         axis.set_yscale('log')
     axes[0].set_ylabel('service p99 (ms); line: 1.2 x alone', fontsize=8)
+    figure.legend(
+        *axes[0].get_legend_handles_labels(),
+        loc='outside right center',
+        fontsize=7,
+    )
     _save(figure, path)
 
 
 def _draw_evictions(path: Path, results: Results) -> None:
-    figure, axis = plt.subplots(figsize=(8, 3.2))
+    figure, axis = plt.subplots(figsize=(8, 3.2), layout='constrained')
     names = list(results)
     for shift, variant in ((-0.2, 'ours'), (0.2, 'evict_only')):
         axis.bar(
@@ -64,6 +77,5 @@
 
 
 def _save(figure: plt.Figure, path: Path) -> None:
-    figure.tight_layout()
     figure.savefig(path, metadata={'Date': None})
     plt.close(figure)
