Divide large jobs over all shards; route by the policy's shard router

Change: jobs with two tasks or more for each shard are divided, and a part is the same whenever the job is submitted again; the shard router with its byte budget chooses for requests; adopt_request is part of the policy's interface; task ids end in /index.

--- a/src/hawthornpier/daemon/_node.py
+++ b/src/hawthornpier/daemon/_node.py
@@ -21,9 +21,9 @@
 )
 from hawthornpier.daemon import _timings
 from hawthornpier.daemon._catalog import TableCatalog
-from hawthornpier.daemon._chooser import NearestShardChooser
+from hawthornpier.daemon._chooser import LoadChooser
 from hawthornpier.daemon._committer import GroupCommitter
-from hawthornpier.daemon._policy import make_policy
+from hawthornpier.daemon._policy import make_policy, make_router
 from hawthornpier.daemon._ports import Connections
 from hawthornpier.daemon._services import Activity, Services
 from hawthornpier.daemon._shards import RoutingShardClient, ShardHost
@@ -232,15 +232,13 @@
             owner_address=self._owner_address,
             connect=self._connections.peer,
         )
-        chooser = NearestShardChooser(
-            region=process.region,
-            failure_domain=process.failure_domain,
-            regions={
-                domain.name: domain.region
-                for domain in self.settings.cluster.failure_domains
-            },
+        chooser = LoadChooser(
+            router=make_router(
+                self.settings,
+                seed=self._rng.getrandbits(32),
+            ),
             loads=self._membership.loads,
-            rng=random.Random(self._rng.getrandbits(64)),
+            clock=self._clock,
         )
         entry_timing = EntryTiming(
             default_deadline_ms=self.settings.timing.default_deadline_ms,
@@ -270,7 +268,11 @@
                 events=self.recorder,
             ),
             entry_timing=entry_timing,
-            jobs=JobRouter(client=client, chooser=chooser),
+            jobs=JobRouter(
+                client=client,
+                chooser=chooser,
+                shards=self._shards(),
+            ),
             signing_keys=self._connections.signing_keys,
             is_ready=self._is_ready,
             owner_of=self._owner_name,
--- a/src/hawthornpier/daemon/_policy.py
+++ b/src/hawthornpier/daemon/_policy.py
@@ -1,5 +1,5 @@
 """
-The scheduling policy that the settings choose.
+The policies that the settings choose.
 """
 
 from hawthornpier.policy import (
@@ -10,11 +10,15 @@
     Placement,
     PolicySettings,
     QueueOrder,
+    RoutingSettings,
     Scheduler,
+    ShardRouter,
+    ShardSite,
     Shedding,
     SizeEstimate,
 )
 from hawthornpier.settings import PolicySettings as PolicyChoices
+from hawthornpier.settings import Settings
 
 
 def make_policy(choices: PolicyChoices, *, seed: int) -> Scheduler:
@@ -32,3 +36,32 @@
         health=Health(choices.health.value),
     )
     return Scheduler(settings=settings, seed=seed)
+
+
+def make_router(settings: Settings, *, seed: int) -> ShardRouter:
+    """
+    Return the routing policy of an entry process.
+    """
+    process = settings.process
+    cluster = settings.cluster
+    router = ShardRouter(
+        site=ShardSite(
+            shard='',
+            failure_domain=process.failure_domain,
+            region=process.region,
+        ),
+        settings=RoutingSettings(
+            link_bytes_per_s=settings.link.budget_bytes_per_s,
+        ),
+        seed=seed,
+    )
+    router.replace_sites(
+        ShardSite(
+            shard=f'{domain.name}/{number}',
+            failure_domain=domain.name,
+            region=domain.region,
+        )
+        for domain in cluster.failure_domains
+        for number in range(cluster.shards_per_failure_domain)
+    )
+    return router
--- a/src/hawthornpier/entry/_jobs.py
+++ b/src/hawthornpier/entry/_jobs.py
@@ -2,7 +2,10 @@
 Takes operators' batch jobs to the shards that keep them.
 """
 
+import asyncio
 import uuid
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import replace
 
 from hawthornpier.entry._errors import (
     EntryError,
@@ -15,6 +18,10 @@
 
 # Separates the shard from the rest of a job's id.
 _SEPARATOR = '~'
+# Stands for the shard in the id of a job that is divided over all shards.
+_WHOLE = 'all'
+# Fewer tasks than this for each shard are not worth the extra writes.
+_LEAST_TASKS_PER_SHARD = 2
 
 
 def shard_of_job(job_id: str) -> str:
@@ -26,14 +33,31 @@
     return f'{failure_domain}/{number}'
 
 
+def is_whole(job_id: str) -> bool:
+    """
+    Tell whether the id names a job whose parts are in all shards.
+    """
+    return job_id.startswith(f'{_WHOLE}{_SEPARATOR}')
+
+
 class JobRouter:
     """
     Submits, shows and cancels jobs at the owners of their shards.
+
+    A job with enough tasks is divided over all shards, since a shard uses its
+    own workers only.  Each part is a job of its shard.
     """
 
-    def __init__(self, *, client: ShardClient, chooser: ShardChooser) -> None:
+    def __init__(
+        self,
+        *,
+        client: ShardClient,
+        chooser: ShardChooser,
+        shards: Sequence[str],
+    ) -> None:
         self._client = client
         self._chooser = chooser
+        self._shards = tuple(sorted(shards))
 
     async def submit(self, spec: JobSpec, *, job_id: str = '') -> JobView:
         """
@@ -41,51 +65,124 @@
 
         Raises:
             JobNotAcceptedError: The job was certainly not accepted.
-            JobUnknownError: It may have been accepted.
+            JobUnknownError: It, or some part of it, may have been accepted.
         """
-        if not job_id:
-            job_id = self._new_id(spec)
-        try:
-            return await self._client.submit_job(
-                shard_of_job(job_id),
-                job_id,
-                spec,
-            )
-        except PeerAnswerLostError as error:
-            raise JobUnknownError(
-                f'submit again with the id {job_id} to learn the outcome',
-            ) from error
-        except PeerError as error:
-            raise JobNotAcceptedError(str(error)) from error
+        job_id = job_id or self._new_id(spec)
+        parts = self._parts(job_id, spec)
+        results = await asyncio.gather(
+            *(self._submit_part(part_id, part) for part_id, part in parts),
+            return_exceptions=True,
+        )
+        refusals = [
+            result for result in results if isinstance(result, PeerError)
+        ]
+        for result in results:
+            if isinstance(result, BaseException) and result not in refusals:
+                raise result
+        if refusals:
+            raise _not_accepted(job_id, refusals, len(results))
+        views = [view for view in results if isinstance(view, JobView)]
+        return _merged(job_id, views)
 
     async def show(self, job_id: str) -> JobView | None:
         """
-        Return the job, or None if its shard does not know it.
+        Return the job, or None if no shard knows it.
 
         Raises:
-            EntryError: The shard's owner was not reached.
+            EntryError: The owner of a shard was not reached.
         """
-        try:
-            return await self._client.show_job(shard_of_job(job_id), job_id)
-        except PeerError as error:
-            raise EntryError(str(error)) from error
+        return await self._gather(job_id, self._client.show_job)
 
     async def cancel(self, job_id: str) -> JobView | None:
         """
-        Cancel the job, or return None if its shard does not know it.
+        Cancel the job, or return None if no shard knows it.
 
         Raises:
             EntryError: The cancellation may not have been recorded.
         """
+        return await self._gather(job_id, self._client.cancel_job)
+
+    async def _submit_part(self, part_id: str, part: JobSpec) -> JobView:
+        shard = shard_of_job(part_id)
+        return await self._client.submit_job(shard, part_id, part)
+
+    async def _gather(
+        self,
+        job_id: str,
+        ask: Callable[[str, str], Awaitable[JobView | None]],
+    ) -> JobView | None:
+        part_ids = self._part_ids(job_id)
         try:
-            return await self._client.cancel_job(shard_of_job(job_id), job_id)
+            results = await asyncio.gather(
+                *(ask(shard_of_job(part_id), part_id) for part_id in part_ids),
+            )
         except PeerError as error:
             raise EntryError(str(error)) from error
+        views = [view for view in results if view is not None]
+        return _merged(job_id, views) if views else None
 
     def _new_id(self, spec: JobSpec) -> str:
+        token = uuid.uuid4().hex[:16]
+        if spec.task_count >= len(self._shards) * _LEAST_TASKS_PER_SHARD:
+            return f'{_WHOLE}{_SEPARATOR}{token}'
         shard = self._chooser.choose_for_job(spec)
         if shard is None:
             raise JobNotAcceptedError('no shard has an owner')
-        # Ids appear in URL paths, so the shard's slash is replaced.
-        name = '.'.join(shard.rsplit('/', 1))
-        return f'{name}{_SEPARATOR}{uuid.uuid4().hex[:16]}'
+        return _part_id(shard, token)
+
+    def _part_ids(self, job_id: str) -> tuple[str, ...]:
+        if not is_whole(job_id):
+            return (job_id,)
+        token = job_id.partition(_SEPARATOR)[2]
+        return tuple(_part_id(shard, token) for shard in self._shards)
+
+    def _parts(
+        self,
+        job_id: str,
+        spec: JobSpec,
+    ) -> list[tuple[str, JobSpec]]:
+        """
+        Return the same parts whenever the job is submitted again.
+        """
+        part_ids = self._part_ids(job_id)
+        least, rest = divmod(spec.task_count, len(part_ids))
+        counts = [least + int(number < rest) for number in range(len(part_ids))]
+        return [
+            (part_id, replace(spec, task_count=count))
+            for part_id, count in zip(part_ids, counts, strict=True)
+            if count
+        ]
+
+
+def _part_id(shard: str, token: str) -> str:
+    # Ids appear in URL paths, so the shard's slash is replaced.
+    name = '.'.join(shard.rsplit('/', 1))
+    return f'{name}{_SEPARATOR}{token}'
+
+
+def _not_accepted(
+    job_id: str,
+    refusals: Sequence[PeerError],
+    part_count: int,
+) -> EntryError:
+    is_open = any(isinstance(error, PeerAnswerLostError) for error in refusals)
+    if is_open or len(refusals) < part_count:
+        return JobUnknownError(
+            f'submit again with the id {job_id} to learn the outcome',
+        )
+    return JobNotAcceptedError(str(refusals[0]))
+
+
+def _merged(job_id: str, views: Sequence[JobView]) -> JobView:
+    if len(views) == 1 and views[0].job_id == job_id:
+        return views[0]
+    tasks = tuple(task for view in views for task in view.tasks)
+    return JobView(
+        job_id=job_id,
+        spec=replace(views[0].spec, task_count=len(tasks)),
+        is_cancelled=all(view.is_cancelled for view in views),
+        tasks=tasks,
+        waits_for=next(
+            (view.waits_for for view in views if view.waits_for), ''
+        ),
+    )
--- a/src/hawthornpier/owner/_job_state.py
+++ b/src/hawthornpier/owner/_job_state.py
@@ -93,9 +93,9 @@
     @property
     def task_id(self) -> str:
         """
-        Return the id of the task.
+        Return the id of the task; the policy finds the job in it.
         """
-        return f'{self.job.job_id}.{self.index}'
+        return f'{self.job.job_id}/{self.index}'
 
     @property
     def is_finished(self) -> bool:
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -4,7 +4,6 @@
 
 import enum
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import replace
 
 from hawthornpier.messages import (
     EventKind,
@@ -14,12 +13,12 @@
     HostState,
     JobSpec,
     JobView,
+    OpenRequest,
     Outcome,
     ShardLoad,
     StartVerdict,
     TaskAction,
     TaskOutcome,
-    TaskResult,
     WorkerReport,
 )
 from hawthornpier.owner._context import ShardContext
@@ -43,19 +42,16 @@
     EvictTask,
     PlaceTask,
     RejectTask,
+    RequestDemand,
+    RequestResult,
     SchedulingPolicy,
     ShedReason,
     ShedRequest,
-    TaskDemand,
     ThrottleTask,
     WorkerInfo,
 )
 from hawthornpier.ports import Clock, EventSink, TableStore, WorkerPort
 
-# Requests of the earlier owner that a worker still serves are charged under
-# this prefix, since their own ids belong to that owner.
-_ADOPTED_PREFIX = 'adopted-request:'
-
 
 class Closing(enum.StrEnum):
     """
@@ -300,17 +296,7 @@
         for open_request in reply.open_requests:
             if self._dispatcher.is_charged(open_request.request_id):
                 continue
-            self._adopt_request(
-                link,
-                open_request.request_id,
-                TaskDemand(
-                    task_id=_ADOPTED_PREFIX + open_request.request_id,
-                    member='',
-                    workload='',
-                    demand=replace(open_request.demand, slot_count=1),
-                    declared_work_ms=0,
-                ),
-            )
+            self._adopt_request(link, open_request)
         self._record(EventKind.WORKER_JOINED, link)
         self._dispatcher.pump()
 
@@ -466,45 +452,45 @@
         elif link.state is LinkState.OPEN:
             self._policy.add_worker(_worker_info(link.host), now_ms)
 
-    def _adopt_request(
-        self,
-        link: WorkerLink,
-        request_id: str,
-        demand: TaskDemand,
-    ) -> None:
-        if request_id in self._adopted_request_ids:
+    def _adopt_request(self, link: WorkerLink, request: OpenRequest) -> None:
+        """
+        Charge a request of an earlier owner until the worker has ended it.
+        """
+        if request.request_id in self._adopted_request_ids:
             return
-        self._adopted_request_ids.add(request_id)
+        self._adopted_request_ids.add(request.request_id)
         now_ms = self._clock.monotonic_ms()
-        self._policy.adopt_task(demand, link.worker_id, now_ms)
-        self._tasks.spawn(self._release_adopted(link, request_id, demand))
+        self._policy.adopt_request(
+            RequestDemand(
+                request_id=request.request_id,
+                member='',
+                service=request.service,
+                demand=request.demand,
+                deadline_ms=now_ms,
+            ),
+            link.worker_id,
+            now_ms,
+        )
+        self._tasks.spawn(self._release_adopted(link, request.request_id))
 
-    async def _release_adopted(
-        self,
-        link: WorkerLink,
-        request_id: str,
-        demand: TaskDemand,
-    ) -> None:
+    async def _release_adopted(self, link: WorkerLink, request_id: str) -> None:
+        started_ms = self._clock.monotonic_ms()
         await settle(
             link,
             SentRequest(
                 request_id=request_id,
                 epoch=link.confirmed_epoch - 1,
                 incarnation=link.incarnation,
-                sent_ms=self._clock.monotonic_ms(),
+                sent_ms=started_ms,
             ),
             clock=self._clock,
             timing=self._timing,
         )
         self._adopted_request_ids.discard(request_id)
-        now_ms = self._clock.monotonic_ms()
-        self._policy.end_task(demand.task_id, TaskResult.STOPPED, now_ms)
-        self._dispatcher.pump()
+        # How long it has run is not known, so it counts as lost.
+        self._dispatcher.release(request_id, RequestResult.LOST, 0)
 
     def _on_task_decision(self, decision: TaskDecision) -> None:
-        if decision.task_id.startswith(_ADOPTED_PREFIX):
-            # A caller's request can be neither throttled nor evicted.
-            return
         self._task_handlers[type(decision)](decision)
 
     async def _tick(self) -> None:
--- a/src/hawthornpier/policy/_interface.py
+++ b/src/hawthornpier/policy/_interface.py
@@ -54,6 +54,17 @@
         """
         ...
 
+    def adopt_request(
+        self,
+        request: RequestDemand,
+        worker_id: str,
+        now_ms: int,
+    ) -> None:
+        """
+        Charge a request that the worker already serves.
+        """
+        ...
+
     def cancel_request(self, request_id: str, now_ms: int) -> None:
         """
         Forget a queued request; a placed one stays charged.
