Divide the table's limits among the shards

Cause: each owner kept the whole limit by itself, so three shards ran up to three times a limit: the demo's table edit limits a workload to 6 running tasks, and 18 were running once jobs were divided over all shards. Change: each shard has a share of every limit, and the shares add up to it; a job goes to the shards whose shares let it run; a divided job's id names its shards, so that a repeated submission makes the same parts. Conclusion: fixed shares can leave a part of a limit unused; lending them between shards is open, and so is the wait of short work right after the start.

--- a/src/hawthornpier/daemon/_catalog.py
+++ b/src/hawthornpier/daemon/_catalog.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from hawthornpier.daemon._quota import limits_of_shard
 from hawthornpier.messages import Resources
 from hawthornpier.policy import WorkloadLimits
 from hawthornpier.table import VersionedTable, WorkloadClass, WorkloadRow
@@ -14,8 +15,9 @@
     Looks services up in the table's rows in force.
     """
 
-    def __init__(self, table: VersionedTable) -> None:
+    def __init__(self, table: VersionedTable, shards: Sequence[str]) -> None:
         self._table = table
+        self._shards = tuple(sorted(shards))
 
     def demand(self, member: str, service: str) -> Resources:
         """
@@ -49,11 +51,36 @@
         """
         return self._service(member, service).deadline_ms
 
-    def limits(self) -> Sequence[WorkloadLimits]:
+    def limits(self, shard: str) -> Sequence[WorkloadLimits]:
         """
-        Return the weights and limits in force.
+        Return the weights and the shard's shares of the limits in force.
         """
-        return self._table.limits()
+        return limits_of_shard(
+            self._table.limits(),
+            shard=shard,
+            shards=self._shards,
+        )
+
+    def usable_shards(self, member: str, workload: str) -> tuple[str, ...]:
+        """
+        Return the shards whose shares let a task of the workload run.
+
+        All of them if no shard has a share: the job then waits.
+        """
+        usable = tuple(
+            shard
+            for shard in self._shards
+            if self._has_share(member, workload, shard)
+        )
+        return usable or self._shards
+
+    def _has_share(self, member: str, workload: str, shard: str) -> bool:
+        shares = [
+            row.max_running_count
+            for row in self.limits(shard)
+            if row.member == member and row.name in {member, workload}
+        ]
+        return 0 not in shares
 
     def _service(self, member: str, service: str) -> WorkloadRow:
         row = self._table.workload(member, service)
--- a/src/hawthornpier/daemon/_chooser.py
+++ b/src/hawthornpier/daemon/_chooser.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Collection, Sequence
 
-from hawthornpier.messages import JobSpec, ShardLoad
+from hawthornpier.messages import ShardLoad
 from hawthornpier.policy import ShardRouter
 from hawthornpier.ports import Clock
 
@@ -47,11 +47,15 @@
             tried=excluded,
         )
 
-    def choose_for_job(self, spec: JobSpec) -> str | None:
+    def choose_for_job(self, usable: Collection[str]) -> str | None:
         """
-        Return the shard with the fewest queued tasks for each slot.
+        Return the usable shard with the fewest queued tasks for each slot.
         """
-        loads = [load for load in self._loads() if load.slot_count]
+        loads = [
+            load
+            for load in self._loads()
+            if load.slot_count and load.shard in usable
+        ]
         if not loads:
             return None
         return min(loads, key=_tasks_per_slot).shard
--- a/src/hawthornpier/daemon/_node.py
+++ b/src/hawthornpier/daemon/_node.py
@@ -179,7 +179,7 @@
             has_majority=self._confirmation.may_accept_edits,
             events=self.recorder,
         )
-        self._catalog = TableCatalog(self._table)
+        self._catalog = TableCatalog(self._table, self._shards())
         self._table_sync = TableSync(
             table=self._table,
             confirmation=self._confirmation,
@@ -272,6 +272,7 @@
                 client=client,
                 chooser=chooser,
                 shards=self._shards(),
+                usable_shards=self._catalog.usable_shards,
             ),
             signing_keys=self._connections.signing_keys,
             is_ready=self._is_ready,
--- a/src/hawthornpier/entry/_interfaces.py
+++ b/src/hawthornpier/entry/_interfaces.py
@@ -62,8 +62,8 @@
         """
         ...
 
-    def choose_for_job(self, spec: JobSpec) -> str | None:
+    def choose_for_job(self, usable: Collection[str]) -> str | None:
         """
-        Return the shard that takes the job.
+        Return the one of the usable shards that takes a small job.
         """
         ...
--- a/src/hawthornpier/entry/_jobs.py
+++ b/src/hawthornpier/entry/_jobs.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import re
 import uuid
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import replace
@@ -18,8 +19,9 @@
 
 # Separates the shard from the rest of a job's id.
 _SEPARATOR = '~'
-# Stands for the shard in the id of a job that is divided over all shards.
-_WHOLE = 'all'
+# Begins the id of a divided job; the bits of the number that follows name the
+# shards, so that the parts stay the same when limits change.
+_DIVIDED = re.compile('parts-([0-9a-f]+)~')
 # Fewer tasks than this for each shard are not worth the extra writes.
 _LEAST_TASKS_PER_SHARD = 2
 
@@ -33,19 +35,13 @@
     return f'{failure_domain}/{number}'
 
 
-def is_whole(job_id: str) -> bool:
-    """
-    Tell whether the id names a job whose parts are in all shards.
-    """
-    return job_id.startswith(f'{_WHOLE}{_SEPARATOR}')
-
-
 class JobRouter:
     """
     Submits, shows and cancels jobs at the owners of their shards.
 
-    A job with enough tasks is divided over all shards, since a shard uses its
-    own workers only.  Each part is a job of its shard.
+    A job with enough tasks is divided over the shards where its limits let it
+    run, since a shard uses its own workers only.  Each part is a job of its
+    shard.
     """
 
     def __init__(
@@ -54,10 +50,12 @@
         client: ShardClient,
         chooser: ShardChooser,
         shards: Sequence[str],
+        usable_shards: Callable[[str, str], Sequence[str]],
     ) -> None:
         self._client = client
         self._chooser = chooser
         self._shards = tuple(sorted(shards))
+        self._usable_shards = usable_shards
 
     async def submit(self, spec: JobSpec, *, job_id: str = '') -> JobView:
         """
@@ -123,18 +121,26 @@
 
     def _new_id(self, spec: JobSpec) -> str:
         token = uuid.uuid4().hex[:16]
-        if spec.task_count >= len(self._shards) * _LEAST_TASKS_PER_SHARD:
-            return f'{_WHOLE}{_SEPARATOR}{token}'
-        shard = self._chooser.choose_for_job(spec)
+        usable = self._usable_shards(spec.member, spec.workload)
+        if spec.task_count >= len(usable) * _LEAST_TASKS_PER_SHARD:
+            bits = sum(1 << self._shards.index(shard) for shard in usable)
+            return f'parts-{bits:x}{_SEPARATOR}{token}'
+        shard = self._chooser.choose_for_job(usable)
         if shard is None:
-            raise JobNotAcceptedError('no shard has an owner')
+            raise JobNotAcceptedError('no usable shard has an owner')
         return _part_id(shard, token)
 
     def _part_ids(self, job_id: str) -> tuple[str, ...]:
-        if not is_whole(job_id):
+        divided = _DIVIDED.match(job_id)
+        if divided is None:
             return (job_id,)
+        bits = int(divided[1], 16)
         token = job_id.partition(_SEPARATOR)[2]
-        return tuple(_part_id(shard, token) for shard in self._shards)
+        return tuple(
+            _part_id(shard, token)
+            for number, shard in enumerate(self._shards)
+            if bits >> number & 1
+        )
 
     def _parts(
         self,
--- a/src/hawthornpier/owner/_interfaces.py
+++ b/src/hawthornpier/owner/_interfaces.py
@@ -55,9 +55,9 @@
         """
         ...
 
-    def limits(self) -> Sequence[WorkloadLimits]:
+    def limits(self, shard: str) -> Sequence[WorkloadLimits]:
         """
-        Return the weights and limits in force.
+        Return the weights and the shard's shares of the limits in force.
         """
         ...
 
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -163,7 +163,7 @@
         self.jobs.load(records.jobs, records.chunks)
         self._known_workers = set(records.workers.worker_ids)
         self._unfenced = set(records.workers.worker_ids)
-        self._policy.set_limits(self._catalog.limits())
+        self._policy.set_limits(self._catalog.limits(self.shard))
         self._orders.load(records.intents)
         self._is_open = True
         await self.set_hosts(list_hosts())
@@ -188,7 +188,7 @@
         """
         Take over the table's weights and limits in force.
         """
-        self._policy.set_limits(self._catalog.limits())
+        self._policy.set_limits(self._catalog.limits(self.shard))
 
     async def drain(self) -> None:
         """
--- a/tests/owner_harness.py
+++ b/tests/owner_harness.py
@@ -102,7 +102,7 @@
         """
         return service == 'stock-check'
 
-    def limits(self) -> Sequence[WorkloadLimits]:
+    def limits(self, shard: str) -> Sequence[WorkloadLimits]:
         """
         Return no limits.
         """
