--- a/src/hawthornpier/coordination/_ownership.py
+++ b/src/hawthornpier/coordination/_ownership.py
@@ -200,7 +200,7 @@
         """
         Give up all shards at the same time, each to a named successor.
         """
-        successors = self._vacancies.successors(self._owned, self._owners)
+        successors = self._vacancies.successors(self._owned, self.owners)
         results = await asyncio.gather(
             *(
                 self.hand_over(shard, successor)
@@ -309,6 +309,6 @@
                 failure_domain=identity.failure_domain,
             ),
             self._owned,
-            self._vacancies.successors(),
+            self._vacancies.fresh_claimants(),
             self._vacancies.owned_counts(self.owners),
         )
--- a/src/hawthornpier/coordination/_timings.py
+++ b/src/hawthornpier/coordination/_timings.py
@@ -86,7 +86,7 @@
     """
 
     observe_interval_ms: int = 500
-    far_observe_interval_ms: int = 2_000
+    far_observe_interval_ms: int = 1_000
     claim_settle_ms: int = 1_000
     claim_patience_ms: int = 1_500
     claim_batch_count: int = 16
--- a/src/hawthornpier/coordination/_vacancies.py
+++ b/src/hawthornpier/coordination/_vacancies.py
@@ -48,9 +48,9 @@
         self._regions: dict[str, str] = {}
         self._settled_ms: int | None = None
 
-    def successors(self) -> tuple[Claimant, ...]:
+    def fresh_claimants(self) -> tuple[Claimant, ...]:
         """
-        Return the processes that a shard may be handed over to.
+        Return the processes that were just seen to renew their leases.
         """
         return tuple(
             claimant
@@ -142,7 +142,7 @@
         """
         claimants = [
             claimant
-            for claimant in self.claimants()
+            for claimant in self.fresh_claimants()
             if claimant.process_id != self._lease.process_id
         ]
         ranking = rank_claimants(
--- a/tests/test_coordination_ownership.py
+++ b/tests/test_coordination_ownership.py
@@ -155,6 +155,7 @@
         """
         Shards leave a dead domain after the grace time, and come back.
         """
+        world.ownership_timings = co.OwnershipTimings(foreign_grace_ms=5_000)
         home = world.start('p0', 'ipoh')
         away = world.start('p1', 'melaka')
         await world.run_for(3_000)
@@ -196,6 +197,19 @@
         epochs = {owned.epoch for owned in second.ownership.owned.values()}
         assert epochs == {1, 2}
 
+    async def test_the_last_process_of_a_domain_stops(self, world):
+        """
+        Its shards go to another domain without the grace time.
+        """
+        world.ownership_timings = co.OwnershipTimings(foreign_grace_ms=60_000)
+        home = world.start('p0', 'ipoh')
+        away = world.start('p1', 'melaka')
+        await world.run_for(4_000)
+        assert owned_count(home) == 4
+        await world.stop(home)
+        await world.run_for(1_500)
+        assert owned_count(away) == 4
+
     async def test_a_restart_with_the_same_id_waits(self, world):
         """
         A second process with the same id never shares the lease.
