--- a/tests/test_coordination_ownership.py
+++ b/tests/test_coordination_ownership.py
@@ -210,6 +210,24 @@
         await world.run_for(1_500)
         assert owned_count(away) == 4
 
+    async def test_a_lost_process_is_remembered(self, world):
+        """
+        A process that vanished without a shard still counts for majorities,
+        until it is back.
+        """
+        nodes = [world.start(f'p{number}') for number in range(5)]
+        await world.run_for(5_000)
+        idle = min(nodes, key=owned_count)
+        world.kill(idle)
+        await world.run_for(6_000)
+        assert f'process/{idle.process_id}' not in world.store.rows
+        others = [node for node in nodes if node is not idle]
+        for node in others:
+            assert idle.process_id in node.directory.last_known_ids
+        world.start(idle.process_id)
+        await world.run_for(2_000)
+        assert f'lost/{idle.process_id}' not in world.store.rows
+
     async def test_a_restart_with_the_same_id_waits(self, world):
         """
         A second process with the same id never shares the lease.
