--- a/tests/test_coordination_membership.py
+++ b/tests/test_coordination_membership.py
@@ -324,6 +324,19 @@
         assert network.admitting() == {'ipoh-1', 'ipoh-2', 'ipoh-3'}
         assert not processes[2].confirmation.may_accept_edits()
 
+    async def test_edits_need_a_majority_with_the_store(self, network):
+        """
+        No edit is tried that a majority could not learn of from the store.
+        """
+        first, second, third = network.start(*_NAMES)
+        await asyncio.sleep(4)
+        second.port.is_cut_off = third.port.is_cut_off = True
+        await asyncio.sleep(4)
+        assert not first.confirmation.may_accept_edits()
+        second.port.is_cut_off = False
+        await asyncio.sleep(4)
+        assert first.confirmation.may_accept_edits()
+
     async def test_a_newer_version_of_a_peer_stops_admission(self, network):
         """
         In a shared outage, a process with an older table admits nothing.
