--- a/src/hawthornpier/coordination/_vacancies.py
+++ b/src/hawthornpier/coordination/_vacancies.py
@@ -48,9 +48,9 @@
         self._regions: dict[str, str] = {}
         self._settled_ms: int | None = None
 
-    def fresh_claimants(self) -> tuple[Claimant, ...]:
+    def successors(self) -> tuple[Claimant, ...]:
         """
-        Return the processes that were just seen to renew their leases.
+        Return the processes that a shard may be handed over to.
         """
         return tuple(
             claimant
@@ -132,7 +132,7 @@
             or self._is_turn(shard, ranked)
         )
 
-    def successors(
+    def named_successors(
         self,
         shards: Iterable[str],
         owners: Mapping[str, ShardOwner],
@@ -142,7 +142,7 @@
         """
         claimants = [
             claimant
-            for claimant in self.fresh_claimants()
+            for claimant in self.successors()
             if claimant.process_id != self._lease.process_id
         ]
         ranking = rank_claimants(
--- a/tests/test_coordination_membership.py
+++ b/tests/test_coordination_membership.py
@@ -330,7 +330,8 @@
         """
         first, second, third = network.start(*_NAMES)
         await asyncio.sleep(4)
-        second.port.is_cut_off = third.port.is_cut_off = True
+        second.port.is_cut_off = True
+        third.port.is_cut_off = True
         await asyncio.sleep(4)
         assert not first.confirmation.may_accept_edits()
         second.port.is_cut_off = False
