--- a/tools/demo/run.py
+++ b/tools/demo/run.py
@@ -309,7 +309,11 @@
     async def _call_services(self, plan: circle.MemberPlan) -> None:
         entries = [
             BalancedEntry(
-                HttpEntry(address=address, headers={'X-Member': plan.member}),
+                HttpEntry(
+                    name=name,
+                    address=address,
+                    headers={'X-Member': plan.member},
+                ),
                 functools.partial(self._ready.__contains__, name),
             )
             for name, address in self._entries.items()
