Refuse malformed HTTP input with a reason; repeat request ids

Show a job only to its member when its id is submitted again. Answer 401 without an operator's member, 404 and 405 in JSON, and 400 for numbers that cannot be encoded and for JSON nested too deeply.

--- a/src/hawthornpier/adapters/_signing.py
+++ b/src/hawthornpier/adapters/_signing.py
@@ -20,6 +20,7 @@
 # Generous against the wall clock errors of hosts without a disk, which may
 # synchronise only some seconds after they start.
 _MAX_DIFFERENCE_MS = 30_000
+_MAX_TIMESTAMP_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -98,10 +99,12 @@
 
 
 def _timestamp(lowered: Mapping[str, str]) -> int:
-    try:
-        return int(lowered[TIMESTAMP_HEADER.lower()])
-    except (KeyError, ValueError) as error:
-        raise SignatureError('the timestamp is missing') from error
+    text = lowered.get(TIMESTAMP_HEADER.lower(), '')
+    is_number = text.isascii() and text.isdigit()
+    # int and str refuse numbers of several thousand digits.
+    if not is_number or len(text) > _MAX_TIMESTAMP_DIGITS:
+        raise SignatureError('the timestamp is missing or malformed')
+    return int(text)
 
 
 def _digest(
--- a/src/hawthornpier/daemon/_application.py
+++ b/src/hawthornpier/daemon/_application.py
@@ -2,13 +2,14 @@
 The routes of the daemon.
 """
 
-from tornado.web import Application, ErrorHandler
+from tornado.web import Application
 
 from hawthornpier.daemon._caller_handlers import (
     JobHandler,
     JobsHandler,
     ServiceHandler,
 )
+from hawthornpier.daemon._http import UnknownPathHandler
 from hawthornpier.daemon._operator_handlers import (
     ApprovalHandler,
     HealthHandler,
@@ -59,8 +60,8 @@
             (route, handler, {'services': services})
             for route, handler in _ROUTES
         ],
-        default_handler_class=ErrorHandler,
-        default_handler_args={'status_code': 404},
+        default_handler_class=UnknownPathHandler,
+        default_handler_args={'services': services},
         log_function=_ignore_request,
     )
 
--- a/src/hawthornpier/daemon/_caller_handlers.py
+++ b/src/hawthornpier/daemon/_caller_handlers.py
@@ -12,6 +12,12 @@
 
 from hawthornpier.adapters import encode_outcome
 from hawthornpier.daemon._http import ApiHandler
+from hawthornpier.daemon._limits import (
+    MAX_DEADLINE_MS,
+    check_job_id,
+    check_spec,
+    is_job_id,
+)
 from hawthornpier.entry import (
     CallerRequest,
     EntryError,
@@ -20,14 +26,20 @@
     KeyRequiredError,
     UnknownServiceError,
 )
-from hawthornpier.messages import Answer, JobSpec, NotRun, Outcome, Unknown
+from hawthornpier.messages import (
+    Answer,
+    JobSpec,
+    JobView,
+    NotRun,
+    Outcome,
+    Unknown,
+)
 from hawthornpier.metrics import InstrumentName
 from hawthornpier.ports import StoreError
 
 DEADLINE_HEADER = 'Deadline-Ms'
 KEY_HEADER = 'Idempotency-Key'
 
-MAX_DEADLINE_MS = 600_000
 MAX_KEY_CHARS = 200
 # Jobs whose state is fetched for a listing, the newest first.
 MAX_LISTED_JOBS = 200
@@ -112,7 +124,8 @@
         text = self.request.headers.get(DEADLINE_HEADER, '')
         if not text:
             return self._default_deadline_ms(service)
-        if not text.isascii() or not text.isdigit() or len(text) > 9:
+        is_number = text.isascii() and text.isdigit() and len(text) <= 9
+        if not is_number or not int(text):
             raise HTTPError(
                 HTTPStatus.BAD_REQUEST,
                 f'header {DEADLINE_HEADER} is not a number of milliseconds',
@@ -136,6 +149,13 @@
                 HTTPStatus.BAD_REQUEST,
                 f'header {KEY_HEADER} is longer than {MAX_KEY_CHARS}',
             )
+        if not key.isascii() or not key.isprintable():
+            # The encoding of other characters in headers is not defined, so
+            # a repeat might not carry the same key.
+            raise HTTPError(
+                HTTPStatus.BAD_REQUEST,
+                f'header {KEY_HEADER} is not printable ASCII',
+            )
         return key
 
 
@@ -156,7 +176,9 @@
                 HTTPStatus.FORBIDDEN,
                 f'operators of {member} submit jobs of {member} only',
             )
-        _check_spec(spec)
+        check_spec(spec)
+        if job_id:
+            check_job_id(job_id)
         try:
             view = await self.services.jobs.submit(spec, job_id=job_id)
         except JobUnknownError as error:
@@ -164,7 +186,7 @@
         except JobNotAcceptedError as error:
             self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
         else:
-            self.send_json(view, HTTPStatus.CREATED)
+            self._send_accepted(view, member)
 
     async def get(self) -> None:
         """
@@ -184,6 +206,13 @@
                 views.append(view)
         self.send_json({'jobs': views})
 
+    def _send_accepted(self, view: JobView, member: str) -> None:
+        if view.spec.member == member:
+            self.send_json(view, HTTPStatus.CREATED)
+        else:
+            # A repeated id returns the job that was accepted first.
+            self.refuse(HTTPStatus.CONFLICT, 'the job id is taken')
+
     async def _view(self, job_id: str) -> Any:
         try:
             return await self.services.jobs.show(job_id)
@@ -210,6 +239,9 @@
 
     async def _answer(self, job_id: str, *, is_cancel: bool) -> None:
         member = self.operator()
+        if not is_job_id(job_id):
+            self.refuse(HTTPStatus.NOT_FOUND, f'there is no job {job_id}')
+            return
         jobs = self.services.jobs
         try:
             view = await jobs.show(job_id)
@@ -223,26 +255,3 @@
             self.refuse(HTTPStatus.NOT_FOUND, f'there is no job {job_id}')
             return
         self.send_json(view)
-
-
-# A larger job is split by its operator; the limit bounds one row's views.
-MAX_TASKS_PER_JOB = 10_000
-
-
-def _check_spec(spec: JobSpec) -> None:
-    demand = spec.demand
-    amounts = (
-        demand.processor_millis,
-        demand.memory_bytes,
-        demand.accelerator_count,
-        demand.slot_count,
-        spec.declared_work_ms,
-        spec.work_ms,
-    )
-    if not 0 < spec.task_count <= MAX_TASKS_PER_JOB:
-        raise HTTPError(
-            HTTPStatus.BAD_REQUEST,
-            f'task_count must be from 1 to {MAX_TASKS_PER_JOB}',
-        )
-    if min(amounts) < 0:
-        raise HTTPError(HTTPStatus.BAD_REQUEST, 'an amount is negative')
--- a/src/hawthornpier/daemon/_http.py
+++ b/src/hawthornpier/daemon/_http.py
@@ -9,6 +9,7 @@
 from tornado.web import HTTPError, RequestHandler
 
 from hawthornpier.adapters import (
+    REQUEST_ID_HEADER,
     MessageError,
     SignatureError,
     decode_message,
@@ -33,9 +34,18 @@
         """
         self.services = services
         services.activity.open_count += 1
-        if services.activity.is_leaving:
-            # The client opens its next connection to another process.
-            self.set_header('Connection', 'close')
+        self._close_if_leaving()
+
+    def set_default_headers(self) -> None:
+        """
+        Repeat the request's id, also in refusals.
+
+        The client treats a response with a wrong id as lost.  An id with
+        control characters cannot be sent back and is left out.
+        """
+        request_id = self.request.headers.get(REQUEST_ID_HEADER, '')
+        if request_id and request_id.isprintable():
+            self.set_header(REQUEST_ID_HEADER, request_id)
 
     def on_finish(self) -> None:
         """
@@ -73,10 +83,12 @@
         """
         Render what tornado refuses itself, without a traceback.
         """
+        # tornado has dropped the headers that were set before the error.
+        self._close_if_leaving()
         error = kwargs.get('exc_info', (None, None, None))[1]
         reason = HTTPStatus(status_code).phrase
-        if isinstance(error, HTTPError) and error.log_message:
-            reason = error.log_message
+        if isinstance(error, HTTPError):
+            reason = error.get_message() or reason
         self.refuse(HTTPStatus(status_code), reason)
 
     def message(self, message_type: type[_Message]) -> _Message:
@@ -87,6 +99,11 @@
             return decode_message(self.request.body, message_type)
         except MessageError as error:
             raise HTTPError(HTTPStatus.BAD_REQUEST, str(error)) from error
+        except RecursionError as error:
+            raise HTTPError(
+                HTTPStatus.BAD_REQUEST,
+                'malformed body: nested too deeply',
+            ) from error
 
     def member(self) -> str:
         """
@@ -104,7 +121,7 @@
         """
         Return the member whose operator asks, or answer with status 401.
         """
-        member = self.member()
+        member = self.request.headers.get(MEMBER_HEADER, '')
         key = self.request.headers.get(OPERATOR_KEY_HEADER, '')
         if not self.services.table.is_operator(member, key):
             raise HTTPError(
@@ -120,6 +137,23 @@
         if not isinstance(exc_info[1], HTTPError):
             super().log_exception(*exc_info)
 
+    def _close_if_leaving(self) -> None:
+        if self.services.activity.is_leaving:
+            # The client opens its next connection to another process.
+            self.set_header('Connection', 'close')
+
+
+class UnknownPathHandler(ApiHandler):
+    """
+    Refuses requests for paths that do not exist.
+    """
+
+    def prepare(self) -> None:
+        """
+        Answer with status 404, whatever the method is.
+        """
+        raise HTTPError(HTTPStatus.NOT_FOUND, 'there is no such path')
+
 
 class PeerHandler(ApiHandler):
     """
--- a/src/hawthornpier/daemon/_operator_handlers.py
+++ b/src/hawthornpier/daemon/_operator_handlers.py
@@ -43,7 +43,20 @@
     base_version: int
 
 
-class TableHandler(ApiHandler):
+class _TableRefusals(ApiHandler):
+    """
+    Answers with the errors of the table.
+    """
+
+    def send_refusal(self, error: Exception) -> None:
+        """
+        Tell why the edit was not accepted.
+        """
+        response = error_response(error)
+        self.send_json(response.body, response.status)
+
+
+class TableHandler(_TableRefusals):
     """
     Shows and edits the table.
     """
@@ -80,15 +93,8 @@
                 },
             )
 
-    def send_refusal(self, error: Exception) -> None:
-        """
-        Tell why the edit was not accepted.
-        """
-        response = error_response(error)
-        self.send_json(response.body, response.status)
 
-
-class ApprovalHandler(TableHandler):
+class ApprovalHandler(_TableRefusals):
     """
     Records the approval of a new member.
     """
@@ -111,12 +117,12 @@
             self.send_json({'version': delta.version})
 
 
-class HistoryHandler(TableHandler):
+class HistoryHandler(_TableRefusals):
     """
     Shows the accepted edits.
     """
 
-    async def get(self) -> None:  # type: ignore[override]
+    async def get(self) -> None:
         """
         Return the edits after version *since*.
         """
--- a/src/hawthornpier/daemon/_peer_handlers.py
+++ b/src/hawthornpier/daemon/_peer_handlers.py
@@ -11,6 +11,12 @@
     encode_outcome,
 )
 from hawthornpier.daemon._http import PeerHandler
+from hawthornpier.daemon._limits import (
+    check_forwarded,
+    check_heartbeat,
+    check_job_id,
+    check_spec,
+)
 from hawthornpier.daemon._peer_service import PeerService
 from hawthornpier.messages import ForwardedRequest, Heartbeat
 from hawthornpier.ports import PeerAnswerLostError, PeerRefusedError
@@ -54,6 +60,7 @@
         Take the peer's heartbeat and answer with the own one.
         """
         heartbeat = self.message(Heartbeat)
+        check_heartbeat(heartbeat)
         await self.answer(self.service.heartbeat(heartbeat))
 
 
@@ -67,6 +74,7 @@
         Answer with one of the three outcomes.
         """
         request = self.message(ForwardedRequest)
+        check_forwarded(request)
         try:
             outcome = await self.service.forward(request)
         except PeerRefusedError as error:
@@ -86,6 +94,8 @@
         Answer with the job.
         """
         submission = self.message(JobSubmission)
+        check_job_id(submission.job_id)
+        check_spec(submission.spec)
         await self.answer(
             self.service.submit_job(submission.job_id, submission.spec),
         )
@@ -101,6 +111,7 @@
         Answer with the job or null.
         """
         job_id = self.message(JobReference).job_id
+        check_job_id(job_id)
         await self.answer(self.service.show_job(job_id))
 
 
@@ -114,6 +125,7 @@
         Answer with the job or null.
         """
         job_id = self.message(JobReference).job_id
+        check_job_id(job_id)
         await self.answer(self.service.cancel_job(job_id))
 
 
--- /dev/null
+++ b/tests/test_daemon_http.py
@@ -0,0 +1,343 @@
+"""
+Tests of the daemon's HTTP interface over real sockets.
+"""
+
+import asyncio
+import json
+import logging
+
+import http_inputs as inputs
+import pytest
+from http_inputs import CALLER, CALLS, ORDERS, encoded
+from http_server import WRONG_OPERATORS, operator, serving, with_daemon
+from hypothesis import example, given
+
+from hawthornpier.daemon._process import MAX_BODY_BYTES, MAX_HEADER_BYTES
+
+
+class TestOperatorKeys:
+    """
+    Only operators reach the table and the jobs of their member.
+    """
+
+    @pytest.mark.parametrize('headers', WRONG_OPERATORS)
+    async def test_every_route_needs_a_key(self, headers) -> None:
+        """
+        No route answers without the key of the named member.
+        """
+        async with serving() as daemon:
+            for method, path in inputs.OPERATOR_ROUTES:
+                response = await daemon.send(method, path, b'{}', headers)
+                assert (path, response.status) == (path, 401)
+                assert response.json()['reason']
+
+    async def test_jobs_of_other_members_are_hidden(self) -> None:
+        """
+        A member neither sees, cancels nor submits again another's job.
+        """
+        async with serving() as daemon:
+            accepted = await daemon.send(
+                'POST', '/v1/jobs', encoded(inputs.JOB), operator()
+            )
+            job_id = accepted.json()['job_id']
+            path, other = f'/v1/jobs/{job_id}', operator('orchard')
+            for method in ('GET', 'DELETE'):
+                response = await daemon.send(method, path, b'', other)
+                assert response.status == 404
+            again = encoded(inputs.JOB, member='orchard', job_id=job_id)
+            response = await daemon.send('POST', '/v1/jobs', again, other)
+            assert response.status == 409
+            assert b'carving-plan' not in response.body
+            response = await daemon.send(
+                'POST', '/v1/jobs', encoded(inputs.JOB), other
+            )
+            assert response.status == 403
+            listed = await daemon.send('GET', '/v1/jobs', b'', other)
+            assert not listed.json()['jobs']
+            own = await daemon.send('GET', path, b'', operator())
+            assert own.json()['is_cancelled'] is False
+
+
+class TestPeerSignatures:
+    """
+    Only processes that hold a key reach the routes between processes.
+    """
+
+    @pytest.mark.parametrize(
+        'fault',
+        ['missing', 'key', 'expired', 'path', 'body', 'timestamp'],
+    )
+    async def test_every_route_needs_a_signature(self, fault) -> None:
+        """
+        A missing, wrong, expired or replayed signature is refused.
+        """
+        key = inputs.OLD_KEY if fault == 'key' else inputs.NEW_KEY
+        async with serving(inputs.NEW_KEY, is_started=False) as daemon:
+            for method, path in inputs.PEER_ROUTES:
+                headers = inputs.signature(
+                    key, method=method, path=path, body=b'{}', fault=fault
+                )
+                response = await daemon.send(method, path, b'{}', headers)
+                assert (path, response.status) == (path, 401)
+                assert response.json()['reason']
+
+    @pytest.mark.parametrize('key', [inputs.NEW_KEY, inputs.OLD_KEY])
+    async def test_both_keys_are_valid_in_a_rotation(self, key) -> None:
+        """
+        Messages signed with the new or the previous key are accepted.
+        """
+        path, body = '/peer/v1/heartbeat', encoded(inputs.HEARTBEAT)
+        headers = inputs.signature(key, method='POST', path=path, body=body)
+        async with serving(
+            inputs.NEW_KEY, inputs.OLD_KEY, is_started=False
+        ) as daemon:
+            response = await daemon.send('POST', path, body, headers)
+            assert response.json()['heartbeat']['process_id'] == 'p1'
+
+
+class TestMalformedInput:
+    """
+    Malformed input is refused with a reason and reaches no owner.
+    """
+
+    @pytest.fixture(autouse=True)
+    def no_errors_logged(self, caplog):
+        """
+        Fail a test during which a traceback was logged.
+        """
+        yield
+        assert [
+            record
+            for record in caplog.get_records('call')
+            if record.exc_info or record.levelno >= logging.ERROR
+        ] == []
+
+    def test_bodies(self) -> None:
+        """
+        No body that is not a message of the route gets through.
+        """
+
+        @inputs.HYPOTHESIS
+        @given(body=inputs.BAD_BODIES)
+        def check(send, body: bytes) -> None:
+            for method, path in inputs.BODY_ROUTES:
+                response = send(method, path, body, operator())
+                assert response.is_refusal(), (path, response)
+
+        with_daemon(check)
+
+    async def test_amounts_and_ids(self) -> None:
+        """
+        Negative and huge numbers and malformed ids are refused.
+        """
+        async with serving() as daemon:
+            for method, path, body in inputs.BAD_MESSAGES:
+                response = await daemon.send(method, path, body, operator())
+                assert response.is_refusal(), (path, body, response)
+            await daemon.expect_untouched()
+            # A bad heartbeat must not spoil the own clock either.
+            body = encoded(inputs.HEARTBEAT)
+            response = await daemon.send('POST', '/peer/v1/heartbeat', body)
+            assert response.status == 200
+
+    def test_deadlines(self) -> None:
+        """
+        A malformed deadline is refused.
+        """
+
+        @inputs.HYPOTHESIS
+        @given(text=inputs.BAD_DEADLINES)
+        @example(text='0')
+        @example(text='9' * 10)
+        @example(text='9' * 5_000)
+        def check(send, text: str) -> None:
+            headers = CALLER | {'Deadline-Ms': text}
+            response = send('POST', CALLS, b'', headers)
+            assert response.is_refusal(), response
+
+        with_daemon(check)
+
+    @pytest.mark.parametrize(('headers', 'body'), inputs.BAD_CALLS)
+    async def test_callers(self, headers, body) -> None:
+        """
+        Odd headers and bodies of callers are refused.
+        """
+        async with serving() as daemon:
+            assert (
+                await daemon.send('POST', ORDERS, body, headers)
+            ).is_refusal()
+            await daemon.expect_untouched()
+
+    async def test_paths_and_methods(self) -> None:
+        """
+        Unknown paths, methods and queries are refused with a reason.
+        """
+        async with serving() as daemon:
+            for method, path in inputs.BAD_PATHS:
+                response = await daemon.send(
+                    method, path, b'', operator() | CALLER
+                )
+                assert response.is_refusal(), (method, path, response)
+
+    async def test_what_the_server_refuses(self) -> None:
+        """
+        A body or a head over the limit and a broken head are refused.
+        """
+        async with serving() as daemon:
+            body = b'x' * (MAX_BODY_BYTES + 1)
+            response = await daemon.send('POST', CALLS, body, CALLER)
+            assert response.status == 400
+            control = CALLER | {'Idempotency-Key': 'a\x00'}
+            response = await daemon.send('POST', CALLS, b'', control)
+            assert response.status == 400
+            # tornado closes the connection without a response.
+            long = CALLER | {'Idempotency-Key': 'a' * MAX_HEADER_BYTES}
+            with pytest.raises(asyncio.IncompleteReadError):
+                await daemon.send('POST', CALLS, b'', long)
+            await daemon.expect_untouched()
+
+
+class TestOutcomes:
+    """
+    Each outcome has its status and fields.
+    """
+
+    async def test_an_answer(self) -> None:
+        """
+        A complete answer has status 200 and the endpoint's body.
+        """
+        async with serving() as daemon:
+            for headers in (CALLER, CALLER | {'Idempotency-Key': 'k'}):
+                response = await daemon.send('POST', CALLS, b'a', headers)
+                outcome = response.json()
+                assert response.status == 200
+                assert outcome.keys() == {'kind', 'request_id', 'body'}
+                assert outcome['kind'] == 'answer'
+
+    async def test_not_run(self) -> None:
+        """
+        A refusal has status 503 and a reason.
+        """
+        async with serving(is_started=False) as daemon:
+            response = await daemon.send('POST', CALLS, b'a', CALLER)
+            assert response.status == 503
+            outcome = response.json()
+            assert outcome['kind'] == 'not_run'
+            assert outcome['reason'] == 'table_unconfirmed'
+
+    async def test_unknown(self) -> None:
+        """
+        An open outcome has status 504 and says how to ask again.
+        """
+        async with serving() as daemon:
+            daemon.platform.backend.request = _lose_answer
+            headers = CALLER | {'Deadline-Ms': '200', 'Idempotency-Key': 'k'}
+            response = await daemon.send('POST', ORDERS, b'a', headers)
+            assert response.status == 504
+            outcome = response.json()
+            assert outcome['kind'] == 'unknown'
+            assert outcome['ask_again']
+
+    async def test_an_order_needs_a_key(self) -> None:
+        """
+        A request to a non-idempotent service without a key does not run.
+        """
+        async with serving() as daemon:
+            response = await daemon.send('POST', ORDERS, b'a', CALLER)
+            assert response.status == 400
+            assert 'Idempotency-Key' in response.json()['reason']
+            await daemon.expect_untouched()
+
+
+class TestConnections:
+    """
+    Each response belongs to the request on its connection.
+    """
+
+    async def test_responses_are_not_mixed_up(self) -> None:
+        """
+        Concurrent requests on kept connections get their own responses.
+        """
+        async with serving() as daemon:
+
+            async def call(name: str) -> None:
+                connection = await daemon.connect()
+                for number in range(8):
+                    text = f'{name}-{number}'
+                    headers = CALLER | {'X-Request-Id': text}
+                    response = await connection.send(
+                        'POST', CALLS, text.encode(), headers
+                    )
+                    assert json.loads(response.json()['body'])['echo'] == text
+                    assert response.headers['x-request-id'] == text
+
+            await asyncio.gather(*(call(f'c{each}') for each in range(6)))
+
+    async def test_refusals_repeat_the_request_id(self) -> None:
+        """
+        Every response names its request, also those of tornado itself.
+        """
+        async with serving(is_started=False) as daemon:
+            connection = await daemon.connect()
+            for method, path in (
+                ('GET', '/healthz'),
+                ('GET', '/none'),
+                ('ODD', '/healthz'),
+                ('GET', '/metrics'),
+                *inputs.OPERATOR_ROUTES,
+                *inputs.PEER_ROUTES,
+                ('POST', CALLS),
+            ):
+                headers = {'X-Request-Id': path}
+                response = await connection.send(method, path, b'', headers)
+                assert response.headers['x-request-id'] == path
+            # An id that no header may hold is left out.
+            headers = {'X-Request-Id': 'a\x85b'}
+            response = await connection.send('GET', '/healthz', b'', headers)
+            assert response.status == 200
+
+    async def test_leaving_closes_connections(self) -> None:
+        """
+        Responses and refusals of a leaving process ask clients to close.
+        """
+        async with serving(is_started=False) as daemon:
+            daemon.node.activity.is_leaving = True
+            for path in ('/healthz', '/none', '/v1/table'):
+                response = await daemon.send('GET', path)
+                assert response.headers['connection'] == 'close'
+            assert daemon.node.activity.open_count == 0
+
+
+class TestHealth:
+    """
+    The balancer learns whether the process runs and takes callers.
+    """
+
+    async def test_readiness(self) -> None:
+        """
+        A process is ready while its table is confirmed, until it leaves.
+        """
+        async with serving(is_started=False) as daemon:
+            assert (await daemon.send('GET', '/readyz')).status == 503
+            await daemon.start()
+            assert (await daemon.send('GET', '/readyz')).status == 200
+            daemon.node.activity.is_leaving = True
+            response = await daemon.send('GET', '/readyz')
+            assert response.status == 503
+            assert response.json() == {'is_ready': False}
+            assert (await daemon.send('GET', '/healthz')).status == 200
+
+    async def test_requests_are_counted(self) -> None:
+        """
+        The metrics are text and count the requests by outcome.
+        """
+        async with serving() as daemon:
+            await daemon.send('POST', CALLS, b'a', CALLER)
+            response = await daemon.send('GET', '/metrics')
+            assert response.status == 200
+            assert response.headers['content-type'].startswith('text/plain')
+            assert b'outcome="Answer"' in response.body
+
+
+async def _lose_answer(request: object) -> None:
+    await asyncio.Event().wait()
