Test a signature timestamp that was answered with status 500

A negative timestamp of 4,300 digits made the refusal's own message fail. Also correct the reasons given for the limits on numbers: large integers can be encoded, but are not exact in every JSON reader and spread to peers.

--- a/src/hawthornpier/daemon/_limits.py
+++ b/src/hawthornpier/daemon/_limits.py
@@ -12,7 +12,7 @@
 MAX_DEADLINE_MS = 600_000
 # A larger job is split by its operator; the limit bounds one row's views.
 MAX_TASKS_PER_JOB = 10_000
-# JSON encoders fail beyond 64 bits, also after some amounts are added up.
+# The largest integer that every JSON reader holds exactly.
 MAX_AMOUNT = 2**53
 MAX_NAME_CHARS = 200
 
@@ -77,7 +77,7 @@
     Answer with status 400 if a number is out of its range.
 
     The own heartbeats repeat the clock and the loads that were received, so
-    a number that cannot be encoded would stop all of them.
+    an absurd number would spread to every process.
     """
     stamp = heartbeat.stamp
     numbers = [
--- a/tests/http_inputs.py
+++ b/tests/http_inputs.py
@@ -209,5 +209,5 @@
         body=b'other' if fault == 'body' else body,
     )
     if fault == 'timestamp':
-        headers['X-Hawthornpier-Timestamp-Ms'] = '9' * 4_300
+        headers['X-Hawthornpier-Timestamp-Ms'] = f'-{"9" * 4_300}'
     return headers
