--- a/src/hawthornpier/owner/_dispatch.py
+++ b/src/hawthornpier/owner/_dispatch.py
@@ -7,6 +7,7 @@
 from functools import singledispatchmethod
 
 from hawthornpier.messages import Resources
+from hawthornpier.owner._interfaces import AdmissionGate
 from hawthornpier.policy import (
     Decision,
     EvictTask,
@@ -16,6 +17,7 @@
     RequestDemand,
     RequestResult,
     SchedulingPolicy,
+    ShedReason,
     ShedRequest,
     ThrottleTask,
 )
@@ -37,9 +39,11 @@
         *,
         policy: SchedulingPolicy,
         clock: Clock,
+        gate: AdmissionGate,
         on_task_decision: Callable[[TaskDecision], None],
     ) -> None:
         self.policy = policy
+        self._gate = gate
         self._clock = clock
         self._on_task_decision = on_task_decision
         self._waiting: dict[
@@ -118,14 +122,19 @@
         finally:
             self._is_pumping = False
 
-    def shed_all(self, make: Callable[[str], ShedRequest]) -> None:
+    def shed_all(self) -> None:
         """
         Tell every waiting request that it is not run.
         """
         now_ms = self._clock.monotonic_ms()
         for request_id in tuple(self._waiting):
             self.policy.cancel_request(request_id, now_ms)
-            self._settle(make(request_id))
+            self._settle(
+                ShedRequest(
+                    request_id=request_id,
+                    reason=ShedReason.NO_WORKER,
+                ),
+            )
 
     @property
     def waiting_count(self) -> int:
@@ -135,6 +144,10 @@
         return len(self._waiting)
 
     def _run_decisions(self) -> None:
+        if not self._gate.may_admit():
+            # Limits of the table may have changed, so nothing is started.
+            self.shed_all()
+            return
         while decisions := self.policy.decide(self._clock.monotonic_ms()):
             for decision in decisions:
                 self._carry_out(decision)
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -45,8 +45,6 @@
     RequestDemand,
     RequestResult,
     SchedulingPolicy,
-    ShedReason,
-    ShedRequest,
     ThrottleTask,
     WorkerInfo,
 )
@@ -130,6 +128,7 @@
         self._dispatcher = Dispatcher(
             policy=policy,
             clock=clock,
+            gate=gate,
             on_task_decision=self._on_task_decision,
         )
         self._requests = RequestServer(context, self._dispatcher)
@@ -196,7 +195,7 @@
         """
         self._is_open = False
         self.jobs.runner.close()
-        self._dispatcher.shed_all(_moved)
+        self._dispatcher.shed_all()
         while self._open_count:
             await self._clock.sleep_ms(self._timing.tick_interval_ms)
 
@@ -206,7 +205,7 @@
         """
         self._is_open = False
         self.jobs.runner.close()
-        self._dispatcher.shed_all(_moved)
+        self._dispatcher.shed_all()
         await self._tasks.cancel()
 
     # Work.
@@ -537,7 +536,3 @@
         rack=host.rack,
         capacity=host.capacity,
     )
-
-
-def _moved(request_id: str) -> ShedRequest:
-    return ShedRequest(request_id=request_id, reason=ShedReason.NO_WORKER)
--- a/src/hawthornpier/policy/_fairness.py
+++ b/src/hawthornpier/policy/_fairness.py
@@ -23,6 +23,7 @@
 
     def __init__(self) -> None:
         self._limits: dict[tuple[str, str], WorkloadLimits] = {}
+        self.has_services = False
         self._usage: dict[tuple[str, str], Resources] = {}
         self._counts: dict[tuple[str, str], int] = {}
 
@@ -31,6 +32,9 @@
         Replace all rows of the table.
         """
         self._limits = {(row.member, row.name): row for row in limits}
+        self.has_services = any(
+            row.latency_target_ms is not None for row in self._limits.values()
+        )
 
     def charge(self, member: str, workload: str, demand: Resources) -> None:
         """
--- a/src/hawthornpier/policy/_headroom.py
+++ b/src/hawthornpier/policy/_headroom.py
@@ -12,6 +12,10 @@
 # Batch tasks that end by themselves within this time need no eviction.
 _TURNOVER_MS = 1000.0
 _RATE_MEMORY_MS = 5_000.0
+# The share of the slots that is kept for services with a latency target even
+# while none of their requests has come yet.  Without it, batch work fills a
+# shard that has just started, and the first requests are refused.
+_LEAST_SHARE = 1 / 16
 
 
 class HeadroomKeeper:
@@ -87,7 +91,13 @@
         if not self._is_on:
             return self._occupancy.request_count
         level = math.ceil(self._forecast.level)
-        return max(level, self._occupancy.request_count)
+        return max(level, self._least_count(), self._occupancy.request_count)
+
+    def _least_count(self) -> int:
+        if not self._occupancy.shares.has_services:
+            return 0
+        slot_count = self._occupancy.ledger.capacity.slot_count
+        return math.ceil(slot_count * _LEAST_SHARE)
 
     def _decayed_ends(self, now_ms: int) -> float:
         elapsed_ms = now_ms - self._ends_ms
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -280,6 +280,9 @@
             self,
             Metrics(self.name),
         )
+        if self.world.ignores_confirmation:
+            # A planted fault.
+            self.node.services.confirmation.may_admit = _always
         await self.node.start()
 
     async def kill(self) -> None:
@@ -376,7 +379,11 @@
         seed: int,
         processes_per_domain: int = 1,
         workers_per_domain: int = 2,
+        has_guards: bool = True,
+        ignores_confirmation: bool = False,
     ) -> None:
+        self.has_guards = has_guards
+        self.ignores_confirmation = ignores_confirmation
         self.rng = random.Random(seed)
         self.network = Network(random.Random(seed + 1))
         self.clock = VirtualClock()
@@ -648,6 +655,7 @@
             capacity=CAPACITY,
             clock=self.clock,
             seed=seed,
+            has_guards=self.has_guards,
             model=WorkerModel(seed=seed),
             recorder=self.history.append,
         )
@@ -669,6 +677,10 @@
             task.exception()
 
 
+def _always() -> bool:
+    return True
+
+
 def _founding_rows() -> list[MemberRow | WorkloadRow]:
     return [
         MemberRow(member=MEMBER, operator_key_hash=(_KEY_HASH,)),
--- a/tests/test_node_faults.py
+++ b/tests/test_node_faults.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import pytest
 from node_world import IDEMPOTENT, MEMBER, ORDER, World, batch_row
@@ -266,3 +267,50 @@
         report = run_virtual(_run_faults(seed, numbers))
         names = [FAULTS[number].__name__ for number in numbers]
         assert not _problems(report), names
+
+
+class TestPlantedFaults:
+    """
+    The same runs with a fault built into the system.
+    """
+
+    @pytest.mark.parametrize('has_guards', [True, False])
+    def test_only_fencing_stops_a_deposed_owner(
+        self,
+        *,
+        has_guards: bool,
+    ) -> None:
+        """
+        G2: a deposed owner that goes on admitting is stopped by the workers'
+        guards alone; without them its successor runs the same tasks, and the
+        checkers notice.
+        """
+
+        async def scenario() -> Report:
+            world = World(
+                seed=3,
+                processes_per_domain=2,
+                has_guards=has_guards,
+                ignores_confirmation=True,
+            )
+            await world.start()
+            job = replace(_job(), task_count=150)
+            await world.submit(job, world.running()[0])
+            await world.clock.sleep_ms(500)
+            far = [name for name in world.processes if 'kuching' in name]
+            world.network.cuts |= {
+                frozenset((name, 'store')) for name in far
+            } | {
+                frozenset((name, other))
+                for name in far
+                for other in world.processes
+                if other not in far
+            }
+            await world.clock.sleep_ms(20_000)
+            world.network.cuts.clear()
+            return await world.finish()
+
+        problems = _problems(run_virtual(scenario()))
+        assert any('single placement' in each for each in problems) is (
+            not has_guards
+        )
--- a/tests/test_policy_services.py
+++ b/tests/test_policy_services.py
@@ -259,3 +259,26 @@
         scheduler.add_task(make_task('new/0'), 0)
         placed = of_kind(scheduler.decide(1), PlaceTask)
         assert [item.worker_id for item in placed] == ['w1']
+
+
+class TestInitialReserve:
+    """
+    Slots that are kept before any request has come.
+    """
+
+    def test_batch_work_leaves_a_slot_for_the_first_request(self) -> None:
+        """
+        The first request of a service with a latency target is served at
+        once, though batch work could have filled a shard that just started.
+        """
+        scheduler = make_scheduler(2, slot_count=8)
+        scheduler.set_limits(
+            [WorkloadLimits(name='s', member='m', latency_target_ms=100)],
+        )
+        for number in range(40):
+            scheduler.add_task(make_task(f'j/{number}'), 0)
+        placed = of_kind(scheduler.decide(0), PlaceTask)
+        scheduler.add_request(make_request('r'), 1)
+        decisions = scheduler.decide(1)
+        assert len(placed) == 15
+        assert [type(each) for each in decisions] == [PlaceRequest]
