--- a/src/hawthornpier/daemon/_caller_handlers.py
+++ b/src/hawthornpier/daemon/_caller_handlers.py
@@ -35,6 +35,7 @@
     Unknown,
 )
 from hawthornpier.metrics import InstrumentName
+from hawthornpier.owner import newest_job_ids
 from hawthornpier.ports import StoreError
 
 DEADLINE_HEADER = 'Deadline-Ms'
@@ -199,10 +200,9 @@
             self.refuse(HTTPStatus.SERVICE_UNAVAILABLE, str(error))
             return
         views = []
-        for row in rows[-MAX_LISTED_JOBS:]:
-            job_id = row.key.rpartition('/')[2]
+        for job_id in newest_job_ids(rows, member)[:MAX_LISTED_JOBS]:
             view = await self._view(job_id)
-            if view is not None and view.spec.member == member:
+            if view is not None:
                 views.append(view)
         self.send_json({'jobs': views})
 
--- a/src/hawthornpier/daemon/_limits.py
+++ b/src/hawthornpier/daemon/_limits.py
@@ -16,8 +16,12 @@
 MAX_AMOUNT = 2**53
 MAX_NAME_CHARS = 200
 
-# A shard with a dot for its slash, and a part that is unique in the shard.
-_JOB_ID = re.compile(r'[A-Za-z0-9_.-]{1,100}\.[0-9]{1,6}~[A-Za-z0-9_-]{1,64}')
+# A shard with a dot for its slash, or the shards of a divided job as the bits
+# of a number, and a token that is unique among them.
+_JOB_ID = re.compile(
+    r'(?:parts-[0-9a-f]{1,1000}|[A-Za-z0-9_.-]{1,100}\.[0-9]{1,6})'
+    r'~[A-Za-z0-9_-]{1,64}',
+)
 
 
 def is_job_id(job_id: str) -> bool:
--- a/src/hawthornpier/entry/_jobs.py
+++ b/src/hawthornpier/entry/_jobs.py
@@ -151,6 +151,8 @@
         Return the same parts whenever the job is submitted again.
         """
         part_ids = self._part_ids(job_id)
+        if not part_ids:
+            raise JobNotAcceptedError(f'the id {job_id} names no shard')
         least, rest = divmod(spec.task_count, len(part_ids))
         counts = [least + int(number < rest) for number in range(len(part_ids))]
         return [
--- a/src/hawthornpier/owner/__init__.py
+++ b/src/hawthornpier/owner/__init__.py
@@ -13,6 +13,7 @@
     Committer,
     ServiceCatalog,
 )
+from hawthornpier.owner._records import newest_job_ids
 from hawthornpier.owner._shard_owner import ShardOwner
 from hawthornpier.owner._timing import OwnerTiming
 
@@ -26,4 +27,5 @@
     'ServiceCatalog',
     'ShardClosedError',
     'ShardOwner',
+    'newest_job_ids',
 ]
--- a/src/hawthornpier/owner/_context.py
+++ b/src/hawthornpier/owner/_context.py
@@ -38,6 +38,12 @@
         """
         return self.clock.monotonic_ms()
 
+    def oldest_kept_ms(self) -> int:
+        """
+        Return the wall clock time before which ended work is forgotten.
+        """
+        return self.clock.wall_ms() - self.timing.retention_ms
+
     async def commit(
         self, *puts: RowPut, deletes: tuple[str, ...] = ()
     ) -> None:
--- a/src/hawthornpier/owner/_job_state.py
+++ b/src/hawthornpier/owner/_job_state.py
@@ -60,6 +60,13 @@
         """
         return self.job_record.job_id
 
+    @property
+    def is_finished(self) -> bool:
+        """
+        Tell whether no task of the job runs or will run.
+        """
+        return all(task.is_finished and not task.run_id for task in self.tasks)
+
     @property
     def is_cancelled(self) -> bool:
         """
@@ -228,6 +235,14 @@
         self._jobs[job.job_id] = job
         return job
 
+    def remove(self, job: JobEntry) -> None:
+        """
+        Forget a job and its tasks.
+        """
+        self._jobs.pop(job.job_id, None)
+        for task in job.tasks:
+            self._tasks.pop(task.task_id, None)
+
     def job(self, job_id: str) -> JobEntry | None:
         """
         Return the job, or None if the shard has none of this id.
--- a/src/hawthornpier/owner/_jobs.py
+++ b/src/hawthornpier/owner/_jobs.py
@@ -10,8 +10,10 @@
 from hawthornpier.owner._job_state import JobEntry, JobTable, TaskEntry
 from hawthornpier.owner._link import WorkerLink
 from hawthornpier.owner._records import (
+    TASKS_PER_CHUNK,
     JobRecord,
     TaskChunk,
+    chunk_key,
     job_key,
     put,
 )
@@ -54,7 +56,11 @@
         """
         job = self._table.job(job_id)
         if job is None:
-            job_record = JobRecord(job_id=job_id, spec=spec)
+            job_record = JobRecord(
+                job_id=job_id,
+                spec=spec,
+                accepted_wall_ms=self._context.clock.wall_ms(),
+            )
             row = put(job_key(self._context.shard, job_id), job_record)
             await self._context.commit(row)
             # A repeat may have been accepted while this one was written.
@@ -124,6 +130,28 @@
         )
         return True
 
+    async def purge(self) -> None:
+        """
+        Forget a finished job that is older than the retention time.
+
+        Raises:
+            OwnerError: It was not deleted, or that is not known.
+        """
+        oldest_ms = self._context.oldest_kept_ms()
+        for job in tuple(self._table.jobs()):
+            is_old = job.job_record.accepted_wall_ms < oldest_ms
+            if not (is_old and job.is_finished):
+                continue
+            shard = self._context.shard
+            chunks = range(0, len(job.tasks), TASKS_PER_CHUNK)
+            await self._context.commit(
+                deletes=(
+                    job_key(shard, job.job_id),
+                    *(chunk_key(shard, job.job_id, first) for first in chunks),
+                ),
+            )
+            self._table.remove(job)
+
     def queue_unplaced(self) -> None:
         """
         Queue every recovered task that surely runs nowhere.
--- a/src/hawthornpier/owner/_orders.py
+++ b/src/hawthornpier/owner/_orders.py
@@ -39,6 +39,9 @@
     WorkerUnreachableError,
 )
 
+# Bounds one transaction; the rest follows in the next interval.
+MAX_PURGED_ROWS = 500
+
 _ASK_AGAIN = 'send the same request again with the same Idempotency-Key'
 
 
@@ -100,12 +103,27 @@
             )
         return replace(outcome, request_id=request.request_id)
 
-    @property
-    def unsettled_count(self) -> int:
+    async def purge(self) -> None:
         """
-        Return the number of keys whose outcome is not known yet.
+        Forget outcomes that are older than the retention time.
+
+        Raises:
+            OwnerError: They were not deleted, or that is not known.
         """
-        return sum(not order.outcome.done() for order in self._orders.values())
+        oldest_ms = self._context.oldest_kept_ms()
+        expired = [
+            key
+            for key, order in self._orders.items()
+            if order.outcome.done() and order.intent.created_wall_ms < oldest_ms
+        ][:MAX_PURGED_ROWS]
+        if not expired:
+            return
+        shard = self._context.shard
+        await self._context.commit(
+            deletes=tuple(intent_key(shard, key) for key in expired),
+        )
+        for key in expired:
+            self._orders.pop(key, None)
 
     def _begin(self, request: ForwardedRequest) -> _Order:
         order = _Order(
--- a/src/hawthornpier/owner/_records.py
+++ b/src/hawthornpier/owner/_records.py
@@ -5,12 +5,13 @@
 with one scan each.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import msgspec
 import xxhash
 
-from hawthornpier.messages import JobSpec, RowPut, TaskState
+from hawthornpier.messages import JobSpec, Row, RowPut, TaskState
 
 # A job's tasks are kept in rows of this many, so that one outcome rewrites a
 # small row however large the job is.
@@ -25,6 +26,7 @@
 
     job_id: str
     spec: JobSpec
+    accepted_wall_ms: int = 0
     is_cancelled: bool = False
 
 
@@ -89,6 +91,16 @@
     worker_ids: tuple[str, ...] = ()
 
 
+def newest_job_ids(rows: Iterable[Row], member: str) -> list[str]:
+    """
+    Return the ids of a member's jobs, the newest first.
+    """
+    records = [msgspec.json.decode(row.text, type=JobRecord) for row in rows]
+    own = [record for record in records if record.spec.member == member]
+    own.sort(key=lambda record: record.accepted_wall_ms, reverse=True)
+    return [record.job_id for record in own]
+
+
 def job_key(shard: str, job_id: str) -> str:
     """
     Return the key of a job's row.
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -2,6 +2,7 @@
 The owner of one shard: the only authority that admits work to its workers.
 """
 
+import contextlib
 import enum
 from collections.abc import Callable, Iterable, Mapping
 
@@ -167,6 +168,7 @@
         self._is_open = True
         await self.set_hosts(list_hosts())
         self._tasks.spawn(self._tick())
+        self._tasks.spawn(self._purge())
 
     async def set_hosts(self, hosts: Iterable[HostRecord]) -> None:
         """
@@ -501,6 +503,17 @@
             self._dispatcher.pump()
             await self._clock.sleep_ms(self._timing.tick_interval_ms)
 
+    async def _purge(self) -> None:
+        """
+        Forget ended work regularly, so that memory and rows stay bounded.
+        """
+        while True:
+            await self._clock.sleep_ms(self._timing.purge_interval_ms)
+            # What was not deleted now is tried again after the interval.
+            with contextlib.suppress(OwnerError):
+                await self._orders.purge()
+                await self.jobs.purge()
+
     def _recover_unplaced(self) -> None:
         """
         Queue recovered tasks once no worker can hold a run unseen.
--- a/src/hawthornpier/owner/_timing.py
+++ b/src/hawthornpier/owner/_timing.py
@@ -12,6 +12,7 @@
 
     *delivery_delay_ms* is the longest time that a message can be on its way;
     *clock_error_ms* bounds how far two clocks drift over one lease.
+    Outcomes of orders and ended jobs are kept for *retention_ms*.
     """
 
     task_lease_ms: int = 15_000
@@ -26,6 +27,8 @@
     commit_deadline_ms: int = 2_000
     max_task_attempts: int = 3
     close_after_failures: int = 2
+    retention_ms: int = 86_400_000
+    purge_interval_ms: int = 60_000
 
     @property
     def lapse_ms(self) -> int:
--- /dev/null
+++ b/tests/test_entry_jobs.py
@@ -0,0 +1,155 @@
+"""
+Tests of how jobs are divided over shards.
+"""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from owner_harness import job_of
+
+from hawthornpier.daemon._limits import is_job_id
+from hawthornpier.entry import (
+    JobNotAcceptedError,
+    JobRouter,
+    JobUnknownError,
+)
+from hawthornpier.messages import JobSpec, JobView, TaskView
+from hawthornpier.messages import TaskState as State
+from hawthornpier.ports import PeerRefusedError
+
+_SHARDS = ('ipoh/0', 'kuching/0', 'melaka/0')
+
+
+class _Owners:
+    """
+    The owners of all shards; those in *refusing* accept nothing.
+    """
+
+    def __init__(self) -> None:
+        self.parts: dict[str, JobSpec] = {}
+        self.refusing: set[str] = set()
+
+    async def submit_job(
+        self,
+        shard: str,
+        job_id: str,
+        spec: JobSpec,
+    ) -> JobView:
+        """
+        Accept a part once.
+        """
+        if shard in self.refusing:
+            raise PeerRefusedError(shard)
+        self.parts.setdefault(job_id, spec)
+        return _view(job_id, self.parts[job_id])
+
+    async def show_job(self, shard: str, job_id: str) -> JobView | None:
+        """
+        Return a part.
+        """
+        spec = self.parts.get(job_id)
+        return None if spec is None else _view(job_id, spec)
+
+    async def cancel_job(self, shard: str, job_id: str) -> JobView | None:
+        """
+        Return a part as cancelled.
+        """
+        spec = self.parts.get(job_id)
+        if spec is None:
+            return None
+        return replace(_view(job_id, spec), is_cancelled=True)
+
+
+class _First:
+    """
+    Chooses the first usable shard.
+    """
+
+    def choose_for_job(self, usable: tuple[str, ...]) -> str:
+        """
+        Return the first one.
+        """
+        return usable[0]
+
+
+def _view(job_id: str, spec: JobSpec) -> JobView:
+    return JobView(
+        job_id=job_id,
+        spec=spec,
+        is_cancelled=False,
+        tasks=tuple(
+            TaskView(task_id=f'{job_id}/{number}', state=State.QUEUED)
+            for number in range(spec.task_count)
+        ),
+    )
+
+
+def _router(owners: _Owners, usable: tuple[str, ...] = _SHARDS) -> JobRouter:
+    return JobRouter(
+        client=owners,
+        chooser=_First(),
+        shards=_SHARDS,
+        usable_shards=lambda member, workload: usable,
+    )
+
+
+class TestDividedJobs:
+    """
+    Jobs with tasks for several shards.
+    """
+
+    @pytest.mark.parametrize(
+        ('task_count', 'part_count'),
+        [(1, 1), (5, 1), (6, 3), (40, 3)],
+    )
+    def test_every_task_is_in_one_part(
+        self,
+        task_count: int,
+        part_count: int,
+    ) -> None:
+        """
+        No task is lost or doubled between the parts, and the id that the
+        operator gets leads back to all of them over HTTP.
+        """
+        owners = _Owners()
+        router = _router(owners)
+        view = asyncio.run(router.submit(job_of(task_count)))
+        shown = asyncio.run(router.show(view.job_id))
+        assert len(view.tasks) == task_count
+        assert shown == view
+        assert is_job_id(view.job_id)
+        assert len(owners.parts) == part_count
+
+    def test_repeated_submission_makes_the_same_parts(self) -> None:
+        """
+        A job whose submission was partly refused is completed by sending it
+        again, also after limits have changed.
+        """
+        owners = _Owners()
+        owners.refusing = {'kuching/0'}
+        with pytest.raises(JobUnknownError) as raised:
+            asyncio.run(_router(owners).submit(job_of(10)))
+        job_id = str(raised.value).split(' id ')[1].split()[0]
+        owners.refusing = set()
+        router = _router(owners, usable=('ipoh/0',))
+        view = asyncio.run(router.submit(job_of(10), job_id=job_id))
+        assert len(view.tasks) == 10
+        assert len(owners.parts) == 3
+
+    def test_id_without_shards_is_refused(self) -> None:
+        """
+        An id that names no shard is refused and breaks nothing.
+        """
+        router = _router(_Owners())
+        with pytest.raises(JobNotAcceptedError):
+            asyncio.run(router.submit(job_of(3), job_id='parts-0~x'))
+        assert asyncio.run(router.show('parts-0~x')) is None
+
+    def test_job_stays_where_its_limits_let_it_run(self) -> None:
+        """
+        No part waits for ever in a shard without a share of the limit.
+        """
+        owners = _Owners()
+        asyncio.run(_router(owners, usable=('melaka/0',)).submit(job_of(30)))
+        assert list(owners.parts.values()) == [job_of(30)]
--- a/tests/test_owner_requests.py
+++ b/tests/test_owner_requests.py
@@ -4,10 +4,11 @@
 
 import asyncio
 
-from owner_harness import Platform, request_of
+from owner_harness import Platform, job_of, request_of
 from virtual_time import run_virtual
 
 from hawthornpier.messages import Answer, NotRun, Unknown
+from hawthornpier.owner import OwnerTiming
 from hawthornpier.ports import StoreError
 from hawthornpier_standin.history import RecordKind
 from hawthornpier_standin.platform import StoreFaults
@@ -268,3 +269,35 @@
                 return error
 
         assert isinstance(run_virtual(scenario()), NotRun)
+
+
+class TestRetention:
+    """
+    Ended work that is forgotten.
+    """
+
+    def test_rows_and_memory_stay_bounded(self) -> None:
+        """
+        Outcomes and finished jobs older than the retention time are deleted;
+        a younger outcome still answers a repeat.
+        """
+
+        async def scenario() -> tuple[set[str], object, int]:
+            platform = Platform()
+            owner = await platform.new_owner(
+                OwnerTiming(retention_ms=120_000, purge_interval_ms=10_000),
+            )
+            await owner.serve(request_of('old', key='old'))
+            await owner.submit_job('j', job_of(2, work_ms=500))
+            await platform.clock.sleep_ms(100_000)
+            await owner.serve(request_of('young', key='young'))
+            await platform.clock.sleep_ms(50_000)
+            repeated = await owner.serve(request_of('again', key='young'))
+            rows = await platform.store.scan('')
+            kinds = {row.key.partition('/')[0] for row in rows}
+            return kinds, repeated, _executions(platform, 'young')
+
+        kinds, repeated, executions = run_virtual(scenario())
+        assert kinds == {'owner', 'workers', 'intent'}
+        assert isinstance(repeated, Answer)
+        assert executions == 1
