--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -3,7 +3,6 @@
 """
 
 import contextlib
-import enum
 from collections.abc import Callable, Iterable, Mapping
 
 from hawthornpier.messages import (
@@ -14,7 +13,6 @@
     HostState,
     JobSpec,
     JobView,
-    OpenRequest,
     Outcome,
     ShardLoad,
     StartVerdict,
@@ -22,6 +20,12 @@
     TaskOutcome,
     WorkerReport,
 )
+from hawthornpier.owner._adopted import AdoptedRequests
+from hawthornpier.owner._closings import (
+    Closing,
+    WorkerClosings,
+    worker_info,
+)
 from hawthornpier.owner._context import ShardContext
 from hawthornpier.owner._dispatch import Dispatcher, TaskDecision
 from hawthornpier.owner._errors import OwnerError, ShardClosedError
@@ -36,33 +40,18 @@
 from hawthornpier.owner._records import WorkerSet, put, worker_set_key
 from hawthornpier.owner._recovery import load_records
 from hawthornpier.owner._requests import RequestServer
-from hawthornpier.owner._settle import SentRequest, settle
 from hawthornpier.owner._tasks import TaskGroup
 from hawthornpier.owner._timing import OwnerTiming
 from hawthornpier.policy import (
     EvictTask,
     PlaceTask,
     RejectTask,
-    RequestDemand,
-    RequestResult,
     SchedulingPolicy,
     ThrottleTask,
-    WorkerInfo,
 )
 from hawthornpier.ports import Clock, EventSink, TableStore, WorkerPort
 
 
-class Closing(enum.StrEnum):
-    """
-    Why nothing new is placed on a worker; several may hold at once.
-    """
-
-    LISTED_LEAVING = 'the host list says that it leaves'
-    SAID_LEAVING = 'it says that it leaves'
-    NO_ANSWER = 'it does not answer'
-    DEPOSED = 'it serves a later owner'
-
-
 class ShardOwner:
     """
     Admits requests and tasks to the workers of one shard.
@@ -103,8 +92,6 @@
         self._gained_ms = clock.monotonic_ms()
         self._unfenced: set[str] = set()
         self._known_workers: set[str] = set()
-        self._closings: dict[str, set[Closing]] = {}
-        self._adopted_request_ids: set[str] = set()
         self._open_count = 0
         context = ShardContext(
             shard=shard,
@@ -132,6 +119,8 @@
             gate=gate,
             on_task_decision=self._on_task_decision,
         )
+        self._closings = WorkerClosings(context)
+        self._adopted = AdoptedRequests(context, self._dispatcher)
         self._requests = RequestServer(context, self._dispatcher)
         self._orders = OrderServer(context, self._dispatcher)
 
@@ -183,7 +172,7 @@
             self._follow(host)
         for worker_id, link in self._links.items():
             if worker_id not in listed:
-                self._close_worker(link, Closing.LISTED_LEAVING)
+                self._closings.close(link, Closing.LISTED_LEAVING)
 
     def refresh_limits(self) -> None:
         """
@@ -289,15 +278,13 @@
         """
         self._unfenced.discard(link.worker_id)
         now_ms = self._clock.monotonic_ms()
-        self._policy.add_worker(_worker_info(link.host), now_ms)
+        self._policy.add_worker(worker_info(link.host), now_ms)
         for running in reply.running:
             if not self.jobs.adopt(link, running.run_id, running.task_id):
                 link.control(running.run_id, TaskAction.STOP)
-        self._reopen(link, Closing.NO_ANSWER, Closing.DEPOSED)
+        self._closings.reopen(link, Closing.NO_ANSWER, Closing.DEPOSED)
         for open_request in reply.open_requests:
-            if self._dispatcher.is_charged(open_request.request_id):
-                continue
-            self._adopt_request(link, open_request)
+            self._adopted.adopt(link, open_request)
         self._record(EventKind.WORKER_JOINED, link)
         self._dispatcher.pump()
 
@@ -305,7 +292,7 @@
         """
         Place nothing more on a worker that does not answer.
         """
-        self._close_worker(link, Closing.NO_ANSWER)
+        self._closings.close(link, Closing.NO_ANSWER)
 
     def on_lost(self, link: WorkerLink, runs: Iterable[LinkRun]) -> None:
         """
@@ -328,7 +315,7 @@
         Queue the task again, and stop using a leaving worker.
         """
         if verdict is StartVerdict.REFUSED_LEAVING:
-            self._close_worker(link, Closing.SAID_LEAVING)
+            self._closings.close(link, Closing.SAID_LEAVING)
         self.jobs.runner.refused(run)
 
     def on_outcome(self, link: WorkerLink, outcome: TaskOutcome) -> None:
@@ -349,7 +336,7 @@
         Pass a usage report to the policy.
         """
         if report.is_leaving:
-            self._close_worker(link, Closing.SAID_LEAVING)
+            self._closings.close(link, Closing.SAID_LEAVING)
         self._policy.observe(report, self._clock.monotonic_ms())
         self._dispatcher.pump()
 
@@ -357,7 +344,7 @@
         """
         Stop using a worker that serves a later owner.
         """
-        self._close_worker(link, Closing.DEPOSED, f'epoch {highest_epoch}')
+        self._closings.close(link, Closing.DEPOSED, f'epoch {highest_epoch}')
 
     # Internals.
 
@@ -371,13 +358,15 @@
         link = self._links.get(host.worker_id)
         if host.state is HostState.LEAVING:
             if link is not None:
-                self._close_worker(link, Closing.LISTED_LEAVING)
+                self._closings.close(link, Closing.LISTED_LEAVING)
             return
         if link is None:
             self._add_link(host)
-        elif Closing.LISTED_LEAVING in self._closings.get(host.worker_id, ()):
+        elif self._closings.holds(host.worker_id, Closing.LISTED_LEAVING):
             # The host view calls a worker live again only once it is sure.
-            self._reopen(link, Closing.LISTED_LEAVING, Closing.SAID_LEAVING)
+            self._closings.reopen(
+                link, Closing.LISTED_LEAVING, Closing.SAID_LEAVING
+            )
 
     def _add_link(self, host: HostRecord) -> None:
         if host.worker_id not in self._known_workers:
@@ -420,77 +409,6 @@
         await self._clock.sleep_ms(self._timing.worker_retry_ms)
         await self.set_hosts(hosts)
 
-    def _close_worker(
-        self,
-        link: WorkerLink,
-        closing: Closing,
-        detail: str = '',
-    ) -> None:
-        """
-        Place nothing more on the worker until the reason is gone.
-        """
-        closings = self._closings.setdefault(link.worker_id, set())
-        if closing in closings:
-            return
-        closings.add(closing)
-        now_ms = self._clock.monotonic_ms()
-        self._policy.close_worker(link.worker_id, now_ms)
-        self._record(
-            EventKind.WORKER_LEAVING,
-            link,
-            f'{closing.value} {detail}'.strip(),
-        )
-
-    def _reopen(self, link: WorkerLink, *gone: Closing) -> None:
-        """
-        Use the worker again if no reason against it is left.
-        """
-        now_ms = self._clock.monotonic_ms()
-        closings = self._closings.setdefault(link.worker_id, set())
-        closings.difference_update(gone)
-        if closings:
-            self._policy.close_worker(link.worker_id, now_ms)
-        elif link.state is LinkState.OPEN:
-            self._policy.add_worker(_worker_info(link.host), now_ms)
-
-    def _adopt_request(self, link: WorkerLink, request: OpenRequest) -> None:
-        """
-        Charge a request of an earlier owner until the worker has ended it.
-        """
-        if request.request_id in self._adopted_request_ids:
-            return
-        self._adopted_request_ids.add(request.request_id)
-        now_ms = self._clock.monotonic_ms()
-        self._policy.adopt_request(
-            RequestDemand(
-                request_id=request.request_id,
-                member='',
-                service=request.service,
-                demand=request.demand,
-                deadline_ms=now_ms,
-            ),
-            link.worker_id,
-            now_ms,
-        )
-        self._tasks.spawn(self._release_adopted(link, request.request_id))
-
-    async def _release_adopted(self, link: WorkerLink, request_id: str) -> None:
-        started_ms = self._clock.monotonic_ms()
-        await settle(
-            link,
-            SentRequest(
-                request_id=request_id,
-                epoch=link.confirmed_epoch - 1,
-                incarnation=link.incarnation,
-                sent_ms=started_ms,
-            ),
-            clock=self._clock,
-            timing=self._timing,
-        )
-        self._adopted_request_ids.discard(request_id)
-        # How long it has run is not known, so it counts as lost.
-        self._dispatcher.release(request_id, RequestResult.LOST, 0)
-
     def _on_task_decision(self, decision: TaskDecision) -> None:
         self._task_handlers[type(decision)](decision)
 
@@ -539,13 +457,3 @@
             worker_id=link.worker_id,
             detail=detail,
         )
-
-
-def _worker_info(host: HostRecord) -> WorkerInfo:
-    return WorkerInfo(
-        worker_id=host.worker_id,
-        region=host.region,
-        failure_domain=host.failure_domain,
-        rack=host.rack,
-        capacity=host.capacity,
-    )
