Use the policy's own settings in the settings file

Cause: the choices of the policy stood twice, in the policy and in the settings, with a table between them; one choice was missing in the settings. Change: the section [policy] is the policy's data class; its keys queue and sizes are now queue_order and size_estimate, also in the test of bad values, which expects the same error under the new name.

--- a/src/hawthornpier/daemon/_node.py
+++ b/src/hawthornpier/daemon/_node.py
@@ -23,8 +23,8 @@
 from hawthornpier.daemon._catalog import TableCatalog
 from hawthornpier.daemon._chooser import LoadChooser
 from hawthornpier.daemon._committer import GroupCommitter
-from hawthornpier.daemon._policy import make_policy, make_router
 from hawthornpier.daemon._ports import Connections
+from hawthornpier.daemon._routing import make_router
 from hawthornpier.daemon._services import Activity, Services
 from hawthornpier.daemon._shards import RoutingShardClient, ShardHost
 from hawthornpier.daemon._table_sync import TableSync
@@ -33,6 +33,7 @@
 from hawthornpier.messages import EventKind, Heartbeat
 from hawthornpier.metrics import Metrics
 from hawthornpier.owner import ShardOwner
+from hawthornpier.policy import Scheduler
 from hawthornpier.ports import PeerError, StoreError
 from hawthornpier.settings import Settings
 from hawthornpier.table import VersionedTable
@@ -289,8 +290,8 @@
         return ShardOwner(
             shard=owned.shard,
             epoch=owned.epoch,
-            policy=make_policy(
-                self.settings.policy,
+            policy=Scheduler(
+                settings=self.settings.policy,
                 seed=self._rng.getrandbits(32),
             ),
             committer=GroupCommitter(group_commit, self._clock),
--- a/src/hawthornpier/settings/_model.py
+++ b/src/hawthornpier/settings/_model.py
@@ -4,9 +4,10 @@
 A field without a default must be set in the file.
 """
 
-import enum
 from dataclasses import dataclass, field
 
+from hawthornpier.policy import PolicySettings
+
 # A worker accepts 64 connections; four stay free for the fencing requests
 # of a new owner.
 MAX_WORKER_CONNECTIONS = 60
@@ -126,95 +127,6 @@
     drain_timeout_ms: int = 30000
 
 
-class PlacementChoice(enum.StrEnum):
-    """
-    How a worker is chosen.
-    """
-
-    SAMPLED = 'sampled'
-    FIRST_FIT = 'first_fit'
-    ROUND_ROBIN = 'round_robin'
-
-
-class QueueChoice(enum.StrEnum):
-    """
-    How waiting tasks are ordered.
-    """
-
-    ATTAINED_SERVICE = 'attained_service'
-    FIFO = 'fifo'
-
-
-class SizesChoice(enum.StrEnum):
-    """
-    Where the expected size of a task comes from.
-    """
-
-    LEARNED = 'learned'
-    DECLARED = 'declared_sizes'
-
-
-class InterferenceChoice(enum.StrEnum):
-    """
-    Whether the interference of pairs is learned.
-    """
-
-    LEARNED = 'learned'
-    OFF = 'no_interference'
-
-
-class SheddingChoice(enum.StrEnum):
-    """
-    Which requests are refused under overload.
-    """
-
-    DEADLINE = 'deadline'
-    OFF = 'no_shedding'
-
-
-class HeadroomChoice(enum.StrEnum):
-    """
-    Whether room is kept free for services.
-    """
-
-    PREDICTIVE = 'predictive'
-    OFF = 'none'
-
-
-class MitigationChoice(enum.StrEnum):
-    """
-    What is done about a task that slows a service down.
-    """
-
-    LADDER = 'ladder'
-    OFF = 'none'
-
-
-class HealthChoice(enum.StrEnum):
-    """
-    What is done about a worker that fails its tasks.
-    """
-
-    QUARANTINE = 'quarantine'
-    OFF = 'none'
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class PolicySettings:
-    """
-    The part or the baseline that decides in each respect.
-    """
-
-    placement: PlacementChoice = PlacementChoice.SAMPLED
-    queue: QueueChoice = QueueChoice.ATTAINED_SERVICE
-    sizes: SizesChoice = SizesChoice.LEARNED
-    interference: InterferenceChoice = InterferenceChoice.LEARNED
-    shedding: SheddingChoice = SheddingChoice.DEADLINE
-    headroom: HeadroomChoice = HeadroomChoice.PREDICTIVE
-    mitigation: MitigationChoice = MitigationChoice.LADDER
-    health: HealthChoice = HealthChoice.QUARANTINE
-
-
 @dataclass(frozen=True, slots=True, kw_only=True)
 class LinkSettings:
     """
--- a/tests/test_settings_load.py
+++ b/tests/test_settings_load.py
@@ -9,8 +9,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from hawthornpier.policy import Placement
 from hawthornpier.settings import (
-    PlacementChoice,
     Settings,
     SettingsError,
     SettingsErrorGroup,
@@ -69,7 +69,7 @@
         """
         loaded = parse_settings(BASE)
         assert loaded.process.advertised_address == '127.0.0.1:8801'
-        assert loaded.policy.placement is PlacementChoice.SAMPLED
+        assert loaded.policy.placement is Placement.SAMPLED
         assert loaded.cluster.region_of('kuching') == 'borneo'
         assert loaded.security.peer_keys == ()
 
@@ -106,7 +106,7 @@
             '[cluster]\nfailure_domains =\n  a: b\n  a: c\nnonsense\n'
             '[timing]\nlease_ms = 100\nrenew_interval_ms = 1_000\n'
             '[platform]\nhas_worker_guards = maybe\nworker_connections = 61\n'
-            '[policy]\nqueue = lifo\n'
+            '[policy]\nqueue_order = lifo\n'
         )
         places = [line.partition(': ')[0] for line in errors_of(text)]
         joined = '\n'.join(errors_of(text))
@@ -128,7 +128,7 @@
             'x.ini:20',
         ]
         assert 'x.ini:5: [process] listen_port: already set' in joined
-        assert "x.ini:20: [policy] queue: 'lifo' is not one of" in joined
+        assert "x.ini:20: [policy] queue_order: 'lifo' is not one of" in joined
 
     @pytest.mark.parametrize(
         ('addition', 'place'),
