--- a/src/hawthornpier/settings/_load.py
+++ b/src/hawthornpier/settings/_load.py
@@ -3,7 +3,9 @@
 """
 
 import pathlib
+from collections.abc import Mapping
 from dataclasses import MISSING, fields
+from types import MappingProxyType
 from typing import Any, get_type_hints
 
 from hawthornpier.settings import _convert
@@ -91,6 +93,9 @@
     return Settings(**sections)
 
 
+_PLACEHOLDERS: Mapping[type, Any] = MappingProxyType({str: '', int: 1})
+
+
 def _load_section(source: Source, section: str, model: type) -> Any:
     """
     Return an instance of *model*, or None if a required key is bad.
@@ -112,6 +117,13 @@
     for missing in required - present:
         source.add(MissingKeyError, 'not set', section=section, key=missing)
     found = _load_values(source, section, hints, present & hints.keys())
+    # The rules between values still run, so that one bad value does not hide
+    # another mistake; they do not report a key that is bad already.
+    found.update(
+        (bad, _PLACEHOLDERS[hints[bad]])
+        for bad in required - found.keys()
+        if hints[bad] in _PLACEHOLDERS
+    )
     return model(**found) if required <= found.keys() else None
 
 
--- a/tests/test_settings_load.py
+++ b/tests/test_settings_load.py
@@ -96,6 +96,23 @@
     All mistakes of a file are reported together, each with its place.
     """
 
+    def test_bad_value_hides_no_contradiction(self) -> None:
+        """
+        Three mistakes are three errors, though one of them leaves its section
+        incomplete and another lies between two sections.
+        """
+        text = (
+            '[process]\nprocess_id = a\nregion = r\nfailure_domain = nowhere\n'
+            'listen_port = 99999\n[platform]\nstore_address = 127.0.0.1:1\n'
+            'host_list_address = 127.0.0.1:1\n'
+            '[cluster]\nfailure_domains =\n    ipoh: semenanjung\n'
+            '[timing]\nlease_ms = x\n'
+        )
+        with pytest.raises(SettingsErrorGroup) as raised:
+            parse_settings(text, path='x.ini')
+        keys = [error.key for error in raised.value.exceptions]
+        assert keys == ['failure_domain', 'listen_port', 'lease_ms']
+
     def test_all_mistakes_come_at_once(self) -> None:
         """
         The operator does not have to start the process once per mistake.
