Submit the demo's jobs again under the same id

Cause: right after the start a shard may have no owner, so a divided job was accepted in part; the demo submitted it again as a new job, and 331 tasks ran where 223 were wanted. Change: the demo names the job's id and repeats it.

--- a/tools/demo/operators.py
+++ b/tools/demo/operators.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import uuid
 from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -15,6 +16,8 @@
 from hawthornpier.messages import JobSpec, JobView
 from hawthornpier.table import PutRow, edit_to_document
 
+# The bits of the three shards of the demo.
+_ALL_SHARDS = 'parts-7'
 CONFLICT = 409
 UNAVAILABLE = 503
 
@@ -133,14 +136,18 @@
 
     async def submit(self, spec: JobSpec) -> JobView:
         """
-        Submit a job, again until it is accepted.
+        Submit a job, again under the same id until it is accepted.
+
+        While a shard has no owner yet, only some parts of a job are accepted.
         """
+        job_id = f'{_ALL_SHARDS}~{uuid.uuid4().hex[:16]}'
+        document = {**msgspec.to_builtins(spec), 'job_id': job_id}
         for _ in range(20):
             reply = await self.ask(
                 'POST',
                 '/v1/jobs',
                 member=spec.member,
-                document=spec,
+                document=document,
             )
             if reply.is_ok:
                 return msgspec.convert(reply.document, JobView)
