--- a/src/hawthornpier/adapters/_connections.py
+++ b/src/hawthornpier/adapters/_connections.py
@@ -99,9 +99,9 @@
 
     def close(self) -> None:
         """
-        Close the connection.
+        Close the connection, after the callbacks that tornado has queued.
         """
-        self._client.close()
+        asyncio.get_running_loop().call_soon(self._client.close)
 
     def _failure(self, error: CurlError) -> AdapterError:
         if self._is_sent:
--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -8,7 +8,6 @@
 from hawthornpier.fleet._timings import OwnershipTimings
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.fleet._writer import (
-    INTAKE_TABLE,
     PROGRESS_TABLE,
     RowKey,
     ShardWriter,
@@ -32,7 +31,6 @@
         shard: The shard.
         writer: Applies the transactions.
         timings: Durations.
-        kept_ms: How long an ended job stays readable.
     """
 
     def __init__(
@@ -41,15 +39,12 @@
         writer: ShardWriter,
         *,
         timings: OwnershipTimings,
-        kept_ms: float,
     ) -> None:
         self._shard = shard
         self._writer = writer
         self._timings = timings
-        self._kept_ms = kept_ms
         self._retry_ms: float = timings.retry_min_ms
         self._fleet = b''
-        self._swept_ms = shard.now_ms
 
     async def run(self) -> None:
         """
@@ -116,7 +111,10 @@
         if fleet != self._fleet:
             writes[FLEET_KEY] = fleet
         shard.dirty.difference_update(job_ids)
-        removals = self._expired()
+        removals = tuple(
+            (PROGRESS_TABLE, job_id)
+            for job_id in shard.forgotten[:_REMOVAL_COUNT_MAX]
+        )
         try:
             await self._writer.write(writes, removals)
         except StoreError:
@@ -125,7 +123,7 @@
         if fleet != self._fleet:
             self._fleet = fleet
             self._note_recorded(fleet)
-        self._forget(removals)
+        del shard.forgotten[: len(removals)]
         for job in ended:
             job.is_stored = True
         if is_whole:
@@ -162,26 +160,3 @@
         for worker in self._shard.workers.values():
             worker.is_recorded = worker.worker_id in recorded
         self._shard.wake.set()
-
-    def _expired(self) -> tuple[RowKey, ...]:
-        now_ms = self._shard.now_ms
-        if now_ms - self._swept_ms < 1_000:
-            return ()
-        self._swept_ms = now_ms
-        expired = [
-            job_id
-            for job_id, job in self._shard.jobs.items()
-            if job.is_stored
-            and job.ended_ms
-            and now_ms - job.ended_ms > self._kept_ms
-        ]
-        return tuple(
-            (table, job_id)
-            for job_id in expired[:_REMOVAL_COUNT_MAX]
-            for table in (INTAKE_TABLE, PROGRESS_TABLE)
-        )
-
-    def _forget(self, removals: tuple[RowKey, ...]) -> None:
-        for _, job_id in removals:
-            self._shard.jobs.pop(job_id, None)
-            self._shard.dirty.discard(job_id)
--- a/src/hawthornpier/fleet/_entry.py
+++ b/src/hawthornpier/fleet/_entry.py
@@ -12,7 +12,7 @@
     OutcomeUnknownError,
     UnknownJobError,
 )
-from hawthornpier.fleet._intake import cancel_key, end_key
+from hawthornpier.fleet._intake import cancel_key, end_key, intake_part
 from hawthornpier.fleet._ports import RecordStore, RowTransaction
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._writer import INTAKE_TABLE, PROGRESS_TABLE
@@ -153,7 +153,7 @@
         """
         if self._clock.monotonic_ms() < self._avoid_until_ms:
             return False
-        return await self._create(job_id, content)
+        return await self._create(job_id, job_id, content)
 
     async def cancel(self, job_id: str) -> None:
         """
@@ -176,7 +176,7 @@
         """
         if self._clock.monotonic_ms() < self._avoid_until_ms:
             return False
-        return await self._create(cancel_key(job_id), b'{}')
+        return await self._create(job_id, cancel_key(job_id), b'{}')
 
     async def show(self, job_id: str) -> JobPhase | None:
         """
@@ -218,11 +218,11 @@
             return count
         raise NotStoredError('the owner of the jobs is not known')
 
-    async def _create(self, key: str, content: bytes) -> bool:
+    async def _create(self, job_id: str, key: str, content: bytes) -> bool:
         try:
             await self._store.transact(
                 RowTransaction(
-                    part=self._part,
+                    part=intake_part(self._part, job_id),
                     expected={(INTAKE_TABLE, key): 0},
                     writes={(INTAKE_TABLE, key): content},
                 ),
@@ -281,7 +281,7 @@
     async def _read_phase(self, job_id: str) -> JobPhase | None:
         intake = await self._store.read(
             INTAKE_TABLE,
-            self._part,
+            intake_part(self._part, job_id),
             first_key=job_id,
             end_key=end_key(job_id),
         )
--- a/src/hawthornpier/fleet/_intake.py
+++ b/src/hawthornpier/fleet/_intake.py
@@ -3,11 +3,21 @@
 
 A job's row is created once, under the job's id; a cancellation is a row
 beside it.  Any process writes them, and the owner of the shard reads them.
+They are spread over several parts of the store, because one part applies its
+transactions one after another, and a slow store only a few each second.
 """
 
+import asyncio
+import zlib
+
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._errors import HistoryGoneError
-from hawthornpier.fleet._ports import RecordStore, RowPage, StoredRow
+from hawthornpier.fleet._ports import (
+    RecordStore,
+    RowPage,
+    RowTransaction,
+    StoredRow,
+)
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._writer import INTAKE_TABLE, PROGRESS_TABLE
 from hawthornpier.steps import RecordError, decode_plan
@@ -17,6 +27,16 @@
 _END_SUFFIX = '~'
 
 
+_PART_COUNT = 16
+
+
+def intake_part(shard: str, job_id: str) -> str:
+    """
+    Return the part that holds the rows of a job.
+    """
+    return f'{shard}.{zlib.crc32(job_id.encode()) % _PART_COUNT}'
+
+
 def cancel_key(job_id: str) -> str:
     """
     Return the key of the row that cancels a job.
@@ -73,11 +93,9 @@
         """
         Read everything, with the progress of the jobs; raises `StoreError`.
         """
-        page = await read_all(self._store, INTAKE_TABLE, self._shard.name)
-        progress = await read_all(
-            self._store,
-            PROGRESS_TABLE,
-            self._shard.name,
+        progress, page = await asyncio.gather(
+            read_all(self._store, PROGRESS_TABLE, self._shard.name),
+            self._read_all_parts(),
         )
         stored = {row.key: row.content for row in progress.rows}
         for row in page.rows:
@@ -95,12 +113,47 @@
                 wait_ms=wait_ms,
             )
         except HistoryGoneError:
-            page = await read_all(self._store, INTAKE_TABLE, self._shard.name)
+            page = await self._read_all_parts()
+        own = f'{self._shard.name}.'
         for row in page.rows:
-            if row.part == self._shard.name and not row.is_deleted:
+            if row.part.startswith(own) and not row.is_deleted:
                 self._take(row, {})
         self._version = page.version
 
+    async def remove(self, job_id: str) -> None:
+        """
+        Remove the rows of a job that has ended; raises `StoreError`.
+        """
+        keys = (
+            (INTAKE_TABLE, job_id),
+            (INTAKE_TABLE, cancel_key(job_id)),
+        )
+        await self._store.transact(
+            RowTransaction(
+                part=intake_part(self._shard.name, job_id),
+                expected={},
+                writes={},
+                removals=keys,
+            ),
+        )
+
+    async def _read_all_parts(self) -> RowPage:
+        pages = await asyncio.gather(
+            *(
+                read_all(
+                    self._store,
+                    INTAKE_TABLE,
+                    f'{self._shard.name}.{number}',
+                )
+                for number in range(_PART_COUNT)
+            ),
+        )
+        return RowPage(
+            rows=tuple(row for page in pages for row in page.rows),
+            version=min(page.version for page in pages),
+            store_ms=pages[0].store_ms,
+        )
+
     def _take(
         self,
         row: StoredRow,
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -43,6 +43,9 @@
 # Between two passes, so that starts and ends of one moment share a pass.
 _PASS_PAUSE_MS = 6
 _RETRY_MS = 150
+_SWEEP_INTERVAL_MS = 5_000
+# Ended jobs stay readable for this multiple of what the platform asks.
+_KEPT_FACTOR = 1.25
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -82,7 +85,6 @@
             self.shard,
             writer,
             timings=context.ownership_timings,
-            kept_ms=context.bounds.status_ms * 1.25,
         )
         self._scheduler = Scheduler(
             self.shard,
@@ -136,6 +138,7 @@
             self._schedule_forever(),
             self._follow_intake(),
             self._follow_registry(),
+            self._sweep_forever(),
         )
 
     async def _load(self) -> None:
@@ -207,6 +210,19 @@
                 await self._context.clock.sleep_ms(_RETRY_MS)
             await self._context.clock.sleep_ms(_INTAKE_INTERVAL_MS)
 
+    async def _sweep_forever(self) -> None:
+        kept_ms = self._context.bounds.status_ms * _KEPT_FACTOR
+        while True:
+            await self._context.clock.sleep_ms(_SWEEP_INTERVAL_MS)
+            for job_id in self.shard.expired_jobs(kept_ms):
+                try:
+                    await self._intake.remove(job_id)
+                except StoreError as error:
+                    self._context.log.record('sweep_failed', why=str(error))
+                    break
+                # Progress goes last: without it the job would run again.
+                self.shard.forget_job(job_id)
+
     async def _follow_registry(self) -> None:
         while True:
             await self._context.clock.sleep_ms(_REGISTRY_INTERVAL_MS)
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -68,6 +68,8 @@
         self.wake = asyncio.Event()
         self.deposed = asyncio.Event()
         self.is_draining = False
+        # Ended jobs whose rows of acceptance are removed already.
+        self.forgotten: list[str] = []
         # Workers of the previous owner that have not listed their runs yet.
         self.unheard: set[str] = set()
         self.owned_since_ms = clock.monotonic_ms()
@@ -103,6 +105,8 @@
             job.accepted_ms -= min(max(waited_ms, 0), 60_000)
         if progress:
             restore_progress(job, progress)
+            # When it ended is not stored; it is kept at least long enough.
+            job.ended_ms = self.now_ms
         self.jobs[plan.job_id] = job
         self.wake.set()
         self.log.record(
@@ -122,6 +126,7 @@
         if job is None or job.is_over:
             return
         job.is_cancelled = True
+        job.ended_ms = self.now_ms
         self.log.record('job_cancelled', job=job_id)
         self._stop_all(job, 'job cancelled')
         self.wake.set()
@@ -331,6 +336,25 @@
             if not job.is_over:
                 yield job
 
+    def expired_jobs(self, kept_ms: float) -> list[str]:
+        """
+        Return the jobs that ended longer ago than *kept_ms*.
+        """
+        oldest_ms = self.now_ms - kept_ms
+        return [
+            job_id
+            for job_id, job in self.jobs.items()
+            if job.is_forgettable and job.ended_ms < oldest_ms
+        ]
+
+    def forget_job(self, job_id: str) -> None:
+        """
+        Drop a job; its progress is removed with the next write.
+        """
+        self.jobs.pop(job_id, None)
+        self.dirty.discard(job_id)
+        self.forgotten.append(job_id)
+
     def service_of(self, job: Job) -> str:
         """
         Return the service whose workers run a job's tasks.
--- a/src/hawthornpier/fleet/_writer.py
+++ b/src/hawthornpier/fleet/_writer.py
@@ -2,6 +2,7 @@
 Durable writes of the owner of a shard.
 """
 
+import asyncio
 import dataclasses
 
 import msgspec
@@ -94,6 +95,8 @@
         self._timings = timings
         self._fence_version = claimed.version
         self._sequence = 0
+        # The release must not overtake a write that is on its way.
+        self._lock = asyncio.Lock()
         self._store_ms = claimed.store_ms
         self._store_seen_ms = clock.monotonic_ms()
         self.renewed_ms = clock.monotonic_ms()
@@ -120,6 +123,16 @@
             ShardLostError: Another process owns the shard.
             StoreError: The writes were not applied, or that is not known.
         """
+        async with self._lock:
+            await self._write(writes, removals, is_release=is_release)
+
+    async def _write(
+        self,
+        writes: dict[RowKey, bytes],
+        removals: tuple[RowKey, ...],
+        *,
+        is_release: bool,
+    ) -> None:
         sent_ms = self._clock.monotonic_ms()
         is_renewal = is_release or self.is_renewal_due
         transaction = self._transaction(
--- a/src/hawthornpier/platform/_handlers.py
+++ b/src/hawthornpier/platform/_handlers.py
@@ -131,6 +131,7 @@
         if is_job_id(job_id):
             phase = await self.node.entry.show(job_id)
         if phase is None:
+            self.node.log.record('job_not_found', job=job_id)
             self._answer(HTTPStatus.GONE)
         else:
             self._answer(HTTPStatus.OK, state=_PHASES[phase])
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -268,6 +268,14 @@
         """
         return self.is_cancelled or self.end_phase is not None
 
+    @property
+    def is_forgettable(self) -> bool:
+        """
+        Tell whether the job is over, durably, and nothing of it runs.
+        """
+        is_durable = self.is_cancelled or self.is_stored
+        return is_durable and not any(task.runs for task in self.tasks())
+
     @property
     def phase(self) -> JobPhase:
         """
