--- a/src/hawthornpier/fleet/_configured.py
+++ b/src/hawthornpier/fleet/_configured.py
@@ -16,7 +16,9 @@
 from hawthornpier.fleet._ports import RecordStore, RowPage
 from hawthornpier.ports import Clock, PeerError, StoreError
 
-_WATCH_WAIT_MS = 5_000
+# A feed that went silent is noticed after this time and the slack of the store
+# client; the configuration has to be in force within 2.5 s.
+_WATCH_WAIT_MS = 1_200
 _RETRY_MS = 200
 _PEER_COUNT = 2
 
--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -21,6 +21,12 @@
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
         self._strays: dict[tuple[str, str, int], float] = {}
+        # Rows of jobs that are not known yet, by job.
+        self._early_rows: dict[
+            str,
+            list[tuple[WorkerState, RunRow | EndRow]],
+        ] = {}
+        shard.on_job = self._take_early
         self._actions = PaceActions(
             pace=shard.order_pace,
             stop=shard.stop_run,
@@ -74,6 +80,20 @@
             pressure.learn(worker, now_ms)
             control_pace(worker, pressure, self._actions, now_ms)
 
+    def _take_early(self, job_id: str) -> None:
+        """
+        Take in what workers listed of a job before it was known.
+
+        Another owner may have started it; without this its tasks would be
+        started again before the next listing.
+        """
+        now_ms = self._shard.now_ms
+        for worker, row in self._early_rows.pop(job_id, ()):
+            if isinstance(row, EndRow):
+                self._take_end(worker, row, now_ms)
+            elif (row.task_key, row.attempt) not in worker.runs:
+                self._take_unknown(worker, row, now_ms)
+
     def _update(self, run: Run, row: RunRow, now_ms: float) -> None:
         if run.phase in {RunPhase.STARTING, RunPhase.UNCERTAIN}:
             self._shard.confirm_run(run)
@@ -114,7 +134,7 @@
             return True
         task = shard.find_task(end.task_key)
         if task is None:
-            return self._is_stray(worker, end.task_key, end.attempt, now_ms)
+            return self._is_stray(worker, end, now_ms)
         task.attempt = max(task.attempt, end.attempt)
         if end.kind in {EndKind.DONE, EndKind.FAILED} and not task.is_done:
             shard.take_end(task, end.attempt, end.kind, end.checkpoint)
@@ -123,23 +143,26 @@
     def _is_stray(
         self,
         worker: WorkerState,
-        task_key: str,
-        attempt: int,
+        row: RunRow | EndRow,
         now_ms: float,
     ) -> bool:
         """
         Tell whether a run's job has been unknown for too long to appear.
         """
-        stray = (worker.worker_id, task_key, attempt)
+        stray = (worker.worker_id, row.task_key, row.attempt)
         first_ms = self._strays.setdefault(stray, now_ms)
         if now_ms - first_ms <= _STRAY_MS:
+            job_id = row.task_key.partition('.')[0]
+            rows = self._early_rows.setdefault(job_id, [])
+            rows.append((worker, row))
             return False
         self._strays[stray] = now_ms
+        self._early_rows.pop(row.task_key.partition('.')[0], None)
         self._shard.log.record(
             'stray_run',
             worker=worker.worker_id,
-            task=task_key,
-            attempt=attempt,
+            task=row.task_key,
+            attempt=row.attempt,
         )
         return True
 
@@ -152,7 +175,7 @@
         shard = self._shard
         task = shard.find_task(row.task_key)
         if task is None:
-            if self._is_stray(worker, row.task_key, row.attempt, now_ms):
+            if self._is_stray(worker, row, now_ms):
                 shard.order_stop(worker, row.task_key, row.attempt)
             return
         run = Run(task, row.attempt, worker.worker_id, now_ms)
--- a/src/hawthornpier/fleet/_members.py
+++ b/src/hawthornpier/fleet/_members.py
@@ -11,7 +11,7 @@
 from hawthornpier.ports import Clock, StoreError
 
 MEMBER_TABLE = 'members'
-_WATCH_WAIT_MS = 15_000
+_WATCH_WAIT_MS = 4_000
 _RETRY_MS = 300
 
 
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -3,7 +3,7 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._durations import Durations
@@ -65,6 +65,8 @@
         self.dirty: set[str] = set()
         # The queues of the configuration in force.
         self.queues: dict[str, QueuePolicy] = {}
+        # Called with the id of each job that becomes known.
+        self.on_job: Callable[[str], None] | None = None
         self.wake = asyncio.Event()
         self.deposed = asyncio.Event()
         self.is_draining = False
@@ -108,6 +110,8 @@
             # When it ended is not stored; it is kept at least long enough.
             job.ended_ms = self.now_ms
         self.jobs[plan.job_id] = job
+        if self.on_job is not None:
+            self.on_job(plan.job_id)
         self.wake.set()
         self.log.record(
             'job_known',
--- a/src/hawthornpier/platform/_store.py
+++ b/src/hawthornpier/platform/_store.py
@@ -31,7 +31,7 @@
 _READ_TIMEOUT_MS = 1_200.0
 _WRITE_TIMEOUT_MS = 1_200.0
 # Added to the time that a call for changes waits.
-_FEED_SLACK_MS = 1_500.0
+_FEED_SLACK_MS = 800.0
 # The most that the store returns in one page.
 _PAGE_ROW_COUNT = 500
 
