--- a/src/hawthornpier/fleet/__init__.py
+++ b/src/hawthornpier/fleet/__init__.py
@@ -19,7 +19,14 @@
 from hawthornpier.fleet._node import FleetNode
 from hawthornpier.fleet._owner import FleetContext, ShardOwner
 from hawthornpier.fleet._ownership import Ownership
+from hawthornpier.fleet._peer_client import HttpFleetPeer
 from hawthornpier.fleet._peer_handlers import peer_routes
+from hawthornpier.fleet._peer_port import (
+    ConfigurationReply,
+    FleetPeer,
+    PeerGoneError,
+    Presence,
+)
 from hawthornpier.fleet._ports import (
     EndRow,
     FleetWorker,
@@ -43,23 +50,30 @@
     PlatformBounds,
     WorkerTimings,
 )
+from hawthornpier.fleet._writer import ProcessCard, ShardWriter
 
 __all__ = [
     'Configuration',
+    'ConfigurationReply',
     'ConfigurationSource',
     'EndRow',
     'FleetContext',
     'FleetError',
     'FleetNode',
+    'FleetPeer',
     'FleetWorker',
     'HistoryGoneError',
+    'HttpFleetPeer',
     'JobEntry',
     'NotStoredError',
     'OrderReply',
     'OutcomeUnknownError',
     'Ownership',
     'OwnershipTimings',
+    'PeerGoneError',
     'PlatformBounds',
+    'Presence',
+    'ProcessCard',
     'QueueRoute',
     'RecordStore',
     'Renewal',
@@ -69,6 +83,7 @@
     'RunRow',
     'ShardLostError',
     'ShardOwner',
+    'ShardWriter',
     'StartOrder',
     'StoredRow',
     'TransactionOutcome',
--- a/src/hawthornpier/fleet/_configured.py
+++ b/src/hawthornpier/fleet/_configured.py
@@ -12,7 +12,7 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._configuration import Configuration
 from hawthornpier.fleet._errors import HistoryGoneError
-from hawthornpier.fleet._peer_client import HttpFleetPeer
+from hawthornpier.fleet._peer_port import FleetPeer
 from hawthornpier.fleet._ports import RecordStore, RowPage
 from hawthornpier.ports import Clock, PeerError, StoreError
 
@@ -41,7 +41,7 @@
     Where other processes are found.
     """
 
-    def reachable_peers(self) -> list[HttpFleetPeer]:
+    def reachable_peers(self) -> list[FleetPeer]:
         """
         Return other processes, the most useful ones first.
         """
--- a/src/hawthornpier/fleet/_entry.py
+++ b/src/hawthornpier/fleet/_entry.py
@@ -13,6 +13,7 @@
     UnknownJobError,
 )
 from hawthornpier.fleet._intake import cancel_key, end_key, intake_part
+from hawthornpier.fleet._peer_port import Peer
 from hawthornpier.fleet._ports import RecordStore, RowTransaction
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._writer import INTAKE_TABLE, PROGRESS_TABLE
@@ -37,50 +38,6 @@
 _RELAY_COUNT = 3
 
 
-class Peer(Protocol):
-    """
-    Another entry process, as callers' requests need it.
-
-    Every method raises `PeerError`.
-    """
-
-    async def notify_job(self, content: bytes) -> None:
-        """
-        Tell the owner of a stored job.
-        """
-        ...
-
-    async def notify_cancel(self, job_id: str) -> None:
-        """
-        Tell the owner of a stored cancellation.
-        """
-        ...
-
-    async def show(self, job_id: str) -> JobPhase | None:
-        """
-        Return the state that the owner knows, or None.
-        """
-        ...
-
-    async def pending(self, queue: str) -> int:
-        """
-        Return the owner's count of jobs that have not begun.
-        """
-        ...
-
-    async def relay_job(self, content: bytes) -> bool | None:
-        """
-        Have the peer store a job; None if it may or may not be stored.
-        """
-        ...
-
-    async def relay_cancel(self, job_id: str) -> bool | None:
-        """
-        Have the peer store a cancellation; None if that is not known.
-        """
-        ...
-
-
 class Directory(Protocol):
     """
     Who owns the shard, and who else may reach the store.
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -3,7 +3,6 @@
 """
 
 import asyncio
-import random
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._configuration import Configuration
@@ -11,12 +10,13 @@
     ConfigurationSource,
     ConfigurationWatch,
 )
-from hawthornpier.fleet._entry import JobEntry, Peer
+from hawthornpier.fleet._entry import JobEntry
 from hawthornpier.fleet._members import Members
 from hawthornpier.fleet._owner import FleetContext, ShardOwner
 from hawthornpier.fleet._ownership import Ownership
-from hawthornpier.fleet._peer_client import (
-    HttpFleetPeer,
+from hawthornpier.fleet._peer_port import (
+    FleetPeer,
+    Peer,
     PeerGoneError,
     Presence,
 )
@@ -47,13 +47,13 @@
     ) -> None:
         self.context = context
         self.card = ProcessCard(
-            process_id=f'{name}/{random.getrandbits(32):08x}',
+            process_id=f'{name}/{context.rng.getrandbits(32):08x}',
             address=address,
             failure_domain=failure_domain,
         )
         self.is_leaving = False
         self._owner: ShardOwner | None = None
-        self._peers: dict[str, HttpFleetPeer] = {}
+        self._peers: dict[str, FleetPeer] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._ownership = Ownership(
             context.store,
@@ -62,6 +62,7 @@
             clock=context.clock,
             timings=context.ownership_timings,
             log=context.log,
+            rng=context.rng,
         )
         self._members = Members(
             context.store,
@@ -174,7 +175,7 @@
         """
         return list(self.reachable_peers())
 
-    def reachable_peers(self) -> list[HttpFleetPeer]:
+    def reachable_peers(self) -> list[FleetPeer]:
         """
         Return other processes, the owner first.
         """
@@ -184,7 +185,7 @@
             for card in self._members.cards.values()
             if card.address != self.card.address
         ]
-        random.shuffle(others)
+        self.context.rng.shuffle(others)
         if owner is None:
             return others
         return [owner, *(peer for peer in others if peer is not owner)]
@@ -237,7 +238,7 @@
             else:
                 await self.clock.sleep_ms(_PRESENCE_RETRY_MS)
 
-    async def _judge_owner(self, peer: HttpFleetPeer, process_id: str) -> None:
+    async def _judge_owner(self, peer: FleetPeer, process_id: str) -> None:
         seen = await self._see(peer)
         if seen == process_id:
             return
@@ -248,7 +249,7 @@
         if seen is not None and seen != process_id:
             self._ownership.note_dead(process_id)
 
-    async def _see(self, peer: HttpFleetPeer) -> str | None:
+    async def _see(self, peer: FleetPeer) -> str | None:
         """
         Return the process at a peer's address, an empty text if there is none.
 
@@ -262,7 +263,7 @@
             return None
         return presence.process_id
 
-    def _owner_peer(self) -> HttpFleetPeer | None:
+    def _owner_peer(self) -> FleetPeer | None:
         row = self._ownership.owner
         if row is None or row.is_released:
             return None
@@ -270,9 +271,9 @@
             return None
         return self._peer(row.card)
 
-    def _peer(self, card: ProcessCard) -> HttpFleetPeer:
+    def _peer(self, card: ProcessCard) -> FleetPeer:
         peer = self._peers.get(card.address)
         if peer is None:
-            peer = HttpFleetPeer(card)
+            peer = self.context.dial_peer(card)
             self._peers[card.address] = peer
         return peer
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import random
 from collections.abc import Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -14,6 +15,7 @@
 from hawthornpier.fleet._errors import HistoryGoneError, ShardLostError
 from hawthornpier.fleet._intake import Intake, read_all
 from hawthornpier.fleet._listings import Listings
+from hawthornpier.fleet._peer_port import PeerDialer
 from hawthornpier.fleet._ports import (
     RecordStore,
     RowDecoder,
@@ -62,6 +64,8 @@
     bounds: PlatformBounds
     worker_timings: WorkerTimings
     ownership_timings: OwnershipTimings
+    dial_peer: PeerDialer
+    rng: random.Random
     registry_table: str
 
 
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 import msgspec
 
@@ -43,6 +42,7 @@
         clock: The clock of this process.
         timings: Durations.
         log: Where changes are recorded.
+        rng: The source of jitter.
     """
 
     def __init__(
@@ -54,6 +54,7 @@
         clock: Clock,
         timings: OwnershipTimings,
         log: DecisionLog,
+        rng: random.Random,
     ) -> None:
         self.shard = shard
         self.owner: OwnerRow | None = None
@@ -63,6 +64,7 @@
         self._clock = clock
         self._timings = timings
         self._log = log
+        self._rng = rng
         self._version = 0
         self._feed_version: int | None = None
         # Since when every call was answered; None after a failure.
@@ -125,7 +127,7 @@
             self._response_ms * self._timings.claim_delay_factor,
             self._timings.claim_delay_max_ms,
         )
-        await self._sleep(delay_ms * (1 + random.random() / 2))
+        await self._sleep(delay_ms * (1 + self._rng.random() / 2))
         try:
             return await self._claim(reason)
         except StoreError as error:
@@ -279,6 +281,3 @@
 
     async def _sleep(self, duration_ms: float) -> None:
         await self._clock.sleep_ms(duration_ms)
-
-
-OwnerGetter = Callable[[], str]
--- a/src/hawthornpier/fleet/_peer_client.py
+++ b/src/hawthornpier/fleet/_peer_client.py
@@ -16,6 +16,13 @@
     HttpReply,
     NotSentError,
 )
+from hawthornpier.fleet._peer_port import (
+    ConfigurationReply,
+    CountReply,
+    PeerGoneError,
+    PhaseReply,
+    Presence,
+)
 from hawthornpier.fleet._writer import ProcessCard
 from hawthornpier.ports import (
     PeerAnswerLostError,
@@ -35,48 +42,6 @@
 _Message = TypeVar('_Message')
 
 
-class PeerGoneError(PeerUnreachableError):
-    """
-    Nothing listens at the peer's address: its process has ended.
-    """
-
-
-class Presence(msgspec.Struct, frozen=True, kw_only=True):
-    """
-    What a process says of itself.
-    """
-
-    process_id: str
-    configuration_version: int = 0
-    epoch: int = 0
-    is_leaving: bool = False
-
-
-class PhaseReply(msgspec.Struct):
-    """
-    The state of a job.
-    """
-
-    phase: str = ''
-
-
-class CountReply(msgspec.Struct):
-    """
-    A number of jobs.
-    """
-
-    count: int
-
-
-class ConfigurationReply(msgspec.Struct):
-    """
-    The operator's row as the peer read it.
-    """
-
-    version: int
-    content: str = ''
-
-
 class HttpFleetPeer:
     """
     The other end of `PeerHandlers`.
--- a/src/hawthornpier/fleet/_peer_handlers.py
+++ b/src/hawthornpier/fleet/_peer_handlers.py
@@ -11,8 +11,8 @@
 
 from hawthornpier.fleet._entry import JobEntry
 from hawthornpier.fleet._errors import OutcomeUnknownError
-from hawthornpier.fleet._peer_client import (
-    PEER_PREFIX,
+from hawthornpier.fleet._peer_client import PEER_PREFIX
+from hawthornpier.fleet._peer_port import (
     ConfigurationReply,
     CountReply,
     PhaseReply,
--- /dev/null
+++ b/src/hawthornpier/fleet/_peer_port.py
@@ -0,0 +1,132 @@
+"""
+Another entry process, as this one sees it.
+"""
+
+from collections.abc import Callable
+from typing import Protocol
+
+import msgspec
+
+from hawthornpier.fleet._writer import ProcessCard
+from hawthornpier.ports import PeerUnreachableError
+from hawthornpier.steps import JobPhase
+
+
+class PeerGoneError(PeerUnreachableError):
+    """
+    Nothing listens at the peer's address: its process has ended.
+    """
+
+
+class Presence(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    What a process says of itself.
+    """
+
+    process_id: str
+    configuration_version: int = 0
+    epoch: int = 0
+    is_leaving: bool = False
+
+
+class PhaseReply(msgspec.Struct):
+    """
+    The state of a job.
+    """
+
+    phase: str = ''
+
+
+class CountReply(msgspec.Struct):
+    """
+    A number of jobs.
+    """
+
+    count: int
+
+
+class ConfigurationReply(msgspec.Struct):
+    """
+    The operator's row as the peer read it.
+    """
+
+    version: int
+    content: str = ''
+
+
+class Peer(Protocol):
+    """
+    Another entry process, as callers' requests need it.
+
+    Every method raises `PeerError`.
+    """
+
+    async def notify_job(self, content: bytes) -> None:
+        """
+        Tell the owner of a stored job.
+        """
+        ...
+
+    async def notify_cancel(self, job_id: str) -> None:
+        """
+        Tell the owner of a stored cancellation.
+        """
+        ...
+
+    async def show(self, job_id: str) -> JobPhase | None:
+        """
+        Return the state that the owner knows, or None.
+        """
+        ...
+
+    async def pending(self, queue: str) -> int:
+        """
+        Return the owner's count of jobs that have not begun.
+        """
+        ...
+
+    async def relay_job(self, content: bytes) -> bool | None:
+        """
+        Have the peer store a job; None if it may or may not be stored.
+        """
+        ...
+
+    async def relay_cancel(self, job_id: str) -> bool | None:
+        """
+        Have the peer store a cancellation; None if that is not known.
+        """
+        ...
+
+
+class FleetPeer(Peer, Protocol):
+    """
+    The same, as the process itself needs it.
+    """
+
+    @property
+    def card(self) -> ProcessCard:
+        """
+        Return which process it is and where.
+        """
+        ...
+
+    async def watch(self, wait_ms: int) -> Presence:
+        """
+        Return what the process says of itself, after *wait_ms*.
+        """
+        ...
+
+    async def configuration(self) -> ConfigurationReply:
+        """
+        Return the configuration that the peer has.
+        """
+        ...
+
+    def close(self) -> None:
+        """
+        Close the connections.
+        """
+        ...
+
+
+PeerDialer = Callable[[ProcessCard], FleetPeer]
--- a/src/hawthornpier/platform/_run.py
+++ b/src/hawthornpier/platform/_run.py
@@ -6,6 +6,7 @@
 import gc
 import os
 import pathlib
+import random
 import signal
 import sys
 
@@ -19,6 +20,7 @@
     ConfigurationSource,
     FleetContext,
     FleetNode,
+    HttpFleetPeer,
     OwnershipTimings,
     WorkerTimings,
     peer_routes,
@@ -66,6 +68,8 @@
                 bounds=settings.bounds,
                 worker_timings=WorkerTimings(lease_ms=lease_ms),
                 ownership_timings=OwnershipTimings(),
+                dial_peer=HttpFleetPeer,
+                rng=random.SystemRandom(),
                 registry_table=_records.REGISTRY_TABLE,
             ),
             name=settings.node_name,
--- /dev/null
+++ b/src/hawthornpier_standin/fleet/__init__.py
@@ -0,0 +1,25 @@
+"""
+Stand-ins for the platform of the fleet scheduler: its store and its workers.
+"""
+
+from hawthornpier_standin.fleet._store import (
+    StandinRowStore,
+    StandinStoreClient,
+    StoreFault,
+)
+from hawthornpier_standin.fleet._worker import (
+    StandinFleetWorker,
+    StandinWorkerClient,
+    TaskModel,
+    WorkerFault,
+)
+
+__all__ = [
+    'StandinFleetWorker',
+    'StandinRowStore',
+    'StandinStoreClient',
+    'StandinWorkerClient',
+    'StoreFault',
+    'TaskModel',
+    'WorkerFault',
+]
--- /dev/null
+++ b/src/hawthornpier_standin/fleet/_store.py
@@ -0,0 +1,284 @@
+"""
+A transactional store of rows with parts, a feed and faults.
+"""
+
+import asyncio
+import enum
+from collections.abc import Callable
+
+from hawthornpier.fleet import (
+    HistoryGoneError,
+    RowPage,
+    RowTransaction,
+    StoredRow,
+    TransactionOutcome,
+)
+from hawthornpier.ports import (
+    Clock,
+    StoreAnswerLostError,
+    StoreUnavailableError,
+)
+
+_RowId = tuple[str, str, str]
+
+_ANSWER_MS = 4.0
+_TRANSACTION_MS = 8.0
+_PAGE_ROW_COUNT = 500
+# A caller without an answer gives up after its own timeout.
+_SILENT_MS = 1_000.0
+
+
+class StoreFault(enum.StrEnum):
+    """
+    How the store treats a call.
+    """
+
+    NONE = ''
+    REFUSE = 'refuse'
+    SILENT = 'silent'
+    # Writes are applied, and the answer does not arrive.
+    LOSE_ANSWERS = 'lose_answers'
+    # Writes get no answer and are applied later, if they still may be.
+    APPLY_LATE = 'apply_late'
+
+
+class StandinRowStore:
+    """
+    The rows; each caller has a `StandinStoreClient`.
+    """
+
+    def __init__(self, clock: Clock, *, late_ms: float = 2_000) -> None:
+        self.rows: dict[_RowId, StoredRow] = {}
+        self.version = 0
+        self.call_count = 0
+        self.slowness = 1.0
+        self.late_ms = late_ms
+        self.on_applied: Callable[[RowTransaction], None] | None = None
+        self.clock = clock
+        self._changes: list[StoredRow] = []
+        self._forgotten_version = 0
+        self._changed = asyncio.Event()
+        self._locks: dict[str, asyncio.Lock] = {}
+
+    def put(self, table: str, key: str, content: bytes) -> None:
+        """
+        Write a row as the operator or a worker does.
+        """
+        self.apply(
+            RowTransaction(
+                part='',
+                expected={},
+                writes={(table, key): content},
+            ),
+        )
+
+    def drop(self, table: str, key: str) -> None:
+        """
+        Remove a row as a worker does that leaves.
+        """
+        self.apply(
+            RowTransaction(
+                part='',
+                expected={},
+                writes={},
+                removals=((table, key),),
+            ),
+        )
+
+    def forget_history(self) -> None:
+        """
+        Make calls for earlier changes fail.
+        """
+        self._forgotten_version = self.version
+        self._changes.clear()
+
+    def apply(self, transaction: RowTransaction) -> TransactionOutcome:
+        """
+        Apply a transaction now if its expectations hold.
+        """
+        part = transaction.part
+        current = {
+            key: self.rows.get((key[0], part, key[1]))
+            for key in transaction.expected
+        }
+        versions = {
+            key: row.version for key, row in current.items() if row is not None
+        }
+        is_expected = all(
+            versions.get(key, 0) == version
+            for key, version in transaction.expected.items()
+        )
+        if is_expected:
+            self._write(transaction)
+        rows = tuple(row for row in current.values() if row is not None)
+        return TransactionOutcome(
+            is_applied=is_expected,
+            version=self.version,
+            store_ms=self.clock.monotonic_ms(),
+            rows=() if is_expected else rows,
+        )
+
+    async def transact(self, transaction: RowTransaction) -> TransactionOutcome:
+        """
+        Apply a transaction after those that wait for the same part.
+        """
+        lock = self._locks.setdefault(transaction.part, asyncio.Lock())
+        async with lock:
+            await self.clock.sleep_ms(_TRANSACTION_MS * self.slowness)
+            return self.apply(transaction)
+
+    def page(self, table: str, part: str, first: str, end: str) -> RowPage:
+        """
+        Return the rows of a range.
+        """
+        found = sorted(
+            (
+                row
+                for row in self.rows.values()
+                if (row.table, row.part) == (table, part)
+                and row.key >= first
+                and (not end or row.key < end)
+            ),
+            key=lambda row: row.key,
+        )
+        return RowPage(
+            rows=tuple(found[:_PAGE_ROW_COUNT]),
+            version=self.version,
+            store_ms=self.clock.monotonic_ms(),
+            has_more=len(found) > _PAGE_ROW_COUNT,
+        )
+
+    async def changes(self, table: str, after: int, wait_ms: float) -> RowPage:
+        """
+        Return the changes of a table, waiting for the first one.
+        """
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + wait_ms / 1000
+        while True:
+            if after < self._forgotten_version:
+                raise HistoryGoneError(table)
+            found = tuple(
+                row
+                for row in self._changes
+                if row.table == table and row.version > after
+            )
+            if found or loop.time() >= end_s:
+                return RowPage(
+                    rows=found,
+                    version=self.version,
+                    store_ms=self.clock.monotonic_ms(),
+                )
+            await self._wait_changed(end_s)
+
+    async def _wait_changed(self, end_s: float) -> None:
+        try:
+            async with asyncio.timeout_at(end_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+    def _write(self, transaction: RowTransaction) -> None:
+        self.version += 1
+        part = transaction.part
+        for (table, key), content in transaction.writes.items():
+            row = StoredRow(
+                table=table,
+                part=part,
+                key=key,
+                content=content,
+                version=self.version,
+            )
+            self.rows[table, part, key] = row
+            self._changes.append(row)
+        for table, key in transaction.removals:
+            if self.rows.pop((table, part, key), None) is not None:
+                self._changes.append(
+                    StoredRow(
+                        table=table,
+                        part=part,
+                        key=key,
+                        version=self.version,
+                        is_deleted=True,
+                    ),
+                )
+        if self.on_applied is not None:
+            self.on_applied(transaction)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class StandinStoreClient:
+    """
+    The `RecordStore` port of one process, with the faults of its path.
+    """
+
+    def __init__(self, store: StandinRowStore) -> None:
+        self.fault = StoreFault.NONE
+        self._store = store
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def transact(
+        self,
+        transaction: RowTransaction,
+        *,
+        timeout_ms: float = _SILENT_MS,
+    ) -> TransactionOutcome:
+        """
+        Apply a transaction, unless a fault prevents it.
+        """
+        if self.fault is StoreFault.APPLY_LATE:
+            late = asyncio.ensure_future(self._apply_late(transaction))
+            self._late.add(late)
+            late.add_done_callback(self._late.discard)
+            await self._fail_silently(timeout_ms)
+        await self._enter(timeout_ms)
+        outcome = await self._store.transact(transaction)
+        if self.fault is StoreFault.LOSE_ANSWERS:
+            await self._fail_silently(timeout_ms)
+        return outcome
+
+    async def read(
+        self,
+        table: str,
+        part: str,
+        *,
+        first_key: str = '',
+        end_key: str = '',
+    ) -> RowPage:
+        """
+        Return the rows of a range.
+        """
+        await self._enter(_SILENT_MS)
+        return self._store.page(table, part, first_key, end_key)
+
+    async def changes(
+        self,
+        table: str,
+        *,
+        after_version: int,
+        wait_ms: int,
+    ) -> RowPage:
+        """
+        Return the changes of a table.
+        """
+        await self._enter(_SILENT_MS)
+        page = await self._store.changes(table, after_version, wait_ms)
+        if self.fault in {StoreFault.REFUSE, StoreFault.SILENT}:
+            raise StoreUnavailableError('the connection was cut')
+        return page
+
+    async def _enter(self, timeout_ms: float) -> None:
+        self._store.call_count += 1
+        await self._store.clock.sleep_ms(_ANSWER_MS * self._store.slowness)
+        if self.fault is StoreFault.REFUSE:
+            raise StoreUnavailableError('status 503')
+        if self.fault is StoreFault.SILENT:
+            await self._fail_silently(timeout_ms)
+
+    async def _fail_silently(self, timeout_ms: float) -> None:
+        await self._store.clock.sleep_ms(timeout_ms)
+        raise StoreAnswerLostError('timed out')
+
+    async def _apply_late(self, transaction: RowTransaction) -> None:
+        await self._store.clock.sleep_ms(self._store.late_ms)
+        self._store.apply(transaction)
--- /dev/null
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -0,0 +1,416 @@
+"""
+A leased worker that runs tasks in the time of its clock.
+"""
+
+import asyncio
+import dataclasses
+import enum
+import itertools
+from collections.abc import Callable
+
+from hawthornpier.fleet import (
+    EndRow,
+    OrderReply,
+    Renewal,
+    RunRow,
+    StartOrder,
+    Verdict,
+    WorkerEntry,
+    WorkerListing,
+)
+from hawthornpier.ports import (
+    Clock,
+    WorkerAnswerLostError,
+    WorkerUnreachableError,
+)
+from hawthornpier.steps import EndKind
+
+_ANSWER_MS = 1.0
+_SILENT_MS = 700.0
+_TICK_MS = 10.0
+_STOP_MS = 40.0
+_LASTING_STARTUP_MS = 300.0
+
+
+class WorkerFault(enum.StrEnum):
+    """
+    How a worker misbehaves.
+    """
+
+    NONE = ''
+    # It does not answer, and goes on running.
+    CUT = 'cut'
+    FAIL_ALL = 'fail_all'
+    STAND_STILL = 'stand_still'
+    REFUSE = 'refuse'
+    # Starts get no answer and are carried out later.
+    START_LATE = 'start_late'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TaskModel:
+    """
+    What a stand-in worker knows of a task besides its name.
+    """
+
+    work_ms: float
+    is_lasting: bool = False
+    processor_millis: int = 1_000
+    # The tail of a lasting task alone, and beside harmful images.
+    image: str = ''
+    tail_ms: int = 0
+    is_filling: bool = False
+
+
+class _Run:
+    """
+    A run in progress.
+    """
+
+    def __init__(self, order: StartOrder, model: TaskModel) -> None:
+        self.order = order
+        self.model = model
+        self.done_ms: float = 0
+        self.pace = 100
+        self.stopping_ms: float | None = None
+
+    @property
+    def percent(self) -> int:
+        """
+        Return the progress.
+        """
+        whole_ms = self.model.work_ms
+        if self.model.is_lasting:
+            whole_ms = _LASTING_STARTUP_MS
+        return min(100, int(self.done_ms * 100 / whole_ms))
+
+
+class StandinFleetWorker:
+    """
+    One worker over all of its lives.
+
+    Args:
+        entry: What the registry says of the first life.
+        clock: The clock of the run.
+        model_of: Returns what is known of a task.
+        on_run: Called with what, task, attempt and this worker's id.
+    """
+
+    def __init__(
+        self,
+        entry: WorkerEntry,
+        clock: Clock,
+        *,
+        model_of: Callable[[str], TaskModel],
+        on_run: Callable[[str, str, int, str], None],
+    ) -> None:
+        self.entry = entry
+        self.fault = WorkerFault.NONE
+        self.harmful: set[tuple[str, str]] = set()
+        self.late_ms = 2_000.0
+        self.renewal_count = 0
+        self._clock = clock
+        self._model_of = model_of
+        self._on_run = on_run
+        self._late: set[asyncio.Task[None]] = set()
+        self.is_up = True
+        self.epoch = 0
+        self.deadline_ms = 0
+        self.runs: dict[tuple[str, int], _Run] = {}
+        self.ends: list[EndRow] = []
+        self.highest: dict[str, int] = {}
+        self._numbers = itertools.count(1)
+        self._origin_ms = clock.monotonic_ms()
+
+    async def run(self) -> None:
+        """
+        Let the tasks work until cancelled.
+        """
+        while True:
+            await self._clock.sleep_ms(_TICK_MS)
+            if self.is_up:
+                self._tick()
+
+    def crash(self) -> None:
+        """
+        Lose everything and stop answering.
+        """
+        for run in list(self.runs.values()):
+            self._on_run(
+                'crashed',
+                run.order.task_key,
+                run.order.attempt,
+                self.entry.worker_id,
+            )
+        self.runs.clear()
+        self.is_up = False
+
+    def restart(self) -> None:
+        """
+        Begin a new life under the same id.
+        """
+        life_ms = self._clock.wall_ms() + 1
+        self.entry = dataclasses.replace(self.entry, life_ms=life_ms)
+        self.is_up = True
+        self.epoch = 0
+        self.deadline_ms = 0
+        self.ends.clear()
+        self.highest.clear()
+        self._numbers = itertools.count(1)
+        self._origin_ms = self._clock.monotonic_ms()
+
+    def client(self, entry: WorkerEntry) -> 'StandinWorkerClient':
+        """
+        Return a client of one life.
+        """
+        return StandinWorkerClient(self, entry.life_ms)
+
+    @property
+    def clock_ms(self) -> int:
+        """
+        Return the clock of this life.
+        """
+        return int(self._clock.monotonic_ms() - self._origin_ms)
+
+    def renew(self, renewal: Renewal) -> WorkerListing | Verdict:
+        """
+        Renew the lease and forget acknowledged ends.
+        """
+        self.renewal_count += 1
+        if renewal.epoch < self.epoch:
+            return Verdict.FENCED
+        self.epoch = renewal.epoch
+        if renewal.deadline_clock_ms is not None:
+            self._extend(renewal.deadline_clock_ms)
+        acknowledged = renewal.acknowledged_number
+        while self.ends and self.ends[0].number <= acknowledged:
+            end = self.ends.pop(0)
+            self._on_run('noted', end.task_key, end.attempt, end.kind)
+        return self.listing()
+
+    def listing(self) -> WorkerListing:
+        """
+        Return both lists.
+        """
+        return WorkerListing(
+            life_ms=self.entry.life_ms,
+            clock_ms=self.clock_ms,
+            running=tuple(self._row(run) for run in self.runs.values()),
+            ended=tuple(self.ends),
+        )
+
+    def start(self, order: StartOrder) -> OrderReply:
+        """
+        Start a run.
+        """
+        verdict = self._judge_start(order)
+        key = (order.task_key, order.attempt)
+        if verdict is Verdict.ACCEPTED and key not in self.runs:
+            self.runs[key] = _Run(order, self._model_of(order.task_key))
+            self.highest[order.task_key] = order.attempt
+            self._extend(order.deadline_clock_ms)
+            self._on_run('started', *key, self.entry.worker_id)
+        return OrderReply(verdict=verdict, clock_ms=self.clock_ms)
+
+    def start_late(self, order: StartOrder) -> None:
+        """
+        Carry out a start after its caller has given up.
+        """
+        late = asyncio.ensure_future(self._start_late(order))
+        self._late.add(late)
+        late.add_done_callback(self._late.discard)
+
+    def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
+        """
+        Stop a run and bar this and lower attempts.
+        """
+        if epoch < self.epoch:
+            return OrderReply(verdict=Verdict.FENCED, clock_ms=self.clock_ms)
+        self.epoch = epoch
+        self.highest[task_key] = max(self.highest.get(task_key, 0), attempt)
+        run = self.runs.get((task_key, attempt))
+        if run is not None and run.stopping_ms is None:
+            run.stopping_ms = _STOP_MS
+        return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=self.clock_ms)
+
+    def pace(
+        self,
+        task_key: str,
+        attempt: int,
+        percent: int,
+        epoch: int,
+    ) -> OrderReply:
+        """
+        Let a run work at a share of its speed.
+        """
+        run = self.runs.get((task_key, attempt))
+        if epoch < self.epoch or run is None:
+            return OrderReply(verdict=Verdict.FENCED, clock_ms=self.clock_ms)
+        run.pace = percent
+        return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=self.clock_ms)
+
+    async def _start_late(self, order: StartOrder) -> None:
+        life_ms = self.entry.life_ms
+        await self._clock.sleep_ms(self.late_ms)
+        if self.is_up and self.entry.life_ms == life_ms:
+            self.start(order)
+
+    def _extend(self, deadline_clock_ms: int) -> None:
+        self.deadline_ms = max(self.deadline_ms, deadline_clock_ms)
+
+    def _judge_start(self, order: StartOrder) -> Verdict:
+        key = (order.task_key, order.attempt)
+        checks = (
+            (Verdict.FENCED, order.epoch < self.epoch),
+            (Verdict.ACCEPTED, key in self.runs),
+            (Verdict.TOO_LATE, order.deadline_clock_ms <= self.clock_ms),
+            (
+                Verdict.OUTDATED,
+                order.attempt <= self.highest.get(order.task_key, 0),
+            ),
+            (Verdict.NO_ROOM, not self._has_room(order)),
+        )
+        self.epoch = max(self.epoch, order.epoch)
+        return next(
+            (verdict for verdict, holds in checks if holds),
+            Verdict.ACCEPTED,
+        )
+
+    def _has_room(self, order: StartOrder) -> bool:
+        model = self._model_of(order.task_key)
+        if model.is_filling:
+            return True
+        used = sum(
+            run.model.processor_millis
+            for run in self.runs.values()
+            if not run.model.is_filling
+        )
+        return used + model.processor_millis <= self.entry.processor_millis
+
+    def _tick(self) -> None:
+        is_lapsed = self.clock_ms > self.deadline_ms
+        for key, run in list(self.runs.items()):
+            if is_lapsed:
+                self._end(key, EndKind.LAPSED)
+            elif run.stopping_ms is not None:
+                run.stopping_ms -= _TICK_MS
+                if run.stopping_ms <= 0:
+                    self._end(key, EndKind.STOPPED)
+            elif self.fault is not WorkerFault.STAND_STILL:
+                self._work(key, run)
+
+    def _work(self, key: tuple[str, int], run: _Run) -> None:
+        run.done_ms += _TICK_MS * run.pace / 100
+        if run.model.is_lasting or run.done_ms < run.model.work_ms:
+            return
+        is_bad = self.fault is WorkerFault.FAIL_ALL
+        self._end(key, EndKind.FAILED if is_bad else EndKind.DONE)
+
+    def _end(self, key: tuple[str, int], kind: EndKind) -> None:
+        self.runs.pop(key)
+        end = EndRow(
+            number=next(self._numbers),
+            task_key=key[0],
+            attempt=key[1],
+            kind=kind,
+            checkpoint='',
+        )
+        self.ends.append(end)
+        self._on_run(kind.value, *key, self.entry.worker_id)
+
+    def _row(self, run: _Run) -> RunRow:
+        usage = run.model.processor_millis * run.pace // 100
+        if run.model.is_lasting:
+            usage = run.model.tail_ms
+            if any(self._harms(run, other) for other in self.runs.values()):
+                usage *= 20
+        return RunRow(
+            task_key=run.order.task_key,
+            attempt=run.order.attempt,
+            checkpoint='',
+            percent=run.percent,
+            usage=usage,
+        )
+
+    def _harms(self, run: _Run, other: _Run) -> bool:
+        pair = (run.model.image, other.model.image)
+        return (
+            other.model.is_filling and other.pace > 0 and (pair in self.harmful)
+        )
+
+
+class StandinWorkerClient:
+    """
+    The `FleetWorker` port of one life.
+    """
+
+    def __init__(self, worker: StandinFleetWorker, life_ms: int) -> None:
+        self._worker = worker
+        self._life_ms = life_ms
+
+    async def renew(self, renewal: Renewal) -> WorkerListing | Verdict:
+        """
+        Renew the lease; the answer waits for an end.
+        """
+        await self._enter()
+        answer = self._worker.renew(renewal)
+        end_ms = self._worker.clock_ms + renewal.wait_ms
+        while (
+            isinstance(answer, WorkerListing)
+            and not self._worker.ends
+            and self._worker.clock_ms < end_ms
+        ):
+            await asyncio.sleep(_TICK_MS / 1000)
+            await self._check()
+            answer = self._worker.listing()
+        return answer
+
+    async def start(self, order: StartOrder) -> OrderReply:
+        """
+        Start a run.
+        """
+        await self._enter()
+        if self._worker.fault is WorkerFault.REFUSE:
+            return OrderReply(verdict=Verdict.UNHEALTHY)
+        if self._worker.fault is WorkerFault.START_LATE:
+            self._worker.start_late(order)
+            await asyncio.sleep(_SILENT_MS / 1000)
+            raise WorkerAnswerLostError('timed out')
+        return self._worker.start(order)
+
+    async def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
+        """
+        Stop a run.
+        """
+        await self._enter()
+        return self._worker.stop(task_key, attempt, epoch)
+
+    async def pace(
+        self,
+        task_key: str,
+        attempt: int,
+        percent: int,
+        epoch: int,
+    ) -> OrderReply:
+        """
+        Change the pace of a run.
+        """
+        await self._enter()
+        return self._worker.pace(task_key, attempt, percent, epoch)
+
+    def close(self) -> None:
+        """
+        There are no connections.
+        """
+
+    async def _enter(self) -> None:
+        await asyncio.sleep(_ANSWER_MS / 1000)
+        await self._check()
+        if self._worker.entry.life_ms != self._life_ms:
+            raise WorkerUnreachableError('another life answers')
+
+    async def _check(self) -> None:
+        if self._worker.is_up and self._worker.fault is not WorkerFault.CUT:
+            return
+        await asyncio.sleep(_SILENT_MS / 1000)
+        raise WorkerAnswerLostError('timed out')
--- /dev/null
+++ b/tests/fleet_world.py
@@ -0,0 +1,383 @@
+"""
+Entry processes, a store and workers of the fleet scheduler on virtual time.
+"""
+
+import asyncio
+import base64
+import random
+
+import msgspec
+from virtual_time import VirtualClock
+
+from hawthornpier import fleet
+from hawthornpier.events import DecisionLog
+from hawthornpier.ports import PeerUnreachableError, WorkerAnswerLostError
+from hawthornpier.steps import JobPlan, QueuePolicy, StepPlan
+from hawthornpier_standin import fleet as standin
+
+REGISTRY = 'registry'
+QUEUE = QueuePolicy(
+    name='orders',
+    service='desk',
+    max_attempts=3,
+    slack_factor=1.5,
+    objective_ms=400,
+)
+HEARTBEAT_MS = 1_500
+
+
+class Judge:
+    """
+    Watches the runs and notes what must not happen.
+    """
+
+    def __init__(self):
+        self.violations = []
+        self.running = {}
+        self.done = set()
+        self.noted = set()
+        self.started_count = 0
+        self.copied = set()
+
+    def on_run(self, what, task, attempt, detail):
+        if what == 'started':
+            self._on_start(task, attempt, detail)
+        elif what == 'noted':
+            if detail == 'done':
+                self.noted.add(task)
+        else:
+            self.running.pop((task, attempt), None)
+            if what == 'done':
+                self.done.add(task)
+
+    def _on_start(self, task, attempt, worker):
+        self.started_count += 1
+        others = [key for key in self.running if key[0] == task]
+        if others and task.split('.')[0] not in self.copied:
+            self.violations.append(f'{task} runs twice: {others}')
+        if task in self.noted and task.split('.')[0] not in self.copied:
+            self.violations.append(f'{task} started after its end was noted')
+        self.running[task, attempt] = worker
+
+
+class LocalPeer:
+    """
+    The `FleetPeer` port within one process.
+    """
+
+    def __init__(self, world, origin, card):
+        self.card = card
+        self._world = world
+        self._origin = origin
+
+    async def watch(self, wait_ms):
+        node = await self._reach()
+        for _ in range(wait_ms // 20):
+            await asyncio.sleep(0.02)
+            if node.is_dead:
+                raise fleet.PeerGoneError('reset')
+        return node.presence()
+
+    async def notify_job(self, content):
+        (await self._shard()).add_job(fleet_plan(content))
+
+    async def notify_cancel(self, job_id):
+        (await self._shard()).cancel_job(job_id)
+
+    async def show(self, job_id):
+        job = (await self._shard()).jobs.get(job_id)
+        return None if job is None else job.phase
+
+    async def pending(self, queue):
+        return (await self._shard()).pending_count(queue)
+
+    async def configuration(self):
+        node = await self._reach()
+        version, content = node.stored_configuration()
+        return fleet.ConfigurationReply(
+            version=version,
+            content=base64.b64encode(content).decode(),
+        )
+
+    async def relay_job(self, content):
+        node = await self._reach()
+        return await node.entry.store_job(fleet_plan(content).job_id, content)
+
+    async def relay_cancel(self, job_id):
+        return await (await self._reach()).entry.store_cancel(job_id)
+
+    def close(self):
+        """
+        There are no connections.
+        """
+
+    async def _reach(self):
+        await asyncio.sleep(0.001)
+        node = self._world.nodes.get(self.card.address)
+        if node is None or node.is_cut or self._origin.is_cut:
+            await asyncio.sleep(0.4)
+            raise PeerUnreachableError('timed out')
+        if node.is_dead:
+            raise fleet.PeerGoneError('refused')
+        return node
+
+    async def _shard(self):
+        shard = (await self._reach()).local_shard()
+        if shard is None:
+            raise PeerUnreachableError('not the owner')
+        return shard
+
+
+def fleet_plan(content):
+    return msgspec.json.decode(content, type=JobPlan)
+
+
+class CutWorkerClient:
+    """
+    A worker's client that a cut of the process silences.
+    """
+
+    def __init__(self, node, client):
+        self._node = node
+        self._client = client
+
+    def close(self):
+        self._client.close()
+
+    def __getattr__(self, name):
+        method = getattr(self._client, name)
+
+        async def call(*arguments):
+            if self._node.is_cut:
+                await asyncio.sleep(0.7)
+                raise WorkerAnswerLostError('timed out')
+            return await method(*arguments)
+
+        return call
+
+
+class Node(fleet.FleetNode):
+    """
+    A process that can be killed and cut off.
+    """
+
+    is_dead = False
+    is_cut = False
+
+
+class World:
+    """
+    The whole installation.
+    """
+
+    def __init__(self, *, node_count=3, worker_count=4, seed=1):
+        self.clock = VirtualClock()
+        self.rng = random.Random(seed)
+        self.judge = Judge()
+        self.store = standin.StandinRowStore(self.clock)
+        self.nodes = {}
+        self.clients = {}
+        self.models = {}
+        self.log_lines = []
+        self.workers = {}
+        self._tasks = []
+        self._lives = 0
+        for number in range(worker_count):
+            self.add_worker(f'w{number}')
+        self.configure(1)
+        for number in range(node_count):
+            self.start_node(f'n{number}')
+        self._spawn(self._beat())
+
+    def add_worker(self, worker_id, **options):
+        entry = fleet.WorkerEntry(
+            worker_id=worker_id,
+            service='desk',
+            address=worker_id,
+            failure_domain='z',
+            processor_millis=8_000,
+            memory_mb=64_000,
+            accelerator_count=0,
+            life_ms=1,
+            **options,
+        )
+        worker = standin.StandinFleetWorker(
+            entry,
+            self.clock,
+            model_of=self.model_of,
+            on_run=self.judge.on_run,
+        )
+        self.workers[worker_id] = worker
+        self._spawn(worker.run())
+        return worker
+
+    def configure(self, version, queues=('orders',)):
+        self.store.put(
+            'op',
+            'config',
+            msgspec.json.encode({'version': version, 'queues': queues}),
+        )
+
+    def start_node(self, name):
+        self._lives += 1
+        client = standin.StandinStoreClient(self.store)
+        node_box = []
+        log = DecisionLog(name, lines_per_s=10**6)
+        log.record = self._record
+        context = fleet.FleetContext(
+            store=client,
+            decoder=_Decoder(),
+            dial=lambda entry: CutWorkerClient(
+                node_box[0],
+                self.workers[entry.worker_id].client(entry),
+            ),
+            clock=self.clock,
+            log=log,
+            bounds=fleet.PlatformBounds(),
+            worker_timings=fleet.WorkerTimings(),
+            ownership_timings=fleet.OwnershipTimings(),
+            dial_peer=lambda card: LocalPeer(self, node_box[0], card),
+            rng=random.Random(self.rng.random()),
+            registry_table=REGISTRY,
+        )
+        node = Node(
+            context,
+            name=name,
+            address=name,
+            failure_domain='z',
+            configuration=fleet.ConfigurationSource(
+                table='op',
+                key='config',
+                decode=_decode_configuration,
+            ),
+        )
+        node_box.append(node)
+        node.client = client
+        self.nodes[name] = node
+        node.start()
+        return node
+
+    def kill(self, node):
+        """
+        End a process without any notice.
+        """
+        node.is_dead = True
+        for task in node._tasks:
+            task.cancel()
+
+    def owner(self):
+        owners = [
+            node
+            for node in self.nodes.values()
+            if not node.is_dead and node.local_shard() is not None
+        ]
+        return owners[0] if owners else None
+
+    def model_of(self, task_key):
+        job_id, _, step, _ = task_key.split('.')
+        return self.models[job_id][int(step)]
+
+    def plan(self, *steps, work_ms=200, **options):
+        job_id = f'{len(self.models):016x}'
+        plans = steps or (StepPlan(task_count=4, processor_millis=1_000),)
+        self.models[job_id] = [
+            standin.TaskModel(
+                work_ms=work_ms,
+                is_lasting=step.is_lasting,
+                processor_millis=step.processor_millis,
+                image=step.image,
+                tail_ms=20 if step.is_lasting else 0,
+                is_filling=step.is_filling,
+            )
+            for step in plans
+        ]
+        if any(step.may_run_copies for step in plans):
+            self.judge.copied.add(job_id)
+        return JobPlan(
+            job_id=job_id,
+            payload='payload',
+            steps=plans,
+            queue=QUEUE,
+            submitted_ms=self.clock.wall_ms(),
+            **options,
+        )
+
+    async def run_for(self, duration_ms):
+        await asyncio.sleep(duration_ms / 1000)
+
+    async def wait_phase(self, job_id, phase, *, limit_ms=20_000):
+        end_s = asyncio.get_running_loop().time() + limit_ms / 1000
+        while asyncio.get_running_loop().time() < end_s:
+            node = self.any_node()
+            try:
+                if await node.entry.show(job_id) == phase:
+                    return
+            except fleet.NotStoredError:
+                pass
+            await asyncio.sleep(0.05)
+        raise AssertionError(f'{job_id} is not {phase}')
+
+    def any_node(self):
+        return next(
+            node
+            for node in self.nodes.values()
+            if not node.is_dead and not node.is_cut
+        )
+
+    def finish(self):
+        for node in self.nodes.values():
+            self.kill(node)
+        for task in self._tasks:
+            task.cancel()
+        assert not self.judge.violations
+
+    def _spawn(self, coroutine):
+        self._tasks.append(asyncio.ensure_future(coroutine))
+
+    def _record(self, kind, **fields):
+        self.log_lines.append((self.clock.monotonic_ms(), kind, fields))
+
+    async def _beat(self):
+        while True:
+            for worker in self.workers.values():
+                if worker.is_up:
+                    self.store.put(
+                        REGISTRY,
+                        worker.entry.worker_id,
+                        msgspec.json.encode(worker.entry),
+                    )
+            await asyncio.sleep(HEARTBEAT_MS / 1000)
+
+
+class _Decoder:
+    """
+    Reads the registry of the world.
+    """
+
+    def workers(self, rows):
+        return [
+            msgspec.json.decode(row.content, type=fleet.WorkerEntry)
+            for row in rows
+            if not row.is_deleted
+        ]
+
+
+def _decode_configuration(content):
+    document = msgspec.json.decode(content)
+    return fleet.Configuration(
+        version=document['version'],
+        routes=tuple(
+            fleet.QueueRoute(
+                host='host',
+                path_prefix=f'/{name}/',
+                policy=QueuePolicy(
+                    name=name,
+                    service='desk',
+                    max_attempts=QUEUE.max_attempts,
+                    slack_factor=QUEUE.slack_factor,
+                    objective_ms=QUEUE.objective_ms,
+                ),
+            )
+            for name in document['queues']
+        ),
+    )
