--- a/src/hawthornpier/fleet/_placement.py
+++ b/src/hawthornpier/fleet/_placement.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 
 from hawthornpier.fleet._health import Standing
-from hawthornpier.fleet._pressure import PairPressure
+from hawthornpier.fleet._pressure import BARRED, PairPressure
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Step, Task
 
@@ -14,6 +14,10 @@
 _FILLING_OVERCOMMIT = 1.0
 
 
+# By the number of lasting images on a worker: none, another one, several.
+_MIXTURE_RANKS = (1, 3, 2)
+
+
 class Placement:
     """
     Packs lasting tasks together and keeps filling tasks away from them.
@@ -104,11 +108,13 @@
         step: Step,
     ) -> tuple[float, ...]:
         # Equal images share workers, so that a filling image that harms some
-        # of them finds workers without these.
+        # of them finds workers without these.  What does not fit there goes
+        # where images are mixed already, so that few workers are mixed.
         image = step.plan.image
-        others = {run.task.step.plan.image for run in worker.lasting_runs()} - {
-            image
-        }
+        images = {run.task.step.plan.image for run in worker.lasting_runs()}
+        mixture = _MIXTURE_RANKS[min(len(images), 2)]
+        if images == {image}:
+            mixture = 0
         harm = max(
             (
                 self._pressure.probability(image, run.task.step.plan.image)
@@ -116,8 +122,13 @@
             ),
             default=0,
         )
+        is_cleared = bool(worker.cleared_image) and (
+            self._pressure.probability(image, worker.cleared_image) >= BARRED
+        )
         return (
-            float(len(others)),
+            float(is_cleared),
+            float(mixture),
+            float(image not in images),
             round(harm, 1),
             -float(worker.reserved_millis),
         )
--- a/src/hawthornpier/fleet/_pressure.py
+++ b/src/hawthornpier/fleet/_pressure.py
@@ -43,7 +43,7 @@
 _REPORT_WEIGHT = 0.5
 # An image with this probability may not join; one below the next one is not
 # paused unless it is the only candidate.
-_BARRED = 0.3
+BARRED = 0.3
 _UNLIKELY = 0.06
 # Reports reflect what ran this long ago.
 _LAG_MS = 700.0
@@ -96,7 +96,7 @@
         probability = self.worst(worker, image)
         if worker.paused_ms and probability >= _UNLIKELY:
             return False
-        return probability < _BARRED
+        return probability < BARRED
 
     def learn(self, worker: WorkerState, now_ms: float) -> None:
         """
@@ -169,13 +169,13 @@
         log_odds = min(max(log_odds, _LOG_ODDS_MIN), _LOG_ODDS_MAX)
         self._pairs[pair] = (log_odds, self._clock.monotonic_ms())
         probability = self.probability(*pair)
-        if (before < _BARRED) != (probability < _BARRED):
+        if (before < BARRED) != (probability < BARRED):
             self._log.record(
                 'pair_judged',
                 lasting=pair[0],
                 filling=pair[1],
                 probability=round(probability, 2),
-                is_barred=probability >= _BARRED,
+                is_barred=probability >= BARRED,
             )
 
     def _log_odds(self, pair: Pair) -> float:
@@ -288,7 +288,7 @@
     for run in runs:
         if run.pace_percent == 100:
             continue
-        if pressure.worst(worker, run.task.step.plan.image) >= _BARRED:
+        if pressure.worst(worker, run.task.step.plan.image) >= BARRED:
             actions.stop(run, 'disturbs lasting tasks')
         else:
             actions.pace(worker, run, 100)
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -118,6 +118,7 @@
             job=plan.job_id,
             queue=plan.queue.name,
             tasks=sum(step.task_count for step in plan.steps),
+            may_miss=[step.unavailable_limit for step in plan.steps],
             phase=job.phase,
         )
         return job
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -78,6 +78,9 @@
         # Since when filling tasks pause for the sake of lasting ones.
         self.paused_ms: float = 0
         self.judged_ms: float = 0
+        # The filling image that lasting tasks make room for.
+        self.cleared_image = ''
+        self.cleared_until_ms: float = 0
         # Filling images with the first and last time that they used
         # processors.
         self.present_images: dict[str, tuple[float, float]] = {}
