--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 demo: $(STAMP)
 	$(BIN)/python -m demo $(DEMO)
 
-# One executable file; see "The binary" in docs/operations.md.
+# One executable file; see "The binary" in docs/OPERATIONS.md.
 
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py dist/hawthornpier
--- /dev/null
+++ b/src/hawthornpier/cli/_explain.py
@@ -0,0 +1,77 @@
+"""
+The command ``explain``.
+"""
+
+import argparse
+import pathlib
+import sys
+from collections.abc import Iterator
+from types import MappingProxyType
+from typing import Any
+
+from hawthornpier.cli import _options
+from hawthornpier.cli._errors import CommandError, ExitCode
+from hawthornpier.events import (
+    render_story_html,
+    render_story_json,
+    render_story_text,
+    tell_story,
+)
+
+_RENDERERS = MappingProxyType(
+    {
+        'text': render_story_text,
+        'json': render_story_json,
+        'html': render_story_html,
+    },
+)
+
+
+def add_commands(commands: Any) -> None:
+    """
+    Add the command to the subparsers *commands*.
+    """
+    parser = _options.add_command(
+        commands,
+        'explain',
+        explain,
+        summary='tell from logs what became of a job, task or worker',
+        is_remote=False,
+    )
+    parser.add_argument('subject', metavar='ID')
+    parser.add_argument(
+        'files',
+        metavar='FILE',
+        nargs='*',
+        help='logs of all processes; default: standard input',
+    )
+    parser.add_argument(
+        '--format',
+        choices=tuple(_RENDERERS),
+        default='text',
+        help='default: text',
+    )
+
+
+def explain(arguments: argparse.Namespace) -> ExitCode:
+    """
+    Print the story of one id.
+    """
+    story = tell_story(arguments.subject, _lines(arguments.files))
+    _options.print_lines([_RENDERERS[arguments.format](story).rstrip('\n')])
+    return ExitCode.OK if story.lines else ExitCode.NOT_FOUND
+
+
+def _lines(files: list[str]) -> Iterator[str]:
+    if not files:
+        yield from sys.stdin
+        return
+    for name in files:
+        try:
+            content = pathlib.Path(name).read_text('utf-8', 'replace')
+        except OSError as error:
+            raise CommandError(
+                f'{name}: {error.strerror}',
+                code=ExitCode.USAGE,
+            ) from error
+        yield from content.splitlines()
--- a/src/hawthornpier/cli/_main.py
+++ b/src/hawthornpier/cli/_main.py
@@ -11,13 +11,13 @@
 from typing import Any
 
 import hawthornpier
-from hawthornpier.cli import _job, _process, _table
+from hawthornpier.cli import _explain, _job, _process, _table
 from hawthornpier.cli._errors import CommandError, ExitCode, error_lines
 from hawthornpier.settings import SettingsErrorGroup
 from hawthornpier.table import TableError
 
 _COMMANDS = frozenset(
-    ('daemon', 'check', 'table', 'job', 'status', 'timeline'),
+    ('daemon', 'check', 'table', 'job', 'status', 'timeline', 'explain'),
 )
 _STAND_INS = 'hawthornpier_standin.servers'
 _ERROR_CODES = (
@@ -93,6 +93,7 @@
     _process.add_commands(commands)
     _table.add_commands(commands)
     _job.add_commands(commands)
+    _explain.add_commands(commands)
     if not words or words[0] not in _COMMANDS:
         _add_stand_ins(commands)
     return parser.parse_args(words)
--- a/src/hawthornpier/cli/_process.py
+++ b/src/hawthornpier/cli/_process.py
@@ -4,13 +4,14 @@
 
 import argparse
 import sys
+from collections.abc import Callable
 from importlib import import_module
 from typing import Any
 from urllib.parse import urlencode
 
 from hawthornpier.cli import _options
 from hawthornpier.cli._errors import ExitCode, error_lines
-from hawthornpier.settings import SettingsErrorGroup, load_settings
+from hawthornpier.settings import load_settings
 
 _FILTERS = ('shard', 'worker_id', 'task_id', 'request_id')
 
@@ -35,6 +36,11 @@
         is_remote=False,
     )
     parser.add_argument('settings', metavar='FILE', nargs='+')
+    parser.add_argument(
+        '--platform',
+        action='store_true',
+        help="the files are those of the users' platform",
+    )
     _options.add_command(
         commands,
         'status',
@@ -76,10 +82,13 @@
     Report the mistakes of all files, not only of the first.
     """
     code = ExitCode.OK
+    read: Callable[[str], object] = load_settings
+    if arguments.platform:
+        read = import_module('hawthornpier.platform').check_file
     for path in arguments.settings:
         try:
-            load_settings(path)
-        except SettingsErrorGroup as group:
+            read(path)
+        except ExceptionGroup as group:
             code = ExitCode.SETTINGS
             sys.stderr.writelines(
                 f'hawthornpier: {line}\n' for line in error_lines(group)
--- a/src/hawthornpier/events/__init__.py
+++ b/src/hawthornpier/events/__init__.py
@@ -10,6 +10,14 @@
     DEFAULT_RING_EVENT_COUNT,
     EventRecorder,
 )
+from hawthornpier.events._story import (
+    Story,
+    StoryLine,
+    render_story_html,
+    render_story_json,
+    render_story_text,
+    tell_story,
+)
 from hawthornpier.events._timeline import (
     EventsDecodeError,
     decode_events,
@@ -27,9 +35,15 @@
     'EventsDecodeError',
     'HybridClock',
     'LineWriter',
+    'Story',
+    'StoryLine',
     'decode_events',
     'encode_events',
     'merge_timelines',
     'render_html',
+    'render_story_html',
+    'render_story_json',
+    'render_story_text',
     'render_text',
+    'tell_story',
 ]
--- a/src/hawthornpier/platform/_run.py
+++ b/src/hawthornpier/platform/_run.py
@@ -81,7 +81,7 @@
                 decode=_records.decode_configuration,
             ),
         )
-        self._servers: list[HTTPServer] = []
+        self.servers: list[HTTPServer] = []
 
     async def run(self, stop: asyncio.Event, reload: asyncio.Event) -> None:
         """
@@ -125,7 +125,7 @@
             host, _, port = address.rpartition(':')
             server = HTTPServer(application, max_body_size=_BODY_BYTES_MAX)
             server.listen(int(port), host)
-            self._servers.append(server)
+            self.servers.append(server)
 
     @property
     def _frontend(self) -> str:
@@ -137,7 +137,7 @@
         served_ms = self.settings.bounds.grace_ms * _SERVED_GRACE_PART
         spent_ms = self._clock.monotonic_ms() - started_ms
         await self._clock.sleep_ms(max(0, served_ms - spent_ms))
-        for server in self._servers:
+        for server in self.servers:
             server.stop()
 
     async def _reload_forever(self, reload: asyncio.Event) -> None:
--- a/src/hawthornpier/platform/_settings.py
+++ b/src/hawthornpier/platform/_settings.py
@@ -66,6 +66,20 @@
     return parse_settings(path.read_text(encoding='utf-8'), str(path))
 
 
+def check_file(path: str) -> None:
+    """
+    Check a settings file.
+
+    Raises:
+        ExceptionGroup: Of `PlatformSettingsError`, one for each fault.
+    """
+    try:
+        load_settings(pathlib.Path(path))
+    except (OSError, UnicodeDecodeError) as error:
+        fault = PlatformSettingsError(f'{path}: {error}')
+        raise ExceptionGroup('settings', [fault]) from error
+
+
 def parse_settings(content: str, name: str) -> NodeSettings:
     """
     Read settings from lines of the form ``a.b=value``.
--- a/src/hawthornpier_standin/fleet/__init__.py
+++ b/src/hawthornpier_standin/fleet/__init__.py
@@ -7,6 +7,10 @@
     StandinStoreClient,
     StoreFault,
 )
+from hawthornpier_standin.fleet._wire import (
+    store_application,
+    worker_application,
+)
 from hawthornpier_standin.fleet._worker import (
     StandinFleetWorker,
     StandinWorkerClient,
@@ -22,4 +26,6 @@
     'StoreFault',
     'TaskModel',
     'WorkerFault',
+    'store_application',
+    'worker_application',
 ]
--- a/tests/test_cli_commands.py
+++ b/tests/test_cli_commands.py
@@ -376,7 +376,7 @@
         """
         assert run('--help') == ExitCode.OK
         shown = capsys.readouterr().out
-        page = EXAMPLES.parent / 'docs' / 'operations.md'
+        page = EXAMPLES.parent / 'docs' / 'OPERATIONS.md'
         documented = page.read_text()
         for code in ExitCode:
             assert f'{code.value}  {code.meaning}' in shown
--- /dev/null
+++ b/tests/test_events_decisions.py
@@ -0,0 +1,112 @@
+"""
+Tests of the decision log and of the stories told from it.
+"""
+
+import json
+import os
+
+import eliot
+
+from hawthornpier.cli import main
+from hawthornpier.events import DecisionLog, LineWriter, tell_story
+
+
+def read_lines(descriptor):
+    os.set_blocking(descriptor, False)
+    try:
+        content = os.read(descriptor, 10**6)
+    except BlockingIOError:
+        return []
+    return [json.loads(line) for line in content.splitlines()]
+
+
+class TestVolume:
+    """
+    The log is bounded and never blocks.
+    """
+
+    def test_a_flood_of_one_kind_is_cut_and_counted(self):
+        """
+        Guards against a log that grows with the load.
+        """
+        reader, writer = os.pipe()
+        lines = LineWriter(writer)
+        eliot.add_destinations(lines)
+        try:
+            log = DecisionLog('p', lines_per_s=5)
+            for number in range(1_000):
+                log.record('flood', number=number)
+        finally:
+            eliot.remove_destination(lines)
+        written = read_lines(reader)
+        flood = [line for line in written if line['message_type'] == 'flood']
+        # A second may begin in the middle.
+        assert 5 <= len(flood) <= 10
+        assert log.omitted['flood'] == 1_000 - len(flood)
+
+    def test_a_reader_that_stops_reading_costs_only_lines(self):
+        """
+        Guards against a write that blocks the process.
+        """
+        _, writer = os.pipe()
+        lines = LineWriter(writer)
+        for number in range(20_000):
+            lines({'message_type': 'x', 'text': 'y' * 100, 'number': number})
+        assert lines.dropped_count
+
+
+class TestStory:
+    """
+    The logs of all processes tell what became of an id.
+    """
+
+    lines = (
+        '{"message_type":"job_accepted","process_id":"a","wall_ms":1000,'
+        '"job":"j1"}',
+        '  1.0 b {"message_type":"run_placed","process_id":"b",'
+        '"wall_ms":1010,"task":"j1.0.0.0","worker":"w1"}',
+        '{"message_type":"worker_lapsed","process_id":"b","wall_ms":1500,'
+        '"worker":"w1"}',
+        '{"message_type":"worker_lapsed","process_id":"b","wall_ms":1500,'
+        '"worker":"w2"}',
+        '{"message_type":"job_ended","process_id":"b","wall_ms":2000,'
+        '"job":"j1","phase":"completed"}',
+        '{"message_type":"job_accepted","process_id":"a","wall_ms":1,'
+        '"job":"j2"}',
+        '{"message_type":"cut off',
+    )
+
+    def test_a_job_with_its_tasks_and_workers(self):
+        """
+        Guards against a story that leaves out why a run ended.
+        """
+        story = tell_story('j1', reversed(self.lines))
+        assert [line.kind for line in story.lines] == [
+            'job_accepted',
+            'run_placed',
+            'worker_lapsed',
+            'job_ended',
+        ]
+        assert story.damaged_count == 1
+
+    def test_the_command_prints_all_formats(self, tmp_path, capsys):
+        """
+        Guards against a format that cannot be rendered.
+        """
+        file = tmp_path / 'log'
+        file.write_text('\n'.join(self.lines))
+        for form in ('text', 'json', 'html'):
+            assert main(['explain', 'j1', str(file), '--format', form]) == 0
+            assert 'worker_lapsed' in capsys.readouterr().out
+        assert main(['explain', 'j9', str(file)]) == 7
+
+    def test_the_platforms_settings_are_checked(self, tmp_path, capsys):
+        """
+        Guards against a check that stops at the first fault.
+        """
+        file = tmp_path / 'boot.conf'
+        file.write_text('node_name=a\nbounds.stop_ms=soon\n')
+        assert main(['check', '--platform', str(file)]) == 3
+        errors = capsys.readouterr().err
+        assert 'boot.conf:2: bounds.stop_ms' in errors
+        assert 'platform.address is missing' in errors
--- /dev/null
+++ b/tests/test_platform_path.py
@@ -0,0 +1,391 @@
+"""
+Tests of the whole path over HTTP: clients, processes, store and workers.
+"""
+
+import asyncio
+import json
+import random
+import time
+
+import msgspec
+from tornado.httpserver import HTTPServer
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+from tornado.testing import bind_unused_port
+
+from hawthornpier import fleet
+from hawthornpier.adapters import SystemClock
+from hawthornpier.platform import NodeSettings, PlatformProcess
+from hawthornpier_standin import fleet as standin
+
+HOST = 'orders.example'
+JOB_ID = '5c0e7a21d94b36f8'
+# Far above what anything here takes, so that only a hang exceeds it.
+PATIENCE_S = 60
+
+
+def listen(application):
+    socket, port = bind_unused_port()
+    server = HTTPServer(application)
+    server.add_socket(socket)
+    return server, f'127.0.0.1:{port}'
+
+
+def free_port():
+    socket, port = bind_unused_port()
+    socket.close()
+    return port
+
+
+class Installation:
+    """
+    A store, workers and entry processes on loopback.
+    """
+
+    def __init__(self, *, worker_count=3):
+        self.clock = SystemClock()
+        self.store = standin.StandinRowStore(self.clock)
+        self.started = []
+        self.tasks = []
+        self.processes = {}
+        self.servers = []
+        server, address = listen(standin.store_application(self.store))
+        self.store_address = address
+        self.servers.append(server)
+        for number in range(worker_count):
+            self.add_worker(f'i-{number}')
+        self.store.put('op', 'config', self.manifest(1))
+
+    def manifest(self, version):
+        return json.dumps(
+            {
+                'version': version,
+                'routes': [
+                    {
+                        'name': 'r-1',
+                        'host': HOST,
+                        'path_prefix': '/jobs/',
+                        'service': 'desk',
+                        'max_attempts': 2,
+                        'slack_factor': 1.5,
+                        'target_latency_ms': 400,
+                    },
+                ],
+                'services': [{'name': 'desk', 'admission_check': True}],
+            },
+        ).encode()
+
+    def add_worker(self, worker_id):
+        entry = fleet.WorkerEntry(
+            worker_id=worker_id,
+            service='desk',
+            address='',
+            failure_domain='z',
+            processor_millis=8_000,
+            memory_mb=32_000,
+            accelerator_count=0,
+            life_ms=time.time_ns() // 1_000_000,
+        )
+        worker = standin.StandinFleetWorker(
+            entry,
+            self.clock,
+            model_of=lambda task: standin.TaskModel(work_ms=100),
+            on_run=self.note_run,
+        )
+        server, address = listen(standin.worker_application(worker))
+        self.servers.append(server)
+        self.tasks.append(asyncio.ensure_future(worker.run()))
+        self.store.put(
+            'servers',
+            worker_id,
+            json.dumps(
+                {
+                    'service': 'desk',
+                    'address': address,
+                    'state': 'ready',
+                    'zone': 'z',
+                    'labels': ['a', 'r1'],
+                    'capacity': {'cpu': 8_000, 'ram_mb': 32_000},
+                    'born': entry.life_ms,
+                    'sequence': 1,
+                },
+            ).encode(),
+        )
+
+    def note_run(self, what, task, attempt, detail):
+        if what == 'started':
+            self.started.append(task)
+
+    def start_process(self, name):
+        settings = NodeSettings(
+            node_name=name,
+            host_address='127.0.0.1',
+            failure_domain='z',
+            frontend_address=f'127.0.0.1:{free_port()}',
+            readiness_address=f'127.0.0.1:{free_port()}',
+            peer_port=free_port(),
+            store_address=self.store_address,
+        )
+        process = PlatformProcess(settings)
+        stop = asyncio.Event()
+        task = asyncio.ensure_future(process.run(stop, asyncio.Event()))
+        self.processes[name] = (process, task, stop)
+        return settings
+
+    def kill(self, name):
+        process, task, _ = self.processes.pop(name)
+        task.cancel()
+        for server in process.servers:
+            server.stop()
+        for part in process.node._tasks:
+            part.cancel()
+
+    async def call(self, settings, method, path, body=None):
+        client = SimpleAsyncHTTPClient(force_instance=True)
+        reply = await client.fetch(
+            f'http://{settings.frontend_address}{path}',
+            method=method,
+            headers={'Host': HOST},
+            body=body,
+            raise_error=False,
+            allow_nonstandard_methods=True,
+        )
+        client.close()
+        return reply.code, reply.body
+
+    async def wait_ready(self, settings):
+        while not await self.is_ready(settings):
+            await asyncio.sleep(0.02)
+
+    async def is_ready(self, settings):
+        client = SimpleAsyncHTTPClient(force_instance=True)
+        try:
+            reply = await client.fetch(
+                f'http://{settings.readiness_address}/',
+                raise_error=False,
+            )
+        except OSError:
+            return False
+        return reply.code == 200
+
+    async def wait_state(self, settings, job_id, state):
+        while True:
+            code, body = await self.call(settings, 'GET', f'/jobs/{job_id}')
+            if code == 200 and json.loads(body)['state'] == state:
+                return
+            await asyncio.sleep(0.05)
+
+    async def wait_owner(self):
+        while True:
+            for name, (process, _, _) in self.processes.items():
+                if process.node.local_shard() is not None:
+                    return name
+            await asyncio.sleep(0.02)
+
+    async def close(self):
+        for process, task, _ in self.processes.values():
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+            await process.node.close()
+            for server in process.servers:
+                server.stop()
+        for task in self.tasks:
+            task.cancel()
+        for server in self.servers:
+            server.stop()
+
+
+def job_body(**changes):
+    step = {'count': 4, 'cpu': 1_000, 'ram_mb': 256, 'estimate_ms': 100}
+    document = {
+        'spec': 'text',
+        'phases': [step, {**step, 'after': [0]}],
+        **changes,
+    }
+    return json.dumps(document)
+
+
+def run(scenario):
+    async def bounded():
+        installation = Installation()
+        try:
+            async with asyncio.timeout(PATIENCE_S):
+                await scenario(installation)
+        finally:
+            await installation.close()
+
+    random.seed(1)
+    asyncio.run(bounded())
+
+
+class TestPath:
+    """
+    A job is accepted, run and shown over the platform's wire.
+    """
+
+    def test_a_job_completes_at_any_process(self):
+        """
+        Guards against a wire name that the adapter writes or reads wrongly.
+        """
+
+        async def scenario(installation):
+            first = installation.start_process('a')
+            second = installation.start_process('b')
+            await installation.wait_ready(first)
+            await installation.wait_ready(second)
+            path = f'/jobs/{JOB_ID}'
+            code, _ = await installation.call(first, 'POST', path, job_body())
+            assert code == 200
+            await installation.wait_state(second, JOB_ID, 'completed')
+            assert sorted(installation.started) == sorted(
+                f'{JOB_ID}.0.{step}.{index}'
+                for step in range(2)
+                for index in range(4)
+            )
+            code, body = await installation.call(second, 'GET', '/jobs/')
+            assert json.loads(body) == {'pending': 0}
+
+        run(scenario)
+
+    def test_the_owner_is_killed(self):
+        """
+        Guards against jobs that stand still or run twice after a kill.
+        """
+
+        async def scenario(installation):
+            settings = {
+                name: installation.start_process(name) for name in 'abc'
+            }
+            for each in settings.values():
+                await installation.wait_ready(each)
+            ids = [f'{number:016x}' for number in range(6)]
+            for job_id in ids:
+                code, _ = await installation.call(
+                    settings['a'],
+                    'POST',
+                    f'/jobs/{job_id}',
+                    job_body(),
+                )
+                assert code == 200
+            owner = await installation.wait_owner()
+            installation.kill(owner)
+            survivor = settings[next(iter(installation.processes))]
+            for job_id in ids:
+                await installation.wait_state(survivor, job_id, 'completed')
+            assert len(installation.started) == len(set(installation.started))
+
+        run(scenario)
+
+    def test_bad_input_is_refused_with_a_reason(self):
+        """
+        Guards against malformed jobs that are stored or cost a process.
+        """
+
+        async def scenario(installation):
+            settings = installation.start_process('a')
+            await installation.wait_ready(settings)
+            path = f'/jobs/{JOB_ID}'
+            negative = {'count': 1, 'cpu': -1}
+            later = {'count': 1, 'after': [1]}
+            bodies = (
+                '{',
+                '[]',
+                '{"spec":"x"}',
+                job_body(phases=[]),
+                job_body(phases=[negative]),
+                job_body(phases=[later, later]),
+                job_body(phases=[{'count': 10**9}]),
+                job_body(spec='x' * 5_000),
+                job_body(repeat_count=-1),
+            )
+            for body in bodies:
+                code, answer = await installation.call(
+                    settings,
+                    'POST',
+                    path,
+                    body,
+                )
+                assert code == 400, body
+                assert json.loads(answer)['error']
+            code, _ = await installation.call(
+                settings,
+                'POST',
+                '/jobs/not-an-id',
+                job_body(),
+            )
+            assert code == 400
+            code, _ = await installation.call(settings, 'GET', path)
+            assert code == 410
+            code, _ = await installation.call(settings, 'DELETE', path)
+            assert code == 410
+            code, _ = await installation.call(settings, 'GET', '/else/')
+            assert code == 404
+
+        run(scenario)
+
+
+class TestRows:
+    """
+    Rows of other writers are tolerated.
+    """
+
+    def test_unreadable_entries_name_no_worker(self):
+        """
+        Guards against a registry row that stops the owner.
+        """
+        from hawthornpier.platform import PlatformDecoder
+
+        good = {
+            'service': 'desk',
+            'address': '10.0.0.1:80',
+            'state': 'draining',
+            'remaining_ms': 1_500,
+            'labels': ['a', 'r1-3'],
+            'capacity': {'cpu': 8_000, 'ram_mb': 32_000, 'gpu': 0},
+            'born': 5,
+            'new_field': [1],
+        }
+        contents = (
+            msgspec.json.encode(good),
+            b'\xff\xfe',
+            msgspec.json.encode({**good, 'state': 'gone'}),
+            msgspec.json.encode({**good, 'capacity': 7}),
+            msgspec.json.encode({'service': 'desk'}),
+        )
+        decoder = PlatformDecoder()
+        entries = decoder.workers(
+            [
+                fleet.StoredRow(
+                    table='servers',
+                    part='',
+                    key=f'i-{number}',
+                    content=content,
+                )
+                for number, content in enumerate(contents)
+            ],
+        )
+        assert [entry.worker_id for entry in entries] == ['i-0']
+        assert entries[0].is_draining
+        assert entries[0].rack == 'r1-3'
+        assert decoder.unreadable_count == 4
+
+
+class TestSettings:
+    """
+    The platform's settings file is checked as a whole.
+    """
+
+    def test_all_faults_are_named_with_line_and_field(self):
+        """
+        Guards against one message for the first of several faults.
+        """
+        import pytest
+
+        from hawthornpier.platform import parse_settings
+
+        content = 'node_name=a\nip=10.0.0.1\nbounds.stop_ms=soon\nnew=1\n'
+        with pytest.raises(ExceptionGroup) as caught:
+            parse_settings(content, 'boot.conf')
+        lines = [str(error) for error in caught.value.exceptions]
+        assert "boot.conf:3: bounds.stop_ms is not a number: 'soon'" in lines
+        assert 'boot.conf: platform.address is missing' in lines
+        assert len(lines) > 4
--- a/tools/build_binary.py
+++ b/tools/build_binary.py
@@ -3,7 +3,7 @@
 
 The file is a ZIP archive with the product and the packages that it runs
 with, copied from the environment that runs this program; nothing is
-downloaded.  ``docs/operations.md`` compares it with shiv.
+downloaded.  ``docs/OPERATIONS.md`` compares it with shiv.
 """
 
 import argparse
