--- a/src/hawthornpier/fleet/_entry.py
+++ b/src/hawthornpier/fleet/_entry.py
@@ -36,6 +36,9 @@
 # this long, and requests are refused at once if they fail too.
 _AVOID_STORE_MS = 700.0
 _RELAY_COUNT = 3
+# After the other processes have failed too, requests are refused at once for
+# this long, so that their callers come back instead of waiting.
+_REFUSE_MS = 500.0
 
 
 class Directory(Protocol):
@@ -82,6 +85,7 @@
         self._clock = clock
         self._log = log
         self._avoid_until_ms: float = 0
+        self._refuse_until_ms: float = 0
         self._notices: set[asyncio.Task[None]] = set()
         self._counts: dict[str, tuple[float, int]] = {}
 
@@ -93,6 +97,7 @@
             NotStoredError: The job is not stored and never will be.
             OutcomeUnknownError: It may be stored.
         """
+        self._check_open()
         content = encode_plan(plan)
         if not await self.store_job(plan.job_id, content):
             await self._relay_job(content)
@@ -121,6 +126,7 @@
             NotStoredError: The cancellation is not stored.
             OutcomeUnknownError: It may be stored.
         """
+        self._check_open()
         if await self.show(job_id) is None:
             raise UnknownJobError(job_id)
         if not await self.store_cancel(job_id):
@@ -204,6 +210,7 @@
             self._settle(is_stored)
             if is_stored:
                 return
+        self._refuse()
         raise NotStoredError('the store takes no writes')
 
     async def _relay_cancel(self, job_id: str) -> None:
@@ -215,10 +222,22 @@
             self._settle(is_stored)
             if is_stored:
                 return
+        self._refuse()
         raise NotStoredError('the store takes no writes')
 
+    def _check_open(self) -> None:
+        """
+        Refuse before anything is sent while nobody reaches the store.
+        """
+        if self._clock.monotonic_ms() < self._refuse_until_ms:
+            raise NotStoredError('the store takes no writes')
+
+    def _refuse(self) -> None:
+        self._refuse_until_ms = self._clock.monotonic_ms() + _REFUSE_MS
+
     def _settle(self, is_stored: bool | None) -> None:
         if is_stored is None:
+            self._refuse()
             raise OutcomeUnknownError('a relayed write has no answer')
 
     async def _ask_owner(self, job_id: str) -> JobPhase | None:
--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -65,21 +65,27 @@
                 self._update(run, row, now_ms)
         self._end_missing(worker, listed, asked_ms)
         if not worker.is_listed:
-            worker.is_listed = True
-            self._shard.unheard.discard(worker.worker_id)
-            self._shard.log.record(
-                'worker_listed',
-                worker=worker.worker_id,
-                runs=len(worker.runs),
-                epoch=self._shard.epoch,
-                life=worker.entry.life_ms,
-            )
-            self._shard.wake.set()
+            self._note_first(worker, now_ms)
         if worker.lasting_count:
             pressure = self._shard.pressure
             pressure.learn(worker, now_ms)
             control_pace(worker, pressure, self._actions, now_ms)
 
+    def _note_first(self, worker: WorkerState, now_ms: float) -> None:
+        worker.is_listed = True
+        shard = self._shard
+        shard.unheard.discard(worker.worker_id)
+        if shard.first_listed_ms is None:
+            shard.first_listed_ms = now_ms
+        shard.log.record(
+            'worker_listed',
+            worker=worker.worker_id,
+            runs=len(worker.runs),
+            epoch=shard.epoch,
+            life=worker.entry.life_ms,
+        )
+        shard.wake.set()
+
     def _take_early(self, job_id: str) -> None:
         """
         Take in what workers listed of a job before it was known.
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -33,7 +33,7 @@
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.fleet._writer import ShardWriter
 from hawthornpier.ports import Clock, StoreError
-from hawthornpier.steps import EndKind
+from hawthornpier.steps import EndKind, RunPhase
 
 # Entries of workers that lapsed while the store was away return within two
 # seconds of its return.
@@ -192,7 +192,8 @@
                 )
                 self._missing_since_ms[worker_id] = self.shard.now_ms
                 self._meet(entry)
-                self.shard.unheard.add(worker_id)
+                if not self.shard.workers[worker_id].is_listed:
+                    self.shard.unheard.add(worker_id)
 
     async def _schedule_forever(self) -> None:
         shard = self.shard
@@ -307,10 +308,16 @@
             runs=len(worker.runs),
         )
         for run in list(worker.runs.values()):
-            self.shard.end_run(run, EndKind.LOST)
-        worker.begin_life(entry)
+            if not run.is_unanswered:
+                self.shard.end_run(run, EndKind.LOST)
+        unanswered = worker.begin_life(entry)
         self._unlink(worker.worker_id)
         self._link(worker)
+        for late in unanswered:
+            # The new life may still carry out a start sent to the old one.
+            late.phase = RunPhase.STARTING
+            worker.charge(late)
+            self.shard.stop_run(late, 'start unanswered: new life')
 
     def _link(self, worker: WorkerState) -> None:
         if self._group is None:
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -48,7 +48,7 @@
         self._watch = RunWatch(shard, timings)
         self._clearing = Clearing(shard)
         lease_ms = timings.lease_ms * (1 + timings.clock_drift)
-        self._blind_until_ms = shard.owned_since_ms + lease_ms + _OLD_ORDERS_MS
+        self._blind_ms = lease_ms + _OLD_ORDERS_MS
         self._summarized_ms: float = 0
 
     def run_pass(self) -> None:
@@ -81,7 +81,7 @@
         shard = self._shard
         if not shard.unheard or step.plan.may_run_copies:
             return False
-        if shard.now_ms > self._blind_until_ms:
+        if not shard.is_recent_owner(self._blind_ms):
             shard.unheard.clear()
             return False
         return step.job.is_known_before_owner
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -74,7 +74,9 @@
         self.forgotten: list[str] = []
         # Workers of the previous owner that have not listed their runs yet.
         self.unheard: set[str] = set()
-        self.owned_since_ms = clock.monotonic_ms()
+        # When the first worker accepted this epoch; from then on the previous
+        # owner is refused there, and so learns that it was replaced.
+        self.first_listed_ms: float | None = None
 
     @property
     def now_ms(self) -> float:
@@ -97,9 +99,8 @@
         if job is not None:
             return job
         job = Job(plan, self.now_ms)
-        owned_ms = self.now_ms - self.owned_since_ms
         job.is_known_before_owner = is_known_before_owner or (
-            self.epoch > 1 and owned_ms < _OLD_NOTICES_MS
+            self.epoch > 1 and self.is_recent_owner(_OLD_NOTICES_MS)
         )
         if plan.submitted_ms:
             waited_ms = self.clock.wall_ms() - plan.submitted_ms
@@ -123,6 +124,14 @@
         )
         return job
 
+    def is_recent_owner(self, span_ms: float) -> bool:
+        """
+        Tell whether the first worker listed its runs less than *span_ms* ago.
+        """
+        if self.first_listed_ms is None:
+            return True
+        return self.now_ms - self.first_listed_ms < span_ms
+
     def cancel_job(self, job_id: str) -> None:
         """
         Stop all runs of a job and start no more.
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -69,6 +69,13 @@
         self.stop_reason = ''
         self.ticket = ''
 
+    @property
+    def is_unanswered(self) -> bool:
+        """
+        Tell whether an order for the start may still be carried out.
+        """
+        return self.phase is not RunPhase.RUNNING and not self.settled_ms
+
     @property
     def is_typical(self) -> bool:
         """
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -250,9 +250,9 @@
         return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=self.clock_ms)
 
     async def _start_late(self, order: StartOrder) -> None:
-        life_ms = self.entry.life_ms
+        # An order names the worker and not its life.
         await self._clock.sleep_ms(self.late_ms)
-        if self.is_up and self.entry.life_ms == life_ms:
+        if self.is_up:
             self.start(order)
 
     def _extend(self, deadline_clock_ms: int) -> None:
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -419,6 +419,26 @@
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
         await world.run_for(5_000)
 
+    async def test_a_late_start_in_a_new_life(self, world):
+        """
+        Guards against a start to a worker's old life that the new life
+        carries out beside the one that replaced it.
+        """
+        await started_world(world)
+        worker = world.workers['w0']
+        worker.fault = WorkerFault.START_LATE
+        plan = world.plan(
+            StepPlan(task_count=24, processor_millis=1_000),
+            work_ms=4_000,
+        )
+        await world.any_node().entry.submit(plan)
+        await world.run_for(300)
+        worker.crash()
+        worker.restart()
+        worker.fault = WorkerFault.NONE
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        await world.run_for(3_000)
+
     async def test_a_worker_that_fails_all_is_avoided(self, world):
         """
         Guards against jobs that fail because one worker fails everything.
