--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -11,7 +11,12 @@
 import msgspec
 
 from hawthornpier.events import DecisionLog
-from hawthornpier.fleet._commits import FLEET_TABLE, Committer
+from hawthornpier.fleet._commits import (
+    FLEET_KEY,
+    FLEET_TABLE,
+    PAIRS_KEY,
+    Committer,
+)
 from hawthornpier.fleet._errors import HistoryGoneError, ShardLostError
 from hawthornpier.fleet._intake import Intake, read_all
 from hawthornpier.fleet._listings import Listings
@@ -174,26 +179,30 @@
         Reach for the workers of the previous owner, listed or not.
         """
         page = await self._context.store.read(FLEET_TABLE, self.shard.name)
-        for row in page.rows:
-            known = msgspec.json.decode(
-                row.content,
-                type=list[tuple[str, str, str, int]],
+        rows = {row.key: row.content for row in page.rows}
+        pairs = rows.get(PAIRS_KEY[1], b'[]')
+        self.shard.pressure.load(
+            msgspec.json.decode(pairs, type=list[tuple[str, str, float]]),
+        )
+        known = msgspec.json.decode(
+            rows.get(FLEET_KEY[1], b'[]'),
+            type=list[tuple[str, str, str, int]],
+        )
+        for worker_id, address, service, life_ms in known:
+            entry = WorkerEntry(
+                worker_id=worker_id,
+                service=service,
+                address=address,
+                failure_domain='',
+                processor_millis=0,
+                memory_mb=0,
+                accelerator_count=0,
+                life_ms=life_ms,
             )
-            for worker_id, address, service, life_ms in known:
-                entry = WorkerEntry(
-                    worker_id=worker_id,
-                    service=service,
-                    address=address,
-                    failure_domain='',
-                    processor_millis=0,
-                    memory_mb=0,
-                    accelerator_count=0,
-                    life_ms=life_ms,
-                )
-                self._missing_since_ms[worker_id] = self.shard.now_ms
-                self._meet(entry)
-                if not self.shard.workers[worker_id].is_listed:
-                    self.shard.unheard.add(worker_id)
+            self._missing_since_ms[worker_id] = self.shard.now_ms
+            self._meet(entry)
+            if not self.shard.workers[worker_id].is_listed:
+                self.shard.unheard.add(worker_id)
 
     async def _schedule_forever(self) -> None:
         shard = self.shard
--- a/src/hawthornpier/fleet/_pressure.py
+++ b/src/hawthornpier/fleet/_pressure.py
@@ -8,7 +8,7 @@
 """
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from hawthornpier.events import DecisionLog
@@ -52,11 +52,13 @@
 _JUDGE_INTERVAL_MS = 350.0
 # Smaller parts of a worker's processors prove nothing.
 _EVIDENCE_SHARE = 0.02
-# After a pause of this length a filling task goes elsewhere.
-_PAUSE_MAX_MS = 900.0
+# A filling task that is likely harmful goes elsewhere after a pause of this
+# length, and any other one after the next.
+_HARMFUL_PAUSE_MS = 250.0
+_PAUSE_MAX_MS = 2_500.0
 # After this time all filling tasks pause, not only the likely causes.
 _PAUSE_ALL_MS = 1_600.0
-_RECOVERED_RATIO = 0.8
+_RECOVERED_RATIO = 0.9
 
 
 class PairPressure:
@@ -77,6 +79,20 @@
         log_odds = self._log_odds((lasting_image, filling_image))
         return 1 / (1 + math.exp(-log_odds))
 
+    def export(self) -> list[tuple[str, str, float]]:
+        """
+        Return what a later owner should know: images and log odds.
+        """
+        return [(*pair, round(self._log_odds(pair), 1)) for pair in self._pairs]
+
+    def load(self, known: Iterable[tuple[str, str, float]]) -> None:
+        """
+        Take over what a previous owner has learned.
+        """
+        now_ms = self._clock.monotonic_ms()
+        for lasting_image, filling_image, log_odds in known:
+            self._pairs[lasting_image, filling_image] = (log_odds, now_ms)
+
     def worst(self, worker: WorkerState, image: str) -> float:
         """
         Return the highest probability of an image with what lasts there.
@@ -260,8 +276,8 @@
     elif ratio < _RECOVERED_RATIO:
         worker.paused_ms = 0
         _resume(worker, runs, pressure, actions)
-    if worker.paused_ms and now_ms - worker.paused_ms > _PAUSE_MAX_MS:
-        _send_away([run for run in runs if not run.pace_percent], actions)
+    if worker.paused_ms:
+        _send_away(worker, runs, pressure, actions, now_ms)
 
 
 def _pause(
@@ -274,9 +290,20 @@
             actions.pace(worker, run, 0)
 
 
-def _send_away(runs: list[Run], actions: PaceActions) -> None:
+def _send_away(
+    worker: WorkerState,
+    runs: list[Run],
+    pressure: PairPressure,
+    actions: PaceActions,
+    now_ms: float,
+) -> None:
+    paused_ms = now_ms - worker.paused_ms
     for run in runs:
-        actions.stop(run, 'disturbs lasting tasks')
+        if run.pace_percent or paused_ms < _HARMFUL_PAUSE_MS:
+            continue
+        probability = pressure.worst(worker, run.task.step.plan.image)
+        if probability >= BARRED or paused_ms > _PAUSE_MAX_MS:
+            actions.stop(run, 'disturbs lasting tasks')
 
 
 def _resume(
@@ -305,9 +332,8 @@
     """
     if now_ms - worker.paused_ms > _PAUSE_ALL_MS:
         return runs
-    likely = [
+    return [
         run
         for run in runs
         if pressure.worst(worker, run.task.step.plan.image) >= _UNLIKELY
     ]
-    return likely or runs
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -313,7 +313,11 @@
             task.avoided.add(run.worker_id)
         self.take_end(task, run.attempt, kind, checkpoint or run.checkpoint)
         if worker.health.note_end(run, kind, now_ms):
-            self._quarantine(worker)
+            self.log.record(
+                'worker_quarantined',
+                worker=worker.worker_id,
+                runs=len(worker.runs),
+            )
 
     def take_end(
         self,
@@ -376,13 +380,6 @@
         queue = self.queues.get(job.plan.queue.name, job.plan.queue)
         return queue.service
 
-    def runs(self) -> Iterator[Run]:
-        """
-        Yield all runs that are charged to workers.
-        """
-        for worker in self.workers.values():
-            yield from worker.runs.values()
-
     def pending_count(self, queue: str) -> int:
         """
         Return how many accepted jobs of a queue have not begun.
@@ -396,22 +393,12 @@
         )
 
     def _stop_copies(self, task: Task) -> None:
-        members = task.step.tasks if task.step.plan.is_gang else [task]
-        if task.step.plan.is_gang:
-            # The members end by themselves, together.
-            return
-        for member in members:
-            for run in list(member.runs):
+        # The members of a gang end by themselves, together.
+        if not task.step.plan.is_gang:
+            for run in list(task.runs):
                 self.stop_run(run, 'another run has finished')
 
     def _stop_all(self, job: Job, reason: str) -> None:
         for task in job.tasks():
             for run in list(task.runs):
                 self.stop_run(run, reason)
-
-    def _quarantine(self, worker: WorkerState) -> None:
-        self.log.record(
-            'worker_quarantined',
-            worker=worker.worker_id,
-            runs=len(worker.runs),
-        )
--- a/src/hawthornpier_standin/fleet/__init__.py
+++ b/src/hawthornpier_standin/fleet/__init__.py
@@ -13,10 +13,10 @@
 )
 from hawthornpier_standin.fleet._worker import (
     StandinFleetWorker,
-    StandinWorkerClient,
     TaskModel,
     WorkerFault,
 )
+from hawthornpier_standin.fleet._worker_client import StandinWorkerClient
 
 __all__ = [
     'StandinFleetWorker',
--- a/src/hawthornpier_standin/fleet/_wire.py
+++ b/src/hawthornpier_standin/fleet/_wire.py
@@ -25,6 +25,7 @@
 from hawthornpier.ports import WorkerError
 from hawthornpier_standin.fleet._store import StandinRowStore
 from hawthornpier_standin.fleet._worker import StandinFleetWorker
+from hawthornpier_standin.fleet._worker_client import StandinWorkerClient
 
 _PREFIX = '/hawthornpier'
 # Tables that only the operator and the workers write.
@@ -188,6 +189,12 @@
         """
         self.worker = worker
 
+    def client(self) -> StandinWorkerClient:
+        """
+        Return a client of the current life, which has the faults.
+        """
+        return StandinWorkerClient(self.worker, self.worker.entry.life_ms)
+
     def reply_verdict(self, verdict: Verdict) -> None:
         """
         Finish with the answer to an order.
@@ -223,7 +230,7 @@
             checkpoint=body.get('checkpoint', ''),
         )
         try:
-            reply = await self.worker.client(self.worker.entry).start(order)
+            reply = await self.client().start(order)
         except WorkerError:
             self.request.connection.close()  # type: ignore[union-attr]
             return
@@ -283,7 +290,7 @@
             deadline_clock_ms=body.get('deadline_ms'),
             wait_ms=body.get('wait_ms', 0),
         )
-        client = self.worker.client(self.worker.entry)
+        client = self.client()
         answer = await client.renew(renewal)
         if isinstance(answer, WorkerListing):
             self.reply(_listing(answer))
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -18,16 +18,10 @@
     WorkerEntry,
     WorkerListing,
 )
-from hawthornpier.ports import (
-    Clock,
-    WorkerAnswerLostError,
-    WorkerUnreachableError,
-)
+from hawthornpier.ports import Clock
 from hawthornpier.steps import EndKind
 
-_ANSWER_MS = 1.0
-_SILENT_MS = 700.0
-_TICK_MS = 10.0
+TICK_MS = 10.0
 _STOP_MS = 40.0
 _LASTING_STARTUP_MS = 300.0
 
@@ -127,7 +121,7 @@
         Let the tasks work until cancelled.
         """
         while True:
-            await self._clock.sleep_ms(_TICK_MS)
+            await self._clock.sleep_ms(TICK_MS)
             if self.is_up:
                 self._tick()
 
@@ -159,12 +153,6 @@
         self._numbers = itertools.count(1)
         self._origin_ms = self._clock.monotonic_ms()
 
-    def client(self, entry: WorkerEntry) -> 'StandinWorkerClient':
-        """
-        Return a client of one life.
-        """
-        return StandinWorkerClient(self, entry.life_ms)
-
     @property
     def clock_ms(self) -> int:
         """
@@ -293,14 +281,14 @@
             if is_lapsed:
                 self._end(key, EndKind.LAPSED)
             elif run.stopping_ms is not None:
-                run.stopping_ms -= _TICK_MS
+                run.stopping_ms -= TICK_MS
                 if run.stopping_ms <= 0:
                     self._end(key, EndKind.STOPPED)
             elif self.fault is not WorkerFault.STAND_STILL:
                 self._work(key, run)
 
     def _work(self, key: tuple[str, int], run: _Run) -> None:
-        run.done_ms += _TICK_MS * run.pace / 100
+        run.done_ms += TICK_MS * run.pace / 100
         if run.model.is_lasting or run.done_ms < run.model.work_ms:
             return
         is_bad = self.fault is WorkerFault.FAIL_ALL
@@ -337,80 +325,3 @@
         return (
             other.model.is_filling and other.pace > 0 and (pair in self.harmful)
         )
-
-
-class StandinWorkerClient:
-    """
-    The `FleetWorker` port of one life.
-    """
-
-    def __init__(self, worker: StandinFleetWorker, life_ms: int) -> None:
-        self._worker = worker
-        self._life_ms = life_ms
-
-    async def renew(self, renewal: Renewal) -> WorkerListing | Verdict:
-        """
-        Renew the lease; the answer waits for an end.
-        """
-        await self._enter()
-        answer = self._worker.renew(renewal)
-        end_ms = self._worker.clock_ms + renewal.wait_ms
-        while (
-            isinstance(answer, WorkerListing)
-            and not self._worker.ends
-            and self._worker.clock_ms < end_ms
-        ):
-            await asyncio.sleep(_TICK_MS / 1000)
-            await self._check()
-            answer = self._worker.listing()
-        return answer
-
-    async def start(self, order: StartOrder) -> OrderReply:
-        """
-        Start a run.
-        """
-        await self._enter()
-        if self._worker.fault is WorkerFault.REFUSE:
-            return OrderReply(verdict=Verdict.UNHEALTHY)
-        if self._worker.fault is WorkerFault.START_LATE:
-            self._worker.start_late(order)
-            await asyncio.sleep(_SILENT_MS / 1000)
-            raise WorkerAnswerLostError('timed out')
-        return self._worker.start(order)
-
-    async def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
-        """
-        Stop a run.
-        """
-        await self._enter()
-        return self._worker.stop(task_key, attempt, epoch)
-
-    async def pace(
-        self,
-        task_key: str,
-        attempt: int,
-        percent: int,
-        epoch: int,
-    ) -> OrderReply:
-        """
-        Change the pace of a run.
-        """
-        await self._enter()
-        return self._worker.pace(task_key, attempt, percent, epoch)
-
-    def close(self) -> None:
-        """
-        There are no connections.
-        """
-
-    async def _enter(self) -> None:
-        await asyncio.sleep(_ANSWER_MS / 1000)
-        await self._check()
-        if self._worker.entry.life_ms != self._life_ms:
-            raise WorkerUnreachableError('another life answers')
-
-    async def _check(self) -> None:
-        if self._worker.is_up and self._worker.fault is not WorkerFault.CUT:
-            return
-        await asyncio.sleep(_SILENT_MS / 1000)
-        raise WorkerAnswerLostError('timed out')
--- /dev/null
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -0,0 +1,99 @@
+"""
+The way from an owner to a stand-in worker.
+"""
+
+import asyncio
+
+from hawthornpier.fleet import (
+    OrderReply,
+    Renewal,
+    StartOrder,
+    Verdict,
+    WorkerListing,
+)
+from hawthornpier.ports import WorkerAnswerLostError, WorkerUnreachableError
+from hawthornpier_standin.fleet._worker import (
+    TICK_MS,
+    StandinFleetWorker,
+    WorkerFault,
+)
+
+_ANSWER_MS = 1.0
+_SILENT_MS = 700.0
+
+
+class StandinWorkerClient:
+    """
+    The `FleetWorker` port of one life.
+    """
+
+    def __init__(self, worker: StandinFleetWorker, life_ms: int) -> None:
+        self._worker = worker
+        self._life_ms = life_ms
+
+    async def renew(self, renewal: Renewal) -> WorkerListing | Verdict:
+        """
+        Renew the lease; the answer waits for an end.
+        """
+        await self._enter()
+        answer = self._worker.renew(renewal)
+        end_ms = self._worker.clock_ms + renewal.wait_ms
+        while (
+            isinstance(answer, WorkerListing)
+            and not self._worker.ends
+            and self._worker.clock_ms < end_ms
+        ):
+            await asyncio.sleep(TICK_MS / 1000)
+            await self._check()
+            answer = self._worker.listing()
+        return answer
+
+    async def start(self, order: StartOrder) -> OrderReply:
+        """
+        Start a run.
+        """
+        await self._enter()
+        if self._worker.fault is WorkerFault.REFUSE:
+            return OrderReply(verdict=Verdict.UNHEALTHY)
+        if self._worker.fault is WorkerFault.START_LATE:
+            self._worker.start_late(order)
+            await asyncio.sleep(_SILENT_MS / 1000)
+            raise WorkerAnswerLostError('timed out')
+        return self._worker.start(order)
+
+    async def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
+        """
+        Stop a run.
+        """
+        await self._enter()
+        return self._worker.stop(task_key, attempt, epoch)
+
+    async def pace(
+        self,
+        task_key: str,
+        attempt: int,
+        percent: int,
+        epoch: int,
+    ) -> OrderReply:
+        """
+        Change the pace of a run.
+        """
+        await self._enter()
+        return self._worker.pace(task_key, attempt, percent, epoch)
+
+    def close(self) -> None:
+        """
+        There are no connections.
+        """
+
+    async def _enter(self) -> None:
+        await asyncio.sleep(_ANSWER_MS / 1000)
+        await self._check()
+        if self._worker.entry.life_ms != self._life_ms:
+            raise WorkerUnreachableError('another life answers')
+
+    async def _check(self) -> None:
+        if self._worker.is_up and self._worker.fault is not WorkerFault.CUT:
+            return
+        await asyncio.sleep(_SILENT_MS / 1000)
+        raise WorkerAnswerLostError('timed out')
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -229,7 +229,10 @@
             decoder=_Decoder(),
             dial=lambda entry: CutWorkerClient(
                 node_box[0],
-                self.workers[entry.worker_id].client(entry),
+                standin.StandinWorkerClient(
+                    self.workers[entry.worker_id],
+                    entry.life_ms,
+                ),
             ),
             clock=self.clock,
             log=log,
