--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -194,6 +194,9 @@
         worker.charge(run)
         self._update(run, row, now_ms)
         task.step.job.has_started = True
+        if task.step.plan.is_filling:
+            # The previous owner may have paused it; lists do not show that.
+            shard.order_pace(worker, run, 100)
         is_unwanted = task.is_done or (
             bool(others)
             and not task.step.plan.is_gang
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -175,12 +175,8 @@
         """
         Charge a run to a worker and order its start.
         """
-        run = Run(
-            task,
-            self.next_attempt(task),
-            worker.worker_id,
-            self.now_ms,
-        )
+        attempt = self.next_attempt(task)
+        run = Run(task, attempt, worker.worker_id, self.now_ms)
         worker.charge(run)
         self.launch(run, reason)
         return run
@@ -242,14 +238,13 @@
         """
         Have a worker stop a run, known to the owner or not.
         """
-        worker.orders.put_nowait(
-            Order(
-                kind=OrderKind.STOP,
-                task_key=task_key,
-                attempt=attempt,
-                run=run,
-            ),
+        stop = Order(
+            kind=OrderKind.STOP,
+            task_key=task_key,
+            attempt=attempt,
+            run=run,
         )
+        worker.orders.put_nowait(stop)
 
     def order_pace(self, worker: WorkerState, run: Run, percent: int) -> None:
         """
--- a/tests/test_fleet_workers.py
+++ b/tests/test_fleet_workers.py
@@ -142,6 +142,27 @@
     Filling tasks do not keep lasting ones over their target.
     """
 
+    async def test_a_paused_task_goes_on_under_a_new_owner(self, world):
+        """
+        Guards against a task that the previous owner paused, which the new
+        one takes for standing still and stops.
+        """
+        await started_world(world)
+        filling = StepPlan(
+            task_count=1,
+            processor_millis=1_000,
+            image='filling',
+            is_filling=True,
+        )
+        plan = world.plan(filling, work_ms=1_500)
+        await world.any_node().entry.submit(plan)
+        await world.run_for(300)
+        (task, attempt), worker_id = next(iter(world.judge.running.items()))
+        world.workers[worker_id].pace(task, attempt, 0, 9**9)
+        world.kill(world.owner())
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.judge.started_count == 1
+
     async def test_a_harmful_image_goes_elsewhere(self, world):
         """
         Guards against filling tasks that work on beside an exceeded tail.
