--- a/src/hawthornpier/fleet/_entry.py
+++ b/src/hawthornpier/fleet/_entry.py
@@ -36,6 +36,9 @@
 # this long, and requests are refused at once if they fail too.
 _AVOID_STORE_MS = 700.0
 _RELAY_COUNT = 3
+# No further process is asked after this time; callers give up after about
+# three seconds, and an answer must not come late.
+_RELAY_BUDGET_MS = 700.0
 # After the other processes have failed too, requests are refused at once for
 # this long, so that their callers come back instead of waiting.
 _REFUSE_MS = 500.0
@@ -202,7 +205,10 @@
         return True
 
     async def _relay_job(self, content: bytes) -> None:
+        end_ms = self._clock.monotonic_ms() + _RELAY_BUDGET_MS
         for peer in self._directory.relays()[:_RELAY_COUNT]:
+            if self._clock.monotonic_ms() > end_ms:
+                break
             try:
                 is_stored = await peer.relay_job(content)
             except PeerError:
@@ -214,7 +220,10 @@
         raise NotStoredError('the store takes no writes')
 
     async def _relay_cancel(self, job_id: str) -> None:
+        end_ms = self._clock.monotonic_ms() + _RELAY_BUDGET_MS
         for peer in self._directory.relays()[:_RELAY_COUNT]:
+            if self._clock.monotonic_ms() > end_ms:
+                break
             try:
                 is_stored = await peer.relay_cancel(job_id)
             except PeerError:
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -285,6 +285,26 @@
         await world.run_for(5_000)
         assert not world.judge.started_count
 
+    async def test_a_refusal_does_not_come_late(self, world):
+        """
+        Guards against a request that is held while one process after the
+        other is asked in vain.
+        """
+        await started_world(world)
+        caller = world.any_node()
+        for node in world.nodes.values():
+            node.is_cut = node is not caller
+            node.client.fault = StoreFault.REFUSE
+        for number in range(10):
+            world.start_node(f'm{number}').is_cut = True
+        await world.run_for(100)
+        for node in world.nodes.values():
+            node.client.fault = StoreFault.REFUSE
+        begun_ms = world.clock.monotonic_ms()
+        with pytest.raises(fleet.NotStoredError):
+            await caller.entry.submit(world.plan())
+        assert world.clock.monotonic_ms() - begun_ms < 1_500
+
     async def test_a_late_write_is_not_called_refused(self, world):
         """
         Guards against "not stored" for a write that takes effect later.
