Hand over runs and unstored progress between owners

Change: the new owner asks the previous one, which stops before it answers with the tasks on each worker and the progress that it could not store. A process that gives up the shard says so to those that watch it. Unheard workers stay recorded, emptied ones that leave do not. Queued starts of ended runs are dropped.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -50,6 +50,13 @@
         self._fleet = b''
         self._effects_ms = shard.now_ms
 
+    def load_fleet(self, fleet: bytes) -> None:
+        """
+        Take over the row of workers that the previous owner has written.
+        """
+        self._fleet = fleet
+        self._note_recorded(fleet)
+
     async def run(self) -> None:
         """
         Write what has changed until the shard is lost or released.
@@ -120,6 +127,7 @@
                 shard.disturbance.export(),
             )
         shard.dirty.difference_update(job_ids)
+        shard.writing.update(job_ids)
         removals = tuple(
             (PROGRESS_TABLE, job_id)
             for job_id in shard.forgotten[:_REMOVAL_COUNT_MAX]
@@ -129,6 +137,7 @@
         except StoreError:
             shard.dirty.update(job_ids)
             raise
+        shard.writing.clear()
         if fleet != self._fleet:
             self._fleet = fleet
             self._note_recorded(fleet)
@@ -156,7 +165,7 @@
         entries = [
             worker.entry
             for worker in self._shard.workers.values()
-            if worker.is_listed or worker.runs
+            if self._may_hold_runs(worker)
         ]
         rows = [
             (entry.worker_id, entry.address, entry.service, entry.life_ms)
@@ -164,6 +173,17 @@
         ]
         return msgspec.json.encode(sorted(rows))
 
+    def _may_hold_runs(self, worker: WorkerState) -> bool:
+        """
+        Tell whether a worker has runs, or may be given some.
+
+        A worker that has not listed its runs yet may have some of the
+        previous owner; an emptied one that leaves gets no more.
+        """
+        if worker.runs or worker.worker_id in self._shard.unheard:
+            return True
+        return worker.is_listed and not worker.is_leaving
+
     def _note_recorded(self, fleet: bytes) -> None:
         recorded = {row[0] for row in msgspec.json.decode(fleet)}
         for worker in self._shard.workers.values():
--- a/src/hawthornpier/fleet/_disturbance.py
+++ b/src/hawthornpier/fleet/_disturbance.py
@@ -189,19 +189,8 @@
         effects = {
             image: self._current((plan.image, image)) for image in changes
         }
-        expected = sum(
-            effects[image].mean * change for image, change in changes.items()
-        )
-        uncertainty = _NOISE_VARIANCE + sum(
-            effects[image].variance * change * change
-            for image, change in changes.items()
-        )
-        for image, change in changes.items():
-            known = effects[image]
-            gain = known.variance * change / uncertainty
-            known.mean += gain * (rise - expected)
-            known.mean = min(max(known.mean, 0), _EFFECT_MAX)
-            known.variance *= 1 - gain * change
+        _update(effects, changes, rise)
+        for image, known in effects.items():
             self._log_change((plan.image, image), known)
 
     def _current(self, pair: Pair) -> _Effect:
@@ -257,6 +246,26 @@
     return max((tail_ratio(run) for run in worker.lasting_runs()), default=0)
 
 
+def _update(
+    effects: dict[str, _Effect],
+    changes: dict[str, float],
+    rise: float,
+) -> None:
+    """
+    Correct the effects by how much the pressure rose beside some changes.
+    """
+    surprise = rise
+    uncertainty = _NOISE_VARIANCE
+    for image, change in changes.items():
+        surprise -= effects[image].mean * change
+        uncertainty += effects[image].variance * change * change
+    for image, change in changes.items():
+        known = effects[image]
+        gain = known.variance * change / uncertainty
+        known.mean = min(max(known.mean + gain * surprise, 0), _EFFECT_MAX)
+        known.variance *= 1 - gain * change
+
+
 def _report(worker: WorkerState, now_ms: float) -> _Report:
     return _Report(
         at_ms=now_ms,
--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -74,7 +74,7 @@
     def _note_first(self, worker: WorkerState, now_ms: float) -> None:
         worker.is_listed = True
         shard = self._shard
-        shard.unheard.discard(worker.worker_id)
+        shard.unheard.pop(worker.worker_id, None)
         if shard.first_listed_ms is None:
             shard.first_listed_ms = now_ms
         shard.log.record(
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -17,19 +17,21 @@
 from hawthornpier.fleet._ownership import Ownership
 from hawthornpier.fleet._peer_port import (
     FleetPeer,
+    Handover,
     Peer,
     PeerGoneError,
     Presence,
 )
 from hawthornpier.fleet._shard import Shard
-from hawthornpier.fleet._writer import ProcessCard
+from hawthornpier.fleet._writer import OwnerRow, ProcessCard
 from hawthornpier.ports import Clock, PeerError
 
 # All workers of an installation of today's size belong to one shard.
 SHARD_NAME = 's0'
 _PRESENCE_WAIT_MS = 1_500
 _PRESENCE_RETRY_MS = 120
-_RELEASE_TIMEOUT_MS = 1_500.0
+# A release that takes longer is told to the other processes instead.
+_RELEASE_TIMEOUT_MS = 800.0
 
 
 class FleetNode:
@@ -54,6 +56,10 @@
         )
         self.is_leaving = False
         self._owner: ShardOwner | None = None
+        # What the last ownership of this process left, for its successor.
+        self._left: Handover | None = None
+        self._given_up_epoch = 0
+        self._has_given_up = asyncio.Event()
         self._peers: dict[str, FleetPeer] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._ownership = Ownership(
@@ -152,7 +158,7 @@
         owner = self._owner
         if owner is not None:
             await owner.release(_RELEASE_TIMEOUT_MS)
-            owner.shard.deposed.set()
+            self._give_up(owner)
 
     async def close(self) -> None:
         """
@@ -209,9 +215,42 @@
             process_id=self.card.process_id,
             configuration_version=configuration.version if configuration else 0,
             epoch=self._owner.shard.epoch if self._owner else 0,
+            given_up_epoch=self._given_up_epoch,
             is_leaving=self.is_leaving,
         )
 
+    async def wait_presence(self, wait_ms: float) -> Presence:
+        """
+        Return what this process says of itself once it gives up the shard.
+
+        Args:
+            wait_ms: The longest time to wait for that.
+        """
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                await self._has_given_up.wait()
+        except TimeoutError:
+            pass
+        return self.presence()
+
+    def hand_over(self, epoch: int) -> Handover | None:
+        """
+        Stop as the owner of an epoch, and return what may run.
+
+        Args:
+            epoch: The epoch that another process has replaced.
+
+        Returns:
+            None if this process did not own the shard in that epoch.
+        """
+        owner = self._owner
+        if owner is not None and owner.shard.epoch == epoch:
+            self._give_up(owner)
+            return owner.handover()
+        if self._left is not None and self._left.epoch == epoch:
+            return self._left
+        return None
+
     def stored_configuration(self) -> tuple[int, bytes]:
         """
         Return version and content of the operator's row.
@@ -228,14 +267,23 @@
     async def _own_forever(self) -> None:
         while True:
             writer = await self._ownership.wait_claimed()
+            self._has_given_up.clear()
             self._owner = ShardOwner(self.context, writer)
             if self.configuration is not None:
                 self._apply_configuration(self.configuration)
             try:
                 await self._owner.run()
             finally:
+                self._left = self._owner.handover()
                 self._owner = None
 
+    def _give_up(self, owner: ShardOwner) -> None:
+        # No pass may start anything after the handover is described.
+        owner.shard.is_draining = True
+        owner.shard.deposed.set()
+        self._given_up_epoch = owner.shard.epoch
+        self._has_given_up.set()
+
     async def _watch_owner(self) -> None:
         """
         Keep a request open at the owner, to notice its end at once.
@@ -244,25 +292,27 @@
             row = self._ownership.owner
             peer = self._owner_peer()
             if row is not None and peer is not None:
-                await self._judge_owner(peer, row.card.process_id)
+                await self._judge_owner(peer, row)
             else:
                 await self.clock.sleep_ms(_PRESENCE_RETRY_MS)
 
-    async def _judge_owner(self, peer: FleetPeer, process_id: str) -> None:
-        seen = await self._see(peer)
+    async def _judge_owner(self, peer: FleetPeer, row: OwnerRow) -> None:
+        process_id = row.card.process_id
+        seen = await self._see(peer, row.epoch)
         if seen == process_id:
             return
         await self.clock.sleep_ms(_PRESENCE_RETRY_MS)
         # A refused connection is tried twice before it counts.
         if seen == '':
-            seen = await self._see(peer)
+            seen = await self._see(peer, row.epoch)
         if seen is not None and seen != process_id:
             self._ownership.note_dead(process_id)
 
-    async def _see(self, peer: FleetPeer) -> str | None:
+    async def _see(self, peer: FleetPeer, epoch: int) -> str | None:
         """
-        Return the process at a peer's address, an empty text if there is none.
+        Return the process at a peer's address that owns the shard.
 
+        The text is empty if there is none, or if it has given up the epoch;
         None means that it is not known.
         """
         try:
@@ -271,6 +321,8 @@
             return ''
         except PeerError:
             return None
+        if presence.given_up_epoch >= epoch:
+            return ''
         return presence.process_id
 
     def _owner_peer(self) -> FleetPeer | None:
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -20,7 +20,7 @@
 from hawthornpier.fleet._errors import HistoryGoneError, ShardLostError
 from hawthornpier.fleet._intake import Intake, read_all
 from hawthornpier.fleet._listings import Listings
-from hawthornpier.fleet._peer_port import PeerDialer
+from hawthornpier.fleet._peer_port import Handover, PeerDialer
 from hawthornpier.fleet._ports import (
     RecordStore,
     RowDecoder,
@@ -37,8 +37,8 @@
 from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.fleet._writer import ShardWriter
-from hawthornpier.ports import Clock, StoreError
-from hawthornpier.steps import EndKind, RunPhase
+from hawthornpier.ports import Clock, PeerError, StoreError
+from hawthornpier.steps import EndKind, RunPhase, encode_progress
 
 # Entries of workers that lapsed while the store was away return within two
 # seconds of its return.
@@ -88,6 +88,7 @@
         )
         self.is_loaded = False
         self._context = context
+        self._predecessor = writer.predecessor
         self._listings = Listings(self.shard)
         self._intake = Intake(context.store, self.shard, context.log)
         self._committer = Committer(
@@ -114,6 +115,7 @@
             async with asyncio.TaskGroup() as group:
                 self._group = group
                 await self._load()
+                group.create_task(self._ask_predecessor())
                 for part in self._parts():
                     group.create_task(part)
                 await self.shard.deposed.wait()
@@ -174,6 +176,70 @@
             workers=len(self.shard.workers),
         )
 
+    async def _ask_predecessor(self) -> None:
+        """
+        Learn from the previous owner what workers may run that are silent.
+
+        It may be alive and only unable to reach the store; it stops before it
+        answers.  Without an answer, silent workers may run anything.
+        """
+        row, shard = self._predecessor, self.shard
+        if row is None:
+            return
+        peer = self._context.dial_peer(row.card)
+        try:
+            handover = await peer.hand_over(row.epoch)
+        except PeerError as error:
+            shard.log.record(
+                'handover_unknown',
+                process=row.card.process_id,
+                epoch=row.epoch,
+                why=str(error),
+            )
+            return
+        finally:
+            peer.close()
+        for job_id, progress in handover.progress.items():
+            shard.inherit(job_id, progress.encode())
+        for worker_id in shard.unheard:
+            if worker_id not in handover.unknown_workers:
+                tasks = handover.tasks.get(worker_id, ())
+                shard.unheard[worker_id] = frozenset(tasks)
+        shard.log.record(
+            'handover_received',
+            process=row.card.process_id,
+            epoch=row.epoch,
+            unheard=len(shard.unheard),
+            unknown=len(handover.unknown_workers),
+        )
+        shard.wake.set()
+
+    def handover(self) -> Handover:
+        """
+        Return what may run on the workers, as far as this owner knows.
+        """
+        tasks = {
+            worker.worker_id: {run.task.key for run in worker.runs.values()}
+            for worker in self.shard.workers.values()
+            if worker.runs
+        }
+        unknown = []
+        for worker_id, unheard in self.shard.unheard.items():
+            if unheard is None:
+                unknown.append(worker_id)
+            else:
+                tasks.setdefault(worker_id, set()).update(unheard)
+        return Handover(
+            epoch=self.shard.epoch,
+            tasks={worker: sorted(keys) for worker, keys in tasks.items()},
+            progress={
+                job_id: encode_progress(self.shard.jobs[job_id]).decode()
+                for job_id in self.shard.dirty | self.shard.writing
+                if job_id in self.shard.jobs
+            },
+            unknown_workers=unknown,
+        )
+
     async def _read_fleet(self) -> None:
         """
         Reach for the workers of the previous owner, listed or not.
@@ -205,7 +271,8 @@
             self._missing_since_ms[worker_id] = self.shard.now_ms
             self._meet(entry)
             if not self.shard.workers[worker_id].is_listed:
-                self.shard.unheard.add(worker_id)
+                self.shard.unheard.setdefault(worker_id, None)
+        self._committer.load_fleet(rows.get(FLEET_KEY[1], b'[]'))
 
     async def _schedule_forever(self) -> None:
         shard = self.shard
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -260,6 +260,7 @@
         if not outcome.is_applied:
             self._feed_version = None
             return None
+        predecessor = self.owner
         self.owner = owner
         self._version = outcome.version
         self._log.record(
@@ -275,6 +276,7 @@
             card=self._card,
             epoch=epoch,
             claimed=outcome,
+            predecessor=predecessor,
             clock=self._clock,
             timings=self._timings,
         )
--- a/src/hawthornpier/fleet/_pacing.py
+++ b/src/hawthornpier/fleet/_pacing.py
@@ -204,7 +204,7 @@
     }
     excess = load.own + sum(added.values()) - load.most
     least = _HARMFUL_EFFECT if load.is_overloaded else _EFFECT_MIN
-    for image in sorted(full, key=lambda other: -effects[other]):
+    for image in sorted(full, key=effects.__getitem__, reverse=True):
         if excess <= 0 or effects[image] < least:
             return
         if added[image] > 0:
--- a/src/hawthornpier/fleet/_peer_client.py
+++ b/src/hawthornpier/fleet/_peer_client.py
@@ -19,6 +19,7 @@
 from hawthornpier.fleet._peer_port import (
     ConfigurationReply,
     CountReply,
+    Handover,
     PeerGoneError,
     PhaseReply,
     Presence,
@@ -100,6 +101,13 @@
         """
         return _decode(await self._get('/configuration'), ConfigurationReply)
 
+    async def hand_over(self, epoch: int) -> Handover:
+        """
+        Have the owner of an epoch stop, and return what may run.
+        """
+        reply = await self._post(f'/handover/{epoch}', b'{}')
+        return _decode(reply, Handover)
+
     async def relay_job(self, content: bytes) -> bool | None:
         """
         Have the peer store a job; None if it may or may not be stored.
--- a/src/hawthornpier/fleet/_peer_handlers.py
+++ b/src/hawthornpier/fleet/_peer_handlers.py
@@ -15,6 +15,7 @@
 from hawthornpier.fleet._peer_port import (
     ConfigurationReply,
     CountReply,
+    Handover,
     PhaseReply,
     Presence,
 )
@@ -45,9 +46,15 @@
         """
         ...
 
-    def presence(self) -> Presence:
+    async def wait_presence(self, wait_ms: float) -> Presence:
         """
-        Return what this process says of itself.
+        Return what this process says of itself once it gives up the shard.
+        """
+        ...
+
+    def hand_over(self, epoch: int) -> Handover | None:
+        """
+        Stop as the owner of an epoch, and return what may run.
         """
         ...
 
@@ -103,9 +110,26 @@
         Answer after the time that the peer asks for.
         """
         wait_ms = int(self.get_query_argument('wait_ms', '0'))
-        if wait_ms > 0:
-            await self.services.clock.sleep_ms(min(wait_ms, _WAIT_MAX_MS))
-        self.reply(self.services.presence())
+        presence = await self.services.wait_presence(
+            min(max(wait_ms, 0), _WAIT_MAX_MS),
+        )
+        self.reply(presence)
+
+
+class _HandoverHandler(_Handler):
+    """
+    Ends the ownership of an epoch for the sake of a later one.
+    """
+
+    def post(self, epoch: str) -> None:
+        """
+        Answer with what may run, or 409 if that is not known here.
+        """
+        handover = self.services.hand_over(int(epoch))
+        if handover is None:
+            self.fail(HTTPStatus.CONFLICT)
+        else:
+            self.reply(handover)
 
 
 class _JobsHandler(_Handler):
@@ -231,6 +255,7 @@
     options = {'services': services}
     return [
         (f'{PEER_PREFIX}/presence', _PresenceHandler, options),
+        (f'{PEER_PREFIX}/handover/([0-9]+)', _HandoverHandler, options),
         (f'{PEER_PREFIX}/jobs', _JobsHandler, options),
         (f'{PEER_PREFIX}/jobs/([^/]+)', _JobHandler, options),
         (f'{PEER_PREFIX}/jobs/([^/]+)/cancel', _CancelHandler, options),
--- a/src/hawthornpier/fleet/_peer_port.py
+++ b/src/hawthornpier/fleet/_peer_port.py
@@ -26,9 +26,26 @@
     process_id: str
     configuration_version: int = 0
     epoch: int = 0
+    # The last epoch in which it owned the shard and stopped to.
+    given_up_epoch: int = 0
     is_leaving: bool = False
 
 
+class Handover(msgspec.Struct, frozen=True, kw_only=True):
+    """
+    What the owner of an epoch may have left running, by worker.
+
+    A worker that is in neither field has none of its runs.
+    """
+
+    epoch: int
+    tasks: dict[str, list[str]] = {}
+    # Progress of jobs that the store may not have, by job.
+    progress: dict[str, str] = {}
+    # Workers that this owner had not heard either.
+    unknown_workers: list[str] = []
+
+
 class PhaseReply(msgspec.Struct):
     """
     The state of a job.
@@ -122,6 +139,12 @@
         """
         ...
 
+    async def hand_over(self, epoch: int) -> Handover:
+        """
+        Have the owner of an epoch stop, and return what may run.
+        """
+        ...
+
     def close(self) -> None:
         """
         Close the connections.
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -70,17 +70,24 @@
             if step.plan.may_run_copies:
                 self._place_copies(step, pool)
 
-    def _may_run_unseen(self, step: Step) -> bool:
+    def _without_unseen(self, tasks: list[Task]) -> list[Task]:
         """
-        Tell whether an unheard worker may run tasks of a step.
+        Return the tasks that certainly do not run on an unheard worker.
         """
-        shard = self._shard
+        shard, step = self._shard, tasks[0].step
         if not shard.unheard or step.plan.may_run_copies:
-            return False
+            return tasks
         if not shard.is_recent_owner(self._blind_ms):
             shard.unheard.clear()
-            return False
-        return step.job.is_known_before_owner
+            return tasks
+        if not step.job.is_known_before_owner:
+            return tasks
+        unseen: set[str] = set()
+        for keys in shard.unheard.values():
+            if keys is None:
+                return []
+            unseen.update(keys)
+        return [task for task in tasks if task.key not in unseen]
 
     def _candidates(self) -> dict[str, list[WorkerState]]:
         now_ms = self._shard.now_ms
@@ -118,12 +125,12 @@
         waiting = step.waiting()
         if not waiting:
             return True
-        if self._may_run_unseen(step):
-            return True
+        ready = self._without_unseen(waiting)
         if step.plan.is_gang:
-            return self._place_gang(step, pool)
+            is_whole = len(ready) == len(waiting)
+            return self._place_gang(step, pool) if is_whole else True
         now_ms = self._shard.now_ms
-        for task in waiting:
+        for task in ready:
             worker = self._placement.choose(task, pool, now_ms)
             if worker is None:
                 return False
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -19,6 +19,7 @@
     Job,
     JobPlan,
     QueuePolicy,
+    RecordError,
     Run,
     RunPhase,
     Task,
@@ -61,8 +62,13 @@
         self.jobs: dict[str, Job] = {}
         self.durations = Durations()
         self.disturbance = Disturbance(log, clock)
-        # Jobs whose progress has to be written.
+        # Jobs whose progress has to be written, and those of a write that
+        # has not succeeded yet.
         self.dirty: set[str] = set()
+        self.writing: set[str] = set()
+        # Progress that the previous owner could not store, of jobs that are
+        # not known yet.
+        self.inherited: dict[str, bytes] = {}
         # The queues of the configuration in force.
         self.queues: dict[str, QueuePolicy] = {}
         # Called with the id of each job that becomes known.
@@ -72,8 +78,9 @@
         self.is_draining = False
         # Ended jobs whose rows of acceptance are removed already.
         self.forgotten: list[str] = []
-        # Workers of the previous owner that have not listed their runs yet.
-        self.unheard: set[str] = set()
+        # Workers of the previous owner that have not listed their runs yet,
+        # with the tasks that may run there; None stands for any task.
+        self.unheard: dict[str, frozenset[str] | None] = {}
         # When the first worker accepted this epoch; from then on the previous
         # owner is refused there, and so learns that it was replaced.
         self.first_listed_ms: float | None = None
@@ -111,6 +118,9 @@
             # When it ended is not stored; it is kept at least long enough.
             job.ended_ms = self.now_ms
         self.jobs[plan.job_id] = job
+        inherited = self.inherited.pop(plan.job_id, None)
+        if inherited is not None:
+            self._inherit(job, inherited)
         if self.on_job is not None:
             self.on_job(plan.job_id)
         self.wake.set()
@@ -124,6 +134,16 @@
         )
         return job
 
+    def inherit(self, job_id: str, progress: bytes) -> None:
+        """
+        Take over progress that the previous owner could not store.
+        """
+        job = self.jobs.get(job_id)
+        if job is None:
+            self.inherited[job_id] = progress
+        else:
+            self._inherit(job, progress)
+
     def is_recent_owner(self, span_ms: float) -> bool:
         """
         Tell whether the first worker listed its runs less than *span_ms* ago.
@@ -389,6 +409,22 @@
             and not job.is_over
         )
 
+    def _inherit(self, job: Job, progress: bytes) -> None:
+        try:
+            restore_progress(job, progress, is_stored=False)
+        except RecordError as error:
+            self.log.record(
+                'row_unreadable',
+                key=job.plan.job_id,
+                why=str(error),
+            )
+            return
+        job.ended_ms = self.now_ms
+        self.dirty.add(job.plan.job_id)
+        for task in job.tasks():
+            if task.is_done:
+                self._stop_copies(task)
+
     def _stop_copies(self, task: Task) -> None:
         # The members of a gang end by themselves, together.
         if not task.step.plan.is_gang:
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -168,11 +168,12 @@
 
     async def _start(self, order: Order) -> None:
         run = order.run
-        if run is None or run.phase is not RunPhase.STARTING:
+        if run is None:
             return
         is_uncertain = False
         for _ in range(self._timings.start_try_count):
-            if run.phase is not RunPhase.STARTING:
+            # A run that lapsed while the order waited has ended.
+            if run.phase is not RunPhase.STARTING or self._has_ended(order):
                 return
             try:
                 reply = await self._port.start(self._start_order(run))
@@ -242,7 +243,8 @@
         """
         Bar a start that may still be carried out, then place it elsewhere.
         """
-        if run.phase is not RunPhase.STARTING:
+        is_known = (run.task.key, run.attempt) in self._worker.runs
+        if run.phase is not RunPhase.STARTING or not is_known:
             return
         self._worker.health.note_refusal(self._shard.now_ms)
         if is_uncertain:
--- a/src/hawthornpier/fleet/_writer.py
+++ b/src/hawthornpier/fleet/_writer.py
@@ -72,6 +72,7 @@
         card: This process.
         epoch: The epoch of the claim.
         claimed: The outcome of the claim.
+        predecessor: The row that the claim replaced, if there was one.
         clock: The clock of this process.
         timings: Durations.
     """
@@ -84,11 +85,13 @@
         card: ProcessCard,
         epoch: int,
         claimed: TransactionOutcome,
+        predecessor: OwnerRow | None,
         clock: Clock,
         timings: OwnershipTimings,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
+        self.predecessor = predecessor
         self._store = store
         self._card = card
         self._clock = clock
--- a/src/hawthornpier/steps/_progress.py
+++ b/src/hawthornpier/steps/_progress.py
@@ -84,15 +84,28 @@
     return JobPhase.RUNNING if progress.has_started else JobPhase.QUEUED
 
 
-def restore_progress(job: Job, content: bytes) -> None:
+def restore_progress(
+    job: Job,
+    content: bytes,
+    *,
+    is_stored: bool = True,
+) -> None:
     """
-    Bring a job to its stored progress; raises `RecordError`.
+    Bring a job to an encoded progress.
+
+    Args:
+        job: The job.
+        content: Its encoded progress.
+        is_stored: Whether the store has this progress.
+
+    Raises:
+        RecordError: The content cannot be read.
     """
     progress = _decode(content)
     if progress.phase:
         job.end_phase = JobPhase(progress.phase)
-        job.is_stored = True
-    job.has_started = progress.has_started
+        job.is_stored = is_stored
+    job.has_started = job.has_started or progress.has_started
     for name, part in progress.steps.items():
         occurrence, _, number = name.partition('.')
         try:
@@ -131,4 +144,4 @@
         if bits >> task.index & 1:
             mark_done(task)
         task.failed_attempts.update(progress.failed.get(task.index, ()))
-        task.checkpoint = progress.saved.get(task.index, '')
+        task.checkpoint = progress.saved.get(task.index, task.checkpoint)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -76,8 +76,16 @@
             await asyncio.sleep(0.02)
             if node.is_dead:
                 raise fleet.PeerGoneError('reset')
+            if node.presence().given_up_epoch:
+                break
         return node.presence()
 
+    async def hand_over(self, epoch):
+        handover = (await self._reach()).hand_over(epoch)
+        if handover is None:
+            raise PeerUnreachableError('not the owner of that epoch')
+        return handover
+
     async def notify_job(self, content):
         (await self._shard()).add_job(fleet_plan(content))
 
@@ -308,6 +316,9 @@
     async def run_for(self, duration_ms):
         await asyncio.sleep(duration_ms / 1000)
 
+    def has_logged(self, kind):
+        return any(logged == kind for _, logged, _ in self.log_lines)
+
     async def wait_phase(self, job_id, phase, *, limit_ms=20_000):
         end_s = asyncio.get_running_loop().time() + limit_ms / 1000
         while asyncio.get_running_loop().time() < end_s:
