Order steps by apparent tardiness cost

The order is now by what a job earns for each unit of its remaining work, less while it can still wait.

--- a/src/hawthornpier/fleet/_durations.py
+++ b/src/hawthornpier/fleet/_durations.py
@@ -24,6 +24,8 @@
         self.mean_ms: float = 0
         self.weight: float = 0
         self.error: float = 0
+        self.mean_work: float = 0
+        self.job_count = 0
 
     def add(self, actual_ms: float, estimate_ms: float) -> None:
         """
@@ -36,6 +38,14 @@
             deviation = abs(min(ratio, _RATIO_MAX) - 1)
             self.error += (deviation - self.error) / self.weight
 
+    def add_job(self, work: float) -> None:
+        """
+        Take in the work of one job.
+        """
+        self.job_count += 1
+        weight = min(self.job_count, _MEMORY_COUNT)
+        self.mean_work += (work - self.mean_work) / weight
+
 
 class Durations:
     """
@@ -88,6 +98,37 @@
             longest.append(before_ms + own_ms)
         return max(longest, default=0)
 
+    def note_job(self, job: Job) -> None:
+        """
+        Take in a job that has just become known.
+        """
+        times = self._queues.setdefault(job.plan.queue.name, _QueueTimes())
+        times.add_job(self.work(job))
+
+    def mean_work(self, job: Job) -> float:
+        """
+        Return the mean work of the jobs of a job's queue, 0 without any.
+        """
+        times = self._queues.get(job.plan.queue.name)
+        return 0 if times is None else times.mean_work
+
+    def work(self, job: Job, *, is_rest: bool = False) -> float:
+        """
+        Return the processor time of one occurrence, in ms of one core.
+
+        Args:
+            job: The job; of several occurrences the first counts.
+            is_rest: Whether tasks that are done count as nothing.
+        """
+        total: float = 0
+        for step in job.occurrences[0].steps:
+            count = step.plan.task_count
+            if is_rest:
+                count -= step.done_count
+            cores = max(step.plan.processor_millis, 1) / 1000
+            total += count * cores * self.expected_ms(step)
+        return total
+
     def objective_ms(self, job: Job) -> float:
         """
         Return the response-time objective of a job.
--- a/src/hawthornpier/fleet/_ordering.py
+++ b/src/hawthornpier/fleet/_ordering.py
@@ -1,12 +1,26 @@
 """
 The order in which steps get room.
+
+The rank is that of apparent tardiness cost: what a job earns for each unit of
+the work that is left, less for as long as it can still wait.  With more work
+than room, this completes many jobs in time instead of starting all of them.
 """
 
+import math
+
 from hawthornpier.fleet._durations import Durations
-from hawthornpier.steps import Step
+from hawthornpier.steps import Job, Step
 
-# A job that ends later than this multiple of its objective earns nothing.
+# A job that ends later than this multiple of its objective earns nothing, and
+# one that ends after its objective earns this part.
 _WORTHLESS_FACTOR = 3.0
+_LATE_VALUE = 0.15
+# A job's value: this part is the same for all jobs of a queue, the rest grows
+# with its work against the queue's mean, up to a limit.
+_FIXED_VALUE = 0.3
+_VALUE_MAX = 4.0
+# Waiting is free for this part of the objective, roughly.
+_PATIENCE = 0.5
 
 Rank = tuple[int, int, float]
 
@@ -15,22 +29,29 @@
     """
     Return the rank of a step; the lowest goes first.
 
-    Lasting tasks go first.  Then go jobs that can still end within their
-    objective, by priority and by the time that they have left; then late
-    ones.
+    Lasting tasks go first, and jobs that can earn nothing any more go last.
     """
     if step.plan.is_lasting:
         return (0, 0, 0)
     job = step.job
     objective_ms = durations.objective_ms(job)
     waited_ms = now_ms - _begin_ms(step)
-    rest_ms = durations.chain_ms(job, is_rest=True)
-    slack_ms = objective_ms - waited_ms - rest_ms
-    tier = 1
+    end_ms = waited_ms + durations.chain_ms(job, is_rest=True)
+    value = _value(job, durations)
+    slack_ms = objective_ms - end_ms
     if slack_ms < 0:
-        is_worthless = waited_ms + rest_ms > objective_ms * _WORTHLESS_FACTOR
-        tier = 3 if is_worthless else 2
-    return (tier, job.plan.queue.priority, slack_ms)
+        value *= _LATE_VALUE
+        slack_ms = objective_ms * _WORTHLESS_FACTOR - end_ms
+    tier = 1 if slack_ms >= 0 else 2
+    urgency = math.exp(-max(slack_ms, 0) / max(objective_ms * _PATIENCE, 1))
+    rest = max(durations.work(job, is_rest=True), 1)
+    return (tier, job.plan.queue.priority, -value * urgency / rest)
+
+
+def _value(job: Job, durations: Durations) -> float:
+    mean = durations.mean_work(job)
+    ratio = durations.work(job) / mean if mean else 1
+    return min(_FIXED_VALUE + (1 - _FIXED_VALUE) * ratio, _VALUE_MAX)
 
 
 def _begin_ms(step: Step) -> float:
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -118,6 +118,7 @@
             # When it ended is not stored; it is kept at least long enough.
             job.ended_ms = self.now_ms
         self.jobs[plan.job_id] = job
+        self.durations.note_job(job)
         inherited = self.inherited.pop(plan.job_id, None)
         if inherited is not None:
             self._inherit(job, inherited)
