Let more filling tasks join, and count their effects with caution

At the same time workers with pressure to spare took no more filling tasks, because lasting tasks were taken to use 0.6 of what they reserve; reports show 0.44.

--- a/src/hawthornpier/fleet/_pacing.py
+++ b/src/hawthornpier/fleet/_pacing.py
@@ -21,6 +21,8 @@
 # first one, and none join above the second one: load changes while they run.
 _PACED_PART = 0.96
 _JOIN_PART = 0.92
+# Effects vary within seconds around what is learned of them.
+_CAUTION = 1.4
 # Smaller effects are not worth a slower task.
 _EFFECT_MIN = 0.03
 # A task whose own load exceeds the limit by this factor suffers with or
@@ -87,7 +89,11 @@
         (
             disturbance.limit(run.task.step.plan) * _JOIN_PART
             - disturbance.pressure(run)
-            - _added(disturbance, run.task.step.plan.image, joining)
+            - _added_at_worst(
+                disturbance,
+                run.task.step.plan.image,
+                joining,
+            )
             for run in worker.lasting_runs()
             if run.task.step.plan.tail_target_ms
         ),
@@ -198,7 +204,10 @@
     """
     Slow down the images that disturb one lasting task most, as far as needed.
     """
-    effects = {image: disturbance.effect(load.image, image) for image in full}
+    effects = {
+        image: _CAUTION * disturbance.effect(load.image, image)
+        for image in full
+    }
     added = {
         image: effects[image] * full[image] * paces[image] for image in full
     }
@@ -229,6 +238,14 @@
     )
 
 
+def _added_at_worst(
+    disturbance: Disturbance,
+    lasting_image: str,
+    shares: dict[str, float],
+) -> float:
+    return _CAUTION * _added(disturbance, lasting_image, shares)
+
+
 def _recent_shares(worker: WorkerState, now_ms: float) -> dict[str, float]:
     shares: dict[str, float] = {}
     for run in worker.filling_runs():
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -15,7 +15,7 @@
 
 # A lasting task serves changing load; on average it uses this part of the
 # processors that it asks for, and the rest is left to filling tasks.
-_LASTING_USE = 0.6
+_LASTING_USE = 0.45
 # Added to the computed end of a lease, for the granularity of timers.
 _LAPSE_SLACK_MS = 60
 
