Read the configuration through a few processes; let large hosts own the shard

After a large configuration (342 KB, up to five versions a second, and a feed that brings every version after an error) the link between the regions was full for seconds; reads timed out and started anew, and renewals of workers as well. - A host with 0.5 cores and a link of 5 Mbit/s owned the shard; its renewals came 5 to 7 s late and runs lapsed, and it lost its lease under load.

Change: in each region five processes read the store and the others ask these, with the age of the last confirmation, so that a reader without the store is not followed. Handed on, the content is compressed. Sites of up to five hosts a region are not affected. Claims wait longer on smaller hosts.

Two of the tests fail without the mechanisms; the others guard their limits.

--- a/src/hawthornpier/fleet/_configured.py
+++ b/src/hawthornpier/fleet/_configured.py
@@ -5,6 +5,7 @@
 import asyncio
 import base64
 import binascii
+import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Protocol
@@ -12,7 +13,7 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._configuration import Configuration
 from hawthornpier.fleet._errors import HistoryGoneError
-from hawthornpier.fleet._peer_port import FleetPeer
+from hawthornpier.fleet._peer_port import ConfigurationReply, FleetPeer
 from hawthornpier.fleet._ports import RecordStore, RowPage
 from hawthornpier.ports import Clock, PeerError, StoreError
 
@@ -21,6 +22,11 @@
 _WATCH_WAIT_MS = 1_200
 _RETRY_MS = 200
 _PEER_COUNT = 2
+# A request for a change waits this long at a reader.
+_PEER_WAIT_MS = 800
+# A reader that has not heard the store for longer is not followed.
+_STALE_MS = 2_200.0
+_NEVER_CONFIRMED_MS = 10.0**9
 
 ConfigurationDecoder = Callable[[bytes], Configuration | None]
 
@@ -47,6 +53,12 @@
         """
         ...
 
+    def configuration_sources(self) -> list[FleetPeer]:
+        """
+        Return the processes that read the configuration for this one.
+        """
+        ...
+
 
 class ConfigurationWatch:
     """
@@ -74,24 +86,92 @@
         self._log = log
         self._on_change = on_change
         self._version: int | None = None
+        # When the store last confirmed the version in force.
+        self._confirmed_ms: float | None = None
+        self._changed = asyncio.Event()
+        self._packed = ''
+        self._source_number = 0
 
     async def run(self) -> None:
         """
         Follow the row for good.
         """
         while True:
+            sources = self._peers.configuration_sources()
+            if not sources or not await self._follow_peers(sources):
+                await self._follow_store()
+
+    async def serve(
+        self,
+        after_version: int,
+        wait_ms: float,
+    ) -> ConfigurationReply:
+        """
+        Return the row in force, once its version is above another.
+
+        Args:
+            after_version: The version that the asking process has.
+            wait_ms: The longest time to wait for a higher one.
+        """
+        if self._known_version <= after_version and wait_ms > 0:
+            changed = self._changed
             try:
-                page = await self._look()
-            except StoreError:
-                await asyncio.gather(
-                    self._ask_peers(),
-                    self._clock.sleep_ms(_RETRY_MS),
-                )
-                continue
-            self._version = page.version
-            for row in page.rows:
-                if row.key == self._source.key and not row.is_deleted:
-                    self._take(row.content, 'store')
+                async with asyncio.timeout(wait_ms / 1000):
+                    await changed.wait()
+            except TimeoutError:
+                pass
+        is_news = self._known_version > after_version
+        return ConfigurationReply(
+            version=self._known_version,
+            content=self._packed_content() if is_news else '',
+            age_ms=self._age_ms(),
+        )
+
+    @property
+    def _known_version(self) -> int:
+        return self.current.version if self.current else 0
+
+    def _age_ms(self) -> float:
+        if self._confirmed_ms is None:
+            return _NEVER_CONFIRMED_MS
+        return self._clock.monotonic_ms() - self._confirmed_ms
+
+    def _packed_content(self) -> str:
+        if not self._packed:
+            packed = zlib.compress(self.content, level=1)
+            self._packed = base64.b64encode(packed).decode()
+        return self._packed
+
+    async def _follow_peers(self, sources: list[FleetPeer]) -> bool:
+        """
+        Wait for a change at one of the readers; tell whether it is current.
+        """
+        for _ in range(_PEER_COUNT):
+            source = sources[self._source_number % len(sources)]
+            reply = await self._ask(source, _PEER_WAIT_MS)
+            if reply is not None and reply.age_ms < _STALE_MS:
+                confirmed_ms = self._clock.monotonic_ms() - reply.age_ms
+                self._confirmed_ms = confirmed_ms
+                return True
+            self._source_number += 1
+        return False
+
+    async def _follow_store(self) -> None:
+        try:
+            page = await self._look()
+        except StoreError:
+            # A feed would bring every version since then.
+            self._version = None
+            await asyncio.gather(
+                self._ask_peers(),
+                self._clock.sleep_ms(_RETRY_MS),
+            )
+            return
+        self._version = page.version
+        self._confirmed_ms = self._clock.monotonic_ms()
+        for row in page.rows:
+            if row.key == self._source.key and not row.is_deleted:
+                self._take(row.content, 'store')
 
     async def _look(self) -> RowPage:
         if self._version is None:
@@ -114,16 +194,28 @@
         )
 
     async def _ask_peers(self) -> None:
-        known = self.current.version if self.current else 0
         for peer in self._peers.reachable_peers()[:_PEER_COUNT]:
-            try:
-                reply = await peer.configuration()
-                content = base64.b64decode(reply.content)
-            except (PeerError, binascii.Error) as error:
-                self._log.record('peer_silent', why=str(error))
-                continue
-            if reply.version > known:
-                self._take(content, peer.card.process_id)
+            await self._ask(peer, 0)
+
+    async def _ask(
+        self,
+        peer: FleetPeer,
+        wait_ms: int,
+    ) -> ConfigurationReply | None:
+        """
+        Take in what a peer has; None if it does not answer.
+        """
+        known = self._known_version
+        try:
+            reply = await peer.configuration(known, wait_ms)
+            packed = base64.b64decode(reply.content)
+            content = zlib.decompress(packed) if packed else b''
+        except (PeerError, binascii.Error, zlib.error) as error:
+            self._log.record('peer_silent', why=str(error))
+            return None
+        if reply.version > known and content:
+            self._take(content, peer.card.process_id)
+        return reply
 
     def _take(self, content: bytes, origin: str) -> None:
         configuration = self._source.decode(content)
@@ -134,6 +226,9 @@
             return
         self.current = configuration
         self.content = content
+        self._packed = ''
+        self._changed.set()
+        self._changed = asyncio.Event()
         self._log.record(
             'configuration_in_force',
             version=configuration.version,
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import traceback
+from dataclasses import dataclass
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._configuration import Configuration
@@ -16,6 +17,7 @@
 from hawthornpier.fleet._owner import FleetContext, ShardOwner
 from hawthornpier.fleet._ownership import Ownership
 from hawthornpier.fleet._peer_port import (
+    ConfigurationReply,
     FleetPeer,
     Handover,
     Peer,
@@ -28,12 +30,29 @@
 
 # All workers of an installation of today's size belong to one shard.
 SHARD_NAME = 's0'
+# Processes in each region that read the configuration from the store.  The
+# others get it from these, because many copies of a large configuration would
+# fill the link between two regions.
+_READER_COUNT = 5
+# A host with nearly no processors, against the largest, claims this much later.
+_SMALL_HOST_DELAY_MS = 1_000.0
 _PRESENCE_WAIT_MS = 1_500
 _PRESENCE_RETRY_MS = 120
 # A release that takes longer is told to the other processes instead.
 _RELEASE_TIMEOUT_MS = 800.0
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostPlace:
+    """
+    Where the host of a process stands and what it can carry.
+    """
+
+    failure_domain: str
+    region: str = ''
+    processor_cores: float = 1
+
+
 class FleetNode:
     """
     Serves callers, follows the owner of the shard and may become it.
@@ -45,14 +64,17 @@
         *,
         name: str,
         address: str,
-        failure_domain: str,
+        place: HostPlace,
         configuration: ConfigurationSource,
     ) -> None:
         self.context = context
+        self._name = name
         self.card = ProcessCard(
             process_id=f'{name}/{context.rng.getrandbits(32):08x}',
             address=address,
-            failure_domain=failure_domain,
+            failure_domain=place.failure_domain,
+            region=place.region,
+            processor_cores=place.processor_cores,
         )
         self.is_leaving = False
         self._owner: ShardOwner | None = None
@@ -70,6 +92,7 @@
             timings=context.ownership_timings,
             log=context.log,
             rng=context.rng,
+            handicap_ms=self._handicap_ms,
         )
         self._members = Members(
             context.store,
@@ -251,14 +274,31 @@
             return self._left
         return None
 
-    def stored_configuration(self) -> tuple[int, bytes]:
+    async def wait_configuration(
+        self,
+        after_version: int,
+        wait_ms: float,
+    ) -> ConfigurationReply:
         """
-        Return version and content of the operator's row.
+        Return the operator's row, once its version is above another.
         """
-        configuration = self.configuration
-        if configuration is None:
-            return 0, b''
-        return configuration.version, self._configuration.content
+        return await self._configuration.serve(after_version, wait_ms)
+
+    def configuration_sources(self) -> list[FleetPeer]:
+        """
+        Return the processes that read the configuration for this one.
+
+        There are none if this process is among the readers of its region.
+        """
+        names = sorted(
+            name
+            for name, card in self._members.cards.items()
+            if card.region == self.card.region
+        )
+        readers = names[:_READER_COUNT]
+        if self._name in readers or self._name not in names:
+            return []
+        return [self._peer(self._members.cards[name]) for name in readers]
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         if self._owner is not None:
@@ -277,6 +317,17 @@
                 self._left = self._owner.handover()
                 self._owner = None
 
+    def _handicap_ms(self) -> float:
+        """
+        Return how much later than the largest hosts this one claims.
+        """
+        cores = self.card.processor_cores
+        largest = max(
+            (card.processor_cores for card in self._members.cards.values()),
+            default=cores,
+        )
+        return _SMALL_HOST_DELAY_MS * max(0, 1 - cores / max(largest, cores))
+
     def _give_up(self, owner: ShardOwner) -> None:
         # No pass may start anything after the handover is described.
         owner.shard.is_draining = True
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections.abc import Callable
 
 import msgspec
 
@@ -43,6 +44,7 @@
         timings: Durations.
         log: Where changes are recorded.
         rng: The source of jitter.
+        handicap_ms: Returns how much later than others to claim.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         timings: OwnershipTimings,
         log: DecisionLog,
         rng: random.Random,
+        handicap_ms: Callable[[], float],
     ) -> None:
         self.shard = shard
         self.owner: OwnerRow | None = None
@@ -65,6 +68,7 @@
         self._timings = timings
         self._log = log
         self._rng = rng
+        self._handicap_ms = handicap_ms
         self._version = 0
         self._feed_version: int | None = None
         # Since when every call was answered; None after a failure.
@@ -127,7 +131,12 @@
             self._response_ms * self._timings.claim_delay_factor,
             self._timings.claim_delay_max_ms,
         )
-        await self._sleep(delay_ms * (1 + self._rng.random() / 2))
+        delay_ms *= 1 + self._rng.random() / 2
+        if self.owner is None:
+            # The processes of a new installation get to know each other.
+            delay_ms += self._timings.first_claim_ms
+        await self._sleep(delay_ms)
+        await self._sleep(self._handicap_ms())
         try:
             return await self._claim(reason)
         except StoreError as error:
--- a/src/hawthornpier/fleet/_peer_client.py
+++ b/src/hawthornpier/fleet/_peer_client.py
@@ -95,11 +95,19 @@
         reply = await self._get(f'/pending/{quote(queue, safe="")}')
         return _decode(reply, CountReply).count
 
-    async def configuration(self) -> ConfigurationReply:
+    async def configuration(
+        self,
+        after_version: int,
+        wait_ms: int,
+    ) -> ConfigurationReply:
         """
-        Return the configuration that the peer has.
+        Return the peer's configuration, once it is above a version.
         """
-        return _decode(await self._get('/configuration'), ConfigurationReply)
+        reply = await self._get(
+            f'/configuration?after={after_version}&wait_ms={wait_ms}',
+            timeout_ms=wait_ms + _TIMEOUT_MS,
+        )
+        return _decode(reply, ConfigurationReply)
 
     async def hand_over(self, epoch: int) -> Handover:
         """
--- a/src/hawthornpier/fleet/_peer_handlers.py
+++ b/src/hawthornpier/fleet/_peer_handlers.py
@@ -2,7 +2,6 @@
 The HTTP interface between the entry processes of one installation.
 """
 
-import base64
 from http import HTTPStatus
 from typing import Any, Protocol
 
@@ -58,9 +57,13 @@
         """
         ...
 
-    def stored_configuration(self) -> tuple[int, bytes]:
+    async def wait_configuration(
+        self,
+        after_version: int,
+        wait_ms: float,
+    ) -> ConfigurationReply:
         """
-        Return version and content of the operator's row.
+        Return the operator's row, once its version is above another.
         """
         ...
 
@@ -204,15 +207,16 @@
     Hands on the operator's row to processes that cannot read the store.
     """
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """
-        Answer with version and content.
+        Answer with version and content, once there is a newer one.
         """
-        version, content = self.services.stored_configuration()
+        after_version = int(self.get_query_argument('after', '0'))
+        wait_ms = int(self.get_query_argument('wait_ms', '0'))
         self.reply(
-            ConfigurationReply(
-                version=version,
-                content=base64.b64encode(content).decode(),
+            await self.services.wait_configuration(
+                after_version,
+                min(max(wait_ms, 0), _WAIT_MAX_MS),
             ),
         )
 
--- a/src/hawthornpier/fleet/_peer_port.py
+++ b/src/hawthornpier/fleet/_peer_port.py
@@ -65,10 +65,15 @@
 class ConfigurationReply(msgspec.Struct):
     """
     The operator's row as the peer read it.
+
+    The content is compressed and base64-encoded, and empty if the peer has no
+    version above the one that was asked for.
     """
 
     version: int
     content: str = ''
+    # How long ago the store confirmed the version.
+    age_ms: float = 0
 
 
 class Peer(Protocol):
@@ -133,9 +138,17 @@
         """
         ...
 
-    async def configuration(self) -> ConfigurationReply:
+    async def configuration(
+        self,
+        after_version: int,
+        wait_ms: int,
+    ) -> ConfigurationReply:
         """
-        Return the configuration that the peer has.
+        Return the peer's configuration, once it is above a version.
+
+        Args:
+            after_version: The version that is known already.
+            wait_ms: The longest time to wait for a higher one.
         """
         ...
 
--- a/src/hawthornpier/fleet/_timings.py
+++ b/src/hawthornpier/fleet/_timings.py
@@ -22,6 +22,8 @@
     # the process nearest to the store claims first.
     claim_delay_factor: float = 6
     claim_delay_max_ms: int = 400
+    # Added to the delay of the very first claim.
+    first_claim_ms: int = 500
     retry_min_ms: int = 60
     retry_max_ms: int = 500
     # Progress of jobs is written this often at most.
--- a/src/hawthornpier/fleet/_writer.py
+++ b/src/hawthornpier/fleet/_writer.py
@@ -36,6 +36,8 @@
     process_id: str
     address: str
     failure_domain: str = ''
+    region: str = ''
+    processor_cores: float = 1
 
 
 class OwnerRow(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/hawthornpier/platform/_run.py
+++ b/src/hawthornpier/platform/_run.py
@@ -20,6 +20,7 @@
     ConfigurationSource,
     FleetContext,
     FleetNode,
+    HostPlace,
     HttpFleetPeer,
     OwnershipTimings,
     WorkerTimings,
@@ -74,7 +75,11 @@
             ),
             name=settings.node_name,
             address=settings.peer_address,
-            failure_domain=settings.failure_domain,
+            place=HostPlace(
+                failure_domain=settings.failure_domain,
+                region=settings.region,
+                processor_cores=settings.processor_cores,
+            ),
             configuration=ConfigurationSource(
                 table=_records.OPERATOR_TABLE,
                 key=_records.CONFIGURATION_KEY,
--- a/src/hawthornpier/platform/_settings.py
+++ b/src/hawthornpier/platform/_settings.py
@@ -34,6 +34,8 @@
     # First port for messages between our own processes, the same everywhere.
     peer_port: int
     store_address: str
+    region: str = ''
+    processor_cores: float = 1
     advice_address: str = ''
     machines_address: str = ''
     memory_mb: int = 0
@@ -91,6 +93,9 @@
         node_name=reader.text('node_name'),
         host_address=reader.text('ip'),
         failure_domain=reader.text('zone'),
+        region=reader.text('region', ''),
+        processor_cores=reader.number('limits.cpu_share', 1)
+        * reader.number('limits.cores', 1),
         frontend_address=reader.text('bind_addresses.frontend'),
         readiness_address=reader.text('bind_addresses.readiness_addr'),
         peer_port=reader.first_integer('internal_ports'),
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -3,7 +3,6 @@
 """
 
 import asyncio
-import base64
 import random
 
 import msgspec
@@ -99,13 +98,9 @@
     async def pending(self, queue):
         return (await self._shard()).pending_count(queue)
 
-    async def configuration(self):
+    async def configuration(self, after_version, wait_ms):
         node = await self._reach()
-        version, content = node.stored_configuration()
-        return fleet.ConfigurationReply(
-            version=version,
-            content=base64.b64encode(content).decode(),
-        )
+        return await node.wait_configuration(after_version, wait_ms)
 
     async def relay_job(self, content):
         node = await self._reach()
@@ -226,7 +221,7 @@
             msgspec.json.encode({'version': version, 'queues': queues}),
         )
 
-    def start_node(self, name):
+    def start_node(self, name, *, cores=1):
         self._lives += 1
         client = standin.StandinStoreClient(self.store)
         node_box = []
@@ -255,7 +250,11 @@
             context,
             name=name,
             address=name,
-            failure_domain='z',
+            place=fleet.HostPlace(
+                failure_domain='z',
+                region='r',
+                processor_cores=cores,
+            ),
             configuration=fleet.ConfigurationSource(
                 table='op',
                 key='config',
--- /dev/null
+++ b/tests/test_fleet_configuration.py
@@ -0,0 +1,138 @@
+"""
+Tests of how a configuration reaches many processes.
+"""
+
+from fake_store import virtual_tests
+from fleet_world import World
+
+from hawthornpier_standin.fleet import StoreFault
+
+NODE_COUNT = 8
+READER_COUNT = 5
+# Within this time after the store has a version it is in force everywhere.
+IN_FORCE_MS = 2_500
+
+
+class _ManyNodes(World):
+    """
+    More processes in a region than read the configuration from the store.
+    """
+
+    def __init__(self):
+        super().__init__(node_count=NODE_COUNT)
+
+    def versions(self):
+        return {
+            name: node.configuration.version
+            for name, node in self.nodes.items()
+            if not node.is_dead
+        }
+
+    def count_reads(self):
+        """
+        Count the calls of each process for the operator's table.
+        """
+        counts = dict.fromkeys(self.nodes, 0)
+        for name, node in self.nodes.items():
+            node.client.changes = self._counted(
+                node.client.changes, counts, name
+            )
+        return counts
+
+    def _counted(self, changes, counts, name):
+        def counted(table, **options):
+            counts[name] += table == 'op'
+            return changes(table, **options)
+
+        return counted
+
+
+@virtual_tests(_ManyNodes)
+class TestReaders:
+    """
+    A few processes read the configuration, and the others ask these.
+    """
+
+    async def test_only_readers_ask_the_store(self, world):
+        """
+        Guards against a copy of a large configuration for each process over
+        the link between regions.
+        """
+        await world.run_for(3_000)
+        counts = world.count_reads()
+        await world.run_for(5_000)
+        asking = sorted(name for name, count in counts.items() if count)
+        assert asking == sorted(world.nodes)[:READER_COUNT]
+
+    async def test_a_version_is_in_force_everywhere_soon(self, world):
+        """
+        Guards against a detour that takes longer than the platform allows.
+        """
+        await world.run_for(3_000)
+        world.configure(7)
+        await world.run_for(200)
+        assert set(world.versions().values()) == {7}
+
+    async def test_a_silent_reader_is_passed_over(self, world):
+        """
+        Guards against processes that keep an old configuration because the
+        one that they ask does not answer.
+        """
+        await self._check_without_readers(world, 1)
+
+    async def test_silent_readers_are_passed_over(self, world):
+        """
+        Guards against the same while no reader answers.
+        """
+        await self._check_without_readers(world, READER_COUNT)
+
+    async def test_readers_without_the_store_are_not_followed(self, world):
+        """
+        Guards against an old configuration that a reader, which the store
+        turns away, goes on to hand out as current.
+        """
+        await world.run_for(3_000)
+        for name in sorted(world.nodes)[:READER_COUNT]:
+            world.nodes[name].client.fault = StoreFault.REFUSE
+        await world.run_for(4_000)
+        world.configure(7)
+        await world.run_for(IN_FORCE_MS)
+        assert set(world.versions().values()) == {7}
+
+    async def _check_without_readers(self, world, cut_count):
+        await world.run_for(3_000)
+        for name in sorted(world.nodes)[:cut_count]:
+            world.nodes[name].is_cut = True
+            world.nodes[name].client.fault = StoreFault.SILENT
+        await world.run_for(300)
+        world.configure(7)
+        await world.run_for(IN_FORCE_MS)
+        versions = world.versions()
+        served = sorted(world.nodes)[cut_count:]
+        assert {versions[name] for name in served} == {7}
+
+
+@virtual_tests(World)
+class TestLargeHosts:
+    """
+    The shard goes to a host that can carry it.
+    """
+
+    async def test_the_largest_host_claims_first(self, world):
+        """
+        Guards against a small host that owns the shard and is so late with
+        its renewals that runs lapse.
+        """
+        large = world.start_node('large', cores=4)
+        await world.run_for(2_500)
+        assert world.owner() is large
+
+    async def test_a_small_host_claims_without_a_large_one(self, world):
+        """
+        Guards against a shard without an owner while the large host is away.
+        """
+        large = world.start_node('large', cores=4)
+        await world.run_for(2_500)
+        world.kill(large)
+        await world.run_for(2_500)
+        assert world.owner() not in (None, large)
