Clear workers for harmful images again; wait for harmless places

Since the clearing of workers was removed, 11 of 24 workers have several lasting images (before 6 to 9), and filling tasks join where they are slowed.

--- a/src/hawthornpier/fleet/_pacing.py
+++ b/src/hawthornpier/fleet/_pacing.py
@@ -28,7 +28,7 @@
 # A task whose own load exceeds the limit by this factor suffers with or
 # without filling tasks; only images with this effect still make room for it.
 _OVERLOADED_FACTOR = 1.04
-_HARMFUL_EFFECT = 0.3
+HARMFUL_EFFECT = 0.45
 # Percent; a slower task would hold its place for next to nothing.
 _PACE_MIN = 10
 # Percent; smaller changes are not worth an order.
@@ -212,7 +212,7 @@
         image: effects[image] * full[image] * paces[image] for image in full
     }
     excess = load.own + sum(added.values()) - load.most
-    least = _HARMFUL_EFFECT if load.is_overloaded else _EFFECT_MIN
+    least = HARMFUL_EFFECT if load.is_overloaded else _EFFECT_MIN
     for image in sorted(full, key=effects.__getitem__, reverse=True):
         if excess <= 0 or effects[image] < least:
             return
--- a/src/hawthornpier/fleet/_placement.py
+++ b/src/hawthornpier/fleet/_placement.py
@@ -6,7 +6,7 @@
 
 from hawthornpier.fleet._disturbance import Disturbance
 from hawthornpier.fleet._health import Standing
-from hawthornpier.fleet._pacing import margin
+from hawthornpier.fleet._pacing import HARMFUL_EFFECT, margin
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Step, Task
 
@@ -15,6 +15,11 @@
 _FILLING_OVERCOMMIT = 1.0
 
 
+# A filling step waits this long for workers where it is harmless, since it
+# would be slowed on the others.
+_HARMLESS_WAIT_MS = 4_000.0
+
+
 # By the number of lasting images on a worker: none, another one, several.
 _MIXTURE_RANKS = (1, 3, 2)
 
@@ -123,7 +128,12 @@
             ),
             default=0,
         )
+        is_cleared = bool(worker.cleared_image) and (
+            self._disturbance.effect(image, worker.cleared_image)
+            >= HARMFUL_EFFECT
+        )
         return (
+            float(is_cleared),
             float(mixture),
             float(image not in images),
             round(harm, 1),
@@ -157,10 +167,13 @@
             return (0, -left)
         if left < 0:
             return None
+        effect = self._worst_effect(worker, step)
+        if effect >= HARMFUL_EFFECT and not _has_waited(step, now_ms):
+            return None
         spare = margin(worker, step, self._disturbance, now_ms)
         if spare < 0:
             return None
-        return (round(self._worst_effect(worker, step), 1), -spare)
+        return (round(effect, 1), -spare)
 
     def _worst_effect(self, worker: WorkerState, step: Step) -> float:
         return max(
@@ -173,3 +186,11 @@
             ),
             default=0,
         )
+
+
+def _has_waited(step: Step, now_ms: float) -> bool:
+    """
+    Tell whether a step found no harmless place for some time.
+    """
+    ready_ms = now_ms if step.ready_ms is None else step.ready_ms
+    return now_ms - ready_ms > _HARMLESS_WAIT_MS
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from hawthornpier.fleet._clearing import Clearing
 from hawthornpier.fleet._ordering import rank_step
 from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._shard import Shard
@@ -45,6 +46,7 @@
         self._timings = timings
         self._placement = Placement(shard.disturbance)
         self._watch = RunWatch(shard, timings)
+        self._clearing = Clearing(shard)
         lease_ms = timings.lease_ms * (1 + timings.clock_drift)
         self._blind_ms = lease_ms + _OLD_ORDERS_MS
         self._summarized_ms: float = 0
@@ -62,13 +64,15 @@
         self._watch.run_pass()
         candidates = self._candidates()
         failed: list[Step] = []
-        for step in self._open_steps():
+        steps = self._open_steps()
+        for step in steps:
             pool = candidates.get(shard.service_of(step.job), ())
             is_hopeless = any(_is_no_easier(step, other) for other in failed)
             if not is_hopeless and not self._place(step, pool):
                 failed.append(step)
             if step.plan.may_run_copies:
                 self._place_copies(step, pool)
+        self._clearing.run_pass(steps)
 
     def _without_unseen(self, tasks: list[Task]) -> list[Task]:
         """
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -77,6 +77,9 @@
         self.health = WorkerHealth()
         # Since when a lasting task has been over its target; 0 if none is.
         self.over_since_ms: float = 0
+        # The filling image that lasting tasks make room for.
+        self.cleared_image = ''
+        self.cleared_until_ms: float = 0
         self.refused_until_ms: float = 0
         self.orders: asyncio.Queue[Order] = asyncio.Queue()
         self.acknowledged = asyncio.Event()
