--- /dev/null
+++ b/src/hawthornpier/fleet/_handover.py
@@ -0,0 +1,90 @@
+"""
+What a new owner of a shard learns from the previous one.
+
+The previous owner may be alive and only unable to reach the store.  It stops
+before it answers, so what it describes stays true until workers answer.
+"""
+
+from hawthornpier.fleet._peer_port import Handover, PeerDialer
+from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._writer import OwnerRow
+from hawthornpier.ports import PeerError
+from hawthornpier.steps import encode_progress
+
+
+def describe_handover(shard: Shard) -> Handover:
+    """
+    Return what may run on the workers, as far as the owner of a shard knows.
+    """
+    tasks = {
+        worker.worker_id: {run.task.key for run in worker.runs.values()}
+        for worker in shard.workers.values()
+        if worker.runs
+    }
+    unknown = []
+    for worker_id, unheard in shard.unheard.items():
+        if unheard is None:
+            unknown.append(worker_id)
+        else:
+            tasks.setdefault(worker_id, set()).update(unheard)
+    unstored = shard.dirty | shard.writing
+    return Handover(
+        epoch=shard.epoch,
+        tasks={worker: sorted(keys) for worker, keys in tasks.items()},
+        progress={
+            job_id: encode_progress(shard.jobs[job_id]).decode()
+            for job_id in unstored
+            if job_id in shard.jobs
+        },
+        unknown_workers=unknown,
+    )
+
+
+async def ask_predecessor(
+    shard: Shard,
+    predecessor: OwnerRow | None,
+    dial_peer: PeerDialer,
+) -> None:
+    """
+    Learn from the previous owner what silent workers may run.
+
+    Without an answer, silent workers may run anything.
+
+    Args:
+        shard: The shard of the new owner.
+        predecessor: The row that the claim replaced, if there was one.
+        dial_peer: Makes the client of another process.
+    """
+    if predecessor is None:
+        return
+    peer = dial_peer(predecessor.card)
+    try:
+        handover = await peer.hand_over(predecessor.epoch)
+    except PeerError as error:
+        shard.log.record(
+            'handover_unknown',
+            process=predecessor.card.process_id,
+            epoch=predecessor.epoch,
+            why=str(error),
+        )
+        return
+    finally:
+        peer.close()
+    _take(shard, handover)
+    shard.log.record(
+        'handover_received',
+        process=predecessor.card.process_id,
+        epoch=predecessor.epoch,
+        unheard=len(shard.unheard),
+        unknown=len(handover.unknown_workers),
+    )
+    shard.wake.set()
+
+
+def _take(shard: Shard, handover: Handover) -> None:
+    for job_id, progress in handover.progress.items():
+        shard.inherit(job_id, progress.encode())
+    for worker_id in shard.unheard:
+        if worker_id not in handover.unknown_workers:
+            tasks = handover.tasks.get(worker_id, ())
+            shard.unheard[worker_id] = frozenset(tasks)
--- /dev/null
+++ b/src/hawthornpier/fleet/_job_book.py
@@ -0,0 +1,94 @@
+"""
+The jobs that the owner of a shard knows.
+"""
+
+from collections.abc import Iterator
+
+from hawthornpier.fleet._durations import Durations
+from hawthornpier.ports import Clock
+from hawthornpier.steps import Job, QueuePolicy, Task
+
+
+class JobBook:
+    """
+    Accepted jobs, and which of them have to be written or removed.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self.clock = clock
+        self.jobs: dict[str, Job] = {}
+        self.durations = Durations()
+        # Jobs whose progress has to be written, and those of a write that
+        # has not succeeded yet.
+        self.dirty: set[str] = set()
+        self.writing: set[str] = set()
+        # The queues of the configuration in force.
+        self.queues: dict[str, QueuePolicy] = {}
+        # Ended jobs whose rows of acceptance are removed already.
+        self.forgotten: list[str] = []
+
+    @property
+    def now_ms(self) -> float:
+        """
+        Return the owner's steady clock.
+        """
+        return self.clock.monotonic_ms()
+
+    def find_task(self, task_key: str) -> Task | None:
+        """
+        Return the task of this name, or None if it is not known.
+        """
+        parts = task_key.split('.')
+        job = self.jobs.get(parts[0])
+        if job is None or len(parts) != 4:
+            return None
+        try:
+            return job.find(int(parts[1]), int(parts[2]), int(parts[3]))
+        except ValueError:
+            return None
+
+    def open_jobs(self) -> Iterator[Job]:
+        """
+        Yield the jobs of which something may be started.
+        """
+        for job in self.jobs.values():
+            if not job.is_over:
+                yield job
+
+    def expired_jobs(self, kept_ms: float) -> list[str]:
+        """
+        Return the jobs that ended longer ago than *kept_ms*.
+        """
+        oldest_ms = self.now_ms - kept_ms
+        return [
+            job_id
+            for job_id, job in self.jobs.items()
+            if job.is_forgettable and job.ended_ms < oldest_ms
+        ]
+
+    def forget_job(self, job_id: str) -> None:
+        """
+        Drop a job; its progress is removed with the next write.
+        """
+        self.jobs.pop(job_id, None)
+        self.dirty.discard(job_id)
+        self.forgotten.append(job_id)
+
+    def service_of(self, job: Job) -> str:
+        """
+        Return the service whose workers run a job's tasks.
+        """
+        queue = self.queues.get(job.plan.queue.name, job.plan.queue)
+        return queue.service
+
+    def pending_count(self, queue: str) -> int:
+        """
+        Return how many accepted jobs of a queue have not begun.
+        """
+        return sum(
+            1
+            for job in self.jobs.values()
+            if job.plan.queue.name == queue
+            and not job.has_started
+            and not job.is_over
+        )
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -18,6 +18,7 @@
     Committer,
 )
 from hawthornpier.fleet._errors import HistoryGoneError, ShardLostError
+from hawthornpier.fleet._handover import ask_predecessor, describe_handover
 from hawthornpier.fleet._intake import Intake, read_all
 from hawthornpier.fleet._listings import Listings
 from hawthornpier.fleet._peer_port import Handover, PeerDialer
@@ -37,8 +38,8 @@
 from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.fleet._writer import ShardWriter
-from hawthornpier.ports import Clock, PeerError, StoreError
-from hawthornpier.steps import EndKind, RunPhase, encode_progress
+from hawthornpier.ports import Clock, StoreError
+from hawthornpier.steps import EndKind, RunPhase
 
 # Entries of workers that lapsed while the store was away return within two
 # seconds of its return.
@@ -115,7 +116,13 @@
             async with asyncio.TaskGroup() as group:
                 self._group = group
                 await self._load()
-                group.create_task(self._ask_predecessor())
+                group.create_task(
+                    ask_predecessor(
+                        self.shard,
+                        self._predecessor,
+                        self._context.dial_peer,
+                    ),
+                )
                 for part in self._parts():
                     group.create_task(part)
                 await self.shard.deposed.wait()
@@ -176,69 +183,11 @@
             workers=len(self.shard.workers),
         )
 
-    async def _ask_predecessor(self) -> None:
-        """
-        Learn from the previous owner what workers may run that are silent.
-
-        It may be alive and only unable to reach the store; it stops before it
-        answers.  Without an answer, silent workers may run anything.
-        """
-        row, shard = self._predecessor, self.shard
-        if row is None:
-            return
-        peer = self._context.dial_peer(row.card)
-        try:
-            handover = await peer.hand_over(row.epoch)
-        except PeerError as error:
-            shard.log.record(
-                'handover_unknown',
-                process=row.card.process_id,
-                epoch=row.epoch,
-                why=str(error),
-            )
-            return
-        finally:
-            peer.close()
-        for job_id, progress in handover.progress.items():
-            shard.inherit(job_id, progress.encode())
-        for worker_id in shard.unheard:
-            if worker_id not in handover.unknown_workers:
-                tasks = handover.tasks.get(worker_id, ())
-                shard.unheard[worker_id] = frozenset(tasks)
-        shard.log.record(
-            'handover_received',
-            process=row.card.process_id,
-            epoch=row.epoch,
-            unheard=len(shard.unheard),
-            unknown=len(handover.unknown_workers),
-        )
-        shard.wake.set()
-
     def handover(self) -> Handover:
         """
         Return what may run on the workers, as far as this owner knows.
         """
-        tasks = {
-            worker.worker_id: {run.task.key for run in worker.runs.values()}
-            for worker in self.shard.workers.values()
-            if worker.runs
-        }
-        unknown = []
-        for worker_id, unheard in self.shard.unheard.items():
-            if unheard is None:
-                unknown.append(worker_id)
-            else:
-                tasks.setdefault(worker_id, set()).update(unheard)
-        return Handover(
-            epoch=self.shard.epoch,
-            tasks={worker: sorted(keys) for worker, keys in tasks.items()},
-            progress={
-                job_id: encode_progress(self.shard.jobs[job_id]).decode()
-                for job_id in self.shard.dirty | self.shard.writing
-                if job_id in self.shard.jobs
-            },
-            unknown_workers=unknown,
-        )
+        return describe_handover(self.shard)
 
     async def _read_fleet(self) -> None:
         """
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -3,11 +3,11 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._disturbance import Disturbance
-from hawthornpier.fleet._durations import Durations
+from hawthornpier.fleet._job_book import JobBook
 from hawthornpier.fleet._worker_state import (
     Order,
     OrderKind,
@@ -18,7 +18,6 @@
     EndKind,
     Job,
     JobPlan,
-    QueuePolicy,
     RecordError,
     Run,
     RunPhase,
@@ -35,7 +34,7 @@
 _OLD_NOTICES_MS = 3_000.0
 
 
-class Shard:
+class Shard(JobBook):
     """
     The state that the tasks of an owner share.
 
@@ -54,30 +53,20 @@
         clock: Clock,
         log: DecisionLog,
     ) -> None:
+        super().__init__(clock)
         self.name = name
         self.epoch = epoch
-        self.clock = clock
         self.log = log
         self.workers: dict[str, WorkerState] = {}
-        self.jobs: dict[str, Job] = {}
-        self.durations = Durations()
         self.disturbance = Disturbance(log, clock)
-        # Jobs whose progress has to be written, and those of a write that
-        # has not succeeded yet.
-        self.dirty: set[str] = set()
-        self.writing: set[str] = set()
         # Progress that the previous owner could not store, of jobs that are
         # not known yet.
         self.inherited: dict[str, bytes] = {}
-        # The queues of the configuration in force.
-        self.queues: dict[str, QueuePolicy] = {}
         # Called with the id of each job that becomes known.
         self.on_job: Callable[[str], None] | None = None
         self.wake = asyncio.Event()
         self.deposed = asyncio.Event()
         self.is_draining = False
-        # Ended jobs whose rows of acceptance are removed already.
-        self.forgotten: list[str] = []
         # Workers of the previous owner that have not listed their runs yet,
         # with the tasks that may run there; None stands for any task.
         self.unheard: dict[str, frozenset[str] | None] = {}
@@ -85,13 +74,6 @@
         # owner is refused there, and so learns that it was replaced.
         self.first_listed_ms: float | None = None
 
-    @property
-    def now_ms(self) -> float:
-        """
-        Return the owner's steady clock.
-        """
-        return self.clock.monotonic_ms()
-
     def add_job(
         self,
         plan: JobPlan,
@@ -166,19 +148,6 @@
         self._stop_all(job, 'job cancelled')
         self.wake.set()
 
-    def find_task(self, task_key: str) -> Task | None:
-        """
-        Return the task of this name, or None if it is not known.
-        """
-        parts = task_key.split('.')
-        job = self.jobs.get(parts[0])
-        if job is None or len(parts) != 4:
-            return None
-        try:
-            return job.find(int(parts[1]), int(parts[2]), int(parts[3]))
-        except ValueError:
-            return None
-
     def next_attempt(self, task: Task) -> int:
         """
         Return a number above that of every earlier run of the task.
@@ -364,52 +333,6 @@
             self._stop_all(job, 'job has ended')
         self.wake.set()
 
-    def open_jobs(self) -> Iterator[Job]:
-        """
-        Yield the jobs of which something may be started.
-        """
-        for job in self.jobs.values():
-            if not job.is_over:
-                yield job
-
-    def expired_jobs(self, kept_ms: float) -> list[str]:
-        """
-        Return the jobs that ended longer ago than *kept_ms*.
-        """
-        oldest_ms = self.now_ms - kept_ms
-        return [
-            job_id
-            for job_id, job in self.jobs.items()
-            if job.is_forgettable and job.ended_ms < oldest_ms
-        ]
-
-    def forget_job(self, job_id: str) -> None:
-        """
-        Drop a job; its progress is removed with the next write.
-        """
-        self.jobs.pop(job_id, None)
-        self.dirty.discard(job_id)
-        self.forgotten.append(job_id)
-
-    def service_of(self, job: Job) -> str:
-        """
-        Return the service whose workers run a job's tasks.
-        """
-        queue = self.queues.get(job.plan.queue.name, job.plan.queue)
-        return queue.service
-
-    def pending_count(self, queue: str) -> int:
-        """
-        Return how many accepted jobs of a queue have not begun.
-        """
-        return sum(
-            1
-            for job in self.jobs.values()
-            if job.plan.queue.name == queue
-            and not job.has_started
-            and not job.is_over
-        )
-
     def _inherit(self, job: Job, progress: bytes) -> None:
         try:
             restore_progress(job, progress, is_stored=False)
