Sharpen two tests; add a soak of the fleet scheduler under random faults

test_an_early_row_is_adopted_with_its_job and test_a_refusal_does_not_come_late passed with their mechanism taken out: the early run lay where placement would have started the same attempt, and silent processes answered too soon. Both fail on these mutations now, and are as strict as before otherwise.

--- a/Makefile
+++ b/Makefile
@@ -48,11 +48,12 @@
 capacity: $(STAMP)
 	$(BIN)/python -m capacity docs/capacity.json
 
-# Runs whole processes under faults from other seeds; a failing test's id names
+# Runs whole processes and the fleet scheduler under faults from other seeds; a failing test's id names
 # its seed N, and "make soak SEED=N COUNT=1" repeats it.
 SEED ?= $(shell date +%s)
 COUNT ?= 60
 
 soak: $(STAMP)
 	SOAK_SEED=$(SEED) SOAK_COUNT=$(COUNT) $(BIN)/python -m pytest \
-		tests/test_node_faults.py -k TestFaultsTogether
+		tests/test_node_faults.py tests/test_fleet_faults.py \
+		-k TestFaultsTogether
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -118,7 +118,7 @@
         await asyncio.sleep(0.001)
         node = self._world.nodes.get(self.card.address)
         if node is None or node.is_cut or self._origin.is_cut:
-            await asyncio.sleep(0.4)
+            await asyncio.sleep(self._world.silent_s)
             raise PeerUnreachableError('timed out')
         if node.is_dead:
             raise fleet.PeerGoneError('refused')
@@ -175,6 +175,8 @@
 
     def __init__(self, *, node_count=3, worker_count=4, seed=1):
         self.clock = VirtualClock()
+        # How long a call to a silent process takes.
+        self.silent_s = 0.4
         self.rng = random.Random(seed)
         self.judge = Judge()
         self.store = standin.StandinRowStore(self.clock)
--- /dev/null
+++ b/tests/test_fleet_faults.py
@@ -0,0 +1,194 @@
+"""
+The fleet scheduler under random faults in series, from seeds.
+
+``SOAK_SEED`` and ``SOAK_COUNT`` choose other seeds and more of them.
+"""
+
+import asyncio
+import os
+import random
+
+import pytest
+from fleet_world import World
+from virtual_time import run_virtual
+
+from hawthornpier import fleet
+from hawthornpier.steps import JobPhase, StepPlan
+from hawthornpier_standin.fleet import StoreFault, WorkerFault
+
+FIRST_SEED = int(os.environ.get('SOAK_SEED', '1'))
+SEED_COUNT = int(os.environ.get('SOAK_COUNT', '8'))
+FAULTY_MS = 18_000
+# Everything heals by then, and what was accepted completes in this time.
+SETTLE_MS = 60_000
+STEPS = (
+    StepPlan(task_count=5, processor_millis=1_000),
+    StepPlan(task_count=3, processor_millis=2_000, after=(0,)),
+)
+
+
+class _Soak:
+    """
+    Callers, and faults that overlap, in one world.
+    """
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.world = World(node_count=4, worker_count=5, seed=seed)
+        self.accepted = []
+        self.refused = []
+        self.cancelled = set()
+        self.actions = (
+            self._kill_node,
+            self._stop_node,
+            self._cut_node,
+            self._fail_store,
+            self._slow_store,
+            self._forget_history,
+            self._fail_worker,
+            self._crash_worker,
+            self._kill_owner,
+        )
+
+    async def run(self):
+        await self.world.run_for(1_500)
+        callers = asyncio.ensure_future(self._call_forever())
+        faults = []
+        end_ms = self.world.clock.monotonic_ms() + FAULTY_MS
+        while self.world.clock.monotonic_ms() < end_ms:
+            action = self.rng.choice(self.actions)
+            faults.append(asyncio.ensure_future(action()))
+            await self.world.run_for(self.rng.randint(100, 1_500))
+        await asyncio.gather(*faults)
+        callers.cancel()
+        for job_id in self.accepted:
+            if job_id not in self.cancelled:
+                await self.world.wait_phase(
+                    job_id,
+                    JobPhase.COMPLETED,
+                    limit_ms=SETTLE_MS,
+                )
+        ran = {task.partition('.')[0] for task in self.world.judge.done}
+        assert not ran.intersection(self.refused)
+        self.world.finish()
+
+    async def _call_forever(self):
+        while True:
+            await self._call()
+            await self.world.run_for(self.rng.randint(50, 600))
+
+    async def _call(self):
+        running = [
+            node for node in self.world.nodes.values() if not node.is_dead
+        ]
+        entry = self.rng.choice(running).entry
+        plan = self.world.plan(*STEPS, work_ms=self.rng.randint(100, 2_500))
+        try:
+            await entry.submit(plan)
+            self.accepted.append(plan.job_id)
+            if not self.rng.randrange(10):
+                # Without an answer the job may be cancelled or not.
+                self.cancelled.add(plan.job_id)
+                await entry.cancel(plan.job_id)
+        except fleet.NotStoredError:
+            if plan.job_id not in self.cancelled:
+                self.refused.append(plan.job_id)
+        except (fleet.OutcomeUnknownError, fleet.UnknownJobError):
+            return
+
+    async def _kill_node(self):
+        await self._restart(self.rng.choice(list(self.world.nodes)))
+
+    async def _kill_owner(self):
+        owner = self.world.owner()
+        if owner is not None:
+            await self._restart(owner.card.address)
+
+    async def _restart(self, name):
+        node = self.world.nodes[name]
+        if not node.is_dead:
+            self.world.kill(node)
+            await self.world.run_for(self.rng.randint(300, 3_000))
+            self.world.start_node(name)
+
+    async def _stop_node(self):
+        name = self.rng.choice(list(self.world.nodes))
+        node = self.world.nodes[name]
+        if not node.is_dead and not node.is_leaving:
+            await node.leave()
+            await self._restart(name)
+
+    async def _cut_node(self):
+        node = self.rng.choice(list(self.world.nodes.values()))
+        node.is_cut = True
+        if self.rng.randrange(2):
+            node.client.fault = StoreFault.SILENT
+        await self.world.run_for(self.rng.randint(500, 6_000))
+        node.is_cut = False
+        node.client.fault = StoreFault.NONE
+
+    async def _fail_store(self):
+        fault = self.rng.choice(
+            [
+                StoreFault.REFUSE,
+                StoreFault.SILENT,
+                StoreFault.LOSE_ANSWERS,
+                StoreFault.APPLY_LATE,
+            ],
+        )
+        nodes = list(self.world.nodes.values())
+        hit = self.rng.sample(nodes, self.rng.randint(1, len(nodes)))
+        for node in hit:
+            node.client.fault = fault
+        await self.world.run_for(self.rng.randint(500, 5_000))
+        for node in hit:
+            node.client.fault = StoreFault.NONE
+
+    async def _slow_store(self):
+        self.world.store.slowness = self.rng.randint(2, 40)
+        await self.world.run_for(self.rng.randint(500, 4_000))
+        self.world.store.slowness = 1
+
+    async def _forget_history(self):
+        self.world.store.forget_history()
+
+    async def _fail_worker(self):
+        worker = self.rng.choice(list(self.world.workers.values()))
+        worker.fault = self.rng.choice(
+            [
+                WorkerFault.CUT,
+                WorkerFault.STAND_STILL,
+                WorkerFault.REFUSE,
+                WorkerFault.START_LATE,
+            ],
+        )
+        await self.world.run_for(self.rng.randint(500, 8_000))
+        worker.fault = WorkerFault.NONE
+
+    async def _crash_worker(self):
+        worker = self.rng.choice(list(self.world.workers.values()))
+        if worker.is_up:
+            worker.crash()
+            await self.world.run_for(self.rng.randint(100, 6_000))
+            worker.restart()
+
+
+class TestFaultsTogether:
+    """
+    No task runs twice, accepted jobs complete, and refused ones do not run.
+    """
+
+    @pytest.mark.parametrize(
+        'seed',
+        range(FIRST_SEED, FIRST_SEED + SEED_COUNT),
+    )
+    def test_seed(self, seed):
+        """
+        Guards against combinations of faults that no other test has.
+        """
+        run_virtual(_soak(seed))
+
+
+async def _soak(seed):
+    # The world starts its tasks when it is made.
+    await _Soak(seed).run()
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -217,7 +217,8 @@
             StepPlan(task_count=1, processor_millis=1_000),
             work_ms=4_000,
         )
-        worker = world.workers['w0']
+        # Placement prefers the first of equal workers.
+        worker = world.workers['w3']
         task_key = f'{plan.job_id}.0.0.0'
         worker.start(
             fleet.StartOrder(
@@ -228,7 +229,8 @@
                 deadline_clock_ms=worker.clock_ms + 5_000,
             ),
         )
-        await world.run_for(1_200)
+        # An idle worker is asked for its lists every two seconds.
+        await world.run_for(2_200)
         shard.add_job(plan)
         await world.run_for(300)
         assert world.judge.started_count == 1
@@ -300,6 +302,8 @@
         await world.run_for(100)
         for node in world.nodes.values():
             node.client.fault = StoreFault.REFUSE
+        # A process that does not answer a relayed write costs this long.
+        world.silent_s = 1.3
         begun_ms = world.clock.monotonic_ms()
         with pytest.raises(fleet.NotStoredError):
             await caller.entry.submit(world.plan())
