--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -20,7 +20,7 @@
 SEED_COUNT = int(os.environ.get('SOAK_COUNT', '8'))
 FAULTY_MS = 18_000
 # Everything heals by then, and what was accepted completes in this time.
-SETTLE_MS = 60_000
+SETTLE_MS = 90_000
 STEPS = (
     StepPlan(task_count=5, processor_millis=1_000),
     StepPlan(task_count=3, processor_millis=2_000, after=(0,)),
@@ -47,6 +47,9 @@
             self._forget_history,
             self._fail_worker,
             self._crash_worker,
+            # Changes of the owner at once after another find the most.
+            self._kill_owner,
+            self._kill_owner,
             self._kill_owner,
         )
 
@@ -58,7 +61,7 @@
         while self.world.clock.monotonic_ms() < end_ms:
             action = self.rng.choice(self.actions)
             faults.append(asyncio.ensure_future(action()))
-            await self.world.run_for(self.rng.randint(100, 1_500))
+            await self.world.run_for(self.rng.randint(50, 700))
         await asyncio.gather(*faults)
         callers.cancel()
         for job_id in self.accepted:
@@ -82,7 +85,7 @@
             node for node in self.world.nodes.values() if not node.is_dead
         ]
         entry = self.rng.choice(running).entry
-        plan = self.world.plan(*STEPS, work_ms=self.rng.randint(100, 2_500))
+        plan = self.world.plan(*STEPS, work_ms=self.rng.randint(100, 5_000))
         try:
             await entry.submit(plan)
             self.accepted.append(plan.job_id)
@@ -156,6 +159,7 @@
         worker = self.rng.choice(list(self.world.workers.values()))
         worker.fault = self.rng.choice(
             [
+                WorkerFault.CUT,
                 WorkerFault.CUT,
                 WorkerFault.STAND_STILL,
                 WorkerFault.REFUSE,
