Rank the workers once for each step

Cause: a pass ranked every worker for every waiting task, and all of them again for each best-effort step that had found none: with 270 workers and 640 starts a second this takes most of the owner's processor time. Change: a step's workers are ranked once and kept in a heap; a step without a worker is tried on changed workers only; passes leave the loop to others for twice their own duration. Ruled out: placement in another process, which would need the whole state there.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -55,6 +55,7 @@
         """
         now_ms = self._shard.now_ms
         worker.synchronize(listing.clock_ms, now_ms)
+        worker.changed_ms = now_ms
         for ended_run in listing.ended:
             if ended_run.number <= worker.processed_number:
                 continue
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -21,6 +21,7 @@
 from hawthornpier.fleet._handover import build_handover, request_handover
 from hawthornpier.fleet._intake import Intake, read_all_rows
 from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._pass_gap import pass_gap_ms
 from hawthornpier.fleet._peer_port import Handover, PeerDialer
 from hawthornpier.fleet._ports import (
     RecordStore,
@@ -51,9 +52,6 @@
 _REGISTRY_POLL_INTERVAL_MS = 600
 # Longest time between two scheduling passes.
 _PASS_INTERVAL_MS = 100
-# Shortest time between two passes, so that runs that start or end at about the
-# same time are handled by one pass.
-_MIN_PASS_GAP_MS = 6
 _RETRY_MS = 150
 _EXPIRY_INTERVAL_MS = 5_000
 # Ended jobs stay readable for this multiple of the time that the platform
@@ -254,8 +252,11 @@
             except TimeoutError:
                 shard.wake.clear()
             shard.wake.clear()
+            started_ms = shard.now_ms
             self._scheduler.run_pass()
-            await shard.clock.sleep_ms(_MIN_PASS_GAP_MS)
+            await shard.clock.sleep_ms(
+                pass_gap_ms(shard.now_ms - started_ms),
+            )
 
     async def _poll_intake(self) -> None:
         while True:
--- a/src/hawthornpier/fleet/_placement.py
+++ b/src/hawthornpier/fleet/_placement.py
@@ -2,7 +2,8 @@
 Choice of a worker for a task.
 """
 
-from collections.abc import Iterable
+import heapq
+from collections.abc import Iterable, Sequence
 
 from hawthornpier.fleet._health import HealthStatus
 from hawthornpier.fleet._interference import InterferenceModel
@@ -21,6 +22,10 @@
 _MAX_HARMLESS_WAIT_MS = 4_000.0
 
 
+# A step that found no worker is tried again on those that have changed since,
+# and on all of them after this time, since eligibility also depends on time.
+_FULL_SEARCH_INTERVAL_MS = 400.0
+
 # Ranks of a worker for a long-running task by the number of distinct images of
 # the long-running tasks there: none, one (a different image), several.
 _IMAGE_MIX_RANKS = (1, 3, 2)
@@ -68,6 +73,31 @@
                 best_rank = rank
         return best
 
+    def ranking(
+        self,
+        step: Step,
+        workers: Iterable[WorkerState],
+        now_ms: float,
+    ) -> 'StepRanking':
+        """
+        Return the eligible workers for the tasks of one step, best first.
+        """
+        return StepRanking(self, step, workers, now_ms)
+
+    def rank(
+        self,
+        worker: WorkerState,
+        task: Task,
+        now_ms: float,
+    ) -> tuple[float, ...] | None:
+        """
+        Return the rank of a worker for a task; the lowest is the best.
+
+        Returns:
+            None if the worker is not eligible.
+        """
+        return self._rank_if_eligible(worker, task, now_ms)
+
     def _rank_if_eligible(
         self,
         worker: WorkerState,
@@ -199,6 +229,106 @@
         )
 
 
+class StepRanking:
+    """
+    The eligible workers for the tasks of one step, ordered by rank.
+
+    Placing a task changes the rank of its worker only.  Ranking all workers
+    once for a step therefore suffices, and each further task costs the
+    logarithm of their number.  It answers steps of many tasks on hundreds of
+    workers.
+
+    Args:
+        placement: Ranks one worker.
+        step: The step whose tasks are placed.
+        workers: The candidate workers.
+        now_ms: The current time on the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        placement: Placement,
+        step: Step,
+        workers: Iterable[WorkerState],
+        now_ms: float,
+    ) -> None:
+        self._placement = placement
+        self._now_ms = now_ms
+        self._workers = tuple(workers)
+        # Ranks any worker as for a task that avoids none.
+        self._plain_task = Task(step, 0)
+        # Entries are (rank, index of the worker).  An entry is outdated if the
+        # worker has another rank by now.
+        self._heap: list[tuple[tuple[float, ...], int]] = []
+        self._indexes = {
+            worker.worker_id: index
+            for index, worker in enumerate(self._workers)
+        }
+        for index in range(len(self._workers)):
+            self._add(index)
+        self._placed_index: int | None = None
+
+    def choose(self, task: Task) -> WorkerState | None:
+        """
+        Return the best worker for a task of the step, or None.
+
+        The caller places the task there before the next call.
+        """
+        if self._placed_index is not None:
+            self._add(self._placed_index)
+            self._placed_index = None
+        if task.avoided_workers:
+            worker = self._placement.choose(task, self._workers, self._now_ms)
+        else:
+            worker = self._pop()
+        if worker is not None:
+            self._placed_index = self._indexes[worker.worker_id]
+        return worker
+
+    def _pop(self) -> WorkerState | None:
+        while self._heap:
+            rank, index = heapq.heappop(self._heap)
+            current = self._rank(index)
+            if current == rank:
+                return self._workers[index]
+            if current is not None:
+                heapq.heappush(self._heap, (current, index))
+        return None
+
+    def _add(self, index: int) -> None:
+        rank = self._rank(index)
+        if rank is not None:
+            heapq.heappush(self._heap, (rank, index))
+
+    def _rank(self, index: int) -> tuple[float, ...] | None:
+        return self._placement.rank(
+            self._workers[index], self._plain_task, self._now_ms
+        )
+
+
+def workers_to_search(
+    step: Step,
+    workers: Sequence[WorkerState],
+    now_ms: float,
+) -> Sequence[WorkerState]:
+    """
+    Return the workers that may have become eligible for a step.
+
+    All workers, unless the step found none of them eligible a short time ago;
+    then only those whose load has changed since.  It answers a backlog of
+    best-effort steps that no worker can take: a pass then costs what changed,
+    not all steps times all workers.
+    """
+    if (
+        step.searched_ms is None
+        or now_ms - step.fully_searched_ms >= _FULL_SEARCH_INTERVAL_MS
+    ):
+        step.fully_searched_ms = now_ms
+        return workers
+    searched_ms = step.searched_ms
+    return [worker for worker in workers if worker.changed_ms >= searched_ms]
+
+
 def _has_waited(step: Step, now_ms: float) -> bool:
     """
     Return whether a step has waited long enough to accept a harmful placement.
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -6,7 +6,7 @@
 
 from hawthornpier.fleet._evacuation import Evacuation
 from hawthornpier.fleet._ordering import rank_step
-from hawthornpier.fleet._placement import Placement
+from hawthornpier.fleet._placement import Placement, workers_to_search
 from hawthornpier.fleet._run_monitor import RunMonitor
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._state_log import log_shard_state
@@ -119,6 +119,12 @@
         for step in due:
             if step.ready_ms is None:
                 step.ready_ms = now_ms
+        due = [
+            step
+            for step in due
+            if step.plan.may_run_copies
+            or any(task.is_waiting for task in step.tasks)
+        ]
         due.sort(
             key=lambda due_step: rank_step(
                 due_step,
@@ -142,12 +148,18 @@
         if step.plan.is_gang:
             is_whole = len(ready) == len(waiting)
             return self._place_gang(step, pool) if is_whole else True
+        if not ready:
+            return True
         now_ms = self._shard.now_ms
+        workers = workers_to_search(step, pool, now_ms)
+        ranking = self._placement.ranking(step, workers, now_ms)
         for task in ready:
-            worker = self._placement.choose(task, pool, now_ms)
+            worker = ranking.choose(task)
             if worker is None:
+                step.searched_ms = now_ms
                 return False
             self._shard.start_run(task, worker, reason='turn')
+        step.searched_ms = None
         return True
 
     def _place_gang(self, step: Step, pool: Sequence[WorkerState]) -> bool:
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -195,6 +195,7 @@
         attempt = self.next_attempt(task)
         run = Run(task, attempt, worker.worker_id, self.now_ms)
         worker.charge(run)
+        worker.changed_ms = self.now_ms
         self.order_start(run, reason)
         return run
 
@@ -320,6 +321,7 @@
             return
         worker.release(run)
         now_ms = self.now_ms
+        worker.changed_ms = now_ms
         task = run.task
         task.runs.remove(run)
         self.log.record(
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -100,6 +100,9 @@
         self.orders: asyncio.Queue[Order] = asyncio.Queue()
         # Set when processed ended runs have become durable.
         self.acknowledged = asyncio.Event()
+        # When its load or its usage last changed, by the owner's monotonic
+        # clock.
+        self.changed_ms: float = 0
         # The number of runs of each step, by step key.
         self.step_counts: dict[str, int] = {}
 
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -165,11 +165,13 @@
 
     __slots__ = (
         'done_count',
+        'fully_searched_ms',
         'gang_attempt',
         'number',
         'occurrence',
         'plan',
         'ready_ms',
+        'searched_ms',
         'tasks',
     )
 
@@ -187,6 +189,11 @@
         # When the step became ready to start, by the owner's monotonic clock;
         # None before that.
         self.ready_ms: float | None = None
+        # When no worker was found for a task of the step, and when all workers
+        # were last considered; both by the owner's monotonic clock.  None
+        # while all its tasks have found one.
+        self.searched_ms: float | None = None
+        self.fully_searched_ms: float = 0
         self.tasks = [Task(self, index) for index in range(plan.task_count)]
 
     @property
--- /dev/null
+++ b/tests/test_fleet_placement.py
@@ -0,0 +1,179 @@
+"""
+Tests of the choice of workers for the tasks of a step, and of its cost.
+"""
+
+import random
+
+from hawthornpier.fleet._pass_gap import pass_gap_ms
+from hawthornpier.fleet._placement import Placement, workers_to_search
+from hawthornpier.fleet._ports import WorkerEntry
+from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.steps import Job, JobPlan, QueuePolicy, Run, StepPlan
+
+WORKER_COUNT = 270
+
+
+class NoInterference:
+    """
+    An interference model without harmful images.
+    """
+
+    def effect(self, long_running_image, best_effort_image):
+        return 0
+
+    def pressure(self, run):
+        return 0
+
+    def limit(self, plan):
+        return 1
+
+
+class CountingPlacement(Placement):
+    """
+    Counts how many workers were ranked.
+    """
+
+    ranked_count = 0
+
+    def rank(self, worker, task, now_ms):
+        self.ranked_count += 1
+        return super().rank(worker, task, now_ms)
+
+
+def usable_workers(count, rng):
+    workers = []
+    for number in range(count):
+        worker = WorkerState(
+            WorkerEntry(
+                worker_id=f'w{number}',
+                service='desk',
+                address=f'w{number}',
+                failure_domain='z',
+                processor_millis=rng.choice((16_000, 32_000)),
+                memory_mb=64_000,
+                accelerator_count=0,
+                incarnation_ms=1,
+            ),
+        )
+        worker.is_listed = True
+        worker.is_recorded = True
+        workers.append(worker)
+    return workers
+
+
+def step_of(number=0, **options):
+    plan = JobPlan(
+        job_id=f'{number:016x}',
+        payload='',
+        steps=(StepPlan(**options),),
+        queue=QueuePolicy(name='orders', service='desk'),
+    )
+    return Job(plan, 0).occurrences[0].steps[0]
+
+
+def place(task, worker):
+    worker.charge(Run(task, 1, worker.worker_id, 0))
+
+
+def random_steps(rng):
+    return [
+        step_of(
+            number,
+            task_count=rng.randrange(1, 40),
+            processor_millis=rng.randrange(500, 9_000),
+            memory_mb=rng.randrange(100, 9_000),
+            per_worker_limit=rng.choice((0, 0, 2)),
+            is_filling=rng.random() < 0.5,
+        )
+        for number in range(20)
+    ]
+
+
+class TestStepRanking:
+    """
+    Ranking the workers once a step chooses as ranking them for each task does.
+    """
+
+    def test_chooses_the_same_workers(self):
+        """
+        Guards against tasks on workers that have become worse or full.
+        """
+        for seed in range(10):
+            self._compare(seed)
+
+    def test_ranks_each_worker_once(self):
+        """
+        Guards against a pass whose cost grows with workers times tasks.
+        """
+        placement = CountingPlacement(NoInterference())
+        step = step_of(task_count=160, processor_millis=1_000)
+        workers = usable_workers(WORKER_COUNT, random.Random(1))
+        ranking = placement.ranking(step, workers, 0)
+        for task in step.tasks:
+            place(task, ranking.choose(task))
+        assert placement.ranked_count <= WORKER_COUNT + 3 * len(step.tasks)
+
+    def _compare(self, seed):
+        placement = Placement(NoInterference())
+        once = usable_workers(30, random.Random(seed))
+        each = usable_workers(30, random.Random(seed))
+        avoiding = random.Random(seed)
+        for step in random_steps(random.Random(seed)):
+            ranking = placement.ranking(step, once, 0)
+            for task in step.tasks:
+                if avoiding.random() < 0.2:
+                    task.avoided_workers.add(f'w{avoiding.randrange(30)}')
+                chosen = ranking.choose(task)
+                expected = placement.choose(task, each, 0)
+                assert (chosen is None) == (expected is None)
+                if chosen is None:
+                    break
+                assert chosen.worker_id == expected.worker_id
+                place(task, chosen)
+                place(task, expected)
+
+
+class TestBacklog:
+    """
+    A step that found no worker is tried on the workers that have changed.
+    """
+
+    def test_unchanged_workers_are_skipped(self):
+        """
+        Guards against a backlog that costs steps times workers in each pass.
+        """
+        step, workers = self._rejected_step()
+        workers[3].changed_ms = 120
+        assert workers_to_search(step, workers, 130) == [workers[3]]
+
+    def test_all_workers_are_tried_again_later(self):
+        """
+        Guards against a step that waits although a quarantine has ended.
+        """
+        step, workers = self._rejected_step()
+        assert workers_to_search(step, workers, 600) == workers
+
+    def _rejected_step(self):
+        workers = usable_workers(5, random.Random(1))
+        step = step_of(task_count=2, processor_millis=1_000)
+        assert workers_to_search(step, workers, 100) == workers
+        step.searched_ms = 100
+        return step, workers
+
+
+class TestPassGap:
+    """
+    Scheduling passes take a bounded share of the process's time.
+    """
+
+    def test_long_passes_are_rarer(self):
+        """
+        Guards against renewals that wait behind passes over a long backlog.
+        """
+        assert pass_gap_ms(60) >= 2 * 60
+
+    def test_short_passes_follow_soon(self):
+        """
+        Guards against short tasks that wait for the next pass.
+        """
+        assert pass_gap_ms(0.2) <= 10
