Let relays carry the owner's requests to workers

Cause: one process sends all starts, renewals and stops; its processor time and link bound the number of workers, and every one of them shares its stalls. Change: with more than 60 workers a core, the owner sends its requests in batches over a WebSocket to entry processes in the workers' failure domains, which hold the connections. A relay that is silent is given up by active time, calls that were delayed on their way are not sent, and a request without a relay goes straight to the worker. Ruled out: several owners, which split the free room that wide jobs need.

--- a/src/hawthornpier/coordination/_membership.py
+++ b/src/hawthornpier/coordination/_membership.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-from hawthornpier.coordination._active_time import ActiveTime
 from hawthornpier.coordination._directory import ProcessDirectory
 from hawthornpier.coordination._peers import (
     LoadMap,
@@ -24,7 +23,7 @@
     HeartbeatReply,
     ShardLoad,
 )
-from hawthornpier.ports import Clock, EventSink, PeerError, PeerPort
+from hawthornpier.ports import ActiveTime, Clock, EventSink, PeerError, PeerPort
 
 
 class Membership:
--- a/src/hawthornpier/fleet/__init__.py
+++ b/src/hawthornpier/fleet/__init__.py
@@ -46,6 +46,10 @@
     WorkerEntry,
     WorkerListing,
 )
+from hawthornpier.fleet._relay_channel import RelaySocket
+from hawthornpier.fleet._relay_pool import RelayConnector
+from hawthornpier.fleet._relay_session import RelaySession
+from hawthornpier.fleet._relay_socket import connect_relay
 from hawthornpier.fleet._timings import (
     OwnershipTimings,
     PlatformBounds,
@@ -78,6 +82,9 @@
     'ProcessCard',
     'QueueRoute',
     'RecordStore',
+    'RelayConnector',
+    'RelaySession',
+    'RelaySocket',
     'Renewal',
     'RowDecoder',
     'RowPage',
@@ -95,5 +102,6 @@
     'WorkerEntry',
     'WorkerListing',
     'WorkerTimings',
+    'connect_relay',
     'peer_routes',
 ]
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -24,6 +24,8 @@
     Presence,
 )
 from hawthornpier.fleet._process_directory import ProcessDirectory
+from hawthornpier.fleet._relay_pool import RelayPool
+from hawthornpier.fleet._relay_session import RelaySession, SendBatch
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._writer import OwnerRow, ProcessCard
 from hawthornpier.ports import Clock, PeerError
@@ -338,7 +340,11 @@
         while True:
             writer = await self._ownership.follow_until_claimed()
             self._ownership_given_up.clear()
-            self._owner = ShardOwner(self.context, writer)
+            self._owner = ShardOwner(
+                self.context,
+                writer,
+                self._relay_pool(),
+            )
             if self.configuration is not None:
                 self._apply_configuration(self.configuration)
             try:
@@ -347,6 +353,34 @@
                 self._last_handover = self._owner.handover()
                 self._owner = None
 
+    def open_relay(self, send: SendBatch) -> RelaySession:
+        """
+        Begin to relay the requests of an owner to workers.
+
+        Args:
+            send: Sends an encoded batch to the owner.
+        """
+        return RelaySession(
+            self.context.dial,
+            send,
+            clock=self.clock,
+            log=self.log,
+            is_leaving=lambda: self.is_leaving,
+        )
+
+    def _relay_pool(self) -> RelayPool | None:
+        if self.context.connect_relay is None:
+            return None
+        return RelayPool(
+            self.context.connect_relay,
+            self.context.dial,
+            card=self.card,
+            cards=self._process_directory.cards.values,
+            timings=self.context.worker_timings,
+            clock=self.clock,
+            log=self.log,
+        )
+
     def _claim_delay_ms(self) -> float:
         """
         Return by how much to delay a claim in favour of larger hosts.
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -29,6 +29,8 @@
     WorkerDialer,
     WorkerEntry,
 )
+from hawthornpier.fleet._relay_assignment import WorkerPlace
+from hawthornpier.fleet._relay_pool import RelayConnector, RelayPool
 from hawthornpier.fleet._scheduler import Scheduler
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import (
@@ -76,6 +78,8 @@
     dial_peer: PeerDialer
     rng: random.Random
     registry_table: str
+    # Opens connections to relays; None if owners contact all workers directly.
+    connect_relay: RelayConnector | None = None
 
 
 class ShardOwner:
@@ -85,9 +89,16 @@
     Args:
         context: Dependencies and settings of this process.
         writer: Writes to the shard's partition under the claimed epoch.
+        relays: Connections to relays; None if this process contacts all
+            workers directly.
     """
 
-    def __init__(self, context: FleetContext, writer: ShardWriter) -> None:
+    def __init__(
+        self,
+        context: FleetContext,
+        writer: ShardWriter,
+        relays: RelayPool | None = None,
+    ) -> None:
         self.shard = Shard(
             writer.shard,
             epoch=writer.epoch,
@@ -96,6 +107,7 @@
         )
         self.is_loaded = False
         self._context = context
+        self._relays = relays
         self._predecessor = writer.predecessor
         self._listings = ListingReconciler(self.shard)
         self._intake = Intake(context.store, self.shard, context.log)
@@ -132,6 +144,8 @@
                 )
                 for coroutine in self._background_tasks():
                     group.create_task(coroutine)
+                if self._relays is not None:
+                    group.create_task(self._relays.run(self._worker_places))
                 await self.shard.deposed.wait()
                 raise ShardLostError(
                     'shard was handed over or a worker rejected the epoch'
@@ -175,6 +189,15 @@
             self._remove_expired_jobs(),
         )
 
+    def _worker_places(self) -> list[WorkerPlace]:
+        return [
+            WorkerPlace(
+                worker_id=worker.worker_id,
+                failure_domain=worker.entry.failure_domain,
+            )
+            for worker in self.shard.workers.values()
+        ]
+
     async def _load(self) -> None:
         """
         Load the state from the store and connect to all workers.
@@ -383,9 +406,10 @@
     def _start_link(self, worker: WorkerState) -> None:
         if self._group is None:
             return
+        dial = self._relays.dial if self._relays else self._context.dial
         link = WorkerLink(
             worker,
-            self._context.dial(worker.entry),
+            dial(worker.entry),
             shard=self.shard,
             listings=self._listings,
             timings=self._context.worker_timings,
--- a/src/hawthornpier/fleet/_peer_handlers.py
+++ b/src/hawthornpier/fleet/_peer_handlers.py
@@ -8,6 +8,7 @@
 import msgspec
 from tornado.web import RequestHandler
 
+from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._entry import JobEntry
 from hawthornpier.fleet._errors import OutcomeUnknownError
 from hawthornpier.fleet._peer_client import PEER_PREFIX
@@ -18,6 +19,8 @@
     PhaseReply,
     Presence,
 )
+from hawthornpier.fleet._relay_session import RelaySession, SendBatch
+from hawthornpier.fleet._relay_socket import RELAY_PATH, RelayHandler
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.ports import Clock
 from hawthornpier.steps import RecordError, decode_plan
@@ -39,6 +42,19 @@
         """
         ...
 
+    @property
+    def log(self) -> DecisionLog:
+        """
+        Return the log of scheduling decisions.
+        """
+        ...
+
+    def open_relay(self, send: SendBatch) -> RelaySession:
+        """
+        Begin to relay the requests of an owner to workers.
+        """
+        ...
+
     def local_shard(self) -> Shard | None:
         """
         Return the shard if this process owns it and has loaded it.
@@ -244,7 +260,7 @@
         )
 
 
-class _RelayHandler(_Handler):
+class _WriteHandler(_Handler):
     """
     Stores jobs and cancellations for processes that cannot reach the store.
     """
@@ -291,6 +307,11 @@
         (f'{PEER_PREFIX}/jobs/([^/]+)/cancel', _CancelHandler, options),
         (f'{PEER_PREFIX}/pending/([^/]+)', _PendingHandler, options),
         (f'{PEER_PREFIX}/configuration', _ConfigurationHandler, options),
-        (f'{PEER_PREFIX}/relayed-jobs', _RelayHandler, options),
-        (f'{PEER_PREFIX}/relayed-cancels/([^/]+)', _RelayHandler, options),
+        (RELAY_PATH, RelayHandler, options),
+        (f'{PEER_PREFIX}/relayed-jobs', _WriteHandler, options),
+        (
+            f'{PEER_PREFIX}/relayed-cancels/([^/]+)',
+            _WriteHandler,
+            options,
+        ),
     ]
--- a/src/hawthornpier/fleet/_ports.py
+++ b/src/hawthornpier/fleet/_ports.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import msgspec
+
 from hawthornpier.steps import RunOutcome
 
 
@@ -152,8 +154,7 @@
         return self.labels[1] if len(self.labels) > 1 else ''
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class RunningRun:
+class RunningRun(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
     A run that is executing on a worker, as the worker lists it.
 
@@ -169,8 +170,7 @@
     usage: int = 0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class EndedRun:
+class EndedRun(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
     An ended run, which the worker lists until it is acknowledged.
 
@@ -185,8 +185,13 @@
     checkpoint: str
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class WorkerListing:
+class WorkerListing(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    tag='listing',
+):
     """
     A worker's response to a renewal of its lease.
 
@@ -223,8 +228,13 @@
     MALFORMED = 'malformed'
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class OrderReply:
+class OrderReply(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    tag='order',
+):
     """
     The response to a start, a stop or a change of a run's speed.
 
@@ -235,8 +245,13 @@
     clock_ms: int = 0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Renewal:
+class Renewal(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    tag='renew',
+):
     """
     A request that renews the lease of all runs on a worker.
 
@@ -252,8 +267,13 @@
     wait_ms: int
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class StartOrder:
+class StartOrder(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    array_like=True,
+    tag='start',
+):
     """
     A request to start one run.
 
--- /dev/null
+++ b/src/hawthornpier/fleet/_relay_assignment.py
@@ -0,0 +1,90 @@
+"""
+The choice of the relays for the workers of a shard.
+"""
+
+import math
+import zlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+
+from hawthornpier.fleet._writer import ProcessCard
+
+# An owner contacts this many workers per processor core of its host itself.
+# With more, relays do.
+_DIRECT_WORKERS_PER_CORE = 60
+# A relay serves about this many workers.
+_WORKERS_PER_RELAY = 12
+# Further relays that are ready to replace one of a failure domain.
+_SPARE_RELAYS = 1
+_HASH_RANGE = 2**32
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class WorkerPlace:
+    """
+    A worker and its failure domain.
+    """
+
+    worker_id: str
+    failure_domain: str
+
+
+def needs_relays(worker_count: int, processor_cores: float) -> bool:
+    """
+    Return whether the owner needs relays for its workers.
+
+    It answers installations in which requests to the workers would take most
+    of the owner's processor time or of its network link.
+
+    Args:
+        worker_count: The number of workers of the shard.
+        processor_cores: The cores of the owner's host.
+    """
+    return worker_count > processor_cores * _DIRECT_WORKERS_PER_CORE
+
+
+def assign_relays(
+    workers: Iterable[WorkerPlace],
+    cards: Iterable[ProcessCard],
+    *,
+    own_address: str,
+) -> dict[str, tuple[str, ...]]:
+    """
+    Return the addresses of the relays for each worker, preferred ones first.
+
+    The relays of a worker are in its failure domain if there are any, else in
+    any.  Hosts with more processors are chosen more often.  When one process
+    comes or goes, only the workers that it serves change their relay.
+
+    Args:
+        workers: All workers of the shard.
+        cards: The entry processes.
+        own_address: The address of the owner, which is no relay.
+    """
+    others = [card for card in cards if card.address != own_address]
+    by_domain: dict[str, list[WorkerPlace]] = {}
+    for worker in workers:
+        by_domain.setdefault(worker.failure_domain, []).append(worker)
+    assigned: dict[str, tuple[str, ...]] = {}
+    for domain, places in by_domain.items():
+        near = [card for card in others if card.failure_domain == domain]
+        count = math.ceil(len(places) / _WORKERS_PER_RELAY) + _SPARE_RELAYS
+        relays = _ranked(near or others, domain)[:count]
+        for place in places:
+            assigned[place.worker_id] = tuple(
+                card.address for card in _ranked(relays, place.worker_id)
+            )
+    return assigned
+
+
+def _ranked(cards: Sequence[ProcessCard], key: str) -> list[ProcessCard]:
+    """
+    Return processes by weighted rendezvous hashing for a key.
+    """
+    return sorted(cards, key=lambda card: _score(card, key))
+
+
+def _score(card: ProcessCard, key: str) -> float:
+    digest = zlib.crc32(f'{key}|{card.address}'.encode())
+    fraction = (digest + 1) / (_HASH_RANGE + 1)
+    return -math.log(fraction) / max(card.processor_cores, 0.01)
--- a/src/hawthornpier/platform/_run.py
+++ b/src/hawthornpier/platform/_run.py
@@ -24,6 +24,7 @@
     HttpFleetPeer,
     OwnershipTimings,
     WorkerTimings,
+    connect_relay,
     peer_routes,
 )
 from hawthornpier.platform import _handlers, _records
@@ -72,6 +73,7 @@
                 worker_timings=WorkerTimings(lease_ms=lease_ms),
                 ownership_timings=OwnershipTimings(),
                 dial_peer=HttpFleetPeer,
+                connect_relay=connect_relay,
                 rng=random.SystemRandom(),
                 registry_table=_records.REGISTRY_TABLE,
             ),
--- a/src/hawthornpier/ports/__init__.py
+++ b/src/hawthornpier/ports/__init__.py
@@ -2,6 +2,7 @@
 Interfaces to the platform, the workers, the peers and the clock.
 """
 
+from hawthornpier.ports._active_time import ActiveTime
 from hawthornpier.ports._errors import (
     PeerError,
     PeerRefusedError,
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    'ActiveTime',
     'Clock',
     'EventSink',
     'HostList',
--- a/src/hawthornpier/coordination/_active_time.py
+++ b/src/hawthornpier/ports/_active_time.py
@@ -2,7 +2,7 @@
 Monotonic time that excludes pauses of this process.
 """
 
-from hawthornpier.ports import Clock
+from hawthornpier.ports._protocols import Clock
 
 
 class ActiveTime:
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -170,6 +170,56 @@
         return call
 
 
+class LocalRelaySocket:
+    """
+    An owner's connection to a relay in the same event loop.
+
+    Nothing passes while one of the processes is partitioned or the relay is
+    frozen; what was sent then arrives afterwards.
+    """
+
+    def __init__(self, world, origin, address):
+        self._world = world
+        self._origin = origin
+        self._relay = world.nodes[address]
+        self._inbox = asyncio.Queue()
+        self._session = self._relay.open_relay(self._inbox.put_nowait)
+        self._outbox = asyncio.Queue()
+        self._pump = asyncio.ensure_future(self._deliver())
+
+    def send(self, content):
+        self._outbox.put_nowait(content)
+
+    async def receive(self):
+        while True:
+            if self._relay.is_dead:
+                return None
+            if self._is_blocked or self._inbox.empty():
+                await asyncio.sleep(0.005)
+                continue
+            return self._inbox.get_nowait()
+
+    def close(self):
+        self._pump.cancel()
+        self._session.close()
+
+    @property
+    def _is_blocked(self):
+        return (
+            self._relay.is_frozen
+            or self._relay.is_partitioned
+            or self._origin.is_partitioned
+        )
+
+    async def _deliver(self):
+        while True:
+            content = await self._outbox.get()
+            await asyncio.sleep(0.001)
+            while self._is_blocked:
+                await asyncio.sleep(0.005)
+            self._session.receive(content)
+
+
 class Node(fleet.FleetNode):
     """
     An entry process that can be killed or partitioned from its peers.
@@ -177,14 +227,17 @@
 
     is_dead = False
     is_partitioned = False
+    is_frozen = False
 
 
 class World:
     """
     A simulated installation: entry processes, store and workers.
+
+    *cores* is the size of each host; the owner uses relays if it is small.
     """
 
-    def __init__(self, *, node_count=3, worker_count=4, seed=1):
+    def __init__(self, *, node_count=3, worker_count=4, seed=1, cores=1):
         self.clock = VirtualClock()
         # After how long a call to a peer that does not respond fails.
         self.peer_timeout_s = 0.4
@@ -202,7 +255,7 @@
             self.add_worker(f'w{number}')
         self.configure(1)
         for number in range(node_count):
-            self.start_node(f'n{number}')
+            self.start_node(f'n{number}', cores=cores)
         self._spawn(self._send_heartbeats())
 
     def add_worker(self, worker_id, **options):
@@ -258,6 +311,9 @@
             dial_peer=lambda card: LocalPeer(self, node_box[0], card),
             rng=random.Random(self.rng.random()),
             registry_table=REGISTRY,
+            connect_relay=lambda address: self._connect_relay(
+                node_box[0], address
+            ),
         )
         node = Node(
             context,
@@ -280,6 +336,13 @@
         node.start()
         return node
 
+    async def _connect_relay(self, origin, address):
+        await asyncio.sleep(0.001)
+        relay = self.nodes.get(address)
+        if relay is None or relay.is_dead or relay.is_frozen:
+            raise PeerUnreachableError('refused')
+        return LocalRelaySocket(self, origin, address)
+
     def kill(self, node):
         """
         Terminate a process without a handover.
--- /dev/null
+++ b/tests/test_fleet_relays.py
@@ -0,0 +1,446 @@
+"""
+Tests of the relays between the owner of a shard and its workers.
+"""
+
+import asyncio
+
+import msgspec
+import pytest
+from fake_store import virtual_tests
+from fleet_world import World
+from hypothesis import given
+from hypothesis import strategies as st
+from virtual_time import VirtualClock, run_virtual
+
+from hawthornpier.events import DecisionLog
+from hawthornpier.fleet import (
+    OrderReply,
+    ProcessCard,
+    StartOrder,
+    Verdict,
+    WorkerEntry,
+)
+from hawthornpier.fleet._relay_assignment import (
+    WorkerPlace,
+    assign_relays,
+    needs_relays,
+)
+from hawthornpier.fleet._relay_channel import RelayChannel
+from hawthornpier.fleet._relay_messages import (
+    AnswerBatch,
+    Call,
+    CallBatch,
+    Contact,
+)
+from hawthornpier.fleet._relay_session import RelaySession
+from hawthornpier.fleet._transit import TransitMeter
+from hawthornpier.ports import WorkerReplyLostError, WorkerUnreachableError
+from hawthornpier.steps import JobPhase, StepPlan
+
+# So small that the owner of a few workers needs relays.
+SMALL_CORES = 0.02
+ENTRY = WorkerEntry(
+    worker_id='w0',
+    service='desk',
+    address='w0',
+    failure_domain='z',
+    processor_millis=8_000,
+    memory_mb=64_000,
+    accelerator_count=0,
+    incarnation_ms=1,
+)
+ORDER = StartOrder(
+    task_key='a.0.0.0',
+    attempt=1,
+    payload='',
+    epoch=1,
+    deadline_clock_ms=5_000,
+)
+
+
+def cards(count, domain='z', cores=1.0):
+    return [
+        ProcessCard(
+            process_id=f'{domain}{number}',
+            address=f'{domain}{number}',
+            failure_domain=domain,
+            processor_cores=cores,
+        )
+        for number in range(count)
+    ]
+
+
+def places(count, domain='z'):
+    return [
+        WorkerPlace(worker_id=f'{domain}-w{number}', failure_domain=domain)
+        for number in range(count)
+    ]
+
+
+class RecordingWorker:
+    """
+    A worker client that accepts every start and records it.
+    """
+
+    def __init__(self):
+        self.started = []
+        self.is_closed = False
+
+    async def start(self, order):
+        self.started.append(order.task_key)
+        return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=7)
+
+    def close(self):
+        self.is_closed = True
+
+
+class Session:
+    """
+    A relay session with one worker, and what it sends to the owner.
+    """
+
+    def __init__(self):
+        self.worker = RecordingWorker()
+        self.sent = []
+        self.session = RelaySession(
+            lambda entry: self.worker,
+            self.sent.append,
+            clock=VirtualClock(),
+            log=DecisionLog('relay', lines_per_s=10**6),
+            is_leaving=lambda: False,
+        )
+
+    def deliver(self, sent_ms, number=1):
+        batch = CallBatch(
+            sent_ms=sent_ms,
+            calls=(Call(number=number, contact=5, request=ORDER),),
+            contacts=(
+                Contact(
+                    number=5,
+                    worker_id='w0',
+                    service='desk',
+                    address='w0',
+                    incarnation_ms=1,
+                ),
+            ),
+        )
+        self.session.receive(msgspec.json.encode(batch))
+
+    def answers(self):
+        batches = [
+            msgspec.json.decode(each, type=AnswerBatch) for each in self.sent
+        ]
+        return [answer for batch in batches for answer in batch.answers]
+
+    def finish(self):
+        self.session.close()
+
+
+class QuietSocket:
+    """
+    A connection on which nothing arrives unless the test adds it.
+    """
+
+    def __init__(self):
+        self.sent = []
+        self.inbox = asyncio.Queue()
+
+    def send(self, content):
+        self.sent.append(content)
+
+    async def receive(self):
+        return await self.inbox.get()
+
+    def close(self):
+        """
+        Do nothing, as there is no connection.
+        """
+
+
+class TestAssignment:
+    """
+    Which relays serve a worker.
+    """
+
+    def test_a_small_installation_needs_none(self):
+        """
+        Guards against relays that only add a hop and a point of failure.
+        """
+        assert not needs_relays(24, 0.43)
+        assert needs_relays(270, 2.15)
+
+    def test_workers_are_served_from_their_failure_domain(self):
+        """
+        Guards against requests that cross the link between two regions twice.
+        """
+        assigned = assign_relays(
+            [*places(30, 'a'), *places(30, 'b')],
+            [*cards(9, 'a'), *cards(9, 'b')],
+            own_address='a0',
+        )
+        assert all(
+            address[0] == worker_id[0]
+            for worker_id, addresses in assigned.items()
+            for address in addresses
+        )
+
+    def test_a_domain_without_processes_is_served_by_others(self):
+        """
+        Guards against workers without a relay.
+        """
+        assigned = assign_relays(
+            places(20, 'c'), cards(5, 'a'), own_address='a0'
+        )
+        assert all(assigned.values())
+
+    def test_the_owner_is_no_relay(self):
+        """
+        Guards against load that stays on the owner.
+        """
+        assigned = assign_relays(places(40), cards(6), own_address='z3')
+        assert all('z3' not in relays for relays in assigned.values())
+
+    def test_the_end_of_a_process_moves_only_its_workers(self):
+        """
+        Guards against all connections moving when one process ends.
+        """
+        before = assign_relays(places(60), cards(8), own_address='x')
+        ended = before['z-w0'][0]
+        rest = [card for card in cards(8) if card.address != ended]
+        after = assign_relays(places(60), rest, own_address='x')
+        moved = [
+            worker_id
+            for worker_id, relays in before.items()
+            if relays[0] != ended and relays[0] != after[worker_id][0]
+        ]
+        # The process that replaces the ended one gets its share of workers.
+        assert len(moved) < 60 / 3
+
+
+@virtual_tests(Session)
+class TestRelaySession:
+    """
+    A relay carries out the calls of an owner that still counts on them.
+    """
+
+    async def test_a_call_is_answered(self, subject):
+        """
+        Guards against replies that do not reach the owner.
+        """
+        subject.deliver(sent_ms=0)
+        await asyncio.sleep(0.1)
+        reply = OrderReply(verdict=Verdict.ACCEPTED, clock_ms=7)
+        assert [answer.result for answer in subject.answers()] == [reply]
+
+    async def test_delayed_calls_are_not_sent(self, subject):
+        """
+        Guards against a paused relay that acts on outdated orders.
+
+        The second batch was sent two seconds before the relay reads it.
+        """
+        subject.deliver(sent_ms=0)
+        await asyncio.sleep(4)
+        subject.deliver(sent_ms=2_000, number=2)
+        await asyncio.sleep(0.1)
+        late = [each for each in subject.answers() if each.number == 2]
+        assert [answer.result.is_sent for answer in late] == [False]
+        assert len(subject.worker.started) == 1
+
+    async def test_an_idle_relay_shows_that_it_is_alive(self, subject):
+        """
+        Guards against an owner that gives up a relay without calls.
+        """
+        await asyncio.sleep(1)
+        assert len(subject.sent) >= 5
+
+
+class TestUnreadableBatches:
+    """
+    A malformed batch is rejected as such, and not with another error.
+    """
+
+    @given(content=st.binary(max_size=80))
+    def test_any_content(self, content):
+        """
+        Guards against one malformed message that ends a process.
+        """
+
+        async def scenario():
+            subject = Session()
+            try:
+                subject.session.receive(content)
+            except msgspec.DecodeError:
+                pass
+            finally:
+                subject.finish()
+
+        run_virtual(scenario())
+
+
+class TestRelayChannel:
+    """
+    The owner's end of a connection detects a relay that does not respond.
+    """
+
+    def test_a_silent_relay_is_given_up(self):
+        """
+        Guards against leases that lapse behind a frozen relay.
+        """
+
+        async def scenario():
+            channel = RelayChannel(QuietSocket(), VirtualClock())
+            end = asyncio.ensure_future(channel.run())
+            call = asyncio.ensure_future(channel.call(ENTRY, ORDER, 5_000))
+            await asyncio.sleep(1.0)
+            with pytest.raises(WorkerReplyLostError):
+                await call
+            assert 'not respond' in await end
+
+        run_virtual(scenario())
+
+    def test_calls_on_an_ended_connection_are_not_sent(self):
+        """
+        Guards against a task that waits because its start counts as sent.
+        """
+
+        async def scenario():
+            socket = QuietSocket()
+            channel = RelayChannel(socket, VirtualClock())
+            socket.inbox.put_nowait(None)
+            await channel.run()
+            with pytest.raises(WorkerUnreachableError):
+                await channel.call(ENTRY, ORDER, 5_000)
+
+        run_virtual(scenario())
+
+    def test_own_pause_is_not_held_against_the_relay(self):
+        """
+        Guards against an owner that was paused and then gives up its relays.
+
+        The clock jumps by ten seconds, as after a pause of the process.
+        """
+
+        async def scenario():
+            clock = JumpingClock()
+            channel = RelayChannel(QuietSocket(), clock)
+            end = asyncio.ensure_future(channel.run())
+            call = asyncio.ensure_future(channel.call(ENTRY, ORDER, 2_000))
+            await asyncio.sleep(0.2)
+            clock.jump_ms = 10_000
+            await asyncio.sleep(0.2)
+            assert not end.done()
+            assert not call.done()
+            end.cancel()
+            await asyncio.gather(end, call, return_exceptions=True)
+
+        run_virtual(scenario())
+
+
+class JumpingClock(VirtualClock):
+    """
+    A clock that a test can advance, as the end of a pause does.
+    """
+
+    jump_ms = 0
+
+    def monotonic_ms(self):
+        return super().monotonic_ms() + self.jump_ms
+
+
+class TestTransit:
+    """
+    The delay of messages between processes with different clocks.
+    """
+
+    def test_delay_beyond_the_shortest(self):
+        """
+        Guards against clocks of different origin counted as a delay.
+        """
+        meter = TransitMeter()
+        assert meter.delay_ms(100, 90_000) == 0
+        assert meter.delay_ms(200, 90_900) == 800
+        assert meter.delay_ms(300, 90_190) == 0
+
+
+@virtual_tests(World)
+class TestRelayFaults:
+    """
+    Tasks keep running while relays end, freeze or are partitioned.
+    """
+
+    options = {'cores': SMALL_CORES, 'node_count': 4, 'worker_count': 6}
+
+    async def test_jobs_run_through_relays(self, world):
+        """
+        Guards against an owner that contacts all workers itself.
+        """
+        await self._begin(world)
+        plan = world.plan(StepPlan(task_count=12, processor_millis=1_000))
+        await world.any_node().entry.submit(plan)
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.has_logged('relay_connected')
+        assert world.checker.started_count == 12
+
+    async def test_the_end_of_relays_loses_no_run(self, world):
+        """
+        Guards against runs that are started again because a relay ended.
+        """
+        plan = await self._begin_long_job(world)
+        for relay in self._relays(world)[:2]:
+            world.kill(relay)
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 12
+
+    async def test_frozen_relays_lose_no_run(self, world):
+        """
+        Guards against running work that is given up because a relay is slow.
+        """
+        plan = await self._begin_long_job(world)
+        for relay in self._relays(world):
+            relay.is_frozen = True
+        await world.run_for(2_500)
+        for relay in self._relays(world):
+            relay.is_frozen = False
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 12
+
+    async def test_starts_through_a_frozen_relay_run_once(self, world):
+        """
+        Guards against a task that runs twice: elsewhere and by a late start.
+        """
+        await self._begin(world)
+        relays = self._relays(world)
+        relays[0].is_frozen = True
+        plan = world.plan(StepPlan(task_count=12, processor_millis=1_000))
+        await world.owner().entry.submit(plan)
+        await world.run_for(3_000)
+        relays[0].is_frozen = False
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+
+    async def test_a_change_of_the_owner_loses_no_run(self, world):
+        """
+        Guards against runs of the previous owner that are started again.
+        """
+        plan = await self._begin_long_job(world)
+        world.kill(world.owner())
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 12
+
+    async def _begin(self, world):
+        await world.run_for(3_000)
+        assert world.owner() is not None
+
+    async def _begin_long_job(self, world):
+        await self._begin(world)
+        plan = world.plan(
+            StepPlan(task_count=12, processor_millis=1_000),
+            work_ms=8_000,
+        )
+        await world.any_node().entry.submit(plan)
+        await world.run_for(600)
+        assert len(world.checker.running) == 12
+        return plan
+
+    def _relays(self, world):
+        owner = world.owner()
+        return [each for each in world.nodes.values() if each is not owner]
