Report no handover before the shard is loaded; keep parts of a process apart

Cause: an owner that had claimed the shard but not loaded it answered the request of the next owner with an empty handover, which means that no worker runs anything. Also, an unreadable row or an unexpected error in one background task ended the process, and its successors one after the other. Change: no handover from an owner that has not loaded; the next one waits for listings. Parts of a process, and the links to workers, are logged and run again after an error; an unreadable list of workers means that all may have runs. The registry and the context of the owner are modules of their own. Ruled out: the time limit for unlisted workers (7.6 s), which had not passed.

--- a/src/hawthornpier/fleet/_errors.py
+++ b/src/hawthornpier/fleet/_errors.py
@@ -2,6 +2,8 @@
 Errors of the fleet scheduler.
 """
 
+import traceback
+
 from hawthornpier.errors import HawthornpierError
 
 
@@ -41,3 +43,10 @@
     """
     No job with the requested id exists.
     """
+
+
+def error_text(error: BaseException) -> str:
+    """
+    Return the traceback of an unexpected error, for the log.
+    """
+    return ''.join(traceback.format_exception(error))
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -3,8 +3,9 @@
 """
 
 import asyncio
-import traceback
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
+from typing import Any
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._configuration import Configuration
@@ -12,8 +13,10 @@
     ConfigurationSource,
     ConfigurationWatch,
 )
+from hawthornpier.fleet._context import FleetContext
 from hawthornpier.fleet._entry import JobEntry
-from hawthornpier.fleet._owner import FleetContext, ShardOwner
+from hawthornpier.fleet._errors import error_text
+from hawthornpier.fleet._owner import ShardOwner
 from hawthornpier.fleet._ownership import Ownership
 from hawthornpier.fleet._peer_port import (
     ConfigurationReply,
@@ -40,6 +43,8 @@
 # host becomes the owner.  The delay grows towards this limit the fewer cores a
 # host has in comparison with the largest one.
 _MAX_SMALL_HOST_DELAY_MS = 1_000.0
+# After an unexpected error, a part of the process is run again after this time.
+_PART_RESTART_MS = 300.0
 _PRESENCE_WAIT_MS = 1_500
 _PRESENCE_RETRY_MS = 120
 # If the store does not complete the release of the shard in this time, the
@@ -162,13 +167,13 @@
         """
         Start the background tasks.
         """
-        coroutines = (
-            self._configuration.run(),
-            self._process_directory.run(),
-            self._run_ownership(),
-            self._monitor_owner(),
+        parts = (
+            self._configuration.run,
+            self._process_directory.run,
+            self._run_ownership,
+            self._monitor_owner,
         )
-        self._tasks = [asyncio.ensure_future(each) for each in coroutines]
+        self._tasks = [asyncio.ensure_future(self._keep(run)) for run in parts]
 
     async def wait_failed(self) -> None:
         """
@@ -182,10 +187,22 @@
         )
         for task in done:
             error = None if task.cancelled() else task.exception()
-            self.log.record(
-                'task_failed',
-                why=''.join(traceback.format_exception(error)),
-            )
+            why = '' if error is None else error_text(error)
+            self.log.record('task_failed', why=why)
+
+    async def _keep(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """
+        Run a part of this process, and again after an unexpected error.
+
+        An error in one part, for instance from an unreadable row, would
+        otherwise end the process, and then its successors one by one.
+        """
+        while True:
+            try:
+                await run()
+            except Exception as error:
+                self.log.record('part_failed', why=error_text(error))
+            await self.clock.sleep_ms(_PART_RESTART_MS)
 
     async def leave(self) -> None:
         """
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -3,55 +3,36 @@
 """
 
 import asyncio
-import random
 from collections.abc import Coroutine
-from dataclasses import dataclass
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
-from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._commits import (
     EFFECTS_KEY,
     FLEET_KEY,
     FLEET_TABLE,
     Committer,
 )
-from hawthornpier.fleet._errors import HistoryGoneError, ShardLostError
+from hawthornpier.fleet._context import FleetContext
+from hawthornpier.fleet._errors import ShardLostError
 from hawthornpier.fleet._handover import build_handover, request_handover
-from hawthornpier.fleet._intake import Intake, read_all_rows
-from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._intake import Intake
 from hawthornpier.fleet._pass_gap import pass_gap_ms
-from hawthornpier.fleet._peer_port import Handover, PeerDialer
+from hawthornpier.fleet._peer_port import Handover
 from hawthornpier.fleet._ports import (
-    RecordStore,
-    RowDecoder,
-    WorkerDialer,
     WorkerEntry,
 )
-from hawthornpier.fleet._relay_assignment import WorkerPlace
-from hawthornpier.fleet._relay_pool import RelayConnector, RelayPool
+from hawthornpier.fleet._relay_pool import RelayPool
 from hawthornpier.fleet._scheduler import Scheduler
 from hawthornpier.fleet._shard import Shard
-from hawthornpier.fleet._timings import (
-    OwnershipTimings,
-    PlatformBounds,
-    WorkerTimings,
-)
-from hawthornpier.fleet._worker_link import WorkerLink
-from hawthornpier.fleet._worker_state import WorkerState
-from hawthornpier.fleet._writer import ShardWriter
-from hawthornpier.ports import Clock, StoreError
-from hawthornpier.steps import RunOutcome, RunPhase
+from hawthornpier.fleet._worker_registry import WorkerRegistry
+from hawthornpier.fleet._writer import RowKey, ShardWriter
+from hawthornpier.ports import StoreError
 
-# A worker counts as deregistered if its entry has been missing for this long.
-# Entries that expired during an outage of the store reappear within two seconds
-# after the outage.
-_MISSING_ENTRY_GRACE_MS = 2_500.0
 # Entry processes notify the owner of accepted jobs; polling the store finds
 # jobs whose notification was lost.
 _INTAKE_POLL_INTERVAL_MS = 400
-_REGISTRY_POLL_INTERVAL_MS = 600
 # Longest time between two scheduling passes.
 _PASS_INTERVAL_MS = 100
 _RETRY_MS = 150
@@ -61,25 +42,11 @@
 _RETENTION_FACTOR = 1.25
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class FleetContext:
-    """
-    Dependencies and settings shared by the scheduler's parts in a process.
-    """
-
-    store: RecordStore
-    decoder: RowDecoder
-    dial: WorkerDialer
-    clock: Clock
-    log: DecisionLog
-    bounds: PlatformBounds
-    worker_timings: WorkerTimings
-    ownership_timings: OwnershipTimings
-    dial_peer: PeerDialer
-    rng: random.Random
-    registry_table: str
-    # Opens connections to relays; None if owners contact all workers directly.
-    connect_relay: RelayConnector | None = None
+_Rows = TypeVar('_Rows')
+# Id, address, service and incarnation of each worker.
+_WorkerRows = list[tuple[str, str, str, int]]
+# Two images, and the mean and variance of the effect of one on the other.
+_EffectRows = list[tuple[str, str, float, float]]
 
 
 class ShardOwner:
@@ -109,7 +76,6 @@
         self._context = context
         self._relays = relays
         self._predecessor = writer.predecessor
-        self._listings = ListingReconciler(self.shard)
         self._intake = Intake(context.store, self.shard, context.log)
         self._committer = Committer(
             self.shard,
@@ -121,11 +87,6 @@
             bounds=context.bounds,
             timings=context.worker_timings,
         )
-        self._links: dict[str, asyncio.Task[None]] = {}
-        self._missing_since_ms: dict[str, float] = {}
-        self._registry_version: int | None = None
-        self._registry_read_ms: float = 0
-        self._group: asyncio.TaskGroup | None = None
 
     async def run(self) -> None:
         """
@@ -133,8 +94,9 @@
         """
         try:
             async with asyncio.TaskGroup() as group:
-                self._group = group
-                await self._load()
+                registry = self._open_registry(group)
+                await self._load(registry)
+                group.create_task(registry.run())
                 group.create_task(
                     request_handover(
                         self.shard,
@@ -145,7 +107,9 @@
                 for coroutine in self._background_tasks():
                     group.create_task(coroutine)
                 if self._relays is not None:
-                    group.create_task(self._relays.run(self._worker_places))
+                    group.create_task(
+                        self._relays.run(registry.worker_places),
+                    )
                 await self.shard.deposed.wait()
                 raise ShardLostError(
                     'shard was handed over or a worker rejected the epoch'
@@ -157,8 +121,6 @@
                 epoch=self.shard.epoch,
                 why=str(errors.exceptions[0]),
             )
-        finally:
-            self._group = None
 
     async def release(self, timeout_ms: float) -> bool:
         """
@@ -180,25 +142,19 @@
             return False
         return True
 
+    def _open_registry(self, group: asyncio.TaskGroup) -> WorkerRegistry:
+        dial = self._relays.dial if self._relays else self._context.dial
+        return WorkerRegistry(self.shard, self._context, dial, group)
+
     def _background_tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
         return (
             self._committer.run(),
             self._schedule_forever(),
             self._poll_intake(),
-            self._poll_registry(),
             self._remove_expired_jobs(),
         )
 
-    def _worker_places(self) -> list[WorkerPlace]:
-        return [
-            WorkerPlace(
-                worker_id=worker.worker_id,
-                failure_domain=worker.entry.failure_domain,
-            )
-            for worker in self.shard.workers.values()
-        ]
-
-    async def _load(self) -> None:
+    async def _load(self, registry: WorkerRegistry) -> None:
         """
         Load the state from the store and connect to all workers.
         """
@@ -207,8 +163,8 @@
                 # Jobs are loaded before any worker is connected, because
                 # workers list ended runs, which are applied to their jobs.
                 await self._intake.load()
-                await self._load_fleet_rows()
-                await self._read_registry()
+                await self._load_fleet_rows(registry)
+                await registry.read()
             except StoreError as error:
                 self._context.log.record('load_failed', why=str(error))
                 await self._context.clock.sleep_ms(_RETRY_MS)
@@ -223,13 +179,18 @@
             workers=len(self.shard.workers),
         )
 
-    def handover(self) -> Handover:
+    def handover(self) -> Handover | None:
         """
         Return the handover for the next owner.
+
+        Returns:
+            None if this owner has not loaded the shard.  It then does not know
+            the runs of earlier owners, so that the next owner must not
+            conclude that there are none.
         """
-        return build_handover(self.shard)
+        return build_handover(self.shard) if self.is_loaded else None
 
-    async def _load_fleet_rows(self) -> None:
+    async def _load_fleet_rows(self, registry: WorkerRegistry) -> None:
         """
         Load the rows about workers that the previous owner wrote.
 
@@ -238,17 +199,12 @@
         """
         page = await self._context.store.read(FLEET_TABLE, self.shard.name)
         rows = {row.key: row.content for row in page.rows}
-        effects = rows.get(EFFECTS_KEY[1], b'[]')
-        self.shard.interference.load(
-            msgspec.json.decode(
-                effects,
-                type=list[tuple[str, str, float, float]],
-            ),
-        )
-        recorded_workers = msgspec.json.decode(
-            rows.get(FLEET_KEY[1], b'[]'),
-            type=list[tuple[str, str, str, int]],
-        )
+        effects = self._decode_row(rows, EFFECTS_KEY, _EffectRows)
+        self.shard.interference.load(effects or [])
+        recorded_workers = self._decode_row(rows, FLEET_KEY, _WorkerRows)
+        if recorded_workers is None:
+            registry.are_all_workers_unlisted = True
+            return
         for worker_id, address, service, incarnation_ms in recorded_workers:
             entry = WorkerEntry(
                 worker_id=worker_id,
@@ -260,12 +216,28 @@
                 accelerator_count=0,
                 incarnation_ms=incarnation_ms,
             )
-            self._missing_since_ms[worker_id] = self.shard.now_ms
-            self._update_worker(entry)
-            if not self.shard.workers[worker_id].is_listed:
-                self.shard.unlisted_tasks.setdefault(worker_id, None)
+            registry.add_recorded_worker(entry)
         self._committer.restore_fleet_row(rows.get(FLEET_KEY[1], b'[]'))
 
+    def _decode_row(
+        self,
+        rows: dict[str, bytes],
+        key: RowKey,
+        kind: type[_Rows],
+    ) -> _Rows | None:
+        """
+        Return the decoded content of a row, or None if it is unreadable.
+
+        A missing row is empty.
+        """
+        try:
+            return msgspec.json.decode(rows.get(key[1], b'[]'), type=kind)
+        except msgspec.DecodeError as error:
+            self._context.log.record(
+                'fleet_row_unreadable', key=key[1], why=str(error)
+            )
+            return None
+
     async def _schedule_forever(self) -> None:
         shard = self.shard
         while True:
@@ -304,147 +276,3 @@
                 # The progress is removed after the job's intake row.  In the
                 # other order, a crash in between would run the job again.
                 self.shard.remove_job(job_id)
-
-    async def _poll_registry(self) -> None:
-        while True:
-            await self._context.clock.sleep_ms(_REGISTRY_POLL_INTERVAL_MS)
-            try:
-                await self._poll_registry_once()
-            except StoreError:
-                # Entries may expire while the store is unavailable, so the
-                # time for which they have been missing starts anew.
-                self._missing_since_ms = {}
-            self._remove_departed_workers()
-
-    async def _poll_registry_once(self) -> None:
-        if self._registry_version is None:
-            await self._read_registry()
-            return
-        try:
-            page = await self._context.store.changes(
-                self._context.registry_table,
-                after_version=self._registry_version,
-                wait_ms=0,
-            )
-        except HistoryGoneError:
-            await self._read_registry()
-            return
-        self._registry_version = page.version
-        for row in page.rows:
-            if row.is_deleted:
-                self._missing_since_ms.setdefault(row.key, self.shard.now_ms)
-        for entry in self._context.decoder.workers(page.rows):
-            self._update_worker(entry)
-            self._missing_since_ms.pop(entry.worker_id, None)
-
-    async def _read_registry(self) -> None:
-        page = await read_all_rows(
-            self._context.store,
-            self._context.registry_table,
-            '',
-        )
-        self._registry_version = page.version
-        registered_ids = set()
-        for entry in self._context.decoder.workers(page.rows):
-            registered_ids.add(entry.worker_id)
-            self._update_worker(entry)
-            self._missing_since_ms.pop(entry.worker_id, None)
-        for worker_id in self.shard.workers:
-            if worker_id not in registered_ids:
-                self._missing_since_ms.setdefault(
-                    worker_id,
-                    self.shard.now_ms,
-                )
-
-    def _update_worker(self, entry: WorkerEntry) -> None:
-        worker = self.shard.workers.get(entry.worker_id)
-        if worker is None:
-            worker = WorkerState(entry)
-            self.shard.workers[entry.worker_id] = worker
-            self._start_link(worker)
-            return
-        worker.is_deregistered = False
-        if entry.incarnation_ms > worker.entry.incarnation_ms:
-            self._begin_incarnation(worker, entry)
-        elif entry.incarnation_ms == worker.entry.incarnation_ms:
-            if entry.is_draining and not worker.entry.is_draining:
-                self._context.log.record(
-                    'worker_draining',
-                    worker=entry.worker_id,
-                    remaining_ms=entry.remaining_ms,
-                    runs=len(worker.runs),
-                )
-            worker.entry = entry
-            if entry.worker_id not in self._links:
-                self._start_link(worker)
-
-    def _begin_incarnation(
-        self, worker: WorkerState, entry: WorkerEntry
-    ) -> None:
-        self._context.log.record(
-            'worker_reborn',
-            worker=entry.worker_id,
-            incarnation=entry.incarnation_ms,
-            runs=len(worker.runs),
-        )
-        for run in list(worker.runs.values()):
-            if not run.has_unacknowledged_order:
-                self.shard.end_run(run, RunOutcome.LOST)
-        uncertain_runs = worker.begin_incarnation(entry)
-        self._stop_link(worker.worker_id)
-        self._start_link(worker)
-        for uncertain_run in uncertain_runs:
-            # The new incarnation may still execute a start order that was
-            # sent to the previous one, so the run is stopped explicitly.
-            uncertain_run.phase = RunPhase.STARTING
-            worker.charge(uncertain_run)
-            self.shard.stop_run(
-                uncertain_run,
-                'start not acknowledged before the worker restarted',
-            )
-
-    def _start_link(self, worker: WorkerState) -> None:
-        if self._group is None:
-            return
-        dial = self._relays.dial if self._relays else self._context.dial
-        link = WorkerLink(
-            worker,
-            dial(worker.entry),
-            shard=self.shard,
-            listings=self._listings,
-            timings=self._context.worker_timings,
-        )
-        self._links[worker.worker_id] = self._group.create_task(link.run())
-
-    def _stop_link(self, worker_id: str) -> None:
-        task = self._links.pop(worker_id, None)
-        if task is not None:
-            task.cancel()
-
-    def _remove_departed_workers(self) -> None:
-        """
-        Remove workers that are deregistered, unresponsive and without runs.
-
-        Their leases must have expired, so that no run can still be executing.
-        """
-        now_ms = self.shard.now_ms
-        for worker_id, since_ms in list(self._missing_since_ms.items()):
-            worker = self.shard.workers.get(worker_id)
-            if worker is None:
-                self._missing_since_ms.pop(worker_id)
-                continue
-            if now_ms - since_ms < _MISSING_ENTRY_GRACE_MS:
-                continue
-            worker.is_deregistered = True
-            lease_expiry_ms = worker.lease_expiry_ms(
-                self._context.worker_timings
-            )
-            if (
-                worker.is_unresponsive
-                and not worker.runs
-                and now_ms > lease_expiry_ms
-            ):
-                self._stop_link(worker_id)
-                self.shard.workers.pop(worker_id)
-                self.shard.interference.forget_worker(worker_id)
-                self._context.log.record('worker_gone', worker=worker_id)
--- a/src/hawthornpier/fleet/_placement.py
+++ b/src/hawthornpier/fleet/_placement.py
@@ -264,7 +264,7 @@
             worker.worker_id: index
             for index, worker in enumerate(self._workers)
         }
-        for index in range(len(self._workers)):
+        for index in self._indexes.values():
             self._add(index)
         self._placed_index: int | None = None
 
--- a/src/hawthornpier/fleet/_relay_channel.py
+++ b/src/hawthornpier/fleet/_relay_channel.py
@@ -245,12 +245,11 @@
     future: 'asyncio.Future[WorkerListing | OrderReply]',
     reply: WorkerListing | OrderReply | Failure,
 ) -> None:
-    if not isinstance(reply, Failure):
-        future.set_result(reply)
-    elif reply.is_sent:
-        _fail(future, reply.why)
+    if isinstance(reply, Failure):
+        kind = WorkerReplyLostError if reply.is_sent else WorkerUnreachableError
+        _fail(future, reply.why, kind)
     else:
-        _fail(future, reply.why, WorkerUnreachableError)
+        future.set_result(reply)
 
 
 def _fail(
--- a/src/hawthornpier/fleet/_relay_session.py
+++ b/src/hawthornpier/fleet/_relay_session.py
@@ -167,11 +167,11 @@
 
     def _flush(self) -> None:
         self._has_answers.clear()
-        answers, self._answers = self._answers, []
         batch = AnswerBatch(
-            answers=tuple(answers),
+            answers=tuple(self._answers),
             is_leaving=self._is_leaving(),
         )
+        self._answers = []
         self._send(msgspec.json.encode(batch))
 
     def _close_client(self, number: int) -> None:
--- a/src/hawthornpier/fleet/_relay_socket.py
+++ b/src/hawthornpier/fleet/_relay_socket.py
@@ -23,6 +23,13 @@
 
 RELAY_PATH = f'{PEER_PREFIX}/relay'
 _CONNECT_TIMEOUT_S = 0.5
+_CONNECT_ERRORS = (
+    OSError,
+    HTTPError,
+    StreamClosedError,
+    TimeoutError,
+    WebSocketError,
+)
 
 
 class RelayServices(Protocol):
@@ -137,13 +144,7 @@
                 f'ws://{address}{RELAY_PATH}',
                 connect_timeout=_CONNECT_TIMEOUT_S,
             )
-    except (
-        OSError,
-        HTTPError,
-        StreamClosedError,
-        TimeoutError,
-        WebSocketError,
-    ) as error:
+    except _CONNECT_ERRORS as error:
         raise PeerUnreachableError(f'{address}: {error}') from error
     return ClientSocket(connection)
 
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -111,20 +111,13 @@
         shard = self._shard
         now_ms = shard.now_ms
         wall_ms = shard.clock.wall_ms() + self._bounds.early_ms / 4
-        due = [
-            step
-            for job in shard.active_jobs()
-            for step in _due_steps(job, wall_ms)
-        ]
-        for step in due:
-            if step.ready_ms is None:
-                step.ready_ms = now_ms
-        due = [
-            step
-            for step in due
-            if step.plan.may_run_copies
-            or any(task.is_waiting for task in step.tasks)
-        ]
+        due = []
+        for job in shard.active_jobs():
+            for step in _due_steps(job, wall_ms):
+                if step.ready_ms is None:
+                    step.ready_ms = now_ms
+                if _may_start_runs(step):
+                    due.append(step)
         due.sort(
             key=lambda due_step: rank_step(
                 due_step,
@@ -231,6 +224,12 @@
     ]
 
 
+def _may_start_runs(step: Step) -> bool:
+    if step.plan.may_run_copies:
+        return True
+    return any(task.is_waiting for task in step.tasks)
+
+
 def _needs_at_least(step: Step, other: Step) -> bool:
     """
     Return whether a step certainly finds no worker because another found none.
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -70,16 +70,11 @@
     async def run(self) -> None:
         """
         Renew the lease and send orders until cancelled.
-
-        The connections are closed at the end.
         """
-        try:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(self._renew_lease_forever())
-                for _ in range(self._timings.max_concurrent_orders):
-                    group.create_task(self._execute_orders())
-        finally:
-            self._port.close()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._renew_lease_forever())
+            for _ in range(self._timings.max_concurrent_orders):
+                group.create_task(self._execute_orders())
 
     async def _renew_lease_forever(self) -> None:
         while True:
--- /dev/null
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -0,0 +1,256 @@
+"""
+The workers of a shard according to the platform's registry.
+"""
+
+import asyncio
+
+from hawthornpier.fleet._context import FleetContext
+from hawthornpier.fleet._errors import HistoryGoneError, error_text
+from hawthornpier.fleet._intake import read_all_rows
+from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._ports import FleetWorker, WorkerDialer, WorkerEntry
+from hawthornpier.fleet._relay_assignment import WorkerPlace
+from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._worker_link import WorkerLink
+from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.ports import StoreError
+from hawthornpier.steps import RunOutcome, RunPhase
+
+# A worker counts as deregistered if its entry has been missing for this long.
+# Entries that expired during an outage of the store reappear within two seconds
+# after the outage.
+_MISSING_ENTRY_GRACE_MS = 2_500.0
+_REGISTRY_POLL_INTERVAL_MS = 600
+# After an unexpected error, the requests to a worker begin anew after this
+# time.
+_LINK_RESTART_MS = 500.0
+
+
+class WorkerRegistry:
+    """
+    Adds, updates and removes the workers of a shard and their links.
+
+    Args:
+        shard: The state of the shard.
+        context: Dependencies and settings of this process.
+        dial: Creates the client of one incarnation of a worker.
+        group: The owner's background tasks, to which those of links belong.
+    """
+
+    def __init__(
+        self,
+        shard: Shard,
+        context: FleetContext,
+        dial: WorkerDialer,
+        group: asyncio.TaskGroup,
+    ) -> None:
+        self.shard = shard
+        self._context = context
+        self._dial = dial
+        self._group = group
+        self._listings = ListingReconciler(shard)
+        # Whether any worker may run tasks of the previous owner, because its
+        # list of workers is unreadable.
+        self.are_all_workers_unlisted = False
+        self._links: dict[str, asyncio.Task[None]] = {}
+        self._missing_since_ms: dict[str, float] = {}
+        self._version: int | None = None
+
+    def worker_places(self) -> list[WorkerPlace]:
+        """
+        Return the failure domains of the workers.
+        """
+        return [
+            WorkerPlace(
+                worker_id=worker.worker_id,
+                failure_domain=worker.entry.failure_domain,
+            )
+            for worker in self.shard.workers.values()
+        ]
+
+    def add_recorded_worker(self, entry: WorkerEntry) -> None:
+        """
+        Add a worker of the previous owner, which may still have runs.
+
+        The registry may no longer have an entry for it.
+        """
+        self._missing_since_ms[entry.worker_id] = self.shard.now_ms
+        self._update_worker(entry)
+        if not self.shard.workers[entry.worker_id].is_listed:
+            self.shard.unlisted_tasks.setdefault(entry.worker_id, None)
+
+    async def run(self) -> None:
+        """
+        Poll the registry until cancelled.
+        """
+        while True:
+            await self._context.clock.sleep_ms(_REGISTRY_POLL_INTERVAL_MS)
+            try:
+                await self._poll_once()
+            except StoreError:
+                # Entries may expire while the store is unavailable, so the
+                # time for which they have been missing starts anew.
+                self._missing_since_ms = {}
+            self._remove_departed_workers()
+
+    async def _poll_once(self) -> None:
+        if self._version is None:
+            await self.read()
+            return
+        try:
+            page = await self._context.store.changes(
+                self._context.registry_table,
+                after_version=self._version,
+                wait_ms=0,
+            )
+        except HistoryGoneError:
+            await self.read()
+            return
+        self._version = page.version
+        for row in page.rows:
+            if row.is_deleted:
+                self._missing_since_ms.setdefault(row.key, self.shard.now_ms)
+        for entry in self._context.decoder.workers(page.rows):
+            self._update_worker(entry)
+            self._missing_since_ms.pop(entry.worker_id, None)
+
+    async def read(self) -> None:
+        """
+        Read all entries.
+
+        Raises:
+            StoreError: The entries could not be read.
+        """
+        page = await read_all_rows(
+            self._context.store,
+            self._context.registry_table,
+            '',
+        )
+        self._version = page.version
+        registered_ids = set()
+        for entry in self._context.decoder.workers(page.rows):
+            registered_ids.add(entry.worker_id)
+            self._update_worker(entry)
+            self._missing_since_ms.pop(entry.worker_id, None)
+        for worker_id in self.shard.workers:
+            if worker_id not in registered_ids:
+                self._missing_since_ms.setdefault(
+                    worker_id,
+                    self.shard.now_ms,
+                )
+
+    def _update_worker(self, entry: WorkerEntry) -> None:
+        worker = self.shard.workers.get(entry.worker_id)
+        if worker is None:
+            worker = WorkerState(entry)
+            self.shard.workers[entry.worker_id] = worker
+            if self.are_all_workers_unlisted:
+                self.shard.unlisted_tasks.setdefault(entry.worker_id, None)
+            self._start_link(worker)
+            return
+        worker.is_deregistered = False
+        if entry.incarnation_ms > worker.entry.incarnation_ms:
+            self._begin_incarnation(worker, entry)
+        elif entry.incarnation_ms == worker.entry.incarnation_ms:
+            if entry.is_draining and not worker.entry.is_draining:
+                self._context.log.record(
+                    'worker_draining',
+                    worker=entry.worker_id,
+                    remaining_ms=entry.remaining_ms,
+                    runs=len(worker.runs),
+                )
+            worker.entry = entry
+            if entry.worker_id not in self._links:
+                self._start_link(worker)
+
+    def _begin_incarnation(
+        self, worker: WorkerState, entry: WorkerEntry
+    ) -> None:
+        self._context.log.record(
+            'worker_reborn',
+            worker=entry.worker_id,
+            incarnation=entry.incarnation_ms,
+            runs=len(worker.runs),
+        )
+        for run in list(worker.runs.values()):
+            if not run.has_unacknowledged_order:
+                self.shard.end_run(run, RunOutcome.LOST)
+        uncertain_runs = worker.begin_incarnation(entry)
+        self._stop_link(worker.worker_id)
+        self._start_link(worker)
+        for uncertain_run in uncertain_runs:
+            # The new incarnation may still execute a start order that was
+            # sent to the previous one, so the run is stopped explicitly.
+            uncertain_run.phase = RunPhase.STARTING
+            worker.charge(uncertain_run)
+            self.shard.stop_run(
+                uncertain_run,
+                'start not acknowledged before the worker restarted',
+            )
+
+    def _start_link(self, worker: WorkerState) -> None:
+        self._links[worker.worker_id] = self._group.create_task(
+            self._run_link(worker),
+        )
+
+    async def _run_link(self, worker: WorkerState) -> None:
+        client = self._dial(worker.entry)
+        try:
+            while True:
+                await self._run_link_once(worker, client)
+                await self._context.clock.sleep_ms(_LINK_RESTART_MS)
+        finally:
+            client.close()
+
+    async def _run_link_once(
+        self, worker: WorkerState, client: FleetWorker
+    ) -> None:
+        link = WorkerLink(
+            worker,
+            client,
+            shard=self.shard,
+            listings=self._listings,
+            timings=self._context.worker_timings,
+        )
+        try:
+            await link.run()
+        except Exception as error:
+            # An error that concerns one worker must not end the owner.
+            self._context.log.record(
+                'worker_link_failed',
+                worker=worker.worker_id,
+                why=error_text(error),
+            )
+
+    def _stop_link(self, worker_id: str) -> None:
+        task = self._links.pop(worker_id, None)
+        if task is not None:
+            task.cancel()
+
+    def _remove_departed_workers(self) -> None:
+        """
+        Remove workers that are deregistered, unresponsive and without runs.
+
+        Their leases must have expired, so that no run can still be executing.
+        """
+        now_ms = self.shard.now_ms
+        for worker_id, since_ms in list(self._missing_since_ms.items()):
+            worker = self.shard.workers.get(worker_id)
+            if worker is None:
+                self._missing_since_ms.pop(worker_id)
+                continue
+            if now_ms - since_ms < _MISSING_ENTRY_GRACE_MS:
+                continue
+            worker.is_deregistered = True
+            lease_expiry_ms = worker.lease_expiry_ms(
+                self._context.worker_timings
+            )
+            if (
+                worker.is_unresponsive
+                and not worker.runs
+                and now_ms > lease_expiry_ms
+            ):
+                self._stop_link(worker_id)
+                self.shard.workers.pop(worker_id)
+                self.shard.interference.forget_worker(worker_id)
+                self._context.log.record('worker_gone', worker=worker_id)
--- a/src/hawthornpier_standin/fleet/_store.py
+++ b/src/hawthornpier_standin/fleet/_store.py
@@ -68,13 +68,15 @@
         self._changed = asyncio.Event()
         self._locks: dict[str, asyncio.Lock] = {}
 
-    def put(self, table: str, key: str, content: bytes) -> None:
+    def put(
+        self, table: str, key: str, content: bytes, *, part: str = ''
+    ) -> None:
         """
         Write a row without a condition, as the operator or a worker does.
         """
         self.apply(
             RowTransaction(
-                part='',
+                part=part,
                 expected={},
                 writes={(table, key): content},
             ),
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -23,6 +23,14 @@
     }
 
 
+def claimants_of(world, *, epoch):
+    return [
+        node
+        for node in world.nodes.values()
+        if not node.is_dead and node.presence().epoch == epoch
+    ]
+
+
 @virtual_tests(World)
 class TestHandover:
     """
@@ -123,6 +131,34 @@
             limit_ms=40_000,
         )
 
+    async def test_an_owner_that_has_not_loaded_knows_no_runs(self, world):
+        """
+        Guards against a task that runs twice after two changes of the owner.
+
+        The first new owner cannot load the shard, so it does not know which
+        tasks an unreachable worker runs, and must not report that there are
+        none.
+        """
+        await started_world(world)
+        plan = world.plan(TWO_WORKERS, work_ms=9_000)
+        await world.any_node().entry.submit(plan)
+        await world.run_for(300)
+        unreachable = sorted(workers_of(world, plan))[0]
+        world.workers[unreachable].fault = WorkerFault.PARTITIONED
+        world.kill(world.owner())
+        while not (claimants := claimants_of(world, epoch=2)):
+            await world.run_for(1)
+        claimants[0].client.fault = StoreFault.REFUSE
+        await world.run_for(4_500)
+        assert claimants_of(world, epoch=3)
+        claimants[0].client.fault = StoreFault.NONE
+        world.workers[unreachable].fault = WorkerFault.NONE
+        await world.wait_phase(
+            plan.job_id,
+            JobPhase.COMPLETED,
+            limit_ms=40_000,
+        )
+
     async def test_a_drained_worker_that_left_blocks_nothing(self, world):
         """
         Guards against a new owner that waits for a worker without runs.
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -83,7 +83,7 @@
             processor_millis=rng.randrange(500, 9_000),
             memory_mb=rng.randrange(100, 9_000),
             per_worker_limit=rng.choice((0, 0, 2)),
-            is_filling=rng.random() < 0.5,
+            is_filling=rng.choice((False, True)),
         )
         for number in range(20)
     ]
@@ -121,7 +121,7 @@
         for step in random_steps(random.Random(seed)):
             ranking = placement.ranking(step, once, 0)
             for task in step.tasks:
-                if avoiding.random() < 0.2:
+                if not avoiding.randrange(5):
                     task.avoided_workers.add(f'w{avoiding.randrange(30)}')
                 chosen = ranking.choose(task)
                 expected = placement.choose(task, each, 0)
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -432,3 +432,45 @@
         await world.run_for(3_000)
         versions = {node.configuration.version for node in world.nodes.values()}
         assert versions == {8}
+
+
+@virtual_tests(World)
+class TestUnexpectedErrors:
+    """
+    An unexpected error or an unreadable row ends no process.
+    """
+
+    async def test_an_unreadable_list_of_workers(self, world):
+        """
+        Guards against processes that end one by one as they become the owner.
+
+        Nothing may be started twice either, although the new owner does not
+        know from the store which workers have runs.
+        """
+        await started_world(world)
+        plan = world.plan(LONG, work_ms=5_000)
+        await world.any_node().entry.submit(plan)
+        await world.run_for(300)
+        world.kill(world.owner())
+        world.store.put('fleet', 'workers', b'\xff{', part='s0')
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == LONG.task_count
+
+    async def test_an_error_in_a_part_of_a_process(self, world):
+        """
+        Guards against a process that ends with one of its parts.
+
+        The rows of the directory are unreadable as text, and the operator's
+        configuration raises an error that no code expects.
+        """
+        await started_world(world)
+        world.store.put('op', 'config', b'[]')
+        world.store.put('members', 'n9', b'\xff')
+        await world.run_for(2_000)
+        world.configure(3, queues=('orders', 'more'))
+        await world.run_for(3_000)
+        plan = world.plan()
+        await world.any_node().entry.submit(plan)
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        versions = {node.configuration.version for node in world.nodes.values()}
+        assert versions == {3}
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -107,9 +107,12 @@
             self.sent.append,
             clock=VirtualClock(),
             log=DecisionLog('relay', lines_per_s=10**6),
-            is_leaving=lambda: False,
+            is_leaving=self.is_leaving,
         )
 
+    def is_leaving(self):
+        return False
+
     def deliver(self, sent_ms, number=1):
         batch = CallBatch(
             sent_ms=sent_ms,
