--- a/src/hawthornpier/fleet/__init__.py
+++ b/src/hawthornpier/fleet/__init__.py
@@ -8,6 +8,7 @@
 
 from hawthornpier.fleet._configuration import Configuration, QueueRoute
 from hawthornpier.fleet._configuration_watch import ConfigurationSource
+from hawthornpier.fleet._context import FleetContext
 from hawthornpier.fleet._entry import JobEntry
 from hawthornpier.fleet._errors import (
     FleetError,
@@ -18,7 +19,7 @@
     UnknownJobError,
 )
 from hawthornpier.fleet._node import FleetNode, HostInfo
-from hawthornpier.fleet._owner import FleetContext, ShardOwner
+from hawthornpier.fleet._owner import ShardOwner
 from hawthornpier.fleet._ownership import Ownership
 from hawthornpier.fleet._peer_client import HttpFleetPeer
 from hawthornpier.fleet._peer_handlers import peer_routes
@@ -46,6 +47,10 @@
     WorkerEntry,
     WorkerListing,
 )
+from hawthornpier.fleet._relay_channel import RelaySocket
+from hawthornpier.fleet._relay_pool import RelayConnector
+from hawthornpier.fleet._relay_session import RelaySession
+from hawthornpier.fleet._relay_socket import connect_relay
 from hawthornpier.fleet._timings import (
     OwnershipTimings,
     PlatformBounds,
@@ -78,6 +83,9 @@
     'ProcessCard',
     'QueueRoute',
     'RecordStore',
+    'RelayConnector',
+    'RelaySession',
+    'RelaySocket',
     'Renewal',
     'RowDecoder',
     'RowPage',
@@ -95,5 +103,6 @@
     'WorkerEntry',
     'WorkerListing',
     'WorkerTimings',
+    'connect_relay',
     'peer_routes',
 ]
