Start nothing after a pause until the store confirms the ownership

Cause: an owner that was paused for seconds sent the starts that it had queued before; a worker that the new owner has not reached yet accepts them. Change: the permission to start is checked before each pass and each send. It ends with a pause, measured as monotonic time beyond active time, and returns with a write that was sent after the pause. Ruled out: the end of the owner's lease, since starts go on while the store is down and nobody can claim.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -72,9 +72,10 @@
         Raises:
             ShardLostError: Another process owns the shard.
         """
+        shard = self._shard
         while True:
             await self._shard.clock.sleep_ms(self._timings.commit_interval_ms)
-            if self._is_write_due():
+            if not shard.start_permit.is_valid or self._is_write_due():
                 await self._try_write()
 
     async def write_all(self) -> None:
@@ -145,11 +146,13 @@
             (PROGRESS_TABLE, job_id)
             for job_id in shard.removed_jobs[:_REMOVAL_COUNT_MAX]
         )
+        sent = shard.start_permit.mark()
         try:
             await self._writer.write(writes, removals)
         except StoreError:
             shard.dirty.update(job_ids)
             raise
+        shard.start_permit.confirm(sent)
         shard.writing.clear()
         if fleet != self._stored_fleet:
             self._stored_fleet = fleet
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -56,10 +56,11 @@
         """
         Order all starts and stops that are due now.
 
-        Does nothing once the shard is being released.
+        Does nothing once the shard is being released, or while it is not
+        certain that this process still owns it.
         """
         shard = self._shard
-        if shard.is_draining:
+        if shard.is_draining or not shard.start_permit.is_valid:
             return
         if shard.now_ms - self._state_logged_ms >= _STATE_LOG_INTERVAL_MS:
             self._state_logged_ms = shard.now_ms
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -8,6 +8,7 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._interference import InterferenceModel
 from hawthornpier.fleet._job_index import JobIndex
+from hawthornpier.fleet._start_permit import StartPermit
 from hawthornpier.fleet._worker_state import (
     Order,
     OrderKind,
@@ -58,6 +59,7 @@
         self.name = name
         self.epoch = epoch
         self.log = log
+        self.start_permit = StartPermit(clock)
         self.workers: dict[str, WorkerState] = {}
         self.interference = InterferenceModel(log, clock)
         # Progress from the handover that the previous owner could not store,
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -181,6 +181,7 @@
         for _ in range(self._timings.start_try_count):
             # The run may have ended while the order was queued, because the
             # worker's lease expired.
+            await self._wait_for_permit()
             if run.phase is not RunPhase.STARTING or self._has_ended(order):
                 return
             try:
@@ -196,6 +197,16 @@
             return
         self._abandon_start(run, is_uncertain=is_uncertain, why='no reply')
 
+    async def _wait_for_permit(self) -> None:
+        """
+        Wait until this process may start runs.
+
+        If it was replaced meanwhile, the store rejects its next write, which
+        cancels this task.
+        """
+        while not self._shard.start_permit.is_valid:
+            await self._shard.clock.sleep_ms(self._timings.retry_min_ms)
+
     def _start_order(self, run: Run) -> StartOrder:
         shard = self._shard
         deadline = self._worker.next_deadline(
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -152,16 +152,19 @@
         if entry.incarnation_ms > worker.entry.incarnation_ms:
             self._begin_incarnation(worker, entry)
         elif entry.incarnation_ms == worker.entry.incarnation_ms:
-            if entry.is_draining and not worker.entry.is_draining:
-                self._context.log.record(
-                    'worker_draining',
-                    worker=entry.worker_id,
-                    remaining_ms=entry.remaining_ms,
-                    runs=len(worker.runs),
-                )
-            worker.entry = entry
-            if entry.worker_id not in self._links:
-                self._start_link(worker)
+            self._update_entry(worker, entry)
+
+    def _update_entry(self, worker: WorkerState, entry: WorkerEntry) -> None:
+        if entry.is_draining and not worker.entry.is_draining:
+            self._context.log.record(
+                'worker_draining',
+                worker=entry.worker_id,
+                remaining_ms=entry.remaining_ms,
+                runs=len(worker.runs),
+            )
+        worker.entry = entry
+        if entry.worker_id not in self._links:
+            self._start_link(worker)
 
     def _begin_incarnation(
         self, worker: WorkerState, entry: WorkerEntry
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -146,8 +146,9 @@
         unreachable = sorted(workers_of(world, plan))[0]
         world.workers[unreachable].fault = WorkerFault.PARTITIONED
         world.kill(world.owner())
-        while not (claimants := claimants_of(world, epoch=2)):
+        while not claimants_of(world, epoch=2):
             await world.run_for(1)
+        claimants = claimants_of(world, epoch=2)
         claimants[0].client.fault = StoreFault.REFUSE
         await world.run_for(4_500)
         assert claimants_of(world, epoch=3)
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -10,7 +10,7 @@
 from fleet_world import World
 from hypothesis import given
 from hypothesis import strategies as st
-from virtual_time import VirtualClock, run_virtual
+from virtual_time import JumpingClock, VirtualClock, run_virtual
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet import (
@@ -339,17 +339,6 @@
         run_virtual(scenario())
 
 
-class JumpingClock(VirtualClock):
-    """
-    A clock that a test can advance, as the end of a pause does.
-    """
-
-    jump_ms = 0
-
-    def monotonic_ms(self):
-        return super().monotonic_ms() + self.jump_ms
-
-
 class TestTransit:
     """
     The delay of messages between processes with different clocks.
--- a/tests/virtual_time.py
+++ b/tests/virtual_time.py
@@ -42,6 +42,20 @@
         await asyncio.sleep(duration_ms / 1000 / self._rate)
 
 
+class JumpingClock(VirtualClock):
+    """
+    A clock that a test can advance, as the end of a pause does.
+    """
+
+    jump_ms = 0
+
+    def monotonic_ms(self) -> int:
+        """
+        Return the loop's time in ms, plus the pauses.
+        """
+        return super().monotonic_ms() + self.jump_ms
+
+
 def run_virtual(coroutine: Coroutine[Any, Any, _Result]) -> _Result:
     """
     Run *coroutine* in virtual time and return its result.
