Judge stalls by the expected time for one percent; one log line for a page of hosts

Cause: a run whose listed percentage stayed the same for 1.9 s counted as stalled; a task of more than 190 s was therefore stopped and its worker quarantined again and again. Each of 97 processes logged a line for each other. Change: the limit is at least three times the expected time for one percent; the directory of processes logs one line for each page of changes. Ruled out: a longer fixed limit, which delays the detection for short tasks.

--- a/src/hawthornpier/fleet/_process_directory.py
+++ b/src/hawthornpier/fleet/_process_directory.py
@@ -13,6 +13,8 @@
 PROCESS_TABLE = 'members'
 _WATCH_WAIT_MS = 4_000
 _RETRY_MS = 300
+# A log line names at most this many of the hosts whose entries have changed.
+_LOGGED_HOST_COUNT = 5
 
 
 class ProcessDirectory:
@@ -92,6 +94,7 @@
 
     def _apply_page(self, page: RowPage) -> None:
         self._version = page.version
+        updated: list[str] = []
         for row in page.rows:
             if row.is_deleted:
                 self.cards.pop(row.key, None)
@@ -107,9 +110,13 @@
                 continue
             if self.cards.get(row.key) != card:
                 self.cards[row.key] = card
-                self._log.record(
-                    'entry_process_updated',
-                    host=row.key,
-                    process=card.process_id,
-                    address=card.address,
-                )
+                updated.append(row.key)
+        if updated:
+            # One line for all of them: with a line each, the processes
+            # together would log the square of their number.
+            self._log.record(
+                'entry_processes_updated',
+                count=len(updated),
+                known=len(self.cards),
+                hosts=updated[:_LOGGED_HOST_COUNT],
+            )
--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -10,6 +10,9 @@
 # A run at full speed is stalled if its progress has not changed for this long.
 # Workers list their runs every second.
 _STALL_MS = 1_900.0
+# Progress is listed in whole percent, so that a long task also needs this many
+# times the expected time for one percent.
+_STALL_PERCENT = 3.0
 # On a healthy worker, a long-running task becomes ready within this time.
 _STARTUP_MS = 4_000.0
 # Minimum interval between two passes.
@@ -87,7 +90,9 @@
 
     def _stop_stalled_runs(self, worker: WorkerState, now_ms: float) -> None:
         stalled = [
-            run for run in worker.runs.values() if _is_stalled(run, now_ms)
+            run
+            for run in worker.runs.values()
+            if _is_stalled(run, now_ms, self._stall_ms(run))
         ]
         if not stalled:
             return
@@ -99,8 +104,15 @@
             run.task.avoided_workers.add(worker.worker_id)
             self._shard.stop_run(run, 'no progress')
 
+    def _stall_ms(self, run: Run) -> float:
+        step = run.task.step
+        if step.plan.is_lasting:
+            return _STALL_MS
+        expected_ms = self._shard.durations.expected_ms(step)
+        return max(_STALL_MS, expected_ms / 100 * _STALL_PERCENT)
 
-def _is_stalled(run: Run, now_ms: float) -> bool:
+
+def _is_stalled(run: Run, now_ms: float, stall_ms: float) -> bool:
     if run.phase is not RunPhase.RUNNING:
         return False
     # Scaled by the speed, because a throttled run progresses more slowly and a
@@ -111,6 +123,6 @@
         return (
             run.percent < 100
             and now_ms - run.started_ms > _STARTUP_MS
-            and (unchanged_ms > _STALL_MS)
+            and (unchanged_ms > stall_ms)
         )
-    return run.percent < 100 and unchanged_ms > _STALL_MS
+    return run.percent < 100 and unchanged_ms > stall_ms
--- a/tests/test_fleet_workers.py
+++ b/tests/test_fleet_workers.py
@@ -138,6 +138,22 @@
         await world.any_node().entry.submit(plan)
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
 
+    async def test_a_long_task_is_not_taken_for_stalled(self, world):
+        """
+        Guards against long tasks that are stopped and started again forever.
+
+        One percent of their work takes four seconds, during which the listed
+        progress does not change.
+        """
+        await started_world(world)
+        step = StepPlan(
+            task_count=3, processor_millis=1_000, estimate_ms=400_000
+        )
+        plan = world.plan(step, work_ms=400_000)
+        await world.any_node().entry.submit(plan)
+        await world.run_for(20_000)
+        assert world.checker.started_count == 3
+
     async def test_an_isolated_owner_is_replaced(self, world):
         """
         Guards against a task that the deposed owner starts again.
