Check the demo's edited limit from the time it must be in force

Cause: the check counted from the moment of acceptance, but an edit has to be in force everywhere only 5 s later (G9). It is replaced by one that begins at that time and lasts as long as before.

--- a/tools/demo/run.py
+++ b/tools/demo/run.py
@@ -47,6 +47,8 @@
 _JOBS_TIMEOUT_S = 60
 _EDIT_RETRIES = 20
 _PROBE_INTERVAL_S = 0.2
+# An accepted edit of the table is in force everywhere after this time (G9).
+_EDIT_IN_FORCE_MS = 5_000.0
 _FINAL_STATES = frozenset(
     (
         TaskState.DONE,
@@ -368,6 +370,9 @@
         """
         Limit the runs of one workload for two fifths of the duration.
 
+        The limit is checked from the moment on at which an accepted edit must
+        be in force everywhere.
+
         Another operator edits the same table version at the same time, so that
         one of the two edits gets a conflict.
         """
@@ -394,8 +399,8 @@
                 deployment.FIRST_MEMBER,
                 await self._table_version(),
             )
-        from_ms = self._clock.monotonic_ms()
-        await asyncio.sleep(step_s * 2)
+        from_ms = self._clock.monotonic_ms() + _EDIT_IN_FORCE_MS
+        await asyncio.sleep(step_s * 2 + _EDIT_IN_FORCE_MS / 1000)
         self._limit_window_ms = (from_ms, self._clock.monotonic_ms())
         await self._edit(
             [deployment.limit_edit(None)],
