Judge stalls by listings, and await outcomes of workers that are alive

Change: a run is stalled if the listings themselves show no progress; after the end of its lease, a worker that is still registered has 4 s to list outcomes. Long-running tasks are started again at once. Ruled out: longer time limits of renewals, which the state of the link exceeds.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -71,6 +71,7 @@
                 self._add_listed_run(worker, row, now_ms)
             else:
                 self._update_run(run, row, now_ms)
+                run.listed_ms = requested_ms
         self._end_unlisted_runs(worker, listed, requested_ms)
         if not worker.is_listed:
             self._record_first_listing(worker, now_ms)
--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -15,6 +15,9 @@
 _STALL_PERCENT = 3.0
 # On a healthy worker, a long-running task becomes ready within this time.
 _STARTUP_MS = 4_000.0
+# After the end of its lease, a worker that is still registered is given this
+# long to list the outcomes of its runs, before their tasks are run again.
+_LISTING_GRACE_MS = 4_000.0
 # Minimum interval between two passes.
 _CHECK_INTERVAL_MS = 200.0
 # Assumed time until a draining worker stops, if the registry has none.
@@ -56,19 +59,30 @@
                 self._stop_stalled_runs(worker, now_ms)
 
     def _end_expired_runs(self, worker: WorkerState, now_ms: float) -> None:
-        if not worker.is_listed or now_ms < worker.lease_expiry_ms(
-            self._timings
-        ):
+        """
+        End the runs of a worker whose lease has expired without a reply.
+
+        Those of other than long-running tasks may have completed before, which
+        only the worker can tell.  While the registry still has its entry, it
+        is alive, and its listing is awaited for some time.
+        """
+        expired_ms = now_ms - worker.lease_expiry_ms(self._timings)
+        if expired_ms < 0:
             return
-        worker.is_listed = False
-        self._shard.log.record(
-            'worker_lapsed',
-            worker=worker.worker_id,
-            runs=len(worker.runs),
-            last_reply_age_ms=int(now_ms - worker.last_reply_ms),
+        if worker.is_listed:
+            worker.is_listed = False
+            self._shard.log.record(
+                'worker_lapsed',
+                worker=worker.worker_id,
+                runs=len(worker.runs),
+                last_reply_age_ms=int(now_ms - worker.last_reply_ms),
+            )
+        awaits_listing = (
+            not worker.is_deregistered and expired_ms < _LISTING_GRACE_MS
         )
         for run in list(worker.runs.values()):
-            self._shard.end_run(run, RunOutcome.LOST)
+            if run.task.step.plan.is_lasting or not awaits_listing:
+                self._shard.end_run(run, RunOutcome.LOST)
 
     def _stop_runs_on_draining(
         self, worker: WorkerState, now_ms: float
@@ -92,13 +106,10 @@
         stalled = [
             run
             for run in worker.runs.values()
-            if _is_stalled(run, now_ms, self._stall_ms(run))
+            if _is_stalled(run, self._stall_ms(run))
         ]
         if not stalled:
             return
-        # An older listing does not show whether the runs have progressed since.
-        if now_ms - worker.last_reply_ms > self._timings.order_timeout_ms:
-            return
         worker.health.quarantine(now_ms)
         for run in stalled:
             run.task.avoided_workers.add(worker.worker_id)
@@ -112,17 +123,22 @@
         return max(_STALL_MS, expected_ms / 100 * _STALL_PERCENT)
 
 
-def _is_stalled(run: Run, now_ms: float, stall_ms: float) -> bool:
-    if run.phase is not RunPhase.RUNNING:
+def _is_stalled(run: Run, stall_ms: float) -> bool:
+    """
+    Return whether listings have shown no progress of a run for *stall_ms*.
+
+    Time without a listing does not count: a worker that is slow to report, or
+    whose reports are lost, may have worked on.
+    """
+    if run.phase is not RunPhase.RUNNING or run.percent >= 100:
         return False
     # Scaled by the speed, because a throttled run progresses more slowly and a
     # paused one not at all.
     speed = max(run.speed_percent, 0) / 100
-    unchanged_ms = (now_ms - run.percent_changed_ms) * speed
-    if run.task.step.plan.is_lasting:
-        return (
-            run.percent < 100
-            and now_ms - run.started_ms > _STARTUP_MS
-            and (unchanged_ms > stall_ms)
-        )
-    return run.percent < 100 and unchanged_ms > stall_ms
+    unchanged_ms = (run.listed_ms - run.percent_changed_ms) * speed
+    if (
+        run.task.step.plan.is_lasting
+        and run.listed_ms - run.started_ms <= _STARTUP_MS
+    ):
+        return False
+    return unchanged_ms > stall_ms
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -34,6 +34,7 @@
         'cpu_or_tail',
         'has_resumed',
         'is_copy',
+        'listed_ms',
         'order_acknowledged_ms',
         'paused_ms',
         'percent',
@@ -68,6 +69,8 @@
         # Progress; a long-running task is ready at 100.
         self.percent = 0
         self.percent_changed_ms = now_ms
+        # When the owner requested the latest listing that contained the run.
+        self.listed_ms = now_ms
         # Percentage of full speed that was last ordered; -1 if that order got
         # no response.
         self.speed_percent = 100
--- a/tests/test_fleet_workers.py
+++ b/tests/test_fleet_workers.py
@@ -3,10 +3,22 @@
 """
 
 from fake_store import virtual_tests
-from fleet_world import World
+from fleet_world import QUEUE, World
 from test_fleet_recovery import LONG, started_world
+from virtual_time import JumpingClock, run_virtual
 
-from hawthornpier.steps import JobPhase, StepPlan
+from hawthornpier.events import DecisionLog
+from hawthornpier.fleet import (
+    RunningRun,
+    WorkerEntry,
+    WorkerListing,
+    WorkerTimings,
+)
+from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._run_monitor import RunMonitor
+from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.steps import JobPhase, JobPlan, RunPhase, StepPlan
 from hawthornpier_standin.fleet import StoreFault, WorkerFault
 
 
@@ -138,6 +150,24 @@
         await world.any_node().entry.submit(plan)
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
 
+    async def test_completed_runs_of_a_silent_worker_are_awaited(self, world):
+        """
+        Guards against completed work that runs again after an answer was lost.
+
+        The worker is alive, as the registry shows, but does not reach the
+        owner until after the end of its lease.
+        """
+        await started_world(world)
+        plan = world.plan(LONG, work_ms=2_000)
+        await world.any_node().entry.submit(plan)
+        await world.run_for(300)
+        worker_id = sorted(world.checker.running.values())[0]
+        world.workers[worker_id].fault = WorkerFault.PARTITIONED
+        await world.run_for(7_000)
+        world.workers[worker_id].fault = WorkerFault.NONE
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == LONG.task_count
+
     async def test_a_long_task_is_not_taken_for_stalled(self, world):
         """
         Guards against long tasks that are stopped and started again forever.
@@ -248,3 +278,72 @@
             if worker in serving and world.model_of(task).is_filling
         ]
         assert not beside
+
+
+class TestStalledRuns:
+    """
+    A run is stalled if listings show no progress of it for some time.
+    """
+
+    def test_a_listing_that_was_requested_long_ago(self):
+        """
+        Guards against running work that is stopped on a worker slow to report.
+
+        The listing arrives two seconds after the previous one, but shows the
+        state at the time of its request.
+        """
+        assert self._phase_after(requested_ms=300) is RunPhase.RUNNING
+
+    def test_a_recent_listing_without_progress(self):
+        """
+        Guards against tasks that stand still for the rest of the day.
+        """
+        assert self._phase_after(requested_ms=2_400) is RunPhase.STOPPING
+
+    def _phase_after(self, *, requested_ms):
+        async def scenario():
+            clock = JumpingClock()
+            shard = Shard(
+                's0',
+                epoch=1,
+                clock=clock,
+                log=DecisionLog('n0', lines_per_s=10**6),
+            )
+            worker = WorkerState(
+                WorkerEntry(
+                    worker_id='w0',
+                    service='desk',
+                    address='w0',
+                    failure_domain='z',
+                    processor_millis=8_000,
+                    memory_mb=64_000,
+                    accelerator_count=0,
+                    incarnation_ms=1,
+                ),
+            )
+            shard.workers['w0'] = worker
+            job = shard.add_job(
+                JobPlan(
+                    job_id='a' * 16,
+                    payload='',
+                    steps=(StepPlan(task_count=1, processor_millis=1_000),),
+                    queue=QUEUE,
+                ),
+            )
+            task = next(job.tasks())
+            run = shard.start_run(task, worker, reason='test')
+            listings = ListingReconciler(shard)
+            listings.apply(worker, _listing(task.key, 20), 0)
+            clock.jump_ms = 2_500
+            listings.apply(worker, _listing(task.key, 2_300), requested_ms)
+            RunMonitor(shard, WorkerTimings()).run_pass()
+            return run.phase
+
+        return run_virtual(scenario())
+
+
+def _listing(task_key, clock_ms):
+    row = RunningRun(task_key=task_key, attempt=1, checkpoint='', percent=10)
+    return WorkerListing(
+        incarnation_ms=1, clock_ms=clock_ms, running=(row,), ended=()
+    )
