Count with the lease that the previous owner granted

The owner computed the end of a lease that it had never set, declared 16 runs lost after 130 ms and started them elsewhere, while the previous owner's lease kept them running for seconds. Change: the first listing implies the platform's longest lease. Ruled out: the handover, whose reply listed the tasks.

--- a/src/hawthornpier/fleet/_relay_assignment.py
+++ b/src/hawthornpier/fleet/_relay_assignment.py
@@ -11,7 +11,7 @@
 
 # An owner contacts this many workers per processor core of its host itself.
 # With more, relays do.
-_DIRECT_WORKERS_PER_CORE = 60
+_DIRECT_WORKERS_PER_CORE = 100
 # A relay serves about this many workers.
 _WORKERS_PER_RELAY = 12
 # Further relays that are ready to replace one of a failure domain.
--- a/src/hawthornpier/fleet/_timings.py
+++ b/src/hawthornpier/fleet/_timings.py
@@ -47,6 +47,8 @@
     # tasks of an unreachable worker to be restarted sooner.  The platform sets
     # an upper limit.
     lease_ms: int = 5_000
+    # The platform's limit, which the lease of a previous owner may have.
+    lease_max_ms: int = 6_000
     # Maximum fraction by which a worker's clock may run slow.
     clock_drift: float = 0.02
     # Long-polling timeouts of lease renewals: for a worker with runs, for one
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -116,6 +116,7 @@
             if reply.incarnation_ms != worker.entry.incarnation_ms:
                 return False
             was_listed = worker.is_listed
+            worker.assume_lease(reply.clock_ms, self._timings.lease_max_ms)
             self._listings.apply(worker, reply, sent_ms)
             return was_listed
         if reply is Verdict.FENCED:
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -181,6 +181,21 @@
         self._deadline_clock_ms = max(self._deadline_clock_ms, deadline)
         return deadline
 
+    def assume_lease(self, clock_ms: int, lease_max_ms: float) -> None:
+        """
+        Count with the longest lease that the previous owner may have granted.
+
+        Its orders are rejected once the worker has listed its runs to this
+        owner, so that no later lease is possible.  Has no effect if this owner
+        has granted one already.
+
+        Args:
+            clock_ms: The worker's clock when it listed its runs.
+            lease_max_ms: The platform's limit for leases.
+        """
+        if not self._deadline_clock_ms:
+            self._deadline_clock_ms = int(clock_ms + lease_max_ms)
+
     def lease_expiry_ms(self, timings: WorkerTimings) -> float:
         """
         Return the local time by which all runs on the worker have ended.
--- a/src/hawthornpier/platform/_run.py
+++ b/src/hawthornpier/platform/_run.py
@@ -70,7 +70,10 @@
                 clock=self._clock,
                 log=self._log,
                 bounds=settings.bounds,
-                worker_timings=WorkerTimings(lease_ms=lease_ms),
+                worker_timings=WorkerTimings(
+                    lease_ms=lease_ms,
+                    lease_max_ms=settings.bounds.lease_max_ms,
+                ),
                 ownership_timings=OwnershipTimings(),
                 dial_peer=HttpFleetPeer,
                 connect_relay=connect_relay,
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -35,6 +35,8 @@
     # Requests have no effect and get no reply; the runs continue until the
     # lease expires.
     PARTITIONED = 'cut'
+    # Requests have no effect, and their connections are reset at once.
+    RESET = 'reset'
     # Every run that completes its work fails.
     FAIL_ALL = 'fail_all'
     # Runs make no progress.
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -98,6 +98,8 @@
             )
 
     async def _raise_if_unreachable(self) -> None:
+        if self._worker.fault is WorkerFault.RESET:
+            raise WorkerReplyLostError('the connection was reset')
         if (
             self._worker.is_up
             and self._worker.fault is not WorkerFault.PARTITIONED
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -131,6 +131,28 @@
             limit_ms=40_000,
         )
 
+    async def test_leases_of_the_previous_owner_are_counted(self, world):
+        """
+        Guards against a task that runs twice after a change of the owner.
+
+        A worker lists its runs to the new owner and resets all connections
+        from then on, before the new owner has granted it a lease.  That of the
+        previous owner keeps them running.
+        """
+        await started_world(world)
+        step = StepPlan(task_count=2, processor_millis=8_000, is_filling=True)
+        plan = world.plan(step, work_ms=9_000)
+        await world.any_node().entry.submit(plan)
+        await world.run_for(300)
+        unreachable = sorted(workers_of(world, plan))[0]
+        world.kill(world.owner())
+        while world.workers[unreachable].epoch < 2:
+            await world.run_for(1)
+        world.workers[unreachable].fault = WorkerFault.RESET
+        await world.run_for(9_000)
+        world.workers[unreachable].fault = WorkerFault.NONE
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+
     async def test_an_owner_that_has_not_loaded_knows_no_runs(self, world):
         """
         Guards against a task that runs twice after two changes of the owner.
