--- a/src/hawthornpier/fleet/_placement.py
+++ b/src/hawthornpier/fleet/_placement.py
@@ -67,7 +67,7 @@
         for worker in workers:
             rank = None
             if worker.worker_id != excluded:
-                rank = self._rank_if_eligible(worker, task, now_ms)
+                rank = self.rank(worker, task, now_ms)
             if rank is not None and (best is None or rank < best_rank):
                 best = worker
                 best_rank = rank
@@ -96,14 +96,6 @@
         Returns:
             None if the worker is not eligible.
         """
-        return self._rank_if_eligible(worker, task, now_ms)
-
-    def _rank_if_eligible(
-        self,
-        worker: WorkerState,
-        task: Task,
-        now_ms: float,
-    ) -> tuple[float, ...] | None:
         if self._is_eligible(worker, task.step, now_ms):
             return self._rank(worker, task, now_ms)
         return None
