Make the tests of silent relays depend on the detection of silence

Cause: with the detection switched off all tests of relays still passed: one waited until the call's own time limit, the other froze the relays for less than a lease. Change: the connection must end long before that limit; the freeze lasts 7 s. Measured: with the detection switched off both fail, as it is both pass.

--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -295,6 +295,8 @@
             end = asyncio.ensure_future(channel.run())
             call = asyncio.ensure_future(channel.call(ENTRY, ORDER, 5_000))
             await asyncio.sleep(1.0)
+            # Long before the call's own time limit.
+            assert end.done()
             with pytest.raises(WorkerReplyLostError):
                 await call
             assert 'not respond' in await end
@@ -390,7 +392,8 @@
         plan = await self._begin_long_job(world)
         for relay in self._relays(world):
             relay.is_frozen = True
-        await world.run_for(2_500)
+        # Longer than the lease of a worker.
+        await world.run_for(7_000)
         for relay in self._relays(world):
             relay.is_frozen = False
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
