Log the ages of the runs on a worker whose lease expires

An expired lease was logged with the number of its runs only, so that no log line connected a crash with a task.

Change: worker_lapsed names the attempt of each run and how long before the worker's last reply its start was sent, also if another incarnation shows that the worker has restarted. No decision changes.

--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -3,6 +3,7 @@
 """
 
 from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._state_log import log_interrupted_runs
 from hawthornpier.fleet._timings import WorkerTimings
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Run, RunOutcome, RunPhase
@@ -71,12 +72,7 @@
             return
         if worker.is_listed:
             worker.is_listed = False
-            self._shard.log.record(
-                'worker_lapsed',
-                worker=worker.worker_id,
-                runs=len(worker.runs),
-                last_reply_age_ms=int(now_ms - worker.last_reply_ms),
-            )
+            log_interrupted_runs(self._shard, worker, 'lease expired')
         awaits_listing = (
             not worker.is_deregistered and expired_ms < _LISTING_GRACE_MS
         )
--- a/src/hawthornpier/fleet/_state_log.py
+++ b/src/hawthornpier/fleet/_state_log.py
@@ -1,5 +1,5 @@
 """
-Periodic logging of the state of a shard.
+Logging of the state of a shard and of interrupted runs.
 """
 
 import collections
@@ -50,6 +50,35 @@
     )
 
 
+def log_interrupted_runs(
+    shard: Shard,
+    worker: WorkerState,
+    why: str,
+) -> None:
+    """
+    Log the runs on a worker that has crashed or does not respond.
+
+    Args:
+        shard: The state of the shard.
+        worker: The worker.
+        why: What shows that the worker has crashed or does not respond.
+    """
+    shard.log.record(
+        'worker_lapsed',
+        worker=worker.worker_id,
+        why=why,
+        last_reply_age_ms=int(shard.now_ms - worker.last_reply_ms),
+        runs=len(worker.runs),
+        # By task: the attempt, and how long before the worker's last reply its
+        # start was sent; negative if the worker has not replied since.
+        run_ages_ms={
+            run.task.key: (run.attempt, int(worker.last_reply_ms - run.sent_ms))
+            for run in worker.runs.values()
+            if run.sent_ms
+        },
+    )
+
+
 def _task_kind(plan: StepPlan) -> str:
     if plan.is_lasting:
         return 'lasting'
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -210,6 +210,7 @@
 
     def _start_order(self, run: Run) -> StartOrder:
         shard = self._shard
+        run.sent_ms = run.sent_ms or shard.now_ms
         deadline = self._worker.next_deadline(
             self._timings.lease_ms,
             shard.now_ms,
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -11,6 +11,7 @@
 from hawthornpier.fleet._ports import FleetWorker, WorkerDialer, WorkerEntry
 from hawthornpier.fleet._relay_assignment import WorkerPlace
 from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._state_log import log_interrupted_runs
 from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import StoreError
@@ -175,6 +176,7 @@
             incarnation=entry.incarnation_ms,
             runs=len(worker.runs),
         )
+        log_interrupted_runs(self.shard, worker, 'another incarnation')
         for run in list(worker.runs.values()):
             if not run.has_unacknowledged_order:
                 self.shard.end_run(run, RunOutcome.LOST)
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -40,6 +40,7 @@
         'percent',
         'percent_changed_ms',
         'phase',
+        'sent_ms',
         'speed_percent',
         'started_ms',
         'stop_reason',
@@ -61,6 +62,8 @@
         self.worker_id = worker_id
         self.phase = RunPhase.STARTING
         self.started_ms = now_ms
+        # When this owner first sent the start to the worker; 0 if it has not.
+        self.sent_ms: float = 0
         # When the worker last acknowledged an order for the run or first
         # listed it; 0 while an order is pending.  If a listing requested
         # later does not contain the run, the run has ended.
