Close the connections of the raw test server when its tests end

What was seen: make test failed on CPython 3.11.6 on too (8 failed, then a crashed test process), although it had passed elsewhere: "Event loop is closed" in StreamWriter.__del__, in whichever test the collector ran, and an "AST constructor recursion depth mismatch" where it ran inside ast.parse.

Cause: a connection whose reply never comes is left open when the loop ends and cancels its handler. CPython 3.11.5 and 3.11.6 then raise from the finalizer.

Change: the handler closes its connection however it ends.

--- a/tests/test_adapters_connections.py
+++ b/tests/test_adapters_connections.py
@@ -54,6 +54,7 @@
                 await self._exchange(reader, writer)
         except (asyncio.IncompleteReadError, ConnectionError):
             self.open_count -= 1
+        finally:
             writer.close()
 
     async def _exchange(
