Check the capacity again before a queued start is sent

Cause: the capacity was checked when a task was placed. Its start may wait in the worker's queue for seconds, and an owner that was paused sent it as soon as the store had confirmed the ownership, before it had read the registry.

Change: a start that has not been sent yet is given back if the runs exceed the capacity, and after a pause starts also wait for a read of the registry.

--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -62,7 +62,7 @@
         certain that this process still owns it.
         """
         shard = self._shard
-        if shard.is_draining or not shard.start_permit.is_valid:
+        if shard.is_draining or not shard.may_start:
             return
         if shard.now_ms - self._state_logged_ms >= _STATE_LOG_INTERVAL_MS:
             self._state_logged_ms = shard.now_ms
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -59,7 +59,10 @@
         self.name = name
         self.epoch = epoch
         self.log = log
+        # Confirmed by writes to the store, and by reads of the registry.  After
+        # a pause, another process may be the owner, and workers may be smaller.
         self.start_permit = StartPermit(clock)
+        self.registry_permit = StartPermit(clock)
         self.workers: dict[str, WorkerState] = {}
         self.interference = InterferenceModel(log, clock)
         # Progress from the handover that the previous owner could not store,
@@ -170,6 +173,13 @@
         self._stop_all(job, 'job cancelled')
         self.wake.set()
 
+    @property
+    def may_start(self) -> bool:
+        """
+        Return whether runs may be started.
+        """
+        return self.start_permit.is_valid and self.registry_permit.is_valid
+
     def next_attempt(self, task: Task) -> int:
         """
         Return an attempt number above those of all runs of the task.
--- a/src/hawthornpier/fleet/_start_permit.py
+++ b/src/hawthornpier/fleet/_start_permit.py
@@ -1,5 +1,7 @@
 """
 The permission of a shard's owner to start runs.
+
+It depends on what the owner has last learned from the store.
 """
 
 from dataclasses import dataclass
@@ -54,17 +56,17 @@
 
     def confirm(self, sent: PermitMark) -> None:
         """
-        Record that the store has accepted a write of the owner.
+        Record that the store has replied to a request of the owner.
 
         Args:
-            sent: When the write was sent.
+            sent: When the request was sent.
         """
         self._confirmed = sent
 
     @property
     def is_valid(self) -> bool:
         """
-        Return whether no pause has come since the last confirmed write.
+        Return whether no pause has come since the last confirmed request.
         """
         now = self.mark()
         elapsed_ms = now.monotonic_ms - self._confirmed.monotonic_ms
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -206,11 +206,17 @@
         """
         Return whether a start is still due, once this process may send it.
 
-        The run may have ended while the order was queued, because the worker's
-        lease expired.
+        While the order was queued, the run may have ended because the worker's
+        lease expired, or the worker's capacity may have shrunk.
         """
         await self._wait_for_permit()
-        return run.phase is RunPhase.STARTING and not self._has_ended(order)
+        if run.phase is not RunPhase.STARTING or self._has_ended(order):
+            return False
+        if run.sent_ms or not self._worker.is_overcommitted(run.task.step):
+            return True
+        self._log_refused_start(run, Verdict.NO_CAPACITY)
+        self._shard.end_run(run, RunOutcome.LOST)
+        return False
 
     async def _wait_for_permit(self) -> None:
         """
@@ -219,7 +225,7 @@
         If it was replaced meanwhile, the store rejects its next write, which
         cancels this task.
         """
-        while not self._shard.start_permit.is_valid:
+        while not self._shard.may_start:
             await self._shard.clock.sleep_ms(self._timings.retry_min_ms)
 
     def _start_order(self, run: Run) -> StartOrder:
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -86,12 +86,15 @@
         """
         while True:
             await self._context.clock.sleep_ms(_REGISTRY_POLL_INTERVAL_MS)
+            sent = self.shard.registry_permit.mark()
             try:
                 await self._poll_once()
             except StoreError:
                 # Entries may expire while the store is unavailable, so the
                 # time for which they have been missing starts anew.
                 self._missing_since_ms = {}
+            else:
+                self.shard.registry_permit.confirm(sent)
             self._remove_departed_workers()
 
     async def _poll_once(self) -> None:
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -274,6 +274,22 @@
         reserved = self.reserved_millis + plan.processor_millis
         return reserved <= entry.processor_millis
 
+    def is_overcommitted(self, step: Step) -> bool:
+        """
+        Return whether the runs exceed a resource that a step's tasks need.
+
+        They may if the capacity has shrunk since they were placed.
+        """
+        entry = self.entry
+        if self.memory_mb > entry.memory_mb:
+            return True
+        if self.accelerator_count > entry.accelerator_count:
+            return True
+        return (
+            not step.plan.is_filling
+            and self.reserved_millis > entry.processor_millis
+        )
+
     def long_running_runs(self) -> list[Run]:
         """
         Return the runs of long-running tasks.
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -122,6 +122,8 @@
         self.fault = WorkerFault.NONE
         self.interfering_images: set[tuple[str, str]] = set()
         self.late_delay_ms = 2_000.0
+        # Whether starts that exceed the capacity are rejected.
+        self.checks_capacity = True
         self.renewal_count = 0
         self._clock = clock
         self._model_of = model_of
@@ -301,7 +303,7 @@
 
     def _fits(self, order: StartOrder) -> bool:
         model = self._model_of(order.task_key)
-        if model.is_filling:
+        if model.is_filling or not self.checks_capacity:
             return True
         used = sum(
             run.model.processor_millis
--- a/tests/test_fleet_permit.py
+++ b/tests/test_fleet_permit.py
@@ -3,7 +3,9 @@
 """
 
 import asyncio
+import dataclasses
 
+import pytest
 from virtual_time import JumpingClock, run_virtual
 
 from hawthornpier.events import DecisionLog
@@ -35,7 +37,7 @@
 PLAN = JobPlan(
     job_id='a' * 16,
     payload='',
-    steps=(StepPlan(task_count=1, processor_millis=1_000),),
+    steps=(StepPlan(task_count=1, processor_millis=1_000, memory_mb=200),),
     queue=QueuePolicy(name='orders', service='desk'),
 )
 
@@ -101,6 +103,41 @@
         run_virtual(scenario())
 
 
+class QueuedStart:
+    """
+    A start that is queued for a worker of a new shard.
+    """
+
+    def __init__(self):
+        self.clock = JumpingClock()
+        self.shard = Shard(
+            's0',
+            epoch=1,
+            clock=self.clock,
+            log=DecisionLog('n0', lines_per_s=10**6),
+        )
+        self.worker = WorkerState(ENTRY)
+        self.shard.workers['w0'] = self.worker
+        task = next(self.shard.add_job(PLAN).tasks())
+        self.shard.start_run(task, self.worker, reason='test')
+
+    async def started_tasks(self):
+        port = ObedientWorker()
+        running = asyncio.ensure_future(self.link(port).run())
+        await asyncio.sleep(1.0)
+        running.cancel()
+        return port.started
+
+    def link(self, port):
+        return WorkerLink(
+            self.worker,
+            port,
+            shard=self.shard,
+            listings=ListingReconciler(self.shard),
+            timings=WorkerTimings(),
+        )
+
+
 class TestPausedOwner:
     """
     A start that was queued before a pause of the owner.
@@ -110,41 +147,63 @@
         """
         Guards against a task that runs twice: its new owner started it too.
         """
-        assert not self._started_after(PAUSE_MS)
+
+        async def scenario():
+            start = QueuedStart()
+            start.clock.jump_ms = PAUSE_MS
+            assert not await start.started_tasks()
+
+        run_virtual(scenario())
+
+    def test_it_is_not_sent_before_the_registry_is_read_again(self):
+        """
+        Guards against a start that exceeds what the worker has now.
+
+        Its capacity may have shrunk during the pause.
+        """
+
+        async def scenario():
+            start = QueuedStart()
+            start.clock.jump_ms = PAUSE_MS
+            port = ObedientWorker()
+            running = asyncio.ensure_future(start.link(port).run())
+            shard = start.shard
+            for permit in (shard.start_permit, shard.registry_permit):
+                await asyncio.sleep(0.5)
+                assert not port.started
+                permit.confirm(permit.mark())
+            await asyncio.sleep(0.5)
+            running.cancel()
+            assert len(port.started) == 1
+
+        run_virtual(scenario())
 
     def test_it_is_sent_without_a_pause(self):
         """
         Guards against a check that holds back all starts.
         """
-        assert len(self._started_after(0)) == 1
 
-    def _started_after(self, pause_ms):
-        worker = ObedientWorker()
+        async def scenario():
+            assert len(await QueuedStart().started_tasks()) == 1
+
+        run_virtual(scenario())
+
+
+class TestShrunkCapacity:
+    """
+    A start that was queued before its worker's capacity shrank.
+    """
+
+    @pytest.mark.parametrize('field', ['processor_millis', 'memory_mb'])
+    def test_it_is_not_sent(self, field):
+        """
+        Guards against a start that a worker without checks has no room for.
+        """
 
         async def scenario():
-            clock = JumpingClock()
-            shard = Shard(
-                's0',
-                epoch=1,
-                clock=clock,
-                log=DecisionLog('n0', lines_per_s=10**6),
-            )
-            state = WorkerState(ENTRY)
-            shard.workers['w0'] = state
-            job = shard.add_job(PLAN)
-            task = next(job.tasks())
-            shard.start_run(task, state, reason='test')
-            clock.jump_ms = pause_ms
-            link = WorkerLink(
-                state,
-                worker,
-                shard=shard,
-                listings=ListingReconciler(shard),
-                timings=WorkerTimings(),
-            )
-            running = asyncio.ensure_future(link.run())
-            await asyncio.sleep(1.0)
-            running.cancel()
+            start = QueuedStart()
+            start.worker.entry = dataclasses.replace(ENTRY, **{field: 100})
+            assert not await start.started_tasks()
+            assert not start.worker.runs
 
         run_virtual(scenario())
-        return worker.started
