Start no copy of a task that may have crashed its worker

Cause: both tasks allow copies. A worker that does not respond makes its run a straggler, so a copy was started before the crash was proved, and crashed the next worker. With two unresponsive workers at once, the second suspicion replaced the first, so that most of the crashes were not counted.

Change: a task keeps a suspicion for each worker, and no copy is started while the task is suspected of a crash or has caused one.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -77,8 +77,8 @@
     evidence = attribute_crash(worker.runs.values(), worker.last_reply_ms)
     for key, weight in evidence.items():
         task = worker.runs[key].task
-        task.suspicion = Suspicion(
-            worker_id=worker.worker_id, attempt=key[1], weight=weight
+        task.suspicions[worker.worker_id] = Suspicion(
+            attempt=key[1], weight=weight
         )
         worker.suspected_tasks.append(task)
         shard.mark_dirty(task)
@@ -99,8 +99,8 @@
     """
     for job in shard.active_jobs():
         for task in job.tasks():
-            if task.suspicion is not None:
-                _restore_suspicion(shard, task, task.suspicion)
+            for worker_id in tuple(task.suspicions):
+                _restore_suspicion(shard, task, worker_id)
 
 
 def confirm_crash(shard: Shard, worker: WorkerState, why: str) -> None:
@@ -145,26 +145,23 @@
         shard.end_run(run, RunOutcome.LOST)
 
 
-def _restore_suspicion(shard: Shard, task: Task, suspicion: Suspicion) -> None:
-    worker = shard.workers.get(suspicion.worker_id)
+def _restore_suspicion(shard: Shard, task: Task, worker_id: str) -> None:
+    worker = shard.workers.get(worker_id)
     if worker is None or worker.has_crashed:
-        task.suspicion = None
-        _count_crash(shard, task, suspicion)
+        _count_crash(shard, task, task.suspicions.pop(worker_id))
     elif worker.is_listed:
-        task.suspicion = None
+        task.suspicions.pop(worker_id)
     elif task not in worker.suspected_tasks:
         worker.suspected_tasks.append(task)
 
 
 def _pop_suspicions(worker: WorkerState) -> list[tuple[Task, Suspicion]]:
-    popped = []
-    for task in worker.suspected_tasks:
-        suspicion = task.suspicion
-        if suspicion is not None and suspicion.worker_id == worker.worker_id:
-            task.suspicion = None
-            popped.append((task, suspicion))
+    tasks = worker.suspected_tasks
     worker.suspected_tasks = []
-    return popped
+    popped = [
+        (task, task.suspicions.pop(worker.worker_id, None)) for task in tasks
+    ]
+    return [(task, each) for task, each in popped if each is not None]
 
 
 def _count_crash(shard: Shard, task: Task, suspicion: Suspicion) -> None:
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -13,7 +13,14 @@
 from hawthornpier.fleet._state_log import log_shard_state
 from hawthornpier.fleet._timings import PlatformBounds, WorkerTimings
 from hawthornpier.fleet._worker_state import WorkerState
-from hawthornpier.steps import Job, Run, Step, Task, is_crash_suspect
+from hawthornpier.steps import (
+    Job,
+    Run,
+    Step,
+    Task,
+    is_crash_suspect,
+    may_run_a_copy,
+)
 
 # A run counts as a straggler, and a speculative copy of it is started, once it
 # has taken the expected run time multiplied by this factor plus the slack.
@@ -220,7 +227,7 @@
         now_ms = shard.now_ms
         limit_ms = shard.durations.expected_ms(step) * _COPY_FACTOR
         for task in step.tasks:
-            if task.is_done or len(task.runs) != 1 or task.crashes:
+            if task.is_done or len(task.runs) != 1 or not may_run_a_copy(task):
                 continue
             run = task.runs[0]
             if now_ms - run.started_ms < limit_ms + _COPY_SLACK_MS:
--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -10,6 +10,7 @@
     clear_suspicion,
     has_crashed_too_often,
     is_crash_suspect,
+    may_run_a_copy,
 )
 from hawthornpier.steps._model import (
     AdviceTimings,
@@ -67,6 +68,7 @@
     'has_crashed_too_often',
     'is_crash_suspect',
     'mark_done',
+    'may_run_a_copy',
     'restore_progress',
     'update_end_phase',
 ]
--- a/src/hawthornpier/steps/_crashes.py
+++ b/src/hawthornpier/steps/_crashes.py
@@ -46,6 +46,19 @@
     return any(weight > CrashEvidence.WEAK for weight in crashes.values())
 
 
+def may_run_a_copy(task: Task) -> bool:
+    """
+    Return whether a copy of a task would not crash a further worker.
+
+    A copy is for a task whose worker is slow or does not respond, which may be
+    because the task has crashed it.
+    """
+    return not task.crashes and all(
+        suspicion.weight == CrashEvidence.WEAK
+        for suspicion in task.suspicions.values()
+    )
+
+
 def clear_suspicion(task: Task) -> None:
     """
     Weaken the evidence against a task that has started without a crash.
--- a/src/hawthornpier/steps/_progress.py
+++ b/src/hawthornpier/steps/_progress.py
@@ -24,15 +24,16 @@
     index to the numbers of its failed attempts, and *saved* maps a task index
     to its latest checkpoint.  *crashes* maps a task index to the attempts
     during which the worker crashed, and these to the weight of the evidence
-    that the task caused it.  *suspicions* maps a task index to the run that may
-    have crashed a worker which did not respond when the progress was stored.
+    that the task caused it.  *suspicions* maps a task index to the runs
+    that may have crashed a worker which did not respond when the progress was
+    stored, by worker.
     """
 
     done: str = ''
     failed: dict[int, tuple[int, ...]] = {}
     saved: dict[int, str] = {}
     crashes: dict[int, dict[int, int]] = {}
-    suspicions: dict[int, Suspicion] = {}
+    suspicions: dict[int, dict[str, Suspicion]] = {}
 
 
 class JobProgress(msgspec.Struct, omit_defaults=True):
@@ -157,9 +158,7 @@
         },
         crashes={task.index: task.crashes for task in tasks if task.crashes},
         suspicions={
-            task.index: task.suspicion
-            for task in tasks
-            if task.suspicion is not None
+            task.index: task.suspicions for task in tasks if task.suspicions
         },
     )
     return None if progress == _NO_PROGRESS else progress
@@ -172,5 +171,5 @@
             mark_done(task)
         task.failed_attempts.update(progress.failed.get(task.index, ()))
         task.crashes.update(progress.crashes.get(task.index, {}))
-        task.suspicion = progress.suspicions.get(task.index)
+        task.suspicions.update(progress.suspicions.get(task.index, {}))
         task.checkpoint = progress.saved.get(task.index, task.checkpoint)
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -32,7 +32,6 @@
     *weight* is that of the evidence, once the worker is known to have crashed.
     """
 
-    worker_id: str
     attempt: int
     weight: int
 
@@ -153,7 +152,7 @@
         'key',
         'runs',
         'step',
-        'suspicion',
+        'suspicions',
     )
 
     def __init__(self, step: 'Step', index: int) -> None:
@@ -168,8 +167,8 @@
         # By attempt during which its worker crashed: the weight of the
         # evidence that the task caused the crash (see `CrashEvidence`).
         self.crashes: dict[int, int] = {}
-        # The run that may have crashed a worker which does not respond.
-        self.suspicion: Suspicion | None = None
+        # Runs that may have crashed a worker which does not respond, by worker.
+        self.suspicions: dict[str, Suspicion] = {}
         self.checkpoint = ''
         self.is_done = False
         # Workers on which a run of this task failed, stalled, or may still
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -195,6 +195,21 @@
         await world.wait_phase(plan.job_id, JobPhase.FAILED, limit_ms=60_000)
         assert world.checker.crash_counts[task] <= 3
 
+    async def test_copies_do_not_crash_further_workers(self, world):
+        """
+        Guards against copies of a task whose worker may have crashed by it.
+        """
+        step = StepPlan(
+            task_count=1,
+            processor_millis=1_000,
+            estimate_ms=300,
+            may_run_copies=True,
+        )
+        plan = world.plan(step, crashing_tasks=FIRST_TASK)
+        task = await submitted(world, plan)
+        await world.wait_phase(plan.job_id, JobPhase.FAILED, limit_ms=60_000)
+        assert world.checker.crash_counts[task] <= 3
+
     async def test_a_gang_is_given_up(self, world):
         """
         Guards against a gang that crashes the workers of one member.
