Give up batch tasks whose workers are lost again and again

What callers would see: on the product's own path, an idempotent task that crashes each worker that starts it does so for ever; the other runs there are lost each time.

Change: a task whose runs were lost five times in succession, each within 45 s after its start, ends as failed; the count is part of its record. Suspects are not isolated on this path.

Evidence: test_it_does_not_crash_worker_after_worker failed before: the task crashed all eight workers.

--- a/src/hawthornpier/owner/_job_state.py
+++ b/src/hawthornpier/owner/_job_state.py
@@ -177,6 +177,20 @@
             state = TaskState.EVICTED if has_checkpoint else TaskState.QUEUED
             self.record = replace(self.record, state=state)
 
+    def count_interruption(self, *, is_early: bool) -> int:
+        """
+        Count a run that has ended without a known outcome.
+
+        Args:
+            is_early: Whether it ended soon after its start.
+
+        Returns:
+            How many runs in succession have ended so.
+        """
+        count = self.record.interruption_count + 1 if is_early else 0
+        self.record = replace(self.record, interruption_count=count)
+        return count
+
     def is_new_outcome(self, outcome: TaskOutcome) -> bool:
         """
         Return whether neither *outcome* nor a later run is on record.
--- a/src/hawthornpier/owner/_records.py
+++ b/src/hawthornpier/owner/_records.py
@@ -45,6 +45,9 @@
     progress_ms: int = 0
     eviction_count: int = 0
     attempt_count: int = 0
+    # How many runs in succession ended without an outcome, with or on their
+    # worker, soon after their start.
+    interruption_count: int = 0
     run_id: str = ''
     worker_id: str = ''
     detail: str = ''
--- a/src/hawthornpier/owner/_runs.py
+++ b/src/hawthornpier/owner/_runs.py
@@ -108,17 +108,33 @@
         """
         Handle a run that has ended without a known outcome.
 
-        An idempotent task is queued again; any other task ends as unknown.
+        An idempotent task is queued again, unless this has happened too often:
+        it may crash each worker that starts it.  Any other task ends as
+        unknown.
         """
         task = self._table.task_of_run(run.task_id, run.run_id)
         if task is None:
             return
-        if task.job.is_idempotent:
-            self._requeue(task, TaskResult.LEASE_LAPSED)
-        else:
+        if not task.job.is_idempotent:
             self.end(
                 task, TaskState.UNKNOWN, 'the run ended without a known outcome'
             )
+            return
+        duration_ms = self._context.now_ms() - run.sent_ms
+        timing = self._context.timing
+        count = task.count_interruption(
+            is_early=duration_ms < timing.interruption_window_ms,
+        )
+        if count >= timing.max_interruptions:
+            self.end(
+                task,
+                TaskState.FAILED,
+                f'{count} runs in succession ended with or on their worker',
+            )
+            return
+        row = task.chunk_put(self._context.shard)
+        self._context.tasks.spawn(self._context.commit_with_retries(row))
+        self._requeue(task, TaskResult.LEASE_LAPSED)
 
     def handle_run_end(self, link: WorkerLink, outcome: TaskOutcome) -> None:
         """
--- a/src/hawthornpier/owner/_timing.py
+++ b/src/hawthornpier/owner/_timing.py
@@ -16,7 +16,9 @@
     leases are no longer renewed.  *status_poll_interval_ms* is also the delay
     before a task whose run did not start or was lost is queued again.  Ended
     jobs and the outcomes of requests with an idempotency key are kept for
-    *retention_ms*.
+    *retention_ms*.  A task is given up if *max_interruptions* runs in
+    succession are lost within *interruption_window_ms*, because it may crash
+    each worker that starts it.
     """
 
     task_lease_ms: int = 15_000
@@ -30,6 +32,8 @@
     order_deadline_ms: int = 10_000
     commit_deadline_ms: int = 2_000
     max_task_attempts: int = 3
+    max_interruptions: int = 5
+    interruption_window_ms: int = 45_000
     close_after_failure_count: int = 2
     retention_ms: int = 86_400_000
     purge_interval_ms: int = 60_000
--- a/tests/test_owner_jobs.py
+++ b/tests/test_owner_jobs.py
@@ -367,6 +367,34 @@
         assert _count_starts(harness.history) == 6
 
 
+class TestCrashingTask:
+    """
+    A task that crashes each worker that starts it.
+    """
+
+    def test_it_does_not_crash_worker_after_worker(self) -> None:
+        """
+        Guards against unlimited starts of a task that crashes its workers.
+        """
+
+        async def scenario() -> tuple[OwnerHarness, JobView]:
+            harness = OwnerHarness(worker_count=8)
+            owner = await harness.new_owner()
+            await owner.submit_job('j', job_of(1, work_ms=5_000))
+            for _ in range(1_500):
+                await harness.clock.sleep_ms(100)
+                worker_id = owner.jobs.view('j').tasks[0].worker_id
+                if worker_id:
+                    harness.workers[worker_id].apply_faults(
+                        WorkerFaults(is_dead=True),
+                    )
+            return harness, owner.jobs.view('j')
+
+        harness, view = run_virtual(scenario())
+        assert _states(view) == {TaskState.FAILED}
+        assert _count_starts(harness.history) <= 5
+
+
 class TestCombinedFaults:
     """
     Sequences of faults that are derived from a seed.
