Take a start without a reply for weak evidence of a crash

What callers would see: a job is shown as failed although it can be done, because its worker was cut off as the task started and crashed seconds later, twice.

Cause: a start that got no reply counted as one that had just reached the worker. When a silent worker crashes, nothing shows that the start was there.

Change: only a start that has reached the worker, by its reply, its listing or a connection that ended at once, counts as one that has just started.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -35,7 +35,7 @@
         run: A run on the worker.
         last_reply_ms: When the worker last replied.
     """
-    return run.sent_ms > 0 and run.sent_ms + FRESH_RUN_MS > last_reply_ms
+    return run.is_delivered and run.sent_ms + FRESH_RUN_MS > last_reply_ms
 
 
 def attribute_crash(
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -315,6 +315,7 @@
         Record that a worker is executing a run.
         """
         run.order_acknowledged_ms = self.now_ms
+        run.is_delivered = True
         if run.phase in {RunPhase.STARTING, RunPhase.UNCERTAIN}:
             run.phase = RunPhase.RUNNING
             run.percent_changed_ms = self.now_ms
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -34,6 +34,9 @@
 # Time without further starts on a worker after it rejected one for lack of
 # resources.
 _NO_CAPACITY_DELAY_MS = 250.0
+# If the reply to a start is lost sooner than this, the connection has ended; a
+# host that does not respond takes until the timeout.
+_CONNECTION_END_MS = 300.0
 # How long the next renewal is delayed until ended runs are durable and can be
 # acknowledged.  After that, the worker lists them again.
 _COMMIT_TIMEOUT_MS = 300.0
@@ -189,10 +192,13 @@
             if not await self._may_send(order, run):
                 return
             earlier_sent_ms = run.sent_ms
+            tried_ms = self._shard.now_ms
             try:
                 reply = await self._port.start(self._start_order(run))
             except WorkerReplyLostError:
                 is_uncertain = True
+                waited_ms = self._shard.now_ms - tried_ms
+                run.is_delivered |= waited_ms < _CONNECTION_END_MS
             except WorkerError as error:
                 run.sent_ms = earlier_sent_ms
                 self._record_missed_reply(str(error))
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -47,6 +47,7 @@
         'cpu_or_tail',
         'has_resumed',
         'is_copy',
+        'is_delivered',
         'listed_ms',
         'order_acknowledged_ms',
         'paused_ms',
@@ -78,6 +79,9 @@
         # When this owner first sent the start to the worker, or first saw the
         # run in its listing; 0 before.
         self.sent_ms: float = 0
+        # Whether the start has reached the worker: it has replied or listed the
+        # run, or the connection ended at once.
+        self.is_delivered = False
         # When the worker last acknowledged an order for the run or first
         # listed it; 0 while an order is pending.  If a listing requested
         # later does not contain the run, the run has ended.
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -40,6 +40,7 @@
 def run_on(task, *, sent_ms):
     run = Run(task, 1, 'w', sent_ms)
     run.sent_ms = sent_ms
+    run.is_delivered = sent_ms > 0
     return run
 
 
@@ -76,6 +77,14 @@
         """
         assert self.attribute(0, 1_000) == [None, None]
 
+    def test_a_start_that_got_no_reply_is_weak_evidence(self):
+        """
+        Guards against tasks that are given up for what a silent worker does.
+        """
+        run = run_on(next(job_of(ONE_TASK).tasks()), sent_ms=39_990)
+        run.is_delivered = False
+        assert attribute_crash([run], 39_980) == {run.key: WEAK}
+
     def test_a_gang_is_one_suspect(self):
         """
         Guards against a gang whose crashes never suffice to give it up.
