Read the registry before a missing worker counts as crashed

What callers would see: a job is given up, after a change of the owner, for workers that were only cut off.

Cause: a suspicion whose worker the new owner did not know counted as a crash at once. The previous owner drops a worker from its list when the lease has expired, and the registry, which still has it, was read only afterwards.

Evidence: test_a_new_owner_does_not_take_silence_for_a_crash failed before, with the weight of a sole suspect. Found by reading.

Change: suspicions of unknown workers wait until the registry has been read; the progress of removed jobs is no longer marked for storing.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -6,6 +6,7 @@
 each time with all other runs there.
 """
 
+import itertools
 from collections.abc import Collection
 
 from hawthornpier.fleet._shard import Shard
@@ -93,14 +94,26 @@
         shard.mark_dirty(task)
 
 
-def restore_suspicions(shard: Shard) -> None:
+def restore_suspicions(shard: Shard, *, is_registry_read: bool) -> None:
     """
     Restore the evidence that the previous owner had when it was replaced.
+
+    Args:
+        shard: The state of the shard.
+        is_registry_read: Whether a worker that is not known has left.
     """
-    for job in shard.active_jobs():
-        for task in job.tasks():
-            for worker_id in tuple(task.suspicions):
-                _restore_suspicion(shard, task, worker_id)
+    tasks = itertools.chain.from_iterable(
+        job.tasks() for job in shard.active_jobs()
+    )
+    suspected = [
+        (task, worker_id) for task in tasks for worker_id in task.suspicions
+    ]
+    for task, worker_id in suspected:
+        worker = shard.workers.get(worker_id)
+        if worker is not None:
+            _restore_suspicion(shard, task, worker)
+        elif is_registry_read:
+            _count_crash(shard, task, task.suspicions.pop(worker_id))
 
 
 def confirm_crash(shard: Shard, worker: WorkerState, why: str) -> None:
@@ -145,12 +158,12 @@
         shard.end_run(run, RunOutcome.LOST)
 
 
-def _restore_suspicion(shard: Shard, task: Task, worker_id: str) -> None:
-    worker = shard.workers.get(worker_id)
-    if worker is None or worker.has_crashed:
-        _count_crash(shard, task, task.suspicions.pop(worker_id))
+def _restore_suspicion(shard: Shard, task: Task, worker: WorkerState) -> None:
+    if worker.has_crashed:
+        suspicion = task.suspicions.pop(worker.worker_id)
+        _count_crash(shard, task, suspicion)
     elif worker.is_listed:
-        task.suspicions.pop(worker_id)
+        task.suspicions.pop(worker.worker_id)
     elif task not in worker.suspected_tasks:
         worker.suspected_tasks.append(task)
 
@@ -165,6 +178,8 @@
 
 
 def _count_crash(shard: Shard, task: Task, suspicion: Suspicion) -> None:
+    if task.step.job.plan.job_id not in shard.jobs:
+        return
     task.crashes.setdefault(suspicion.attempt, suspicion.weight)
     if has_crashed_too_often(task):
         shard.log.record(
--- a/src/hawthornpier/fleet/_handover.py
+++ b/src/hawthornpier/fleet/_handover.py
@@ -77,7 +77,7 @@
     finally:
         peer.close()
     _apply_handover(shard, handover)
-    restore_suspicions(shard)
+    restore_suspicions(shard, is_registry_read=True)
     shard.log.record(
         'handover_received',
         process=predecessor.card.process_id,
--- a/src/hawthornpier/fleet/_job_index.py
+++ b/src/hawthornpier/fleet/_job_index.py
@@ -48,6 +48,14 @@
         except ValueError:
             return None
 
+    def mark_dirty(self, task: Task) -> None:
+        """
+        Have the progress of a task's job stored, unless the job was removed.
+        """
+        job_id = task.step.job.plan.job_id
+        if job_id in self.jobs:
+            self.dirty.add(job_id)
+
     def active_jobs(self) -> Iterator[Job]:
         """
         Yield the jobs that have neither ended nor been cancelled.
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -165,12 +165,14 @@
                 # workers list ended runs, which are applied to their jobs.
                 await self._intake.load()
                 await self._load_fleet_rows(registry)
+                restore_suspicions(self.shard, is_registry_read=False)
                 await registry.read()
             except StoreError as error:
                 self._context.log.record('load_failed', why=str(error))
                 await self._context.clock.sleep_ms(_RETRY_MS)
                 continue
             break
+        restore_suspicions(self.shard, is_registry_read=True)
         self.is_loaded = True
         self._context.log.record(
             'shard_loaded',
@@ -219,7 +221,6 @@
             )
             registry.add_recorded_worker(entry)
         self._committer.restore_fleet_row(rows.get(FLEET_KEY[1], b'[]'))
-        restore_suspicions(self.shard)
 
     def _decode_row(
         self,
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -259,12 +259,6 @@
             why=reason,
         )
 
-    def mark_dirty(self, task: Task) -> None:
-        """
-        Have the progress of a task's job stored.
-        """
-        self.dirty.add(task.step.job.plan.job_id)
-
     def order_stop(
         self,
         worker: WorkerState,
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -289,3 +289,21 @@
             worker.fault = WorkerFault.NONE
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
         assert world.checker.crash_counts[task] == 0
+
+    async def test_a_new_owner_does_not_take_silence_for_a_crash(self, world):
+        """
+        Guards against evidence that a change of the owner turns into proof.
+
+        The lease has expired, so the worker is in no list of the old owner.
+        """
+        plan = world.plan(ONE_TASK, work_ms=30_000)
+        task = await submitted(world, plan)
+        await world.wait_starts(1)
+        for worker_id in world.checker.running.values():
+            world.workers[worker_id].fault = WorkerFault.PARTITIONED
+        await world.wait_starts(2)
+        await world.run_for(500)
+        world.kill(world.owner())
+        await world.run_for(3_000)
+        shard = world.owner().local_shard()
+        assert not shard.find_task(task).crashes
