--- a/src/hawthornpier/steps/_crashes.py
+++ b/src/hawthornpier/steps/_crashes.py
@@ -12,11 +12,11 @@
     How strongly the crash of a worker suggests that a task caused it.
 
     The values are weights; a task is given up when their sum reaches the limit.
-    That takes two crashes if the task was the only suspect of one of them,
-    three if other tasks were suspects each time, and five in any case.
+    If the task had just started each time, that takes two crashes if no other
+    one had in one of them, and three otherwise.  Any five crashes suffice.
     """
 
-    # The task had been running for some time.
+    # The task had been running for some time, or may not have started at all.
     WEAK = 3
     # The task had just started, and so had others on the worker.
     SHARED = 5
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -168,15 +168,8 @@
         Guards against a new owner that starts to count crashes anew.
         """
         plan = world.plan(ONE_TASK, crashing_tasks=FIRST_TASK)
-        task = await submitted(world, plan)
-        for crash_count in (1, 2):
-            await world.wait_crashes(task, crash_count)
-            # The owner has counted the crash and stored the count by then.
-            await world.run_for(4_000)
-            world.kill(world.owner())
-            world.start_node(f'extra{crash_count}')
-        await world.wait_phase(plan.job_id, JobPhase.FAILED, limit_ms=60_000)
-        assert world.checker.crash_counts[task] <= 3
+        # The owner has counted the crash and stored the count by then.
+        await self.check_with_new_owners(world, plan, delay_ms=4_000)
 
     async def test_a_crash_that_no_owner_has_confirmed_counts(self, world):
         """
@@ -185,14 +178,7 @@
         The owner is killed before the worker is known to have crashed.
         """
         plan = world.plan(ONE_TASK, crashing_tasks=FIRST_TASK)
-        task = await submitted(world, plan)
-        for crash_count in (1, 2):
-            await world.wait_crashes(task, crash_count)
-            await world.run_for(800)
-            world.kill(world.owner())
-            world.start_node(f'extra{crash_count}')
-        await world.wait_phase(plan.job_id, JobPhase.FAILED, limit_ms=60_000)
-        assert world.checker.crash_counts[task] <= 3
+        await self.check_with_new_owners(world, plan, delay_ms=800)
 
     async def test_a_long_running_task_is_given_up(self, world):
         """
@@ -239,6 +225,16 @@
         await world.wait_phase(plan.job_id, JobPhase.FAILED, limit_ms=60_000)
         assert world.checker.crash_counts[task] <= 3
 
+    async def check_with_new_owners(self, world, plan, *, delay_ms):
+        task = await submitted(world, plan)
+        for crash_count in (1, 2):
+            await world.wait_crashes(task, crash_count)
+            await world.run_for(delay_ms)
+            world.kill(world.owner())
+            world.start_node(f'extra{crash_count}')
+        await world.wait_phase(plan.job_id, JobPhase.FAILED, limit_ms=60_000)
+        assert world.checker.crash_counts[task] <= 3
+
 
 @virtual_tests(World)
 class TestOtherTasks:
