Split the simulated installation of the fleet tests into three modules

The run checker and the connections between processes and workers are modules of their own; no test changes.

--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -5,16 +5,21 @@
 """
 
 import asyncio
-import collections
 import dataclasses
 import random
 
 import msgspec
+from fleet_connections import (
+    LocalPeer,
+    LocalRelaySocket,
+    PartitionedWorkerClient,
+)
+from run_checker import RunChecker
 from virtual_time import VirtualClock
 
 from hawthornpier import fleet
 from hawthornpier.events import DecisionLog
-from hawthornpier.ports import PeerUnreachableError, WorkerReplyLostError
+from hawthornpier.ports import PeerUnreachableError
 from hawthornpier.steps import JobPlan, QueuePolicy, StepPlan
 from hawthornpier_standin import fleet as standin
 
@@ -29,210 +34,6 @@
 HEARTBEAT_MS = 1_500
 
 
-class RunChecker:
-    """
-    Collects violations of the rules for runs.
-
-    Unless a job allows several runs of a task, no two runs of one task may
-    overlap, and none may start after the completion of the task has been
-    acknowledged to the worker.  Once a task has crashed three workers, it may
-    be started twice more.
-    """
-
-    def __init__(self):
-        self.violations = []
-        self.running = {}
-        self.done = set()
-        self.acknowledged = set()
-        self.started_count = 0
-        self.speculative_jobs = set()
-        self.crashing_tasks = set()
-        # By task, how many workers have crashed while they ran it, and how
-        # often it was started after the third of these crashes.
-        self.crash_counts = collections.Counter()
-        self.late_start_counts = collections.Counter()
-
-    def on_run_event(self, what, task, attempt, detail):
-        if what == 'started':
-            self._on_start(task, attempt, detail)
-        elif what == 'noted':
-            if detail == 'done':
-                self.acknowledged.add(task)
-        else:
-            self.running.pop((task, attempt), None)
-            self.crash_counts[task] += what == 'crashed'
-            if what == 'done':
-                self.done.add(task)
-
-    def _on_start(self, task, attempt, worker):
-        self.started_count += 1
-        others = [key for key in self.running if key[0] == task]
-        if others and task.split('.')[0] not in self.speculative_jobs:
-            self.violations.append(f'{task} runs twice: {others}')
-        if (
-            task in self.acknowledged
-            and task.split('.')[0] not in self.speculative_jobs
-        ):
-            self.violations.append(
-                f'{task} started after its end was acknowledged'
-            )
-        if task in self.crashing_tasks and self.crash_counts[task] >= 3:
-            self.late_start_counts[task] += 1
-            if self.late_start_counts[task] > 2:
-                self.violations.append(f'{task} crashes worker after worker')
-        self.running[task, attempt] = worker
-
-
-class LocalPeer:
-    """
-    Implements `FleetPeer` by direct calls to another simulated process.
-    """
-
-    def __init__(self, world, origin, card):
-        self.card = card
-        self._world = world
-        self._origin = origin
-
-    async def watch(self, wait_ms):
-        node = await self._reach()
-        for _ in range(wait_ms // 20):
-            await asyncio.sleep(0.02)
-            if node.is_dead:
-                raise fleet.PeerGoneError('reset')
-            if node.presence().given_up_epoch:
-                break
-        return node.presence()
-
-    async def hand_over(self, epoch):
-        handover = (await self._reach()).hand_over(epoch)
-        if handover is None:
-            raise PeerUnreachableError('not the owner of that epoch')
-        return handover
-
-    async def notify_job(self, content):
-        (await self._shard()).add_job(fleet_plan(content))
-
-    async def notify_cancel(self, job_id):
-        (await self._shard()).cancel_job(job_id)
-
-    async def show(self, job_id):
-        job = (await self._shard()).jobs.get(job_id)
-        return None if job is None else job.phase
-
-    async def pending(self, queue):
-        return (await self._shard()).pending_count(queue)
-
-    async def configuration(self, after_version, wait_ms):
-        node = await self._reach()
-        return await node.wait_configuration(after_version, wait_ms)
-
-    async def relay_job(self, content):
-        node = await self._reach()
-        return await node.entry.store_job(fleet_plan(content).job_id, content)
-
-    async def relay_cancel(self, job_id):
-        return await (await self._reach()).entry.store_cancel(job_id)
-
-    def close(self):
-        """
-        Do nothing, as there are no connections.
-        """
-
-    async def _reach(self):
-        await asyncio.sleep(0.001)
-        node = self._world.nodes.get(self.card.address)
-        if node is None or node.is_partitioned or self._origin.is_partitioned:
-            await asyncio.sleep(self._world.peer_timeout_s)
-            raise PeerUnreachableError('timed out')
-        if node.is_dead:
-            raise fleet.PeerGoneError('refused')
-        return node
-
-    async def _shard(self):
-        shard = (await self._reach()).local_shard()
-        if shard is None:
-            raise PeerUnreachableError('not the owner')
-        return shard
-
-
-def fleet_plan(content):
-    return msgspec.json.decode(content, type=JobPlan)
-
-
-class PartitionedWorkerClient:
-    """
-    A worker client whose calls time out while its process is partitioned.
-    """
-
-    def __init__(self, node, client):
-        self._node = node
-        self._client = client
-
-    def close(self):
-        self._client.close()
-
-    def __getattr__(self, name):
-        method = getattr(self._client, name)
-
-        async def call(*arguments):
-            if self._node.is_partitioned:
-                await asyncio.sleep(0.7)
-                raise WorkerReplyLostError('timed out')
-            return await method(*arguments)
-
-        return call
-
-
-class LocalRelaySocket:
-    """
-    An owner's connection to a relay in the same event loop.
-
-    Nothing passes while one of the processes is partitioned or the relay is
-    frozen; what was sent then arrives afterwards.
-    """
-
-    def __init__(self, world, origin, address):
-        self._world = world
-        self._origin = origin
-        self._relay = world.nodes[address]
-        self._inbox = asyncio.Queue()
-        self._session = self._relay.open_relay(self._inbox.put_nowait)
-        self._outbox = asyncio.Queue()
-        self._pump = asyncio.ensure_future(self._deliver())
-
-    def send(self, content):
-        self._outbox.put_nowait(content)
-
-    async def receive(self):
-        while True:
-            if self._relay.is_dead:
-                return None
-            if self._is_blocked or self._inbox.empty():
-                await asyncio.sleep(0.005)
-                continue
-            return self._inbox.get_nowait()
-
-    def close(self):
-        self._pump.cancel()
-        self._session.close()
-
-    @property
-    def _is_blocked(self):
-        return (
-            self._relay.is_frozen
-            or self._relay.is_partitioned
-            or self._origin.is_partitioned
-        )
-
-    async def _deliver(self):
-        while True:
-            content = await self._outbox.get()
-            await asyncio.sleep(0.001)
-            while self._is_blocked:
-                await asyncio.sleep(0.005)
-            self._session.receive(content)
-
-
 class Node(fleet.FleetNode):
     """
     An entry process that can be killed or partitioned from its peers.
