Take the planned end of a draining worker for no crash

What callers would see: a job is given up because the workers of its task were replaced five times, or left twice just after it had started.

Cause: the entry of a worker that has left is missing, which was taken for the proof of a crash. Found by reading.

Evidence: test_a_worker_that_leaves_as_planned_has_not_crashed failed before.

Change: a draining worker gives no evidence against its runs.

Measured: 26 passed (test_fleet_crashes.py).

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -73,7 +73,8 @@
     It counts once the worker is known to have crashed.  Until then it is part
     of the progress of the jobs, so that a new owner counts the crash, too.
     """
-    if worker.suspected_tasks:
+    # A worker that drains ends its runs when it leaves.
+    if worker.suspected_tasks or worker.entry.is_draining:
         return
     evidence = attribute_crash(worker.runs.values(), worker.last_reply_ms)
     for key, weight in evidence.items():
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -2,11 +2,13 @@
 Tests of tasks that crash each worker that starts them.
 """
 
+import dataclasses
+
 import pytest
 from fake_store import virtual_tests
 from fleet_world import QUEUE, World
 
-from hawthornpier.fleet._crashes import attribute_crash
+from hawthornpier.fleet._crashes import attribute_crash, confirm_crash
 from hawthornpier.steps import (
     CrashEvidence,
     Job,
@@ -286,6 +288,20 @@
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
         assert world.checker.crash_counts[task] == 0
 
+    async def test_a_worker_that_leaves_as_planned_has_not_crashed(self, world):
+        """
+        Guards against tasks that are given up because workers are replaced.
+        """
+        plan = world.plan(ONE_TASK, work_ms=30_000)
+        task = await submitted(world, plan)
+        await world.wait_starts(1)
+        shard = world.owner().local_shard()
+        for worker_id in world.checker.running.values():
+            worker = shard.workers[worker_id]
+        worker.entry = dataclasses.replace(worker.entry, is_draining=True)
+        confirm_crash(shard, worker, 'entry missing')
+        assert not shard.find_task(task).crashes
+
     async def test_a_new_owner_does_not_take_silence_for_a_crash(self, world):
         """
         Guards against evidence that a change of the owner turns into proof.
