Confirm a crash only by another incarnation at the address

What callers saw: a job was shown as failed although no worker had crashed. Two workers that were cut off from the owner and from the registry, and ran on, sufficed if the task had just started on both.

Cause: the end of the lease together with a missing registry entry counted as proof of a crash.

Evidence: test_tasks_of_missing_workers_are_not_given_up and test_the_return_of_a_worker_clears_its_tasks failed before this change.

Change: such a loss is presumed to be a crash, with the weight of weak evidence and only for tasks that had just started, so that five missing workers are needed. The evidence names the address and the incarnation of the worker, and is kept after the worker was removed: another incarnation there confirms it at its full weight, the return of the worker refutes it, also under the next owner. The simulated registry drops the entries of silent workers.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -9,6 +9,7 @@
 import itertools
 from collections.abc import Collection
 
+from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._state_log import log_interrupted_runs
 from hawthornpier.fleet._worker_state import RunKey, WorkerState
@@ -80,7 +81,10 @@
     for key, weight in evidence.items():
         task = worker.runs[key].task
         task.suspicions[worker.worker_id] = Suspicion(
-            attempt=key[1], weight=weight
+            attempt=key[1],
+            weight=weight,
+            address=worker.entry.address,
+            incarnation_ms=worker.entry.incarnation_ms,
         )
         worker.suspected_tasks.append(task)
         shard.mark_dirty(task)
@@ -91,52 +95,45 @@
     Drop the evidence against the runs of a worker that responds again.
     """
     worker.has_crashed = False
-    for task, _ in _pop_suspicions(worker):
-        shard.mark_dirty(task)
+    for task, suspicion in _pop_suspicions(worker):
+        _refute_crash(shard, task, suspicion)
 
 
-def restore_suspicions(shard: Shard, *, is_registry_read: bool) -> None:
+def confirm_crash(shard: Shard, worker: WorkerState, why: str) -> None:
     """
-    Restore the evidence that the previous owner had when it was replaced.
+    Count the crash of a worker against the tasks that ran there.
+
+    The caller ends the runs.
 
     Args:
         shard: The state of the shard.
-        is_registry_read: Whether a worker that is not known has left.
+        worker: The worker.
+        why: What shows that it has crashed.
     """
-    tasks = itertools.chain.from_iterable(
-        job.tasks() for job in shard.active_jobs()
-    )
-    suspected = [
-        (task, worker_id) for task in tasks for worker_id in task.suspicions
-    ]
-    for task, worker_id in suspected:
-        worker = shard.workers.get(worker_id)
-        if worker is not None:
-            _restore_suspicion(shard, task, worker)
-        elif is_registry_read:
-            _count_crash(shard, task, task.suspicions.pop(worker_id))
+    worker.has_crashed = True
+    _suspect_remaining_runs(shard, worker, why)
+    for task, suspicion in _pop_suspicions(worker):
+        _count_crash(shard, task, suspicion.attempt, suspicion.weight)
 
 
-def confirm_crash(shard: Shard, worker: WorkerState, why: str) -> None:
+def presume_crash(shard: Shard, worker: WorkerState, why: str) -> None:
     """
-    Count the crash of a worker against the tasks that ran there.
+    Count the loss of a worker that has possibly not crashed.
 
-    The caller ends the runs.
+    It may be cut off from this process and from the registry, and run on.  Only
+    tasks that had just started are suspected.  If another worker appears at the
+    address, the crash is confirmed; if this one returns, it is refuted.
 
     Args:
         shard: The state of the shard.
         worker: The worker.
-        why: What shows that it has crashed.
+        why: What suggests that it has crashed.
     """
-    worker.has_crashed = True
-    if worker.runs:
-        log_interrupted_runs(shard, worker, why)
-    suspect_crash(shard, worker)
-    for run in worker.runs.values():
-        if run.sent_ms and _has_settled(run, worker.last_reply_ms):
-            run.task.crashes.clear()
-    for task, suspicion in _pop_suspicions(worker):
-        _count_crash(shard, task, suspicion)
+    _suspect_remaining_runs(shard, worker, why)
+    for task in worker.suspected_tasks:
+        suspicion = task.suspicions.get(worker.worker_id)
+        if suspicion is not None:
+            _presume_crash_by(shard, task, suspicion)
 
 
 def end_crashed_incarnation(
@@ -159,16 +156,106 @@
         shard.end_run(run, RunOutcome.LOST)
 
 
+def remember_missing_worker(shard: Shard, worker: WorkerState) -> None:
+    """
+    Keep the suspects of a worker that is removed, until it is known to return.
+    """
+    presume_crash(shard, worker, 'entry missing')
+    if worker.suspected_tasks:
+        shard.missing_suspects[worker.worker_id] = worker.suspected_tasks
+    # Jobs that have been removed need no evidence.
+    for worker_id, tasks in list(shard.missing_suspects.items()):
+        if not any(_is_known(shard, task) for task in tasks):
+            shard.missing_suspects.pop(worker_id)
+
+
+def identify_missing_workers(shard: Shard, worker: WorkerState) -> None:
+    """
+    Decide what has become of missing workers, now that one was registered.
+
+    Args:
+        shard: The state of the shard.
+        worker: The worker that was registered.
+    """
+    address = worker.entry.address
+    for worker_id, tasks in list(shard.missing_suspects.items()):
+        is_same = worker_id == worker.worker_id
+        suspects = [task for task in tasks if worker_id in task.suspicions]
+        replaced = [
+            task
+            for task in suspects
+            if _is_replaced(task.suspicions[worker_id], worker.entry)
+            and (is_same or task.suspicions[worker_id].address == address)
+        ]
+        for culprit in replaced:
+            suspicion = culprit.suspicions.pop(worker_id)
+            _count_crash(shard, culprit, suspicion.attempt, suspicion.weight)
+        if is_same or replaced:
+            shard.missing_suspects.pop(worker_id)
+        if is_same:
+            worker.suspected_tasks.extend(
+                suspect for suspect in suspects if suspect not in replaced
+            )
+
+
+def restore_suspicions(shard: Shard) -> None:
+    """
+    Restore the evidence that the previous owner had when it was replaced.
+    """
+    tasks = itertools.chain.from_iterable(
+        job.tasks() for job in shard.active_jobs()
+    )
+    suspected = [
+        (task, worker_id) for task in tasks for worker_id in task.suspicions
+    ]
+    for task, worker_id in suspected:
+        worker = shard.workers.get(worker_id)
+        if worker is None:
+            missing = shard.missing_suspects.setdefault(worker_id, [])
+            missing.append(task)
+        else:
+            _restore_suspicion(shard, task, worker)
+    for present in shard.workers.values():
+        identify_missing_workers(shard, present)
+
+
+def presume_missing_workers_crashed(shard: Shard) -> None:
+    """
+    Count the loss of workers that the previous owner suspected to have crashed.
+
+    Call this once the registry has been read; those that are still unknown then
+    are missing from it.
+    """
+    for worker_id, tasks in list(shard.missing_suspects.items()):
+        for task in tasks:
+            _presume_crash_by(shard, task, task.suspicions[worker_id])
+
+
 def _restore_suspicion(shard: Shard, task: Task, worker: WorkerState) -> None:
+    suspicion = task.suspicions[worker.worker_id]
     if worker.has_crashed:
-        suspicion = task.suspicions.pop(worker.worker_id)
-        _count_crash(shard, task, suspicion)
+        task.suspicions.pop(worker.worker_id)
+        _count_crash(shard, task, suspicion.attempt, suspicion.weight)
     elif worker.is_listed:
         task.suspicions.pop(worker.worker_id)
+        _refute_crash(shard, task, suspicion)
     elif task not in worker.suspected_tasks:
         worker.suspected_tasks.append(task)
 
 
+def _suspect_remaining_runs(
+    shard: Shard,
+    worker: WorkerState,
+    why: str,
+) -> None:
+    if worker.runs:
+        log_interrupted_runs(shard, worker, why)
+    suspect_crash(shard, worker)
+    for run in worker.runs.values():
+        if run.sent_ms and _has_settled(run, worker.last_reply_ms):
+            run.task.crashes.clear()
+
+
 def _pop_suspicions(worker: WorkerState) -> list[tuple[Task, Suspicion]]:
     tasks = worker.suspected_tasks
     worker.suspected_tasks = []
@@ -178,17 +265,41 @@
     return [(task, each) for task, each in popped if each is not None]
 
 
-def _count_crash(shard: Shard, task: Task, suspicion: Suspicion) -> None:
-    if task.step.job.plan.job_id not in shard.jobs:
+def _presume_crash_by(shard: Shard, task: Task, suspicion: Suspicion) -> None:
+    is_counted = suspicion.attempt in task.crashes
+    if suspicion.weight > CrashEvidence.WEAK and not is_counted:
+        _count_crash(shard, task, suspicion.attempt, CrashEvidence.WEAK)
+
+
+def _refute_crash(shard: Shard, task: Task, suspicion: Suspicion) -> None:
+    task.crashes.pop(suspicion.attempt, None)
+    shard.mark_dirty(task)
+
+
+def _count_crash(
+    shard: Shard,
+    task: Task,
+    attempt: int,
+    weight: int,
+) -> None:
+    if not _is_known(shard, task):
         return
-    task.crashes.setdefault(suspicion.attempt, suspicion.weight)
+    task.crashes[attempt] = weight
     if has_crashed_too_often(task):
         shard.log.record(
             'task_given_up',
             task=task.key,
             crashes=dict(task.crashes),
         )
-    shard.record_outcome(task, suspicion.attempt, RunOutcome.LOST, '')
+    shard.record_outcome(task, attempt, RunOutcome.LOST, '')
+
+
+def _is_known(shard: Shard, task: Task) -> bool:
+    return task.step.job.plan.job_id in shard.jobs
+
+
+def _is_replaced(suspicion: Suspicion, entry: WorkerEntry) -> bool:
+    return 0 < suspicion.incarnation_ms < entry.incarnation_ms
 
 
 def _suspect_key(run: Run) -> str:
--- a/src/hawthornpier/fleet/_handover.py
+++ b/src/hawthornpier/fleet/_handover.py
@@ -6,7 +6,10 @@
 may be running until that worker has listed its runs to the new owner.
 """
 
-from hawthornpier.fleet._crashes import restore_suspicions
+from hawthornpier.fleet._crashes import (
+    presume_missing_workers_crashed,
+    restore_suspicions,
+)
 from hawthornpier.fleet._peer_port import Handover, PeerDialer
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._writer import OwnerRow
@@ -77,7 +80,8 @@
     finally:
         peer.close()
     _apply_handover(shard, handover)
-    restore_suspicions(shard, is_registry_read=True)
+    restore_suspicions(shard)
+    presume_missing_workers_crashed(shard)
     shard.log.record(
         'handover_received',
         process=predecessor.card.process_id,
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -15,7 +15,10 @@
     Committer,
 )
 from hawthornpier.fleet._context import FleetContext
-from hawthornpier.fleet._crashes import restore_suspicions
+from hawthornpier.fleet._crashes import (
+    presume_missing_workers_crashed,
+    restore_suspicions,
+)
 from hawthornpier.fleet._errors import ShardLostError
 from hawthornpier.fleet._handover import build_handover, request_handover
 from hawthornpier.fleet._intake import Intake
@@ -165,14 +168,14 @@
                 # workers list ended runs, which are applied to their jobs.
                 await self._intake.load()
                 await self._load_fleet_rows(registry)
-                restore_suspicions(self.shard, is_registry_read=False)
+                restore_suspicions(self.shard)
                 await registry.read()
             except StoreError as error:
                 self._context.log.record('load_failed', why=str(error))
                 await self._context.clock.sleep_ms(_RETRY_MS)
                 continue
             break
-        restore_suspicions(self.shard, is_registry_read=True)
+        presume_missing_workers_crashed(self.shard)
         self.is_loaded = True
         self._context.log.record(
             'shard_loaded',
--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -2,7 +2,7 @@
 Detection of runs that are lost, stalled or on a draining worker.
 """
 
-from hawthornpier.fleet._crashes import confirm_crash, suspect_crash
+from hawthornpier.fleet._crashes import presume_crash, suspect_crash
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._state_log import log_interrupted_runs
 from hawthornpier.fleet._timings import WorkerTimings
@@ -79,7 +79,7 @@
             worker.is_listed = False
             log_interrupted_runs(self._shard, worker, 'lease expired')
         if worker.is_deregistered:
-            confirm_crash(self._shard, worker, 'lease expired, entry missing')
+            presume_crash(self._shard, worker, 'lease expired, entry missing')
         awaits_listing = (
             not worker.is_deregistered and expired_ms < _LISTING_GRACE_MS
         )
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -64,6 +64,9 @@
         self.start_permit = StartPermit(clock)
         self.registry_permit = StartPermit(clock)
         self.workers: dict[str, WorkerState] = {}
+        # By worker that was removed without having returned: the tasks that
+        # may have crashed it.
+        self.missing_suspects: dict[str, list[Task]] = {}
         self.interference = InterferenceModel(log, clock)
         # Progress from the handover that the previous owner could not store,
         # by job, for jobs that are not known yet.
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -5,7 +5,11 @@
 import asyncio
 
 from hawthornpier.fleet._context import FleetContext
-from hawthornpier.fleet._crashes import confirm_crash
+from hawthornpier.fleet._crashes import (
+    confirm_crash,
+    identify_missing_workers,
+    remember_missing_worker,
+)
 from hawthornpier.fleet._errors import HistoryGoneError, error_text
 from hawthornpier.fleet._intake import read_all_rows
 from hawthornpier.fleet._listings import ListingReconciler
@@ -148,6 +152,7 @@
         if worker is None:
             worker = WorkerState(entry)
             self.shard.workers[entry.worker_id] = worker
+            identify_missing_workers(self.shard, worker)
             if self.are_all_workers_unlisted:
                 self.shard.unlisted_tasks.setdefault(entry.worker_id, None)
             self._start_link(worker)
@@ -258,7 +263,7 @@
                 and not worker.runs
                 and now_ms > lease_expiry_ms
             ):
-                confirm_crash(self.shard, worker, 'entry missing')
+                remember_missing_worker(self.shard, worker)
                 self._stop_link(worker_id)
                 self.shard.workers.pop(worker_id)
                 self.shard.interference.forget_worker(worker_id)
--- a/src/hawthornpier/steps/_crashes.py
+++ b/src/hawthornpier/steps/_crashes.py
@@ -2,6 +2,7 @@
 Decides from the crashes of its workers whether a task is given up.
 """
 
+import dataclasses
 import enum
 
 from hawthornpier.steps._state import Task
@@ -16,7 +17,8 @@
     one had in one of them, and three otherwise.  Any five crashes suffice.
     """
 
-    # The task had been running for some time, or may not have started at all.
+    # The task had been running for some time, or may not have started at all,
+    # or it is unknown whether the worker has crashed.
     WEAK = 3
     # The task had just started, and so had others on the worker.
     SHARED = 5
@@ -40,10 +42,13 @@
     """
     Return whether a task may crash the next worker that starts it.
     """
-    crashes = task.crashes
-    if len(crashes) >= _SUSPECT_CRASH_COUNT:
+    if len(task.crashes) >= _SUSPECT_CRASH_COUNT:
         return True
-    return any(weight > CrashEvidence.WEAK for weight in crashes.values())
+    pending = (suspicion.weight for suspicion in task.suspicions.values())
+    return any(
+        weight > CrashEvidence.WEAK
+        for weight in (*task.crashes.values(), *pending)
+    )
 
 
 def may_run_a_copy(task: Task) -> bool:
@@ -53,10 +58,7 @@
     A copy is for a task whose worker is slow or does not respond, which may be
     because the task has crashed it.
     """
-    return not task.crashes and all(
-        suspicion.weight == CrashEvidence.WEAK
-        for suspicion in task.suspicions.values()
-    )
+    return not task.crashes and not is_crash_suspect(task)
 
 
 def clear_suspicion(task: Task) -> None:
@@ -66,3 +68,7 @@
     The crashes still count, because the task may cause them later in a run.
     """
     task.crashes = dict.fromkeys(task.crashes, CrashEvidence.WEAK)
+    task.suspicions = {
+        worker_id: dataclasses.replace(suspicion, weight=CrashEvidence.WEAK)
+        for worker_id, suspicion in task.suspicions.items()
+    }
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -32,6 +32,9 @@
     objective_ms=400,
 )
 HEARTBEAT_MS = 1_500
+# The registry drops the entry of a worker that has sent no heartbeat for this
+# long.
+ENTRY_EXPIRY_MS = 3 * HEARTBEAT_MS
 
 
 class Node(fleet.FleetNode):
@@ -67,6 +70,8 @@
         self.models = {}
         self.log_lines = []
         self.workers = {}
+        # Workers that send no heartbeats.
+        self.silent_workers = set()
         self._tasks = []
         self._incarnation_count = 0
         for number in range(worker_count):
@@ -93,21 +98,41 @@
             self.clock,
             model_of=self.model_of,
             on_run_event=self.checker.on_run_event,
-            on_crash=lambda crashed: self._spawn(self._bring_back(crashed)),
+            on_crash=self._handle_crash,
         )
         self.workers[worker_id] = worker
         self._spawn(worker.run())
         return worker
 
+    def _handle_crash(self, worker):
+        self._spawn(self._bring_back(worker))
+        self._spawn(self._expire_entry(worker))
+
     async def _bring_back(self, worker):
         crashed_id = worker.entry.worker_id
         await self.run_for(self.restart_delay_ms)
         worker_id = crashed_id if self.keeps_worker_id else f'{crashed_id}+'
         self.workers[worker_id] = worker
         worker.restart(worker_id)
-        if worker_id != crashed_id:
-            await self.run_for(HEARTBEAT_MS)
-            self.store.remove(REGISTRY, crashed_id)
+
+    def cut_off(self, worker):
+        """
+        Part a worker from all processes and the store; its runs go on.
+        """
+        worker.fault = standin.WorkerFault.PARTITIONED
+        self.silent_workers.add(worker)
+        self._spawn(self._expire_entry(worker))
+
+    def reconnect(self, worker):
+        worker.fault = standin.WorkerFault.NONE
+        self.silent_workers.discard(worker)
+
+    async def _expire_entry(self, worker):
+        worker_id = worker.entry.worker_id
+        await self.run_for(ENTRY_EXPIRY_MS)
+        sends_heartbeats = worker.is_up and worker not in self.silent_workers
+        if not sends_heartbeats or worker.entry.worker_id != worker_id:
+            self.store.remove(REGISTRY, worker_id)
 
     def configure(self, version, queues=('orders',)):
         self.store.put(
@@ -259,6 +284,16 @@
     async def wait_crashes(self, task, count):
         await self.wait_until(lambda: self.checker.crash_counts[task] >= count)
 
+    def workers_of(self, task_key):
+        """
+        Return the workers on which a task is running.
+        """
+        return [
+            self.workers[worker_id]
+            for (running_key, _), worker_id in self.checker.running.items()
+            if running_key == task_key
+        ]
+
     def any_node(self):
         return next(
             node
@@ -282,7 +317,7 @@
     async def _send_heartbeats(self):
         while True:
             for worker in dict.fromkeys(self.workers.values()):
-                if worker.is_up:
+                if worker.is_up and worker not in self.silent_workers:
                     self.store.put(
                         REGISTRY,
                         worker.entry.worker_id,
