Start nothing on unguarded workers by an old capacity

A worker that executes every start could be overloaded if its capacity shrank while the store was out, because starts went on by the capacity that the registry had before.

Cause: a capacity read from the registry is a permission that expires, but only a pause of the owner ended it.

Evidence: test_no_start_relies_on_an_old_capacity failed before (5 starts instead of 1).

Change: the adapter decodes which services' workers do not check their capacity. Nothing is started on these while the last read of the registry is older than the contact time that the platform specifies, less the time for delivery. Other workers reject what does not fit, so they get starts as before; a second test checks that.

--- a/src/hawthornpier/fleet/_configuration.py
+++ b/src/hawthornpier/fleet/_configuration.py
@@ -27,6 +27,8 @@
 
     version: int
     routes: tuple[QueueRoute, ...] = ()
+    # Services whose workers execute every start, also beyond their capacity.
+    unguarded_services: frozenset[str] = frozenset()
 
     @functools.cached_property
     def queues(self) -> dict[str, QueuePolicy]:
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -351,7 +351,9 @@
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         if self._owner is not None:
-            self._owner.shard.queues = configuration.queues
+            shard = self._owner.shard
+            shard.queues = configuration.queues
+            shard.unguarded_services = configuration.unguarded_services
 
     async def _run_ownership(self) -> None:
         while True:
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -75,6 +75,7 @@
             epoch=writer.epoch,
             clock=context.clock,
             log=context.log,
+            contact_ms=context.bounds.contact_ms,
         )
         self.is_loaded = False
         self._context = context
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -116,7 +116,11 @@
         for worker in self._shard.workers.values():
             if worker.is_usable and now_ms >= worker.refused_until_ms:
                 pools.setdefault(worker.entry.service, []).append(worker)
-        return pools
+        return {
+            service: pool
+            for service, pool in pools.items()
+            if self._shard.may_start_on(service)
+        }
 
     def _ranked_steps(self) -> list[Step]:
         shard = self._shard
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -34,6 +34,10 @@
 # A deposed owner that does not know yet that it was replaced may still start
 # jobs that are accepted up to this long after the change of the owner.
 _STALE_OWNER_MS = 3_000.0
+# By default, the shortest that a platform is known to specify.
+_CONTACT_MS = 4_000.0
+# How long a start may take to reach its worker.
+_ORDER_DELIVERY_MS = 700.0
 
 
 class Shard(JobIndex):
@@ -45,6 +49,8 @@
         epoch: The owner's epoch, which workers check as a fencing token.
         clock: The clock of this process.
         log: The log of scheduling decisions.
+        contact_ms: For how long a smaller capacity of a worker need not be
+            known after the worker has reported it.
     """
 
     def __init__(
@@ -54,8 +60,10 @@
         epoch: int,
         clock: Clock,
         log: DecisionLog,
+        contact_ms: float = _CONTACT_MS,
     ) -> None:
         super().__init__(clock)
+        self._capacity_max_age_ms = contact_ms - _ORDER_DELIVERY_MS
         self.name = name
         self.epoch = epoch
         self.log = log
@@ -183,6 +191,20 @@
         """
         return self.start_permit.is_valid and self.registry_permit.is_valid
 
+    def may_start_on(self, service: str) -> bool:
+        """
+        Return whether runs may be started on the workers of a service.
+
+        Workers that do not check their capacity may have shrunk since the
+        registry was last read.
+        """
+        if not self.may_start:
+            return False
+        return (
+            service not in self.unguarded_services
+            or self.registry_permit.age_ms <= self._capacity_max_age_ms
+        )
+
     def next_attempt(self, task: Task) -> int:
         """
         Return an attempt number above those of all runs of the task.
--- a/src/hawthornpier/fleet/_start_permit.py
+++ b/src/hawthornpier/fleet/_start_permit.py
@@ -63,6 +63,13 @@
         """
         self._confirmed = sent
 
+    @property
+    def age_ms(self) -> float:
+        """
+        Return how long ago the last confirmed request was sent.
+        """
+        return self._clock.monotonic_ms() - self._confirmed.monotonic_ms
+
     @property
     def is_valid(self) -> bool:
         """
--- a/src/hawthornpier/fleet/_timings.py
+++ b/src/hawthornpier/fleet/_timings.py
@@ -73,7 +73,8 @@
     Durations are in milliseconds; *remote_factor* is a ratio.  In use are the
     maximum length of a worker's lease, how long before its due time an
     occurrence may start (*early_ms*), how long ended jobs must stay readable
-    (*status_ms*), and the grace period after SIGTERM (*grace_ms*).
+    (*status_ms*), the grace period after SIGTERM (*grace_ms*), and for how long
+    after its report a smaller capacity need not be known (*contact_ms*).
     """
 
     lease_max_ms: int = 6_000
@@ -86,3 +87,4 @@
     status_ms: int = 120_000
     grace_ms: int = 6_000
     gang_timeout_ms: int = 3_000
+    contact_ms: int = 4_000
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -231,7 +231,7 @@
         If it was replaced meanwhile, the store rejects its next write, which
         cancels this task.
         """
-        while not self._shard.may_start:
+        while not self._shard.may_start_on(self._worker.entry.service):
             await self._shard.clock.sleep_ms(self._timings.retry_min_ms)
 
     def _start_order(self, run: Run) -> StartOrder:
--- a/src/hawthornpier/platform/_records.py
+++ b/src/hawthornpier/platform/_records.py
@@ -101,6 +101,16 @@
     advice: _Advice | None = None
 
 
+class _Service(msgspec.Struct):
+    """
+    A group of workers for the tasks of one or more queues.
+    """
+
+    name: str
+    # Whether its workers reject starts that exceed their capacity.
+    admission_check: bool = True
+
+
 class _ConfigurationRow(msgspec.Struct):
     """
     The row that contains the operator's configuration.
@@ -108,6 +118,7 @@
 
     version: int
     routes: list[_Route] = []
+    services: list[_Service] = []
 
 
 class _SubmittedStep(msgspec.Struct):
@@ -222,6 +233,11 @@
     return Configuration(
         version=configuration.version,
         routes=tuple(_decode_route(route) for route in configuration.routes),
+        unguarded_services=frozenset(
+            service.name
+            for service in configuration.services
+            if not service.admission_check
+        ),
     )
 
 
--- a/src/hawthornpier/platform/_settings.py
+++ b/src/hawthornpier/platform/_settings.py
@@ -218,4 +218,7 @@
         gang_timeout_ms=int(
             reader.number('bounds.gang_timeout_ms', defaults.gang_timeout_ms),
         ),
+        contact_ms=int(
+            reader.number('bounds.contact_ms', defaults.contact_ms),
+        ),
     )
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -134,12 +134,13 @@
         if not sends_heartbeats or worker.entry.worker_id != worker_id:
             self.store.remove(REGISTRY, worker_id)
 
-    def configure(self, version, queues=('orders',)):
-        self.store.put(
-            'op',
-            'config',
-            msgspec.json.encode({'version': version, 'queues': queues}),
-        )
+    def configure(self, version, queues=('orders',), *, unguarded=()):
+        document = {
+            'version': version,
+            'queues': queues,
+            'unguarded': unguarded,
+        }
+        self.store.put('op', 'config', msgspec.json.encode(document))
 
     def start_node(self, name, *, cores=1):
         self._incarnation_count += 1
@@ -343,6 +344,7 @@
     document = msgspec.json.decode(content)
     return fleet.Configuration(
         version=document['version'],
+        unguarded_services=frozenset(document['unguarded']),
         routes=tuple(
             fleet.QueueRoute(
                 host='host',
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -8,6 +8,7 @@
 from fleet_world import HEARTBEAT_MS, World
 
 from hawthornpier.steps import StepPlan
+from hawthornpier_standin.fleet import StoreFault
 
 TASK = StepPlan(task_count=1, processor_millis=1_000)
 SETTLE_MS = HEARTBEAT_MS + 1_000
@@ -34,9 +35,7 @@
 
         Its runs go on, and count until they have ended.
         """
-        for worker in world.workers.values():
-            worker.checks_capacity = False
-        await world.run_for(1_500)
+        await self.start_unguarded(world)
         await self.submit(world, 4)
         await world.run_for(1_000)
         assert len(world.checker.running) == 4
@@ -53,3 +52,49 @@
         for _ in range(count):
             plan = world.plan(TASK, work_ms=60_000)
             await world.any_node().entry.submit(plan)
+
+    async def test_no_start_relies_on_an_old_capacity(self, world):
+        """
+        Guards against overload of a worker that shrank while the store was out.
+        """
+        await self.start_unguarded(world)
+        steps = (
+            StepPlan(task_count=1, processor_millis=1_000),
+            StepPlan(task_count=4, processor_millis=1_000, after=(0,)),
+        )
+        plan = world.plan(*steps, work_ms=8_000)
+        await world.any_node().entry.submit(plan)
+        await world.run_for(1_000)
+        self.break_store(world, StoreFault.REFUSE)
+        resize(world, 2_500)
+        await world.run_for(9_000)
+        assert world.checker.started_count == 1
+        self.break_store(world, StoreFault.NONE)
+        await world.run_for(SETTLE_MS)
+        assert len(world.checker.running) == 2
+
+    async def test_workers_that_check_their_capacity_start_tasks(self, world):
+        """
+        Guards against tasks that wait for the store without a need.
+        """
+        await world.run_for(1_500)
+        steps = (
+            StepPlan(task_count=1, processor_millis=1_000),
+            StepPlan(task_count=4, processor_millis=1_000, after=(0,)),
+        )
+        plan = world.plan(*steps, work_ms=8_000)
+        await world.any_node().entry.submit(plan)
+        await world.run_for(1_000)
+        self.break_store(world, StoreFault.REFUSE)
+        await world.run_for(9_000)
+        assert world.checker.started_count == 5
+
+    async def start_unguarded(self, world):
+        for worker in world.workers.values():
+            worker.checks_capacity = False
+        world.configure(2, unguarded=('desk',))
+        await world.run_for(1_500)
+
+    def break_store(self, world, fault):
+        for node in world.nodes.values():
+            node.client.fault = fault
