Log why long-running tasks wait

The log now has the unusable workers and those on trial, the largest room on a usable worker and the smallest need of a waiting long-running task.

--- a/src/hawthornpier/fleet/_state_log.py
+++ b/src/hawthornpier/fleet/_state_log.py
@@ -3,11 +3,12 @@
 """
 
 import collections
+from collections.abc import Iterator
 
 from hawthornpier.fleet._interference import max_tail_ratio
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
-from hawthornpier.steps import StepPlan
+from hawthornpier.steps import Step, StepPlan
 
 
 def log_shard_state(shard: Shard) -> None:
@@ -16,14 +17,14 @@
     """
     waiting: collections.Counter[str] = collections.Counter()
     images: collections.Counter[str] = collections.Counter()
-    jobs: collections.Counter[str] = collections.Counter()
-    for job in shard.active_jobs():
-        jobs[job.phase] += 1
-        for occurrence in job.occurrences:
-            for step in occurrence.due_steps(shard.clock.wall_ms()):
-                waiting[_task_kind(step.plan)] += len(step.waiting())
-                if step.plan.is_filling:
-                    images[step.plan.image] += len(step.waiting())
+    jobs = collections.Counter(job.phase for job in shard.active_jobs())
+    lasting_needs: list[int] = []
+    for step in _waiting_steps(shard):
+        waiting[_task_kind(step.plan)] += len(step.waiting())
+        if step.plan.is_filling:
+            images[step.plan.image] += len(step.waiting())
+        if step.plan.is_lasting:
+            lasting_needs.append(step.plan.processor_millis)
     workers = [worker for worker in shard.workers.values() if worker.is_usable]
     shard.log.record(
         'shard_state',
@@ -32,10 +33,16 @@
         jobs=dict(jobs),
         waiting=dict(waiting),
         workers=len(workers),
+        unusable_workers=len(shard.workers) - len(workers),
+        trial_workers=sum(1 for worker in workers if worker.trial_run),
         capacity_millis=sum(
             worker.entry.processor_millis for worker in workers
         ),
         reserved_millis=sum(worker.reserved_millis for worker in workers),
+        # Whether long-running tasks wait for want of room, or of a worker that
+        # may be used: the most that is free on one, the least that is needed.
+        max_free_millis=max(map(_free_millis, workers), default=0),
+        min_waiting_lasting_millis=min(lasting_needs, default=0),
         long_running_millis=sum(
             worker.long_running_millis for worker in workers
         ),
@@ -79,6 +86,19 @@
     )
 
 
+def _waiting_steps(shard: Shard) -> Iterator[Step]:
+    wall_ms = shard.clock.wall_ms()
+    for job in shard.active_jobs():
+        for occurrence in job.occurrences:
+            for step in occurrence.due_steps(wall_ms):
+                if step.waiting():
+                    yield step
+
+
+def _free_millis(worker: WorkerState) -> int:
+    return worker.entry.processor_millis - worker.reserved_millis
+
+
 def _task_kind(plan: StepPlan) -> str:
     if plan.is_lasting:
         return 'lasting'
