Count the time for which a host was suspended

After one, an owner that has been replaced could send starts and leases on the permission of before, to workers that the next owner has not reached yet.

Cause: the permission to start, the detection of pauses and the age of calls at relays measure pauses with time.monotonic, which stands still meanwhile.

Evidence: test_the_time_of_a_suspension_counts failed before the change (0 ms instead of 5,000).

Change: the monotonic clock of the system reads CLOCK_BOOTTIME.

--- a/src/hawthornpier/adapters/_clock.py
+++ b/src/hawthornpier/adapters/_clock.py
@@ -16,8 +16,11 @@
     def monotonic_ms(self) -> int:
         """
         Return milliseconds since an arbitrary origin; never decreases.
+
+        Unlike ``time.monotonic``, it includes the time for which the host was
+        suspended, in which leases and permissions may have expired.
         """
-        return time.monotonic_ns() // _NS_PER_MS
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // _NS_PER_MS
 
     def wall_ms(self) -> int:
         """
