Renew no lease once another process may own the shard

An owner that lost the store and the other processes, but not all workers, kept the runs on these alive without limit. The next owner cannot reach such workers, waits 7.6 s and starts their tasks again: two runs of one task, for as long as the partition lasts.

Cause: an owner took any silence of the store for an outage in which nobody can claim the shard.

Evidence: test_no_task_runs_on_both_sides_of_a_partition failed before, with two runs at a time.

Change: while the store is silent, the owner asks all other processes. If none has claimed the shard, the store is out for everybody and the runs are kept alive, as before (TestOutage). If one has, the owner gives up at once. If one does not respond, leases are renewed and runs started only up to 2.5 s after the last confirmation, which is what the next owner's wait allows for. So an outage of more than 7.5 s ends the runs if a process is unreachable at the same time that was there within 30 s before it.

The permits of the owner, the table of the other processes and the monitor of the owner are modules of their own now.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -75,7 +75,7 @@
         shard = self._shard
         while True:
             await self._shard.clock.sleep_ms(self._timings.commit_interval_ms)
-            if not shard.start_permit.is_valid or self._is_write_due():
+            if not shard.permits.writes.is_valid or self._is_write_due():
                 await self._try_write()
 
     async def write_all(self) -> None:
@@ -146,13 +146,13 @@
             (PROGRESS_TABLE, job_id)
             for job_id in shard.removed_jobs[:_REMOVAL_COUNT_MAX]
         )
-        sent = shard.start_permit.mark()
+        sent = shard.permits.writes.mark()
         try:
             await self._writer.write(writes, removals)
         except StoreError:
             shard.dirty.update(job_ids)
             raise
-        shard.start_permit.confirm(sent)
+        shard.permits.writes.confirm(sent)
         shard.writing.clear()
         if fleet != self._stored_fleet:
             self._stored_fleet = fleet
--- a/src/hawthornpier/fleet/_job_index.py
+++ b/src/hawthornpier/fleet/_job_index.py
@@ -24,8 +24,6 @@
         self.writing: set[str] = set()
         # The queues of the current configuration, by name.
         self.queues: dict[str, QueuePolicy] = {}
-        # Services whose workers execute every start, by that configuration.
-        self.unguarded_services: frozenset[str] = frozenset()
         # Removed jobs whose progress has still to be deleted from the store;
         # their other rows are deleted already.
         self.removed_jobs: list[str] = []
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import functools
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from typing import Any
@@ -17,21 +18,22 @@
 from hawthornpier.fleet._entry import JobEntry
 from hawthornpier.fleet._errors import error_text
 from hawthornpier.fleet._owner import ShardOwner
+from hawthornpier.fleet._owner_monitor import OwnerMonitor
 from hawthornpier.fleet._ownership import Ownership
 from hawthornpier.fleet._peer_port import (
     ConfigurationReply,
     FleetPeer,
     Handover,
     Peer,
-    PeerGoneError,
     Presence,
 )
+from hawthornpier.fleet._peer_table import PeerTable
 from hawthornpier.fleet._process_directory import ProcessDirectory
 from hawthornpier.fleet._relay_pool import RelayPool
 from hawthornpier.fleet._relay_session import RelaySession, SendBatch
 from hawthornpier.fleet._shard import Shard
-from hawthornpier.fleet._writer import OwnerRow, ProcessCard
-from hawthornpier.ports import Clock, PeerError
+from hawthornpier.fleet._writer import ProcessCard
+from hawthornpier.ports import Clock
 
 # One shard contains all workers of an installation of the current size.
 SHARD_NAME = 's0'
@@ -45,8 +47,6 @@
 _MAX_SMALL_HOST_DELAY_MS = 1_000.0
 # After an unexpected error, a part of the process is run again after this time.
 _PART_RESTART_MS = 300.0
-_PRESENCE_WAIT_MS = 1_500
-_PRESENCE_RETRY_MS = 120
 # If the store does not complete the release of the shard in this time, the
 # other processes learn of it from the presence reply of this process instead.
 _RELEASE_TIMEOUT_MS = 800.0
@@ -100,7 +100,6 @@
         self._last_handover: Handover | None = None
         self._given_up_epoch = 0
         self._ownership_given_up = asyncio.Event()
-        self._peers: dict[str, FleetPeer] = {}
         self._tasks: list[asyncio.Task[None]] = []
         self._ownership = Ownership(
             context.store,
@@ -119,6 +118,18 @@
             clock=context.clock,
             log=context.log,
         )
+        self._peer_table = PeerTable(
+            address,
+            cards=self._process_directory.cards,
+            dial=context.dial_peer,
+            clock=context.clock,
+        )
+        self._owner_monitor = OwnerMonitor(
+            self._ownership,
+            self._owner_peer,
+            address=address,
+            clock=context.clock,
+        )
         self._configuration = ConfigurationWatch(
             context.store,
             configuration,
@@ -171,7 +182,7 @@
             self._configuration.run,
             self._process_directory.run,
             self._run_ownership,
-            self._monitor_owner,
+            self._owner_monitor.run,
         )
         self._tasks = [asyncio.ensure_future(self._keep(run)) for run in parts]
 
@@ -222,8 +233,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        for peer in self._peers.values():
-            peer.close()
+        self._peer_table.close()
 
     def local_shard(self) -> Shard | None:
         """
@@ -256,11 +266,7 @@
         Return the known other processes in random order, but the owner first.
         """
         owner = self._owner_peer()
-        others = [
-            self._peer(card)
-            for card in self._process_directory.cards.values()
-            if card.address != self.card.address
-        ]
+        others = self._peer_table.others()
         self.context.rng.shuffle(others)
         if owner is None:
             return others
@@ -279,14 +285,21 @@
             is_leaving=self.is_leaving,
         )
 
-    async def wait_presence(self, wait_ms: float) -> Presence:
+    async def wait_presence(
+        self,
+        wait_ms: float,
+        observer: str = '',
+    ) -> Presence:
         """
         Return the status of this process once it gives up the shard.
 
         Args:
             wait_ms: The longest time to wait for that; then the status is
                 returned anyway.
+            observer: The address of the process that monitors this one.
         """
+        if observer:
+            self._peer_table.record_contact(observer)
         try:
             async with asyncio.timeout(wait_ms / 1000):
                 await self._ownership_given_up.wait()
@@ -346,14 +359,15 @@
         if self._name in readers or self._name not in names:
             return []
         return [
-            self._peer(self._process_directory.cards[name]) for name in readers
+            self._peer_table.get(self._process_directory.cards[name])
+            for name in readers
         ]
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         if self._owner is not None:
             shard = self._owner.shard
             shard.queues = configuration.queues
-            shard.unguarded_services = configuration.unguarded_services
+            shard.permits.unguarded_services = configuration.unguarded_services
 
     async def _run_ownership(self) -> None:
         while True:
@@ -363,6 +377,10 @@
                 self.context,
                 writer,
                 self._relay_pool(),
+                claimants=functools.partial(
+                    self._peer_table.claimants,
+                    self.clock.monotonic_ms(),
+                ),
             )
             if self.configuration is not None:
                 self._apply_configuration(self.configuration)
@@ -424,62 +442,10 @@
         self._given_up_epoch = owner.shard.epoch
         self._ownership_given_up.set()
 
-    async def _monitor_owner(self) -> None:
-        """
-        Detect the end of the owner with a request that is always open there.
-
-        The connection breaks as soon as the owner's process ends.
-        """
-        while True:
-            row = self._ownership.owner
-            peer = self._owner_peer()
-            if row is not None and peer is not None:
-                await self._check_owner(peer, row)
-            else:
-                await self.clock.sleep_ms(_PRESENCE_RETRY_MS)
-
-    async def _check_owner(self, peer: FleetPeer, row: OwnerRow) -> None:
-        process_id = row.card.process_id
-        owner_id = await self._get_owner_id(peer, row.epoch)
-        if owner_id == process_id:
-            return
-        await self.clock.sleep_ms(_PRESENCE_RETRY_MS)
-        # Retry once after a refused connection or a reply that the owner has
-        # given up the shard.
-        if owner_id == '':
-            owner_id = await self._get_owner_id(peer, row.epoch)
-        if owner_id is not None and owner_id != process_id:
-            self._ownership.report_process_ended(process_id)
-
-    async def _get_owner_id(self, peer: FleetPeer, epoch: int) -> str | None:
-        """
-        Return the id of the process that now runs at the owner's address.
-
-        Returns:
-            An empty string if no process listens there or the process has given
-            up the shard, or None if the request failed in another way.
-        """
-        try:
-            presence = await peer.watch(_PRESENCE_WAIT_MS)
-        except PeerGoneError:
-            return ''
-        except PeerError:
-            return None
-        if presence.given_up_epoch >= epoch:
-            return ''
-        return presence.process_id
-
     def _owner_peer(self) -> FleetPeer | None:
         row = self._ownership.owner
         if row is None or row.is_released:
             return None
         if row.card.address == self.card.address:
             return None
-        return self._peer(row.card)
-
-    def _peer(self, card: ProcessCard) -> FleetPeer:
-        peer = self._peers.get(card.address)
-        if peer is None:
-            peer = self.context.dial_peer(card)
-            self._peers[card.address] = peer
-        return peer
+        return self._peer_table.get(row.card)
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hawthornpier.fleet._claim_check import Claimants, ClaimCheck
 from hawthornpier.fleet._commits import (
     EFFECTS_KEY,
     FLEET_KEY,
@@ -62,6 +63,8 @@
         writer: Writes to the shard's partition under the claimed epoch.
         relays: Connections to relays; None if this process contacts all
             workers directly.
+        claimants: Returns the processes that may have claimed the shard since
+            a moment on the monotonic clock, or None if they are not known.
     """
 
     def __init__(
@@ -69,6 +72,8 @@
         context: FleetContext,
         writer: ShardWriter,
         relays: RelayPool | None = None,
+        *,
+        claimants: Claimants,
     ) -> None:
         self.shard = Shard(
             writer.shard,
@@ -82,6 +87,7 @@
         self._relays = relays
         self._predecessor = writer.predecessor
         self._intake = Intake(context.store, self.shard, context.log)
+        self._claim_check = ClaimCheck(self.shard, claimants)
         self._committer = Committer(
             self.shard,
             writer,
@@ -154,6 +160,7 @@
     def _background_tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
         return (
             self._committer.run(),
+            self._claim_check.run(),
             self._schedule_forever(),
             self._poll_intake(),
             self._remove_expired_jobs(),
--- a/src/hawthornpier/fleet/_peer_client.py
+++ b/src/hawthornpier/fleet/_peer_client.py
@@ -59,14 +59,14 @@
             connect_ms=_CONNECT_TIMEOUT_MS,
         )
 
-    async def watch(self, wait_ms: int) -> Presence:
+    async def watch(self, wait_ms: int, *, observer: str = '') -> Presence:
         """
         Return the status of the process.
 
         It replies after *wait_ms*, or once it gives up the shard.
         """
         reply = await self._get(
-            f'/presence?wait_ms={wait_ms}',
+            f'/presence?wait_ms={wait_ms}&observer={quote(observer)}',
             timeout_ms=wait_ms + _TIMEOUT_MS,
         )
         return _decode(reply, Presence)
--- a/src/hawthornpier/fleet/_peer_handlers.py
+++ b/src/hawthornpier/fleet/_peer_handlers.py
@@ -61,13 +61,18 @@
         """
         ...
 
-    async def wait_presence(self, wait_ms: float) -> Presence:
+    async def wait_presence(
+        self,
+        wait_ms: float,
+        observer: str = '',
+    ) -> Presence:
         """
         Return the status of this process once it gives up the shard.
 
         Args:
             wait_ms: The longest time to wait for that; then the status is
                 returned anyway.
+            observer: The address of the process that monitors this one.
         """
         ...
 
@@ -149,6 +154,7 @@
         wait_ms = int(self.get_query_argument('wait_ms', '0'))
         presence = await self.services.wait_presence(
             min(max(wait_ms, 0), _MAX_WAIT_MS),
+            observer=self.get_query_argument('observer', ''),
         )
         self.reply(presence)
 
--- a/src/hawthornpier/fleet/_peer_port.py
+++ b/src/hawthornpier/fleet/_peer_port.py
@@ -141,13 +141,14 @@
         """
         ...
 
-    async def watch(self, wait_ms: int) -> Presence:
+    async def watch(self, wait_ms: int, *, observer: str = '') -> Presence:
         """
         Return the status of the process.
 
         Args:
             wait_ms: The longest time that the process may delay its response
                 until it gives up the shard.
+            observer: The address of this process if it monitors the other one.
         """
         ...
 
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -7,6 +7,7 @@
 from hawthornpier.fleet._crash_trials import CrashTrials
 from hawthornpier.fleet._evacuation import Evacuation
 from hawthornpier.fleet._ordering import rank_step
+from hawthornpier.fleet._permits import STALE_ORDER_MS
 from hawthornpier.fleet._placement import Placement, workers_to_search
 from hawthornpier.fleet._run_monitor import RunMonitor
 from hawthornpier.fleet._shard import Shard
@@ -26,10 +27,6 @@
 # has taken the expected run time multiplied by this factor plus the slack.
 _COPY_FACTOR = 1.6
 _COPY_SLACK_MS = 150.0
-# After a change of the owner, workers that do not respond may have runs that
-# the previous owner started.  Its orders may still reach them for this long
-# after the change.
-_STALE_ORDER_MS = 2_500.0
 _STATE_LOG_INTERVAL_MS = 1_000.0
 
 
@@ -58,7 +55,7 @@
         self._run_monitor = RunMonitor(shard, timings)
         self._evacuation = Evacuation(shard)
         lease_ms = timings.lease_ms * (1 + timings.clock_drift)
-        self._unlisted_span_ms = lease_ms + _STALE_ORDER_MS
+        self._unlisted_span_ms = lease_ms + STALE_ORDER_MS
         self._state_logged_ms: float = 0
 
     def run_pass(self) -> None:
@@ -69,7 +66,7 @@
         certain that this process still owns it.
         """
         shard = self._shard
-        if shard.is_draining or not shard.may_start:
+        if shard.is_draining or not shard.permits.may_start:
             return
         if shard.now_ms - self._state_logged_ms >= _STATE_LOG_INTERVAL_MS:
             self._state_logged_ms = shard.now_ms
@@ -119,7 +116,7 @@
         return {
             service: pool
             for service, pool in pools.items()
-            if self._shard.may_start_on(service)
+            if self._shard.permits.may_start_on(service)
         }
 
     def _ranked_steps(self) -> list[Step]:
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -8,7 +8,7 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._interference import InterferenceModel
 from hawthornpier.fleet._job_index import JobIndex
-from hawthornpier.fleet._start_permit import StartPermit
+from hawthornpier.fleet._permits import OwnerPermits
 from hawthornpier.fleet._worker_state import (
     Order,
     OrderKind,
@@ -36,8 +36,6 @@
 _STALE_OWNER_MS = 3_000.0
 # By default, the shortest that a platform is known to specify.
 _CONTACT_MS = 4_000.0
-# How long a start may take to reach its worker.
-_ORDER_DELIVERY_MS = 700.0
 
 
 class Shard(JobIndex):
@@ -63,14 +61,10 @@
         contact_ms: float = _CONTACT_MS,
     ) -> None:
         super().__init__(clock)
-        self._capacity_max_age_ms = contact_ms - _ORDER_DELIVERY_MS
         self.name = name
         self.epoch = epoch
         self.log = log
-        # Confirmed by writes to the store, and by reads of the registry.  After
-        # a pause, another process may be the owner, and workers may be smaller.
-        self.start_permit = StartPermit(clock)
-        self.registry_permit = StartPermit(clock)
+        self.permits = OwnerPermits(clock, contact_ms)
         self.workers: dict[str, WorkerState] = {}
         # By worker that was removed without having returned: the tasks that
         # may have crashed it.
@@ -184,27 +178,6 @@
         self._stop_all(job, 'job cancelled')
         self.wake.set()
 
-    @property
-    def may_start(self) -> bool:
-        """
-        Return whether runs may be started.
-        """
-        return self.start_permit.is_valid and self.registry_permit.is_valid
-
-    def may_start_on(self, service: str) -> bool:
-        """
-        Return whether runs may be started on the workers of a service.
-
-        Workers that do not check their capacity may have shrunk since the
-        registry was last read.
-        """
-        if not self.may_start:
-            return False
-        return (
-            service not in self.unguarded_services
-            or self.registry_permit.age_ms <= self._capacity_max_age_ms
-        )
-
     def next_attempt(self, task: Task) -> int:
         """
         Return an attempt number above those of all runs of the task.
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -102,7 +102,8 @@
         # The worker may execute a renewal long after it was sent.  While
         # renewals get no reply, only the first one carries a new deadline, so
         # that the time by which the runs must have ended is not postponed.
-        if worker.is_listed and not worker.missed_reply_count:
+        is_replying = worker.is_listed and not worker.missed_reply_count
+        if is_replying and shard.permits.is_unclaimed:
             deadline = worker.next_deadline(self._timings.lease_ms, sent_ms)
         try:
             reply = await self._port.renew(
@@ -231,7 +232,8 @@
         If it was replaced meanwhile, the store rejects its next write, which
         cancels this task.
         """
-        while not self._shard.may_start_on(self._worker.entry.service):
+        service = self._worker.entry.service
+        while not self._shard.permits.may_start_on(service):
             await self._shard.clock.sleep_ms(self._timings.retry_min_ms)
 
     def _start_order(self, run: Run) -> StartOrder:
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -90,7 +90,7 @@
         """
         while True:
             await self._context.clock.sleep_ms(_REGISTRY_POLL_INTERVAL_MS)
-            sent = self.shard.registry_permit.mark()
+            sent = self.shard.permits.registry.mark()
             try:
                 await self._poll_once()
             except StoreError:
@@ -98,7 +98,7 @@
                 # time for which they have been missing starts anew.
                 self._missing_since_ms = {}
             else:
-                self.shard.registry_permit.confirm(sent)
+                self.shard.permits.registry.confirm(sent)
             self._remove_departed_workers()
 
     async def _poll_once(self) -> None:
--- a/tests/fleet_connections.py
+++ b/tests/fleet_connections.py
@@ -21,8 +21,11 @@
         self._world = world
         self._origin = origin
 
-    async def watch(self, wait_ms):
+    async def watch(self, wait_ms, *, observer=''):
         node = await self._reach()
+        if wait_ms == 0:
+            return node.presence()
+        await node.wait_presence(0, observer)
         for _ in range(wait_ms // 20):
             await asyncio.sleep(0.02)
             if node.is_dead:
@@ -89,12 +92,16 @@
 
 class PartitionedWorkerClient:
     """
-    A worker client whose calls time out while its process is partitioned.
+    A worker client whose calls time out across a partition.
+
+    *is_beside* tells whether the worker is on the side of the partitioned
+    processes.
     """
 
-    def __init__(self, node, client):
+    def __init__(self, node, client, is_beside):
         self._node = node
         self._client = client
+        self._is_beside = is_beside
 
     def close(self):
         self._client.close()
@@ -103,7 +110,7 @@
         method = getattr(self._client, name)
 
         async def call(*arguments):
-            if self._node.is_partitioned:
+            if self._node.is_partitioned != self._is_beside():
                 await asyncio.sleep(0.7)
                 raise WorkerReplyLostError('timed out')
             return await method(*arguments)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -72,6 +72,8 @@
         self.workers = {}
         # Workers that send no heartbeats.
         self.silent_workers = set()
+        # Workers that only partitioned processes reach.
+        self.parted_workers = set()
         self._tasks = []
         self._incarnation_count = 0
         for number in range(worker_count):
@@ -127,6 +129,24 @@
         worker.fault = standin.WorkerFault.NONE
         self.silent_workers.discard(worker)
 
+    def part(self, node, workers):
+        """
+        Part a process and workers from the others and the store.
+        """
+        node.is_partitioned = True
+        node.client.fault = standin.StoreFault.SILENT
+        self.parted_workers.update(workers)
+        self.silent_workers.update(workers)
+        for worker in workers:
+            self._spawn(self._expire_entry(worker))
+
+    def break_store(self, fault):
+        """
+        Set the fault of all connections to the store.
+        """
+        for node in self.nodes.values():
+            node.client.fault = fault
+
     async def _expire_entry(self, worker):
         worker_id = worker.entry.worker_id
         await self.run_for(ENTRY_EXPIRY_MS)
@@ -157,6 +177,7 @@
                     self.workers[entry.worker_id],
                     entry,
                 ),
+                lambda: self.workers[entry.worker_id] in self.parted_workers,
             ),
             clock=self.clock,
             log=log,
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -65,11 +65,11 @@
         plan = world.plan(*steps, work_ms=8_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(1_000)
-        self.break_store(world, StoreFault.REFUSE)
+        world.break_store(StoreFault.REFUSE)
         resize(world, 2_500)
         await world.run_for(9_000)
         assert world.checker.started_count == 1
-        self.break_store(world, StoreFault.NONE)
+        world.break_store(StoreFault.NONE)
         await world.run_for(SETTLE_MS)
         assert len(world.checker.running) == 2
 
@@ -85,7 +85,7 @@
         plan = world.plan(*steps, work_ms=8_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(1_000)
-        self.break_store(world, StoreFault.REFUSE)
+        world.break_store(StoreFault.REFUSE)
         await world.run_for(9_000)
         assert world.checker.started_count == 5
 
@@ -94,7 +94,3 @@
             worker.checks_capacity = False
         world.configure(2, unguarded=('desk',))
         await world.run_for(1_500)
-
-    def break_store(self, world, fault):
-        for node in world.nodes.values():
-            node.client.fault = fault
--- a/tests/test_fleet_permit.py
+++ b/tests/test_fleet_permit.py
@@ -17,8 +17,8 @@
     WorkerTimings,
 )
 from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._permits import PausePermit
 from hawthornpier.fleet._shard import Shard
-from hawthornpier.fleet._start_permit import StartPermit
 from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import JobPlan, QueuePolicy, StepPlan
@@ -77,7 +77,7 @@
         """
 
         async def scenario():
-            permit = StartPermit(JumpingClock())
+            permit = PausePermit(JumpingClock())
             for _ in range(300):
                 await asyncio.sleep(0.1)
                 assert permit.is_valid
@@ -91,7 +91,7 @@
 
         async def scenario():
             clock = JumpingClock()
-            permit = StartPermit(clock)
+            permit = PausePermit(clock)
             before = permit.mark()
             clock.jump_ms = PAUSE_MS
             assert not permit.is_valid
@@ -168,7 +168,7 @@
             port = ObedientWorker()
             running = asyncio.ensure_future(start.link(port).run())
             shard = start.shard
-            for permit in (shard.start_permit, shard.registry_permit):
+            for permit in (shard.permits.writes, shard.permits.registry):
                 await asyncio.sleep(0.5)
                 assert not port.started
                 permit.confirm(permit.mark())
