Split the node and the shard of the fleet into smaller modules

The end-to-end test over HTTP fails at once if one of its processes ends by itself; before, it waited for its timeout.

--- a/src/hawthornpier/fleet/__init__.py
+++ b/src/hawthornpier/fleet/__init__.py
@@ -8,7 +8,7 @@
 
 from hawthornpier.fleet._configuration import Configuration, QueueRoute
 from hawthornpier.fleet._configuration_watch import ConfigurationSource
-from hawthornpier.fleet._context import FleetContext
+from hawthornpier.fleet._context import FleetContext, HostInfo
 from hawthornpier.fleet._entry import JobEntry
 from hawthornpier.fleet._errors import (
     FleetError,
@@ -18,7 +18,7 @@
     ShardLostError,
     UnknownJobError,
 )
-from hawthornpier.fleet._node import FleetNode, HostInfo
+from hawthornpier.fleet._node import FleetNode
 from hawthornpier.fleet._owner import ShardOwner
 from hawthornpier.fleet._ownership import Ownership
 from hawthornpier.fleet._peer_client import HttpFleetPeer
--- a/src/hawthornpier/fleet/_context.py
+++ b/src/hawthornpier/fleet/_context.py
@@ -17,6 +17,17 @@
 from hawthornpier.ports import Clock
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class HostInfo:
+    """
+    The location and the size of the host of a process.
+    """
+
+    failure_domain: str
+    region: str = ''
+    processor_cores: float = 1
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class FleetContext:
     """
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -5,7 +5,6 @@
 import asyncio
 import functools
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
 from typing import Any
 
 from hawthornpier.events import DecisionLog
@@ -14,7 +13,7 @@
     ConfigurationSource,
     ConfigurationWatch,
 )
-from hawthornpier.fleet._context import FleetContext
+from hawthornpier.fleet._context import FleetContext, HostInfo
 from hawthornpier.fleet._entry import JobEntry
 from hawthornpier.fleet._errors import error_text
 from hawthornpier.fleet._owner import ShardOwner
@@ -37,14 +36,6 @@
 
 # One shard contains all workers of an installation of the current size.
 SHARD_NAME = 's0'
-# Number of processes in each region that read the configuration from the store.
-# The others request it from these readers, because many copies of a large
-# configuration would saturate the link between two regions.
-_READER_COUNT = 5
-# Processes on smaller hosts delay their claim of the shard, so that the largest
-# host becomes the owner.  The delay grows towards this limit the fewer cores a
-# host has in comparison with the largest one.
-_MAX_SMALL_HOST_DELAY_MS = 1_000.0
 # After an unexpected error, a part of the process is run again after this time.
 _PART_RESTART_MS = 300.0
 # If the store does not complete the release of the shard in this time, the
@@ -52,17 +43,6 @@
 _RELEASE_TIMEOUT_MS = 800.0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class HostInfo:
-    """
-    The location and the size of the host of a process.
-    """
-
-    failure_domain: str
-    region: str = ''
-    processor_cores: float = 1
-
-
 class FleetNode:
     """
     Serves callers, monitors the owner of the shard and may become the owner.
@@ -101,22 +81,22 @@
         self._given_up_epoch = 0
         self._ownership_given_up = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._ownership = Ownership(
+        self._process_directory = ProcessDirectory(
             context.store,
-            SHARD_NAME,
+            name=name,
             card=self.card,
             clock=context.clock,
-            timings=context.ownership_timings,
             log=context.log,
-            rng=context.rng,
-            extra_claim_delay_ms=self._claim_delay_ms,
         )
-        self._process_directory = ProcessDirectory(
+        self._ownership = Ownership(
             context.store,
-            name=name,
+            SHARD_NAME,
             card=self.card,
             clock=context.clock,
+            timings=context.ownership_timings,
             log=context.log,
+            rng=context.rng,
+            directory=self._process_directory,
         )
         self._peer_table = PeerTable(
             address,
@@ -126,7 +106,7 @@
         )
         self._owner_monitor = OwnerMonitor(
             self._ownership,
-            self._owner_peer,
+            self.owner,
             address=address,
             clock=context.clock,
         )
@@ -247,11 +227,16 @@
             return None
         return owner.shard
 
-    def owner(self) -> Peer | None:
+    def owner(self) -> FleetPeer | None:
         """
         Return a client of the owner, or None if it is this process or unknown.
         """
-        return self._owner_peer()
+        row = self._ownership.owner
+        if row is None or row.is_released:
+            return None
+        if row.card.address == self.card.address:
+            return None
+        return self._peer_table.get(row.card)
 
     def relays(self) -> list[Peer]:
         """
@@ -265,7 +250,7 @@
         """
         Return the known other processes in random order, but the owner first.
         """
-        owner = self._owner_peer()
+        owner = self.owner()
         others = self._peer_table.others()
         self.context.rng.shuffle(others)
         if owner is None:
@@ -322,12 +307,8 @@
         if owner is not None and owner.shard.epoch == epoch:
             self._give_up_ownership(owner)
             return owner.handover()
-        if (
-            self._last_handover is not None
-            and self._last_handover.epoch == epoch
-        ):
-            return self._last_handover
-        return None
+        last = self._last_handover
+        return last if last is not None and last.epoch == epoch else None
 
     async def wait_configuration(
         self,
@@ -350,18 +331,7 @@
         The list is empty if this process is a reader itself, or if it has not
         read its own entry in the directory of processes yet.
         """
-        names = sorted(
-            name
-            for name, card in self._process_directory.cards.items()
-            if card.region == self.card.region
-        )
-        readers = names[:_READER_COUNT]
-        if self._name in readers or self._name not in names:
-            return []
-        return [
-            self._peer_table.get(self._process_directory.cards[name])
-            for name in readers
-        ]
+        return self._peer_table.readers(self._name, self.card.region)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         if self._owner is not None:
@@ -418,22 +388,6 @@
             log=self.log,
         )
 
-    def _claim_delay_ms(self) -> float:
-        """
-        Return by how much to delay a claim in favour of larger hosts.
-        """
-        cores = self.card.processor_cores
-        largest = max(
-            (
-                card.processor_cores
-                for card in self._process_directory.cards.values()
-            ),
-            default=cores,
-        )
-        return _MAX_SMALL_HOST_DELAY_MS * max(
-            0, 1 - cores / max(largest, cores)
-        )
-
     def _give_up_ownership(self, owner: ShardOwner) -> None:
         # Scheduling passes must not start any task after the handover state has
         # been collected, because the next owner would not know of it.
@@ -441,11 +395,3 @@
         owner.shard.deposed.set()
         self._given_up_epoch = owner.shard.epoch
         self._ownership_given_up.set()
-
-    def _owner_peer(self) -> FleetPeer | None:
-        row = self._ownership.owner
-        if row is None or row.is_released:
-            return None
-        if row.card.address == self.card.address:
-            return None
-        return self._peer_table.get(row.card)
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 
 import msgspec
 
@@ -16,6 +15,7 @@
     RowTransaction,
     StoredRow,
 )
+from hawthornpier.fleet._process_directory import ProcessDirectory
 from hawthornpier.fleet._timings import OwnershipTimings
 from hawthornpier.fleet._writer import (
     FENCE_KEY,
@@ -28,6 +28,11 @@
 )
 from hawthornpier.ports import Clock, StoreError
 
+# Processes on smaller hosts delay their claim of the shard, so that the largest
+# host becomes the owner.  The delay grows towards this limit the fewer cores a
+# host has in comparison with the largest one.
+_MAX_SMALL_HOST_DELAY_MS = 1_000.0
+
 
 class Ownership:
     """
@@ -45,8 +50,7 @@
         timings: Durations concerning ownership.
         log: The log of scheduling decisions.
         rng: The source of jitter.
-        extra_claim_delay_ms: Returns a delay, in milliseconds, by which this
-            process defers its claims to those of other processes.
+        directory: The registered processes, whose hosts may be larger.
     """
 
     def __init__(
@@ -59,7 +63,7 @@
         timings: OwnershipTimings,
         log: DecisionLog,
         rng: random.Random,
-        extra_claim_delay_ms: Callable[[], float],
+        directory: ProcessDirectory,
     ) -> None:
         self.shard = shard
         self.owner: OwnerRow | None = None
@@ -70,7 +74,7 @@
         self._timings = timings
         self._log = log
         self._rng = rng
-        self._extra_claim_delay_ms = extra_claim_delay_ms
+        self._directory = directory
         self._owner_version = 0
         # The table version as of the last read; None if the owner row has to
         # be read instead of its changes.
@@ -148,7 +152,7 @@
             # The processes of a new installation discover each other first.
             delay_ms += self._timings.first_claim_ms
         await self._sleep(delay_ms)
-        await self._sleep(self._extra_claim_delay_ms())
+        await self._sleep(self._small_host_delay_ms())
         try:
             return await self._claim(reason)
         except StoreError as error:
@@ -156,6 +160,17 @@
             self._watched_version = None
             return None
 
+    def _small_host_delay_ms(self) -> float:
+        """
+        Return by how much to delay a claim in favour of larger hosts.
+        """
+        cores = self._card.processor_cores
+        cards = self._directory.cards.values()
+        largest = max((card.processor_cores for card in cards), default=cores)
+        return _MAX_SMALL_HOST_DELAY_MS * max(
+            0, 1 - cores / max(largest, cores)
+        )
+
     async def _read_owner_row(self) -> RowPage:
         started_ms = self._clock.monotonic_ms()
         if self._watched_version is None:
--- a/src/hawthornpier/fleet/_peer_table.py
+++ b/src/hawthornpier/fleet/_peer_table.py
@@ -11,6 +11,10 @@
 # A process that has not asked this one for its status for so long, although
 # every process asks the owner all the time, has left.
 _ABSENCE_MS = 30_000.0
+# Number of processes in each region that read the configuration from the store.
+# The others request it from these readers, because many copies of a large
+# configuration would saturate the link between two regions.
+_READER_COUNT = 5
 
 
 class PeerTable:
@@ -60,6 +64,28 @@
             if card.address != self._address
         ]
 
+    def readers(self, name: str, region: str) -> list[FleetPeer]:
+        """
+        Return the processes that read the configuration for a region.
+
+        Args:
+            name: The name of this host.
+            region: Its region.
+
+        Returns:
+            An empty list if this process is one of them, or if it has not read
+            its own entry yet.
+        """
+        names = sorted(
+            other
+            for other, card in self._cards.items()
+            if card.region == region
+        )
+        readers = names[:_READER_COUNT]
+        if name in readers or name not in names:
+            return []
+        return [self.get(self._cards[reader]) for reader in readers]
+
     def record_contact(self, address: str) -> None:
         """
         Record that a process has asked for the status of this one.
--- /dev/null
+++ b/src/hawthornpier/fleet/_run_orders.py
@@ -0,0 +1,117 @@
+"""
+Orders about runs, queued for the workers of a shard.
+"""
+
+from hawthornpier.events import DecisionLog
+from hawthornpier.fleet._job_index import JobIndex
+from hawthornpier.fleet._worker_state import Order, OrderKind, WorkerState
+from hawthornpier.ports import Clock
+from hawthornpier.steps import Run, RunPhase
+
+
+class RunOrders(JobIndex):
+    """
+    The workers of a shard, and the orders that are queued for them.
+
+    Args:
+        clock: The clock of this process.
+        log: The log of scheduling decisions.
+    """
+
+    def __init__(self, clock: Clock, log: DecisionLog) -> None:
+        super().__init__(clock)
+        self.log = log
+        self.workers: dict[str, WorkerState] = {}
+
+    def order_start(self, run: Run, reason: str) -> None:
+        """
+        Order the start of a run that has its resources allocated already.
+        """
+        task = run.task
+        task.attempt = run.attempt
+        run.is_copy = bool(task.runs)
+        run.checkpoint = task.checkpoint
+        run.has_resumed = bool(task.checkpoint)
+        task.runs.append(run)
+        worker = self.workers[run.worker_id]
+        worker.orders.put_nowait(
+            Order(
+                kind=OrderKind.START,
+                task_key=task.key,
+                attempt=run.attempt,
+                run=run,
+            ),
+        )
+        self.log.record(
+            'run_placed',
+            task=task.key,
+            attempt=run.attempt,
+            worker=worker.worker_id,
+            why=reason,
+        )
+
+    def stop_run(self, run: Run, reason: str) -> None:
+        """
+        Order a run to stop.
+
+        Its resources stay allocated until it is known to have ended.
+        """
+        if run.phase is RunPhase.STOPPING:
+            return
+        run.phase = RunPhase.STOPPING
+        run.order_acknowledged_ms = 0
+        run.stop_reason = reason
+        worker = self.workers[run.worker_id]
+        self.order_stop(worker, run.task.key, run.attempt, run=run)
+        self.log.record(
+            'run_stopping',
+            task=run.task.key,
+            attempt=run.attempt,
+            worker=run.worker_id,
+            why=reason,
+        )
+
+    def order_stop(
+        self,
+        worker: WorkerState,
+        task_key: str,
+        attempt: int,
+        *,
+        run: Run | None = None,
+    ) -> None:
+        """
+        Order a worker to stop a run, which the owner may have no record of.
+        """
+        stop = Order(
+            kind=OrderKind.STOP,
+            task_key=task_key,
+            attempt=attempt,
+            run=run,
+        )
+        worker.orders.put_nowait(stop)
+
+    def order_throttle(
+        self, worker: WorkerState, run: Run, percent: int
+    ) -> None:
+        """
+        Order a worker to throttle a run to a percentage of its full speed.
+        """
+        run.speed_percent = percent
+        run.was_throttled = run.was_throttled or percent < 100
+        run.percent_changed_ms = self.now_ms
+        worker.orders.put_nowait(
+            Order(
+                kind=OrderKind.THROTTLE,
+                task_key=run.task.key,
+                attempt=run.attempt,
+                run=run,
+                percent=percent,
+            ),
+        )
+        self.log.record(
+            'run_throttled',
+            task=run.task.key,
+            attempt=run.attempt,
+            worker=run.worker_id,
+            percent=percent,
+        )
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -7,13 +7,9 @@
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._interference import InterferenceModel
-from hawthornpier.fleet._job_index import JobIndex
 from hawthornpier.fleet._permits import OwnerPermits
-from hawthornpier.fleet._worker_state import (
-    Order,
-    OrderKind,
-    WorkerState,
-)
+from hawthornpier.fleet._run_orders import RunOrders
+from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import Clock
 from hawthornpier.steps import (
     Job,
@@ -38,7 +34,7 @@
 _CONTACT_MS = 4_000.0
 
 
-class Shard(JobIndex):
+class Shard(RunOrders):
     """
     The state that the concurrent activities of a shard's owner share.
 
@@ -60,12 +56,10 @@
         log: DecisionLog,
         contact_ms: float = _CONTACT_MS,
     ) -> None:
-        super().__init__(clock)
+        super().__init__(clock, log)
         self.name = name
         self.epoch = epoch
-        self.log = log
         self.permits = OwnerPermits(clock, contact_ms)
-        self.workers: dict[str, WorkerState] = {}
         # By worker that was removed without having returned: the tasks that
         # may have crashed it.
         self.missing_suspects: dict[str, list[Task]] = {}
@@ -209,99 +203,6 @@
         self.order_start(run, reason)
         return run
 
-    def order_start(self, run: Run, reason: str) -> None:
-        """
-        Order the start of a run that has its resources allocated already.
-        """
-        task = run.task
-        task.attempt = run.attempt
-        run.is_copy = bool(task.runs)
-        run.checkpoint = task.checkpoint
-        run.has_resumed = bool(task.checkpoint)
-        task.runs.append(run)
-        worker = self.workers[run.worker_id]
-        worker.orders.put_nowait(
-            Order(
-                kind=OrderKind.START,
-                task_key=task.key,
-                attempt=run.attempt,
-                run=run,
-            ),
-        )
-        self.log.record(
-            'run_placed',
-            task=task.key,
-            attempt=run.attempt,
-            worker=worker.worker_id,
-            why=reason,
-        )
-
-    def stop_run(self, run: Run, reason: str) -> None:
-        """
-        Order a run to stop.
-
-        Its resources stay allocated until it is known to have ended.
-        """
-        if run.phase is RunPhase.STOPPING:
-            return
-        run.phase = RunPhase.STOPPING
-        run.order_acknowledged_ms = 0
-        run.stop_reason = reason
-        worker = self.workers[run.worker_id]
-        self.order_stop(worker, run.task.key, run.attempt, run=run)
-        self.log.record(
-            'run_stopping',
-            task=run.task.key,
-            attempt=run.attempt,
-            worker=run.worker_id,
-            why=reason,
-        )
-
-    def order_stop(
-        self,
-        worker: WorkerState,
-        task_key: str,
-        attempt: int,
-        *,
-        run: Run | None = None,
-    ) -> None:
-        """
-        Order a worker to stop a run, which the owner may have no record of.
-        """
-        stop = Order(
-            kind=OrderKind.STOP,
-            task_key=task_key,
-            attempt=attempt,
-            run=run,
-        )
-        worker.orders.put_nowait(stop)
-
-    def order_throttle(
-        self, worker: WorkerState, run: Run, percent: int
-    ) -> None:
-        """
-        Order a worker to throttle a run to a percentage of its full speed.
-        """
-        run.speed_percent = percent
-        run.was_throttled = run.was_throttled or percent < 100
-        run.percent_changed_ms = self.now_ms
-        worker.orders.put_nowait(
-            Order(
-                kind=OrderKind.THROTTLE,
-                task_key=run.task.key,
-                attempt=run.attempt,
-                run=run,
-                percent=percent,
-            ),
-        )
-        self.log.record(
-            'run_throttled',
-            task=run.task.key,
-            attempt=run.attempt,
-            worker=run.worker_id,
-            percent=percent,
-        )
-
     def confirm_run(self, run: Run) -> None:
         """
         Record that a worker is executing a run.
--- a/tests/test_platform_end_to_end.py
+++ b/tests/test_platform_end_to_end.py
@@ -48,6 +48,8 @@
         self.tasks = []
         self.processes = {}
         self.servers = []
+        # Set to the error of a process that ends by itself.
+        self.failure = asyncio.get_running_loop().create_future()
         server, address = listen(standin.store_application(self.store))
         self.store_address = address
         self.servers.append(server)
@@ -128,9 +130,16 @@
         process = PlatformProcess(settings)
         stop = asyncio.Event()
         task = asyncio.ensure_future(process.run(stop, asyncio.Event()))
+        task.add_done_callback(self.record_end)
         self.processes[name] = (process, task, stop)
         return settings
 
+    def record_end(self, task):
+        if task.cancelled() or self.failure.done():
+            return
+        if task.exception() is not None:
+            self.failure.set_exception(task.exception())
+
     def kill(self, name):
         process, task, _ = self.processes.pop(name)
         task.cancel()
@@ -209,7 +218,15 @@
         installation = Installation()
         try:
             async with asyncio.timeout(SCENARIO_TIMEOUT_S):
-                await scenario(installation)
+                running = asyncio.ensure_future(scenario(installation))
+                await asyncio.wait(
+                    (running, installation.failure),
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                if installation.failure.done():
+                    running.cancel()
+                    await installation.failure
+                await running
         finally:
             await installation.close()
 
