--- a/tests/test_platform_end_to_end.py
+++ b/tests/test_platform_end_to_end.py
@@ -128,6 +128,13 @@
             store_address=self.store_address,
         )
         process = PlatformProcess(settings)
+        record = process.node.log.record
+
+        def record_and_print(kind, **fields):
+            print(f'{self.clock.monotonic_ms()} {name} {kind} {fields}')
+            record(kind, **fields)
+
+        process.node.log.record = record_and_print
         stop = asyncio.Event()
         task = asyncio.ensure_future(process.run(stop, asyncio.Event()))
         task.add_done_callback(self.record_end)
