Run a part again after one of its calls was cancelled

The end-to-end test hung twice beside other load, once with an owner that renewed its lease and the workers' leases but started nothing.

Cause of the class: a cancellation that a library causes inside a call is no Exception. In a process it ended the part, and with it the process; in the owner's task group it ended the part silently, so that the owner went on without its registry, its scheduler or its orders to a worker.

Evidence: test_a_cancelled_call_in_a_part_of_a_process and test_a_cancelled_call_in_a_part_of_the_owner failed before.

Change: a cancellation that does not concern the part itself is raised as an error. It is logged, and the part or the ownership begins anew.

--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -19,6 +19,7 @@
 from hawthornpier.fleet._owner import ShardOwner
 from hawthornpier.fleet._owner_monitor import OwnerMonitor
 from hawthornpier.fleet._ownership import Ownership
+from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._peer_port import (
     ConfigurationReply,
     FleetPeer,
@@ -190,7 +191,7 @@
         """
         while True:
             try:
-                await run()
+                await run_part(run())
             except Exception as error:
                 self.log.record('part_failed', why=error_text(error))
             await self.clock.sleep_ms(_PART_RESTART_MS)
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -23,6 +23,7 @@
 from hawthornpier.fleet._errors import ShardLostError
 from hawthornpier.fleet._handover import build_handover, request_handover
 from hawthornpier.fleet._intake import Intake
+from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._pass_gap import pass_gap_ms
 from hawthornpier.fleet._peer_port import Handover
 from hawthornpier.fleet._ports import (
@@ -107,20 +108,8 @@
             async with asyncio.TaskGroup() as group:
                 registry = self._open_registry(group)
                 await self._load(registry)
-                group.create_task(registry.run())
-                group.create_task(
-                    request_handover(
-                        self.shard,
-                        self._predecessor,
-                        self._context.dial_peer,
-                    ),
-                )
-                for coroutine in self._background_tasks():
-                    group.create_task(coroutine)
-                if self._relays is not None:
-                    group.create_task(
-                        self._relays.run(registry.worker_places),
-                    )
+                for part in self._parts(registry):
+                    group.create_task(run_part(part))
                 await self.shard.deposed.wait()
                 raise ShardLostError(
                     'shard was handed over or a worker rejected the epoch'
@@ -157,14 +146,27 @@
         dial = self._relays.dial if self._relays else self._context.dial
         return WorkerRegistry(self.shard, self._context, dial, group)
 
-    def _background_tasks(self) -> tuple[Coroutine[Any, Any, None], ...]:
-        return (
+    def _parts(
+        self,
+        registry: WorkerRegistry,
+    ) -> list[Coroutine[Any, Any, None]]:
+        handover = request_handover(
+            self.shard,
+            self._predecessor,
+            self._context.dial_peer,
+        )
+        parts = [
+            registry.run(),
+            handover,
             self._committer.run(),
             self._claim_check.run(),
             self._schedule_forever(),
             self._poll_intake(),
             self._remove_expired_jobs(),
-        )
+        ]
+        if self._relays is not None:
+            parts.append(self._relays.run(registry.worker_places))
+        return parts
 
     async def _load(self, registry: WorkerRegistry) -> None:
         """
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -13,6 +13,7 @@
 from hawthornpier.fleet._errors import HistoryGoneError, error_text
 from hawthornpier.fleet._intake import read_all_rows
 from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import FleetWorker, WorkerDialer, WorkerEntry
 from hawthornpier.fleet._relay_assignment import WorkerPlace
 from hawthornpier.fleet._shard import Shard
@@ -226,7 +227,7 @@
             timings=self._context.worker_timings,
         )
         try:
-            await link.run()
+            await run_part(link.run())
         except Exception as error:
             # An error that concerns one worker must not end the owner.
             self._context.log.record(
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -2,6 +2,8 @@
 Tests of the fleet scheduler during changes of the owner and store faults.
 """
 
+import asyncio
+
 import pytest
 from fake_store import virtual_tests
 from fleet_world import World
@@ -434,6 +436,12 @@
         assert versions == {8}
 
 
+async def cancelled_call(*arguments, **options):
+    call = asyncio.get_running_loop().create_future()
+    call.cancel()
+    await call
+
+
 @virtual_tests(World)
 class TestUnexpectedErrors:
     """
@@ -456,6 +464,37 @@
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
         assert world.checker.started_count == LONG.task_count
 
+    async def test_a_cancelled_call_in_a_part_of_a_process(self, world):
+        """
+        Guards against a process that ends because a library cancels a call.
+
+        The cancellation is not that of the part, which has to go on.
+        """
+        await started_world(world)
+        node = world.any_node()
+        read_changes = node.client.changes
+        node.client.changes = cancelled_call
+        await world.run_for(3_000)
+        node.client.changes = read_changes
+        world.configure(3, queues=('orders', 'more'))
+        await world.run_for(3_000)
+        assert not any(task.done() for task in node._tasks)
+        assert node.configuration.version == 3
+
+    async def test_a_cancelled_call_in_a_part_of_the_owner(self, world):
+        """
+        Guards against an owner that goes on without one of its parts.
+        """
+        await started_world(world)
+        node = world.owner()
+        read_changes = node.client.changes
+        node.client.changes = cancelled_call
+        await world.run_for(3_000)
+        node.client.changes = read_changes
+        world.add_worker('w9')
+        await world.run_for(8_000)
+        assert 'w9' in world.owner().local_shard().workers
+
     async def test_an_error_in_a_part_of_a_process(self, world):
         """
         Guards against a process that ends with one of its parts.
--- a/tests/test_platform_end_to_end.py
+++ b/tests/test_platform_end_to_end.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import random
 import time
 
@@ -17,6 +18,7 @@
 from hawthornpier.platform import NodeSettings, PlatformProcess
 from hawthornpier_standin import fleet as standin
 
+LOG = logging.getLogger(__name__)
 HOST = 'orders.example'
 JOB_ID = '5c0e7a21d94b36f8'
 # Far above the duration of any scenario, so that only a hang exceeds it.
@@ -130,11 +132,12 @@
         process = PlatformProcess(settings)
         record = process.node.log.record
 
-        def record_and_print(kind, **fields):
-            print(f'{self.clock.monotonic_ms()} {name} {kind} {fields}')
+        def record_and_log(kind, **fields):
+            now_ms = self.clock.monotonic_ms()
+            LOG.warning('%s %s %s %s', now_ms, name, kind, fields)
             record(kind, **fields)
 
-        process.node.log.record = record_and_print
+        process.node.log.record = record_and_log
         stop = asyncio.Event()
         task = asyncio.ensure_future(process.run(stop, asyncio.Event()))
         task.add_done_callback(self.record_end)
@@ -144,8 +147,8 @@
     def record_end(self, task):
         if task.cancelled() or self.failure.done():
             return
-        if task.exception() is not None:
-            self.failure.set_exception(task.exception())
+        why = task.exception() or RuntimeError('a process ended by itself')
+        self.failure.set_exception(why)
 
     def kill(self, name):
         process, task, _ = self.processes.pop(name)
@@ -198,6 +201,7 @@
             await asyncio.sleep(0.02)
 
     async def close(self):
+        self.failure.cancel()
         for process, task, _ in self.processes.values():
             task.cancel()
             await asyncio.gather(task, return_exceptions=True)
