Give up a call whose end the HTTP client does not report

In the end-to-end test that hung, one process had no request open at the store any more and said nothing, as if a call had never ended.

Cause of the class: the deadline of a call was left to the client library alone. If that loses track of a transfer, its caller waits for ever, and the connection stays taken. Whether it did so in the hang is suspected, not shown.

Evidence: test_a_client_that_reports_no_end_is_given_up waited in vain before the change.

Change: half a second after the deadline, the call ends as one whose reply was lost, and its connection is closed. A reply that arrived during a pause of the process is still read, because the half second begins after the pause.

--- a/src/hawthornpier/adapters/_connections.py
+++ b/src/hawthornpier/adapters/_connections.py
@@ -30,6 +30,9 @@
 # the default of 64 KiB is far larger than a message.
 _UPLOAD_BUFFER_BYTES = 16_384
 
+# How long after the deadline of a call curl may report its end.
+_CLIENT_GRACE_MS = 500
+
 # curl treats a timeout of zero as no timeout.
 _MIN_TIMEOUT_MS = 1
 
@@ -199,7 +202,15 @@
         exchange.add_done_callback(
             partial(self._release_connection, connection)
         )
-        return await asyncio.shield(exchange)
+        await asyncio.wait({exchange}, timeout=remaining_s)
+        # After a pause of this process, the deadline passes before a reply that
+        # has arrived is read.
+        if not exchange.done():
+            await asyncio.wait({exchange}, timeout=_CLIENT_GRACE_MS / 1000)
+        if exchange.done():
+            return exchange.result()
+        exchange.cancel()
+        raise ReplyLostError('the client did not report the end of the call')
 
     def close(self) -> None:
         """
--- a/tests/test_adapters_connections.py
+++ b/tests/test_adapters_connections.py
@@ -12,6 +12,7 @@
 
 import pytest
 from test_standin_workers import request_of
+from tornado.curl_httpclient import CurlAsyncHTTPClient
 
 from hawthornpier import adapters, messages, ports
 
@@ -175,6 +176,10 @@
             assert len(raw.request_heads) == 5
 
 
+async def fetch_in_vain(*arguments: object, **options: object) -> None:
+    await asyncio.Event().wait()
+
+
 class TestConnections:
     """
     Connections are reused, limited in number, and closed when suspect.
@@ -244,6 +249,26 @@
             assert second.request_id == 'r2'
             assert raw.connection_count == 2
 
+    async def test_a_client_that_reports_no_end_is_given_up(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """
+        Guards against a part that waits for ever for a call that has ended.
+
+        The only connection is free again for the next call.
+        """
+        fetch = CurlAsyncHTTPClient.fetch
+        get = adapters.HttpCall(method='GET', path='/', deadline_ms=300)
+        async with serving(writes(response(FENCE_REPLY))) as (_, address):
+            pool = adapters.ConnectionPool(address, connection_limit=1)
+            monkeypatch.setattr(CurlAsyncHTTPClient, 'fetch', fetch_in_vain)
+            with pytest.raises(adapters.ReplyLostError):
+                async with asyncio.timeout(60):
+                    await pool.send(get)
+            monkeypatch.setattr(CurlAsyncHTTPClient, 'fetch', fetch)
+            await asyncio.sleep(0)
+            assert await pool.send(get)
+
     async def test_a_reply_to_another_call_is_lost(self) -> None:
         """
         G4: a late response to an earlier call is detected and discarded.
