Give a task up only after two crashes that certainly happened under it

The worker had crashed under another task before the start arrived; that crash, and the one that the task really caused, added up to the limit.

Change: such a start is unconfirmed evidence. It makes the task a suspect, but two certain crashes are needed besides the weight, or any five crashes, which the limit on starts allows. Presumed crashes and starts without a reply are uncertain too, also after a trial that the task has survived.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -54,17 +54,17 @@
         runs: The runs on the worker when it crashed.
         last_reply_ms: When it last replied.
     """
-    fresh = {_suspect_key(run) for run in runs if is_fresh(run, last_reply_ms)}
-    just_started = (
-        CrashEvidence.SOLE if len(fresh) == 1 else CrashEvidence.SHARED
-    )
-    evidence = {}
-    for run in runs:
-        if is_fresh(run, last_reply_ms):
-            evidence[run.key] = just_started
-        elif run.sent_ms and not _has_settled(run, last_reply_ms):
-            evidence[run.key] = CrashEvidence.WEAK
-    return evidence
+    possible = {
+        _suspect_key(run)
+        for run in runs
+        if run.has_lost_connection or is_fresh(run, last_reply_ms)
+    }
+    is_sole = len(possible) == 1
+    return {
+        run.key: _evidence(run, last_reply_ms, is_sole=is_sole)
+        for run in runs
+        if run.sent_ms and not _has_settled(run, last_reply_ms)
+    }
 
 
 def suspect_crash(shard: Shard, worker: WorkerState) -> None:
@@ -265,10 +265,25 @@
     return [(task, each) for task, each in popped if each is not None]
 
 
+def _evidence(
+    run: Run,
+    last_reply_ms: float,
+    *,
+    is_sole: bool,
+) -> CrashEvidence:
+    if is_fresh(run, last_reply_ms):
+        return CrashEvidence.SOLE if is_sole else CrashEvidence.SHARED
+    if run.is_delivered:
+        return CrashEvidence.WEAK
+    if run.has_lost_connection:
+        return CrashEvidence.UNCONFIRMED
+    return CrashEvidence.UNCERTAIN
+
+
 def _presume_crash_by(shard: Shard, task: Task, suspicion: Suspicion) -> None:
     is_counted = suspicion.attempt in task.crashes
     if suspicion.weight > CrashEvidence.WEAK and not is_counted:
-        _count_crash(shard, task, suspicion.attempt, CrashEvidence.WEAK)
+        _count_crash(shard, task, suspicion.attempt, CrashEvidence.UNCERTAIN)
 
 
 def _refute_crash(shard: Shard, task: Task, suspicion: Suspicion) -> None:
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -200,7 +200,7 @@
             except WorkerReplyLostError:
                 is_uncertain = True
                 waited_ms = self._shard.now_ms - tried_ms
-                run.is_delivered |= waited_ms < _CONNECTION_END_MS
+                run.has_lost_connection |= waited_ms < _CONNECTION_END_MS
             except WorkerError as error:
                 run.sent_ms = earlier_sent_ms
                 self._record_missed_reply(str(error))
--- a/src/hawthornpier/steps/_crashes.py
+++ b/src/hawthornpier/steps/_crashes.py
@@ -12,21 +12,31 @@
     """
     How strongly the crash of a worker suggests that a task caused it.
 
-    The values are weights; a task is given up when their sum reaches the limit.
-    If the task had just started each time, that takes two crashes if no other
-    one had in one of them, and three otherwise.  Any five crashes suffice.
+    The values are weights.  A task is given up when their sum reaches the
+    limit and two workers have certainly crashed while they ran it: after two
+    crashes if it was the only one that had just started in one of them, and
+    after three otherwise.  Any five crashes suffice.
     """
 
-    # The task had been running for some time, or may not have started at all,
-    # or it is unknown whether the worker has crashed.
+    # The worker may not have run the task, or may not have crashed.
+    UNCERTAIN = 2
+    # The task had been running for some time.
     WEAK = 3
+    # The connection broke as the start was sent; the worker may have crashed
+    # before it arrived.
+    UNCONFIRMED = 4
     # The task had just started, and so had others on the worker.
     SHARED = 5
     # The task was the only one that had just started on the worker.
     SOLE = 10
 
 
+_UNCERTAIN = frozenset((CrashEvidence.UNCERTAIN, CrashEvidence.UNCONFIRMED))
 _GIVE_UP_WEIGHT = 15
+# A job must not fail unless this many workers have crashed under a task.
+_MIN_CERTAIN_COUNT = 2
+# With more crashes, a task would be started more often than is allowed.
+_MAX_CRASH_COUNT = 5
 # A task may be suspected without having caused a single crash.
 _SUSPECT_CRASH_COUNT = 2
 
@@ -35,7 +45,13 @@
     """
     Return whether a task has to be given up.
     """
-    return sum(task.crashes.values()) >= _GIVE_UP_WEIGHT
+    weights = task.crashes.values()
+    if len(weights) >= _MAX_CRASH_COUNT:
+        return True
+    certain_count = sum(weight not in _UNCERTAIN for weight in weights)
+    return (
+        certain_count >= _MIN_CERTAIN_COUNT and sum(weights) >= _GIVE_UP_WEIGHT
+    )
 
 
 def is_crash_suspect(task: Task) -> bool:
@@ -67,8 +83,18 @@
 
     The crashes still count, because the task may cause them later in a run.
     """
-    task.crashes = dict.fromkeys(task.crashes, CrashEvidence.WEAK)
+    task.crashes = {
+        attempt: _weakened(weight) for attempt, weight in task.crashes.items()
+    }
     task.suspicions = {
-        worker_id: dataclasses.replace(suspicion, weight=CrashEvidence.WEAK)
+        worker_id: dataclasses.replace(
+            suspicion, weight=_weakened(suspicion.weight)
+        )
         for worker_id, suspicion in task.suspicions.items()
     }
+
+
+def _weakened(weight: int) -> int:
+    if weight in _UNCERTAIN:
+        return CrashEvidence.UNCERTAIN
+    return CrashEvidence.WEAK
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -49,6 +49,7 @@
         'attempt',
         'checkpoint',
         'cpu_or_tail',
+        'has_lost_connection',
         'has_resumed',
         'is_copy',
         'is_delivered',
@@ -83,9 +84,11 @@
         # When this owner first sent the start to the worker, or first saw the
         # run in its listing; 0 before.
         self.sent_ms: float = 0
-        # Whether the start has reached the worker: it has replied or listed the
-        # run, or the connection ended at once.
+        # Whether the start has certainly reached the worker, which has replied
+        # or listed the run.
         self.is_delivered = False
+        # Whether the connection broke as the start was sent.
+        self.has_lost_connection = False
         # When the worker last acknowledged an order for the run or first
         # listed it; 0 while an order is pending.  If a listing requested
         # later does not contain the run, the run has ended.
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -66,6 +66,9 @@
             return _OTHER_INCARNATION
         if self._worker.fault is WorkerFault.REFUSE:
             return OrderReply(verdict=Verdict.UNHEALTHY)
+        if self._worker.fault is WorkerFault.CRASH:
+            self._worker.crash_and_refuse()
+            raise WorkerReplyLostError('the worker closed the connection')
         if self._worker.fault is WorkerFault.START_LATE:
             self._worker.start_late(order)
             await asyncio.sleep(_TIMEOUT_MS / 1000)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -61,6 +61,7 @@
         # After how long a worker that a task has crashed starts again, and
         # whether it keeps its id.
         self.restart_delay_ms = 3_000
+        self.crash_count = 0
         self.keeps_worker_id = False
         self.rng = random.Random(seed)
         self.checker = RunChecker()
@@ -107,6 +108,7 @@
         return worker
 
     def _handle_crash(self, worker):
+        self.crash_count += 1
         self._spawn(self._bring_back(worker))
         self._spawn(self._expire_entry(worker))
 
