Restore the evidence against a task once

A new owner restores the evidence when it has loaded the shard and again after the handover. The suspects of a missing worker stood twice in its list then, and the owner failed when another incarnation appeared at the address.

Evidence: test_a_replacement_is_noticed_after_a_handover failed before.

Change: a suspect is listed once, and one whose evidence is gone is passed over.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -7,7 +7,7 @@
 """
 
 import itertools
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.fleet._shard import Shard
@@ -130,10 +130,7 @@
         why: What suggests that it has crashed.
     """
     _suspect_remaining_runs(shard, worker, why)
-    for task in worker.suspected_tasks:
-        suspicion = task.suspicions.get(worker.worker_id)
-        if suspicion is not None:
-            _presume_crash_by(shard, task, suspicion)
+    _presume_crash_by_any(shard, worker.worker_id, worker.suspected_tasks)
 
 
 def end_crashed_incarnation(
@@ -212,7 +209,8 @@
         worker = shard.workers.get(worker_id)
         if worker is None:
             missing = shard.missing_suspects.setdefault(worker_id, [])
-            missing.append(task)
+            if task not in missing:
+                missing.append(task)
         else:
             _restore_suspicion(shard, task, worker)
     for present in shard.workers.values():
@@ -227,8 +225,7 @@
     are missing from it.
     """
     for worker_id, tasks in list(shard.missing_suspects.items()):
-        for task in tasks:
-            _presume_crash_by(shard, task, task.suspicions[worker_id])
+        _presume_crash_by_any(shard, worker_id, tasks)
 
 
 def _restore_suspicion(shard: Shard, task: Task, worker: WorkerState) -> None:
@@ -280,10 +277,19 @@
     return CrashEvidence.UNCERTAIN
 
 
-def _presume_crash_by(shard: Shard, task: Task, suspicion: Suspicion) -> None:
-    is_counted = suspicion.attempt in task.crashes
-    if suspicion.weight > CrashEvidence.WEAK and not is_counted:
-        _count_crash(shard, task, suspicion.attempt, CrashEvidence.UNCERTAIN)
+def _presume_crash_by_any(
+    shard: Shard,
+    worker_id: str,
+    tasks: Iterable[Task],
+) -> None:
+    for task in tasks:
+        suspicion = task.suspicions.get(worker_id)
+        if suspicion is None or suspicion.attempt in task.crashes:
+            continue
+        if suspicion.weight > CrashEvidence.WEAK:
+            _count_crash(
+                shard, task, suspicion.attempt, CrashEvidence.UNCERTAIN
+            )
 
 
 def _refute_crash(shard: Shard, task: Task, suspicion: Suspicion) -> None:
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -23,7 +23,7 @@
     is_crash_suspect,
     restore_progress,
 )
-from hawthornpier_standin.fleet import WorkerFault
+from hawthornpier_standin.fleet import StoreFault, WorkerFault
 
 SOLE, SHARED, WEAK = (
     CrashEvidence.SOLE,
@@ -418,14 +418,55 @@
         cut_workers = await self.cut_off_all_that_start(world, task, 1)
         await world.run_for(2_000)
         world.kill(world.owner())
+        await self.check_that_a_return_is_noticed(world, task, cut_workers[0])
+
+    async def test_the_return_is_noticed_after_a_handover(self, world):
+        """
+        Guards against a new owner that fails as it restores evidence twice.
+        """
+        plan = world.plan(ONE_TASK, work_ms=60_000)
+        task = await submitted(world, plan)
+        cut_workers = await self.cut_off_all_that_start(world, task, 1)
+        await world.run_for(2_000)
+        await self.replace_owner(world)
+        await self.check_that_a_return_is_noticed(world, task, cut_workers[0])
+        assert not world.has_logged('part_failed')
+
+    async def replace_owner(self, world):
+        first = world.owner()
+        first.client.fault = StoreFault.SILENT
+        await world.wait_until(lambda: first.local_shard() is None)
+        await world.wait_until(lambda: world.has_logged('handover_received'))
+        await world.run_for(1_000)
+
+    async def check_that_a_return_is_noticed(self, world, task, worker):
         await world.wait_until(lambda: world.owner() is not None)
         await world.run_for(3_000)
         shard = world.owner().local_shard()
         assert shard.find_task(task).crashes
-        world.reconnect(cut_workers[0])
+        world.reconnect(worker)
         await world.run_for(3 * HEARTBEAT_MS)
         assert not shard.find_task(task).crashes
 
+    async def test_a_replacement_is_noticed_after_a_handover(self, world):
+        """
+        Guards against a new owner that fails as it counts a crash twice.
+        """
+        plan = world.plan(ONE_TASK, work_ms=60_000)
+        task = await submitted(world, plan)
+        cut_workers = await self.cut_off_all_that_start(world, task, 1)
+        await world.run_for(2_000)
+        await self.replace_owner(world)
+        worker = cut_workers[0]
+        worker.crash()
+        world.reconnect(worker)
+        world.workers['w0+'] = worker
+        worker.restart('w0+')
+        await world.run_for(3 * HEARTBEAT_MS)
+        crashes = world.owner().local_shard().find_task(task).crashes
+        assert list(crashes.values()) == [WEAK]
+        assert not world.has_logged('part_failed')
+
     async def test_a_worker_that_comes_back_anew_has_crashed(self, world):
         """
         Guards against a task that crashes workers which return late, for ever.
