Create a part only when its task runs it

The parts were created as coroutines before their tasks; if the owner ended before these began, they were dropped.

Change: a part is given as a callable. The behaviour is the same otherwise.

--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -4,8 +4,6 @@
 
 import asyncio
 import functools
-from collections.abc import Callable, Coroutine
-from typing import Any
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._configuration import Configuration
@@ -19,7 +17,7 @@
 from hawthornpier.fleet._owner import ShardOwner
 from hawthornpier.fleet._owner_monitor import OwnerMonitor
 from hawthornpier.fleet._ownership import Ownership
-from hawthornpier.fleet._parts import run_part
+from hawthornpier.fleet._parts import Part, run_part
 from hawthornpier.fleet._peer_port import (
     ConfigurationReply,
     FleetPeer,
@@ -165,7 +163,9 @@
             self._run_ownership,
             self._owner_monitor.run,
         )
-        self._tasks = [asyncio.ensure_future(self._keep(run)) for run in parts]
+        self._tasks = [
+            asyncio.ensure_future(self._keep(part)) for part in parts
+        ]
 
     async def wait_failed(self) -> None:
         """
@@ -182,7 +182,7 @@
             why = '' if error is None else error_text(error)
             self.log.record('task_failed', why=why)
 
-    async def _keep(self, run: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    async def _keep(self, part: Part) -> None:
         """
         Run a part of this process, and again after an unexpected error.
 
@@ -191,7 +191,7 @@
         """
         while True:
             try:
-                await run_part(run())
+                await run_part(part)
             except Exception as error:
                 self.log.record('part_failed', why=error_text(error))
             await self.clock.sleep_ms(_PART_RESTART_MS)
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -3,8 +3,8 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any, TypeVar
+import functools
+from typing import TypeVar
 
 import msgspec
 
@@ -23,7 +23,7 @@
 from hawthornpier.fleet._errors import ShardLostError
 from hawthornpier.fleet._handover import build_handover, request_handover
 from hawthornpier.fleet._intake import Intake
-from hawthornpier.fleet._parts import run_part
+from hawthornpier.fleet._parts import Part, run_part
 from hawthornpier.fleet._pass_gap import pass_gap_ms
 from hawthornpier.fleet._peer_port import Handover
 from hawthornpier.fleet._ports import (
@@ -146,26 +146,26 @@
         dial = self._relays.dial if self._relays else self._context.dial
         return WorkerRegistry(self.shard, self._context, dial, group)
 
-    def _parts(
-        self,
-        registry: WorkerRegistry,
-    ) -> list[Coroutine[Any, Any, None]]:
-        handover = request_handover(
-            self.shard,
-            self._predecessor,
-            self._context.dial_peer,
-        )
-        parts = [
-            registry.run(),
-            handover,
-            self._committer.run(),
-            self._claim_check.run(),
-            self._schedule_forever(),
-            self._poll_intake(),
-            self._remove_expired_jobs(),
+    def _parts(self, registry: WorkerRegistry) -> list[Part]:
+        parts: list[Part] = [
+            registry.run,
+            functools.partial(
+                request_handover,
+                self.shard,
+                self._predecessor,
+                self._context.dial_peer,
+            ),
+            self._committer.run,
+            self._claim_check.run,
+            self._schedule_forever,
+            self._poll_intake,
+            self._remove_expired_jobs,
         ]
         if self._relays is not None:
-            parts.append(self._relays.run(registry.worker_places))
+            relays_run = functools.partial(
+                self._relays.run, registry.worker_places
+            )
+            parts.append(relays_run)
         return parts
 
     async def _load(self, registry: WorkerRegistry) -> None:
--- a/src/hawthornpier/fleet/_parts.py
+++ b/src/hawthornpier/fleet/_parts.py
@@ -3,7 +3,7 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from hawthornpier.fleet._errors import FleetError
@@ -15,7 +15,10 @@
     """
 
 
-async def run_part(part: Coroutine[Any, Any, None]) -> None:
+Part = Callable[[], Coroutine[Any, Any, None]]
+
+
+async def run_part(part: Part) -> None:
     """
     Run a part, and report a cancellation that did not concern it as an error.
 
@@ -23,13 +26,13 @@
     would then count as cancelled, and a task group goes on without it.
 
     Args:
-        part: The part to run.
+        part: Runs the part.
 
     Raises:
         PartEndedError: The part has ended by such a cancellation.
     """
     try:
-        await part
+        await part()
     except asyncio.CancelledError as error:
         task = asyncio.current_task()
         if task is None or task.cancelling():
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -77,9 +77,9 @@
         Renew the lease and send orders until cancelled.
         """
         async with asyncio.TaskGroup() as group:
-            group.create_task(run_part(self._renew_lease_forever()))
+            group.create_task(run_part(self._renew_lease_forever))
             for _ in range(self._timings.max_concurrent_orders):
-                group.create_task(run_part(self._execute_orders()))
+                group.create_task(run_part(self._execute_orders))
 
     async def _renew_lease_forever(self) -> None:
         while True:
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -227,7 +227,7 @@
             timings=self._context.worker_timings,
         )
         try:
-            await run_part(link.run())
+            await run_part(link.run)
         except Exception as error:
             # An error that concerns one worker must not end the owner.
             self._context.log.record(
