--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -277,6 +277,18 @@
             **options,
         )
 
+    async def wait_first_owner(self):
+        await self.run_for(1_500)
+        assert self.owner() is not None
+
+    async def submit(self, plan):
+        """
+        Submit a job of one task once the first owner is ready; return its key.
+        """
+        await self.wait_first_owner()
+        await self.any_node().entry.submit(plan)
+        return f'{plan.job_id}.0.0.0'
+
     async def run_for(self, duration_ms):
         await asyncio.sleep(duration_ms / 1000)
 
--- a/tests/test_fleet_capacity.py
+++ b/tests/test_fleet_capacity.py
@@ -11,6 +11,10 @@
 from hawthornpier_standin.fleet import StoreFault
 
 TASK = StepPlan(task_count=1, processor_millis=1_000)
+TWO_STEPS = (
+    TASK,
+    StepPlan(task_count=4, processor_millis=1_000, after=(0,)),
+)
 SETTLE_MS = HEARTBEAT_MS + 1_000
 
 
@@ -58,14 +62,7 @@
         Guards against overload of a worker that shrank while the store was out.
         """
         await self.start_unguarded(world)
-        steps = (
-            StepPlan(task_count=1, processor_millis=1_000),
-            StepPlan(task_count=4, processor_millis=1_000, after=(0,)),
-        )
-        plan = world.plan(*steps, work_ms=8_000)
-        await world.any_node().entry.submit(plan)
-        await world.run_for(1_000)
-        world.break_store(StoreFault.REFUSE)
+        await self.lose_store(world)
         resize(world, 2_500)
         await world.run_for(9_000)
         assert world.checker.started_count == 1
@@ -78,14 +75,7 @@
         Guards against tasks that wait for the store without a need.
         """
         await world.run_for(1_500)
-        steps = (
-            StepPlan(task_count=1, processor_millis=1_000),
-            StepPlan(task_count=4, processor_millis=1_000, after=(0,)),
-        )
-        plan = world.plan(*steps, work_ms=8_000)
-        await world.any_node().entry.submit(plan)
-        await world.run_for(1_000)
-        world.break_store(StoreFault.REFUSE)
+        await self.lose_store(world)
         await world.run_for(9_000)
         assert world.checker.started_count == 5
 
@@ -94,3 +84,9 @@
             worker.checks_capacity = False
         world.configure(2, unguarded=('desk',))
         await world.run_for(1_500)
+
+    async def lose_store(self, world):
+        plan = world.plan(*TWO_STEPS, work_ms=8_000)
+        await world.any_node().entry.submit(plan)
+        await world.run_for(1_000)
+        world.break_store(StoreFault.REFUSE)
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -6,7 +6,6 @@
 
 from fake_store import virtual_tests
 from fleet_world import World
-from test_fleet_recovery import started_world
 
 from hawthornpier.steps import JobPhase, StepPlan
 from hawthornpier_standin.fleet import StoreFault, WorkerFault
@@ -45,7 +44,7 @@
         The previous owner cannot reach the store but reports which tasks the
         worker may run; only these have to wait.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         first = world.plan(WHOLE_WORKER, work_ms=4_000)
         waiting = world.plan(TWO_WORKERS, work_ms=9_000)
         await world.any_node().entry.submit(first)
@@ -66,7 +65,7 @@
         An unreachable worker still runs it, which the new owner can only learn
         from the handover.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(WHOLE_WORKER, work_ms=6_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(300)
@@ -82,7 +81,7 @@
         The previous owner could not store its outcome, and the worker that
         ran it is unreachable, so only the handover contains the outcome.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(WHOLE_WORKER, work_ms=1_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(300)
@@ -101,7 +100,7 @@
         A leaving owner cannot write its release to the store, so it has to
         report to its peers that it has given up the shard.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         leaving = world.owner()
         leaving.client.fault = StoreFault.REFUSE
         await leaving.leave()
@@ -116,7 +115,7 @@
         reply from this worker and must keep it in the stored list of workers,
         from which the second one learns of it.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(TWO_WORKERS, work_ms=9_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(300)
@@ -139,7 +138,7 @@
         from then on, before the new owner has granted it a lease.  That of the
         previous owner keeps them running.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         step = StepPlan(task_count=2, processor_millis=8_000, is_filling=True)
         plan = world.plan(step, work_ms=9_000)
         await world.any_node().entry.submit(plan)
@@ -161,7 +160,7 @@
         tasks an unreachable worker runs, and must not report that there are
         none.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(TWO_WORKERS, work_ms=9_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(300)
@@ -189,7 +188,7 @@
         The worker was drained before it left, so it cannot be running any of
         the tasks that wait.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         left = world.workers['w0']
         left.entry = dataclasses.replace(left.entry, is_draining=True)
         await world.run_for(2_500)
@@ -216,7 +215,7 @@
         They are queued behind other orders to an unreachable worker, whose
         lease expires before it responds again.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         stopped = world.plan(
             StepPlan(task_count=2, processor_millis=1_000),
             work_ms=60_000,
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -2,8 +2,6 @@
 Tests of the fleet scheduler during changes of the owner and store faults.
 """
 
-import asyncio
-
 import pytest
 from fake_store import virtual_tests
 from fleet_world import World
@@ -15,11 +13,6 @@
 LONG = StepPlan(task_count=6, processor_millis=1_000)
 
 
-async def started_world(world):
-    await world.run_for(1_500)
-    assert world.owner() is not None
-
-
 @virtual_tests(World)
 class TestJobs:
     """
@@ -32,7 +25,7 @@
 
         A step must not start before the one that it depends on is complete.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         first = StepPlan(task_count=3, processor_millis=1_000)
         second = StepPlan(task_count=2, processor_millis=1_000, after=(0,))
         plan = world.plan(first, second)
@@ -49,7 +42,7 @@
         A caller that lost the reply to a submission repeats it, possibly to
         another process or after the job has completed.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan()
         for node in world.nodes.values():
             await node.entry.submit(plan)
@@ -64,7 +57,7 @@
 
         Cancelling a job has to stop its runs on all workers.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(work_ms=60_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(500)
@@ -78,7 +71,7 @@
         """
         Guards against a cancellation that succeeds for a nonexistent job.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         with pytest.raises(fleet.UnknownJobError):
             await world.any_node().entry.cancel('f' * 16)
 
@@ -89,7 +82,7 @@
         All workers fail the task at each attempt, so the job has to fail at
         the limit of its queue.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         for worker in world.workers.values():
             worker.fault = WorkerFault.FAIL_ALL
         plan = world.plan(StepPlan(task_count=1, processor_millis=1_000))
@@ -103,7 +96,7 @@
 
         The jobs are accepted but fit on no worker.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         wide = StepPlan(task_count=1, processor_millis=9_000)
         for _ in range(3):
             await world.any_node().entry.submit(world.plan(wide))
@@ -124,7 +117,7 @@
 
         The owner is killed while they run on healthy workers.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(LONG, work_ms=6_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(500)
@@ -141,7 +134,7 @@
         They end during the change of the owner.  If the new owner acknowledged
         their runs before it has loaded the job, the outcomes would be lost.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(LONG, work_ms=700)
         await world.any_node().entry.submit(plan)
         await world.run_for(400)
@@ -156,7 +149,7 @@
         If the owner fails to release the shard, the other processes wait until
         its lease expires.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(LONG, work_ms=3_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(300)
@@ -174,7 +167,7 @@
         All entry processes are killed at once, so the jobs have to be in the
         store by the time they are accepted.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plans = [world.plan(LONG, work_ms=2_000) for _ in range(3)]
         for plan in plans:
             await world.any_node().entry.submit(plan)
@@ -209,7 +202,7 @@
         started its tasks.  The new owner is notified while one of the workers
         that run them is unreachable.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         old = world.owner()
         plan = world.plan(LONG, work_ms=4_000)
         old.local_shard().add_job(plan)
@@ -230,7 +223,7 @@
         The store is slow, so the release is requested before the previous
         write has been applied, and both depend on the fence's version.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         world.store.delay_factor = 15
         await world.any_node().entry.submit(world.plan(LONG, work_ms=50))
         await world.run_for(320)
@@ -246,7 +239,7 @@
         A worker lists the run before the owner is notified of the job, and the
         next listing comes only after the job's tasks are placed.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         shard = world.owner().local_shard()
         plan = world.plan(
             StepPlan(task_count=1, processor_millis=1_000),
@@ -284,7 +277,7 @@
         The owner must keep renewing the leases of the workers, although it
         cannot renew its own.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(LONG, work_ms=7_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(300)
@@ -304,7 +297,7 @@
         The store refuses one process only, which has to relay the job to
         another one.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         entry_node = next(
             node for node in world.nodes.values() if node is not world.owner()
         )
@@ -319,7 +312,7 @@
 
         The store refuses all processes, and accepts requests again later.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         for node in world.nodes.values():
             node.client.fault = StoreFault.REFUSE
         plan = world.plan()
@@ -337,7 +330,7 @@
         The store refuses the process, and no other process replies, so that
         relaying the job to one after the other would add up their timeouts.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         caller = world.any_node()
         for node in world.nodes.values():
             node.is_partitioned = node is not caller
@@ -361,7 +354,7 @@
         The store does not reply to the write but applies it later, so the
         outcome has to be reported as unknown.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         for node in world.nodes.values():
             node.client.fault = StoreFault.APPLY_LATE
         plan = world.plan()
@@ -377,7 +370,7 @@
 
         The store refuses this process only, so another one has to take over.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(LONG, work_ms=5_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(300)
@@ -395,7 +388,7 @@
         A partition of the store applies its transactions one after another,
         so that with a slow store the jobs have to be spread over several.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         world.store.delay_factor = 30
         plans = [world.plan() for _ in range(8)]
         nodes = tuple(world.nodes.values())
@@ -411,7 +404,7 @@
         The store refuses this process, which has to read the new
         configuration from a peer.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         refused = next(
             node for node in world.nodes.values() if node is not world.owner()
         )
@@ -428,88 +421,9 @@
         The store discards its history, so the change is not among those that
         it returns, and the processes have to read the configuration itself.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         world.configure(8)
         world.store.discard_changes()
         await world.run_for(3_000)
         versions = {node.configuration.version for node in world.nodes.values()}
         assert versions == {8}
-
-
-async def cancelled_call(*arguments, **options):
-    call = asyncio.get_running_loop().create_future()
-    call.cancel()
-    await call
-
-
-@virtual_tests(World)
-class TestUnexpectedErrors:
-    """
-    An unexpected error or an unreadable row ends no process.
-    """
-
-    async def test_an_unreadable_list_of_workers(self, world):
-        """
-        Guards against processes that end one by one as they become the owner.
-
-        Nothing may be started twice either, although the new owner does not
-        know from the store which workers have runs.
-        """
-        await started_world(world)
-        plan = world.plan(LONG, work_ms=5_000)
-        await world.any_node().entry.submit(plan)
-        await world.run_for(300)
-        world.kill(world.owner())
-        world.store.put('fleet', 'workers', b'\xff{', part='s0')
-        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
-        assert world.checker.started_count == LONG.task_count
-
-    async def test_a_cancelled_call_in_a_part_of_a_process(self, world):
-        """
-        Guards against a process that ends because a library cancels a call.
-
-        The cancellation is not that of the part, which has to go on.
-        """
-        await started_world(world)
-        node = world.any_node()
-        read_changes = node.client.changes
-        node.client.changes = cancelled_call
-        await world.run_for(3_000)
-        node.client.changes = read_changes
-        world.configure(3, queues=('orders', 'more'))
-        await world.run_for(3_000)
-        assert not any(task.done() for task in node._tasks)
-        assert node.configuration.version == 3
-
-    async def test_a_cancelled_call_in_a_part_of_the_owner(self, world):
-        """
-        Guards against an owner that goes on without one of its parts.
-        """
-        await started_world(world)
-        node = world.owner()
-        read_changes = node.client.changes
-        node.client.changes = cancelled_call
-        await world.run_for(3_000)
-        node.client.changes = read_changes
-        world.add_worker('w9')
-        await world.run_for(8_000)
-        assert 'w9' in world.owner().local_shard().workers
-
-    async def test_an_error_in_a_part_of_a_process(self, world):
-        """
-        Guards against a process that ends with one of its parts.
-
-        The rows of the directory are unreadable as text, and the operator's
-        configuration raises an error that no code expects.
-        """
-        await started_world(world)
-        world.store.put('op', 'config', b'[]')
-        world.store.put('members', 'n9', b'\xff')
-        await world.run_for(2_000)
-        world.configure(3, queues=('orders', 'more'))
-        await world.run_for(3_000)
-        plan = world.plan()
-        await world.any_node().entry.submit(plan)
-        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
-        versions = {node.configuration.version for node in world.nodes.values()}
-        assert versions == {3}
--- a/tests/test_fleet_workers.py
+++ b/tests/test_fleet_workers.py
@@ -4,7 +4,7 @@
 
 from fake_store import virtual_tests
 from fleet_world import QUEUE, World
-from test_fleet_recovery import LONG, started_world
+from test_fleet_recovery import LONG
 from virtual_time import JumpingClock, run_virtual
 
 from hawthornpier.events import DecisionLog
@@ -35,7 +35,7 @@
         That happens if renewals without a reply keep extending the worker's
         lease, so that its runs never count as ended.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(
             StepPlan(task_count=2, processor_millis=1_000, is_lasting=True),
         )
@@ -57,7 +57,7 @@
         An unreachable worker continues its runs until its lease expires, so
         they must not be restarted elsewhere before that.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(LONG, work_ms=4_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(500)
@@ -74,7 +74,7 @@
         They ended when the worker crashed, so their tasks can be restarted
         without waiting for the lease to expire.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(LONG, work_ms=2_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(500)
@@ -90,7 +90,7 @@
         A worker does not reply to a start but executes it later, when the
         task may have been started elsewhere.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         world.workers['w0'].fault = WorkerFault.START_LATE
         plan = world.plan(
             StepPlan(task_count=24, processor_millis=1_000),
@@ -107,7 +107,7 @@
         A start that was sent to one incarnation of a worker is executed by
         the next one, when the task may have been started elsewhere.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         worker = world.workers['w0']
         worker.fault = WorkerFault.START_LATE
         plan = world.plan(
@@ -129,7 +129,7 @@
         A worker that fails every run at once has free resources again, so
         it would use up the attempts of many tasks.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         world.workers['w0'].fault = WorkerFault.FAIL_ALL
         plans = [world.plan(work_ms=150) for _ in range(10)]
         for plan in plans:
@@ -144,7 +144,7 @@
         The worker renews its lease and lists the runs, but they make no
         progress.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(LONG, work_ms=500)
         world.workers['w0'].fault = WorkerFault.STALLED
         await world.any_node().entry.submit(plan)
@@ -157,7 +157,7 @@
         The worker is alive, as the registry shows, but does not reach the
         owner until after the end of its lease.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(LONG, work_ms=2_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(300)
@@ -175,7 +175,7 @@
         One percent of their work takes four seconds, during which the listed
         progress does not change.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         step = StepPlan(
             task_count=3, processor_millis=1_000, estimate_ms=400_000
         )
@@ -191,7 +191,7 @@
         The owner loses its connections to the store, its peers and the
         workers, is replaced, and reconnects while the tasks are running.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         plan = world.plan(LONG, work_ms=9_000)
         await world.any_node().entry.submit(plan)
         await world.run_for(500)
@@ -219,7 +219,7 @@
         show.  The new owner must restore its speed, or it would stop the task
         for lack of progress.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         best_effort = StepPlan(
             task_count=1,
             processor_millis=1_000,
@@ -242,7 +242,7 @@
         Their image harms the long-running tasks on all workers, so they must
         leave the workers that run these.
         """
-        await started_world(world)
+        await world.wait_first_owner()
         for worker in world.workers.values():
             worker.interfering_images.add(('serving', 'heavy'))
         long_running = StepPlan(
