Log why waiting tasks are not started on any worker

The log of the state of a shard had the largest room on one worker and the least need of a long-running task. The reason of each worker is now decided in one place, by a table, and the log has their counts for the smallest waiting step of each kind. A worker that has just rejected a start is excluded there instead of from the candidate pools.

--- /dev/null
+++ b/src/hawthornpier/fleet/_eligibility.py
@@ -0,0 +1,82 @@
+"""
+Whether a task may be started on a worker, and if not, why.
+"""
+
+import enum
+from collections.abc import Callable
+
+from hawthornpier.fleet._health import HealthStatus
+from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.steps import Step
+
+
+class Exclusion(enum.StrEnum):
+    """
+    Why a task may not be started on a worker now.
+    """
+
+    UNUSABLE = 'unusable'
+    REJECTING = 'has just rejected a start'
+    ON_TRIAL = 'on trial'
+    NO_ROOM = 'no room'
+    NO_LABEL = 'no label'
+    QUARANTINED = 'quarantined'
+    ON_PROBATION = 'on probation'
+    # A best-effort task would interfere too much with long-running ones.
+    INTERFERENCE = 'interference'
+
+
+def find_exclusion(
+    worker: WorkerState, step: Step, now_ms: float
+) -> Exclusion | None:
+    """
+    Return why no task of a step may be started on a worker, or None.
+
+    Interference is not considered.
+
+    Args:
+        worker: The worker.
+        step: The step.
+        now_ms: The current time on the monotonic clock.
+    """
+    for exclusion, applies in _CHECKS:
+        if applies(worker, step, now_ms):
+            return exclusion
+    return None
+
+
+def _lacks_label(worker: WorkerState, step: Step, _now_ms: float) -> bool:
+    label = step.plan.required_label
+    return bool(label) and label not in worker.entry.labels
+
+
+def _is_quarantined(worker: WorkerState, _step: Step, now_ms: float) -> bool:
+    return worker.health.health_status(now_ms) is HealthStatus.QUARANTINED
+
+
+def _is_on_probation(worker: WorkerState, _step: Step, now_ms: float) -> bool:
+    if worker.health.health_status(now_ms) is not HealthStatus.PROBATION:
+        return False
+    return bool(worker.runs)
+
+
+_CHECKS: tuple[
+    tuple[Exclusion, Callable[[WorkerState, Step, float], bool]], ...
+] = (
+    (Exclusion.UNUSABLE, lambda worker, _step, _now_ms: not worker.is_usable),
+    (
+        Exclusion.REJECTING,
+        lambda worker, _step, now_ms: now_ms < worker.refused_until_ms,
+    ),
+    (
+        Exclusion.ON_TRIAL,
+        lambda worker, _step, _now_ms: worker.trial_run is not None,
+    ),
+    (
+        Exclusion.NO_ROOM,
+        lambda worker, step, _now_ms: not worker.fits(step),
+    ),
+    (Exclusion.NO_LABEL, _lacks_label),
+    (Exclusion.QUARANTINED, _is_quarantined),
+    (Exclusion.ON_PROBATION, _is_on_probation),
+)
--- a/src/hawthornpier/fleet/_placement.py
+++ b/src/hawthornpier/fleet/_placement.py
@@ -5,7 +5,7 @@
 import heapq
 from collections.abc import Iterable, Sequence
 
-from hawthornpier.fleet._health import HealthStatus
+from hawthornpier.fleet._eligibility import Exclusion, find_exclusion
 from hawthornpier.fleet._interference import InterferenceModel
 from hawthornpier.fleet._throttling import HARMFUL_EFFECT, pressure_margin
 from hawthornpier.fleet._worker_state import WorkerState
@@ -96,27 +96,23 @@
         Returns:
             None if the worker is not eligible.
         """
-        if self._is_eligible(worker, task.step, now_ms):
+        if find_exclusion(worker, task.step, now_ms) is None:
             return self._rank(worker, task, now_ms)
         return None
 
-    def _is_eligible(
+    def exclusion(
         self,
         worker: WorkerState,
-        step: Step,
+        task: Task,
         now_ms: float,
-    ) -> bool:
-        if not worker.is_usable or worker.trial_run is not None:
-            return False
-        if not worker.fits(step):
-            return False
-        label = step.plan.required_label
-        if label and label not in worker.entry.labels:
-            return False
-        health_status = worker.health.health_status(now_ms)
-        if health_status is HealthStatus.PROBATION:
-            return not worker.runs
-        return health_status < HealthStatus.PROBATION
+    ) -> Exclusion | None:
+        """
+        Return why a worker is not eligible for a task, or None if it is.
+        """
+        found = find_exclusion(worker, task.step, now_ms)
+        if found is None and self._rank(worker, task, now_ms) is None:
+            return Exclusion.INTERFERENCE
+        return found
 
     def _rank(
         self,
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -70,7 +70,7 @@
             return
         if shard.now_ms - self._state_logged_ms >= _STATE_LOG_INTERVAL_MS:
             self._state_logged_ms = shard.now_ms
-            log_shard_state(shard)
+            log_shard_state(shard, self._placement)
         self._run_monitor.run_pass()
         self._trials.end_trials()
         candidates = self._candidate_pools()
@@ -108,10 +108,9 @@
         return [task for task in tasks if task.key not in maybe_running]
 
     def _candidate_pools(self) -> dict[str, list[WorkerState]]:
-        now_ms = self._shard.now_ms
         pools: dict[str, list[WorkerState]] = {}
         for worker in self._shard.workers.values():
-            if worker.is_usable and now_ms >= worker.refused_until_ms:
+            if worker.is_usable:
                 pools.setdefault(worker.entry.service, []).append(worker)
         return {
             service: pool
--- a/src/hawthornpier/fleet/_state_log.py
+++ b/src/hawthornpier/fleet/_state_log.py
@@ -6,25 +6,28 @@
 from collections.abc import Iterator
 
 from hawthornpier.fleet._interference import max_tail_ratio
+from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Step, StepPlan
 
 
-def log_shard_state(shard: Shard) -> None:
+def log_shard_state(shard: Shard, placement: Placement) -> None:
     """
     Log the capacity of the workers, its usage, and the waiting tasks.
     """
     waiting: collections.Counter[str] = collections.Counter()
     images: collections.Counter[str] = collections.Counter()
     jobs = collections.Counter(job.phase for job in shard.active_jobs())
-    lasting_needs: list[int] = []
+    smallest: dict[str, Step] = {}
     for step in _waiting_steps(shard):
-        waiting[_task_kind(step.plan)] += len(step.waiting())
+        kind = _task_kind(step.plan)
+        waiting[kind] += len(step.waiting())
         if step.plan.is_filling:
             images[step.plan.image] += len(step.waiting())
-        if step.plan.is_lasting:
-            lasting_needs.append(step.plan.processor_millis)
+        smallest[kind] = min(
+            step, smallest.get(kind, step), key=_processor_millis
+        )
     workers = [worker for worker in shard.workers.values() if worker.is_usable]
     shard.log.record(
         'shard_state',
@@ -39,10 +42,17 @@
             worker.entry.processor_millis for worker in workers
         ),
         reserved_millis=sum(worker.reserved_millis for worker in workers),
-        # Whether long-running tasks wait for want of room, or of a worker that
-        # may be used: the most that is free on one, the least that is needed.
+        # Whether tasks wait for want of room, or of a worker that may be used:
+        # the most that is free on one, and by kind of task the least that is
+        # needed and how many workers are excluded for each reason.
         max_free_millis=max(map(_free_millis, workers), default=0),
-        min_waiting_lasting_millis=min(lasting_needs, default=0),
+        min_waiting_millis={
+            name: _processor_millis(least) for name, least in smallest.items()
+        },
+        exclusions={
+            name: _exclusions(shard, placement, least)
+            for name, least in smallest.items()
+        },
         long_running_millis=sum(
             worker.long_running_millis for worker in workers
         ),
@@ -95,6 +105,22 @@
                     yield step
 
 
+def _processor_millis(step: Step) -> int:
+    return step.plan.processor_millis
+
+
+def _exclusions(
+    shard: Shard, placement: Placement, step: Step
+) -> dict[str, int]:
+    task = step.waiting()[0]
+    service = shard.service_of(step.job)
+    return collections.Counter(
+        placement.exclusion(worker, task, shard.now_ms) or 'none'
+        for worker in shard.workers.values()
+        if worker.entry.service == service
+    )
+
+
 def _free_millis(worker: WorkerState) -> int:
     return worker.entry.processor_millis - worker.reserved_millis
 
