End the probation of workers that run long-running tasks

What callers saw: a task that could run was not started although a worker had room for it (LOST). After two of six runs on a worker had failed, it was quarantined, then on probation. On probation it got a run only if it had none, and probation ended only when a run completed. A worker with long-running tasks is never idle, and one whose first run is long-running never completes it, so such a worker got nothing more for the rest of its life: a state whose only exits may never occur.

Evidence: both new tests failed on the old code. In the first one two healthy workers with a long-running task each leave a job of short tasks waiting beyond the longest quarantine; in the second one 2 of 6 long-running tasks run.

A run started before the quarantine says nothing about the worker after it. So only runs started since then count as the trial, and a long-running one succeeds by becoming ready. It does not shorten the next quarantine, which a completed run does.

--- a/src/hawthornpier/fleet/_eligibility.py
+++ b/src/hawthornpier/fleet/_eligibility.py
@@ -57,7 +57,7 @@
 def _is_on_probation(worker: WorkerState, _step: Step, now_ms: float) -> bool:
     if worker.health.health_status(now_ms) is not HealthStatus.PROBATION:
         return False
-    return bool(worker.runs)
+    return any(map(worker.health.is_on_trial_by, worker.runs.values()))
 
 
 _CHECKS: tuple[
--- a/src/hawthornpier/fleet/_health.py
+++ b/src/hawthornpier/fleet/_health.py
@@ -27,8 +27,9 @@
 
     HEALTHY = 0
     SUSPECT = 1
-    # After a quarantine, only one run at a time is started until one succeeds.
-    # If it fails, the worker is quarantined again.
+    # After a quarantine, only one run at a time is started until one succeeds
+    # or, if it is long-running, becomes ready.  If it fails, the worker is
+    # quarantined again.
     PROBATION = 2
     QUARANTINED = 3
 
@@ -71,6 +72,22 @@
             return self._quarantine_if_failing(now_ms)
         return False
 
+    def record_ready_run(self, run: Run) -> None:
+        """
+        Record that a long-running task is at work, which ends a probation.
+
+        The next quarantine is as long as after a failure during the probation,
+        because only a run that succeeds shows that the worker completes tasks.
+        """
+        if self.is_on_trial_by(run):
+            self._is_quarantined = False
+
+    def is_on_trial_by(self, run: Run) -> bool:
+        """
+        Return whether a run was started after the last quarantine.
+        """
+        return run.started_ms >= self._quarantined_until_ms
+
     def record_refusal(self, now_ms: float) -> None:
         """
         Record a start that the worker rejected as unhealthy or did not confirm.
--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -117,6 +117,9 @@
         if row.percent != run.percent:
             run.percent = row.percent
             run.percent_changed_ms = now_ms
+            if run.is_ready:
+                worker = self._shard.workers[run.worker_id]
+                worker.health.record_ready_run(run)
         run.checkpoint = row.checkpoint or run.checkpoint
         run.cpu_or_tail = row.usage
 
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -123,6 +123,13 @@
         """
         return (self.task.key, self.attempt)
 
+    @property
+    def is_ready(self) -> bool:
+        """
+        Return whether it runs a long-running task that is at work.
+        """
+        return self.task.step.plan.is_lasting and self.percent >= 100
+
     @property
     def has_unacknowledged_order(self) -> bool:
         """
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -131,6 +131,10 @@
         worker.fault = standin.WorkerFault.NONE
         self.silent_workers.discard(worker)
 
+    def recover_workers(self):
+        for worker in self.workers.values():
+            worker.fault = standin.WorkerFault.NONE
+
     def part(self, node, workers):
         """
         Part a process and workers from the others and the store.
--- /dev/null
+++ b/tests/test_fleet_probation.py
@@ -0,0 +1,65 @@
+"""
+Tests of workers that are tried again after their runs have failed.
+"""
+
+from fake_store import virtual_tests
+from fleet_world import World
+
+from hawthornpier.steps import JobPhase, StepPlan
+from hawthornpier_standin.fleet import WorkerFault
+
+LASTING = StepPlan(
+    task_count=2,
+    processor_millis=1_000,
+    per_worker_limit=1,
+    is_lasting=True,
+)
+SHORT = StepPlan(task_count=2, processor_millis=1_000)
+# The longest quarantine and the time for a trial of the worker after it.
+LIMIT_MS = 12_000 + 2_000
+
+
+@virtual_tests(World)
+class TestProbation:
+    """
+    A worker that works again gets tasks again.
+    """
+
+    options = {'worker_count': 2}
+
+    async def test_workers_with_long_running_tasks_leave_probation(self, world):
+        """
+        Guards against workers that are shut out because they are never idle.
+        """
+        await self._fail_on_all_workers(world, LASTING)
+        world.recover_workers()
+        job = world.plan(SHORT)
+        await world.any_node().entry.submit(job)
+        await world.wait_phase(
+            job.job_id, JobPhase.COMPLETED, limit_ms=LIMIT_MS
+        )
+
+    async def test_a_long_running_task_ends_a_probation(self, world):
+        """
+        Guards against workers that run a single long-running task for ever.
+        """
+        await self._fail_on_all_workers(world)
+        world.recover_workers()
+        job = world.plan(
+            StepPlan(task_count=6, processor_millis=1_000, is_lasting=True)
+        )
+        await world.any_node().entry.submit(job)
+        await world.run_for(LIMIT_MS)
+        assert len(world.checker.running) == 6
+
+    async def _fail_on_all_workers(self, world, *steps):
+        await world.wait_first_owner()
+        if steps:
+            await world.any_node().entry.submit(world.plan(*steps))
+            await world.run_for(1_000)
+        for worker in world.workers.values():
+            worker.fault = WorkerFault.FAIL_ALL
+        for _ in range(4):
+            await world.any_node().entry.submit(world.plan(SHORT))
+        await world.run_for(3_000)
+        assert world.has_logged('worker_quarantined')
