Skip no step because another service is full

What callers would see: a task that could run is not started although workers of its service are idle (LOST), for as long as a step of another service that needs no more resources waits. A pass skips a step if one that needs no more has found no worker before, but compared steps of all services, which have different workers.

Steps are now only compared within a service.

--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -2,6 +2,7 @@
 The scheduling pass: starts tasks on workers and stops runs that must move.
 """
 
+import collections
 from collections.abc import Sequence
 
 from hawthornpier.fleet._crash_trials import CrashTrials
@@ -74,13 +75,16 @@
         self._run_monitor.run_pass()
         self._trials.end_trials()
         candidates = self._candidate_pools()
-        failed: list[Step] = []
+        failed: dict[str, list[Step]] = collections.defaultdict(list)
         steps = self._ranked_steps()
         for step in steps:
-            pool = candidates.get(shard.service_of(step.job), ())
-            cannot_fit = any(_needs_at_least(step, other) for other in failed)
+            service = shard.service_of(step.job)
+            pool = candidates.get(service, ())
+            cannot_fit = any(
+                _needs_at_least(step, other) for other in failed[service]
+            )
             if not cannot_fit and not self._place(step, pool):
-                failed.append(step)
+                failed[service].append(step)
             if step.plan.may_run_copies:
                 self._place_copies(step, pool)
         self._evacuation.run_pass(steps)
@@ -262,7 +266,8 @@
     """
     Return whether a step certainly finds no worker because another found none.
 
-    True only if it is of the same kind and needs at least the same resources.
+    Both are of the same service.  True only if the step is of the same kind and
+    needs at least the same resources.
     """
     plan, failed = step.plan, other.plan
     if failed.per_worker_limit or failed.required_label or failed.is_gang:
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -84,10 +84,10 @@
             self.start_node(f'n{number}', cores=cores)
         self._spawn(self._send_heartbeats())
 
-    def add_worker(self, worker_id, **options):
+    def add_worker(self, worker_id, *, service='desk', **options):
         entry = fleet.WorkerEntry(
             worker_id=worker_id,
-            service='desk',
+            service=service,
             address=worker_id,
             failure_domain='z',
             processor_millis=8_000,
@@ -248,7 +248,14 @@
             return dataclasses.replace(model, crashes_worker=True, work_ms=10)
         return model
 
-    def plan(self, *steps, work_ms=200, crashing_tasks=(), **options):
+    def plan(
+        self,
+        *steps,
+        work_ms=200,
+        crashing_tasks=(),
+        queue=QUEUE,
+        **options,
+    ):
         """
         Return a job; *crashing_tasks* crash each worker that starts them.
 
@@ -276,7 +283,7 @@
             job_id=job_id,
             payload='payload',
             steps=plans,
-            queue=QUEUE,
+            queue=queue,
             submitted_ms=self.clock.wall_ms(),
             **options,
         )
