Skip no best-effort step for one that has waited less

After 4 s a step accepts a worker where its image is harmful; a step that has waited less does not. A new step that is placed first finds no worker, and the old one was then skipped because it needs at least as much.

Evidence: the new test failed before, the task that had waited 5 s got no run. A step is now skipped only for one that has waited at least as long.

--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -3,6 +3,7 @@
 """
 
 import collections
+import math
 from collections.abc import Sequence
 
 from hawthornpier.fleet._crash_trials import CrashTrials
@@ -277,8 +278,11 @@
         failed.is_lasting,
     ):
         return False
-    # The workers that are eligible for a best-effort task depend on its image.
-    if plan.is_filling and plan.image != failed.image:
+    # The workers that are eligible for a best-effort task depend on its image
+    # and on how long the step has waited.
+    if plan.is_filling and (
+        plan.image != failed.image or _ready_ms(step) < _ready_ms(other)
+    ):
         return False
     return (
         plan.processor_millis >= failed.processor_millis
@@ -287,6 +291,10 @@
     )
 
 
+def _ready_ms(step: Step) -> float:
+    return math.inf if step.ready_ms is None else step.ready_ms
+
+
 def _group_by_rack(pool: Sequence[WorkerState]) -> list[list[WorkerState]]:
     racks: dict[str, list[WorkerState]] = {}
     for worker in pool:
--- a/tests/test_fleet_evacuation.py
+++ b/tests/test_fleet_evacuation.py
@@ -7,9 +7,10 @@
 from virtual_time import VirtualClock
 
 from hawthornpier.events import DecisionLog
-from hawthornpier.fleet import WorkerEntry
+from hawthornpier.fleet import PlatformBounds, WorkerEntry, WorkerTimings
 from hawthornpier.fleet._evacuation import Evacuation
 from hawthornpier.fleet._placement import Placement
+from hawthornpier.fleet._scheduler import Scheduler
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import JobPlan, QueuePolicy, Run, RunPhase, StepPlan
@@ -70,15 +71,7 @@
             run.phase = RunPhase.RUNNING
             task.runs.append(run)
             self.shard.workers[worker_id].charge(run)
-        best_effort = StepPlan(
-            task_count=1,
-            processor_millis=4_000,
-            image='heavy',
-            is_filling=True,
-        )
-        self.best_effort_step = (
-            self._job(best_effort, 1).occurrences[0].steps[0]
-        )
+        self.best_effort_step = self.add_best_effort_step()
 
     @property
     def tasks(self):
@@ -97,6 +90,15 @@
         self.best_effort_step.ready_ms = self.clock.now_ms - waited_ms
         Evacuation(self.shard).run_pass([self.best_effort_step])
 
+    def add_best_effort_step(self):
+        plan = StepPlan(
+            task_count=1,
+            processor_millis=4_000,
+            image='heavy',
+            is_filling=True,
+        )
+        return self._job(plan, 1).occurrences[0].steps[0]
+
     def _job(self, step, count):
         plan = JobPlan(
             job_id=f'{len(self.shard.jobs):016x}',
@@ -166,3 +168,22 @@
                 fleet.clock.now_ms,
             )
             assert (chosen is not None) is is_placed
+
+    def test_step_that_has_waited_is_not_skipped_for_a_new_one(self):
+        """
+        Guards against a best-effort task that never accepts a worker where it
+        is harmful, because a new task of its image, placed first, does not.
+        """
+        fleet = _Fleet()
+        del fleet.shard.workers['w2']
+        old = fleet.best_effort_step
+        fleet.clock.now_ms += 5_000
+        old.ready_ms = 1_000
+        permits = fleet.shard.permits
+        for permit in (permits.writes, permits.registry):
+            permit.confirm(permit.mark())
+        fleet.add_best_effort_step()
+        Scheduler(
+            fleet.shard, bounds=PlatformBounds(), timings=WorkerTimings()
+        ).run_pass()
+        assert old.tasks[0].runs
