Move a long-running task only where room is reserved for it

What callers saw: a long-running task was stopped and had no run for 26 s although there had been room for it, was stopped again 1.7 s after its next start, and once returned to its worker 32 ms after a stop (LOST).

Cause: an evacuation stops long-running tasks of a worker if they would fit on other workers, but reserved nothing there. Until the run has ended, shorter tasks take that room and the room that the run leaves, and with a backlog of small tasks a large one then finds none. It also looked at processors and memory only, not at labels, limits, quarantines or services, so that a task could be stopped that was eligible nowhere else.

On the old code a task takes the room of a moved one, and a task is stopped while all other workers are quarantined; the new tests check both.

A move now reserves room on an eligible worker, chosen as for a start, before the run is stopped, and the task starts there once it has ended. The reservation ends after 4 s or with the job.

--- a/src/hawthornpier/fleet/_evacuation.py
+++ b/src/hawthornpier/fleet/_evacuation.py
@@ -11,6 +11,8 @@
 from operator import itemgetter
 
 from hawthornpier.fleet._interference import InterferenceModel
+from hawthornpier.fleet._moves import Moves
+from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._throttling import HARMFUL_EFFECT
 from hawthornpier.fleet._worker_state import WorkerState
@@ -34,10 +36,19 @@
 
     For each such image, it evacuates the worker on which these tasks reserve
     the fewest processors.
+
+    Args:
+        shard: The state of the shard.
+        placement: Chooses where the tasks move.
+        moves: Moves them.
     """
 
-    def __init__(self, shard: Shard) -> None:
+    def __init__(
+        self, shard: Shard, placement: Placement, moves: Moves
+    ) -> None:
         self._shard = shard
+        self._placement = placement
+        self._moves = moves
         self._last_pass_ms: float = 0
 
     def run_pass(self, steps: Iterable[Step]) -> None:
@@ -71,7 +82,6 @@
         return max(counts, key=lambda image: counts[image], default='')
 
     def _evacuate_for(self, image: str, now_ms: float) -> None:
-        interference = self._shard.interference
         usable = [
             worker
             for worker in self._shard.workers.values()
@@ -82,12 +92,29 @@
             return
         chosen.evacuated_for_image = image
         chosen.evacuated_until_ms = now_ms + _EVACUATION_MS
+        destinations = [
+            worker for worker in usable if not worker.evacuated_for_image
+        ]
         moved = 0
-        for run in _harmed_runs(chosen, image, interference):
-            if moved < _MAX_MOVES and _may_move_task(run.task.step):
-                self._shard.stop_run(run, f'worker is evacuated for {image}')
+        harmed = _harmed_runs(chosen, image, self._shard.interference)
+        for run in harmed:
+            if moved < _MAX_MOVES and self._move(run, destinations):
                 moved += 1
 
+    def _move(self, run: Run, destinations: list[WorkerState]) -> bool:
+        task = run.task
+        if not _may_move_task(task.step):
+            return False
+        origin = self._shard.workers[run.worker_id]
+        destination = self._placement.choose(
+            task, _of_service(destinations, origin), self._shard.now_ms
+        )
+        if destination is None:
+            return False
+        image = origin.evacuated_for_image
+        self._moves.begin(run, destination, f'worker is evacuated for {image}')
+        return True
+
     def _choose_worker(
         self,
         image: str,
@@ -115,6 +142,16 @@
         return None
 
 
+def _of_service(
+    workers: Iterable[WorkerState], other: WorkerState
+) -> list[WorkerState]:
+    return [
+        worker
+        for worker in workers
+        if worker.entry.service == other.entry.service
+    ]
+
+
 def _harmed_runs(
     worker: WorkerState,
     image: str,
@@ -147,7 +184,7 @@
 ) -> bool:
     others = [
         worker
-        for worker in usable
+        for worker in _of_service(usable, origin)
         if worker is not origin and not worker.evacuated_for_image
     ]
     free_resources = [
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -8,6 +8,7 @@
 
 from hawthornpier.fleet._crash_trials import CrashTrials
 from hawthornpier.fleet._evacuation import Evacuation
+from hawthornpier.fleet._moves import Moves
 from hawthornpier.fleet._ordering import rank_step
 from hawthornpier.fleet._permits import STALE_ORDER_MS
 from hawthornpier.fleet._placement import Placement, workers_to_search
@@ -55,7 +56,8 @@
         self._placement = Placement(shard.interference)
         self._trials = CrashTrials(shard, self._placement)
         self._run_monitor = RunMonitor(shard, timings)
-        self._evacuation = Evacuation(shard)
+        self._moves = Moves(shard)
+        self._evacuation = Evacuation(shard, self._placement, self._moves)
         lease_ms = timings.lease_ms * (1 + timings.clock_drift)
         self._unlisted_span_ms = lease_ms + STALE_ORDER_MS
         self._state_logged_ms: float = 0
@@ -75,6 +77,7 @@
             log_shard_state(shard, self._placement)
         self._run_monitor.run_pass()
         self._trials.end_trials()
+        self._moves.run_pass()
         candidates = self._candidate_pools()
         failed: dict[str, list[Step]] = collections.defaultdict(list)
         steps = self._ranked_steps()
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -234,6 +234,18 @@
         if self.runs.pop((run.task.key, run.attempt), None) is not None:
             self._add(run.task.step, -1)
 
+    def reserve(self, step: Step) -> None:
+        """
+        Allocate resources for a task of a step that is not started yet.
+        """
+        self._add(step, 1)
+
+    def cancel_reservation(self, step: Step) -> None:
+        """
+        Free the resources that `reserve` has allocated.
+        """
+        self._add(step, -1)
+
     @property
     def spare_millis(self) -> int:
         """
--- a/tests/test_fleet_evacuation.py
+++ b/tests/test_fleet_evacuation.py
@@ -9,11 +9,19 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet import PlatformBounds, WorkerEntry, WorkerTimings
 from hawthornpier.fleet._evacuation import Evacuation
+from hawthornpier.fleet._moves import Moves
 from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._scheduler import Scheduler
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
-from hawthornpier.steps import JobPlan, QueuePolicy, Run, RunPhase, StepPlan
+from hawthornpier.steps import (
+    JobPlan,
+    QueuePolicy,
+    Run,
+    RunOutcome,
+    RunPhase,
+    StepPlan,
+)
 
 LONG_RUNNING = StepPlan(
     task_count=1,
@@ -72,6 +80,10 @@
             task.runs.append(run)
             self.shard.workers[worker_id].charge(run)
         self.best_effort_step = self.add_best_effort_step()
+        self.moves = Moves(self.shard)
+        self.evacuation = Evacuation(
+            self.shard, Placement(self.shard.interference), self.moves
+        )
 
     @property
     def tasks(self):
@@ -88,7 +100,18 @@
 
     def run_evacuation(self, waited_ms):
         self.best_effort_step.ready_ms = self.clock.now_ms - waited_ms
-        Evacuation(self.shard).run_pass([self.best_effort_step])
+        self.evacuation.run_pass([self.best_effort_step])
+
+    def other_worker(self, run):
+        """
+        Return the other worker of w0 and w1, where the task is moved to.
+        """
+        other_id = 'w1' if run.worker_id == 'w0' else 'w0'
+        return self.shard.workers[other_id]
+
+    def add_task(self, **options):
+        plan = StepPlan(task_count=1, **options)
+        return self._job(plan, 1).occurrences[0].steps[0].tasks[0]
 
     def add_best_effort_step(self):
         plan = StepPlan(
@@ -152,6 +175,49 @@
         fleet.run_evacuation(2_000)
         assert not fleet.stopping
 
+    def test_other_tasks_do_not_take_the_room_of_a_moved_task(self):
+        """
+        Guards against a long-running task that waits because other tasks took
+        the room that it was stopped for, or that returns to where it was.
+        """
+        fleet = _Fleet()
+        fleet.run_evacuation(2_000)
+        moved = fleet.stopping[0]
+        destination = fleet.other_worker(moved)
+        # Fits beside one long-running task, but not beside two.
+        other = fleet.add_task(processor_millis=20_000)
+        placement = Placement(fleet.shard.interference)
+        assert placement.choose(other, [destination], 0) is None
+        fleet.shard.end_run(moved, RunOutcome.STOPPED)
+        fleet.moves.run_pass()
+        assert [run.worker_id for run in moved.task.runs] == [
+            destination.worker_id
+        ]
+        assert destination.reserved_millis == 2 * LONG_RUNNING.processor_millis
+
+    def test_room_is_released_if_a_move_takes_too_long(self):
+        """
+        Guards against room that stays reserved for a task whose worker does
+        not respond.
+        """
+        fleet = _Fleet()
+        fleet.run_evacuation(2_000)
+        destination = fleet.other_worker(fleet.stopping[0])
+        fleet.clock.now_ms += 5_000
+        fleet.moves.run_pass()
+        assert destination.reserved_millis == LONG_RUNNING.processor_millis
+
+    def test_task_that_is_eligible_nowhere_else_is_not_moved(self):
+        """
+        Guards against stopping a long-running task for which there is room
+        only on quarantined workers.
+        """
+        fleet = _Fleet()
+        for worker in fleet.shard.workers.values():
+            worker.health.quarantine(fleet.clock.now_ms)
+        fleet.run_evacuation(2_000)
+        assert not fleet.stopping
+
     def test_harmful_task_waits_for_other_worker(self):
         """
         Guards against placing a task where it is throttled for the sake of
