Treat a document that is nested too deeply as unreadable

A worker's row with an unknown field of some thousand nested lists made `RecursionError` leave `PlatformDecoder.workers`. It ended the owner's task group; the process claimed the shard again, read the same row and ended again, so that no task was started any more. The rows of processes, jobs and progress, the replies of workers, peers and the store, and the batches of relays were decoded in the same way.

Cause: msgspec raises `RecursionError` for deep nesting, also in fields that it skips, and each decoder caught another selection of errors.

`hawthornpier.decoding.decode_json` decodes and converts every failure into the error of the calling layer; the decoders of the platform, the fleet, the steps and the adapters use it. The runs in a worker's listing are decoded into typed rows, so that no conversion of untyped values can fail after the decoding.

`TestUnreadableBatches` expects the error of the new function where it expected the one of msgspec.

--- a/src/hawthornpier/adapters/_codec.py
+++ b/src/hawthornpier/adapters/_codec.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from hawthornpier.adapters._errors import MessageError
+from hawthornpier.decoding import decode_json
 from hawthornpier.messages import (
     Answer,
     NotRun,
@@ -53,10 +54,7 @@
     Raises:
         MessageError: The body is not JSON or does not match the type.
     """
-    try:
-        return msgspec.json.decode(body, type=message_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise MessageError(f'malformed body: {error}') from error
+    return decode_json(body, message_type, MessageError, subject='body')
 
 
 @singledispatch
--- a/src/hawthornpier/daemon/_http.py
+++ b/src/hawthornpier/daemon/_http.py
@@ -103,11 +103,6 @@
             return decode_message(self.request.body, message_type)
         except MessageError as error:
             raise HTTPError(HTTPStatus.BAD_REQUEST, str(error)) from error
-        except RecursionError as error:
-            raise HTTPError(
-                HTTPStatus.BAD_REQUEST,
-                'malformed request body: nested too deeply',
-            ) from error
 
     def require_member(self) -> str:
         """
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -6,8 +6,7 @@
 import functools
 from typing import TypeVar
 
-import msgspec
-
+from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.fleet._claim_check import Claimants, ClaimCheck
 from hawthornpier.fleet._commits import (
     EFFECTS_KEY,
@@ -247,8 +246,8 @@
         A missing row is empty.
         """
         try:
-            return msgspec.json.decode(rows.get(key[1], b'[]'), type=kind)
-        except msgspec.DecodeError as error:
+            return decode_json(rows.get(key[1], b'[]'), kind)
+        except DecodingError as error:
             self._context.log.record(
                 'fleet_row_unreadable', key=key[1], why=str(error)
             )
--- a/src/hawthornpier/fleet/_peer_client.py
+++ b/src/hawthornpier/fleet/_peer_client.py
@@ -6,8 +6,6 @@
 from typing import TypeVar
 from urllib.parse import quote
 
-import msgspec
-
 from hawthornpier.adapters import (
     AdapterError,
     ConnectionPool,
@@ -16,6 +14,7 @@
     HttpReply,
     NotSentError,
 )
+from hawthornpier.decoding import decode_json
 from hawthornpier.fleet._peer_port import (
     ConfigurationReply,
     CountReply,
@@ -211,9 +210,9 @@
 
 
 def _decode(reply: HttpReply, kind: type[_Message]) -> _Message:
-    try:
-        return msgspec.json.decode(reply.body, type=kind)
-    except msgspec.DecodeError as error:
-        raise PeerReplyLostError(
-            f'unreadable reply of a peer: {error}'
-        ) from error
+    return decode_json(
+        reply.body,
+        kind,
+        PeerReplyLostError,
+        subject='reply of a peer',
+    )
--- a/src/hawthornpier/fleet/_process_directory.py
+++ b/src/hawthornpier/fleet/_process_directory.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._errors import HistoryGoneError
 from hawthornpier.fleet._ports import RecordStore, RowPage, RowTransaction
@@ -100,8 +101,8 @@
                 self.cards.pop(row.key, None)
                 continue
             try:
-                card = msgspec.json.decode(row.content, type=ProcessCard)
-            except msgspec.DecodeError as error:
+                card = decode_json(row.content, ProcessCard)
+            except DecodingError as error:
                 self._log.record(
                     'process_row_unreadable',
                     key=row.key,
--- a/src/hawthornpier/fleet/_relay_channel.py
+++ b/src/hawthornpier/fleet/_relay_channel.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from hawthornpier.decoding import decode_json
 from hawthornpier.fleet._ports import OrderReply, WorkerEntry, WorkerListing
 from hawthornpier.fleet._relay_messages import (
     AnswerBatch,
@@ -200,7 +201,7 @@
             if content is None:
                 return 'the relay closed the connection'
             self._heard_ms = self._active.read_ms()
-            batch = msgspec.json.decode(content, type=AnswerBatch)
+            batch = decode_json(content, AnswerBatch, subject='batch')
             self.is_leaving = batch.is_leaving
             for answer in batch.answers:
                 pending = self._pending.get(answer.number)
--- a/src/hawthornpier/fleet/_relay_session.py
+++ b/src/hawthornpier/fleet/_relay_session.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from hawthornpier.decoding import decode_json
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._ports import (
     FleetWorker,
@@ -87,9 +88,9 @@
         owner no longer counts on.
 
         Raises:
-            msgspec.DecodeError: The batch cannot be decoded.
+            DecodingError: The batch cannot be decoded.
         """
-        batch = msgspec.json.decode(content, type=CallBatch)
+        batch = decode_json(content, CallBatch, subject='batch')
         for number in batch.ended:
             self._close_client(number)
         for contact in batch.contacts:
--- a/src/hawthornpier/fleet/_relay_socket.py
+++ b/src/hawthornpier/fleet/_relay_socket.py
@@ -5,7 +5,6 @@
 import asyncio
 from typing import Protocol
 
-import msgspec
 from tornado.httpclient import HTTPError
 from tornado.iostream import StreamClosedError
 from tornado.websocket import (
@@ -16,6 +15,7 @@
     websocket_connect,
 )
 
+from hawthornpier.decoding import DecodingError
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._peer_client import PEER_PREFIX
 from hawthornpier.fleet._relay_session import RelaySession, SendBatch
@@ -79,7 +79,7 @@
         content = message.encode() if isinstance(message, str) else message
         try:
             self._session.receive(content)
-        except msgspec.DecodeError as error:
+        except DecodingError as error:
             self.services.log.record('relay_batch_unreadable', why=str(error))
             self.close()
 
--- a/src/hawthornpier/platform/_records.py
+++ b/src/hawthornpier/platform/_records.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.errors import HawthornpierError
 from hawthornpier.fleet import (
     Configuration,
@@ -196,8 +197,8 @@
 
     def _decode_worker(self, row: StoredRow) -> WorkerEntry | None:
         try:
-            worker = msgspec.json.decode(row.content, type=_WorkerRow)
-        except (msgspec.DecodeError, ValueError):
+            worker = decode_json(row.content, _WorkerRow)
+        except DecodingError:
             self.unreadable_count += 1
             return None
         if worker.state not in _WORKER_STATES or not worker.address:
@@ -227,8 +228,8 @@
         The configuration, or None if the row is unreadable.
     """
     try:
-        configuration = msgspec.json.decode(content, type=_ConfigurationRow)
-    except (msgspec.DecodeError, ValueError):
+        configuration = decode_json(content, _ConfigurationRow)
+    except DecodingError:
         return None
     return Configuration(
         version=configuration.version,
@@ -290,10 +291,7 @@
     Raises:
         BodyError: The body is not a valid job.
     """
-    try:
-        submission = msgspec.json.decode(body, type=_SubmittedJob)
-    except (msgspec.DecodeError, ValueError, RecursionError) as error:
-        raise BodyError(str(error)) from error
+    submission = decode_json(body, _SubmittedJob, BodyError, subject='body')
     _check_job(submission)
     return JobPlan(
         job_id=job_id,
--- a/src/hawthornpier/platform/_store.py
+++ b/src/hawthornpier/platform/_store.py
@@ -16,6 +16,7 @@
     HttpReply,
     NotSentError,
 )
+from hawthornpier.decoding import decode_json
 from hawthornpier.fleet import (
     HistoryGoneError,
     RowPage,
@@ -66,9 +67,6 @@
     has_more: bool = False
 
 
-_DECODER = msgspec.json.Decoder(_RowsReply)
-
-
 class PlatformStore:
     """
     Reads and writes rows of the platform's store.
@@ -232,12 +230,12 @@
 
 
 def _decode(reply: HttpReply) -> _RowsReply:
-    try:
-        return _DECODER.decode(reply.body)
-    except msgspec.DecodeError as error:
-        raise StoreReplyLostError(
-            f'unreadable reply of the store: {error}'
-        ) from error
+    return decode_json(
+        reply.body,
+        _RowsReply,
+        StoreReplyLostError,
+        subject='reply of the store',
+    )
 
 
 def _decode_rows(rows_reply: _RowsReply) -> tuple[StoredRow, ...]:
--- a/src/hawthornpier/platform/_worker.py
+++ b/src/hawthornpier/platform/_worker.py
@@ -5,7 +5,7 @@
 from collections.abc import Coroutine, Mapping
 from http import HTTPStatus
 from types import MappingProxyType
-from typing import Any
+from typing import Any, TypeVar
 
 import msgspec
 
@@ -15,6 +15,7 @@
     HttpReply,
     NotSentError,
 )
+from hawthornpier.decoding import decode_json
 from hawthornpier.fleet import (
     EndedRun,
     OrderReply,
@@ -54,6 +55,9 @@
 )
 
 
+_Message = TypeVar('_Message')
+
+
 class _Reply(msgspec.Struct):
     """
     A worker's reply to an order.
@@ -65,6 +69,31 @@
     reason: str = ''
 
 
+class _RunningRow(msgspec.Struct, array_like=True):
+    """
+    A running run in a listing.
+    """
+
+    task: str
+    attempt: int
+    checkpoint: str | None
+    percent: float
+    # Tail latency in ms, or processors in use.
+    usage: float = 0
+
+
+class _EndedRow(msgspec.Struct, array_like=True):
+    """
+    An ended run in a listing.
+    """
+
+    number: int
+    task: str
+    attempt: int
+    outcome: RunOutcome
+    checkpoint: str | None = ''
+
+
 class _Listing(msgspec.Struct):
     """
     A worker's reply to a renewal: its running and its ended runs.
@@ -74,10 +103,8 @@
     clock_ms: int
     # Unix time in ms at which this incarnation of the worker started.
     born: int = 0
-    # Each entry is [task, attempt, checkpoint, percent, usage].
-    running: list[list[Any]] = []
-    # Each entry is [number, task, attempt, outcome, checkpoint].
-    finished: list[list[Any]] = []
+    running: list[_RunningRow] = []
+    finished: list[_EndedRow] = []
 
 
 class PlatformWorker:
@@ -226,45 +253,40 @@
     )
 
 
-def _decode(reply: HttpReply, kind: type[Any]) -> Any:
-    try:
-        return msgspec.json.decode(reply.body or b'{}', type=kind)
-    except msgspec.DecodeError as error:
-        raise WorkerReplyLostError(
-            f'unreadable reply of the worker: {error}',
-        ) from error
+def _decode(reply: HttpReply, kind: type[_Message]) -> _Message:
+    return decode_json(
+        reply.body or b'{}',
+        kind,
+        WorkerReplyLostError,
+        subject='reply of the worker',
+    )
 
 
 def _decode_listing(reply: HttpReply) -> WorkerListing:
     listing = _decode(reply, _Listing)
-    try:
-        return WorkerListing(
-            incarnation_ms=listing.born,
-            clock_ms=listing.clock_ms,
-            running=tuple(_decode_running_run(row) for row in listing.running),
-            ended=tuple(_decode_ended_run(row) for row in listing.finished),
-        )
-    except (ValueError, TypeError, IndexError) as error:
-        raise WorkerReplyLostError(
-            f'unreadable list of runs of the worker: {error}',
-        ) from error
+    return WorkerListing(
+        incarnation_ms=listing.born,
+        clock_ms=listing.clock_ms,
+        running=tuple(_decode_running_run(row) for row in listing.running),
+        ended=tuple(_decode_ended_run(row) for row in listing.finished),
+    )
 
 
-def _decode_running_run(row: list[Any]) -> RunningRun:
+def _decode_running_run(row: _RunningRow) -> RunningRun:
     return RunningRun(
-        task_key=str(row[0]),
-        attempt=int(row[1]),
-        checkpoint=str(row[2] or ''),
-        percent=int(row[3]),
-        usage=int(row[4]) if len(row) > 4 else 0,
+        task_key=row.task,
+        attempt=row.attempt,
+        checkpoint=row.checkpoint or '',
+        percent=int(row.percent),
+        usage=int(row.usage),
     )
 
 
-def _decode_ended_run(row: list[Any]) -> EndedRun:
+def _decode_ended_run(row: _EndedRow) -> EndedRun:
     return EndedRun(
-        number=int(row[0]),
-        task_key=str(row[1]),
-        attempt=int(row[2]),
-        kind=RunOutcome(row[3]),
-        checkpoint=str(row[4] or '') if len(row) > 4 else '',
+        number=row.number,
+        task_key=row.task,
+        attempt=row.attempt,
+        kind=row.outcome,
+        checkpoint=row.checkpoint or '',
     )
--- a/src/hawthornpier/steps/_progress.py
+++ b/src/hawthornpier/steps/_progress.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hawthornpier.decoding import decode_json
 from hawthornpier.errors import HawthornpierError
 from hawthornpier.steps._model import JobPhase, JobPlan
 from hawthornpier.steps._outcomes import mark_done
@@ -47,8 +48,6 @@
 
 
 _NO_PROGRESS = StepProgress()
-_PLAN_DECODER = msgspec.json.Decoder(JobPlan)
-_PROGRESS_DECODER = msgspec.json.Decoder(JobProgress)
 
 
 def encode_plan(plan: JobPlan) -> bytes:
@@ -65,10 +64,7 @@
     Raises:
         RecordError: The content cannot be decoded.
     """
-    try:
-        return _PLAN_DECODER.decode(content)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise RecordError(f'stored job cannot be decoded: {error}') from error
+    return decode_json(content, JobPlan, RecordError, subject='stored job')
 
 
 def encode_progress(job: Job) -> bytes:
@@ -135,12 +131,12 @@
 
 
 def _decode(content: bytes) -> JobProgress:
-    try:
-        return _PROGRESS_DECODER.decode(content)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise RecordError(
-            f'stored progress cannot be decoded: {error}'
-        ) from error
+    return decode_json(
+        content,
+        JobProgress,
+        RecordError,
+        subject='stored progress',
+    )
 
 
 def _step_progress(step: Step) -> StepProgress | None:
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 from virtual_time import JumpingClock, VirtualClock, run_virtual
 
+from hawthornpier.decoding import DecodingError
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet import (
     OrderReply,
@@ -272,7 +273,7 @@
             subject = Session()
             try:
                 subject.session.receive(content)
-            except msgspec.DecodeError:
+            except DecodingError:
                 pass
             finally:
                 subject.finish()
