Reject values of other writers that cannot be true

Entries of workers with a capacity of 10^40 or below zero, a `born` of 10^30, a port out of range or over-long labels were accepted as they are, and so were replies of workers, configurations and submissions with such numbers. An entry like that would name a worker to use and its numbers reach the placement, the list of workers in the store, deadlines and the tail latencies.

Cause: the decoders checked types only. The fields now have types with bounds (`platform/_bounds.py`), so that an impossible value makes the document unreadable: the entry names no worker, and a reply counts as lost. A capacity of zero stays valid, because the capacity of a worker may shrink. A remaining time may be negative, since it may have passed, and a percentage is limited to 100.

Evidence: tests/test_decoding.py, 16 tests fail without the change to `src` and pass with it.

--- a/src/hawthornpier/platform/_records.py
+++ b/src/hawthornpier/platform/_records.py
@@ -16,6 +16,20 @@
     StoredRow,
     WorkerEntry,
 )
+from hawthornpier.platform._bounds import (
+    MAX_AMOUNT,
+    Amount,
+    Count,
+    DurationMs,
+    Factor,
+    Labels,
+    Name,
+    Rank,
+    RemainingMs,
+    UnixMs,
+    is_address,
+    is_name,
+)
 from hawthornpier.steps import (
     AdviceTimings,
     JobPlan,
@@ -31,7 +45,6 @@
 _MAX_PAYLOAD_BYTES = 4_000
 # Far above the number of tasks of any job that the scheduler is designed for.
 _MAX_TASK_COUNT = 20_000
-_MAX_AMOUNT = 10**9
 
 
 class BodyError(HawthornpierError):
@@ -46,10 +59,10 @@
     """
 
     # In thousandths of a core.
-    cpu: int
-    ram_mb: int
+    cpu: Amount
+    ram_mb: Amount
     # Number of accelerators.
-    gpu: int = 0
+    gpu: Amount = 0
 
 
 class _WorkerRow(msgspec.Struct):
@@ -57,18 +70,18 @@
     The row of a worker in the registry, which the worker writes itself.
     """
 
-    service: str
-    address: str
+    service: Name
+    address: Name
     state: str
     capacity: _Capacity
     # The failure domain.
-    zone: str = ''
+    zone: Name = ''
     # The second label names the rack.
-    labels: list[str] = []
+    labels: Labels = []
     # Unix time in ms at which this incarnation of the worker started.
-    born: int = 0
+    born: UnixMs = 0
     # Time left until a draining worker stops, if it is known.
-    remaining_ms: float | None = None
+    remaining_ms: RemainingMs | None = None
 
 
 class _Advice(msgspec.Struct):
@@ -76,11 +89,11 @@
     Durations of the service that approves workers for a queue's steps.
     """
 
-    decide_ms: float = 0
+    decide_ms: DurationMs = 0
     # Added to *decide_ms* for each worker named in a request.
-    period_ms: float = 0
+    period_ms: DurationMs = 0
     # How long an approval is valid.
-    valid_ms: float = 0
+    valid_ms: DurationMs = 0
 
 
 class _Route(msgspec.Struct):
@@ -95,10 +108,10 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    max_attempts: int = 1
-    slack_factor: float = 1
-    target_latency_ms: float = 0
+    priority: Rank = 0
+    max_attempts: Rank = 1
+    slack_factor: Factor = 1
+    target_latency_ms: DurationMs = 0
     advice: _Advice | None = None
 
 
@@ -117,7 +130,7 @@
     The row that contains the operator's configuration.
     """
 
-    version: int
+    version: Count
     routes: list[_Route] = []
     services: list[_Service] = []
 
@@ -171,9 +184,9 @@
     # The payload that is passed to the tasks unchanged.
     spec: str = ''
     # Unix time at which the first occurrence is due.
-    start_at_ms: int = 0
-    interval_ms: int = 0
-    repeat_count: int = 0
+    start_at_ms: UnixMs = 0
+    interval_ms: UnixMs = 0
+    repeat_count: Count = 0
 
 
 class PlatformDecoder:
@@ -201,7 +214,8 @@
         except DecodingError:
             self.unreadable_count += 1
             return None
-        if worker.state not in _WORKER_STATES or not worker.address:
+        is_known = worker.state in _WORKER_STATES and is_name(row.key)
+        if not is_known or not is_address(worker.address):
             self.unreadable_count += 1
             return None
         left_ms = worker.remaining_ms
@@ -342,16 +356,6 @@
         )
     for number, step in enumerate(submission.phases):
         _check_step(number, step)
-    times = (
-        submission.start_at_ms,
-        submission.interval_ms,
-        submission.repeat_count,
-    )
-    if min(times) < 0:
-        raise BodyError(
-            "'start_at_ms', 'interval_ms' and 'repeat_count' must not be "
-            'negative',
-        )
 
 
 def _check_step(number: int, step: _SubmittedStep) -> None:
@@ -366,7 +370,7 @@
         step.may_miss,
         step.target_ms,
     )
-    if min(numbers) < 0 or max(numbers) > _MAX_AMOUNT:
+    if min(numbers) < 0 or max(numbers) > MAX_AMOUNT:
         raise BodyError(
             f"phases[{number}]: 'cpu', 'ram_mb', 'gpu', 'estimate_ms', "
             "'anti_affinity', 'may_miss' or 'target_ms' is negative or above "
--- a/src/hawthornpier/platform/_worker.py
+++ b/src/hawthornpier/platform/_worker.py
@@ -27,6 +27,13 @@
     WorkerListing,
 )
 from hawthornpier.platform import _client
+from hawthornpier.platform._bounds import (
+    Checkpoint,
+    Count,
+    Name,
+    UnixMs,
+    Usage,
+)
 from hawthornpier.ports import WorkerReplyLostError, WorkerUnreachableError
 from hawthornpier.steps import RunOutcome
 
@@ -34,6 +41,7 @@
 _CONNECT_TIMEOUT_MS = 500
 _ORDER_TIMEOUT_MS = 700.0
 _RENEWAL_TIMEOUT_SLACK_MS = 800.0
+_MAX_PERCENT = 100
 
 _REASON_VERDICTS: Mapping[str, Verdict] = MappingProxyType(
     {
@@ -64,7 +72,7 @@
     """
 
     # The worker's clock.
-    clock_ms: int = 0
+    clock_ms: UnixMs = 0
     # Why the order was rejected.
     reason: str = ''
 
@@ -74,12 +82,12 @@
     A running run in a listing.
     """
 
-    task: str
-    attempt: int
-    checkpoint: str | None
+    task: Name
+    attempt: Count
+    checkpoint: Checkpoint | None
     percent: float
     # Tail latency in ms, or processors in use.
-    usage: float = 0
+    usage: Usage = 0
 
 
 class _EndedRow(msgspec.Struct, array_like=True):
@@ -87,11 +95,11 @@
     An ended run in a listing.
     """
 
-    number: int
-    task: str
-    attempt: int
+    number: Count
+    task: Name
+    attempt: Count
     outcome: RunOutcome
-    checkpoint: str | None = ''
+    checkpoint: Checkpoint | None = ''
 
 
 class _Listing(msgspec.Struct):
@@ -100,9 +108,9 @@
     """
 
     # The worker's clock.
-    clock_ms: int
+    clock_ms: UnixMs
     # Unix time in ms at which this incarnation of the worker started.
-    born: int = 0
+    born: UnixMs = 0
     running: list[_RunningRow] = []
     finished: list[_EndedRow] = []
 
@@ -277,7 +285,7 @@
         task_key=row.task,
         attempt=row.attempt,
         checkpoint=row.checkpoint or '',
-        percent=int(row.percent),
+        percent=int(min(max(row.percent, 0), _MAX_PERCENT)),
         usage=int(row.usage),
     )
 
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -4,6 +4,7 @@
 
 from types import MappingProxyType
 
+import msgspec
 import pytest
 
 from hawthornpier.adapters import HttpReply, MessageError, decode_message
@@ -38,6 +39,15 @@
 PLAN = JobPlan(
     job_id='a' * 16, payload='', steps=(StepPlan(task_count=1),), queue=QUEUE
 )
+WORKER = MappingProxyType(
+    {
+        'service': 'desk',
+        'address': '10.0.0.1:80',
+        'state': 'ready',
+        'capacity': {'cpu': 8_000, 'ram_mb': 32_000},
+        'born': 5,
+    }
+)
 DEEP = b'{"unknown":%s1%s}' % (b'[' * 5_000, b']' * 5_000)
 
 
@@ -113,3 +123,66 @@
         """
         assert not decode_workers(DEEP)
         assert decode_configuration(DEEP) is None
+
+
+class TestImplausibleValues:
+    """
+    Numbers and addresses that cannot be true make a document unreadable.
+    """
+
+    @pytest.mark.parametrize(
+        'fields',
+        [
+            {'capacity': {'cpu': 10**40, 'ram_mb': 1}},
+            {'capacity': {'cpu': 1, 'ram_mb': -1}},
+            {'born': 10**30},
+            {'born': -1},
+            {'remaining_ms': 10**30},
+            {'address': '10.0.0.1:70000'},
+            {'address': '10.0.0.1:0'},
+            {'address': '10.0.0.1'},
+            {'address': 'user@10.0.0.1:80'},
+            {'labels': ['a' * 10_000]},
+        ],
+    )
+    def test_a_row_of_a_worker(self, fields):
+        """
+        Guards against starts on a worker that cannot exist.
+        """
+        assert decode_workers(msgspec.json.encode({**WORKER, **fields})) == []
+
+    def test_a_worker_without_free_capacity(self):
+        """
+        Guards against a worker that is dropped because its capacity shrank.
+        """
+        row = {**WORKER, 'capacity': {'cpu': 0, 'ram_mb': 0}}
+        assert len(decode_workers(msgspec.json.encode(row))) == 1
+
+    @pytest.mark.parametrize(
+        ('name', 'content'),
+        [
+            ('order reply', b'{"clock_ms":1%s}' % (b'0' * 400)),
+            ('listing', b'{"clock_ms":-1}'),
+            ('listing', b'{"clock_ms":1,"running":[["t",1,"",1,1e300]]}'),
+            ('listing', b'{"clock_ms":1,"finished":[[-1,"t",1,"done"]]}'),
+            (
+                'submission',
+                b'{"phases":[{"count":1}],"start_at_ms":1%s}' % (b'0' * 400),
+            ),
+        ],
+    )
+    def test_a_message(self, name, content):
+        """
+        Guards against arithmetic that overflows in the owner.
+        """
+        decode, error_type = DECODERS[name]
+        with pytest.raises(error_type):
+            decode(content)
+
+    def test_a_configuration(self):
+        """
+        Guards against deadlines of jobs that overflow in the owner.
+        """
+        route = dict.fromkeys(('name', 'host', 'path_prefix', 'service'), 'a')
+        row = {'version': 1, 'routes': [{**route, 'target_latency_ms': 1e300}]}
+        assert decode_configuration(msgspec.json.encode(row)) is None
