Keep a worker registered whose entry becomes unreadable

If another writer replaced the entry of a worker by one that cannot be read, and the owner had seen its removal before or read all entries anew, the worker counted as gone after 2.5 s: it got no more tasks, and a lost connection to it counted as a crash, although its entry was in the registry.

Cause: only decoded entries ended the time for which an entry is missing. Now the row does, whatever its content, and the last readable entry holds until a later one replaces it. Unreadable entries are logged. Of several changes to one entry in a page the last one counts.

The simulated installation now decodes entries with the decoder of the platform.

--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+from collections.abc import Sequence
 
 from hawthornpier.fleet._context import FleetContext
 from hawthornpier.fleet._crashes import (
@@ -14,7 +15,12 @@
 from hawthornpier.fleet._intake import read_all_rows
 from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._parts import run_part
-from hawthornpier.fleet._ports import FleetWorker, WorkerDialer, WorkerEntry
+from hawthornpier.fleet._ports import (
+    FleetWorker,
+    StoredRow,
+    WorkerDialer,
+    WorkerEntry,
+)
 from hawthornpier.fleet._relay_assignment import WorkerPlace
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_link import WorkerLink
@@ -27,6 +33,8 @@
 # after the outage.
 _MISSING_ENTRY_GRACE_MS = 2_500.0
 _REGISTRY_POLL_INTERVAL_MS = 600
+# A log line names at most this many unreadable entries.
+_LOGGED_ENTRY_COUNT = 5
 # After an unexpected error, the requests to a worker begin anew after this
 # time.
 _LINK_RESTART_MS = 500.0
@@ -116,12 +124,12 @@
             await self.read()
             return
         self._version = page.version
-        for row in page.rows:
+        latest_rows = {row.key: row for row in page.rows if not row.part}
+        rows = tuple(latest_rows.values())
+        for row in rows:
             if row.is_deleted:
                 self._missing_since_ms.setdefault(row.key, self.shard.now_ms)
-        for entry in self._context.decoder.workers(page.rows):
-            self._update_worker(entry)
-            self._missing_since_ms.pop(entry.worker_id, None)
+        self._apply_entries(rows)
 
     async def read(self) -> None:
         """
@@ -136,11 +144,8 @@
             '',
         )
         self._version = page.version
-        registered_ids = set()
-        for entry in self._context.decoder.workers(page.rows):
-            registered_ids.add(entry.worker_id)
-            self._update_worker(entry)
-            self._missing_since_ms.pop(entry.worker_id, None)
+        self._apply_entries(page.rows)
+        registered_ids = {row.key for row in page.rows}
         for worker_id in self.shard.workers:
             if worker_id not in registered_ids:
                 self._missing_since_ms.setdefault(
@@ -148,6 +153,33 @@
                     self.shard.now_ms,
                 )
 
+    def _apply_entries(self, rows: Sequence[StoredRow]) -> None:
+        """
+        Apply entries that exist.
+
+        An unreadable one adds no worker.  If it replaces that of a known
+        worker, the worker remains registered with its last readable entry.
+        """
+        present_ids = {row.key for row in rows if not row.is_deleted}
+        for worker_id in present_ids:
+            self._missing_since_ms.pop(worker_id, None)
+            known = self.shard.workers.get(worker_id)
+            if known is not None:
+                known.is_deregistered = False
+        entries = {
+            entry.worker_id: entry
+            for entry in self._context.decoder.workers(rows)
+        }
+        for readable_entry in entries.values():
+            self._update_worker(readable_entry)
+        unreadable_ids = sorted(present_ids - entries.keys())
+        if unreadable_ids:
+            self._context.log.record(
+                'worker_entry_unreadable',
+                count=len(unreadable_ids),
+                workers=unreadable_ids[:_LOGGED_ENTRY_COUNT],
+            )
+
     def _update_worker(self, entry: WorkerEntry) -> None:
         worker = self.shard.workers.get(entry.worker_id)
         if worker is None:
@@ -158,7 +190,6 @@
                 self.shard.unlisted_tasks.setdefault(entry.worker_id, None)
             self._start_link(worker)
             return
-        worker.is_deregistered = False
         if entry.incarnation_ms > worker.entry.incarnation_ms:
             self._begin_incarnation(worker, entry)
         elif entry.incarnation_ms == worker.entry.incarnation_ms:
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -14,11 +14,13 @@
     LocalRelaySocket,
     PartitionedWorkerClient,
 )
+from registry_rows import encode_entry
 from run_checker import RunChecker
 from virtual_time import VirtualClock
 
 from hawthornpier import fleet
 from hawthornpier.events import DecisionLog
+from hawthornpier.platform import PlatformDecoder
 from hawthornpier.ports import PeerUnreachableError
 from hawthornpier.steps import JobPlan, QueuePolicy, StepPlan
 from hawthornpier_standin import fleet as standin
@@ -88,7 +90,7 @@
         entry = fleet.WorkerEntry(
             worker_id=worker_id,
             service='desk',
-            address=worker_id,
+            address=f'{worker_id}:80',
             failure_domain='z',
             processor_millis=8_000,
             memory_mb=64_000,
@@ -172,7 +174,7 @@
         log.record = self._record
         context = fleet.FleetContext(
             store=client,
-            decoder=_Decoder(),
+            decoder=PlatformDecoder(),
             dial=lambda entry: PartitionedWorkerClient(
                 node_box[0],
                 standin.StandinWorkerClient(
@@ -357,24 +359,11 @@
                     self.store.put(
                         REGISTRY,
                         worker.entry.worker_id,
-                        msgspec.json.encode(worker.entry),
+                        encode_entry(worker.entry),
                     )
             await asyncio.sleep(HEARTBEAT_MS / 1000)
 
 
-class _Decoder:
-    """
-    Decodes the rows of the simulated registry.
-    """
-
-    def workers(self, rows):
-        return [
-            msgspec.json.decode(row.content, type=fleet.WorkerEntry)
-            for row in rows
-            if not row.is_deleted
-        ]
-
-
 def _decode_configuration(content):
     document = msgspec.json.decode(content)
     return fleet.Configuration(
--- a/tests/platform_installation.py
+++ b/tests/platform_installation.py
@@ -3,11 +3,13 @@
 """
 
 import asyncio
+import dataclasses
 import json
 import logging
 import random
 import time
 
+from registry_rows import encode_entry
 from tornado.httpserver import HTTPServer
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 from tornado.testing import bind_unused_port
@@ -86,6 +88,7 @@
             processor_millis=8_000,
             memory_mb=32_000,
             accelerator_count=0,
+            labels=('a', 'r1'),
             incarnation_ms=time.time_ns() // 1_000_000,
         )
         worker = standin.StandinFleetWorker(
@@ -97,22 +100,8 @@
         server, address = listen(standin.worker_application(worker))
         self.servers.append(server)
         self.tasks.append(asyncio.ensure_future(worker.run()))
-        self.store.put(
-            'servers',
-            worker_id,
-            json.dumps(
-                {
-                    'service': 'desk',
-                    'address': address,
-                    'state': 'ready',
-                    'zone': 'z',
-                    'labels': ['a', 'r1'],
-                    'capacity': {'cpu': 8_000, 'ram_mb': 32_000},
-                    'born': entry.incarnation_ms,
-                    'sequence': 1,
-                },
-            ).encode(),
-        )
+        listening = dataclasses.replace(entry, address=address)
+        self.store.put('servers', worker_id, encode_entry(listening))
 
     def record_start(self, event, task, attempt, detail):
         if event == 'started':
