Convert all errors of unreadable progress and of peers' replies

A stored progress with an unknown state, or with tasks that are no hexadecimal number, made `ValueError` leave its decoder. The owner that loads it, or receives it in a handover, would end, and so would its successors. A state that a peer reports and an encoded configuration with other than ASCII characters were decoded in the same way.

Cause: the values were converted after the decoding, where errors of the conversion were not expected. They are now part of the decoding.

Evidence: tests/test_decoding.py feeds each decoder documents in which values at any depth are replaced. TestAnyContent.test_a_message[phase] and [progress] fail without the change to `src` (ValueError: '0' is not a valid JobPhase) and pass with it; the other cases pass with both.

--- a/src/hawthornpier/fleet/_configuration_watch.py
+++ b/src/hawthornpier/fleet/_configuration_watch.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import base64
-import binascii
 import zlib
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -228,7 +227,7 @@
             reply = await peer.configuration(current_version, wait_ms)
             compressed = base64.b64decode(reply.content)
             content = zlib.decompress(compressed) if compressed else b''
-        except (PeerError, binascii.Error, zlib.error) as error:
+        except (PeerError, ValueError, zlib.error) as error:
             self._log.record(
                 'peer_configuration_request_failed', why=str(error)
             )
--- a/src/hawthornpier/fleet/_peer_client.py
+++ b/src/hawthornpier/fleet/_peer_client.py
@@ -90,7 +90,10 @@
             await self._get(f'/jobs/{quote(job_id)}'),
             PhaseReply,
         ).phase
-        return JobPhase(phase) if phase else None
+        try:
+            return JobPhase(phase) if phase else None
+        except ValueError as error:
+            raise PeerReplyLostError(str(error)) from error
 
     async def pending(self, queue: str) -> int:
         """
--- a/src/hawthornpier/steps/_progress.py
+++ b/src/hawthornpier/steps/_progress.py
@@ -91,8 +91,9 @@
         RecordError: The content cannot be decoded.
     """
     progress = _decode(content)
-    if progress.phase:
-        return JobPhase(progress.phase)
+    end_phase = _end_phase(progress)
+    if end_phase is not None:
+        return end_phase
     return JobPhase.RUNNING if progress.has_started else JobPhase.QUEUED
 
 
@@ -115,19 +116,22 @@
             job does not have.
     """
     progress = _decode(content)
-    if progress.phase:
-        job.end_phase = JobPhase(progress.phase)
+    end_phase = _end_phase(progress)
+    if end_phase is not None:
+        job.end_phase = end_phase
         job.is_stored = is_stored
     job.has_started = job.has_started or progress.has_started
     for name, part in progress.steps.items():
         occurrence, _, number = name.partition('.')
         try:
             step = job.occurrences[int(occurrence)].steps[int(number)]
+            done_bits = int(part.done or '0', 16)
         except (IndexError, ValueError) as error:
             raise RecordError(
-                f'stored progress names step {name}, which the job lacks'
+                f'stored progress names step {name}, which the job lacks, or '
+                'its tasks are unreadable',
             ) from error
-        _restore_step(step, part)
+        _restore_step(step, part, done_bits)
 
 
 def _decode(content: bytes) -> JobProgress:
@@ -139,6 +143,15 @@
     )
 
 
+def _end_phase(progress: JobProgress) -> JobPhase | None:
+    if not progress.phase:
+        return None
+    try:
+        return JobPhase(progress.phase)
+    except ValueError as error:
+        raise RecordError(f'stored progress: {error}') from error
+
+
 def _step_progress(step: Step) -> StepProgress | None:
     bits = sum(1 << task.index for task in step.tasks if task.is_done)
     tasks = [task for task in step.tasks if not task.is_done]
@@ -160,10 +173,13 @@
     return None if progress == _NO_PROGRESS else progress
 
 
-def _restore_step(step: Step, progress: StepProgress) -> None:
-    bits = int(progress.done or '0', 16)
+def _restore_step(
+    step: Step,
+    progress: StepProgress,
+    done_bits: int,
+) -> None:
     for task in step.tasks:
-        if bits >> task.index & 1:
+        if done_bits >> task.index & 1:
             mark_done(task)
         task.failed_attempts.update(progress.failed.get(task.index, ()))
         task.crashes.update(progress.crashes.get(task.index, {}))
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -2,22 +2,29 @@
 Tests of the decoding of what other processes and programs wrote.
 """
 
+import contextlib
+import json
 from types import MappingProxyType
 
 import msgspec
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from hawthornpier.adapters import HttpReply, MessageError, decode_message
+from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.fleet import StoredRow
-from hawthornpier.fleet._peer_client import _decode as decode_peer_reply
+from hawthornpier.fleet._peer_client import _decode as decode_peer
 from hawthornpier.fleet._peer_port import Presence
+from hawthornpier.fleet._relay_messages import CallBatch
 from hawthornpier.platform import PlatformDecoder
 from hawthornpier.platform._records import (
     BodyError,
     decode_configuration,
     decode_job,
 )
-from hawthornpier.platform._store import _decode as decode_store_reply
+from hawthornpier.platform._store import _decode as decode_store
+from hawthornpier.platform._store import _decode_rows
 from hawthornpier.platform._worker import _decode_listing, _decode_order_reply
 from hawthornpier.ports import (
     PeerReplyLostError,
@@ -31,6 +38,7 @@
     StepPlan,
     decode_phase,
     decode_plan,
+    encode_plan,
     restore_progress,
 )
 from hawthornpier.steps._state import Job
@@ -56,48 +64,69 @@
     return PlatformDecoder().workers([row])
 
 
-# Each decoder, and the error with which it rejects a document.
+def http_reply(content):
+    return HttpReply(status=200, body=content)
+
+
+PRESENCE = MappingProxyType({'process_id': 'n0/1', 'epoch': 3})
+PROGRESS = MappingProxyType(
+    {
+        'phase': 'failed',
+        'has_started': True,
+        'steps': {'0.0': {'done': '1', 'failed': {'0': [1]}}},
+    }
+)
+# Each decoder, the error with which it rejects a document, and a valid one.
 DECODERS = MappingProxyType(
     {
         'order reply': (
-            lambda content: _decode_order_reply(
-                HttpReply(status=200, body=content)
-            ),
+            lambda content: _decode_order_reply(http_reply(content)),
             WorkerReplyLostError,
+            {'clock_ms': 1},
         ),
         'listing': (
-            lambda content: _decode_listing(
-                HttpReply(status=200, body=content)
-            ),
+            lambda content: _decode_listing(http_reply(content)),
             WorkerReplyLostError,
+            {
+                'clock_ms': 1,
+                'born': 1,
+                'running': [['t', 1, 'c', 1, 1]],
+                'finished': [[1, 't', 1, 'done', 'c']],
+            },
         ),
         'store reply': (
-            lambda content: decode_store_reply(
-                HttpReply(status=200, body=content)
-            ),
+            lambda content: _decode_rows(decode_store(http_reply(content))),
             StoreReplyLostError,
+            {'ver': 1, 'now_ms': 1, 'rows': [{'table': 't', 'value': 'YQ=='}]},
         ),
         'peer reply': (
-            lambda content: decode_peer_reply(
-                HttpReply(status=200, body=content), Presence
-            ),
+            lambda content: decode_peer(http_reply(content), Presence),
             PeerReplyLostError,
+            dict(PRESENCE),
+        ),
+        'call batch': (
+            lambda content: decode_json(content, CallBatch),
+            DecodingError,
+            {'sent_ms': 1, 'calls': [[1, 2, ['stop', 't', 1, 1]]]},
         ),
         'submission': (
             lambda content: decode_job(
                 'a' * 16, content, queue=QUEUE, submitted_ms=0
             ),
             BodyError,
+            {'phases': [{'count': 1, 'cpu': 1, 'after': []}], 'start_at_ms': 1},
         ),
-        'plan': (decode_plan, RecordError),
-        'phase': (decode_phase, RecordError),
+        'plan': (decode_plan, RecordError, json.loads(encode_plan(PLAN))),
+        'phase': (decode_phase, RecordError, dict(PROGRESS)),
         'progress': (
             lambda content: restore_progress(Job(PLAN, 0), content),
             RecordError,
+            dict(PROGRESS),
         ),
         'message': (
             lambda content: decode_message(content, Presence),
             MessageError,
+            dict(PRESENCE),
         ),
     }
 )
@@ -113,7 +142,7 @@
         """
         Guards against a `RecursionError` that ends the reader of a message.
         """
-        decode, error_type = DECODERS[name]
+        decode, error_type, _ = DECODERS[name]
         with pytest.raises(error_type):
             decode(DEEP)
 
@@ -175,7 +204,7 @@
         """
         Guards against arithmetic that overflows in the owner.
         """
-        decode, error_type = DECODERS[name]
+        decode, error_type, _ = DECODERS[name]
         with pytest.raises(error_type):
             decode(content)
 
@@ -186,3 +215,59 @@
         route = dict.fromkeys(('name', 'host', 'path_prefix', 'service'), 'a')
         row = {'version': 1, 'routes': [{**route, 'target_latency_ms': 1e300}]}
         assert decode_configuration(msgspec.json.encode(row)) is None
+
+
+TEXT = st.text(max_size=8)
+NUMBER = st.integers() | st.sampled_from((-(10**40), 10**30, 10**400, 2**63))
+JSON = st.recursive(
+    st.none() | st.booleans() | st.floats(allow_nan=False) | NUMBER | TEXT,
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(TEXT, inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+ANYTHING = TEXT | NUMBER | JSON
+
+
+@st.composite
+def variants(draw, document):
+    """
+    Generate a document in which a value at any depth is replaced.
+    """
+    if not document or not isinstance(document, (dict, list)):
+        return draw(ANYTHING)
+    is_list = isinstance(document, list)
+    key = draw(
+        st.sampled_from(range(len(document)) if is_list else tuple(document))
+    )
+    copy = document.copy()
+    copy[key] = draw(ANYTHING | variants(document[key]))
+    return copy
+
+
+class TestAnyContent:
+    """
+    Whatever a document contains, it is decoded or rejected as unreadable.
+    """
+
+    @given(data=st.data())
+    @pytest.mark.parametrize('name', DECODERS)
+    def test_a_message(self, name, data):
+        """
+        Guards against one malformed message that ends a part of a process.
+        """
+        decode, error_type, valid = DECODERS[name]
+        decode(json.dumps(valid).encode())
+        encoded = variants(valid).map(json.dumps).map(str.encode)
+        with contextlib.suppress(error_type):
+            decode(data.draw(encoded | st.binary(max_size=40)))
+
+    @given(row=variants(dict(WORKER)))
+    def test_a_row(self, row):
+        """
+        Guards against one malformed row that stops the reader of a table.
+        """
+        content = json.dumps(row).encode()
+        for entry in decode_workers(content):
+            assert entry.processor_millis >= 0
+        decode_configuration(content)
