--- a/src/hawthornpier/steps/_progress.py
+++ b/src/hawthornpier/steps/_progress.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from hawthornpier.decoding import decode_json
 from hawthornpier.errors import HawthornpierError
 from hawthornpier.steps._model import JobPhase, JobPlan
 from hawthornpier.steps._outcomes import mark_done
@@ -47,8 +48,6 @@
 
 
 _NO_PROGRESS = StepProgress()
-_PLAN_DECODER = msgspec.json.Decoder(JobPlan)
-_PROGRESS_DECODER = msgspec.json.Decoder(JobProgress)
 
 
 def encode_plan(plan: JobPlan) -> bytes:
@@ -65,10 +64,7 @@
     Raises:
         RecordError: The content cannot be decoded.
     """
-    try:
-        return _PLAN_DECODER.decode(content)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise RecordError(f'stored job cannot be decoded: {error}') from error
+    return decode_json(content, JobPlan, RecordError, subject='stored job')
 
 
 def encode_progress(job: Job) -> bytes:
@@ -95,8 +91,9 @@
         RecordError: The content cannot be decoded.
     """
     progress = _decode(content)
-    if progress.phase:
-        return JobPhase(progress.phase)
+    end_phase = _end_phase(progress)
+    if end_phase is not None:
+        return end_phase
     return JobPhase.RUNNING if progress.has_started else JobPhase.QUEUED
 
 
@@ -119,28 +116,40 @@
             job does not have.
     """
     progress = _decode(content)
-    if progress.phase:
-        job.end_phase = JobPhase(progress.phase)
+    end_phase = _end_phase(progress)
+    if end_phase is not None:
+        job.end_phase = end_phase
         job.is_stored = is_stored
     job.has_started = job.has_started or progress.has_started
     for name, part in progress.steps.items():
         occurrence, _, number = name.partition('.')
         try:
             step = job.occurrences[int(occurrence)].steps[int(number)]
+            done_bits = int(part.done or '0', 16)
         except (IndexError, ValueError) as error:
             raise RecordError(
-                f'stored progress names step {name}, which the job lacks'
+                f'stored progress names step {name}, which the job lacks, or '
+                'its tasks are unreadable',
             ) from error
-        _restore_step(step, part)
+        _restore_step(step, part, done_bits)
 
 
 def _decode(content: bytes) -> JobProgress:
+    return decode_json(
+        content,
+        JobProgress,
+        RecordError,
+        subject='stored progress',
+    )
+
+
+def _end_phase(progress: JobProgress) -> JobPhase | None:
+    if not progress.phase:
+        return None
     try:
-        return _PROGRESS_DECODER.decode(content)
-    except (msgspec.DecodeError, ValueError) as error:
-        raise RecordError(
-            f'stored progress cannot be decoded: {error}'
-        ) from error
+        return JobPhase(progress.phase)
+    except ValueError as error:
+        raise RecordError(f'stored progress: {error}') from error
 
 
 def _step_progress(step: Step) -> StepProgress | None:
@@ -164,10 +173,13 @@
     return None if progress == _NO_PROGRESS else progress
 
 
-def _restore_step(step: Step, progress: StepProgress) -> None:
-    bits = int(progress.done or '0', 16)
+def _restore_step(
+    step: Step,
+    progress: StepProgress,
+    done_bits: int,
+) -> None:
     for task in step.tasks:
-        if bits >> task.index & 1:
+        if done_bits >> task.index & 1:
             mark_done(task)
         task.failed_attempts.update(progress.failed.get(task.index, ()))
         task.crashes.update(progress.crashes.get(task.index, {}))
