Start nothing on a worker that only the previous owner knew

A best-effort task without a memory demand could be started on a worker that had left: a new owner connects to every worker in the list of the previous owner, and one that still replied was usable until its entry had been missing for 2.5 s. Nothing but its unknown capacity, taken for 0, kept tasks away, and that does not limit best-effort tasks.

A worker is now usable only once the registry has had an entry of it.

test_a_new_owner_starts_nothing_there failed before: one of the best-effort tasks was started on the worker that had left.

--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -80,9 +80,12 @@
 
         The registry may no longer have an entry for it.
         """
+        is_known = entry.worker_id in self.shard.workers
         self._missing_since_ms[entry.worker_id] = self.shard.now_ms
         self._update_worker(entry)
-        if not self.shard.workers[entry.worker_id].is_listed:
+        worker = self.shard.workers[entry.worker_id]
+        worker.has_entry = worker.has_entry and is_known
+        if not worker.is_listed:
             self.shard.unlisted_tasks.setdefault(entry.worker_id, None)
 
     async def run(self) -> None:
@@ -120,8 +123,7 @@
             if row.is_deleted:
                 self._missing_since_ms.setdefault(row.key, self.shard.now_ms)
         for entry in self._context.decoder.workers(page.rows):
-            self._update_worker(entry)
-            self._missing_since_ms.pop(entry.worker_id, None)
+            self._apply_entry(entry)
 
     async def read(self) -> None:
         """
@@ -139,8 +141,7 @@
         registered_ids = set()
         for entry in self._context.decoder.workers(page.rows):
             registered_ids.add(entry.worker_id)
-            self._update_worker(entry)
-            self._missing_since_ms.pop(entry.worker_id, None)
+            self._apply_entry(entry)
         for worker_id in self.shard.workers:
             if worker_id not in registered_ids:
                 self._missing_since_ms.setdefault(
@@ -148,6 +149,11 @@
                     self.shard.now_ms,
                 )
 
+    def _apply_entry(self, entry: WorkerEntry) -> None:
+        self._update_worker(entry)
+        self.shard.workers[entry.worker_id].has_entry = True
+        self._missing_since_ms.pop(entry.worker_id, None)
+
     def _update_worker(self, entry: WorkerEntry) -> None:
         worker = self.shard.workers.get(entry.worker_id)
         if worker is None:
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -69,6 +69,10 @@
         # Whether this incarnation has accepted the owner's epoch and listed its
         # runs, and its lease has not expired since.
         self.is_listed = False
+        # Whether the registry has had an entry of it.  The capacity of a worker
+        # that only the previous owner's list names is not known, and it may be
+        # leaving.
+        self.has_entry = True
         # Whether its entry has been missing from the registry for some time.
         self.is_deregistered = False
         # Whether it is in the stored list of workers, from which the next
@@ -145,7 +149,8 @@
         """
         Return whether the worker is draining or missing from the registry.
         """
-        return self.is_deregistered or self.entry.is_draining
+        is_missing = self.is_deregistered or not self.has_entry
+        return is_missing or self.entry.is_draining
 
     def begin_incarnation(self, entry: WorkerEntry) -> list[Run]:
         """
--- /dev/null
+++ b/tests/test_fleet_departures.py
@@ -0,0 +1,47 @@
+"""
+Tests of workers that have left, and of ids that are used again.
+"""
+
+from fake_store import virtual_tests
+from fleet_world import REGISTRY, World
+
+from hawthornpier.steps import StepPlan
+
+HALF = StepPlan(task_count=2, processor_millis=5_000)
+BEST_EFFORT = StepPlan(
+    task_count=4, processor_millis=2_000, image='filling', is_filling=True
+)
+
+
+def unregister(world, worker):
+    """
+    Remove the entry of a worker that serves on for a while.
+    """
+    world.silent_workers.add(worker)
+    world.store.remove(REGISTRY, worker.entry.worker_id)
+
+
+@virtual_tests(World)
+class TestDepartedWorkers:
+    """
+    Nothing is started on a worker that has left the registry.
+    """
+
+    options = {'worker_count': 2}
+
+    async def test_a_new_owner_starts_nothing_there(self, world):
+        """
+        Guards against starts on a worker that only the previous owner knew.
+        """
+        await world.wait_first_owner()
+        await world.any_node().entry.submit(world.plan(HALF, work_ms=60_000))
+        await world.wait_starts(2)
+        world.kill(world.owner())
+        unregister(world, world.workers['w0'])
+        await world.wait_until(lambda: world.owner() is not None)
+        await world.any_node().entry.submit(
+            world.plan(BEST_EFFORT, work_ms=60_000)
+        )
+        await world.run_for(6_000)
+        assert 'w1' in world.checker.running.values()
+        assert list(world.checker.running.values()).count('w0') == 1
