Apply the changes of the registry in their order

A worker whose entry was removed stayed in use: its runs were awaited longer, and a worker that still replied was given new starts. The owner applied all removals of a page before all entries, so an entry and its removal that were read at once left the worker registered, until the store had discarded its history. That takes a heartbeat and a removal within 0.6 s, or an outage of the store in which both were written.

test_a_removal_right_after_a_heartbeat_counts failed before: a run was started on the worker 3.5 s after the removal.

--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -120,10 +120,11 @@
             return
         self._version = page.version
         for row in page.rows:
+            # An entry may have been written and removed since the last poll.
             if row.is_deleted:
                 self._missing_since_ms.setdefault(row.key, self.shard.now_ms)
-        for entry in self._context.decoder.workers(page.rows):
-            self._apply_entry(entry)
+            for entry in self._context.decoder.workers((row,)):
+                self._apply_entry(entry)
 
     async def read(self) -> None:
         """
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -2,6 +2,7 @@
 Tests of workers that have left, and of ids that are used again.
 """
 
+import msgspec
 from fake_store import virtual_tests
 from fleet_world import REGISTRY, World
 
@@ -11,6 +12,8 @@
 BEST_EFFORT = StepPlan(
     task_count=4, processor_millis=2_000, image='filling', is_filling=True
 )
+# Until a worker whose entry is missing counts as deregistered.
+MISSING_MS = 3_500
 
 
 def unregister(world, worker):
@@ -45,3 +48,18 @@
         await world.run_for(6_000)
         assert 'w1' in world.checker.running.values()
         assert list(world.checker.running.values()).count('w0') == 1
+
+    async def test_a_removal_right_after_a_heartbeat_counts(self, world):
+        """
+        Guards against a worker that stays in use after its entry was removed.
+
+        The owner reads its last heartbeat and the removal at once.
+        """
+        await world.wait_first_owner()
+        worker = world.workers['w0']
+        world.store.put(REGISTRY, 'w0', msgspec.json.encode(worker.entry))
+        unregister(world, worker)
+        await world.run_for(MISSING_MS)
+        await world.any_node().entry.submit(world.plan(HALF, work_ms=60_000))
+        await world.run_for(2_000)
+        assert list(world.checker.running.values()) == ['w1']
