Stop runs that the next incarnation of a worker may have accepted

A task could run twice when a worker restarted under its id: requests name the worker's id only, so the new incarnation accepts starts that were meant for the previous one until the registry names the new one, up to two seconds later. The owner then counted each acknowledged run as lost with the previous incarnation and started its task again, while the new one went on with it.

Only a listing tells the incarnation. A run that was sent and that no listing has contained is now stopped on the new incarnation before its task starts again; one that was never sent ends at once.

The simulated workers rejected such starts, which hid the fault; they now accept them, as the wire does.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -112,6 +112,7 @@
                 self._add_listed_run(worker, row, now_ms)
 
     def _update_run(self, run: Run, row: RunningRun, now_ms: float) -> None:
+        run.is_listed = True
         if run.phase in {RunPhase.STARTING, RunPhase.UNCERTAIN}:
             self._shard.confirm_run(run)
         if row.percent != run.percent:
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -194,19 +194,19 @@
         )
         confirm_crash(self.shard, worker, 'another incarnation registered')
         for run in list(worker.runs.values()):
-            if not run.has_unacknowledged_order:
+            if not run.may_be_on_next_incarnation:
                 self.shard.end_run(run, RunOutcome.LOST)
         uncertain_runs = worker.begin_incarnation(entry)
         self._stop_link(worker.worker_id)
         self._start_link(worker)
         for uncertain_run in uncertain_runs:
-            # The new incarnation may still execute a start order that was
-            # sent to the previous one, so the run is stopped explicitly.
+            # The new incarnation may execute a start order that was meant for
+            # the previous one, so the run is stopped explicitly.
             uncertain_run.phase = RunPhase.STARTING
             worker.charge(uncertain_run)
             self.shard.stop_run(
                 uncertain_run,
-                'start not acknowledged before the worker restarted',
+                'start not listed before the worker restarted',
             )
 
     def _start_link(self, worker: WorkerState) -> None:
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -53,6 +53,7 @@
         'has_resumed',
         'is_copy',
         'is_delivered',
+        'is_listed',
         'listed_ms',
         'order_acknowledged_ms',
         'paused_ms',
@@ -87,6 +88,8 @@
         # Whether the start has certainly reached the worker, which has replied
         # or listed the run.
         self.is_delivered = False
+        # Whether the worker has listed it.
+        self.is_listed = False
         # Whether the connection broke as the start was sent.
         self.has_lost_connection = False
         # When the worker last acknowledged an order for the run or first
@@ -124,16 +127,14 @@
         return (self.task.key, self.attempt)
 
     @property
-    def has_unacknowledged_order(self) -> bool:
+    def may_be_on_next_incarnation(self) -> bool:
         """
-        Return whether the last start or stop order is not acknowledged.
+        Return whether the worker's next incarnation may execute the run.
 
-        The worker may then still carry out a start of this run.
+        A start names the worker but not its incarnation, so that the next one
+        may accept it, or execute it late, until the run has been listed.
         """
-        return (
-            self.phase is not RunPhase.RUNNING
-            and not self.order_acknowledged_ms
-        )
+        return bool(self.sent_ms) and not self.is_listed
 
     @property
     def has_representative_duration(self) -> bool:
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -112,13 +112,7 @@
         if not self._worker.is_up and self._worker.is_refusing:
             raise WorkerUnreachableError('the connection was refused')
         await self._raise_if_unreachable()
-        if self._worker.entry.worker_id != self._entry.worker_id:
-            return False
-        if self._worker.entry.incarnation_ms != self._entry.incarnation_ms:
-            raise WorkerUnreachableError(
-                'another incarnation of the worker is running'
-            )
-        return True
+        return self._worker.entry.worker_id == self._entry.worker_id
 
     async def _raise_if_unreachable(self) -> None:
         if self._worker.fault is WorkerFault.RESET:
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -6,7 +6,7 @@
 from fake_store import virtual_tests
 from fleet_world import REGISTRY, World
 
-from hawthornpier.steps import StepPlan
+from hawthornpier.steps import JobPhase, StepPlan
 
 HALF = StepPlan(task_count=2, processor_millis=5_000)
 BEST_EFFORT = StepPlan(
@@ -63,3 +63,29 @@
         await world.any_node().entry.submit(world.plan(HALF, work_ms=60_000))
         await world.run_for(2_000)
         assert list(world.checker.running.values()) == ['w1']
+
+
+@virtual_tests(World)
+class TestReusedId:
+    """
+    A worker may start again under the id that it had.
+    """
+
+    options = {'worker_count': 2}
+
+    async def test_a_start_that_the_next_incarnation_accepts(self, world):
+        """
+        Guards against a task that runs twice: the run counted as lost with the
+        previous incarnation, which the registry still named.
+        """
+        await world.wait_first_owner()
+        worker = world.workers['w0']
+        worker.crash()
+        plan = world.plan(
+            StepPlan(task_count=12, processor_millis=1_000), work_ms=3_000
+        )
+        await world.any_node().entry.submit(plan)
+        await world.run_for(300)
+        worker.restart()
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        await world.run_for(3_000)
