--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -88,9 +88,12 @@
 
         The registry may no longer have an entry for it.
         """
+        is_known = entry.worker_id in self.shard.workers
         self._missing_since_ms[entry.worker_id] = self.shard.now_ms
         self._update_worker(entry)
-        if not self.shard.workers[entry.worker_id].is_listed:
+        worker = self.shard.workers[entry.worker_id]
+        worker.has_entry = worker.has_entry and is_known
+        if not worker.is_listed:
             self.shard.unlisted_tasks.setdefault(entry.worker_id, None)
 
     async def run(self) -> None:
@@ -172,6 +175,7 @@
         }
         for readable_entry in entries.values():
             self._update_worker(readable_entry)
+            self.shard.workers[readable_entry.worker_id].has_entry = True
         unreadable_ids = sorted(present_ids - entries.keys())
         if unreadable_ids:
             self._context.log.record(
@@ -218,19 +222,19 @@
         )
         confirm_crash(self.shard, worker, 'another incarnation registered')
         for run in list(worker.runs.values()):
-            if not run.has_unacknowledged_order:
+            if not run.may_be_on_next_incarnation:
                 self.shard.end_run(run, RunOutcome.LOST)
         uncertain_runs = worker.begin_incarnation(entry)
         self._stop_link(worker.worker_id)
         self._start_link(worker)
         for uncertain_run in uncertain_runs:
-            # The new incarnation may still execute a start order that was
-            # sent to the previous one, so the run is stopped explicitly.
+            # The new incarnation may execute a start order that was meant for
+            # the previous one, so the run is stopped explicitly.
             uncertain_run.phase = RunPhase.STARTING
             worker.charge(uncertain_run)
             self.shard.stop_run(
                 uncertain_run,
-                'start not acknowledged before the worker restarted',
+                'start not listed before the worker restarted',
             )
 
     def _start_link(self, worker: WorkerState) -> None:
--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -33,11 +33,11 @@
     encode_progress,
     restore_progress,
 )
+from hawthornpier.steps._run_phase import RunPhase
 from hawthornpier.steps._state import (
     Job,
     Occurrence,
     Run,
-    RunPhase,
     Step,
     Suspicion,
     Task,
--- /dev/null
+++ b/tests/test_fleet_departures.py
@@ -0,0 +1,91 @@
+"""
+Tests of workers that have left, and of ids that are used again.
+"""
+
+import msgspec
+from fake_store import virtual_tests
+from fleet_world import REGISTRY, World
+
+from hawthornpier.steps import JobPhase, StepPlan
+
+HALF = StepPlan(task_count=2, processor_millis=5_000)
+BEST_EFFORT = StepPlan(
+    task_count=4, processor_millis=2_000, image='filling', is_filling=True
+)
+# Until a worker whose entry is missing counts as deregistered.
+MISSING_MS = 3_500
+
+
+def unregister(world, worker):
+    """
+    Remove the entry of a worker that serves on for a while.
+    """
+    world.silent_workers.add(worker)
+    world.store.remove(REGISTRY, worker.entry.worker_id)
+
+
+@virtual_tests(World)
+class TestDepartedWorkers:
+    """
+    Nothing is started on a worker that has left the registry.
+    """
+
+    options = {'worker_count': 2}
+
+    async def test_a_new_owner_starts_nothing_there(self, world):
+        """
+        Guards against starts on a worker that only the previous owner knew.
+        """
+        await world.wait_first_owner()
+        await world.any_node().entry.submit(world.plan(HALF, work_ms=60_000))
+        await world.wait_starts(2)
+        world.kill(world.owner())
+        unregister(world, world.workers['w0'])
+        await world.wait_until(lambda: world.owner() is not None)
+        await world.any_node().entry.submit(
+            world.plan(BEST_EFFORT, work_ms=60_000)
+        )
+        await world.run_for(6_000)
+        assert 'w1' in world.checker.running.values()
+        assert list(world.checker.running.values()).count('w0') == 1
+
+    async def test_a_removal_right_after_a_heartbeat_counts(self, world):
+        """
+        Guards against a worker that stays in use after its entry was removed.
+
+        The owner reads its last heartbeat and the removal at once.
+        """
+        await world.wait_first_owner()
+        worker = world.workers['w0']
+        world.store.put(REGISTRY, 'w0', msgspec.json.encode(worker.entry))
+        unregister(world, worker)
+        await world.run_for(MISSING_MS)
+        await world.any_node().entry.submit(world.plan(HALF, work_ms=60_000))
+        await world.run_for(2_000)
+        assert list(world.checker.running.values()) == ['w1']
+
+
+@virtual_tests(World)
+class TestReusedId:
+    """
+    A worker may start again under the id that it had.
+    """
+
+    options = {'worker_count': 2}
+
+    async def test_a_start_that_the_next_incarnation_accepts(self, world):
+        """
+        Guards against a task that runs twice: the run counted as lost with the
+        previous incarnation, which the registry still named.
+        """
+        await world.wait_first_owner()
+        worker = world.workers['w0']
+        worker.crash()
+        plan = world.plan(
+            StepPlan(task_count=12, processor_millis=1_000), work_ms=3_000
+        )
+        await world.any_node().entry.submit(plan)
+        await world.run_for(300)
+        worker.restart()
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        await world.run_for(3_000)
