Test that work goes on beside odd entries in the registry

Entries that are nested too deeply, are no JSON, or have an impossible capacity or port stand in the registry before the start, and come again later, also under the ids of known workers. The jobs complete, also under the next owner, and no part of a process fails.

--- a/tests/test_fleet_odd_rows.py
+++ b/tests/test_fleet_odd_rows.py
@@ -2,12 +2,32 @@
 Tests of rows of the store that another writer has left.
 """
 
+from types import MappingProxyType
+
 from fake_store import virtual_tests
 from fleet_world import REGISTRY, World
+from registry_rows import encode_entry
 
+from hawthornpier.fleet import WorkerEntry
 from hawthornpier.steps import JobPhase, StepPlan
 
+ODD = MappingProxyType(
+    {
+        'worker_id': 'odd',
+        'service': 'desk',
+        'failure_domain': 'z',
+        'memory_mb': 64_000,
+        'accelerator_count': 0,
+        'incarnation_ms': 1,
+    }
+)
 DEEP = b'{"unknown":%s1%s}' % (b'[' * 5_000, b']' * 5_000)
+ODD_ENTRIES = (
+    DEEP,
+    b'\xff',
+    encode_entry(WorkerEntry(**ODD, processor_millis=10**400, address='o:80')),
+    encode_entry(WorkerEntry(**ODD, processor_millis=1, address='o:80000')),
+)
 SHORT = StepPlan(task_count=16, processor_millis=1_000)
 
 
@@ -37,3 +57,30 @@
         await world.any_node().entry.submit(later)
         await world.wait_phase(later.job_id, JobPhase.COMPLETED)
         assert world.has_logged('worker_entry_unreadable')
+
+
+@virtual_tests(World)
+class TestWork:
+    """
+    Jobs complete although other writers leave odd entries.
+    """
+
+    async def test_jobs_complete_beside_odd_entries(self, world):
+        """
+        Guards against owners that end, one by one, as they read an odd entry.
+        """
+        for number, content in enumerate(ODD_ENTRIES):
+            world.store.put(REGISTRY, f'early{number}', content)
+        plan = world.plan(SHORT, work_ms=2_000)
+        await world.submit(plan)
+        for number, content in enumerate(ODD_ENTRIES):
+            world.store.put(REGISTRY, f'late{number}', content)
+            world.store.put(REGISTRY, f'w{number}', content)
+        await world.run_for(1_000)
+        world.kill(world.owner())
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        later = world.plan(SHORT)
+        await world.any_node().entry.submit(later)
+        await world.wait_phase(later.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 2 * SHORT.task_count
+        assert not world.has_logged('part_failed')
