Claim a shard whose owner row is unreadable

If the owner row could not be decoded, processes that had read no earlier one failed at each read of it, and none of them could ever claim the shard. An unreadable fence ended the owner's part with an unexpected error instead of the loss of the shard.

Cause: the errors of the decoder left the readers of these rows. Now the last readable owner row holds, whose owner writes the next one. A process that knows none takes the last epoch from the fence, since workers reject a lower one. An unreadable fence was written by another process, so that the owner gives up the shard, and the next claim writes the fence anew.

Evidence: test_an_unreadable_owner_row (no owner) and test_an_unreadable_fence (part_failed) fail without the change to `src` and pass with it.

--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._errors import HistoryGoneError
 from hawthornpier.fleet._ports import (
@@ -19,12 +20,14 @@
 from hawthornpier.fleet._timings import OwnershipTimings
 from hawthornpier.fleet._writer import (
     FENCE_KEY,
+    FENCE_TABLE,
     OWNER_KEY,
     OWNER_TABLE,
     FenceRow,
     OwnerRow,
     ProcessCard,
     ShardWriter,
+    decode_fence,
 )
 from hawthornpier.ports import Clock, StoreError
 
@@ -224,7 +227,12 @@
         if row.is_deleted:
             self.owner = None
             return
-        owner = msgspec.json.decode(row.content, type=OwnerRow)
+        try:
+            owner = decode_json(row.content, OwnerRow)
+        except DecodingError as error:
+            # The last readable row holds, and its owner will renew it.
+            self._log.record('owner_row_unreadable', why=str(error))
+            return
         previous = self.owner
         self.owner = owner
         if previous is None or previous.epoch != owner.epoch:
@@ -265,13 +273,13 @@
         return healthy_ms >= self._timings.lease_ms / 2
 
     async def _claim(self, reason: str) -> ShardWriter | None:
-        epoch = 1 if self.owner is None else self.owner.epoch + 1
         read = await self._store.read(OWNER_TABLE, self.shard)
         for row in read.rows:
             if row.version != self._owner_version:
                 self._apply_row(row)
                 self._watched_version = read.version
                 return None
+        epoch = 1 + await self._last_epoch()
         owner = OwnerRow(
             card=self._card,
             epoch=epoch,
@@ -317,5 +325,17 @@
             timings=self._timings,
         )
 
+    async def _last_epoch(self) -> int:
+        """
+        Return the last epoch, or 0 if there was none.
+
+        If no readable owner row is known, the fence may tell.
+        """
+        if self.owner is not None:
+            return self.owner.epoch
+        page = await self._store.read(FENCE_TABLE, self.shard)
+        fences = [decode_fence(row) for row in page.rows]
+        return max((fence.epoch for fence in fences if fence), default=0)
+
     async def _sleep(self, duration_ms: float) -> None:
         await self._clock.sleep_ms(duration_ms)
--- a/src/hawthornpier/fleet/_writer.py
+++ b/src/hawthornpier/fleet/_writer.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.fleet._errors import ShardLostError
 from hawthornpier.fleet._ports import (
     RecordStore,
@@ -69,6 +70,16 @@
     sequence: int
 
 
+def decode_fence(row: StoredRow) -> FenceRow | None:
+    """
+    Decode the fence of a shard; return None if it is unreadable.
+    """
+    try:
+        return decode_json(row.content, FenceRow)
+    except DecodingError:
+        return None
+
+
 class ShardWriter:
     """
     Writes to a shard's partition, one transaction at a time.
@@ -196,8 +207,8 @@
         """
         for row in rows:
             if row.table == FENCE_TABLE and row.version != self._fence_version:
-                fence = msgspec.json.decode(row.content, type=FenceRow)
-                if (fence.process_id, fence.epoch) == (
+                fence = decode_fence(row)
+                if fence is not None and (fence.process_id, fence.epoch) == (
                     self._card.process_id,
                     self.epoch,
                 ):
--- a/tests/test_fleet_odd_rows.py
+++ b/tests/test_fleet_odd_rows.py
@@ -84,3 +84,38 @@
         await world.wait_phase(later.job_id, JobPhase.COMPLETED)
         assert world.checker.started_count == 2 * SHORT.task_count
         assert not world.has_logged('part_failed')
+
+
+@virtual_tests(World)
+class TestOwnership:
+    """
+    A shard whose owner row or fence is unreadable gets an owner again.
+    """
+
+    async def test_an_unreadable_owner_row(self, world):
+        """
+        Guards against a shard that no process can claim any more.
+
+        The processes that start later have read no owner row before.
+        """
+        await world.wait_first_owner()
+        for node in tuple(world.nodes.values()):
+            world.kill(node)
+        world.store.put('owners', 'row', DEEP, part='s0')
+        for name in ('n0', 'n1'):
+            world.start_node(name)
+        plan = world.plan(SHORT)
+        await world.submit(plan)
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.owner().local_shard().epoch == 2
+
+    async def test_an_unreadable_fence(self, world):
+        """
+        Guards against an owner that can neither write nor give up the shard.
+        """
+        await world.wait_first_owner()
+        world.store.put('fences', 'row', DEEP, part='s0')
+        plan = world.plan(SHORT)
+        await world.submit(plan)
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert not world.has_logged('part_failed')
