Start batch work on workers that only services cannot use

Cause: batch work starts within a budget of free slots, from which the slots of workers in quarantine or with an ejected endpoint were left out. An ejection ends only when a request succeeds, and a quarantine only when a task does. If no other worker was open, the budget was 0 or less, so no task started; the ejection ended with the next request, which did not come, and the quarantine never. The waiting tasks were reported as waiting for tasks with a smaller share.

The reserve for services now holds back slots of healthy workers first. Batch work may use what is free beyond it on the other workers, where the quarantine still lets in one probe at a time. Waiting requests no longer evict tasks from a worker whose endpoint is ejected, because the slot would not help them. `waits for` names workers in quarantine, those reserved and those on which the task has failed.

--- a/src/hawthornpier/policy/_batch.py
+++ b/src/hawthornpier/policy/_batch.py
@@ -12,7 +12,7 @@
     RejectTask,
     TaskDemand,
 )
-from hawthornpier.policy._headroom import ServiceHeadroom
+from hawthornpier.policy._headroom import BatchBudget, ServiceHeadroom
 from hawthornpier.policy._ledger import WorkerAccount, effective_demand
 from hawthornpier.policy._parts import ShardParts
 from hawthornpier.policy._short_tasks import ShortTaskReservation
@@ -129,20 +129,27 @@
         self._short_task_reservation.update(heads, now_ms)
         budget = self._headroom.batch_budget()
         heap = []
-        if budget > 0:
+        if budget.total_count > 0:
             heap = [self._heap_entry(key, task) for key, task in heads]
         heapq.heapify(heap)
-        while heap and budget > 0:
+        while heap and budget.total_count > 0:
             key = heapq.heappop(heap)[-1]
-            decision = self._start_head(key, unplaceable, now_ms)
+            decision = self._start_head(key, unplaceable, budget, now_ms)
             if decision is None:
                 continue
             decisions.append(decision)
-            budget -= isinstance(decision, PlaceTask)
+            if isinstance(decision, PlaceTask):
+                budget = budget.use(
+                    is_healthy=self._parts.health.is_healthy(
+                        decision.worker_id,
+                    ),
+                )
             head = self._parts.tasks.head(key)
             if head is not None:
                 heapq.heappush(heap, self._heap_entry(key, head))
-        if budget <= 0:
+        if budget.total_count <= 0 or (
+            budget.healthy_count <= 0 and not decisions
+        ):
             decisions.extend(self._short_task_reservation.evict_excess(now_ms))
         return decisions
 
@@ -162,6 +169,7 @@
         self,
         key: GroupKey,
         unplaceable: list[Resources],
+        budget: BatchBudget,
         now_ms: int,
     ) -> Decision | None:
         task = self._parts.tasks.head(key)
@@ -174,12 +182,20 @@
         demand = effective_demand(task.demand)
         if any(smaller.fits_in(demand) for smaller in unplaceable):
             return None
-        decision = self._try_start(task, now_ms)
+        decision = self._try_start(task, now_ms, budget)
         if decision is None:
             unplaceable.append(demand)
         return decision
 
-    def _try_start(self, task: TaskDemand, now_ms: int) -> PlaceTask | None:
+    def _try_start(
+        self,
+        task: TaskDemand,
+        now_ms: int,
+        budget: BatchBudget | None = None,
+    ) -> PlaceTask | None:
+        """
+        Place a task, within *budget* unless it is None.
+        """
         demand = effective_demand(task.demand)
         parts = self._parts
         if parts.occupancy.shares.binding_limit(
@@ -192,7 +208,7 @@
         worker_id = parts.chooser.choose(
             demand,
             cost=partial(parts.costs.task_cost, task.workload, now_ms),
-            is_allowed=partial(self._is_allowed, task, now_ms),
+            is_allowed=partial(self._is_allowed, task, budget, now_ms),
         )
         if worker_id is None:
             return None
@@ -205,12 +221,17 @@
     def _is_allowed(
         self,
         task: TaskDemand,
+        budget: BatchBudget | None,
         now_ms: int,
         account: WorkerAccount,
     ) -> bool:
         worker_id = account.info.worker_id
+        health = self._parts.health
+        is_reserve = budget is not None and budget.healthy_count <= 0
+        if is_reserve and health.is_healthy(worker_id):
+            return False
         holder = self._parts.reserved_workers.get(worker_id, task.task_id)
-        return holder == task.task_id and self._parts.health.allows_task(
+        return holder == task.task_id and health.allows_task(
             worker_id,
             task.task_id,
             now_ms,
--- a/src/hawthornpier/policy/_explain.py
+++ b/src/hawthornpier/policy/_explain.py
@@ -5,7 +5,7 @@
 from hawthornpier.messages import Resources
 from hawthornpier.policy._decisions import TaskDemand
 from hawthornpier.policy._headroom import ServiceHeadroom
-from hawthornpier.policy._ledger import effective_demand
+from hawthornpier.policy._ledger import WorkerAccount, effective_demand
 from hawthornpier.policy._parts import ShardParts
 from hawthornpier.policy._short_tasks import ShortTaskReservation
 
@@ -56,15 +56,16 @@
         return (
             occupancy.shares.binding_limit(task.member, task.workload, demand)
             or self._slot_limit(task)
-            or self._missing_resource(demand)
+            or self._missing_resource(task, demand)
             or 'tasks with a smaller weighted share start first'
         )
 
     def _slot_limit(self, task: TaskDemand) -> str:
         if task.is_urgent:
             return ''
-        free_count = self._parts.free_slot_count()
-        if free_count > 0 and self._headroom.batch_budget() <= 0:
+        free_count = self._parts.occupancy.ledger.free.slot_count
+        budget = self._headroom.batch_budget()
+        if free_count > 0 and budget.total_count <= 0:
             return f'the {free_count} free slots are reserved for services'
         if not self._short_task_reservation.allows(task):
             return (
@@ -74,14 +75,17 @@
             )
         return ''
 
-    def _missing_resource(self, demand: Resources) -> str:
+    def _missing_resource(self, task: TaskDemand, demand: Resources) -> str:
         occupancy = self._parts.occupancy
         accounts = [
             occupancy.ledger.accounts[worker_id]
             for worker_id in occupancy.index.probe(0, _MAX_PROBED_COUNT)
         ]
-        if any(demand.fits_in(account.free) for account in accounts):
-            return ''
+        fitting = [
+            account for account in accounts if demand.fits_in(account.free)
+        ]
+        if fitting:
+            return self._exclusions(task, fitting)
         for dimension, label in _DIMENSIONS:
             wanted = getattr(demand, dimension)
             largest = max(
@@ -93,3 +97,28 @@
                     f'amount is {largest}'
                 )
         return 'no single worker has enough of all resources free'
+
+    def _exclusions(
+        self,
+        task: TaskDemand,
+        accounts: list[WorkerAccount],
+    ) -> str:
+        reasons = {self._exclusion(task, account) for account in accounts}
+        if '' in reasons:
+            return ''
+        return f'the workers with enough free: {", ".join(sorted(reasons))}'
+
+    def _exclusion(self, task: TaskDemand, account: WorkerAccount) -> str:
+        worker_id = account.info.worker_id
+        health = self._parts.health
+        is_reserve = self._headroom.batch_budget().healthy_count <= 0
+        holder = self._parts.reserved_workers.get(worker_id, task.task_id)
+        if holder != task.task_id:
+            return 'reserved for an urgent task'
+        if health.has_failed_on(task.task_id, worker_id):
+            return 'the task failed there'
+        if health.is_quarantined(worker_id):
+            return 'in quarantine'
+        if is_reserve and not task.is_urgent and health.is_healthy(worker_id):
+            return 'slots reserved for services'
+        return ''
--- a/src/hawthornpier/policy/_headroom.py
+++ b/src/hawthornpier/policy/_headroom.py
@@ -3,6 +3,7 @@
 """
 
 import math
+from dataclasses import dataclass
 
 from hawthornpier.policy._decisions import Decision
 from hawthornpier.policy._forecast import DemandForecast
@@ -20,6 +21,30 @@
 _MIN_SERVICE_FRACTION = 1 / 16
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class BatchBudget:
+    """
+    How many free slots batch work may use now.
+
+    A count is negative if services need more than the free slots.  On healthy
+    workers, batch work may use *healthy_count* slots, so that the reserve stays
+    on workers that serve requests.  Workers in quarantine or with an ejected
+    endpoint may take the rest of *total_count*.
+    """
+
+    total_count: int
+    healthy_count: int
+
+    def use(self, *, is_healthy: bool) -> 'BatchBudget':
+        """
+        Return what is left after a placement on a worker.
+        """
+        return BatchBudget(
+            total_count=self.total_count - 1,
+            healthy_count=self.healthy_count - is_healthy,
+        )
+
+
 class ServiceHeadroom:
     """
     Reserves the slots that services are expected to need soon.
@@ -48,15 +73,15 @@
         self._completed_count = self._decayed_completed_count(now_ms) + 1
         self._completed_updated_ms = now_ms
 
-    def batch_budget(self) -> int:
+    def batch_budget(self) -> BatchBudget:
         """
         Return how many free slots batch work may use now.
-
-        The budget is negative if services need more than the free slots.
         """
-        free_count = self._parts.free_slot_count()
         reserved = self.service_slot_count - self._occupancy.request_count
-        return free_count - reserved
+        return BatchBudget(
+            total_count=self._occupancy.ledger.free.slot_count - reserved,
+            healthy_count=self._parts.free_slot_count() - reserved,
+        )
 
     def decide(self, waiting: int, now_ms: int) -> list[Decision]:
         """
@@ -88,8 +113,13 @@
         missing_count = waiting - expected_free_count
         if missing_count <= 0:
             return []
+        # A slot of an ejected endpoint would not help a waiting request.
         victims = self._planner.select_victims(
-            self._occupancy.running.values(),
+            (
+                running
+                for running in self._occupancy.running.values()
+                if self._parts.health.allows_request(running.worker_id, now_ms)
+            ),
             missing_count,
             now_ms,
         )
--- a/src/hawthornpier/policy/_health.py
+++ b/src/hawthornpier/policy/_health.py
@@ -143,6 +143,12 @@
         """
         return tuple(self._unusable) if self._is_enabled else ()
 
+    def is_healthy(self, worker_id: str) -> bool:
+        """
+        Return whether the worker is on no probation.
+        """
+        return not self._is_enabled or worker_id not in self._unusable
+
     def allows_task(self, worker_id: str, task_id: str, now_ms: int) -> bool:
         """
         Return whether the task may be placed on the worker.
@@ -152,10 +158,16 @@
         record = self._workers.get(worker_id)
         if record is None or not self._is_enabled:
             return True
-        if worker_id in self._failed_workers.get(task_id, ()):
+        if self.has_failed_on(task_id, worker_id):
             return False
         return record.task_probation.allows(now_ms)
 
+    def has_failed_on(self, task_id: str, worker_id: str) -> bool:
+        """
+        Return whether the task has failed on the worker.
+        """
+        return worker_id in self._failed_workers.get(task_id, ())
+
     def allows_request(self, worker_id: str, now_ms: int) -> bool:
         """
         Return whether a request may be placed on the worker.
--- /dev/null
+++ b/tests/test_owner_waiting.py
@@ -0,0 +1,52 @@
+"""
+Tests that accepted tasks start once a worker can run them.
+"""
+
+from owner_harness import OwnerHarness, job_of, request_of
+from virtual_time import run_virtual
+
+from hawthornpier.messages import Answer, TaskState
+from hawthornpier.owner import ShardOwner
+from hawthornpier_standin.workers import WorkerFaults
+
+
+async def _job_states(
+    harness: OwnerHarness,
+    owner: ShardOwner,
+    wait_ms: int,
+) -> set[TaskState]:
+    """
+    Return the states of the tasks of job j after *wait_ms*.
+    """
+    await harness.clock.sleep_ms(wait_ms)
+    view = owner.jobs.view('j')
+    assert view is not None
+    return {task.state for task in view.tasks}
+
+
+class TestWaitingTasks:
+    """
+    Tasks of a shard with one worker, which recovers from a fault.
+    """
+
+    def test_ejected_endpoint_does_not_stop_batch_work(self) -> None:
+        """
+        Tasks start on a worker whose endpoint is ejected.
+
+        Guards against batch work that waits for a request to end the ejection,
+        which may never come.
+        """
+
+        async def scenario() -> set[TaskState]:
+            harness = OwnerHarness(worker_count=1)
+            owner = await harness.new_owner()
+            worker = harness.workers['w0']
+            worker.apply_faults(WorkerFaults(fails_all=True))
+            for index in range(5):
+                outcome = await owner.serve(request_of(f'op-{index}'))
+                assert not isinstance(outcome, Answer)
+            worker.apply_faults(WorkerFaults())
+            await owner.submit_job('j', job_of(2, work_ms=1_000))
+            return await _job_states(harness, owner, 20_000)
+
+        assert run_virtual(scenario()) == {TaskState.DONE}
--- a/tests/test_policy_health.py
+++ b/tests/test_policy_health.py
@@ -13,6 +13,7 @@
 
 from hawthornpier.messages import TaskResult
 from hawthornpier.policy import (
+    EvictTask,
     PlaceRequest,
     PlaceTask,
     RejectTask,
@@ -137,3 +138,35 @@
             result = RequestResult.FAILED if is_bad else RequestResult.ANSWERED
             scheduler.end_request(request.request_id, result, 10, now_ms)
         assert 5 < failed < 15
+
+    def test_shard_without_healthy_worker_runs_tasks(self) -> None:
+        """
+        The only worker is probed when its quarantine ends.
+
+        Guards against a quarantine that never ends, because the slots of the
+        workers that could be probed do not count.
+        """
+        scheduler = make_scheduler(1)
+        for number in range(5):
+            assert run_task(scheduler, f'j{number}/0', 0) == 'w0'
+        scheduler.add_task(make_task('k/0'), 1)
+        assert not of_kind(scheduler.decide(29_000), PlaceTask)
+        assert 'in quarantine' in scheduler.explain('k/0')
+        assert of_kind(scheduler.decide(30_000), PlaceTask)
+
+    def test_requests_do_not_evict_from_ejected_endpoints(self) -> None:
+        """
+        Tasks keep running on a worker that takes no requests.
+
+        Guards against evictions that free no slot for the waiting requests.
+        """
+        scheduler = make_scheduler(1, 8)
+        for number in range(5):
+            scheduler.add_request(make_request(f'r{number}'), 0)
+            scheduler.decide(0)
+            scheduler.end_request(f'r{number}', RequestResult.FAILED, 10, 0)
+        scheduler.add_task(make_task('j/0'), 1)
+        assert of_kind(scheduler.decide(1), PlaceTask)
+        scheduler.add_request(make_request('late'), 2)
+        assert not of_kind(scheduler.decide(2), EvictTask)
+        assert of_kind(scheduler.decide(5_000), PlaceRequest)
