Do not take unsent starts for refusals of a leaving worker

Callers would see accepted tasks that never run, and requests that are shed for want of a worker, although the worker replies again: one that was paused for 8 s got no work for as long as the owner lived.

Cause: when a link closes, the starts that wait to be sent count as not started, and so does a start that finds the worker unreachable. Both were passed on with the verdict of a leaving worker. That excludes the worker until the host list first marks it as leaving and then as live again; a fence resolves only that it did not reply.

Such starts now have no verdict. A start that finds the worker unreachable closes the link, as a request does, so that the worker is excluded until it confirms the epoch again.

Evidence: the test fails on the code before, with the tasks queued 20 s after the worker resumed.

--- a/src/hawthornpier/owner/_link.py
+++ b/src/hawthornpier/owner/_link.py
@@ -98,10 +98,12 @@
         self,
         link: 'WorkerLink',
         run: LeasedRun,
-        verdict: StartVerdict,
+        verdict: StartVerdict | None,
     ) -> None:
         """
         The run has not started and will never start.
+
+        *verdict* is the worker's, or None if the start has not reached it.
         """
         ...
 
@@ -233,8 +235,8 @@
         """
         Close the link until the worker has confirmed the epoch again.
 
-        Called when a request found the worker unreachable, so that no further
-        requests are sent to it.
+        Called when a request or a start found the worker unreachable, so that
+        no further ones are sent to it.
         """
         if self.state is LinkState.OPEN:
             self._close()
@@ -354,14 +356,15 @@
             self.refence()
             raise
         except WorkerError:
+            self.mark_unreachable()
             for run in runs:
-                self._refuse(run, StartVerdict.REFUSED_LEAVING)
+                self._refuse(run, None)
             raise
         for run, verdict in zip(runs, reply.verdicts, strict=True):
             if verdict is not StartVerdict.STARTED:
                 self._refuse(run, verdict)
 
-    def _refuse(self, run: LeasedRun, verdict: StartVerdict) -> None:
+    def _refuse(self, run: LeasedRun, verdict: StartVerdict | None) -> None:
         self.runs.pop(run.run_id, None)
         self._listener.on_start_refused(self, run, verdict)
 
@@ -461,7 +464,7 @@
                 task_id=start.task_id,
                 sent_ms=self._clock.monotonic_ms(),
             )
-            self._refuse(run, StartVerdict.REFUSED_LEAVING)
+            self._refuse(run, None)
 
     def _mark_lost_if_expired(self) -> None:
         if self.state is not LinkState.CLOSED:
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -325,7 +325,7 @@
         self,
         link: WorkerLink,
         run: LeasedRun,
-        verdict: StartVerdict,
+        verdict: StartVerdict | None,
     ) -> None:
         """
         Queue the task again; exclude the worker if it is leaving.
--- a/tests/test_owner_waiting.py
+++ b/tests/test_owner_waiting.py
@@ -50,3 +50,25 @@
             return await _job_states(harness, owner, 20_000)
 
         assert run_virtual(scenario()) == {TaskState.DONE}
+
+    def test_unsent_starts_do_not_mark_a_worker_as_leaving(self) -> None:
+        """
+        A worker that did not reply for some seconds gets work again.
+
+        Guards against starts that were never sent and count as refused by a
+        leaving worker, which excludes it for as long as the owner lives.
+        """
+
+        async def scenario() -> set[TaskState]:
+            harness = OwnerHarness(worker_count=1)
+            owner = await harness.new_owner()
+            worker = harness.workers['w0']
+            worker.apply_faults(WorkerFaults(is_paused=True))
+            await owner.submit_job('i', job_of(2))
+            await harness.clock.sleep_ms(2_500)
+            await owner.submit_job('j', job_of(2))
+            await harness.clock.sleep_ms(6_000)
+            worker.apply_faults(WorkerFaults())
+            return await _job_states(harness, owner, 20_000)
+
+        assert run_virtual(scenario()) == {TaskState.DONE}
