Let a limit hold back only the tasks that it concerns

Callers would see tasks of one member that wait without end beside free workers, while a task of another member waits for a limit: one with max_running_count 0, as an operator sets to stop a workload, stops all others whose tasks are as large, since the member that uses least is tried first.

Cause: a task that could not start added its demand to those that fit on no worker now, and tasks of other groups with that demand or a larger one were not tried. A limit was taken for such a lack of resources.

The limit is checked before, and says nothing about the demand.

Evidence: the test fails on the code before, nothing is placed.

--- a/src/hawthornpier/policy/_batch.py
+++ b/src/hawthornpier/policy/_batch.py
@@ -182,6 +182,9 @@
         demand = effective_demand(task.demand)
         if any(smaller.fits_in(demand) for smaller in unplaceable):
             return None
+        if self._binding_limit(task):
+            # Other members and workloads may start tasks of the same size.
+            return None
         decision = self._try_start(task, now_ms, budget)
         if decision is None:
             unplaceable.append(demand)
@@ -198,13 +201,8 @@
         """
         demand = effective_demand(task.demand)
         parts = self._parts
-        if parts.occupancy.shares.binding_limit(
-            task.member,
-            task.workload,
-            demand,
-        ):
+        if self._binding_limit(task):
             return None
-
         worker_id = parts.chooser.choose(
             demand,
             cost=partial(parts.costs.task_cost, task.workload, now_ms),
@@ -218,6 +216,13 @@
         self._short_task_reservation.start(task.task_id, now_ms)
         return PlaceTask(task_id=task.task_id, worker_id=worker_id)
 
+    def _binding_limit(self, task: TaskDemand) -> str:
+        return self._parts.occupancy.shares.binding_limit(
+            task.member,
+            task.workload,
+            effective_demand(task.demand),
+        )
+
     def _is_allowed(
         self,
         task: TaskDemand,
--- a/tests/test_policy_placement.py
+++ b/tests/test_policy_placement.py
@@ -117,6 +117,24 @@
         waits = {scheduler.explain(f'j/{number}') for number in range(4)}
         assert waits == {'', 'max_running_count of b is 2'}
 
+    def test_limit_does_not_hold_back_others(self) -> None:
+        """
+        A task that its limit holds back blocks no task of another member.
+
+        Guards against a limit that counts as a lack of resources, for which
+        tasks of the same size or larger need not be tried.
+        """
+        scheduler = make_scheduler(1)
+        scheduler.set_limits(
+            [
+                WorkloadLimits(name='b', member='a', max_running_count=0),
+            ]
+        )
+        scheduler.add_task(make_task('a/0', member='a'), 0)
+        scheduler.add_task(make_task('b/0', member='m'), 0)
+        placed = of_kind(scheduler.decide(1), PlaceTask)
+        assert [task.task_id for task in placed] == ['b/0']
+
     def test_large_task_does_not_block_small_ones(self) -> None:
         """
         A task that fits on no worker now does not block its workload.
