Repeat a task that has failed on every worker of its shard

Callers would see a task that waits without end after one failure, if no other worker of the shard can run it: it is neither started again nor given up after its three attempts. The tasks behind it in its queue wait too.

Cause: a task is never placed again on a worker on which it failed. Only a third worker would give it up, and the owner counts attempts that are made.

If every other worker that is large enough has failed the task or is in quarantine, the task may run again 30 s after its last failure there. Its attempts end it as before.

Evidence: the test fails on the code before, with the tasks queued 40 s after the worker recovered.

--- a/src/hawthornpier/policy/_batch.py
+++ b/src/hawthornpier/policy/_batch.py
@@ -236,10 +236,27 @@
         if is_reserve and health.is_healthy(worker_id):
             return False
         holder = self._parts.reserved_workers.get(worker_id, task.task_id)
-        return holder == task.task_id and health.allows_task(
-            worker_id,
-            task.task_id,
-            now_ms,
+        if holder != task.task_id:
+            return False
+        if not health.has_failed_on(task.task_id, worker_id):
+            return health.accepts_tasks(worker_id, now_ms)
+        return (
+            health.may_repeat(task.task_id, worker_id, now_ms)
+            and health.accepts_tasks(worker_id, now_ms)
+            and self._has_failed_everywhere(task)
+        )
+
+    def _has_failed_everywhere(self, task: TaskDemand) -> bool:
+        """
+        Return whether no other worker could run the task if it were free.
+        """
+        demand = effective_demand(task.demand)
+        health = self._parts.health
+        return all(
+            health.has_failed_on(task.task_id, account.info.worker_id)
+            or health.is_quarantined(account.info.worker_id)
+            for account in self._parts.occupancy.ledger.open_accounts()
+            if demand.fits_in(account.info.capacity)
         )
 
     def _release_reservation(self, task_id: str) -> None:
--- a/src/hawthornpier/policy/_health.py
+++ b/src/hawthornpier/policy/_health.py
@@ -24,6 +24,9 @@
 # First and longest ejection of an endpoint.
 _EJECT_MS = 5_000
 _MAX_EJECT_MS = 300_000
+# A task that has failed on every worker is tried again on one of them after
+# this time, in which a failing worker shows by the tasks of other jobs.
+_REPEAT_MS = 30_000
 # A worker that refuses a request is sent no other requests for this long.
 _REFUSAL_PAUSE_MS = 250
 
@@ -122,7 +125,8 @@
         self._is_enabled = choice is Health.QUARANTINE
         self._workers: dict[str, _WorkerRecord] = {}
         self._unusable: dict[str, None] = {}
-        self._failed_workers: dict[str, set[str]] = {}
+        # By task, when it last failed on each worker.
+        self._failed_workers: dict[str, dict[str, int]] = {}
         self._faulty_jobs: dict[str, None] = {}
         self._succeeded_jobs: dict[str, None] = {}
 
@@ -155,18 +159,36 @@
 
         A task is not placed again on a worker on which it failed.
         """
+        return self.accepts_tasks(worker_id, now_ms) and not self.has_failed_on(
+            task_id,
+            worker_id,
+        )
+
+    def accepts_tasks(self, worker_id: str, now_ms: int) -> bool:
+        """
+        Return whether the worker takes tasks, or a probe if quarantined.
+        """
         record = self._workers.get(worker_id)
         if record is None or not self._is_enabled:
             return True
-        if self.has_failed_on(task_id, worker_id):
-            return False
         return record.task_probation.allows(now_ms)
 
     def has_failed_on(self, task_id: str, worker_id: str) -> bool:
         """
         Return whether the task has failed on the worker.
         """
-        return worker_id in self._failed_workers.get(task_id, ())
+        return self._is_enabled and worker_id in self._failed_workers.get(
+            task_id, ()
+        )
+
+    def may_repeat(self, task_id: str, worker_id: str, now_ms: int) -> bool:
+        """
+        Return whether the task may run again on the worker it failed on.
+
+        Call this only if the task could run on no other worker.
+        """
+        failed_ms = self._failed_workers[task_id][worker_id]
+        return now_ms - failed_ms >= _REPEAT_MS
 
     def allows_request(self, worker_id: str, now_ms: int) -> bool:
         """
@@ -257,7 +279,7 @@
             record.failed_jobs.clear()
             record.task_probation.clear()
         if is_failed:
-            self._record_task_failure(record, worker_id, task_id)
+            self._record_task_failure(record, worker_id, task_id, now_ms)
             self._quarantine_if_failing(record, now_ms)
         self._update_unusable(worker_id, record)
 
@@ -324,13 +346,14 @@
         record: _WorkerRecord,
         worker_id: str,
         task_id: str,
+        now_ms: int,
     ) -> None:
         job_id = job_of(task_id)
         record.failed_jobs.add(job_id)
         if task_id not in self._failed_workers:
             _drop_oldest_if_full(self._failed_workers)
-            self._failed_workers[task_id] = set()
-        self._failed_workers[task_id].add(worker_id)
+            self._failed_workers[task_id] = {}
+        self._failed_workers[task_id][worker_id] = now_ms
         worker_count = self._healthy_worker_count(task_id)
         has_succeeded = job_id in self._succeeded_jobs
         if worker_count >= _FAULTY_TASK_WORKER_COUNT and not has_succeeded:
--- a/tests/test_owner_waiting.py
+++ b/tests/test_owner_waiting.py
@@ -72,3 +72,23 @@
             return await _job_states(harness, owner, 20_000)
 
         assert run_virtual(scenario()) == {TaskState.DONE}
+
+    def test_task_that_failed_on_every_worker_runs_again(self) -> None:
+        """
+        A task that failed on the only worker is repeated there.
+
+        Guards against tasks that wait without end for another worker, and are
+        not given up either.
+        """
+
+        async def scenario() -> set[TaskState]:
+            harness = OwnerHarness(worker_count=1)
+            owner = await harness.new_owner()
+            worker = harness.workers['w0']
+            worker.apply_faults(WorkerFaults(fails_all=True))
+            await owner.submit_job('j', job_of(2, work_ms=1_000))
+            await harness.clock.sleep_ms(2_000)
+            worker.apply_faults(WorkerFaults())
+            return await _job_states(harness, owner, 40_000)
+
+        assert run_virtual(scenario()) == {TaskState.DONE}
