Let a failed task hold back no other tasks

Callers would see tasks that wait beside free workers for as long as another worker is full: those of the same workload behind a task that has failed on each free worker, and all others with that demand or a larger one.

Cause: a failed task is not placed on the workers on which it failed. It stayed at the head of its group meanwhile, and its demand counted as one that fits on no worker now.

A task that has failed is a group of its own, and if it cannot start, that says nothing about other tasks of its demand.

Evidence: the test fails on the code before, nothing is placed.

--- a/src/hawthornpier/policy/_batch.py
+++ b/src/hawthornpier/policy/_batch.py
@@ -50,7 +50,10 @@
         """
         Queue a task.
         """
-        self._parts.tasks.push(task)
+        self._parts.tasks.push(
+            task,
+            is_separate=self._parts.health.has_failed(task.task_id),
+        )
         self._parts.sizes.add_task(task)
         self._unvalidated[task.task_id] = None
 
@@ -186,7 +189,7 @@
             # Other members and workloads may start tasks of the same size.
             return None
         decision = self._try_start(task, now_ms, budget)
-        if decision is None:
+        if decision is None and not self._parts.health.has_failed(task.task_id):
             unplaceable.append(demand)
         return decision
 
--- a/src/hawthornpier/policy/_health.py
+++ b/src/hawthornpier/policy/_health.py
@@ -173,6 +173,12 @@
             return True
         return record.task_probation.allows(now_ms)
 
+    def has_failed(self, task_id: str) -> bool:
+        """
+        Return whether the task has failed and may not run on every worker.
+        """
+        return self._is_enabled and task_id in self._failed_workers
+
     def has_failed_on(self, task_id: str, worker_id: str) -> bool:
         """
         Return whether the task has failed on the worker.
--- a/src/hawthornpier/policy/_task_queue.py
+++ b/src/hawthornpier/policy/_task_queue.py
@@ -14,7 +14,9 @@
 # level at four times the bound of the level before it.
 _FIRST_LEVEL_MS = 250
 
-GroupKey = tuple[str, str, Resources]
+# The member, the workload, the demand, and the id of the task if it is a group
+# of its own.
+GroupKey = tuple[str, str, Resources, str]
 
 # A heap is rebuilt when more than this many of its entries, and more than half
 # of them, belong to tasks that were removed from the queue.
@@ -39,6 +41,7 @@
     def __init__(self, *, order: QueueOrder) -> None:
         self._order = order
         self._tasks: dict[str, tuple[int, TaskDemand]] = {}
+        self._separate: dict[str, None] = {}
         self._groups: dict[GroupKey, list[tuple[int, int, str]]] = {}
         self._sequence = itertools.count()
         self._counts: dict[GroupKey, int] = {}
@@ -50,11 +53,16 @@
     def __contains__(self, task_id: str) -> bool:
         return task_id in self._tasks
 
-    def push(self, task: TaskDemand) -> None:
+    def push(self, task: TaskDemand, *, is_separate: bool = False) -> None:
         """
         Queue a task, in place of a queued one with the same id.
+
+        A *separate* task forms a group of its own, so that it blocks no other
+        one if no worker may run it.
         """
         self.discard(task.task_id)
+        if is_separate:
+            self._separate[task.task_id] = None
         sequence = next(self._sequence)
         self._tasks[task.task_id] = (sequence, task)
         if task.is_urgent:
@@ -80,6 +88,7 @@
             self._urgent.pop(task_id)
         else:
             self._counts[self._key(entry[1])] -= 1
+        self._separate.pop(task_id, None)
 
     def get(self, task_id: str) -> TaskDemand | None:
         """
@@ -133,5 +142,6 @@
 
     def _key(self, task: TaskDemand) -> GroupKey:
         if self._order is QueueOrder.FIFO:
-            return ('', '', Resources())
-        return (task.member, task.workload, task.demand)
+            return ('', '', Resources(), '')
+        group_id = task.task_id if task.task_id in self._separate else ''
+        return (task.member, task.workload, task.demand, group_id)
--- a/tests/test_policy_health.py
+++ b/tests/test_policy_health.py
@@ -170,3 +170,25 @@
         scheduler.add_request(make_request('late'), 2)
         assert not of_kind(scheduler.decide(2), EvictTask)
         assert of_kind(scheduler.decide(5_000), PlaceRequest)
+
+    def test_failed_task_holds_back_no_others(self) -> None:
+        """
+        Tasks start on a worker on which another task failed.
+
+        Guards against a failed task that counts as too large for all workers,
+        or keeps its place before the other tasks of its workload.
+        """
+        scheduler = make_scheduler(2, 1)
+        scheduler.add_task(make_task('j/0'), 0)
+        scheduler.decide(0)
+        scheduler.add_task(make_task('long/0', workload='c'), 1)
+        scheduler.decide(1)
+        scheduler.end_task('j/0', TaskResult.FAILED, 2)
+        for task_id in ('j/0', 'j/1'):
+            scheduler.add_task(make_task(task_id), 3)
+        placed = of_kind(scheduler.decide(4), PlaceTask)
+        assert [task.task_id for task in placed] == ['j/1']
+        scheduler.end_task('j/1', TaskResult.DONE, 5)
+        scheduler.add_task(make_task('z/0', workload='z'), 6)
+        placed = of_kind(scheduler.decide(7), PlaceTask)
+        assert [task.task_id for task in placed] == ['z/0']
