--- a/src/hawthornpier/policy/_batch.py
+++ b/src/hawthornpier/policy/_batch.py
@@ -12,7 +12,7 @@
     RejectTask,
     TaskDemand,
 )
-from hawthornpier.policy._headroom import ServiceHeadroom
+from hawthornpier.policy._headroom import BatchBudget, ServiceHeadroom
 from hawthornpier.policy._ledger import WorkerAccount, effective_demand
 from hawthornpier.policy._parts import ShardParts
 from hawthornpier.policy._short_tasks import ShortTaskReservation
@@ -50,7 +50,10 @@
         """
         Queue a task.
         """
-        self._parts.tasks.push(task)
+        self._parts.tasks.push(
+            task,
+            is_separate=self._parts.health.has_failed(task.task_id),
+        )
         self._parts.sizes.add_task(task)
         self._unvalidated[task.task_id] = None
 
@@ -129,20 +132,27 @@
         self._short_task_reservation.update(heads, now_ms)
         budget = self._headroom.batch_budget()
         heap = []
-        if budget > 0:
+        if budget.total_count > 0:
             heap = [self._heap_entry(key, task) for key, task in heads]
         heapq.heapify(heap)
-        while heap and budget > 0:
+        while heap and budget.total_count > 0:
             key = heapq.heappop(heap)[-1]
-            decision = self._start_head(key, unplaceable, now_ms)
+            decision = self._start_head(key, unplaceable, budget, now_ms)
             if decision is None:
                 continue
             decisions.append(decision)
-            budget -= isinstance(decision, PlaceTask)
+            if isinstance(decision, PlaceTask):
+                budget = budget.use(
+                    is_healthy=self._parts.health.is_healthy(
+                        decision.worker_id,
+                    ),
+                )
             head = self._parts.tasks.head(key)
             if head is not None:
                 heapq.heappush(heap, self._heap_entry(key, head))
-        if budget <= 0:
+        if budget.total_count <= 0 or (
+            budget.healthy_count <= 0 and not decisions
+        ):
             decisions.extend(self._short_task_reservation.evict_excess(now_ms))
         return decisions
 
@@ -162,6 +172,7 @@
         self,
         key: GroupKey,
         unplaceable: list[Resources],
+        budget: BatchBudget,
         now_ms: int,
     ) -> Decision | None:
         task = self._parts.tasks.head(key)
@@ -174,25 +185,31 @@
         demand = effective_demand(task.demand)
         if any(smaller.fits_in(demand) for smaller in unplaceable):
             return None
-        decision = self._try_start(task, now_ms)
-        if decision is None:
+        if self._binding_limit(task):
+            # Other members and workloads may start tasks of the same size.
+            return None
+        decision = self._try_start(task, now_ms, budget)
+        if decision is None and not self._parts.health.has_failed(task.task_id):
             unplaceable.append(demand)
         return decision
 
-    def _try_start(self, task: TaskDemand, now_ms: int) -> PlaceTask | None:
+    def _try_start(
+        self,
+        task: TaskDemand,
+        now_ms: int,
+        budget: BatchBudget | None = None,
+    ) -> PlaceTask | None:
+        """
+        Place a task, within *budget* unless it is None.
+        """
         demand = effective_demand(task.demand)
         parts = self._parts
-        if parts.occupancy.shares.binding_limit(
-            task.member,
-            task.workload,
-            demand,
-        ):
+        if self._binding_limit(task):
             return None
-
         worker_id = parts.chooser.choose(
             demand,
             cost=partial(parts.costs.task_cost, task.workload, now_ms),
-            is_allowed=partial(self._is_allowed, task, now_ms),
+            is_allowed=partial(self._is_allowed, task, budget, now_ms),
         )
         if worker_id is None:
             return None
@@ -202,18 +219,47 @@
         self._short_task_reservation.start(task.task_id, now_ms)
         return PlaceTask(task_id=task.task_id, worker_id=worker_id)
 
+    def _binding_limit(self, task: TaskDemand) -> str:
+        return self._parts.occupancy.shares.binding_limit(
+            task.member,
+            task.workload,
+            effective_demand(task.demand),
+        )
+
     def _is_allowed(
         self,
         task: TaskDemand,
+        budget: BatchBudget | None,
         now_ms: int,
         account: WorkerAccount,
     ) -> bool:
         worker_id = account.info.worker_id
+        health = self._parts.health
+        is_reserve = budget is not None and budget.healthy_count <= 0
+        if is_reserve and health.is_healthy(worker_id):
+            return False
         holder = self._parts.reserved_workers.get(worker_id, task.task_id)
-        return holder == task.task_id and self._parts.health.allows_task(
-            worker_id,
-            task.task_id,
-            now_ms,
+        if holder != task.task_id:
+            return False
+        if not health.has_failed_on(task.task_id, worker_id):
+            return health.accepts_tasks(worker_id, now_ms)
+        return (
+            health.may_repeat(task.task_id, worker_id, now_ms)
+            and health.accepts_tasks(worker_id, now_ms)
+            and self._has_failed_everywhere(task)
+        )
+
+    def _has_failed_everywhere(self, task: TaskDemand) -> bool:
+        """
+        Return whether no other worker could run the task if it were free.
+        """
+        demand = effective_demand(task.demand)
+        health = self._parts.health
+        return all(
+            health.has_failed_on(task.task_id, account.info.worker_id)
+            or health.is_quarantined(account.info.worker_id)
+            for account in self._parts.occupancy.ledger.open_accounts()
+            if demand.fits_in(account.info.capacity)
         )
 
     def _release_reservation(self, task_id: str) -> None:
--- a/tests/test_policy_health.py
+++ b/tests/test_policy_health.py
@@ -13,6 +13,7 @@
 
 from hawthornpier.messages import TaskResult
 from hawthornpier.policy import (
+    EvictTask,
     PlaceRequest,
     PlaceTask,
     RejectTask,
@@ -137,3 +138,57 @@
             result = RequestResult.FAILED if is_bad else RequestResult.ANSWERED
             scheduler.end_request(request.request_id, result, 10, now_ms)
         assert 5 < failed < 15
+
+    def test_shard_without_healthy_worker_runs_tasks(self) -> None:
+        """
+        The only worker is probed when its quarantine ends.
+
+        Guards against a quarantine that never ends, because the slots of the
+        workers that could be probed do not count.
+        """
+        scheduler = make_scheduler(1)
+        for number in range(5):
+            assert run_task(scheduler, f'j{number}/0', 0) == 'w0'
+        scheduler.add_task(make_task('k/0'), 1)
+        assert not of_kind(scheduler.decide(29_000), PlaceTask)
+        assert 'in quarantine' in scheduler.explain('k/0')
+        assert of_kind(scheduler.decide(30_000), PlaceTask)
+
+    def test_requests_do_not_evict_from_ejected_endpoints(self) -> None:
+        """
+        Tasks keep running on a worker that takes no requests.
+
+        Guards against evictions that free no slot for the waiting requests.
+        """
+        scheduler = make_scheduler(1, 8)
+        for number in range(5):
+            scheduler.add_request(make_request(f'r{number}'), 0)
+            scheduler.decide(0)
+            scheduler.end_request(f'r{number}', RequestResult.FAILED, 10, 0)
+        scheduler.add_task(make_task('j/0'), 1)
+        assert of_kind(scheduler.decide(1), PlaceTask)
+        scheduler.add_request(make_request('late'), 2)
+        assert not of_kind(scheduler.decide(2), EvictTask)
+        assert of_kind(scheduler.decide(5_000), PlaceRequest)
+
+    def test_failed_task_holds_back_no_others(self) -> None:
+        """
+        Tasks start on a worker on which another task failed.
+
+        Guards against a failed task that counts as too large for all workers,
+        or keeps its place before the other tasks of its workload.
+        """
+        scheduler = make_scheduler(2, 1)
+        scheduler.add_task(make_task('j/0'), 0)
+        scheduler.decide(0)
+        scheduler.add_task(make_task('long/0', workload='c'), 1)
+        scheduler.decide(1)
+        scheduler.end_task('j/0', TaskResult.FAILED, 2)
+        for task_id in ('j/0', 'j/1'):
+            scheduler.add_task(make_task(task_id), 3)
+        placed = of_kind(scheduler.decide(4), PlaceTask)
+        assert [task.task_id for task in placed] == ['j/1']
+        scheduler.end_task('j/1', TaskResult.DONE, 5)
+        scheduler.add_task(make_task('z/0', workload='z'), 6)
+        placed = of_kind(scheduler.decide(7), PlaceTask)
+        assert [task.task_id for task in placed] == ['z/0']
