Let the soak judge the budget of attempts

The checker of the simulated installation did not know how many runs of a task may fail, and no simulated task failed by its own fault. Now it judges every start: none after as many failed runs as the job's limit, or after the task was complete, if these ends are acknowledged then or later before the lease of their worker lapses. The stand-in worker fails runs by the task's own fault and loses replies to requests that take effect. A second soak fails tasks up to three times under limits of one to three attempts, while owners are killed, frozen or parted from the store, workers restart and replies are lost.

--- a/src/hawthornpier_standin/fleet/__init__.py
+++ b/src/hawthornpier_standin/fleet/__init__.py
@@ -11,12 +11,9 @@
     store_application,
     worker_application,
 )
-from hawthornpier_standin.fleet._worker import (
-    StandinFleetWorker,
-    TaskModel,
-    WorkerFault,
-)
+from hawthornpier_standin.fleet._worker import StandinFleetWorker
 from hawthornpier_standin.fleet._worker_client import StandinWorkerClient
+from hawthornpier_standin.fleet._worker_model import TaskModel, WorkerFault
 
 __all__ = [
     'StandinFleetWorker',
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import enum
 import itertools
 from collections.abc import Callable
 
@@ -20,56 +19,13 @@
 )
 from hawthornpier.ports import Clock
 from hawthornpier.steps import RunOutcome
+from hawthornpier_standin.fleet._worker_model import TaskModel, WorkerFault
 
 TICK_MS = 10.0
 _STOP_MS = 40.0
 _LONG_RUNNING_STARTUP_MS = 300.0
 
 
-class WorkerFault(enum.StrEnum):
-    """
-    A fault of a worker or of the connection to it.
-    """
-
-    NONE = ''
-    # Requests have no effect and get no reply; the runs continue until the
-    # lease expires.
-    PARTITIONED = 'cut'
-    # Requests have no effect, and their connections are reset at once.
-    RESET = 'reset'
-    # Every run that completes its work fails.
-    FAIL_ALL = 'fail_all'
-    # Runs make no progress.
-    STALLED = 'stand_still'
-    # Starts are rejected as UNHEALTHY.
-    REFUSE = 'refuse'
-    # Starts get no reply and take effect after `late_delay_ms`.
-    START_LATE = 'start_late'
-    # The worker crashes as a start arrives, and does not execute it.
-    CRASH = 'crash'
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class TaskModel:
-    """
-    The simulated behaviour of a task.
-
-    *is_lasting* marks a long-running task and *is_filling* a best-effort one.
-    If *crashes_worker* is set, the worker crashes once the task has run for
-    *work_ms*.
-    """
-
-    work_ms: float
-    crashes_worker: bool = False
-    is_lasting: bool = False
-    processor_millis: int = 1_000
-    # Determines which best-effort tasks interfere with a long-running one.
-    image: str = ''
-    # Tail latency of a long-running task without interference.
-    tail_ms: int = 0
-    is_filling: bool = False
-
-
 class _Run:
     """
     A run that has not ended.
@@ -106,8 +62,8 @@
         on_run_event: Called with the name of an event, the task key, the
             attempt and the worker id.  The event is ``started``, the outcome
             of a run that ended, or ``noted`` if the owner has acknowledged the
-            end.  For ``noted``, the last argument is the outcome instead of
-            the worker id.
+            end; ``noted_late`` if the worker's lease lapsed in between.  For
+            these, the last argument is the outcome instead of the worker id.
         on_crash: Called when a task has crashed the worker.
     """
 
@@ -142,6 +98,9 @@
         self.ended_runs: list[EndedRun] = []
         self.highest_attempts: dict[str, int] = {}
         self._numbers = itertools.count(1)
+        # The last ended run that had not been acknowledged when the lease
+        # lapsed.
+        self._lapsed_number = 0
         self._origin_ms = clock.monotonic_ms()
 
     async def run(self) -> None:
@@ -196,6 +155,7 @@
         self.ended_runs.clear()
         self.highest_attempts.clear()
         self._numbers = itertools.count(1)
+        self._lapsed_number = 0
         self._origin_ms = self._clock.monotonic_ms()
 
     @property
@@ -218,7 +178,9 @@
         acknowledged = renewal.acknowledged_number
         while self.ended_runs and self.ended_runs[0].number <= acknowledged:
             end = self.ended_runs.pop(0)
-            self._on_run('noted', end.task_key, end.attempt, end.kind)
+            is_late = end.number <= self._lapsed_number
+            what = 'noted_late' if is_late else 'noted'
+            self._on_run(what, end.task_key, end.attempt, end.kind)
         return self.listing()
 
     def listing(self) -> WorkerListing:
@@ -324,7 +286,7 @@
         return used + model.processor_millis <= self.entry.processor_millis
 
     def _tick(self) -> None:
-        is_expired = self.clock_ms > self.deadline_ms
+        is_expired = self._has_lease_lapsed()
         for key, run in list(self.runs.items()):
             if is_expired:
                 self._end(key, RunOutcome.LAPSED)
@@ -335,6 +297,12 @@
             elif self.fault is not WorkerFault.STALLED:
                 self._work(key, run)
 
+    def _has_lease_lapsed(self) -> bool:
+        is_expired = self.clock_ms > self.deadline_ms
+        if is_expired and self.ended_runs:
+            self._lapsed_number = self.ended_runs[-1].number
+        return is_expired
+
     def _work(self, key: tuple[str, int], run: _Run) -> None:
         if key not in self.runs:
             # Another run has just crashed the worker.
@@ -347,7 +315,7 @@
             return
         if run.model.is_lasting:
             return
-        is_bad = self.fault is WorkerFault.FAIL_ALL
+        is_bad = run.model.fails or self.fault is WorkerFault.FAIL_ALL
         self._end(key, RunOutcome.FAILED if is_bad else RunOutcome.DONE)
 
     def _end(self, key: tuple[str, int], kind: RunOutcome) -> None:
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -13,11 +13,8 @@
     WorkerListing,
 )
 from hawthornpier.ports import WorkerReplyLostError, WorkerUnreachableError
-from hawthornpier_standin.fleet._worker import (
-    TICK_MS,
-    StandinFleetWorker,
-    WorkerFault,
-)
+from hawthornpier_standin.fleet._worker import TICK_MS, StandinFleetWorker
+from hawthornpier_standin.fleet._worker_model import WorkerFault
 
 _REPLY_DELAY_MS = 1.0
 _TIMEOUT_MS = 700.0
@@ -56,6 +53,7 @@
             await asyncio.sleep(TICK_MS / 1000)
             await self._raise_if_unreachable()
             reply = self._worker.listing()
+        await self._raise_if_reply_is_lost()
         return reply
 
     async def start(self, order: StartOrder) -> OrderReply:
@@ -73,7 +71,9 @@
             self._worker.start_late(order)
             await asyncio.sleep(_TIMEOUT_MS / 1000)
             raise WorkerReplyLostError('the worker did not reply in time')
-        return self._worker.start(order)
+        reply = self._worker.start(order)
+        await self._raise_if_reply_is_lost()
+        return reply
 
     async def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
         """
@@ -81,7 +81,9 @@
         """
         if not await self._begin_call():
             return _OTHER_INCARNATION
-        return self._worker.stop(task_key, attempt, epoch)
+        reply = self._worker.stop(task_key, attempt, epoch)
+        await self._raise_if_reply_is_lost()
+        return reply
 
     async def pace(
         self,
@@ -120,6 +122,11 @@
             )
         return True
 
+    async def _raise_if_reply_is_lost(self) -> None:
+        if self._worker.fault is WorkerFault.LOSE_REPLIES:
+            await asyncio.sleep(_TIMEOUT_MS / 1000)
+            raise WorkerReplyLostError('the reply was lost')
+
     async def _raise_if_unreachable(self) -> None:
         if self._worker.fault is WorkerFault.RESET:
             raise WorkerReplyLostError('the connection was reset')
--- a/tests/fleet_connections.py
+++ b/tests/fleet_connections.py
@@ -11,6 +11,38 @@
 from hawthornpier.steps import JobPlan
 
 
+async def thaw(node):
+    """
+    Return once a process is not frozen.
+    """
+    while node.is_frozen:
+        await asyncio.sleep(0.01)
+
+
+class FreezableClient:
+    """
+    A client of a process; its calls and replies wait while that is frozen.
+
+    The process is the only item of *node_box*, once it has been created.
+    """
+
+    def __init__(self, node_box, client):
+        self._node_box = node_box
+        self._client = client
+
+    def __getattr__(self, name):
+        method = getattr(self._client, name)
+
+        async def call(*arguments, **options):
+            await thaw(self._node_box[0])
+            try:
+                return await method(*arguments, **options)
+            finally:
+                await thaw(self._node_box[0])
+
+        return call
+
+
 class LocalPeer:
     """
     Implements `FleetPeer` by direct calls to another simulated process.
@@ -70,9 +102,11 @@
         """
 
     async def _reach(self):
-        await asyncio.sleep(0.001)
+        await asyncio.sleep(self._world.peer_delay_s)
+        await thaw(self._origin)
         node = self._world.nodes.get(self.card.address)
-        if node is None or node.is_partitioned or self._origin.is_partitioned:
+        is_silent = node is None or node.is_frozen or node.is_partitioned
+        if is_silent or self._origin.is_partitioned:
             await asyncio.sleep(self._world.peer_timeout_s)
             raise PeerUnreachableError('timed out')
         if node.is_dead:
@@ -110,10 +144,14 @@
         method = getattr(self._client, name)
 
         async def call(*arguments):
+            await thaw(self._node)
             if self._node.is_partitioned != self._is_beside():
                 await asyncio.sleep(0.7)
                 raise WorkerReplyLostError('timed out')
-            return await method(*arguments)
+            try:
+                return await method(*arguments)
+            finally:
+                await thaw(self._node)
 
         return call
 
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -10,27 +10,22 @@
 
 import msgspec
 from fleet_connections import (
+    FreezableClient,
     LocalPeer,
     LocalRelaySocket,
     PartitionedWorkerClient,
 )
+from fleet_rows import QUEUE, RegistryDecoder, decode_configuration
 from run_checker import RunChecker
 from virtual_time import VirtualClock
 
 from hawthornpier import fleet
 from hawthornpier.events import DecisionLog
 from hawthornpier.ports import PeerUnreachableError
-from hawthornpier.steps import JobPlan, QueuePolicy, StepPlan
+from hawthornpier.steps import JobPhase, JobPlan, StepPlan
 from hawthornpier_standin import fleet as standin
 
 REGISTRY = 'registry'
-QUEUE = QueuePolicy(
-    name='orders',
-    service='desk',
-    max_attempts=3,
-    slack_factor=1.5,
-    objective_ms=400,
-)
 HEARTBEAT_MS = 1_500
 # The registry drops the entry of a worker that has sent no heartbeat for this
 # long.
@@ -58,6 +53,7 @@
         self.clock = VirtualClock()
         # After how long a call to a peer that does not respond fails.
         self.peer_timeout_s = 0.4
+        self.peer_delay_s = 0.001
         # After how long a worker that a task has crashed starts again, and
         # whether it keeps its id.
         self.restart_delay_ms = 3_000
@@ -69,6 +65,8 @@
         self.nodes = {}
         self.clients = {}
         self.models = {}
+        # By task, how many of its runs fail by their own fault.
+        self.failures = {}
         self.log_lines = []
         self.workers = {}
         # Workers that send no heartbeats.
@@ -171,8 +169,8 @@
         log = DecisionLog(name, lines_per_s=10**6)
         log.record = self._record
         context = fleet.FleetContext(
-            store=client,
-            decoder=_Decoder(),
+            store=FreezableClient(node_box, client),
+            decoder=RegistryDecoder(),
             dial=lambda entry: PartitionedWorkerClient(
                 node_box[0],
                 standin.StandinWorkerClient(
@@ -205,7 +203,7 @@
             configuration=fleet.ConfigurationSource(
                 table='op',
                 key='config',
-                decode=_decode_configuration,
+                decode=decode_configuration,
             ),
         )
         node_box.append(node)
@@ -240,15 +238,26 @@
     def model_of(self, task_key):
         job_id, _, step, _ = task_key.split('.')
         model = self.models[job_id][int(step)]
+        if self.checker.failed_count(task_key) < self.failures.get(task_key, 0):
+            return dataclasses.replace(model, fails=True)
         if task_key in self.checker.crashing_tasks:
             return dataclasses.replace(model, crashes_worker=True, work_ms=10)
         return model
 
-    def plan(self, *steps, work_ms=200, crashing_tasks=(), **options):
+    def plan(
+        self,
+        *steps,
+        work_ms=200,
+        crashing_tasks=(),
+        failures=(),
+        max_attempts=QUEUE.max_attempts,
+        **options,
+    ):
         """
         Return a job; *crashing_tasks* crash each worker that starts them.
 
-        They are given as (step, index).
+        They are given as (step, index); *failures* are given as (step, index)
+        and the number of runs that fail.
         """
         job_id = f'{len(self.models):016x}'
         plans = steps or (StepPlan(task_count=4, processor_millis=1_000),)
@@ -266,13 +275,19 @@
         self.checker.crashing_tasks.update(
             f'{job_id}.0.{step}.{index}' for step, index in crashing_tasks
         )
+        self.failures.update(
+            (f'{job_id}.0.{step}.{index}', count)
+            for (step, index), count in failures
+        )
+        if not any(step.is_lasting for step in plans):
+            self.checker.max_attempts[job_id] = max_attempts
         if any(step.may_run_copies for step in plans):
             self.checker.speculative_jobs.add(job_id)
         return JobPlan(
             job_id=job_id,
             payload='payload',
             steps=plans,
-            queue=QUEUE,
+            queue=dataclasses.replace(QUEUE, max_attempts=max_attempts),
             submitted_ms=self.clock.wall_ms(),
             **options,
         )
@@ -296,7 +311,8 @@
         return any(logged == kind for _, logged, _ in self.log_lines)
 
     async def wait_phase(self, job_id, expected, *, limit_ms=20_000):
-        phases = expected if isinstance(expected, set) else {expected}
+        is_one = isinstance(expected, JobPhase)
+        phases = {expected} if is_one else expected
         end_s = asyncio.get_running_loop().time() + limit_ms / 1000
         while asyncio.get_running_loop().time() < end_s:
             node = self.any_node()
@@ -360,38 +376,3 @@
                         msgspec.json.encode(worker.entry),
                     )
             await asyncio.sleep(HEARTBEAT_MS / 1000)
-
-
-class _Decoder:
-    """
-    Decodes the rows of the simulated registry.
-    """
-
-    def workers(self, rows):
-        return [
-            msgspec.json.decode(row.content, type=fleet.WorkerEntry)
-            for row in rows
-            if not row.is_deleted
-        ]
-
-
-def _decode_configuration(content):
-    document = msgspec.json.decode(content)
-    return fleet.Configuration(
-        version=document['version'],
-        unguarded_services=frozenset(document['unguarded']),
-        routes=tuple(
-            fleet.QueueRoute(
-                host='host',
-                path_prefix=f'/{name}/',
-                policy=QueuePolicy(
-                    name=name,
-                    service='desk',
-                    max_attempts=QUEUE.max_attempts,
-                    slack_factor=QUEUE.slack_factor,
-                    objective_ms=QUEUE.objective_ms,
-                ),
-            )
-            for name in document['queues']
-        ),
-    )
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -22,6 +22,7 @@
 FAULTY_MS = 18_000
 # All accepted jobs complete within this time after the last fault has ended.
 SETTLE_MS = 90_000
+ENDED = frozenset((JobPhase.COMPLETED, JobPhase.FAILED))
 STEPS = (
     StepPlan(task_count=5, processor_millis=1_000),
     StepPlan(task_count=3, processor_millis=2_000, after=(0,)),
@@ -69,10 +70,9 @@
         callers.cancel()
         for job_id in self.accepted:
             if job_id not in self.cancelled:
+                await self.world.wait_phase(job_id, ENDED, limit_ms=SETTLE_MS)
                 await self.world.wait_phase(
-                    job_id,
-                    self._expected_phases(job_id),
-                    limit_ms=SETTLE_MS,
+                    job_id, self._expected_phases(job_id), limit_ms=1_000
                 )
         ran = {task.partition('.')[0] for task in self.world.checker.done}
         assert not ran.intersection(self.refused)
@@ -88,7 +88,7 @@
             if task.startswith(job_id)
         ]
         if max(crash_counts, default=0) > 1:
-            return {JobPhase.COMPLETED, JobPhase.FAILED}
+            return ENDED
         return {JobPhase.COMPLETED}
 
     async def _call_forever(self):
@@ -98,15 +98,12 @@
 
     async def _call(self):
         running = [
-            node for node in self.world.nodes.values() if not node.is_dead
+            node
+            for node in self.world.nodes.values()
+            if not node.is_dead and not node.is_frozen
         ]
         entry = self.rng.choice(running).entry
-        crashes = not self.rng.randrange(12)
-        plan = self.world.plan(
-            *STEPS,
-            work_ms=self.rng.randint(100, 5_000),
-            crashing_tasks=((0, 0),) if crashes else (),
-        )
+        plan = self._plan()
         try:
             await entry.submit(plan)
             self.accepted.append(plan.job_id)
@@ -121,6 +118,14 @@
         except (fleet.OutcomeUnknownError, fleet.UnknownJobError):
             return
 
+    def _plan(self):
+        crashes = not self.rng.randrange(12)
+        return self.world.plan(
+            *STEPS,
+            work_ms=self.rng.randint(100, 5_000),
+            crashing_tasks=((0, 0),) if crashes else (),
+        )
+
     async def _kill_node(self):
         await self._restart(self.rng.choice(list(self.world.nodes)))
 
@@ -199,6 +204,78 @@
             worker.restart()
 
 
+class _BudgetSoak(_Soak):
+    """
+    A soak whose jobs fail, and whose owners change while their tasks end.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.world.peer_delay_s = self.rng.choice((0.001, 0.02, 0.2))
+        self.actions += (
+            self._kill_owner,
+            self._freeze_owner,
+            self._freeze_owner,
+            self._cut_owner,
+            self._cut_owner,
+            self._lose_replies,
+            self._lose_replies,
+            self._restart_worker,
+        )
+
+    def _plan(self):
+        return self.world.plan(
+            *STEPS,
+            work_ms=self.rng.choice((10, 100, 700, 3_000)),
+            failures=[
+                ((0, index), self.rng.randint(0, 3))
+                for index in range(STEPS[0].task_count)
+                if not self.rng.randrange(3)
+            ],
+            max_attempts=self.rng.randint(1, 3),
+        )
+
+    def _expected_phases(self, job_id):
+        # A failure counts unless its worker was lost before it was listed.
+        checker = self.world.checker
+        limit = checker.max_attempts[job_id]
+        tasks = [task for task in checker.ended if task.startswith(job_id)]
+        if any(checker.noted_failures(task) >= limit for task in tasks):
+            return {JobPhase.FAILED}
+        if any(checker.failed_count(task) >= limit for task in tasks):
+            return ENDED
+        return super()._expected_phases(job_id)
+
+    async def _freeze_owner(self):
+        owner = self.world.owner()
+        if owner is not None:
+            owner.is_frozen = True
+            await self.world.run_for(self.rng.randint(100, 5_000))
+            owner.is_frozen = False
+
+    async def _cut_owner(self):
+        owner = self.world.owner()
+        if owner is not None:
+            owner.client.fault = self.rng.choice(list(StoreFault))
+            await self.world.run_for(self.rng.randint(100, 5_000))
+            owner.client.fault = StoreFault.NONE
+
+    async def _lose_replies(self):
+        workers = list(self.world.workers.values())
+        faulty = self.rng.sample(workers, self.rng.randint(1, len(workers)))
+        for worker in faulty:
+            worker.fault = WorkerFault.LOSE_REPLIES
+        await self.world.run_for(self.rng.randint(50, 3_000))
+        for worker in faulty:
+            worker.fault = WorkerFault.NONE
+
+    async def _restart_worker(self):
+        worker = self.rng.choice(list(self.world.workers.values()))
+        if worker.is_up:
+            worker.crash()
+            worker.restart()
+
+
 class TestFaultsTogether:
     """
     No task runs twice, accepted jobs complete, and rejected ones do not run.
@@ -215,9 +292,22 @@
         Processes, workers and the store fail at random for `FAULTY_MS`, with
         several faults at a time, while callers submit and cancel jobs.
         """
-        run_virtual(_soak(seed))
+        run_virtual(_soak(_Soak, seed))
+
+    @pytest.mark.parametrize(
+        'seed',
+        range(FIRST_SEED, FIRST_SEED + SEED_COUNT),
+    )
+    def test_failing_tasks(self, seed):
+        """
+        Guards against a task that runs more often than its attempts allow.
+
+        Owners are killed, frozen or parted from the store, and the replies of
+        workers are lost, while runs fail.
+        """
+        run_virtual(_soak(_BudgetSoak, seed))
 
 
-async def _soak(seed):
+async def _soak(kind, seed):
     # The world starts tasks when it is created, which needs a running loop.
-    await _Soak(seed).run()
+    await kind(seed).run()
