End a job by what the handover and the listings show together

Callers would see a job that stays `running` for good although all its tasks are complete, and a task that is started again after its last failed attempt.

The end of a job was only determined as a run ended. A new owner that had listings of some workers before the reply of the previous owner merged the two, and did not look whether the job had ended by both. If the worker with the other ends was lost or not listed yet, nothing else would tell it.

Now the merge of a handover determines the end, too.

--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -276,16 +276,7 @@
         self.dirty.add(job.plan.job_id)
         if task.is_done:
             self._stop_copies(task)
-        if update_end_phase(job, self.now_ms):
-            self.log.record(
-                'job_ended',
-                job=job.plan.job_id,
-                phase=job.end_phase,
-                duration_ms=int(self.now_ms - job.accepted_ms),
-                objective_ms=int(self.durations.objective_ms(job)),
-                queue=job.plan.queue.name,
-            )
-            self._stop_all(job, 'job has ended')
+        self._end_job_if_due(job)
         self.wake.set()
 
     def _restore_handover_progress(self, job: Job, progress: bytes) -> None:
@@ -303,6 +294,20 @@
         for task in job.tasks():
             if task.is_done:
                 self._stop_copies(task)
+        # Workers may have listed further ends to this owner before.
+        self._end_job_if_due(job)
+
+    def _end_job_if_due(self, job: Job) -> None:
+        if update_end_phase(job, self.now_ms):
+            self.log.record(
+                'job_ended',
+                job=job.plan.job_id,
+                phase=job.end_phase,
+                duration_ms=int(self.now_ms - job.accepted_ms),
+                objective_ms=int(self.durations.objective_ms(job)),
+                queue=job.plan.queue.name,
+            )
+            self._stop_all(job, 'job has ended')
 
     def _stop_copies(self, task: Task) -> None:
         # The members of a gang end together without an order.
