Apply the ends behind one of a job that is not known yet

Callers would see a task run again, although it was complete or had used up its attempts: two runs of an order.

A worker lists its ended runs in the order of their ends. At the first one of a job that the owner had not read from the store yet, the rest of the list was put off, so that a higher number would not be acknowledged. But the worker counted as listed, and the runs whose ends were put off as lost, so that their tasks were free to start. A new owner meets such a list if the previous one, which did not know yet that it was replaced, started a job that was accepted after the new one had loaded the shard: up to 400 ms, until the new one reads the store again.

Now all ends are applied, and only the acknowledgement waits. A failure that is listed again is not recorded again.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -58,13 +58,7 @@
         worker.synchronize(listing.clock_ms, now_ms)
         worker.changed_ms = now_ms
         clear_suspicions(self._shard, worker)
-        for ended_run in listing.ended:
-            if ended_run.number <= worker.processed_number:
-                continue
-            if not self._apply_ended_run(worker, ended_run, now_ms):
-                # Acknowledging a higher number would acknowledge this one too.
-                break
-            worker.processed_number = ended_run.number
+        self._apply_ended_runs(worker, listing.ended, now_ms)
         listed = set()
         for row in listing.running:
             listed.add((row.task_key, row.attempt))
@@ -82,6 +76,27 @@
             interference.learn(worker, now_ms)
             control_throttling(worker, interference, self._actions, now_ms)
 
+    def _apply_ended_runs(
+        self,
+        worker: WorkerState,
+        rows: tuple[EndedRun, ...],
+        now_ms: float,
+    ) -> None:
+        """
+        Apply the ends that are new, also those after one that must wait.
+
+        Their tasks would be started again otherwise.  But acknowledging their
+        numbers would acknowledge the one that must wait, too.
+        """
+        may_acknowledge = True
+        for row in rows:
+            if row.number <= worker.processed_number:
+                continue
+            is_applied = self._apply_ended_run(worker, row, now_ms)
+            may_acknowledge = may_acknowledge and is_applied
+            if may_acknowledge:
+                worker.processed_number = row.number
+
     def _record_first_listing(self, worker: WorkerState, now_ms: float) -> None:
         worker.is_listed = True
         shard = self._shard
@@ -156,10 +171,8 @@
         if task is None:
             return self._has_unknown_job_expired(worker, row, now_ms)
         task.attempt = max(task.attempt, row.attempt)
-        if (
-            row.kind in {RunOutcome.DONE, RunOutcome.FAILED}
-            and not task.is_done
-        ):
+        is_known = task.is_done or row.attempt in task.failed_attempts
+        if row.kind in {RunOutcome.DONE, RunOutcome.FAILED} and not is_known:
             shard.record_outcome(task, row.attempt, row.kind, row.checkpoint)
         return True
 
--- a/tests/test_fleet_ends.py
+++ b/tests/test_fleet_ends.py
@@ -9,7 +9,10 @@
 from fleet_world import VirtualClock
 
 from hawthornpier.events import DecisionLog
+from hawthornpier.fleet import EndedRun, WorkerEntry, WorkerListing
+from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import (
     JobPhase,
     JobPlan,
@@ -19,6 +22,7 @@
 )
 
 JOB_ID = '00000000000000aa'
+UNKNOWN_ID = '00000000000000bb'
 PLAN = JobPlan(
     job_id=JOB_ID,
     payload='payload',
@@ -42,6 +46,41 @@
     return shard
 
 
+def add_worker(shard):
+    worker = WorkerState(
+        WorkerEntry(
+            worker_id='w0',
+            service='desk',
+            address='w0',
+            failure_domain='z',
+            processor_millis=8_000,
+            memory_mb=64_000,
+            accelerator_count=0,
+            incarnation_ms=1,
+        ),
+    )
+    shard.workers['w0'] = worker
+    return worker
+
+
+def listing_of(*ended):
+    return WorkerListing(
+        incarnation_ms=1,
+        clock_ms=1_000,
+        running=(),
+        ended=tuple(
+            EndedRun(
+                number=number,
+                task_key=key,
+                attempt=attempt,
+                kind=outcome,
+                checkpoint='',
+            )
+            for number, (key, attempt, outcome) in enumerate(ended, start=1)
+        ),
+    )
+
+
 class TestHandedOverEnds:
     """
     The ends in a handover and those that workers list add up.
@@ -76,3 +115,35 @@
             JOB_ID, encode_progress(previous.jobs[JOB_ID])
         )
         assert shard.jobs[JOB_ID].end_phase is phase
+
+
+class TestListedEnds:
+    """
+    Ends that a worker lists are applied before the tasks may start again.
+    """
+
+    async def test_ends_after_one_of_an_unknown_job_count(self):
+        """
+        Guards against a task that runs again although its end was listed.
+
+        The worker lists the end of a run of a job that this owner does not
+        know yet, before the ends of runs of a job that it knows.
+        """
+        shard = shard_with()
+        worker = add_worker(shard)
+        run = shard.start_run(
+            shard.find_task(task_key(1)), worker, reason='test'
+        )
+        shard.confirm_run(run)
+        ListingReconciler(shard).apply(
+            worker,
+            listing_of(
+                (task_key(0, UNKNOWN_ID), 1, RunOutcome.DONE),
+                (task_key(0), 1, RunOutcome.DONE),
+                (task_key(1), run.attempt, RunOutcome.FAILED),
+            ),
+            shard.now_ms + 1,
+        )
+        assert shard.find_task(task_key(0)).is_done
+        assert shard.find_task(task_key(1)).failed_count == 1
+        assert not worker.processed_number
