Pause between requests to a worker with deferred ends

Operators would see up to a thousand renewals a second to one worker, each of which costs a probe.

A worker replies to a renewal at once while it has ended runs to list. The owner waits for their durability first, but not if the end is of a job that it does not know yet, which it neither applies nor acknowledges for up to 2.5 s.

Now the owner waits as long as for ends that are not durable.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -96,6 +96,7 @@
             may_acknowledge = may_acknowledge and is_applied
             if may_acknowledge:
                 worker.processed_number = row.number
+        worker.has_deferred_ends = not may_acknowledge
 
     def _record_first_listing(self, worker: WorkerState, now_ms: float) -> None:
         worker.is_listed = True
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -148,12 +148,14 @@
 
     async def _wait_until_durable(self) -> None:
         """
-        Wait until the ended runs that were applied are durable.
+        Wait until the ended runs that were listed are durable.
 
-        Only then may the next renewal acknowledge them.
+        Only then may the next renewal acknowledge them.  Until then the worker
+        would reply at once, with the same ends.
         """
         worker = self._worker
-        if worker.processed_number <= worker.acknowledged_number:
+        is_durable = worker.processed_number <= worker.acknowledged_number
+        if is_durable and not worker.has_deferred_ends:
             return
         worker.acknowledged.clear()
         try:
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -86,6 +86,8 @@
         # durable so that they may be acknowledged.
         self.processed_number = 0
         self.acknowledged_number = 0
+        # Whether its last listing has ended runs that cannot be applied yet.
+        self.has_deferred_ends = False
         self.health = WorkerHealth()
         # Since when a long-running task has exceeded its latency target; 0 if
         # none does.
@@ -162,6 +164,7 @@
         self.missed_reply_count = 0
         self.processed_number = 0
         self.acknowledged_number = 0
+        self.has_deferred_ends = False
         self._deadline_clock_ms = 0
         self._synced_clock_ms = 0
         self.health.reset()
--- a/tests/test_fleet_ends.py
+++ b/tests/test_fleet_ends.py
@@ -5,8 +5,9 @@
 import dataclasses
 
 import pytest
+from fake_store import virtual_tests
 from fleet_rows import QUEUE
-from fleet_world import VirtualClock
+from fleet_world import VirtualClock, World
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet import EndedRun, WorkerEntry, WorkerListing
@@ -147,3 +148,22 @@
         assert shard.find_task(task_key(0)).is_done
         assert shard.find_task(task_key(1)).failed_count == 1
         assert not worker.processed_number
+
+
+@virtual_tests(World)
+class TestDeferredEnds:
+    """
+    A worker with ends that cannot be applied yet is not asked in a loop.
+    """
+
+    async def test_the_worker_is_asked_at_intervals(self, world):
+        """
+        Guards against requests to a worker without a pause between them.
+        """
+        await world.wait_first_owner()
+        worker = world.workers['w0']
+        end = (task_key(0, UNKNOWN_ID), 1, RunOutcome.DONE)
+        worker.ended_runs.extend(listing_of(end).ended)
+        earlier_count = worker.renewal_count
+        await world.run_for(2_000)
+        assert worker.renewal_count < earlier_count + 10
