Keep ends of unknown jobs until the jobs have been read

Callers would see a task of a job run a second time, or a failed run not counted.

A new owner dropped and acknowledged the ends of a job that it did not know 2.5 s after it first saw them, on the assumption that it would have read the job from the store by then. With the store out for this owner it had not. The previous owner may have started a job that was accepted after the new one had loaded the shard; its ends were lost for good, and its running tasks were stopped.

Now the 2.5 s count up to the last successful read of the accepted jobs.

--- a/src/hawthornpier/fleet/_intake.py
+++ b/src/hawthornpier/fleet/_intake.py
@@ -119,6 +119,7 @@
         Raises:
             StoreError: The changes could not be read.
         """
+        requested_ms = self._shard.now_ms
         try:
             page = await self._store.changes(
                 INTAKE_TABLE,
@@ -132,6 +133,7 @@
             if row.part.startswith(partition_prefix) and not row.is_deleted:
                 self._apply_row(row, {})
         self._version = page.version
+        self._shard.jobs_read_ms = requested_ms
 
     async def remove(self, job_id: str) -> None:
         """
--- a/src/hawthornpier/fleet/_job_index.py
+++ b/src/hawthornpier/fleet/_job_index.py
@@ -17,6 +17,8 @@
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.jobs: dict[str, Job] = {}
+        # When the last successful read of the accepted jobs was requested.
+        self.jobs_read_ms: float = 0
         self.durations = DurationEstimator()
         # Jobs whose progress has to be written, and jobs in a write that
         # has not succeeded yet.
--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -9,9 +9,10 @@
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Run, RunOutcome, RunPhase
 
-# A listed run whose job the owner has not loaded is stopped after this time.
-# The owner polls the store for accepted jobs more often than that, so by then
-# it would have found the job.
+# A listed run whose job is not in the store is stopped once the owner has read
+# the accepted jobs this long after the run was first listed.  Without such a
+# read, for instance while the store is out, the job may have been accepted
+# recently.
 _UNKNOWN_JOB_GRACE_MS = 2_500.0
 
 
@@ -190,7 +191,7 @@
         """
         run_id = (worker.worker_id, row.task_key, row.attempt)
         since_ms = self._unknown_since_ms.setdefault(run_id, now_ms)
-        if now_ms - since_ms <= _UNKNOWN_JOB_GRACE_MS:
+        if self._shard.jobs_read_ms - since_ms <= _UNKNOWN_JOB_GRACE_MS:
             job_id = row.task_key.partition('.')[0]
             rows = self._deferred_rows.setdefault(job_id, [])
             rows.append((worker, row))
--- a/tests/test_fleet_ends.py
+++ b/tests/test_fleet_ends.py
@@ -7,7 +7,8 @@
 import pytest
 from fake_store import virtual_tests
 from fleet_rows import QUEUE
-from fleet_world import VirtualClock, World
+from fleet_world import World
+from virtual_time import JumpingClock
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet import EndedRun, WorkerEntry, WorkerListing
@@ -40,7 +41,7 @@
     shard = Shard(
         's0',
         epoch=epoch,
-        clock=VirtualClock(),
+        clock=JumpingClock(),
         log=DecisionLog('n0'),
     )
     shard.add_job(plan, is_from_earlier_epoch=True)
@@ -149,6 +150,23 @@
         assert shard.find_task(task_key(1)).failed_count == 1
         assert not worker.processed_number
 
+    async def test_ends_wait_for_a_read_of_the_jobs(self):
+        """
+        Guards against an end that is dropped while the store is out.
+
+        The job was accepted and started after this owner had read the jobs.
+        """
+        shard = shard_with()
+        worker = add_worker(shard)
+        reconciler = ListingReconciler(shard)
+        listing = listing_of((task_key(0, UNKNOWN_ID), 1, RunOutcome.DONE))
+        for _ in range(3):
+            reconciler.apply(worker, listing, shard.now_ms)
+            shard.clock.jump_ms += 3_000
+        assert not worker.processed_number
+        shard.add_job(dataclasses.replace(PLAN, job_id=UNKNOWN_ID))
+        assert shard.find_task(task_key(0, UNKNOWN_ID)).is_done
+
 
 @virtual_tests(World)
 class TestDeferredEnds:
