--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -9,9 +9,10 @@
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Run, RunOutcome, RunPhase
 
-# A listed run whose job the owner has not loaded is stopped after this time.
-# The owner polls the store for accepted jobs more often than that, so by then
-# it would have found the job.
+# A listed run whose job is not in the store is stopped once the owner has read
+# the accepted jobs this long after the run was first listed.  Without such a
+# read, for instance while the store is out, the job may have been accepted
+# recently.
 _UNKNOWN_JOB_GRACE_MS = 2_500.0
 
 
@@ -58,13 +59,7 @@
         worker.synchronize(listing.clock_ms, now_ms)
         worker.changed_ms = now_ms
         clear_suspicions(self._shard, worker)
-        for ended_run in listing.ended:
-            if ended_run.number <= worker.processed_number:
-                continue
-            if not self._apply_ended_run(worker, ended_run, now_ms):
-                # Acknowledging a higher number would acknowledge this one too.
-                break
-            worker.processed_number = ended_run.number
+        self._apply_ended_runs(worker, listing.ended, now_ms)
         listed = set()
         for row in listing.running:
             listed.add((row.task_key, row.attempt))
@@ -82,6 +77,28 @@
             interference.learn(worker, now_ms)
             control_throttling(worker, interference, self._actions, now_ms)
 
+    def _apply_ended_runs(
+        self,
+        worker: WorkerState,
+        rows: tuple[EndedRun, ...],
+        now_ms: float,
+    ) -> None:
+        """
+        Apply the ends that are new, also those after one that must wait.
+
+        Their tasks would be started again otherwise.  But acknowledging their
+        numbers would acknowledge the one that must wait, too.
+        """
+        may_acknowledge = True
+        for row in rows:
+            if row.number <= worker.processed_number:
+                continue
+            is_applied = self._apply_ended_run(worker, row, now_ms)
+            may_acknowledge = may_acknowledge and is_applied
+            if may_acknowledge:
+                worker.processed_number = row.number
+        worker.has_deferred_ends = not may_acknowledge
+
     def _record_first_listing(self, worker: WorkerState, now_ms: float) -> None:
         worker.is_listed = True
         shard = self._shard
@@ -160,10 +177,8 @@
         if task is None:
             return self._has_unknown_job_expired(worker, row, now_ms)
         task.attempt = max(task.attempt, row.attempt)
-        if (
-            row.kind in {RunOutcome.DONE, RunOutcome.FAILED}
-            and not task.is_done
-        ):
+        is_known = task.is_done or row.attempt in task.failed_attempts
+        if row.kind in {RunOutcome.DONE, RunOutcome.FAILED} and not is_known:
             shard.record_outcome(task, row.attempt, row.kind, row.checkpoint)
         return True
 
@@ -180,7 +195,7 @@
         """
         run_id = (worker.worker_id, row.task_key, row.attempt)
         since_ms = self._unknown_since_ms.setdefault(run_id, now_ms)
-        if now_ms - since_ms <= _UNKNOWN_JOB_GRACE_MS:
+        if self._shard.jobs_read_ms - since_ms <= _UNKNOWN_JOB_GRACE_MS:
             job_id = row.task_key.partition('.')[0]
             rows = self._deferred_rows.setdefault(job_id, [])
             rows.append((worker, row))
--- /dev/null
+++ b/tests/test_fleet_ends.py
@@ -0,0 +1,187 @@
+"""
+Tests of how an owner learns of the ends of runs of earlier epochs.
+"""
+
+import dataclasses
+
+import pytest
+from fake_store import virtual_tests
+from fleet_rows import QUEUE
+from fleet_world import World
+from virtual_time import JumpingClock
+
+from hawthornpier.events import DecisionLog
+from hawthornpier.fleet import EndedRun, WorkerEntry, WorkerListing
+from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.steps import (
+    JobPhase,
+    JobPlan,
+    RunOutcome,
+    StepPlan,
+    encode_progress,
+)
+
+JOB_ID = '00000000000000aa'
+UNKNOWN_ID = '00000000000000bb'
+PLAN = JobPlan(
+    job_id=JOB_ID,
+    payload='payload',
+    steps=(StepPlan(task_count=2, processor_millis=1_000),),
+    queue=dataclasses.replace(QUEUE, max_attempts=2),
+)
+
+
+def task_key(index, job_id=JOB_ID):
+    return f'{job_id}.0.0.{index}'
+
+
+def shard_with(plan=PLAN, *, epoch=2):
+    shard = Shard(
+        's0',
+        epoch=epoch,
+        clock=JumpingClock(),
+        log=DecisionLog('n0'),
+    )
+    shard.add_job(plan, is_from_earlier_epoch=True)
+    return shard
+
+
+def add_worker(shard):
+    worker = WorkerState(
+        WorkerEntry(
+            worker_id='w0',
+            service='desk',
+            address='w0',
+            failure_domain='z',
+            processor_millis=8_000,
+            memory_mb=64_000,
+            accelerator_count=0,
+            incarnation_ms=1,
+        ),
+    )
+    shard.workers['w0'] = worker
+    return worker
+
+
+def listing_of(*ended):
+    return WorkerListing(
+        incarnation_ms=1,
+        clock_ms=1_000,
+        running=(),
+        ended=tuple(
+            EndedRun(
+                number=number,
+                task_key=key,
+                attempt=attempt,
+                kind=outcome,
+                checkpoint='',
+            )
+            for number, (key, attempt, outcome) in enumerate(ended, start=1)
+        ),
+    )
+
+
+class TestHandedOverEnds:
+    """
+    The ends in a handover and those that workers list add up.
+    """
+
+    @pytest.mark.parametrize(
+        ('handed_over', 'listed', 'phase'),
+        [
+            (
+                (task_key(0), 1, RunOutcome.FAILED),
+                (task_key(0), 2, RunOutcome.FAILED),
+                JobPhase.FAILED,
+            ),
+            (
+                (task_key(0), 1, RunOutcome.DONE),
+                (task_key(1), 1, RunOutcome.DONE),
+                JobPhase.COMPLETED,
+            ),
+        ],
+    )
+    async def test_the_job_ends(self, handed_over, listed, phase):
+        """
+        Guards against a task started beyond its attempts, and a job that hangs.
+
+        The new owner has a worker's listing before the handover, and the
+        previous owner could not store the other end.
+        """
+        shard, previous = shard_with(), shard_with(epoch=1)
+        for owner, (key, *end) in ((previous, handed_over), (shard, listed)):
+            owner.record_outcome(owner.find_task(key), *end, '')
+        shard.apply_handover_progress(
+            JOB_ID, encode_progress(previous.jobs[JOB_ID])
+        )
+        assert shard.jobs[JOB_ID].end_phase is phase
+
+
+class TestListedEnds:
+    """
+    Ends that a worker lists are applied before the tasks may start again.
+    """
+
+    async def test_ends_after_one_of_an_unknown_job_count(self):
+        """
+        Guards against a task that runs again although its end was listed.
+
+        The worker lists the end of a run of a job that this owner does not
+        know yet, before the ends of runs of a job that it knows.
+        """
+        shard = shard_with()
+        worker = add_worker(shard)
+        run = shard.start_run(
+            shard.find_task(task_key(1)), worker, reason='test'
+        )
+        shard.confirm_run(run)
+        ListingReconciler(shard).apply(
+            worker,
+            listing_of(
+                (task_key(0, UNKNOWN_ID), 1, RunOutcome.DONE),
+                (task_key(0), 1, RunOutcome.DONE),
+                (task_key(1), run.attempt, RunOutcome.FAILED),
+            ),
+            shard.now_ms + 1,
+        )
+        assert shard.find_task(task_key(0)).is_done
+        assert shard.find_task(task_key(1)).failed_count == 1
+        assert not worker.processed_number
+
+    async def test_ends_wait_for_a_read_of_the_jobs(self):
+        """
+        Guards against an end that is dropped while the store is out.
+
+        The job was accepted and started after this owner had read the jobs.
+        """
+        shard = shard_with()
+        worker = add_worker(shard)
+        reconciler = ListingReconciler(shard)
+        listing = listing_of((task_key(0, UNKNOWN_ID), 1, RunOutcome.DONE))
+        for _ in range(3):
+            reconciler.apply(worker, listing, shard.now_ms)
+            shard.clock.jump_ms += 3_000
+        assert not worker.processed_number
+        shard.add_job(dataclasses.replace(PLAN, job_id=UNKNOWN_ID))
+        assert shard.find_task(task_key(0, UNKNOWN_ID)).is_done
+
+
+@virtual_tests(World)
+class TestDeferredEnds:
+    """
+    A worker with ends that cannot be applied yet is not asked in a loop.
+    """
+
+    async def test_the_worker_is_asked_at_intervals(self, world):
+        """
+        Guards against requests to a worker without a pause between them.
+        """
+        await world.wait_first_owner()
+        worker = world.workers['w0']
+        end = (task_key(0, UNKNOWN_ID), 1, RunOutcome.DONE)
+        worker.ended_runs.extend(listing_of(end).ended)
+        earlier_count = worker.renewal_count
+        await world.run_for(2_000)
+        assert worker.renewal_count < earlier_count + 10
