Skip unreadable rows of processes and shards

On the product's own path, a process row or an owner row that cannot be decoded made each refresh of the directory and of the owner rows fail in every process, with an error of msgspec that their callers do not expect.

Cause: the rows of a scan were decoded together without handling errors. Now an unreadable row leaves the last observation as it is: the lease of the process expires unless it renews its row, and the other rows are read. The decoder raises an error of the layer.

Evidence: TestCoordinationRows.test_an_unreadable_row fails without the change to `src` (RecursionError) and passes with it.

--- a/src/hawthornpier/coordination/_directory.py
+++ b/src/hawthornpier/coordination/_directory.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, replace
 
+from hawthornpier.coordination._errors import UnreadableRowError
 from hawthornpier.coordination._link import StoreLink
 from hawthornpier.coordination._rows import (
     LOST_PREFIX,
@@ -138,7 +139,9 @@
         now_ms = self._clock.monotonic_ms()
         is_gap = self._is_observation_gap(now_ms)
         observed = (self._observe(row, now_ms, is_gap=is_gap) for row in rows)
-        self._observed = {entry.process_id: entry for entry in observed}
+        self._observed = {
+            entry.process_id: entry for entry in observed if entry is not None
+        }
         lost_ids = (row.key.removeprefix(LOST_PREFIX) for row in lost_rows)
         self._lost_since_ms = {
             process_id: self._lost_since_ms.get(process_id, now_ms)
@@ -157,14 +160,24 @@
         now_ms: int,
         *,
         is_gap: bool,
-    ) -> ObservedProcess:
+    ) -> ObservedProcess | None:
+        """
+        Return a process as observed now.
+
+        Returns:
+            If its row is unreadable, the last observation, or None if there is
+            none; the lease of the process expires unless it renews the row.
+        """
         process_id = row.key.removeprefix(PROCESS_PREFIX)
         known = self._observed.get(process_id)
         if known is not None and known.version == row.version:
             if is_gap:
                 return replace(known, unchanged_since_ms=now_ms)
             return known
-        record = decode(row, ProcessRow)
+        try:
+            record = decode(row, ProcessRow)
+        except UnreadableRowError:
+            return known
         return ObservedProcess(
             process_id=process_id,
             row=record,
--- a/src/hawthornpier/coordination/_errors.py
+++ b/src/hawthornpier/coordination/_errors.py
@@ -17,6 +17,12 @@
     """
 
 
+class UnreadableRowError(CoordinationError):
+    """
+    A row of the store cannot be decoded.
+    """
+
+
 class LeaseLostError(CoordinationError):
     """
     The process has no process row, so it may not claim shards.
--- a/src/hawthornpier/coordination/_owner_rows.py
+++ b/src/hawthornpier/coordination/_owner_rows.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+from hawthornpier.coordination._errors import UnreadableRowError
 from hawthornpier.coordination._link import StoreLink
 from hawthornpier.coordination._rows import OWNER_PREFIX, OwnerRow, decode
 from hawthornpier.coordination._timings import OwnershipTimings
@@ -26,6 +27,9 @@
 def shard_owner(row: Row) -> ShardOwner:
     """
     Decode an owner row.
+
+    Raises:
+        UnreadableRowError: The row cannot be decoded.
     """
     return ShardOwner(
         shard=row.key.removeprefix(OWNER_PREFIX),
@@ -97,10 +101,19 @@
             for shard, owner in self._owners.items()
             if not shard.startswith(prefix)
         }
-        read = {owner.shard: owner for owner in map(shard_owner, rows)}
-        self._owners = kept | read
+        read = [self._decode_or_keep(row) for row in rows]
+        self._owners = kept | {owner.shard: owner for owner in read if owner}
         return is_full
 
+    def _decode_or_keep(self, row: Row) -> ShardOwner | None:
+        """
+        Decode an owner row; return the known one if it is unreadable.
+        """
+        try:
+            return shard_owner(row)
+        except UnreadableRowError:
+            return self._owners.get(row.key.removeprefix(OWNER_PREFIX))
+
     async def look_up(self, shard: str) -> ShardOwner | None:
         """
         Read the owner row of one shard.
--- a/src/hawthornpier/coordination/_rows.py
+++ b/src/hawthornpier/coordination/_rows.py
@@ -8,6 +8,8 @@
 import msgspec
 import xxhash
 
+from hawthornpier.coordination._errors import UnreadableRowError
+from hawthornpier.decoding import decode_json
 from hawthornpier.messages import Row
 
 _Record = TypeVar('_Record')
@@ -97,8 +99,16 @@
 def decode(row: Row, record_type: type[_Record]) -> _Record:
     """
     Decode the text of a row as an instance of *record_type*.
+
+    Raises:
+        UnreadableRowError: The text cannot be decoded.
     """
-    return msgspec.json.decode(row.text, type=record_type)
+    return decode_json(
+        row.text,
+        record_type,
+        UnreadableRowError,
+        subject=f'row {row.key}',
+    )
 
 
 def hash_text(text: str) -> int:
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -10,13 +10,17 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from virtual_time import VirtualClock, run_virtual
 
+from hawthornpier import coordination as co
 from hawthornpier.adapters import HttpReply, MessageError, decode_message
+from hawthornpier.coordination._owner_rows import OwnerRows
 from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.fleet import StoredRow
 from hawthornpier.fleet._peer_client import _decode as decode_peer
 from hawthornpier.fleet._peer_port import Presence
 from hawthornpier.fleet._relay_messages import CallBatch
+from hawthornpier.messages import Row
 from hawthornpier.platform import PlatformDecoder
 from hawthornpier.platform._records import (
     BodyError,
@@ -271,3 +275,38 @@
         for entry in decode_workers(content):
             assert entry.processor_millis >= 0
         decode_configuration(content)
+
+
+class RowLink:
+    """
+    A connection to a store that holds the same text in all rows.
+    """
+
+    is_out = False
+    text = ''
+
+    async def scan(self, prefix):
+        return (Row(key=f'{prefix}d/0', version=1, text=self.text),)
+
+
+class TestCoordinationRows:
+    """
+    An unreadable row of one process or shard does not hide the others.
+    """
+
+    def test_an_unreadable_row(self):
+        """
+        Guards against one malformed row that ends every process.
+        """
+
+        async def scenario():
+            link, clock = RowLink(), VirtualClock()
+            link.text = DEEP.decode()
+            directory = co.ProcessDirectory(link, clock, co.LeaseTimings())
+            await directory.refresh()
+            assert directory.is_expired('d/0')
+            owners = OwnerRows(link, clock, co.OwnershipTimings(), 'd')
+            await owners.read()
+            assert not owners.owners
+
+        run_virtual(scenario())
