Report an unreadable row of the table as such

A row of the table that is nested too deeply made `RecursionError` leave its decoder, and ended the synchronization of the table instead of being retried as an unavailable table.

Cause: the decoder expected errors of msgspec only. It now uses `decode_json`.

Evidence: test_an_unreadable_row_of_the_table fails without the change to `src` and passes with it. The class of tests for stored rows is renamed, since it concerns two layers.

--- a/src/hawthornpier/table/_commit.py
+++ b/src/hawthornpier/table/_commit.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from hawthornpier.decoding import decode_json
 from hawthornpier.messages import (
     ABSENT_VERSION,
     Row,
@@ -212,9 +213,9 @@
 
 
 def _decode(row: Row) -> Any:
-    try:
-        return msgspec.json.decode(row.text)
-    except msgspec.DecodeError as error:
-        raise TableUnavailableError(
-            f'{row.key} in the store is not valid JSON'
-        ) from error
+    return decode_json(
+        row.text,
+        object,
+        TableUnavailableError,
+        subject=f'row {row.key}',
+    )
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -2,6 +2,7 @@
 Tests of the decoding of what other processes and programs wrote.
 """
 
+import asyncio
 import contextlib
 import json
 from types import MappingProxyType
@@ -46,6 +47,8 @@
     restore_progress,
 )
 from hawthornpier.steps._state import Job
+from hawthornpier.table import TableUnavailableError
+from hawthornpier.table._commit import read_head
 
 QUEUE = QueuePolicy(name='orders', service='desk')
 PLAN = JobPlan(
@@ -285,11 +288,14 @@
     is_out = False
     text = ''
 
+    async def read(self, key):
+        return Row(key=key, version=1, text=self.text)
+
     async def scan(self, prefix):
         return (Row(key=f'{prefix}d/0', version=1, text=self.text),)
 
 
-class TestCoordinationRows:
+class TestStoredRows:
     """
     An unreadable row of one process or shard does not hide the others.
     """
@@ -310,3 +316,12 @@
             assert not owners.owners
 
         run_virtual(scenario())
+
+    def test_an_unreadable_row_of_the_table(self):
+        """
+        Guards against an error that ends the synchronization of the table.
+        """
+        link = RowLink()
+        link.text = DEEP.decode()
+        with pytest.raises(TableUnavailableError):
+            asyncio.run(read_head(link))
