Acknowledge no ends of an incarnation that is not known yet

What callers would see: a completed task runs again (TWICE). A worker that restarts under its id numbers its ended runs anew. Until the registry names the new incarnation, its replies are ignored, but each renewal repeated the acknowledgement of the previous one's last number. The new incarnation then forgot ends that the owner had never applied, and the tasks were started again. The owner also went on starting tasks there, although a reply had told that another incarnation runs.

An acknowledgement is repeated only until the worker has replied to it, and not while the worker does not reply. A reply of a later incarnation counts like a missing one, so that nothing is started there until the registry has its entry.

--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -106,11 +106,15 @@
         is_replying = worker.is_listed and not worker.missed_reply_count
         if is_replying and shard.permits.is_unclaimed:
             deadline = worker.next_deadline(self._timings.lease_ms, sent_ms)
+        # A worker that does not reply may be restarting.
+        acknowledged_number = (
+            worker.next_acknowledgement() if is_replying else 0
+        )
         try:
             reply = await self._port.renew(
                 Renewal(
                     epoch=shard.epoch,
-                    acknowledged_number=worker.acknowledged_number,
+                    acknowledged_number=acknowledged_number,
                     deadline_clock_ms=deadline,
                     wait_ms=self._renewal_wait_ms(),
                 ),
@@ -120,8 +124,10 @@
             return False
         if isinstance(reply, WorkerListing):
             if reply.incarnation_ms != worker.entry.incarnation_ms:
+                self._record_other_incarnation(reply.incarnation_ms)
                 return False
             was_listed = worker.is_listed
+            worker.confirm_acknowledgement(acknowledged_number)
             worker.assume_lease(reply.clock_ms, self._timings.lease_max_ms)
             self._listings.apply(worker, reply, sent_ms)
             return was_listed
@@ -164,6 +170,15 @@
         except TimeoutError:
             return
 
+    def _record_other_incarnation(self, incarnation_ms: int) -> None:
+        """
+        Start nothing on the worker until the registry names its incarnation.
+
+        The reply of an earlier incarnation may arrive late.
+        """
+        if incarnation_ms > self._worker.entry.incarnation_ms:
+            self._record_missed_reply('another incarnation replied')
+
     def _record_missed_reply(self, why: str) -> None:
         worker = self._worker
         worker.missed_reply_count += 1
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -90,6 +90,8 @@
         # durable so that they may be acknowledged.
         self.processed_number = 0
         self.acknowledged_number = 0
+        # The highest number that the worker knows to be acknowledged.
+        self._confirmed_number = 0
         # Whether its last listing has ended runs that cannot be applied yet.
         self.has_deferred_ends = False
         self.health = WorkerHealth()
@@ -169,6 +171,7 @@
         self.missed_reply_count = 0
         self.processed_number = 0
         self.acknowledged_number = 0
+        self._confirmed_number = 0
         self.has_deferred_ends = False
         self._deadline_clock_ms = 0
         self._synced_clock_ms = 0
@@ -188,6 +191,24 @@
             self._synced_ms = now_ms
             self._synced_clock_ms = clock_ms
 
+    def next_acknowledgement(self) -> int:
+        """
+        Return the last ended run to acknowledge, or 0 if none is new.
+
+        An acknowledgement is not repeated once the worker has replied to it.
+        Its next incarnation numbers ended runs anew, and may receive requests
+        before the owner knows of it.
+        """
+        if self.acknowledged_number > self._confirmed_number:
+            return self.acknowledged_number
+        return 0
+
+    def confirm_acknowledgement(self, number: int) -> None:
+        """
+        Record that the worker has replied to an acknowledgement.
+        """
+        self._confirmed_number = max(self._confirmed_number, number)
+
     def next_deadline(self, lease_ms: float, now_ms: float) -> int:
         """
         Return the end of a lease that starts now, on the worker's clock.
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -89,3 +89,21 @@
         worker.restart()
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
         await world.run_for(3_000)
+
+    async def test_ends_that_the_next_incarnation_has_not_listed(self, world):
+        """
+        Guards against a completed task that runs again: its end was
+        acknowledged by a number of the previous incarnation.
+        """
+        await world.wait_first_owner()
+        await self._run(world)
+        for worker in world.workers.values():
+            worker.crash()
+            worker.restart()
+        await self._run(world)
+        await world.run_for(3_000)
+
+    async def _run(self, world):
+        plan = world.plan(StepPlan(task_count=16, processor_millis=1_000))
+        await world.any_node().entry.submit(plan)
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
