Remember over an outage of the store which entries are missing

What callers would see: tasks are started on a worker that has left. An entry that is removed counts after 2.5 s. If a read of the registry failed within that time, the owner forgot that the entry was missing. The removal is in no later change, so the worker stayed in use for as long as it replied.

Evidence: the new test failed before, a task was started on the worker 6.5 s after its entry was removed. The time now starts anew for the entries that are missing, as was intended for entries that expire in an outage.

--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -108,7 +108,9 @@
             except StoreError:
                 # Entries may expire while the store is unavailable, so the
                 # time for which they have been missing starts anew.
-                self._missing_since_ms = {}
+                self._missing_since_ms = dict.fromkeys(
+                    self._missing_since_ms, self.shard.now_ms
+                )
             else:
                 self.shard.permits.registry.confirm(sent)
             self._remove_departed_workers()
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -7,6 +7,7 @@
 from fleet_world import REGISTRY, World
 
 from hawthornpier.steps import JobPhase, StepPlan
+from hawthornpier_standin.fleet import StoreFault
 
 HALF = StepPlan(task_count=2, processor_millis=5_000)
 BEST_EFFORT = StepPlan(
@@ -64,6 +65,23 @@
         await world.run_for(2_000)
         assert list(world.checker.running.values()) == ['w1']
 
+    async def test_a_removal_before_an_outage_of_the_store_counts(self, world):
+        """
+        Guards against a worker that stays in use after its entry was removed.
+
+        The time without an entry starts anew after an outage.
+        """
+        await world.wait_first_owner()
+        unregister(world, world.workers['w0'])
+        await world.run_for(1_000)
+        world.break_store(StoreFault.REFUSE)
+        await world.run_for(1_000)
+        world.break_store(StoreFault.NONE)
+        await world.run_for(MISSING_MS)
+        await world.any_node().entry.submit(world.plan(HALF, work_ms=60_000))
+        await world.run_for(2_000)
+        assert list(world.checker.running.values()) == ['w1']
+
 
 @virtual_tests(World)
 class TestReusedId:
