Send no queued start to a worker that has begun to drain

A start could reach a worker seconds after it had reported that it was draining: starts wait in a queue while the worker does not reply or the owner is suspended, and only the run and the capacity were looked at again before the send.

The link now looks at the worker too. A start that was never sent ends at once, so that its task is placed elsewhere; one that was sent is still repeated, because the worker may be executing it.

--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -215,14 +215,19 @@
         Return whether a start is still due, once this process may send it.
 
         While the order was queued, the run may have ended because the worker's
-        lease expired, or the worker's capacity may have shrunk.
+        lease expired, the worker's capacity may have shrunk, or the worker may
+        have begun to leave.
         """
         await self._wait_for_permit()
         if run.phase is not RunPhase.STARTING or self._has_ended(order):
             return False
-        if run.sent_ms or not self._worker.is_overcommitted(run.task.step):
+        worker = self._worker
+        why = 'worker is leaving' if worker.is_leaving else ''
+        if worker.is_overcommitted(run.task.step):
+            why = Verdict.NO_CAPACITY
+        if run.sent_ms or not why:
             return True
-        self._log_refused_start(run, Verdict.NO_CAPACITY)
+        self._log_refused_start(run, why)
         self._shard.end_run(run, RunOutcome.LOST)
         return False
 
@@ -280,13 +285,13 @@
             return
         self._abandon_start(run, is_uncertain=True, why=reply.verdict)
 
-    def _log_refused_start(self, run: Run, verdict: Verdict) -> None:
+    def _log_refused_start(self, run: Run, why: str) -> None:
         self._shard.log.record(
             'start_refused',
             task=run.task.key,
             attempt=run.attempt,
             worker=run.worker_id,
-            why=verdict,
+            why=why,
         )
 
     def _abandon_start(self, run: Run, *, is_uncertain: bool, why: str) -> None:
--- a/tests/fleet_connections.py
+++ b/tests/fleet_connections.py
@@ -32,6 +32,8 @@
                 raise fleet.PeerGoneError('reset')
             if node.presence().given_up_epoch:
                 break
+        if node.is_frozen:
+            raise PeerUnreachableError('timed out')
         return node.presence()
 
     async def hand_over(self, epoch):
@@ -72,7 +74,8 @@
     async def _reach(self):
         await asyncio.sleep(0.001)
         node = self._world.nodes.get(self.card.address)
-        if node is None or node.is_partitioned or self._origin.is_partitioned:
+        is_silent = node is None or node.is_partitioned or node.is_frozen
+        if is_silent or self._origin.is_partitioned:
             await asyncio.sleep(self._world.peer_timeout_s)
             raise PeerUnreachableError('timed out')
         if node.is_dead:
@@ -115,6 +118,7 @@
                 raise WorkerReplyLostError('timed out')
             return await method(*arguments)
 
+        call.__name__ = name
         return call
 
 
@@ -142,7 +146,8 @@
         while True:
             if self._relay.is_dead:
                 return None
-            if self._is_blocked or self._inbox.empty():
+            is_blocked = self._is_blocked or self._origin.is_frozen
+            if is_blocked or self._inbox.empty():
                 await asyncio.sleep(0.005)
                 continue
             return self._inbox.get_nowait()
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -84,6 +84,9 @@
             self.start_node(f'n{number}', cores=cores)
         self._spawn(self._send_heartbeats())
 
+    def prepare(self, context):
+        return context
+
     def add_worker(self, worker_id, **options):
         entry = fleet.WorkerEntry(
             worker_id=worker_id,
@@ -194,7 +197,7 @@
             ),
         )
         node = Node(
-            context,
+            self.prepare(context),
             name=name,
             address=name,
             host_info=fleet.HostInfo(
