Accept founders' keys only once the table is known to have no member

A process that restarted while the store was out accepted the founders' keys of its settings file, also those that had been replaced in the table: it took the table that it had not read for one without members.

test_founders_keys_need_a_table_without_members failed before. In test_keys_authenticate_only_their_member the first table was never read; it is read now, because a founder's key is valid only after that.

--- a/src/hawthornpier/table/_local.py
+++ b/src/hawthornpier/table/_local.py
@@ -91,7 +91,7 @@
         Return whether *key* is a valid operator key of *member*.
 
         Keys of a proposed member are valid too, and so are those of the
-        founders while the table has no member.
+        founders once it is known that the table has no member.
         """
         hashes: tuple[str, ...] = ()
         for row_key in (
@@ -101,7 +101,8 @@
             row = self._rows.get(row_key)
             if isinstance(row, _rows.MemberRow | _rows.ProposalRow):
                 hashes = row.operator_key_hash
-        if not self.members() and member in self._founders:
+        is_known = self.age_ms() is not None
+        if is_known and not self.members() and member in self._founders:
             hashes = (self._founders[member],)
         return any(
             _keys.verify_operator_key(key, key_hash) for key_hash in hashes
--- a/tests/test_table_versioned.py
+++ b/tests/test_table_versioned.py
@@ -462,6 +462,23 @@
 
         run_virtual(scenario())
 
+    def test_founders_keys_need_a_table_without_members(self) -> None:
+        """
+        Guards against a withdrawn key that a process accepts after its restart,
+        because it has not read the table yet.
+        """
+
+        async def scenario() -> None:
+            store = FakeStore()
+            await create_founded_table(store)
+            restarted = new_table(store)
+            store.is_unavailable = True
+            with pytest.raises(TableUnavailableError):
+                await restarted.refresh()
+            assert not restarted.is_operator('yayasan', 'key of yayasan')
+
+        run_virtual(scenario())
+
     def test_keys_authenticate_only_their_member(self) -> None:
         """
         A key is valid only for its member, before and after the first edit.
@@ -474,6 +491,7 @@
                 new_table(FakeStore()),
                 await create_founded_table(FakeStore()),
             ):
+                await table.refresh()
                 assert table.is_operator('yayasan', 'key of yayasan')
                 assert not table.is_operator('yayasan', 'key of picking')
                 assert not table.is_operator('mill', 'key of yayasan')
