Test that a removed queue is not served after a restart

A process that restarts without the store is not ready: it learns the other processes from the store, too. Once the store replies, the version in force is served. The test passed at once; no code is changed.

--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -117,6 +117,30 @@
         assert {versions[name] for name in connected} == {7}
 
 
+@virtual_tests(World)
+class TestRestart:
+    """
+    A process that restarts serves the version in force or none.
+    """
+
+    async def test_a_removed_queue_is_not_served_again(self, world):
+        """
+        Guards against a removed queue that is in use again after a restart.
+        """
+        world.configure(2, queues=('orders', 'removed'))
+        await world.run_for(1_500)
+        world.kill(world.nodes['n0'])
+        world.configure(3, queues=('orders',))
+        await world.run_for(1_500)
+        node = world.start_node('n0')
+        node.client.fault = StoreFault.SILENT
+        await world.run_for(3_000)
+        assert not node.is_ready
+        node.client.fault = StoreFault.NONE
+        await world.wait_until(lambda: node.is_ready)
+        assert set(node.configuration.queues) == {'orders'}
+
+
 @virtual_tests(World)
 class TestLargeHosts:
     """
