Date relayed calls by their making

A relay refuses calls that were on their way for more than 0.5 s, so that it sends no orders that the owner has given up. The owner dated a batch when it sent it: if it was suspended after a call had been made, in the 6 ms in which calls are collected, the relay took the call for a new one.

test_a_call_that_waited_is_outdated failed before.

--- a/src/hawthornpier/fleet/_relay_channel.py
+++ b/src/hawthornpier/fleet/_relay_channel.py
@@ -90,6 +90,8 @@
         self._contacts: dict[tuple[str, int, str], int] = {}
         self._pending: dict[int, _PendingCall] = {}
         self._calls: list[Call] = []
+        # When the oldest of these calls was made.
+        self._oldest_call_ms: float = 0
         self._new_contacts: list[Contact] = []
         self._ended_contacts: list[int] = []
         self._has_calls = asyncio.Event()
@@ -135,6 +137,8 @@
         if not self.is_open:
             raise WorkerUnreachableError('the connection to the relay ended')
         number = next(self._numbers)
+        if not self._calls:
+            self._oldest_call_ms = self._clock.monotonic_ms()
         self._calls.append(
             Call(
                 number=number,
@@ -183,8 +187,9 @@
             await self._has_calls.wait()
             await self._clock.sleep_ms(_COLLECTION_MS)
             self._has_calls.clear()
+            # If this process was suspended since, the relay sends none of them.
             batch = CallBatch(
-                sent_ms=self._clock.monotonic_ms(),
+                sent_ms=self._oldest_call_ms,
                 calls=tuple(self._calls),
                 contacts=tuple(self._new_contacts),
                 ended=tuple(self._ended_contacts),
--- a/tests/test_fleet_pauses.py
+++ b/tests/test_fleet_pauses.py
@@ -2,6 +2,7 @@
 Tests of processes that are suspended between a check and the use of it.
 """
 
+import asyncio
 import dataclasses
 import random
 
@@ -9,9 +10,12 @@
 import pytest
 from fleet_suspension import SuspendableWorld
 from fleet_world import REGISTRY
-from virtual_time import run_virtual
+from test_fleet_relays import ENTRY, ORDER, QuietSocket
+from virtual_time import JumpingClock, run_virtual
 
 from hawthornpier.fleet import WorkerTimings
+from hawthornpier.fleet._relay_channel import RelayChannel
+from hawthornpier.fleet._relay_messages import CallBatch
 from hawthornpier.steps import JobPhase, StepPlan
 from hawthornpier_standin.fleet import WorkerFault
 
@@ -101,3 +105,32 @@
             world.finish()
 
         run_virtual(scenario())
+
+
+class TestPausedBeforeRelay:
+    """
+    A call is as old as its making, not as its sending to the relay.
+    """
+
+    def test_a_call_that_waited_is_outdated(self):
+        """
+        Guards against a relay that sends orders from before a pause.
+        """
+
+        async def scenario():
+            clock = JumpingClock()
+            socket = QuietSocket()
+            channel = RelayChannel(socket, clock)
+            tasks = [asyncio.ensure_future(channel.run())]
+            call = channel.call(ENTRY, ORDER, 1_000)
+            tasks.append(asyncio.ensure_future(call))
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            clock.jump_ms = 4_000
+            await asyncio.sleep(0.05)
+            batch = msgspec.json.decode(socket.sent[0], type=CallBatch)
+            assert clock.monotonic_ms() - batch.sent_ms >= clock.jump_ms
+            for task in tasks:
+                task.cancel()
+
+        run_virtual(scenario())
