--- a/tests/fleet_connections.py
+++ b/tests/fleet_connections.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from hawthornpier import fleet
+from hawthornpier.errors import HawthornpierError
 from hawthornpier.ports import PeerUnreachableError, WorkerReplyLostError
 from hawthornpier.steps import JobPlan
 
@@ -19,6 +20,22 @@
         await asyncio.sleep(0.01)
 
 
+async def call_when_thawed(node, method, *arguments, **options):
+    """
+    Call a method, and return or raise once the process is not frozen.
+
+    A cancelled call does not wait, since a killed process may stay frozen.
+    """
+    await thaw(node)
+    try:
+        reply = await method(*arguments, **options)
+    except HawthornpierError:
+        await thaw(node)
+        raise
+    await thaw(node)
+    return reply
+
+
 class FreezableClient:
     """
     A client of a process; its calls and replies wait while that is frozen.
@@ -34,11 +51,8 @@
         method = getattr(self._client, name)
 
         async def call(*arguments, **options):
-            await thaw(self._node_box[0])
-            try:
-                return await method(*arguments, **options)
-            finally:
-                await thaw(self._node_box[0])
+            node = self._node_box[0]
+            return await call_when_thawed(node, method, *arguments, **options)
 
         return call
 
@@ -64,6 +78,8 @@
                 raise fleet.PeerGoneError('reset')
             if node.presence().given_up_epoch:
                 break
+        if node.is_frozen:
+            raise PeerUnreachableError('timed out')
         return node.presence()
 
     async def hand_over(self, epoch):
@@ -148,11 +164,9 @@
             if self._node.is_partitioned != self._is_beside():
                 await asyncio.sleep(0.7)
                 raise WorkerReplyLostError('timed out')
-            try:
-                return await method(*arguments)
-            finally:
-                await thaw(self._node)
+            return await call_when_thawed(self._node, method, *arguments)
 
+        call.__name__ = name
         return call
 
 
@@ -180,7 +194,8 @@
         while True:
             if self._relay.is_dead:
                 return None
-            if self._is_blocked or self._inbox.empty():
+            is_blocked = self._is_blocked or self._origin.is_frozen
+            if is_blocked or self._inbox.empty():
                 await asyncio.sleep(0.005)
                 continue
             return self._inbox.get_nowait()
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -2,9 +2,9 @@
 Tests of workers that have left, and of ids that are used again.
 """
 
-import msgspec
 from fake_store import virtual_tests
 from fleet_world import REGISTRY, World
+from registry_rows import encode_entry
 
 from hawthornpier.steps import JobPhase, StepPlan
 from hawthornpier_standin.fleet import StoreFault
@@ -58,7 +58,7 @@
         """
         await world.wait_first_owner()
         worker = world.workers['w0']
-        world.store.put(REGISTRY, 'w0', msgspec.json.encode(worker.entry))
+        world.store.put(REGISTRY, 'w0', encode_entry(worker.entry))
         unregister(world, worker)
         await world.run_for(MISSING_MS)
         await world.any_node().entry.submit(world.plan(HALF, work_ms=60_000))
