Keep a run that a restarted worker may have accepted

Callers would see a task started again after its last failed attempt, or twice at the same time.

A request names a worker's id. If the worker restarts under its id, a start that was sent before the registry showed the restart reaches the new incarnation, which runs it. The owner took it for a run of the ended incarnation, counted it as lost and started the task elsewhere. Now it ends only those runs that the ended incarnation had listed. The first listing of the new one decides about the others, or the longest lease that their start may have granted.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -136,6 +136,7 @@
             run.percent_changed_ms = now_ms
         run.checkpoint = row.checkpoint or run.checkpoint
         run.cpu_or_tail = row.usage
+        run.is_listed = True
 
     def _end_unlisted_runs(
         self,
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -187,20 +187,29 @@
         )
         confirm_crash(self.shard, worker, 'another incarnation registered')
         for run in list(worker.runs.values()):
-            if not run.has_unacknowledged_order:
+            if run.is_listed and not run.has_unacknowledged_order:
                 self.shard.end_run(run, RunOutcome.LOST)
         uncertain_runs = worker.begin_incarnation(entry)
+        if uncertain_runs:
+            timings = self._context.worker_timings
+            worker.early_lease_end_ms = self.shard.now_ms + (
+                timings.lease_max_ms * (1 + timings.clock_drift * 1.1)
+            )
         self._stop_link(worker.worker_id)
         self._start_link(worker)
         for uncertain_run in uncertain_runs:
-            # The new incarnation may still execute a start order that was
-            # sent to the previous one, so the run is stopped explicitly.
-            uncertain_run.phase = RunPhase.STARTING
+            # The new incarnation may have accepted the start; its first listing
+            # shows whether it has.
             worker.charge(uncertain_run)
-            self.shard.stop_run(
-                uncertain_run,
-                'start not acknowledged before the worker restarted',
-            )
+            uncertain_run.is_listed = False
+            if uncertain_run.has_unacknowledged_order:
+                # It may also execute the start later, so the run is stopped
+                # explicitly.
+                uncertain_run.phase = RunPhase.STARTING
+                self.shard.stop_run(
+                    uncertain_run,
+                    'start not acknowledged before the worker restarted',
+                )
 
     def _start_link(self, worker: WorkerState) -> None:
         self._links[worker.worker_id] = self._group.create_task(
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -82,6 +82,10 @@
         self._synced_ms: float = 0
         self._synced_clock_ms = 0
         self._deadline_clock_ms = 0
+        # When the lease ends, by the owner's monotonic clock, that a start has
+        # granted which this incarnation may have accepted from before; 0 if
+        # there is none.
+        self.early_lease_end_ms: float = 0
         # Ended runs up to these numbers are applied to the owner's state, and
         # durable so that they may be acknowledged.
         self.processed_number = 0
@@ -219,7 +223,8 @@
         """
         left_ms = self._deadline_clock_ms - self._synced_clock_ms
         span_ms = max(0, left_ms) * (1 + timings.clock_drift * 1.1)
-        return self._synced_ms + span_ms + _EXPIRY_SLACK_MS
+        expiry_ms = self._synced_ms + span_ms + _EXPIRY_SLACK_MS
+        return max(expiry_ms, self.early_lease_end_ms)
 
     def charge(self, run: Run) -> None:
         """
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -53,6 +53,7 @@
         'has_resumed',
         'is_copy',
         'is_delivered',
+        'is_listed',
         'listed_ms',
         'order_acknowledged_ms',
         'paused_ms',
@@ -87,6 +88,8 @@
         # Whether the start has certainly reached the worker, which has replied
         # or listed the run.
         self.is_delivered = False
+        # Whether a listing of the worker's current incarnation contained it.
+        self.is_listed = False
         # Whether the connection broke as the start was sent.
         self.has_lost_connection = False
         # When the worker last acknowledged an order for the run or first
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -108,19 +108,14 @@
         """
         Return whether the request reaches the intended worker id.
 
-        Another worker at the same address rejects it.
+        Another worker at the same address rejects it, but a later incarnation
+        with the same id does not.
         """
         await asyncio.sleep(_REPLY_DELAY_MS / 1000)
         if not self._worker.is_up and self._worker.is_refusing:
             raise WorkerUnreachableError('the connection was refused')
         await self._raise_if_unreachable()
-        if self._worker.entry.worker_id != self._entry.worker_id:
-            return False
-        if self._worker.entry.incarnation_ms != self._entry.incarnation_ms:
-            raise WorkerUnreachableError(
-                'another incarnation of the worker is running'
-            )
-        return True
+        return self._worker.entry.worker_id == self._entry.worker_id
 
     async def _raise_if_reply_is_lost(self) -> None:
         if self._worker.fault is WorkerFault.LOSE_REPLIES:
--- a/tests/test_fleet_ends.py
+++ b/tests/test_fleet_ends.py
@@ -22,6 +22,7 @@
     StepPlan,
     encode_progress,
 )
+from hawthornpier_standin.fleet import WorkerFault
 
 JOB_ID = '00000000000000aa'
 UNKNOWN_ID = '00000000000000bb'
@@ -185,3 +186,51 @@
         earlier_count = worker.renewal_count
         await world.run_for(2_000)
         assert worker.renewal_count < earlier_count + 10
+
+
+async def fail_on_restarted_workers(world):
+    """
+    Submit a job that may not be tried again, as all workers but one restart.
+
+    That one is reachable only after the start, and the others not for a while.
+    """
+    other, *restarted = world.workers.values()
+    other.fault = WorkerFault.RESET
+    await world.run_for(100)
+    for worker in restarted:
+        worker.crash()
+        worker.restart()
+    plan = world.plan(
+        StepPlan(task_count=1),
+        work_ms=10,
+        failures=(((0, 0), 3),),
+        max_attempts=1,
+    )
+    earlier_count = world.checker.started_count
+    await world.any_node().entry.submit(plan)
+    await world.wait_starts(earlier_count + 1)
+    await world.run_for(200)
+    other.fault = WorkerFault.NONE
+    for worker in restarted:
+        worker.fault = WorkerFault.PARTITIONED
+    await world.run_for(3_000)
+    for worker in restarted:
+        worker.fault = WorkerFault.NONE
+    await world.wait_phase(plan.job_id, JobPhase.FAILED)
+    assert world.checker.started_count == earlier_count + 1
+
+
+@virtual_tests(World)
+class TestRestartedWorkers:
+    """
+    Ends on a worker that restarted under its id count.
+
+    The start reaches the new incarnation before the registry shows it.
+    """
+
+    async def test_failed_runs_count(self, world):
+        """
+        Guards against a task that is started again after its last attempt.
+        """
+        await world.wait_first_owner()
+        await fail_on_restarted_workers(world)
