Acknowledge no end that the worker has not listed

Callers would see a task run again, although its end was acknowledged: a completed task twice, or one with no attempts left once more.

A renewal acknowledges ended runs by the highest number. A worker that restarts under its id numbers them anew, so that the number of the previous incarnation acknowledged, unseen, ends of runs that the new one had started before the registry showed it. A restart ends the connection, so after a request without a reply the owner now acknowledges nothing until the worker has replied. A listing of another incarnation counts as no reply.

test_ends_are_not_acknowledged_unseen failed on the previous commit (the end was forgotten).

--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -110,7 +110,7 @@
             reply = await self._port.renew(
                 Renewal(
                     epoch=shard.epoch,
-                    acknowledged_number=worker.acknowledged_number,
+                    acknowledged_number=self._acknowledged_number(),
                     deadline_clock_ms=deadline,
                     wait_ms=self._renewal_wait_ms(),
                 ),
@@ -120,6 +120,7 @@
             return False
         if isinstance(reply, WorkerListing):
             if reply.incarnation_ms != worker.entry.incarnation_ms:
+                self._record_missed_reply('another incarnation replied')
                 return False
             was_listed = worker.is_listed
             worker.assume_lease(reply.clock_ms, self._timings.lease_max_ms)
@@ -134,6 +135,17 @@
             end_crashed_incarnation(shard, worker, 'another worker replied')
         return False
 
+    def _acknowledged_number(self) -> int:
+        """
+        Return up to which number to acknowledge ended runs.
+
+        After a request without a reply, the worker may have restarted under its
+        id.  It then numbers its ended runs anew, and an acknowledgement would
+        concern runs that it has not listed.
+        """
+        worker = self._worker
+        return 0 if worker.missed_reply_count else worker.acknowledged_number
+
     def _renewal_wait_ms(self) -> int:
         worker = self._worker
         if not worker.is_listed or worker.missed_reply_count:
--- a/tests/test_fleet_ends.py
+++ b/tests/test_fleet_ends.py
@@ -234,3 +234,24 @@
         """
         await world.wait_first_owner()
         await fail_on_restarted_workers(world)
+
+    async def test_ends_are_not_acknowledged_unseen(self, world):
+        """
+        Guards against ends that are acknowledged by numbers of earlier ones.
+
+        The owner has acknowledged more runs of the previous incarnation than
+        have ended on the new one.
+        """
+        await world.wait_first_owner()
+        shard = world.owner().local_shard()
+        for state in shard.workers.values():
+            state.processed_number = 9
+            state.acknowledged_number = 9
+        worker = world.workers['w0']
+        worker.crash()
+        worker.restart()
+        await world.run_for(100)
+        end = (task_key(0, UNKNOWN_ID), 1, RunOutcome.DONE)
+        worker.ended_runs.extend(listing_of(end).ended)
+        await world.run_for(1_000)
+        assert worker.ended_runs
