--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -124,7 +124,7 @@
             return False
         if isinstance(reply, WorkerListing):
             if reply.incarnation_ms != worker.entry.incarnation_ms:
-                self._record_other_incarnation(reply.incarnation_ms)
+                self._record_missed_reply('another incarnation replied')
                 return False
             was_listed = worker.is_listed
             worker.confirm_acknowledgement(acknowledged_number)
@@ -170,15 +170,6 @@
         except TimeoutError:
             return
 
-    def _record_other_incarnation(self, incarnation_ms: int) -> None:
-        """
-        Start nothing on the worker until the registry names its incarnation.
-
-        The reply of an earlier incarnation may arrive late.
-        """
-        if incarnation_ms > self._worker.entry.incarnation_ms:
-            self._record_missed_reply('another incarnation replied')
-
     def _record_missed_reply(self, why: str) -> None:
         worker = self._worker
         worker.missed_reply_count += 1
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -73,7 +73,7 @@
         # Whether the start has certainly reached the worker, which has replied
         # or listed the run.
         self.is_delivered = False
-        # Whether the worker has listed it.
+        # Whether a listing of the worker's current incarnation contained it.
         self.is_listed = False
         # Whether the connection broke as the start was sent.
         self.has_lost_connection = False
@@ -119,14 +119,16 @@
         return self.task.step.plan.is_lasting and self.percent >= 100
 
     @property
-    def may_be_on_next_incarnation(self) -> bool:
+    def has_unacknowledged_order(self) -> bool:
         """
-        Return whether the worker's next incarnation may execute the run.
+        Return whether the last start or stop order is not acknowledged.
 
-        A start names the worker but not its incarnation, so that the next one
-        may accept it, or execute it late, until the run has been listed.
+        The worker may then still carry out a start of this run.
         """
-        return bool(self.sent_ms) and not self.is_listed
+        return (
+            self.phase is not RunPhase.RUNNING
+            and not self.order_acknowledged_ms
+        )
 
     @property
     def has_representative_duration(self) -> bool:
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -108,7 +108,8 @@
         """
         Return whether the request reaches the intended worker id.
 
-        Another worker at the same address rejects it.
+        Another worker at the same address rejects it, but a later incarnation
+        with the same id does not.
         """
         await asyncio.sleep(_REPLY_DELAY_MS / 1000)
         if not self._worker.is_up and self._worker.is_refusing:
