Move no task to workers of another service

The reservation of a move took the service of the worker that the task left.

The new test failed before. The destination is now a worker of the queue's present service, which is checked again at the start.

--- a/src/hawthornpier/fleet/_evacuation.py
+++ b/src/hawthornpier/fleet/_evacuation.py
@@ -105,13 +105,13 @@
         task = run.task
         if not _may_move_task(task.step):
             return False
-        origin = self._shard.workers[run.worker_id]
+        service = self._shard.service_of(task.step.job)
         destination = self._placement.choose(
-            task, _of_service(destinations, origin), self._shard.now_ms
+            task, _of_service(destinations, service), self._shard.now_ms
         )
         if destination is None:
             return False
-        image = origin.evacuated_for_image
+        image = self._shard.workers[run.worker_id].evacuated_for_image
         self._moves.begin(run, destination, f'worker is evacuated for {image}')
         return True
 
@@ -143,13 +143,9 @@
 
 
 def _of_service(
-    workers: Iterable[WorkerState], other: WorkerState
+    workers: Iterable[WorkerState], service: str
 ) -> list[WorkerState]:
-    return [
-        worker
-        for worker in workers
-        if worker.entry.service == other.entry.service
-    ]
+    return [worker for worker in workers if worker.entry.service == service]
 
 
 def _harmed_runs(
@@ -184,7 +180,7 @@
 ) -> bool:
     others = [
         worker
-        for worker in _of_service(usable, origin)
+        for worker in _of_service(usable, origin.entry.service)
         if worker is not origin and not worker.evacuated_for_image
     ]
     free_resources = [
--- a/src/hawthornpier/fleet/_moves.py
+++ b/src/hawthornpier/fleet/_moves.py
@@ -80,6 +80,11 @@
         is_known = shard.workers.get(worker.worker_id) is worker
         if not is_known or is_crash_suspect(task):
             return
+        # The configuration may have moved the queue to another service.
+        service = shard.service_of(task.step.job)
+        is_allowed = shard.permits.may_start_on(service)
+        if worker.entry.service != service or not is_allowed:
+            return
         if find_exclusion(worker, task.step, shard.now_ms) is None:
             shard.start_run(task, worker, reason='move')
 
--- a/tests/test_fleet_evacuation.py
+++ b/tests/test_fleet_evacuation.py
@@ -207,6 +207,23 @@
         fleet.moves.run_pass()
         assert destination.reserved_millis == LONG_RUNNING.processor_millis
 
+    def test_task_is_not_moved_after_its_queue(self):
+        """
+        Guards against a move to workers of a service that the configuration
+        no longer assigns the queue to, before or after the run is stopped.
+        """
+        for is_stopped_before in (False, True):
+            fleet = _Fleet()
+            if is_stopped_before:
+                fleet.run_evacuation(2_000)
+            fleet.shard.queues = {'q': QueuePolicy(name='q', service='other')}
+            fleet.run_evacuation(2_000)
+            for run in fleet.stopping:
+                fleet.shard.end_run(run, RunOutcome.STOPPED)
+            fleet.moves.run_pass()
+            runs = [run for task in fleet.tasks for run in task.runs]
+            assert not any(run.phase is RunPhase.STARTING for run in runs)
+
     def test_task_that_is_eligible_nowhere_else_is_not_moved(self):
         """
         Guards against stopping a long-running task for which there is room
