Move one task of a step at a time

What callers would see: two tasks of a long-running step are unavailable at once, though the step allows one (AVAIL). A run that is being stopped still counts as ready, so one pass stopped two tasks of a step on the same worker, and a later pass began the move of a stopping run again.

The new test failed before, with both tasks stopped. A run that is stopping no longer counts as ready, and it counts as moved.

--- a/src/hawthornpier/fleet/_evacuation.py
+++ b/src/hawthornpier/fleet/_evacuation.py
@@ -16,7 +16,7 @@
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._throttling import HARMFUL_EFFECT
 from hawthornpier.fleet._worker_state import WorkerState
-from hawthornpier.steps import Run, Step
+from hawthornpier.steps import Run, RunPhase, Step
 
 # A best-effort step that has found no worker for this long is starved, and a
 # worker is evacuated for its image.
@@ -95,8 +95,8 @@
         destinations = [
             worker for worker in usable if not worker.evacuated_for_image
         ]
-        moved = 0
         harmed = _harmed_runs(chosen, image, self._shard.interference)
+        moved = sum(run.phase is RunPhase.STOPPING for run in harmed)
         for run in harmed:
             if moved < _MAX_MOVES and self._move(run, destinations):
                 moved += 1
@@ -168,7 +168,9 @@
     That is so if all tasks of the step are ready.
     """
     return all(
-        len(task.runs) == 1 and task.runs[0].percent >= 100
+        len(task.runs) == 1
+        and task.runs[0].is_ready
+        and task.runs[0].phase is RunPhase.RUNNING
         for task in step.tasks
     )
 
--- a/tests/test_fleet_evacuation.py
+++ b/tests/test_fleet_evacuation.py
@@ -207,6 +207,20 @@
         fleet.moves.run_pass()
         assert destination.reserved_millis == LONG_RUNNING.processor_millis
 
+    def test_one_task_of_a_step_is_moved_at_a_time(self):
+        """
+        Guards against two tasks of a step that are unavailable through moves.
+        """
+        fleet = _Fleet()
+        run = fleet.tasks[1].runs[0]
+        fleet.shard.workers['w1'].release(run)
+        run.worker_id = 'w0'
+        fleet.shard.workers['w0'].charge(run)
+        for _ in range(2):
+            fleet.run_evacuation(2_000)
+            fleet.clock.now_ms += 600
+        assert len(fleet.stopping) == 1
+
     def test_task_is_not_moved_after_its_queue(self):
         """
         Guards against a move to workers of a service that the configuration
