Resume paused best-effort runs once no long-running one is left

Throttling was only decided for workers with long-running tasks. When the last of them left, for instance by an evacuation, a run that was paused for it got no further order, was not evicted, and did not count as stalled, since a paused run makes no progress.

The new test failed before.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -72,9 +72,12 @@
         self._end_unlisted_runs(worker, listed, requested_ms)
         if not worker.is_listed:
             self._record_first_listing(worker, now_ms)
+        interference = self._shard.interference
         if worker.long_running_count:
-            interference = self._shard.interference
             interference.learn(worker, now_ms)
+        # Also once the last long-running run has ended, because best-effort
+        # runs may be paused for it.
+        if worker.long_running_count or worker.best_effort_count:
             control_throttling(worker, interference, self._actions, now_ms)
 
     def _apply_ended_runs(
