Bound the time for which one run holds a probation

The new test failed before: with a run of 120 s on trial, no task of a long-running step was started. After 4 s another run may be tried. A worker that fails long runs at their end gets one more run each 4 s for that.

--- a/src/hawthornpier/fleet/_eligibility.py
+++ b/src/hawthornpier/fleet/_eligibility.py
@@ -57,7 +57,10 @@
 def _is_on_probation(worker: WorkerState, _step: Step, now_ms: float) -> bool:
     if worker.health.health_status(now_ms) is not HealthStatus.PROBATION:
         return False
-    return any(map(worker.health.is_on_trial_by, worker.runs.values()))
+    return any(
+        worker.health.is_on_trial_by(run, now_ms)
+        for run in worker.runs.values()
+    )
 
 
 _CHECKS: tuple[
--- a/src/hawthornpier/fleet/_health.py
+++ b/src/hawthornpier/fleet/_health.py
@@ -16,6 +16,8 @@
 _QUARANTINE_MAX_MS = 12_000.0
 _REFUSAL_MS = 300.0
 _REFUSAL_MAX_MS = 2_400.0
+# A run keeps others off a worker on probation for at most this long.
+_TRIAL_MS = 4_000.0
 # Other workers are preferred for this long after a failure.
 _SUSPICION_MS = 4_000.0
 
@@ -27,9 +29,9 @@
 
     HEALTHY = 0
     SUSPECT = 1
-    # After a quarantine, only one run at a time is started until one succeeds
-    # or, if it is long-running, becomes ready.  If it fails, the worker is
-    # quarantined again.
+    # After a quarantine, only one run at a time is started, or another after
+    # some seconds, until one succeeds or, if it is long-running, becomes ready.
+    # If it fails, the worker is quarantined again.
     PROBATION = 2
     QUARANTINED = 3
 
@@ -79,14 +81,17 @@
         The next quarantine is as long as after a failure during the probation,
         because only a run that succeeds shows that the worker completes tasks.
         """
-        if self.is_on_trial_by(run):
+        if run.started_ms >= self._quarantined_until_ms:
             self._is_quarantined = False
 
-    def is_on_trial_by(self, run: Run) -> bool:
+    def is_on_trial_by(self, run: Run, now_ms: float) -> bool:
         """
-        Return whether a run was started after the last quarantine.
+        Return whether a run is a recent one since the last quarantine.
         """
-        return run.started_ms >= self._quarantined_until_ms
+        return (
+            run.started_ms >= self._quarantined_until_ms
+            and now_ms - run.started_ms < _TRIAL_MS
+        )
 
     def record_refusal(self, now_ms: float) -> None:
         """
--- a/tests/test_fleet_probation.py
+++ b/tests/test_fleet_probation.py
@@ -52,6 +52,26 @@
         await world.run_for(LIMIT_MS)
         assert len(world.checker.running) == 6
 
+    async def test_a_long_run_does_not_hold_a_probation(self, world):
+        """
+        Guards against tasks that wait beside a free worker for as long as its
+        first run after a quarantine takes.
+        """
+        jobs = await self._fail_on_all_workers(world)
+        await world.any_node().entry.submit(world.plan(SHORT, work_ms=120_000))
+        for failing in jobs:
+            await world.wait_phase(
+                failing.job_id, JobPhase.FAILED, limit_ms=60_000
+            )
+        world.recover_workers()
+        await world.run_for(LIMIT_MS)
+        job = world.plan(LASTING)
+        await world.any_node().entry.submit(job)
+        await world.run_for(LIMIT_MS)
+        assert any(
+            task.startswith(job.job_id) for task, _ in world.checker.running
+        )
+
     async def _fail_on_all_workers(self, world, *steps):
         await world.wait_first_owner()
         if steps:
@@ -59,7 +79,9 @@
             await world.run_for(1_000)
         for worker in world.workers.values():
             worker.fault = WorkerFault.FAIL_ALL
-        for _ in range(4):
-            await world.any_node().entry.submit(world.plan(SHORT))
+        jobs = [world.plan(SHORT) for _ in range(4)]
+        for job in jobs:
+            await world.any_node().entry.submit(job)
         await world.run_for(3_000)
         assert world.has_logged('worker_quarantined')
+        return jobs
