Count reserved tasks in the choice of workers for best-effort ones

What callers would see: a long-running task moves to a worker and is over its target there (HARM), because a harmful best-effort task was started in between. A worker with only a reservation looked like one without long-running tasks.

The new test failed before: the harmful task was placed there.

--- a/src/hawthornpier/fleet/_placement.py
+++ b/src/hawthornpier/fleet/_placement.py
@@ -143,9 +143,7 @@
         # fits on no such worker goes to one without long-running tasks, else
         # to one whose images are mixed already, so that few are mixed.
         image = step.plan.image
-        images = {
-            run.task.step.plan.image for run in worker.long_running_runs()
-        }
+        images = worker.long_running_images()
         mix_rank = _IMAGE_MIX_RANKS[min(len(images), 2)]
         if images == {image}:
             mix_rank = 0
@@ -209,11 +207,8 @@
     def _max_effect(self, worker: WorkerState, step: Step) -> float:
         return max(
             (
-                self._interference.effect(
-                    run.task.step.plan.image,
-                    step.plan.image,
-                )
-                for run in worker.long_running_runs()
+                self._interference.effect(image, step.plan.image)
+                for image in worker.long_running_images()
             ),
             default=0,
         )
--- a/src/hawthornpier/fleet/_state_log.py
+++ b/src/hawthornpier/fleet/_state_log.py
@@ -132,4 +132,4 @@
 
 
 def _image_count(worker: WorkerState) -> int:
-    return len({run.task.step.plan.image for run in worker.long_running_runs()})
+    return len(worker.long_running_images())
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -115,6 +115,8 @@
         # When its load or its usage last changed, by the owner's monotonic
         # clock.
         self.changed_ms: float = 0
+        # By task that is not started yet, its step; their resources count.
+        self._reserved_steps: list[Step] = []
         # The number of runs of each step, by step key.
         self.step_counts: dict[str, int] = {}
         # A run of a task that may crash the worker.  No other run is started
@@ -272,12 +274,14 @@
         """
         Allocate resources for a task of a step that is not started yet.
         """
+        self._reserved_steps.append(step)
         self._add(step, 1)
 
     def cancel_reservation(self, step: Step) -> None:
         """
         Free the resources that `reserve` has allocated.
         """
+        self._reserved_steps.remove(step)
         self._add(step, -1)
 
     @property
@@ -346,6 +350,17 @@
             run for run in self.runs.values() if run.task.step.plan.is_lasting
         ]
 
+    def long_running_images(self) -> set[str]:
+        """
+        Return the images of long-running tasks that run or will be started.
+        """
+        steps = [run.task.step for run in self.long_running_runs()]
+        return {
+            step.plan.image
+            for step in (*steps, *self._reserved_steps)
+            if step.plan.is_lasting
+        }
+
     def best_effort_runs(self) -> list[Run]:
         """
         Return the runs of best-effort tasks.
--- a/tests/test_fleet_evacuation.py
+++ b/tests/test_fleet_evacuation.py
@@ -207,6 +207,22 @@
         fleet.moves.run_pass()
         assert destination.reserved_millis == LONG_RUNNING.processor_millis
 
+    def test_harmful_task_stays_off_reserved_room(self):
+        """
+        Guards against a best-effort task that is started where a long-running
+        one that it harms is about to move.
+        """
+        fleet = _Fleet()
+        destination = fleet.shard.workers['w2']
+        fleet.moves.begin(fleet.tasks[0].runs[0], destination, 'test')
+        step = fleet.best_effort_step
+        step.ready_ms = fleet.clock.now_ms
+        placement = Placement(fleet.shard.interference)
+        chosen = placement.choose(
+            step.tasks[0], [destination], fleet.clock.now_ms
+        )
+        assert chosen is None
+
     def test_one_task_of_a_step_is_moved_at_a_time(self):
         """
         Guards against two tasks of a step that are unavailable through moves.
