Ignore a listed run of a worker that has been removed

What callers would see: a task that never starts (LOST). A run of a job that is not known yet is kept until the job is added. If its worker had been removed meanwhile, the run was added to the removed worker's state, where nothing ever ends it, so the task never waited again.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -126,9 +126,10 @@
         """
         now_ms = self._shard.now_ms
         for worker, row in self._deferred_rows.pop(job_id, ()):
+            is_known = self._shard.workers.get(worker.worker_id) is worker
             if isinstance(row, EndedRun):
                 self._apply_ended_run(worker, row, now_ms)
-            elif (row.task_key, row.attempt) not in worker.runs:
+            elif is_known and (row.task_key, row.attempt) not in worker.runs:
                 self._add_listed_run(worker, row, now_ms)
 
     def _update_run(self, run: Run, row: RunningRun, now_ms: float) -> None:
