Let only listings tell that a worker replies again

What callers would see: a task starts on an incarnation of a worker that the registry has not named (TWICE). A reply of another incarnation counts as a missing one, but the reply to a start, which tells no incarnation, cleared that again, and starts went on.

--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -275,7 +275,8 @@
         is_uncertain: bool,
     ) -> None:
         now_ms = self._shard.now_ms
-        if reply.clock_ms:
+        # Only a listing tells which incarnation replies.
+        if reply.clock_ms and not self._worker.is_unresponsive:
             self._worker.synchronize(reply.clock_ms, now_ms)
         if reply.verdict is Verdict.ACCEPTED:
             self._shard.confirm_run(run)
--- a/tests/test_fleet_ends.py
+++ b/tests/test_fleet_ends.py
@@ -2,8 +2,10 @@
 Tests of how an owner learns of the ends of runs of earlier epochs.
 """
 
+import asyncio
 import dataclasses
 
+import msgspec
 import pytest
 from fake_store import virtual_tests
 from fleet_rows import QUEUE
@@ -11,9 +13,18 @@
 from virtual_time import JumpingClock
 
 from hawthornpier.events import DecisionLog
-from hawthornpier.fleet import EndedRun, WorkerEntry, WorkerListing
+from hawthornpier.fleet import (
+    EndedRun,
+    OrderReply,
+    RunningRun,
+    Verdict,
+    WorkerEntry,
+    WorkerListing,
+    WorkerTimings,
+)
 from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import (
     JobPhase,
@@ -84,6 +95,20 @@
     )
 
 
+class RestartedPort:
+    """
+    A connection on which the next incarnation of a worker replies.
+    """
+
+    async def renew(self, renewal):
+        await asyncio.sleep(0.01)
+        return msgspec.structs.replace(listing_of(), incarnation_ms=2)
+
+    async def start(self, order):
+        await asyncio.sleep(0.02)
+        return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=5)
+
+
 class TestHandedOverEnds:
     """
     The ends in a handover and those that workers list add up.
@@ -168,6 +193,27 @@
         shard.add_job(dataclasses.replace(PLAN, job_id=UNKNOWN_ID))
         assert shard.find_task(task_key(0, UNKNOWN_ID)).is_done
 
+    async def test_a_listed_run_of_a_removed_worker_is_ignored(self):
+        """
+        Guards against a task that never starts, because a run on a worker that
+        has been removed is added to it once its job is known.
+        """
+        shard = shard_with()
+        worker = add_worker(shard)
+        row = RunningRun(
+            task_key=task_key(0, UNKNOWN_ID),
+            attempt=1_001,
+            checkpoint='',
+            percent=50,
+        )
+        listing = WorkerListing(
+            incarnation_ms=1, clock_ms=1_000, running=(row,), ended=()
+        )
+        ListingReconciler(shard).apply(worker, listing, shard.now_ms)
+        del shard.workers[worker.worker_id]
+        shard.add_job(dataclasses.replace(PLAN, job_id=UNKNOWN_ID))
+        assert shard.find_task(task_key(0, UNKNOWN_ID)).is_waiting
+
 
 @virtual_tests(World)
 class TestDeferredEnds:
@@ -255,3 +301,32 @@
         worker.ended_runs.extend(listing_of(end).ended)
         await world.run_for(1_000)
         assert worker.ended_runs
+
+
+class TestRepliesOfRestartedWorkers:
+    """
+    Only a listing tells which incarnation of a worker replies.
+    """
+
+    async def test_a_start_reply_does_not_make_the_worker_usable(self):
+        """
+        Guards against starts on an incarnation that the registry has not named.
+        """
+        shard = shard_with(epoch=1)
+        worker = add_worker(shard)
+        worker.is_listed = True
+        worker.is_recorded = True
+        run = shard.start_run(shard.find_task(task_key(0)), worker, reason='t')
+        link = WorkerLink(
+            worker,
+            RestartedPort(),
+            shard=shard,
+            listings=ListingReconciler(shard),
+            timings=WorkerTimings(),
+        )
+        task = asyncio.create_task(link.run())
+        async with asyncio.timeout(2):
+            while not run.is_delivered:
+                await asyncio.sleep(0)
+        task.cancel()
+        assert not worker.is_usable
