Tell runs of two incarnations with one attempt number apart in the checker

The first end is lost with the first incarnation and is never acknowledged, so that the second run is allowed by the rule. The checker knew ends by attempt only and took the acknowledgement of the second end for one of the first.

An end that was not acknowledged when its attempt starts again no longer counts. A worker turns down an attempt that it has ended, so only a new incarnation can start it again; ends that were acknowledged, and those of other attempts, count as before.

--- a/tests/run_checker.py
+++ b/tests/run_checker.py
@@ -79,6 +79,10 @@
             if self.late_start_counts[task] > 2:
                 self.violations.append(f'{task} crashes worker after worker')
         self.running[task, attempt] = worker
+        if attempt not in self.noted[task]:
+            # A start that the worker's previous incarnation has executed too;
+            # its end there can no longer be acknowledged.
+            self.ended[task].pop(attempt, None)
         self.starts[task][attempt] = set(self.ended[task])
         self._check_starts(task)
 
