--- a/src/hawthornpier/fleet/_relay_messages.py
+++ b/src/hawthornpier/fleet/_relay_messages.py
@@ -71,9 +71,8 @@
     Requests from the owner to a relay.
 
     *sent_ms* is when the owner made the first of the calls, on its monotonic
-    clock.  *contacts* introduces the
-    workers that were not named on this connection before; *ended* lists the
-    contacts that are not used any more.
+    clock.  *contacts* introduces the workers that were not named on this
+    connection before; *ended* lists the contacts that are not used any more.
     """
 
     sent_ms: float
