--- a/review/1/case.py
+++ b/review/1/case.py
@@ -18,8 +18,8 @@
 WIDTH = 160
 SMALL_JOBS = 10
 BIG = {
-    'count': WIDTH, 'cpu': 40, 'ram_mb': 10, 'estimate_ms': 4000,
-    'model': {'cpu': 40, 'ram_mb': 10, 'work_s': 4.0},
+    'count': WIDTH, 'cpu': 40, 'ram_mb': 10, 'estimate_ms': 8000,
+    'model': {'cpu': 40, 'ram_mb': 10, 'work_s': 8.0},
 }
 SMALL = {
     'count': 2, 'cpu': 1000, 'ram_mb': 256, 'estimate_ms': 300,
@@ -39,7 +39,7 @@
     await installation.until(
         lambda: sum(len(each.running) for each in installation.workers)
         == STEPS * WIDTH,
-        4, 'all tasks of the large job run',
+        7, 'all tasks of the large job run',
     )
     if has_trouble:
         max(installation.workers, key=lambda each: len(each.running)).crash()
