--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,10 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# With TROUBLE=0 it leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-export PYTHONPATH=review/standin PYTHONDONTWRITEBYTECODE=1
-exec python3 review/2/case.py
+trouble=1
+if [ "${TROUBLE:-1}" = 0 ]; then
+    trouble=0
+fi
+export PYTHONPATH=review PYTHONDONTWRITEBYTECODE=1
+exec python3 review/2/case.py "$trouble"
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Prepares the stand-ins of the cases.  They are plain Python without
-# dependencies, in `review/standin/`, so this only checks that they compile.
+# dependencies, in `review/installation.py`; this only checks that they compile.
 cd "$(dirname "$0")/.." || exit 2
 exec python3 - <<'CHECK'
 import pathlib
--- a/review/standin/installation.py
+++ b/review/installation.py
@@ -23,7 +23,7 @@
 import tomllib
 import urllib.parse
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HEARTBEAT_MS = 1_500
 # A worker returns at most this many ended runs in one listing.
 LISTED_ENDS = 500
@@ -876,12 +876,14 @@
     """
     Run a case, and exit with 1 if the rule was broken, 0 if it held, else 2.
 
+    The disruption is left out if the program's argument is 0.
+
     Args:
         folder: The folder of the case.
         case: A coroutine function of the installation and of whether the
             disruption is wanted.  It returns how the rule was broken.
     """
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+    has_trouble = sys.argv[1:] != ['0']
 
     async def run():
         installation = Installation(folder)
