--- a/review/1/case.py
+++ b/review/1/case.py
@@ -16,7 +16,7 @@
 # The most steps and the widest step of the traffic in the large site file.
 STEPS = 5
 WIDTH = 160
-SMALL_JOBS = 10
+SMALL_JOBS = 3
 BIG = {
     'count': WIDTH, 'cpu': 40, 'ram_mb': 10, 'estimate_ms': 8000,
     'model': {'cpu': 40, 'ram_mb': 10, 'work_s': 8.0},
