Take a listing that was cut at its limit for a part of the whole

Cause: a worker lists 500 ended runs at a time. While the store is out, ends cannot be acknowledged and pile up. A run whose end is beyond the first 500 is in neither list, and the owner took it for lost. A new owner also took such a listing for all that it had to know of the worker.

Change: the adapter marks listings that may be cut. Runs that they leave out stay as they are, and the worker counts as listed once it has listed everything; until then its lease is renewed and its ends are acknowledged. No run is started on a worker with 250 unacknowledged ends, so that an owner without the store does not go on to pile them up. The same class: pages of changes, of the list of workers with runs and of the directory of processes are read to the last one.

--- a/src/hawthornpier/fleet/__init__.py
+++ b/src/hawthornpier/fleet/__init__.py
@@ -31,6 +31,7 @@
     Presence,
 )
 from hawthornpier.fleet._ports import (
+    LISTED_ENDS_MAX,
     EndedRun,
     FleetWorker,
     OrderReply,
@@ -60,6 +61,7 @@
 from hawthornpier.fleet._writer import ProcessCard, ShardWriter
 
 __all__ = [
+    'LISTED_ENDS_MAX',
     'Configuration',
     'ConfigurationReply',
     'ConfigurationSource',
--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -147,7 +147,7 @@
         why: What shows that the incarnation has ended.
     """
     confirm_crash(shard, worker, why)
-    worker.is_listed = False
+    worker.expect_listing()
     shard.unlisted_tasks.pop(worker.worker_id, None)
     for run in list(worker.runs.values()):
         shard.end_run(run, RunOutcome.LOST)
--- a/src/hawthornpier/fleet/_eligibility.py
+++ b/src/hawthornpier/fleet/_eligibility.py
@@ -6,9 +6,14 @@
 from collections.abc import Callable
 
 from hawthornpier.fleet._health import HealthStatus
+from hawthornpier.fleet._ports import LISTED_ENDS_MAX
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Step
 
+# No further run is started on a worker that keeps as many ended runs; the rest
+# of a listing is for the ends of the runs that it has.
+_UNACKNOWLEDGED_MAX = LISTED_ENDS_MAX // 2
+
 
 class Exclusion(enum.StrEnum):
     """
@@ -20,6 +25,9 @@
     ON_TRIAL = 'on trial'
     NO_ROOM = 'no room'
     NO_LABEL = 'no label'
+    # Further ends would not be listed before the ones that it keeps can be
+    # acknowledged.
+    UNACKNOWLEDGED = 'too many unacknowledged ends'
     QUARANTINED = 'quarantined'
     ON_PROBATION = 'on probation'
     # A best-effort task would interfere too much with long-running ones.
@@ -63,6 +71,12 @@
     )
 
 
+def _has_unacknowledged_ends(
+    worker: WorkerState, _step: Step, _now_ms: float
+) -> bool:
+    return worker.listed_end_count >= _UNACKNOWLEDGED_MAX
+
+
 _CHECKS: tuple[
     tuple[Exclusion, Callable[[WorkerState, Step, float], bool]], ...
 ] = (
@@ -80,6 +94,7 @@
         lambda worker, step, _now_ms: not worker.fits(step),
     ),
     (Exclusion.NO_LABEL, _lacks_label),
+    (Exclusion.UNACKNOWLEDGED, _has_unacknowledged_ends),
     (Exclusion.QUARANTINED, _is_quarantined),
     (Exclusion.ON_PROBATION, _is_on_probation),
 )
--- a/src/hawthornpier/fleet/_intake.py
+++ b/src/hawthornpier/fleet/_intake.py
@@ -22,6 +22,7 @@
     RowTransaction,
     StoredRow,
 )
+from hawthornpier.fleet._row_pages import read_all_changes, read_all_rows
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._writer import INTAKE_TABLE, PROGRESS_TABLE
 from hawthornpier.steps import RecordError, decode_plan
@@ -55,31 +56,6 @@
     return f'{job_id}{_END_SUFFIX}'
 
 
-async def read_all_rows(store: RecordStore, table: str, part: str) -> RowPage:
-    """
-    Return all rows of a partition.
-
-    The version and the time are those of the first page.  Rows of later pages
-    may be newer.
-    """
-    rows: list[StoredRow] = []
-    first_key = ''
-    first: RowPage | None = None
-    while True:
-        page = await store.read(table, part, first_key=first_key)
-        first = first or page
-        rows.extend(page.rows)
-        if not page.has_more or not page.rows:
-            break
-        # The first key is inclusive, so continue with the next possible key.
-        first_key = f'{page.rows[-1].key}\0'
-    return RowPage(
-        rows=tuple(rows),
-        version=first.version,
-        store_ms=first.store_ms,
-    )
-
-
 class Intake:
     """
     Adds the jobs and cancellations in the store to the owner's shard.
@@ -126,7 +102,8 @@
         """
         requested_ms = self._shard.now_ms
         try:
-            page = await self._store.changes(
+            page = await read_all_changes(
+                self._store,
                 INTAKE_TABLE,
                 after_version=self._version,
                 wait_ms=wait_ms,
--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -69,9 +69,12 @@
             else:
                 self._update_run(run, row, now_ms)
                 run.listed_ms = requested_ms
-        self._end_unlisted_runs(worker, listed, requested_ms)
-        if not worker.is_listed:
-            self._record_first_listing(worker, now_ms)
+        worker.is_reached = True
+        worker.listed_end_count = len(listing.ended)
+        if not listing.has_more_ended:
+            self._end_unlisted_runs(worker, listed, requested_ms)
+            if not worker.is_listed:
+                self._record_first_listing(worker, now_ms)
         interference = self._shard.interference
         if worker.long_running_count:
             interference.learn(worker, now_ms)
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -21,12 +21,13 @@
 from hawthornpier.fleet._divided_rows import row_owner
 from hawthornpier.fleet._errors import ShardLostError
 from hawthornpier.fleet._handover import build_handover, request_handover
-from hawthornpier.fleet._intake import Intake, read_all_rows
+from hawthornpier.fleet._intake import Intake
 from hawthornpier.fleet._interference import EffectRow
 from hawthornpier.fleet._parts import Part, run_part
 from hawthornpier.fleet._pass_gap import pass_gap_ms
 from hawthornpier.fleet._peer_port import Handover
 from hawthornpier.fleet._relay_pool import RelayPool
+from hawthornpier.fleet._row_pages import read_all_rows
 from hawthornpier.fleet._scheduler import Scheduler
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_registry import WorkerRegistry
--- a/src/hawthornpier/fleet/_ports.py
+++ b/src/hawthornpier/fleet/_ports.py
@@ -61,7 +61,8 @@
     """
     A consistent read of rows as of *version*.
 
-    *store_ms* is the monotonic clock of the store.
+    *store_ms* is the monotonic clock of the store.  If *has_more*, rows were
+    left out, and reading continues after the last one.
     """
 
     rows: tuple[StoredRow, ...]
@@ -154,6 +155,10 @@
         return self.labels[1] if len(self.labels) > 1 else ''
 
 
+# A worker lists this many ended runs at a time, the earliest ones.
+LISTED_ENDS_MAX = 500
+
+
 class RunningRun(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
     A run that is executing on a worker, as the worker lists it.
@@ -197,13 +202,15 @@
 
     *incarnation_ms* is the Unix time at which the worker started, *clock_ms*
     the time of its clock.  *ended* contains the ended runs that the owner has
-    not acknowledged yet.
+    not acknowledged yet; if *has_more_ended*, only the earliest of them.  A run
+    that is not listed may then have ended in any way.
     """
 
     incarnation_ms: int
     clock_ms: int
     running: tuple[RunningRun, ...]
     ended: tuple[EndedRun, ...]
+    has_more_ended: bool = False
 
 
 class Verdict(enum.StrEnum):
--- a/src/hawthornpier/fleet/_process_directory.py
+++ b/src/hawthornpier/fleet/_process_directory.py
@@ -8,6 +8,7 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._errors import HistoryGoneError
 from hawthornpier.fleet._ports import RecordStore, RowPage, RowTransaction
+from hawthornpier.fleet._row_pages import read_all_rows
 from hawthornpier.fleet._writer import ProcessCard
 from hawthornpier.ports import Clock, StoreError
 
@@ -66,7 +67,12 @@
         key = (PROCESS_TABLE, self._name)
         while True:
             try:
-                page = await self._store.read(PROCESS_TABLE, '')
+                page = await self._store.read(
+                    PROCESS_TABLE,
+                    '',
+                    first_key=self._name,
+                    end_key=f'{self._name}\0',
+                )
                 versions = {row.key: row.version for row in page.rows}
                 outcome = await self._store.transact(
                     RowTransaction(
@@ -83,7 +89,7 @@
 
     async def _read_changes(self) -> RowPage:
         if self._version is None:
-            return await self._store.read(PROCESS_TABLE, '')
+            return await read_all_rows(self._store, PROCESS_TABLE, '')
         try:
             return await self._store.changes(
                 PROCESS_TABLE,
@@ -91,7 +97,7 @@
                 wait_ms=_WATCH_WAIT_MS,
             )
         except HistoryGoneError:
-            return await self._store.read(PROCESS_TABLE, '')
+            return await read_all_rows(self._store, PROCESS_TABLE, '')
 
     def _apply_page(self, page: RowPage) -> None:
         self._version = page.version
--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -76,7 +76,7 @@
         if expired_ms < 0:
             return
         if worker.is_listed:
-            worker.is_listed = False
+            worker.expect_listing()
             log_interrupted_runs(self._shard, worker, 'lease expired')
         if worker.is_deregistered:
             presume_crash(self._shard, worker, 'lease expired, entry missing')
--- a/src/hawthornpier/fleet/_run_orders.py
+++ b/src/hawthornpier/fleet/_run_orders.py
@@ -4,7 +4,8 @@
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._job_index import JobIndex
-from hawthornpier.fleet._worker_state import Order, OrderKind, WorkerState
+from hawthornpier.fleet._orders import Order, OrderKind
+from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import Clock
 from hawthornpier.steps import Run, RunPhase
 
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -104,8 +104,7 @@
         if not shard.unlisted_tasks or step.plan.may_run_copies:
             return tasks
         if not shard.is_recent_owner(self._unlisted_span_ms):
-            shard.unlisted_tasks.clear()
-            return tasks
+            shard.forget_lapsed_workers()
         if not step.job.is_from_earlier_epoch:
             return tasks
         maybe_running: set[str] = set()
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -161,6 +161,18 @@
             return True
         return self.now_ms - self.first_listed_ms < span_ms
 
+    def forget_lapsed_workers(self) -> None:
+        """
+        Forget what ran on workers that have not listed their runs in time.
+
+        The leases of the previous owner have expired there.  Those that reply
+        hold a lease of this owner; they have ends left to list.
+        """
+        for worker_id in list(self.unlisted_tasks):
+            worker = self.workers.get(worker_id)
+            if worker is None or not worker.is_reached:
+                self.unlisted_tasks.pop(worker_id)
+
     def cancel_job(self, job_id: str) -> None:
         """
         Cancel a job and stop all its runs.
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -6,6 +6,7 @@
 
 from hawthornpier.fleet._crashes import end_crashed_incarnation
 from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._orders import Order, OrderKind
 from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
     FleetWorker,
@@ -17,7 +18,7 @@
 )
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import WorkerTimings
-from hawthornpier.fleet._worker_state import Order, OrderKind, WorkerState
+from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import WorkerError, WorkerReplyLostError
 from hawthornpier.steps import Run, RunOutcome, RunPhase
 
@@ -103,7 +104,7 @@
         # The worker may execute a renewal long after it was sent.  While
         # renewals get no reply, only the first one carries a new deadline, so
         # that the time by which the runs must have ended is not postponed.
-        is_replying = worker.is_listed and not worker.missed_reply_count
+        is_replying = worker.is_reached and not worker.missed_reply_count
         if is_replying and shard.permits.is_unclaimed:
             deadline = worker.next_deadline(self._timings.lease_ms, sent_ms)
         # A worker that does not reply may be restarting.
@@ -126,11 +127,11 @@
             if reply.incarnation_ms != worker.entry.incarnation_ms:
                 self._record_missed_reply('another incarnation replied')
                 return False
-            was_listed = worker.is_listed
+            was_reached = worker.is_reached
             worker.confirm_acknowledgement(acknowledged_number)
             worker.assume_lease(reply.clock_ms, self._timings.lease_max_ms)
             self._listings.apply(worker, reply, sent_ms)
-            return was_listed
+            return was_reached
         if reply is Verdict.FENCED:
             shard.deposed.set()
         if reply is Verdict.OTHER_INCARNATION:
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -12,7 +12,6 @@
     remember_missing_worker,
 )
 from hawthornpier.fleet._errors import HistoryGoneError, error_text
-from hawthornpier.fleet._intake import read_all_rows
 from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
@@ -22,6 +21,7 @@
     WorkerEntry,
 )
 from hawthornpier.fleet._relay_assignment import WorkerPlace
+from hawthornpier.fleet._row_pages import read_all_changes, read_all_rows
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_state import WorkerState
@@ -120,7 +120,8 @@
             await self.read()
             return
         try:
-            page = await self._context.store.changes(
+            page = await read_all_changes(
+                self._context.store,
                 self._context.registry_table,
                 after_version=self._version,
                 wait_ms=0,
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -3,10 +3,9 @@
 """
 
 import asyncio
-import enum
-from dataclasses import dataclass
 
 from hawthornpier.fleet._health import WorkerHealth
+from hawthornpier.fleet._orders import Order
 from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.fleet._timings import WorkerTimings
 from hawthornpier.steps import Run, Step, Task
@@ -20,32 +19,6 @@
 _EXPIRY_SLACK_MS = 60
 
 
-class OrderKind(enum.StrEnum):
-    """
-    The kinds of orders that the owner sends to a worker.
-    """
-
-    START = 'start'
-    STOP = 'stop'
-    THROTTLE = 'pace'
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Order:
-    """
-    An order that is queued for a worker.
-
-    The owner may order a stop for a run that it has no record of; *run* is
-    then None.  *percent* is the speed to which a run is throttled.
-    """
-
-    kind: OrderKind
-    task_key: str
-    attempt: int
-    run: Run | None = None
-    percent: int = 100
-
-
 class WorkerState:
     """
     Allocated resources, runs, lease and health of a worker.
@@ -66,9 +39,14 @@
         self.best_effort_count = 0
         self.memory_mb = 0
         self.accelerator_count = 0
-        # Whether this incarnation has accepted the owner's epoch and listed its
-        # runs, and its lease has not expired since.
+        # Whether this incarnation has accepted the owner's epoch and replied
+        # with a listing, and its lease has not expired since.
+        self.is_reached = False
+        # Whether it has listed everything since then, also the ends that do
+        # not fit into one listing.
         self.is_listed = False
+        # The number of ended runs in its last listing.
+        self.listed_end_count = 0
         # Whether the registry has had an entry of it.  The capacity of a worker
         # that only the previous owner's list names is not known, and it may be
         # leaving.
@@ -173,7 +151,7 @@
         for run in lost:
             self.release(run)
         self.entry = entry
-        self.is_listed = False
+        self.expect_listing()
         self.missed_reply_count = 0
         self.processed_number = 0
         self.acknowledged_number = 0
@@ -187,6 +165,14 @@
         self.orders = asyncio.Queue()
         return lost
 
+    def expect_listing(self) -> None:
+        """
+        Record that it is unknown what runs on the worker until it lists that.
+        """
+        self.is_reached = False
+        self.is_listed = False
+        self.listed_end_count = 0
+
     def synchronize(self, clock_ms: int, now_ms: float) -> None:
         """
         Record a response and the worker's clock in it.
--- a/src/hawthornpier/platform/_store.py
+++ b/src/hawthornpier/platform/_store.py
@@ -48,6 +48,8 @@
 )
 # Maximum number of rows that the store returns in one page.
 _MAX_PAGE_ROWS = 500
+# A reply is cut at 1 MB, between two rows.  One of this size may have been.
+_FULL_PAGE_BYTES = 900_000
 
 
 class _Row(msgspec.Struct):
@@ -191,7 +193,7 @@
             rows=_decode_rows(rows_reply),
             version=rows_reply.ver,
             store_ms=rows_reply.now_ms,
-            has_more=rows_reply.has_more,
+            has_more=rows_reply.has_more or _may_be_cut(reply, rows_reply),
         )
 
     async def _send(
@@ -239,6 +241,16 @@
     return StoreReplyLostError(why)
 
 
+def _may_be_cut(reply: HttpReply, rows_reply: _RowsReply) -> bool:
+    """
+    Return whether the store may have left out rows; only some replies tell.
+    """
+    return (
+        len(rows_reply.rows) >= _MAX_PAGE_ROWS
+        or len(reply.body) >= _FULL_PAGE_BYTES
+    )
+
+
 def _decode(reply: HttpReply) -> _RowsReply:
     return decode_json(
         reply.body,
--- a/src/hawthornpier/platform/_worker.py
+++ b/src/hawthornpier/platform/_worker.py
@@ -17,6 +17,7 @@
 )
 from hawthornpier.decoding import decode_json
 from hawthornpier.fleet import (
+    LISTED_ENDS_MAX,
     EndedRun,
     OrderReply,
     Renewal,
@@ -277,6 +278,7 @@
         clock_ms=listing.clock_ms,
         running=tuple(_decode_running_run(row) for row in listing.running),
         ended=tuple(_decode_ended_run(row) for row in listing.finished),
+        has_more_ended=len(listing.finished) >= LISTED_ENDS_MAX,
     )
 
 
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 
 from hawthornpier.fleet import (
+    LISTED_ENDS_MAX,
     EndedRun,
     OrderReply,
     Renewal,
@@ -191,7 +192,8 @@
             incarnation_ms=self.entry.incarnation_ms,
             clock_ms=self.clock_ms,
             running=tuple(self._row(run) for run in self.runs.values()),
-            ended=tuple(self.ended_runs),
+            ended=tuple(self.ended_runs[:LISTED_ENDS_MAX]),
+            has_more_ended=len(self.ended_runs) >= LISTED_ENDS_MAX,
         )
 
     def start(self, order: StartOrder) -> OrderReply:
