Store the cancellation of a job that has not appeared yet

Cause: a cancellation of an unknown job was answered without a trace. The delayed write of the job depends only on the absence of the job's row, so that nothing kept it from taking effect.

Change: the cancellation is stored in any case, before the reply. The owner keeps the cancellations of unknown jobs and applies them as the job is added, whether by a notification, the feed, or its first read. It deletes one after the retention time, on condition that no row of the job exists. Ids of another form are answered with 410 and leave nothing.

--- a/src/hawthornpier/fleet/_entry.py
+++ b/src/hawthornpier/fleet/_entry.py
@@ -147,19 +147,23 @@
 
     async def cancel(self, job_id: str) -> None:
         """
-        Store the cancellation of a job.
+        Store the cancellation of a job, also if the job is not known.
+
+        A submission whose reply was lost may create the job seconds later.
 
         Raises:
-            UnknownJobError: No job with this id exists.
+            UnknownJobError: No job with this id exists, and one that appears
+                later is cancelled.
             NotStoredError: The cancellation was not stored and never will be.
             OutcomeUnknownError: It may or may not have been stored.
         """
         self._check_accepting()
-        if await self.show(job_id) is None:
-            raise UnknownJobError(job_id)
+        is_known = await self.show(job_id) is not None
         if not await self.store_cancel(job_id):
             await self._relay_cancel(job_id)
         self._start_notification(self._notify_owner_of_cancel(job_id))
+        if not is_known:
+            raise UnknownJobError(job_id)
 
     async def store_cancel(self, job_id: str) -> bool:
         """
--- a/src/hawthornpier/fleet/_intake.py
+++ b/src/hawthornpier/fleet/_intake.py
@@ -2,10 +2,11 @@
 Rows of the store for accepted jobs and cancellations.
 
 The row of a job is written once, with the job's id as its key; a cancellation
-is a separate row in the same partition.  Any entry process writes these rows,
-and the owner of the shard reads them.  They are distributed over several
-partitions of the store, because the store applies the transactions of one
-partition one after another, and a slow store applies only a few per second.
+is a separate row in the same partition, and may precede that of the job.  Any
+entry process writes these rows, and the owner of the shard reads them.  They
+are distributed over several partitions of the store, because the store applies
+the transactions of one partition one after another, and a slow store applies
+only a few per second.
 """
 
 import asyncio
@@ -137,6 +138,26 @@
             ),
         )
 
+    async def remove_cancellation(self, job_id: str) -> bool:
+        """
+        Delete the cancellation of a job that has never appeared.
+
+        Returns:
+            Whether it was deleted; if not, the job has appeared meanwhile.
+
+        Raises:
+            StoreError: The row may not have been deleted.
+        """
+        outcome = await self._store.transact(
+            RowTransaction(
+                part=intake_partition(self._shard.name, job_id),
+                expected={(INTAKE_TABLE, job_id): 0},
+                writes={},
+                removals=((INTAKE_TABLE, cancel_key(job_id)),),
+            ),
+        )
+        return outcome.is_applied
+
     async def _read_all_partitions(self) -> RowPage:
         pages = await asyncio.gather(
             *(
--- a/src/hawthornpier/fleet/_job_index.py
+++ b/src/hawthornpier/fleet/_job_index.py
@@ -33,6 +33,8 @@
         self.writing: set[str] = set()
         # The queues of the current configuration, by name.
         self.queues: dict[str, QueuePolicy] = {}
+        # Cancellations of jobs that are not known, and when they were read.
+        self.early_cancellations: dict[str, float] = {}
         # Rows of progress that have still to be deleted from the store, by
         # key; the other rows of these jobs are deleted already.
         self.removed_rows: list[str] = []
@@ -86,6 +88,17 @@
             if job.is_removable and job.ended_ms < oldest_ms
         ]
 
+    def expired_cancellations(self, retention_ms: float) -> list[str]:
+        """
+        Return the unknown jobs that were cancelled *retention_ms* ago.
+        """
+        oldest_ms = self.now_ms - retention_ms
+        return [
+            job_id
+            for job_id, read_ms in self.early_cancellations.items()
+            if read_ms < oldest_ms
+        ]
+
     def remove_job(self, job_id: str) -> None:
         """
         Remove a job; the next write deletes its progress from the store.
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -276,14 +276,20 @@
         retention_ms = self._context.bounds.status_ms * _RETENTION_FACTOR
         while True:
             await self._context.clock.sleep_ms(_EXPIRY_INTERVAL_MS)
-            for job_id in self.shard.expired_jobs(retention_ms):
-                try:
-                    await self._intake.remove(job_id)
-                except StoreError as error:
-                    self._context.log.record(
-                        'expired_job_removal_failed', why=str(error)
-                    )
-                    break
-                # The progress is removed after the job's intake row.  In the
-                # other order, a crash in between would run the job again.
-                self.shard.remove_job(job_id)
+            try:
+                await self._remove_expired(retention_ms)
+            except StoreError as error:
+                self._context.log.record(
+                    'expired_job_removal_failed', why=str(error)
+                )
+
+    async def _remove_expired(self, retention_ms: float) -> None:
+        shard = self.shard
+        for job_id in shard.expired_jobs(retention_ms):
+            await self._intake.remove(job_id)
+            # The progress is removed after the job's intake row.  In the other
+            # order, a crash in between would run the job again.
+            shard.remove_job(job_id)
+        for unknown_id in shard.expired_cancellations(retention_ms):
+            if await self._intake.remove_cancellation(unknown_id):
+                shard.early_cancellations.pop(unknown_id, None)
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -136,6 +136,8 @@
             may_miss=[step.unavailable_limit for step in plan.steps],
             phase=job.phase,
         )
+        if self.early_cancellations.pop(plan.job_id, None) is not None:
+            self.cancel_job(plan.job_id)
         return job
 
     def apply_handover_progress(self, job_id: str, progress: bytes) -> None:
@@ -176,9 +178,14 @@
     def cancel_job(self, job_id: str) -> None:
         """
         Cancel a job and stop all its runs.
+
+        If the job is not known, it is cancelled when it is added.
         """
         job = self.jobs.get(job_id)
-        if job is None or job.is_terminal:
+        if job is None:
+            self.early_cancellations.setdefault(job_id, self.now_ms)
+            return
+        if job.is_terminal:
             return
         job.is_cancelled = True
         job.ended_ms = self.now_ms
--- a/src/hawthornpier/platform/_handlers.py
+++ b/src/hawthornpier/platform/_handlers.py
@@ -119,9 +119,13 @@
         if route is None:
             return
         job_id = self._job_id_in_path(route)
+        if not is_job_id(job_id):
+            self._reply(HTTPStatus.GONE)
+            return
         try:
             await self.node.entry.cancel(job_id)
         except UnknownJobError:
+            self.node.log.record('cancel_of_unknown_job', job=job_id)
             self._reply(HTTPStatus.GONE)
         except NotStoredError as error:
             self._reply_unavailable('cancel_refused', job_id, error)
