Count the failed attempts of a gang once

Cause: the limit was compared with the sum of the failed runs of all members. Members that fail together have the same attempt number. Only the members that had failed avoided the worker, so that others might have been placed there for the next attempt.

Change: a failed attempt is recorded for all members, as its checkpoint was already, and so is the worker to avoid. Copies of a speculative task have numbers of their own and count each. Crashes of workers stay counted by member: they are evidence against what ran there.

--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -115,7 +115,7 @@
             return
         worker.health.quarantine(now_ms)
         for run in stalled:
-            run.task.avoided_workers.add(worker.worker_id)
+            run.task.avoid_worker(worker.worker_id)
             self._shard.stop_run(run, 'no progress')
 
     def _stall_ms(self, run: Run) -> float:
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -279,7 +279,7 @@
         if outcome is RunOutcome.DONE and run.has_representative_duration:
             self.durations.learn(task.step, now_ms - run.started_ms)
         if outcome is RunOutcome.FAILED:
-            task.avoided_workers.add(run.worker_id)
+            task.avoid_worker(run.worker_id)
         self.record_outcome(
             task,
             run.attempt,
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -321,7 +321,7 @@
             return
         self._worker.health.record_refusal(self._shard.now_ms)
         if is_uncertain:
-            run.task.avoided_workers.add(run.worker_id)
+            run.task.avoid_worker(run.worker_id)
             self._shard.stop_run(run, f'start may still be executed: {why}')
         else:
             self._shard.end_run(run, RunOutcome.LOST)
--- a/src/hawthornpier/steps/_outcomes.py
+++ b/src/hawthornpier/steps/_outcomes.py
@@ -11,12 +11,10 @@
     """
     Mark a task as complete; for a gang, mark all its members.
     """
-    step = task.step
-    members = step.tasks if step.plan.is_gang else [task]
-    for member in members:
+    for member in task.members:
         if not member.is_done:
             member.is_done = True
-            step.done_count += 1
+            member.step.done_count += 1
 
 
 def apply_outcome(
@@ -35,13 +33,13 @@
         checkpoint: The last checkpoint of the run, or an empty string.
     """
     if checkpoint:
-        members = task.step.tasks if task.step.plan.is_gang else [task]
-        for member in members:
+        for member in task.members:
             member.checkpoint = checkpoint
     if outcome is RunOutcome.DONE and not task.step.plan.is_lasting:
         mark_done(task)
     elif outcome is RunOutcome.FAILED and not task.step.plan.is_lasting:
-        task.failed_attempts.add(attempt)
+        for failed_member in task.members:
+            failed_member.failed_attempts.add(attempt)
 
 
 def update_end_phase(job: Job, now_ms: float) -> bool:
@@ -69,10 +67,4 @@
         return False
     if has_crashed_too_often(task):
         return True
-    plan = task.step.plan
-    if plan.is_lasting:
-        return False
-    if plan.is_gang:
-        members = task.step.tasks
-        return sum(member.failed_count for member in members) >= limit
-    return task.failed_count >= limit
+    return not task.step.plan.is_lasting and task.failed_count >= limit
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -168,7 +168,7 @@
         self.runs: list[Run] = []
         self.attempt = 0
         # Attempt numbers rather than a count, because a worker may list the
-        # same failed run twice.
+        # same failed run twice, and several members of a gang fail together.
         self.failed_attempts: set[int] = set()
         # By attempt during which its worker crashed: the weight of the
         # evidence that the task caused the crash (see `CrashEvidence`).
@@ -177,17 +177,33 @@
         self.suspicions: dict[str, Suspicion] = {}
         self.checkpoint = ''
         self.is_done = False
-        # Workers on which a run of this task failed, stalled, or may still
-        # start because its start was not acknowledged.
+        # Workers on which a run of this task or of its gang failed, stalled, or
+        # may still start because its start was not acknowledged.
         self.avoided_workers: set[str] = set()
 
+    @property
+    def members(self) -> 'list[Task]':
+        """
+        Return the members of the task's gang, or the task itself.
+
+        The runs of a gang's members with the same number are one attempt.
+        """
+        return self.step.tasks if self.step.plan.is_gang else [self]
+
     @property
     def failed_count(self) -> int:
         """
-        Return how many runs of the task have failed.
+        Return how many runs of the task, or attempts of its gang, have failed.
         """
         return len(self.failed_attempts)
 
+    def avoid_worker(self, worker_id: str) -> None:
+        """
+        Prefer other workers for the next attempts.
+        """
+        for member in self.members:
+            member.avoided_workers.add(worker_id)
+
     @property
     def is_waiting(self) -> bool:
         """
