Keep the effects of images apart from the list of workers

Cause: the rows of the list of workers are found by their table, which the row of the learned effects is in, too. Once there is an effect, it does not decode as a worker.

Change: rows of the list are chosen by their key.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -7,11 +7,12 @@
 import msgspec
 
 from hawthornpier.fleet._commit_batch import Batch, BatchBuilder
+from hawthornpier.fleet._divided_rows import row_owner
 from hawthornpier.fleet._interference import EffectRow
 from hawthornpier.fleet._rejected_rows import RejectedRows
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import OwnershipTimings
-from hawthornpier.fleet._worker_rows import RecordedWorkers
+from hawthornpier.fleet._worker_rows import WORKERS_KEY, RecordedWorkers
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.fleet._writer import PROGRESS_TABLE, RowKey, ShardWriter
 from hawthornpier.ports import StoreError, StoreRejectedError
@@ -162,7 +163,13 @@
         shard.writing.clear()
         for job_id, contents in batch.progress.items():
             shard.progress_rows(job_id).confirm(contents)
-        self.recorded_workers.confirm(batch.rows_of(FLEET_TABLE))
+        self.recorded_workers.confirm(
+            {
+                key: content
+                for key, content in batch.rows_of(FLEET_TABLE).items()
+                if row_owner(key) == WORKERS_KEY
+            }
+        )
         del shard.removed_rows[: len(batch.removals)]
         for job in batch.ended_jobs:
             job.is_stored = True
--- a/tests/test_fleet_stored_rows.py
+++ b/tests/test_fleet_stored_rows.py
@@ -219,6 +219,19 @@
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
         assert world.store.rejection_count == 0
 
+    async def test_effects_beside_the_list_of_workers_do_not_end_the_owner(
+        self, world
+    ):
+        await world.wait_first_owner()
+        shard = world.owner().local_shard()
+        many = [(f'image{number}', 'x', 0.5, 0.1) for number in range(3_000)]
+        shard.interference.load(many)
+        world.add_worker('another')
+        await world.run_for(5_000)
+        assert world.owner().local_shard() is shard
+        assert world.store.rejection_count == 0
+        assert shard.workers['another'].is_usable
+
     async def test_rejected_progress_does_not_stop_other_jobs(self, world):
         await world.wait_first_owner()
         rejected, other = world.plan(), world.plan()
