Let no order to a worker block or lose another

Cause: two requests at a time execute the orders to a worker. Each kept its order until the worker accepted the stop, or until starts were permitted. Two such orders held back all others. An unexpected error, or a cancellation, dropped the orders in execution; their runs stayed starting for ever, with their resources.

Change: an order that cannot be carried out now is queued again after the retry time, and one that is interrupted is queued again, marked as possibly sent. The permission for a start is checked directly before it is sent.

--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import dataclasses
 
 from hawthornpier.fleet._crashes import end_crashed_incarnation
 from hawthornpier.fleet._listings import ListingReconciler
@@ -187,20 +188,45 @@
     async def _execute_orders(self) -> None:
         while True:
             order = await self._orders.get()
-            if order.kind is OrderKind.START:
-                await self._start(order)
-            elif order.kind is OrderKind.STOP:
-                await self._stop(order)
-            else:
-                await self._throttle(order)
+            try:
+                await self._execute(order)
+            except BaseException:
+                # Also if this task is cancelled, because the link starts anew
+                # after an unexpected error.
+                self._orders.put_nowait(
+                    dataclasses.replace(order, may_have_been_sent=True)
+                )
+                raise
+
+    async def _execute(self, order: Order) -> None:
+        if order.kind is OrderKind.START:
+            await self._start(order)
+        elif order.kind is OrderKind.STOP:
+            await self._stop(order)
+        else:
+            await self._throttle(order)
+
+    def _postpone(self, order: Order, delay_ms: float) -> None:
+        """
+        Execute an order again later, and others in the meantime.
+        """
+        asyncio.get_running_loop().call_later(
+            delay_ms / 1000, self._orders.put_nowait, order
+        )
 
     async def _start(self, order: Order) -> None:
         run = order.run
         if run is None:
             return
-        is_uncertain = False
+        is_uncertain = order.may_have_been_sent
         for _ in range(self._timings.start_try_count):
-            if not await self._may_send(order, run):
+            if not self._is_start_due(order, run):
+                return
+            if not self._shard.permits.may_start_on(self._worker.entry.service):
+                self._postpone(
+                    dataclasses.replace(order, may_have_been_sent=is_uncertain),
+                    self._timings.retry_min_ms,
+                )
                 return
             earlier_sent_ms = run.sent_ms
             tried_ms = self._shard.now_ms
@@ -219,15 +245,14 @@
                 return
         self._abandon_start(run, is_uncertain=is_uncertain, why='no reply')
 
-    async def _may_send(self, order: Order, run: Run) -> bool:
+    def _is_start_due(self, order: Order, run: Run) -> bool:
         """
-        Return whether a start is still due, once this process may send it.
+        Return whether a start is still due.
 
         While the order was queued, the run may have ended because the worker's
         lease expired, the worker's capacity may have shrunk, or the worker may
         have begun to leave.
         """
-        await self._wait_for_permit()
         if run.phase is not RunPhase.STARTING or self._has_ended(order):
             return False
         worker = self._worker
@@ -240,17 +265,6 @@
         self._shard.end_run(run, RunOutcome.LOST)
         return False
 
-    async def _wait_for_permit(self) -> None:
-        """
-        Wait until this process may start runs.
-
-        If it was replaced meanwhile, the store rejects its next write, which
-        cancels this task.
-        """
-        service = self._worker.entry.service
-        while not self._shard.permits.may_start_on(service):
-            await self._shard.clock.sleep_ms(self._timings.retry_min_ms)
-
     def _start_order(self, run: Run) -> StartOrder:
         shard = self._shard
         run.sent_ms = run.sent_ms or shard.now_ms
@@ -328,29 +342,28 @@
 
     async def _stop(self, order: Order) -> None:
         """
-        Repeat a stop until the worker accepts it or the run has ended.
+        Send a stop, and repeat it later unless the worker accepts it.
 
         A stop that the worker accepts also prevents a late start of the run.
         """
-        while not self._has_ended(order):
-            try:
-                reply = await self._port.stop(
-                    order.task_key,
-                    order.attempt,
-                    self._shard.epoch,
-                )
-            except WorkerError as error:
-                self._record_missed_reply(str(error))
-                await self._shard.clock.sleep_ms(self._timings.retry_max_ms)
-                continue
-            if reply.verdict is Verdict.FENCED:
-                self._shard.deposed.set()
-                return
-            if reply.verdict is Verdict.ACCEPTED:
-                if order.run is not None:
-                    order.run.order_acknowledged_ms = self._shard.now_ms
-                return
-            await self._shard.clock.sleep_ms(self._timings.retry_max_ms)
+        if self._has_ended(order):
+            return
+        try:
+            reply = await self._port.stop(
+                order.task_key,
+                order.attempt,
+                self._shard.epoch,
+            )
+        except WorkerError as error:
+            self._record_missed_reply(str(error))
+            self._postpone(order, self._timings.retry_max_ms)
+            return
+        if reply.verdict is Verdict.FENCED:
+            self._shard.deposed.set()
+        elif reply.verdict is not Verdict.ACCEPTED:
+            self._postpone(order, self._timings.retry_max_ms)
+        elif order.run is not None:
+            order.run.order_acknowledged_ms = self._shard.now_ms
 
     def _has_ended(self, order: Order) -> bool:
         if order.run is None:
