Count the time that a start has waited apart from run time

Cause: a long-running task has four seconds to become ready. They counted from its placement, not from its start. A start that waited longer, in a queue or for a late reply, left none, and the task was stopped after 1.9 s without progress, its worker quarantined. In the same way a task on a draining worker counted as almost done and was not stopped in time.

Change: runs keep when their start was confirmed, and both decisions count from there.

--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -101,7 +101,7 @@
                 self._shard.stop_run(run, 'worker is draining')
                 continue
             expected_ms = self._shard.durations.expected_ms(step)
-            remaining_ms = expected_ms - (now_ms - run.started_ms)
+            remaining_ms = expected_ms - (now_ms - run.confirmed_ms)
             if step.plan.has_checkpoints and remaining_ms > drain_ms:
                 self._shard.stop_run(run, 'worker is draining')
 
@@ -141,7 +141,7 @@
     unchanged_ms = (run.listed_ms - run.percent_changed_ms) * speed
     if (
         run.task.step.plan.is_lasting
-        and run.listed_ms - run.started_ms <= _STARTUP_MS
+        and run.listed_ms - run.confirmed_ms <= _STARTUP_MS
     ):
         return False
     return unchanged_ms > stall_ms
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -243,6 +243,7 @@
         run.is_delivered = True
         if run.phase in {RunPhase.STARTING, RunPhase.UNCERTAIN}:
             run.phase = RunPhase.RUNNING
+            run.confirmed_ms = self.now_ms
             run.percent_changed_ms = self.now_ms
         job = run.task.step.job
         if not job.has_started:
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -33,6 +33,7 @@
     __slots__ = (
         'attempt',
         'checkpoint',
+        'confirmed_ms',
         'cpu_or_tail',
         'has_lost_connection',
         'has_resumed',
@@ -67,6 +68,9 @@
         self.worker_id = worker_id
         self.phase = RunPhase.STARTING
         self.started_ms = now_ms
+        # When the owner learned that the worker executes the run, which may be
+        # long after it was placed; as for `started_ms` before that.
+        self.confirmed_ms = now_ms
         # When this owner first sent the start to the worker, or first saw the
         # run in its listing; 0 before.
         self.sent_ms: float = 0
