--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -33,6 +33,8 @@
 # A deposed owner that does not know yet that it was replaced may still start
 # jobs that are accepted up to this long after the change of the owner.
 _STALE_OWNER_MS = 3_000.0
+# A start that is confirmed this long after its placement is logged.
+_LATE_START_MS = 1_000.0
 _DEFAULT_BOUNDS = PlatformBounds()
 
 
@@ -243,6 +245,7 @@
         run.is_delivered = True
         if run.phase in {RunPhase.STARTING, RunPhase.UNCERTAIN}:
             run.phase = RunPhase.RUNNING
+            self._log_late_start(run)
             run.confirmed_ms = self.now_ms
             run.percent_changed_ms = self.now_ms
         job = run.task.step.job
@@ -312,6 +315,21 @@
         self._end_job_if_due(job)
         self.wake.set()
 
+    def _log_late_start(self, run: Run) -> None:
+        delay_ms = self.now_ms - run.started_ms
+        if delay_ms < _LATE_START_MS:
+            return
+        self.log.record(
+            'start_late',
+            task=run.task.key,
+            attempt=run.attempt,
+            worker=run.worker_id,
+            delay_ms=int(delay_ms),
+            # Of that, until the start was first sent.
+            queued_ms=int(run.sent_ms - run.started_ms),
+            orders=self.workers[run.worker_id].orders.qsize(),
+        )
+
     def _restore_handover_progress(self, job: Job, progress: bytes) -> None:
         try:
             restore_progress(job, progress, is_stored=False)
