Answer requests that were read before a process ends

Cause: the process serves for 0.7 of the grace period. Then it closed its client of the store and ended, whether or not requests were being handled.

Change: handlers record the requests that they have read. The process waits for their answers, up to 0.95 of the grace period, and closes the callers' connections directly after the last one.

--- a/src/hawthornpier/platform/_handlers.py
+++ b/src/hawthornpier/platform/_handlers.py
@@ -18,6 +18,7 @@
     QueueRoute,
     UnknownJobError,
 )
+from hawthornpier.platform._open_requests import OpenRequests
 from hawthornpier.platform._records import BodyError, decode_job, is_job_id
 from hawthornpier.steps import JobPhase
 
@@ -44,14 +45,27 @@
     of the path is the id of the job.
     """
 
-    def initialize(self, node: FleetNode) -> None:
+    def initialize(self, node: FleetNode, open_requests: OpenRequests) -> None:
         """
         Store the node; close the connection if the node is shutting down.
         """
         self.node = node
+        self.open_requests = open_requests
         if node.is_leaving:
             self.set_header('Connection', 'close')
 
+    def prepare(self) -> None:
+        """
+        Record the request, which has been read as a whole.
+        """
+        self.open_requests.begin(self)
+
+    def on_finish(self) -> None:
+        """
+        Record that the request was answered.
+        """
+        self.open_requests.end(self)
+
     async def post(self) -> None:
         """
         Submit a job.
@@ -215,12 +229,15 @@
         self.finish()
 
 
-def caller_application(node: FleetNode) -> Application:
+def caller_application(
+    node: FleetNode, open_requests: OpenRequests
+) -> Application:
     """
     Return the application that handles requests of callers.
     """
+    options = {'node': node, 'open_requests': open_requests}
     return Application(
-        [('.*', CallerHandler, {'node': node})],
+        [('.*', CallerHandler, options)],
         log_function=log_nothing,
     )
 
--- a/src/hawthornpier/platform/_run.py
+++ b/src/hawthornpier/platform/_run.py
@@ -28,6 +28,7 @@
     peer_routes,
 )
 from hawthornpier.platform import _handlers, _records
+from hawthornpier.platform._open_requests import OpenRequests
 from hawthornpier.platform._settings import (
     NodeSettings,
     load_settings,
@@ -40,6 +41,11 @@
 # After SIGTERM, callers may still send requests on open connections.  The
 # process serves them for this fraction of the platform's grace period.
 _SERVING_GRACE_FRACTION = 0.7
+# Requests that were read by then are answered within this fraction of the grace
+# period; the rest is left for the process to end.
+_ANSWERING_GRACE_FRACTION = 0.95
+# Time to close the connections of callers, on which no request is open.
+_CLOSE_TIMEOUT_S = 0.1
 # Interval of checks whether the settings file was modified, as the platform may
 # modify it without sending SIGHUP.
 _SETTINGS_INTERVAL_MS = 2_000
@@ -94,6 +100,7 @@
             ),
         )
         self.servers: list[HTTPServer] = []
+        self._open_requests = OpenRequests()
 
     async def run(self, stop: asyncio.Event, reload: asyncio.Event) -> None:
         """
@@ -131,7 +138,10 @@
             log_function=_handlers.log_nothing,
         )
         for application, address in (
-            (_handlers.caller_application(self.node), self._caller_address),
+            (
+                _handlers.caller_application(self.node, self._open_requests),
+                self._caller_address,
+            ),
             (
                 _handlers.readiness_application(self.node),
                 self.settings.readiness_address,
@@ -150,11 +160,30 @@
     async def _leave(self) -> None:
         started_ms = self._clock.monotonic_ms()
         await self.node.leave()
-        serving_ms = self.settings.bounds.grace_ms * _SERVING_GRACE_FRACTION
+        grace_ms = self.settings.bounds.grace_ms
         elapsed_ms = self._clock.monotonic_ms() - started_ms
-        await self._clock.sleep_ms(max(0, serving_ms - elapsed_ms))
+        await self._clock.sleep_ms(
+            max(0, grace_ms * _SERVING_GRACE_FRACTION - elapsed_ms)
+        )
         for server in self.servers:
             server.stop()
+        elapsed_ms = self._clock.monotonic_ms() - started_ms
+        await self._answer_open_requests(
+            grace_ms * _ANSWERING_GRACE_FRACTION - elapsed_ms
+        )
+
+    async def _answer_open_requests(self, limit_ms: float) -> None:
+        """
+        Wait for the answers to callers, and close their connections.
+        """
+        try:
+            async with asyncio.timeout(max(0, limit_ms) / 1000):
+                await self._open_requests.wait_answered()
+            # Without a wait in between, no further request is read.
+            async with asyncio.timeout(_CLOSE_TIMEOUT_S):
+                await self.servers[0].close_all_connections()
+        except TimeoutError:
+            self._log.record('callers_cut_off')
 
     async def _watch_settings(self, reload: asyncio.Event) -> None:
         path = settings_path()
--- a/tests/platform_installation.py
+++ b/tests/platform_installation.py
@@ -107,7 +107,7 @@
         if event == 'started':
             self.started.append(task)
 
-    def start_process(self, name):
+    def start_process(self, name, **options):
         settings = NodeSettings(
             node_name=name,
             host_address='127.0.0.1',
@@ -116,6 +116,7 @@
             readiness_address=f'127.0.0.1:{free_port()}',
             peer_port=free_port(),
             store_address=self.store_address,
+            **options,
         )
         process = PlatformProcess(settings)
         record = process.node.log.record
