Evacuate workers only for tasks that could use them

Each move of a long-running task costs its callers a restart.

Cause: an image counted as starved by the time since its step was ready, even if its task had just run. The worker to evacuate was chosen by resources alone: it could be of another service, lack the starved task's memory, or hold tasks that no other worker may run. In the last case it was chosen again and again, and no other was tried.

Change: a step is starved from the first pass that finds no worker for it. A worker is evacuated if it could run a starved step without the runs that leave, and if other workers are eligible for these. Images are tried in the order of their waiting tasks.

--- a/src/hawthornpier/fleet/_eligibility.py
+++ b/src/hawthornpier/fleet/_eligibility.py
@@ -53,7 +53,10 @@
     return None
 
 
-def _lacks_label(worker: WorkerState, step: Step, _now_ms: float) -> bool:
+def lacks_label(worker: WorkerState, step: Step) -> bool:
+    """
+    Return whether a worker does not have the label that a step requires.
+    """
     label = step.plan.required_label
     return bool(label) and label not in worker.entry.labels
 
@@ -93,7 +96,10 @@
         Exclusion.NO_ROOM,
         lambda worker, step, _now_ms: not worker.fits(step),
     ),
-    (Exclusion.NO_LABEL, _lacks_label),
+    (
+        Exclusion.NO_LABEL,
+        lambda worker, step, _now_ms: lacks_label(worker, step),
+    ),
     (Exclusion.UNACKNOWLEDGED, _has_unacknowledged_ends),
     (Exclusion.QUARANTINED, _is_quarantined),
     (Exclusion.ON_PROBATION, _is_on_probation),
--- a/src/hawthornpier/fleet/_evacuation.py
+++ b/src/hawthornpier/fleet/_evacuation.py
@@ -7,9 +7,11 @@
 processors.  Consolidating a few long-running tasks frees whole workers.
 """
 
+import collections
 from collections.abc import Iterable
 from operator import itemgetter
 
+from hawthornpier.fleet._eligibility import find_exclusion, lacks_label
 from hawthornpier.fleet._interference import InterferenceModel
 from hawthornpier.fleet._moves import Moves
 from hawthornpier.fleet._placement import Placement
@@ -64,32 +66,30 @@
         for worker in self._shard.workers.values():
             if now_ms > worker.evacuated_until_ms:
                 worker.evacuated_for_image = ''
-        image = self._most_starved_image(steps, now_ms)
-        if image:
-            self._evacuate_for(image, now_ms)
-
-    def _most_starved_image(self, steps: Iterable[Step], now_ms: float) -> str:
-        counts: dict[str, int] = {}
-        for step in steps:
-            is_starved = (
-                step.ready_ms is not None
-                and now_ms - step.ready_ms > _STARVATION_MS
-            )
-            if step.plan.is_filling and is_starved:
-                waiting = len(step.waiting())
-                image = step.plan.image
-                counts[image] = counts.get(image, 0) + waiting
-        return max(counts, key=lambda image: counts[image], default='')
+        starved = _starved_steps(steps, now_ms)
+        ranked = sorted(
+            starved.items(),
+            key=lambda entry: _waiting_count(entry[1]),
+            reverse=True,
+        )
+        for image, waiting_steps in ranked:
+            if self._evacuate_for(image, waiting_steps, now_ms):
+                return
 
-    def _evacuate_for(self, image: str, now_ms: float) -> None:
+    def _evacuate_for(
+        self, image: str, starved: list[Step], now_ms: float
+    ) -> bool:
+        """
+        Evacuate a worker for an image, and return whether there is one.
+        """
         usable = [
             worker
             for worker in self._shard.workers.values()
             if worker.is_usable
         ]
-        chosen = self._choose_worker(image, usable)
+        chosen = self._choose_worker(image, starved, usable)
         if chosen is None:
-            return
+            return False
         chosen.evacuated_for_image = image
         chosen.evacuated_until_ms = now_ms + _EVACUATION_MS
         destinations = [
@@ -100,6 +100,7 @@
         for run in harmed:
             if moved < _MAX_MOVES and self._move(run, destinations):
                 moved += 1
+        return True
 
     def _move(self, run: Run, destinations: list[WorkerState]) -> bool:
         task = run.task
@@ -118,14 +119,15 @@
     def _choose_worker(
         self,
         image: str,
+        starved: list[Step],
         usable: list[WorkerState],
     ) -> WorkerState | None:
         """
         Return the worker to evacuate, or None.
 
-        It is the one whose harmed runs reserve the fewest processors and fit
-        on other workers.  A worker that is already being evacuated for the
-        image is preferred.
+        It is the one whose harmed runs reserve the fewest processors, can run
+        on other workers, and leave what a starved step needs.  A worker that is
+        already being evacuated for the image is preferred.
         """
         interference = self._shard.interference
         ranked = []
@@ -137,10 +139,105 @@
                 rank = (is_other, millis, worker.worker_id)
                 ranked.append((rank, worker, harmed))
         for _, candidate, runs in sorted(ranked, key=itemgetter(0)):
-            if _fit_elsewhere(runs, candidate, usable):
+            is_useful = any(
+                self._could_run(step, candidate, runs) for step in starved
+            )
+            if is_useful and self._fit_elsewhere(runs, candidate, usable):
                 return candidate
         return None
 
+    def _could_run(
+        self, step: Step, worker: WorkerState, leaving: list[Run]
+    ) -> bool:
+        """
+        Return whether a worker could run a step's tasks without other runs.
+        """
+        if worker.entry.service != self._shard.service_of(step.job):
+            return False
+        if lacks_label(worker, step):
+            return False
+        freed_mb = sum(run.task.step.plan.memory_mb for run in leaving)
+        left_mb = worker.entry.memory_mb - worker.memory_mb + freed_mb
+        return step.plan.memory_mb <= left_mb
+
+    def _fit_elsewhere(
+        self,
+        runs: list[Run],
+        origin: WorkerState,
+        usable: list[WorkerState],
+    ) -> bool:
+        """
+        Return whether other workers are eligible for runs and have the room.
+        """
+        others = [
+            worker
+            for worker in _of_service(usable, origin.entry.service)
+            if worker is not origin and not worker.evacuated_for_image
+        ]
+        free = [_free_resources(worker) for worker in others]
+        for run in runs:
+            step = run.task.step
+            index = self._smallest_fit(step, others, free)
+            if index is None:
+                return False
+            millis, memory_mb = free[index]
+            free[index] = (
+                millis - step.plan.processor_millis,
+                memory_mb - step.plan.memory_mb,
+            )
+        return True
+
+    def _smallest_fit(
+        self,
+        step: Step,
+        workers: list[WorkerState],
+        free: list[tuple[int, int]],
+    ) -> int | None:
+        """
+        Return the index of the eligible worker with the least that suffices.
+        """
+        need = step.plan
+        fitting = [
+            (left, index)
+            for index, left in enumerate(free)
+            if left[0] >= need.processor_millis
+            and left[1] >= need.memory_mb
+            and find_exclusion(workers[index], step, self._shard.now_ms) is None
+        ]
+        return min(fitting)[1] if fitting else None
+
+
+def _starved_steps(
+    steps: Iterable[Step], now_ms: float
+) -> dict[str, list[Step]]:
+    """
+    Return the best-effort steps that have found no worker for long, by image.
+    """
+    starved: dict[str, list[Step]] = collections.defaultdict(list)
+    for step in steps:
+        since_ms = step.unplaced_since_ms
+        if (
+            step.plan.is_filling
+            and since_ms is not None
+            and now_ms - since_ms > _STARVATION_MS
+        ):
+            starved[step.plan.image].append(step)
+    return starved
+
+
+def _waiting_count(steps: Iterable[Step]) -> int:
+    return sum(len(step.waiting()) for step in steps)
+
+
+def _free_resources(worker: WorkerState) -> tuple[int, int]:
+    """
+    Return the processors and the memory (MB) that no run has allocated.
+    """
+    return (
+        worker.entry.processor_millis - worker.reserved_millis,
+        worker.entry.memory_mb - worker.memory_mb,
+    )
+
 
 def _of_service(
     workers: Iterable[WorkerState], service: str
@@ -173,37 +270,3 @@
         and task.runs[0].phase is RunPhase.RUNNING
         for task in step.tasks
     )
-
-
-def _fit_elsewhere(
-    runs: list[Run],
-    origin: WorkerState,
-    usable: list[WorkerState],
-) -> bool:
-    others = [
-        worker
-        for worker in _of_service(usable, origin.entry.service)
-        if worker is not origin and not worker.evacuated_for_image
-    ]
-    free_resources = [
-        (
-            worker.entry.processor_millis - worker.reserved_millis,
-            worker.entry.memory_mb - worker.memory_mb,
-        )
-        for worker in others
-    ]
-    for run in runs:
-        plan = run.task.step.plan
-        fitting = [
-            free
-            for free in free_resources
-            if free[0] >= plan.processor_millis and free[1] >= plan.memory_mb
-        ]
-        if not fitting:
-            return False
-        smallest = min(fitting)
-        free_resources.remove(smallest)
-        free_resources.append(
-            (smallest[0] - plan.processor_millis, smallest[1] - plan.memory_mb),
-        )
-    return True
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -180,9 +180,12 @@
             worker = ranking.choose(task)
             if worker is None:
                 step.searched_ms = now_ms
+                if step.unplaced_since_ms is None:
+                    step.unplaced_since_ms = now_ms
                 return False
             self._shard.start_run(task, worker, reason='turn')
         step.searched_ms = None
+        step.unplaced_since_ms = None
         return True
 
     def _place_gang(self, step: Step, pool: Sequence[WorkerState]) -> bool:
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -231,6 +231,7 @@
         'ready_ms',
         'searched_ms',
         'tasks',
+        'unplaced_since_ms',
     )
 
     def __init__(
@@ -252,6 +253,8 @@
         # while all its tasks have found one.
         self.searched_ms: float | None = None
         self.fully_searched_ms: float = 0
+        # Since when no worker has been found for a task of the step.
+        self.unplaced_since_ms: float | None = None
         self.tasks = [Task(self, index) for index in range(plan.task_count)]
 
     @property
