--- a/src/hawthornpier/fleet/_commit_batch.py
+++ b/src/hawthornpier/fleet/_commit_batch.py
@@ -81,15 +81,19 @@
 
     def add_progress(
         self, job_id: str, rows: Sequence[tuple[str, bytes]]
-    ) -> None:
+    ) -> bool:
         """
         Add as many rows of a job's progress as fit, in their order.
+
+        Returns:
+            Whether all of them fit.
         """
         for key, content in rows:
             if not self.add_row((PROGRESS_TABLE, key), content):
-                return
+                return False
             self._progress.setdefault(job_id, {})[key] = content
         self._job_ids.append(job_id)
+        return True
 
     def build(self, removals: tuple[RowKey, ...]) -> Batch:
         """
--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -149,7 +149,8 @@
                 rows = [(job_id, encode_phase(shard.jobs[job_id]))]
             else:
                 rows = shard.changed_progress(job_id)
-            builder.add_progress(job_id, rows)
+            if not builder.add_progress(job_id, rows):
+                break
         removals: tuple[RowKey, ...] = ()
         if not is_reduced:
             removals = tuple(
