Give up no long-running task for crashes that others cause

Cause: a task was given up after two certain crashes with enough evidence, or any five. A task that runs for long is hit by many crashes, and one that was hit is tried by itself, so that the next crash there counts fully. Long-running tasks have no limit of attempts.

Change: a long-running task is given up only if it was the sole suspect of three crashes. A start that its worker outlives weakens earlier evidence, so these follow each other. Only the latest five crashes are kept.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -19,6 +19,7 @@
     RunOutcome,
     Suspicion,
     Task,
+    count_crash,
     has_crashed_too_often,
 )
 
@@ -305,7 +306,7 @@
 ) -> None:
     if not _is_known(shard, task):
         return
-    task.crashes[attempt] = weight
+    count_crash(task, attempt, weight)
     if has_crashed_too_often(task):
         shard.log.record(
             'task_given_up',
--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -8,6 +8,7 @@
 from hawthornpier.steps._crashes import (
     CrashEvidence,
     clear_suspicion,
+    count_crash,
     has_crashed_too_often,
     is_crash_suspect,
     may_run_a_copy,
@@ -63,6 +64,7 @@
     'Task',
     'apply_outcome',
     'clear_suspicion',
+    'count_crash',
     'decode_phase',
     'decode_plan',
     'encode_phase',
--- a/src/hawthornpier/steps/_crashes.py
+++ b/src/hawthornpier/steps/_crashes.py
@@ -37,6 +37,8 @@
 _MIN_CERTAIN_COUNT = 2
 # With more crashes, a task would be started more often than is allowed.
 _MAX_CRASH_COUNT = 5
+# The same for a long-running task.
+_MIN_SOLE_COUNT = 3
 # A task may be suspected without having caused a single crash.
 _SUSPECT_CRASH_COUNT = 2
 
@@ -44,8 +46,14 @@
 def has_crashed_too_often(task: Task) -> bool:
     """
     Return whether a task has to be given up.
+
+    A long-running task has no limit of attempts.  It is given up only if it
+    was the sole suspect of several crashes without a start in between that its
+    worker has outlived.
     """
-    weights = task.crashes.values()
+    weights = tuple(task.crashes.values())
+    if task.step.plan.is_lasting:
+        return weights.count(CrashEvidence.SOLE) >= _MIN_SOLE_COUNT
     if len(weights) >= _MAX_CRASH_COUNT:
         return True
     certain_count = sum(weight not in _UNCERTAIN for weight in weights)
@@ -77,6 +85,19 @@
     return not task.crashes and not is_crash_suspect(task)
 
 
+def count_crash(task: Task, attempt: int, weight: int) -> None:
+    """
+    Record the evidence that a crash gives against a task.
+
+    A long-running task may be hit by any number of crashes; only the latest are
+    kept.
+    """
+    task.crashes[attempt] = weight
+    if task.step.plan.is_lasting:
+        latest = sorted(task.crashes)[-_MAX_CRASH_COUNT:]
+        task.crashes = {each: task.crashes[each] for each in latest}
+
+
 def clear_suspicion(task: Task) -> None:
     """
     Weaken the evidence against a task that has started without a crash.
--- a/tests/test_fleet_crash_evidence.py
+++ b/tests/test_fleet_crash_evidence.py
@@ -14,6 +14,7 @@
     StepPlan,
     Task,
     clear_suspicion,
+    count_crash,
     encode_progress,
     has_crashed_too_often,
     is_crash_suspect,
@@ -138,6 +139,38 @@
         assert has_crashed_too_often(task) is is_given_up
         assert is_crash_suspect(task)
 
+    @pytest.mark.parametrize(
+        ('weights', 'is_given_up'),
+        [
+            ((SHARED, SOLE, SOLE), False),
+            ((WEAK,) * 9, False),
+            ((SHARED,) * 9, False),
+            ((SOLE,) * 3, True),
+        ],
+    )
+    def test_long_running_task_outlives_crashes_that_others_cause(
+        self, weights, is_given_up
+    ):
+        """
+        Guards against a long-running job that fails because workers crash.
+        """
+        step = StepPlan(task_count=1, is_lasting=True)
+        task = next(job_of(step).tasks())
+        for attempt, weight in enumerate(weights):
+            count_crash(task, attempt, weight)
+        assert has_crashed_too_often(task) is is_given_up
+        clear_suspicion(task)
+        assert not has_crashed_too_often(task)
+
+    def test_crashes_of_a_long_running_task_are_not_collected(self):
+        """
+        Guards against stored progress that grows with each crash of a worker.
+        """
+        task = next(job_of(StepPlan(task_count=1, is_lasting=True)).tasks())
+        for attempt in range(100):
+            count_crash(task, attempt, WEAK)
+        assert sorted(task.crashes) == [95, 96, 97, 98, 99]
+
     def test_any_five_crashes_suffice(self):
         """
         Guards against a sixth start of a task that crashes its workers.
