Forget silent workers that listed a part, and bound reads of changes

Cause: a worker that had listed only a part of its ends and then fell silent still counted as reached after its lease, so that tasks of earlier epochs would have waited for it without end. A read of changes went on as long as pages were full, which a registry that changes faster than it is read keeps up for ever. A rejected cancellation would have been answered with 500.

Evidence: test_silent_worker_that_listed_a_part_blocks_no_tasks_for_good failed before the change. The second test calls the bounded function.

Change: the end of the lease ends that state, whatever was listed. A read of changes takes at most 20 pages and says if more are left; the accepted jobs and the registry count as read only when none are. JobRejectedError is a NotStoredError.

--- a/src/hawthornpier/fleet/_errors.py
+++ b/src/hawthornpier/fleet/_errors.py
@@ -33,9 +33,9 @@
     """
 
 
-class JobRejectedError(FleetError):
+class JobRejectedError(NotStoredError):
     """
-    The store cannot hold a job, which has no effect and never will have one.
+    The store does not accept a job, and repeating the request is useless.
     """
 
 
--- a/src/hawthornpier/fleet/_intake.py
+++ b/src/hawthornpier/fleet/_intake.py
@@ -23,7 +23,7 @@
     RowTransaction,
     StoredRow,
 )
-from hawthornpier.fleet._row_pages import read_all_changes, read_all_rows
+from hawthornpier.fleet._row_pages import read_all_rows, read_changes
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._writer import INTAKE_TABLE, PROGRESS_TABLE
 from hawthornpier.steps import RecordError, decode_plan
@@ -103,7 +103,7 @@
         """
         requested_ms = self._shard.now_ms
         try:
-            page = await read_all_changes(
+            page = await read_changes(
                 self._store,
                 INTAKE_TABLE,
                 after_version=self._version,
@@ -116,7 +116,8 @@
             if row.part.startswith(partition_prefix) and not row.is_deleted:
                 self._apply_row(row, {})
         self._version = page.version
-        self._shard.jobs_read_ms = requested_ms
+        if not page.has_more:
+            self._shard.jobs_read_ms = requested_ms
 
     async def remove(self, job_id: str) -> None:
         """
--- a/src/hawthornpier/fleet/_row_pages.py
+++ b/src/hawthornpier/fleet/_row_pages.py
@@ -1,11 +1,15 @@
 """
-Reads of the store that continue until all pages have been read.
+Reads of the store that continue after the first page.
 """
 
 from collections.abc import Iterable
 
 from hawthornpier.fleet._ports import RecordStore, RowPage, StoredRow
 
+# Maximum number of pages in one read of changes, so that a table that changes
+# faster than its pages are read cannot hold up the reader.
+_CHANGE_PAGES_MAX = 20
+
 
 async def read_all_rows(store: RecordStore, table: str, part: str) -> RowPage:
     """
@@ -27,11 +31,13 @@
     )
 
 
-async def read_all_changes(
+async def read_changes(
     store: RecordStore, table: str, *, after_version: int, wait_ms: int
 ) -> RowPage:
     """
-    Return all rows of a table that changed after a version.
+    Return the rows of a table that changed after a version.
+
+    If the result *has_more*, some changes up to now are still to be read.
 
     Args:
         store: The store.
@@ -47,7 +53,7 @@
         table, after_version=after_version, wait_ms=wait_ms
     )
     pages = [page]
-    while pages[-1].has_more and pages[-1].rows:
+    while pages[-1].has_more and len(pages) < _CHANGE_PAGES_MAX:
         pages.append(
             await store.changes(
                 table, after_version=pages[-1].version, wait_ms=0
@@ -57,6 +63,7 @@
         rows=_rows_of(pages),
         version=pages[-1].version,
         store_ms=pages[-1].store_ms,
+        has_more=pages[-1].has_more,
     )
 
 
--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -75,7 +75,7 @@
         expired_ms = now_ms - worker.lease_expiry_ms(self._timings)
         if expired_ms < 0:
             return
-        if worker.is_listed:
+        if worker.is_reached:
             worker.expect_listing()
             log_interrupted_runs(self._shard, worker, 'lease expired')
         if worker.is_deregistered:
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -21,7 +21,7 @@
     WorkerEntry,
 )
 from hawthornpier.fleet._relay_assignment import WorkerPlace
-from hawthornpier.fleet._row_pages import read_all_changes, read_all_rows
+from hawthornpier.fleet._row_pages import read_all_rows, read_changes
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_state import WorkerState
@@ -104,7 +104,7 @@
             await self._context.clock.sleep_ms(_REGISTRY_POLL_INTERVAL_MS)
             sent = self.shard.permits.registry.mark()
             try:
-                await self._poll_once()
+                is_current = await self._poll_once()
             except StoreError:
                 # Entries may expire while the store is unavailable, so the
                 # time for which they have been missing starts anew.
@@ -112,15 +112,19 @@
                     self._missing_since_ms, self.shard.now_ms
                 )
             else:
-                self.shard.permits.registry.confirm(sent)
+                if is_current:
+                    self.shard.permits.registry.confirm(sent)
             self._remove_departed_workers()
 
-    async def _poll_once(self) -> None:
+    async def _poll_once(self) -> bool:
+        """
+        Apply changes of the registry, and return whether these are all.
+        """
         if self._version is None:
             await self.read()
-            return
+            return True
         try:
-            page = await read_all_changes(
+            page = await read_changes(
                 self._context.store,
                 self._context.registry_table,
                 after_version=self._version,
@@ -128,7 +132,7 @@
             )
         except HistoryGoneError:
             await self.read()
-            return
+            return True
         self._version = page.version
         latest_rows = {row.key: row for row in page.rows if not row.part}
         rows = tuple(latest_rows.values())
@@ -136,6 +140,7 @@
             if row.is_deleted:
                 self._missing_since_ms.setdefault(row.key, self.shard.now_ms)
         self._apply_entries(rows)
+        return not page.has_more
 
     async def read(self) -> None:
         """
--- a/src/hawthornpier/platform/_run.py
+++ b/src/hawthornpier/platform/_run.py
@@ -133,15 +133,13 @@
         self._log.record('process_stopped')
 
     def _listen(self) -> None:
+        callers = _handlers.caller_application(self.node, self._open_requests)
         peers = Application(
             peer_routes(self.node),
             log_function=_handlers.log_nothing,
         )
         for application, address in (
-            (
-                _handlers.caller_application(self.node, self._open_requests),
-                self._caller_address,
-            ),
+            (callers, self.settings.frontend_address),
             (
                 _handlers.readiness_application(self.node),
                 self.settings.readiness_address,
@@ -154,8 +152,8 @@
             self.servers.append(server)
 
     @property
-    def _caller_address(self) -> str:
-        return self.settings.frontend_address
+    def _caller_server(self) -> HTTPServer:
+        return self.servers[0]
 
     async def _leave(self) -> None:
         started_ms = self._clock.monotonic_ms()
@@ -181,7 +179,7 @@
                 await self._open_requests.wait_answered()
             # Without a wait in between, no further request is read.
             async with asyncio.timeout(_CLOSE_TIMEOUT_S):
-                await self.servers[0].close_all_connections()
+                await self._caller_server.close_all_connections()
         except TimeoutError:
             self._log.record('callers_cut_off')
 
--- a/tests/test_fleet_cut_listings.py
+++ b/tests/test_fleet_cut_listings.py
@@ -20,10 +20,16 @@
     task_key,
 )
 
-from hawthornpier.fleet import LISTED_ENDS_MAX, RowPage, StoredRow
+from hawthornpier.fleet import (
+    LISTED_ENDS_MAX,
+    RowPage,
+    StoredRow,
+    WorkerTimings,
+)
 from hawthornpier.fleet._eligibility import Exclusion, find_exclusion
 from hawthornpier.fleet._listings import ListingReconciler
-from hawthornpier.fleet._row_pages import read_all_changes
+from hawthornpier.fleet._row_pages import read_changes
+from hawthornpier.fleet._run_monitor import RunMonitor
 from hawthornpier.platform._store import _may_be_cut, _RowsReply
 from hawthornpier.platform._worker import _decode_listing
 from hawthornpier.steps import JobPhase, RunOutcome, StepPlan
@@ -96,6 +102,20 @@
         shard.forget_lapsed_workers()
         assert not shard.unlisted_tasks
 
+    async def test_silent_worker_that_listed_a_part_blocks_no_tasks_for_good(
+        self,
+    ):
+        shard = shard_with(WIDE_PLAN)
+        worker = add_worker(shard)
+        shard.unlisted_tasks[worker.worker_id] = None
+        listings = ListingReconciler(shard)
+        listings.apply(worker, cut(ends(500)), shard.now_ms)
+        worker.missed_reply_count = 1
+        shard.clock.jump_ms += 20_000
+        RunMonitor(shard, WorkerTimings()).run_pass()
+        shard.forget_lapsed_workers()
+        assert not shard.unlisted_tasks
+
     async def test_worker_with_many_unacknowledged_ends_gets_no_starts(self):
         shard = shard_with(WIDE_PLAN)
         worker = add_worker(shard)
@@ -191,12 +211,20 @@
         Guards against a run that is stopped because its job is on a page of
         accepted jobs that was not read.
         """
-        page = await read_all_changes(
+        page = await read_changes(
             PagedStore(4), 'intake', after_version=1, wait_ms=0
         )
+        assert not page.has_more
         assert [row.key for row in page.rows] == ['2', '3', '4']
         assert page.version == 4
 
+    async def test_table_that_keeps_changing_does_not_hold_up_the_reader(self):
+        page = await read_changes(
+            PagedStore(10**6), 'registry', after_version=0, wait_ms=0
+        )
+        assert page.has_more
+        assert page.version < 100
+
     @pytest.mark.parametrize(
         ('row_count', 'size', 'expected'),
         [(499, 9, False), (500, 9, True), (9, 950_000, True)],
