--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -42,9 +42,9 @@
     Occurrence,
     Run,
     Step,
-    Suspicion,
     Task,
 )
+from hawthornpier.steps._suspicion import Suspicion
 
 __all__ = [
     'AdviceTimings',
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -3,26 +3,10 @@
 """
 
 from collections.abc import Iterator
-from dataclasses import dataclass
 
 from hawthornpier.steps._model import JobPhase, JobPlan, StepPlan
 from hawthornpier.steps._run_phase import RunPhase
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Suspicion:
-    """
-    A run on a worker that does not respond and that it may have crashed.
-
-    *weight* is that of the evidence, once the worker is known to have crashed.
-    The address and the incarnation are those of the worker; another incarnation
-    that appears at the address shows that it has crashed.
-    """
-
-    attempt: int
-    weight: int
-    address: str = ''
-    incarnation_ms: int = 0
+from hawthornpier.steps._suspicion import Suspicion
 
 
 class Run:
@@ -224,7 +208,6 @@
     __slots__ = (
         'done_count',
         'fully_searched_ms',
-        'gang_attempt',
         'number',
         'occurrence',
         'plan',
@@ -244,7 +227,6 @@
         self.number = number
         self.plan = plan
         self.done_count = 0
-        self.gang_attempt = 0
         # When the step became ready to start, by the owner's monotonic clock;
         # None before that.
         self.ready_ms: float | None = None
--- a/tests/test_fleet_gangs.py
+++ b/tests/test_fleet_gangs.py
@@ -4,25 +4,19 @@
 
 import dataclasses
 
-from fleet_rows import QUEUE
-from test_fleet_ends import add_worker, shard_with, task_key
+from test_fleet_ends import JOB_ID, add_worker, shard_with, task_key
+from test_fleet_ends import PLAN as ONE_STEP
 
 from hawthornpier.fleet import StoredRow
 from hawthornpier.steps import (
     JobPhase,
-    JobPlan,
     RunOutcome,
     StepPlan,
     encode_progress,
 )
 
-JOB_ID = '00000000000000aa'
-PLAN = JobPlan(
-    job_id=JOB_ID,
-    payload='payload',
-    steps=(StepPlan(task_count=4, processor_millis=1_000, is_gang=True),),
-    queue=dataclasses.replace(QUEUE, max_attempts=2),
-)
+GANG = StepPlan(task_count=4, processor_millis=1_000, is_gang=True)
+PLAN = dataclasses.replace(ONE_STEP, steps=(GANG,))
 
 
 def start_gang(shard, worker):
--- a/tests/test_platform_shutdown.py
+++ b/tests/test_platform_shutdown.py
@@ -13,10 +13,19 @@
 SERVING_S = 0.7
 
 
-def slow_store(process, delay_s):
+async def start_with_slow_store(installation, delay_s):
     """
-    Delay the calls of a process to the store.
+    Start a process whose writes to the store take longer.
+
+    Returns:
+        Its settings, its task, and the event that stops it.
     """
+    settings = installation.start_process(
+        'a', bounds=PlatformBounds(grace_ms=GRACE_MS)
+    )
+    await installation.wait_ready(settings)
+    process, task, stop = installation.processes['a']
+    task.remove_done_callback(installation.record_end)
     store = process.node.entry._store
     transact = store.transact
 
@@ -25,6 +34,7 @@
         return await transact(transaction, **options)
 
     store.transact = transact_late
+    return settings, task, stop
 
 
 class TestOpenRequests:
@@ -35,13 +45,9 @@
     @pytest.mark.parametrize('sent_s', [0.3, SERVING_S - 0.05])
     def test_request_read_shortly_before_the_end_is_answered(self, sent_s):
         async def scenario(installation):
-            settings = installation.start_process(
-                'a', bounds=PlatformBounds(grace_ms=GRACE_MS)
+            settings, task, stop = await start_with_slow_store(
+                installation, 0.2
             )
-            await installation.wait_ready(settings)
-            process, task, stop = installation.processes['a']
-            task.remove_done_callback(installation.record_end)
-            slow_store(process, 0.2)
             stop.set()
             await asyncio.sleep(sent_s)
             code, _ = await installation.call(
@@ -57,13 +63,7 @@
         self,
     ):
         async def scenario(installation):
-            settings = installation.start_process(
-                'a', bounds=PlatformBounds(grace_ms=GRACE_MS)
-            )
-            await installation.wait_ready(settings)
-            process, task, stop = installation.processes['a']
-            task.remove_done_callback(installation.record_end)
-            slow_store(process, 5)
+            settings, task, stop = await start_with_slow_store(installation, 5)
             loop = asyncio.get_running_loop()
             request = loop.create_task(
                 installation.call(
