Compare evacuated workers only with those that have room

Change: the workers with room for the smallest long-running run are listed once a pass. The choice is the same.

--- a/src/hawthornpier/fleet/_evacuation.py
+++ b/src/hawthornpier/fleet/_evacuation.py
@@ -63,33 +63,39 @@
         if now_ms - self._last_pass_ms < _INTERVAL_MS:
             return
         self._last_pass_ms = now_ms
-        for worker in self._shard.workers.values():
-            if now_ms > worker.evacuated_until_ms:
-                worker.evacuated_for_image = ''
+        for evacuated in self._shard.workers.values():
+            if now_ms > evacuated.evacuated_until_ms:
+                evacuated.evacuated_for_image = ''
         starved = _starved_steps(steps, now_ms)
         ranked = sorted(
             starved.items(),
             key=lambda entry: _waiting_count(entry[1]),
             reverse=True,
         )
-        for image, waiting_steps in ranked:
-            if self._evacuate_for(image, waiting_steps, now_ms):
-                return
-
-    def _evacuate_for(
-        self, image: str, starved: list[Step], now_ms: float
-    ) -> bool:
-        """
-        Evacuate a worker for an image, and return whether there is one.
-        """
+        if not ranked:
+            return
         usable = [
             worker
             for worker in self._shard.workers.values()
             if worker.is_usable
         ]
-        chosen = self._choose_worker(image, starved, usable)
-        if chosen is None:
-            return False
+        roomy = _roomy_workers(usable)
+        for image, waiting_steps in ranked:
+            chosen = self._choose_worker(image, waiting_steps, usable, roomy)
+            if chosen is not None:
+                self._evacuate(chosen, image, usable, now_ms)
+                return
+
+    def _evacuate(
+        self,
+        chosen: WorkerState,
+        image: str,
+        usable: list[WorkerState],
+        now_ms: float,
+    ) -> None:
+        """
+        Move some of the runs that an image harms off a worker.
+        """
         chosen.evacuated_for_image = image
         chosen.evacuated_until_ms = now_ms + _EVACUATION_MS
         destinations = [
@@ -100,7 +106,6 @@
         for run in harmed:
             if moved < _MAX_MOVES and self._move(run, destinations):
                 moved += 1
-        return True
 
     def _move(self, run: Run, destinations: list[WorkerState]) -> bool:
         task = run.task
@@ -121,6 +126,7 @@
         image: str,
         starved: list[Step],
         usable: list[WorkerState],
+        roomy: list[WorkerState],
     ) -> WorkerState | None:
         """
         Return the worker to evacuate, or None.
@@ -142,7 +148,7 @@
             is_useful = any(
                 self._could_run(step, candidate, runs) for step in starved
             )
-            if is_useful and self._fit_elsewhere(runs, candidate, usable):
+            if is_useful and self._fit_elsewhere(runs, candidate, roomy):
                 return candidate
         return None
 
@@ -164,14 +170,14 @@
         self,
         runs: list[Run],
         origin: WorkerState,
-        usable: list[WorkerState],
+        roomy: list[WorkerState],
     ) -> bool:
         """
         Return whether other workers are eligible for runs and have the room.
         """
         others = [
             worker
-            for worker in _of_service(usable, origin.entry.service)
+            for worker in _of_service(roomy, origin.entry.service)
             if worker is not origin and not worker.evacuated_for_image
         ]
         free = [_free_resources(worker) for worker in others]
@@ -229,6 +235,28 @@
     return sum(len(step.waiting()) for step in steps)
 
 
+def _roomy_workers(workers: list[WorkerState]) -> list[WorkerState]:
+    """
+    Return the workers with room for the smallest long-running run.
+
+    Each candidate for an evacuation is compared with these only; on a full
+    fleet they are few.
+    """
+    smallest_millis = min(
+        (
+            run.task.step.plan.processor_millis
+            for worker in workers
+            for run in worker.long_running_runs()
+        ),
+        default=0,
+    )
+    return [
+        worker
+        for worker in workers
+        if _free_resources(worker)[0] >= smallest_millis
+    ]
+
+
 def _free_resources(worker: WorkerState) -> tuple[int, int]:
     """
     Return the processors and the memory (MB) that no run has allocated.
