Call no repeated request refused whose first one may be stored

Callers saw 504 for a submission and, when they repeated it at the same process, 503, which means that the job was not accepted and never runs. The job ran nevertheless.

The process decided each request by itself. After a write without a reply it pauses its own writes for 0.7 s, and after a peer that did not report an outcome it rejects everything for 0.5 s. A repetition in that time, or one for which the store refused the process and its peers, stored nothing and was reported as refused, although the first request's row existed or came into being seconds later. A process that relayed the repetition through the process of the first request was told the same.

A repetition that stores nothing is reported as unknown (504) instead, so that the caller asks again. The two loops that relayed jobs and cancellations were the same and are one now.

Not covered: a repetition that arrives at another process, whose store and peers refuse as well, still gets 503; the processes do not share the keys, and a process that restarts forgets them.

--- a/src/hawthornpier/fleet/_entry.py
+++ b/src/hawthornpier/fleet/_entry.py
@@ -3,8 +3,8 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any, Protocol
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, NoReturn, Protocol
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._errors import (
@@ -17,6 +17,7 @@
 from hawthornpier.fleet._peer_port import Peer
 from hawthornpier.fleet._ports import RecordStore, RowTransaction
 from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._unknown_outcomes import UnknownOutcomes
 from hawthornpier.fleet._writer import INTAKE_TABLE, PROGRESS_TABLE
 from hawthornpier.ports import (
     Clock,
@@ -42,6 +43,8 @@
 # After this time, a write is not relayed to a further process.  Callers time
 # out after about three seconds, and the reply must arrive before that.
 _RELAY_BUDGET_MS = 700.0
+# The content of the row of a cancellation; its key names the job.
+_CANCELLATION = b'{}'
 # After relaying has failed too, writes are rejected immediately for this long,
 # so that callers retry later instead of waiting.
 _REJECT_MS = 500.0
@@ -73,6 +76,9 @@
         ...
 
 
+_RelayedWrite = Callable[[Peer], Awaitable[bool | None]]
+
+
 class JobEntry:
     """
     Serves requests of callers.
@@ -108,6 +114,7 @@
         self._log = log
         self._store_backoff_until_ms: float = 0
         self._reject_until_ms: float = 0
+        self._unknown_outcomes = UnknownOutcomes()
         self._notification_tasks: set[asyncio.Task[None]] = set()
         self._pending_counts: dict[str, tuple[float, int]] = {}
 
@@ -120,15 +127,15 @@
             NotStoredError: The job was not stored and never will be.
             OutcomeUnknownError: The job may or may not have been stored.
         """
-        self._check_accepting()
+        self._check_accepting(plan.job_id)
         content = encode_plan(plan)
         if len(content) > self._row_bytes:
             raise JobRejectedError(
                 f'the job takes {len(content)} bytes, the store holds at most '
                 f'{self._row_bytes}'
             )
-        if not await self.store_job(plan.job_id, content):
-            await self._relay_job(content)
+        if not await self._write_row(plan.job_id, plan.job_id, content):
+            await self._relay(plan.job_id, lambda peer: peer.relay_job(content))
         self._start_notification(self._notify_owner_of_job(plan, content))
 
     async def store_job(self, job_id: str, content: bytes) -> bool:
@@ -141,9 +148,10 @@
         Raises:
             OutcomeUnknownError: The job may or may not have been stored.
         """
-        if self._clock.monotonic_ms() < self._store_backoff_until_ms:
-            return False
-        return await self._create_row(job_id, job_id, content)
+        is_stored = await self._write_row(job_id, job_id, content)
+        if not is_stored:
+            self._unknown_outcomes.check(job_id)
+        return is_stored
 
     async def cancel(self, job_id: str) -> None:
         """
@@ -157,10 +165,11 @@
             NotStoredError: The cancellation was not stored and never will be.
             OutcomeUnknownError: It may or may not have been stored.
         """
-        self._check_accepting()
+        key = cancel_key(job_id)
+        self._check_accepting(key)
         is_known = await self.show(job_id) is not None
-        if not await self.store_cancel(job_id):
-            await self._relay_cancel(job_id)
+        if not await self._write_row(job_id, key, _CANCELLATION):
+            await self._relay(key, lambda peer: peer.relay_cancel(job_id))
         self._start_notification(self._notify_owner_of_cancel(job_id))
         if not is_known:
             raise UnknownJobError(job_id)
@@ -175,9 +184,11 @@
         Raises:
             OutcomeUnknownError: It may or may not have been stored.
         """
-        if self._clock.monotonic_ms() < self._store_backoff_until_ms:
-            return False
-        return await self._create_row(job_id, cancel_key(job_id), b'{}')
+        key = cancel_key(job_id)
+        is_stored = await self._write_row(job_id, key, _CANCELLATION)
+        if not is_stored:
+            self._unknown_outcomes.check(key)
+        return is_stored
 
     async def show(self, job_id: str) -> JobPhase | None:
         """
@@ -224,7 +235,12 @@
             'the owner of the shard is unknown or did not reply',
         )
 
-    async def _create_row(self, job_id: str, key: str, content: bytes) -> bool:
+    async def _write_row(self, job_id: str, key: str, content: bytes) -> bool:
+        """
+        Write a row, and return whether this request has stored it.
+        """
+        if self._clock.monotonic_ms() < self._store_backoff_until_ms:
+            return False
         try:
             await self._store.transact(
                 RowTransaction(
@@ -241,6 +257,7 @@
             self._store_backoff_until_ms = (
                 self._clock.monotonic_ms() + _STORE_BACKOFF_MS
             )
+            self._unknown_outcomes.add(key)
             raise OutcomeUnknownError(str(error)) from error
         except StoreError:
             self._store_backoff_until_ms = (
@@ -250,61 +267,59 @@
         # If the row existed already, an earlier request of the caller wrote it,
         # so the request has succeeded whether or not the write was applied.
         self._store_backoff_until_ms = 0
+        self._unknown_outcomes.discard(key)
         return True
 
-    async def _relay_job(self, content: bytes) -> None:
+    async def _relay(self, key: str, send: _RelayedWrite) -> None:
+        """
+        Have other processes write the row with a key.
+        """
         end_ms = self._clock.monotonic_ms() + _RELAY_BUDGET_MS
         for peer in self._directory.relays()[:_MAX_RELAY_ATTEMPTS]:
             if self._clock.monotonic_ms() > end_ms:
                 break
-            try:
-                is_stored = await peer.relay_job(content)
-            except PeerError:
-                continue
-            self._check_outcome_known(is_stored)
-            if is_stored:
+            if await self._relay_through(peer, key, send):
                 return
         self._start_rejecting()
-        raise NotStoredError(
-            'neither this process nor a peer could write to the store'
+        self._refuse(
+            key, 'neither this process nor a peer could write to the store'
         )
 
-    async def _relay_cancel(self, job_id: str) -> None:
-        end_ms = self._clock.monotonic_ms() + _RELAY_BUDGET_MS
-        for peer in self._directory.relays()[:_MAX_RELAY_ATTEMPTS]:
-            if self._clock.monotonic_ms() > end_ms:
-                break
-            try:
-                is_stored = await peer.relay_cancel(job_id)
-            except PeerError:
-                continue
-            self._check_outcome_known(is_stored)
-            if is_stored:
-                return
-        self._start_rejecting()
-        raise NotStoredError(
-            'neither this process nor a peer could write to the store'
-        )
+    async def _relay_through(
+        self, peer: Peer, key: str, send: _RelayedWrite
+    ) -> bool:
+        try:
+            is_stored = await send(peer)
+        except PeerError:
+            return False
+        if is_stored is None:
+            self._start_rejecting()
+            self._unknown_outcomes.add(key)
+            raise OutcomeUnknownError(
+                'a peer did not report whether it stored the request',
+            )
+        if is_stored:
+            self._unknown_outcomes.discard(key)
+        return is_stored
 
-    def _check_accepting(self) -> None:
+    def _check_accepting(self, key: str) -> None:
         """
-        Raise `NotStoredError` if relaying failed shortly before.
+        Refuse to write a row if relaying failed shortly before.
         """
         if self._clock.monotonic_ms() < self._reject_until_ms:
-            raise NotStoredError(
-                'rejected because a recent write to the store was not confirmed'
+            self._refuse(
+                key,
+                'rejected because a recent write to the store was not '
+                'confirmed',
             )
 
+    def _refuse(self, key: str, why: str) -> NoReturn:
+        self._unknown_outcomes.check(key)
+        raise NotStoredError(why)
+
     def _start_rejecting(self) -> None:
         self._reject_until_ms = self._clock.monotonic_ms() + _REJECT_MS
 
-    def _check_outcome_known(self, is_stored: bool | None) -> None:
-        if is_stored is None:
-            self._start_rejecting()
-            raise OutcomeUnknownError(
-                'a peer did not report whether it stored the request',
-            )
-
     async def _get_phase_from_owner(self, job_id: str) -> JobPhase | None:
         shard = self._directory.local_shard()
         if shard is not None:
