Read the settings file again after a malformed one

A process whose settings file was written with other bytes than UTF-8, or with a number such as inf, 1e999 or nan, read no later file: the error was not one of those that the watch of the file expects, and its task ended without a trace. At the start of a process, such a file or one that cannot be read gave a traceback and exit code 1 instead of a list of the malformed fields and exit code 2; a port above 65,535 failed as late as in the call that listens.

Numbers have to be finite and ports in range now, and a file that cannot be read or decoded is reported in the same way as a malformed field, so that the watch and the start see one kind of error.

--- a/src/hawthornpier/platform/_run.py
+++ b/src/hawthornpier/platform/_run.py
@@ -200,7 +200,7 @@
     def _reload(self, path: pathlib.Path) -> None:
         try:
             settings = load_settings(path)
-        except (OSError, ExceptionGroup) as error:
+        except ExceptionGroup as error:
             self._log.record('settings_rejected', why=repr(error))
             return
         changed = settings != self.settings
--- a/src/hawthornpier/platform/_settings.py
+++ b/src/hawthornpier/platform/_settings.py
@@ -2,6 +2,7 @@
 The settings file that the platform provides to an entry process.
 """
 
+import math
 import os
 import pathlib
 from collections.abc import Mapping
@@ -12,6 +13,7 @@
 
 SETTINGS_VARIABLE = 'HAWTHORNPIER_NODE_FILE'
 DEFAULT_SETTINGS_PATH = '/etc/hawthornpier/boot.conf'
+_MAX_PORT = 65_535
 
 
 class PlatformSettingsError(HawthornpierError):
@@ -64,11 +66,15 @@
     Read and parse a settings file.
 
     Raises:
-        OSError: The file cannot be read.
         ExceptionGroup: Contains a `PlatformSettingsError` for each missing or
-            malformed field.
+            malformed field, or one if the file cannot be read.
     """
-    return parse_settings(path.read_text(encoding='utf-8'), str(path))
+    try:
+        content = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as error:
+        fault = PlatformSettingsError(f'{path}: {error}')
+        raise ExceptionGroup('settings', [fault]) from error
+    return parse_settings(content, str(path))
 
 
 def check_file(path: str) -> None:
@@ -79,11 +85,7 @@
         ExceptionGroup: Contains a `PlatformSettingsError` for each missing or
             malformed field, or one if the file cannot be read.
     """
-    try:
-        load_settings(pathlib.Path(path))
-    except (OSError, UnicodeDecodeError) as error:
-        fault = PlatformSettingsError(f'{path}: {error}')
-        raise ExceptionGroup('settings', [fault]) from error
+    load_settings(pathlib.Path(path))
 
 
 def parse_settings(content: str, name: str) -> NodeSettings:
@@ -110,7 +112,7 @@
         * reader.number('limits.cores', 1),
         frontend_address=reader.text('bind_addresses.frontend'),
         readiness_address=reader.text('bind_addresses.readiness_addr'),
-        peer_port=reader.first_integer('internal_ports'),
+        peer_port=reader.first_port('internal_ports'),
         store_address=reader.text('platform.address'),
         advice_address=reader.text('advice', ''),
         cloud_api_address=reader.text('cloud_api.address', ''),
@@ -166,21 +168,25 @@
         if not text:
             return default
         try:
-            return float(text)
+            number = float(text)
         except ValueError:
-            self._fail(field_name, f'is not a number: {text!r}')
-            return default
+            number = math.nan
+        if math.isfinite(number):
+            return number
+        self._fail(field_name, f'is not a number: {text!r}')
+        return default
 
-    def first_integer(self, field_name: str) -> int:
+    def first_port(self, field_name: str) -> int:
         """
-        Return the first number of a required list of integers.
+        Return the first number of a required list of ports.
         """
         text = self.text(field_name)
         first = text.split(',')[0].strip()
-        if not first.isdecimal():
-            self._fail(field_name, f'does not begin with a number: {text!r}')
-            return 0
-        return int(first)
+        is_short = first.isdecimal() and len(first) <= len(str(_MAX_PORT))
+        if is_short and int(first) <= _MAX_PORT:
+            return int(first)
+        self._fail(field_name, f'does not begin with a port: {text!r}')
+        return 0
 
     def _fail(self, field_name: str, problem: str) -> None:
         line, _ = self._fields.get(field_name, (0, ''))
