Use a relay again after an unexpected error in its connection

The owner keeps one task for each relay, which nobody supervised. An error that is not a PeerError ended it, and so did a call that a library cancelled: the connection's end was then raised as the cancellation of the task itself. The relay stayed in the list of those that have a task, so that no other one was started, and the owner contacted its workers by itself for as long as it was the owner, on installations whose relays exist because it cannot. One malformed address in the directory of processes was enough, since the WebSocket client raises ValueError or UnicodeError for it.

The task now runs each connection as a part, logs an unexpected end as relay_failed and connects again. A cancelled call is a reason for the end of a connection like any other, and a malformed address counts as unreachable.

--- a/src/hawthornpier/fleet/_relay_channel.py
+++ b/src/hawthornpier/fleet/_relay_channel.py
@@ -243,6 +243,8 @@
 
 
 def _ending(task: 'asyncio.Task[str]') -> str:
+    if task.cancelled():
+        return 'a call of the connection was cancelled'
     error = task.exception()
     return task.result() if error is None else repr(error)
 
--- a/src/hawthornpier/fleet/_relay_pool.py
+++ b/src/hawthornpier/fleet/_relay_pool.py
@@ -4,9 +4,12 @@
 
 import asyncio
 from collections.abc import Callable, Iterable
+from functools import partial
 from typing import Protocol
 
 from hawthornpier.events import DecisionLog
+from hawthornpier.fleet._errors import error_text
+from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
     FleetWorker,
     OrderReply,
@@ -151,17 +154,23 @@
     async def _keep_connected(self, address: str) -> None:
         while True:
             try:
-                socket = await self._connect(address)
+                await run_part(partial(self._connect_once, address))
             except PeerError as error:
                 self._log.record(
                     'relay_unreachable', address=address, why=str(error)
                 )
-            else:
-                await self._use(address, socket)
+            except Exception as error:
+                # This relay would otherwise not be used any more.
+                self._log.record(
+                    'relay_failed', address=address, why=error_text(error)
+                )
             self._tried.add(address)
             self._update_readiness()
             await self._clock.sleep_ms(_RECONNECT_MS)
 
+    async def _connect_once(self, address: str) -> None:
+        await self._use(address, await self._connect(address))
+
     async def _use(self, address: str, socket: RelaySocket) -> None:
         channel = RelayChannel(socket, self._clock)
         self._channels[address] = channel
--- a/src/hawthornpier/fleet/_relay_socket.py
+++ b/src/hawthornpier/fleet/_relay_socket.py
@@ -28,6 +28,8 @@
     HTTPError,
     StreamClosedError,
     TimeoutError,
+    # The address is malformed.
+    ValueError,
     WebSocketError,
 )
 
