Log how long long-running tasks wait beside room, and why

The log could not tell why: lines about single starts and stops are left out under load, and the state of the shard samples exclusions for one step only.

An owner now follows each long-running task without a run at work, also one whose start or stop has no reply, whose run never becomes ready or whose worker is silent. One line a second has the number of waits by reason and describes the five longest: how long a worker had room, the time by reason, the runs that keep the task from being placed, and the end of the last one. A wait of more than three seconds beside room has a line of its own.

--- /dev/null
+++ b/src/hawthornpier/fleet/_long_running_waits.py
@@ -0,0 +1,319 @@
+"""
+Observation of long-running tasks that have no run although there is room.
+"""
+
+import collections
+import enum
+import itertools
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+
+from hawthornpier.fleet._eligibility import (
+    Exclusion,
+    find_exclusion,
+    lacks_label,
+)
+from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.steps import Run, RunPhase, Step, Task, is_crash_suspect
+
+_CHECK_INTERVAL_MS = 500.0
+_LOG_INTERVAL_MS = 1_000.0
+# A wait beside room that is longer is logged by itself.
+_LONG_WAIT_MS = 3_000.0
+# Waits and reasons that a line names at most.
+_NAMED_COUNT = 5
+# A run that is confirmed but not ready after this time counts as waiting.
+_STARTUP_MS = 4_000.0
+# So does one whose worker has not replied for this long.
+_SILENCE_MS = 1_500.0
+
+SafeToStart = Callable[[list[Task]], list[Task]]
+
+
+class WaitReason(enum.StrEnum):
+    """
+    Why a long-running task has no run that is at work.
+    """
+
+    OWNER_LEAVING = 'owner hands the shard over'
+    NO_PERMIT = 'owner may not start runs'
+    SERVICE_NOT_PERMITTED = 'owner may not start runs on the service'
+    START_QUEUED = 'start is queued'
+    START_UNANSWERED = 'start has no reply'
+    STOP_QUEUED_OR_UNANSWERED = 'stop has no reply'
+    STOP_ACKNOWLEDGED = 'stopping'
+    NOT_READY = 'not ready'
+    WORKER_SILENT = 'worker does not reply'
+    MAYBE_RUNNING = 'may run on a worker that has not listed its runs'
+    AWAITS_TRIAL = 'awaits a trial, as it may crash its worker'
+    NO_ROOM = 'no room'
+    EXCLUDED = 'workers with room are excluded'
+    NOT_PLACED = 'not placed on a worker that is eligible'
+
+
+@dataclass(slots=True, kw_only=True)
+class _Wait:
+    """
+    A wait for a run, and how long there was room, in total and by reason.
+    """
+
+    task: Task
+    since_ms: float
+    checked_ms: float
+    reason: WaitReason = WaitReason.NO_ROOM
+    # Without an interruption, how long one worker or another had room.
+    room_ms: float = 0
+    reason_ms: collections.Counter[WaitReason] = field(
+        default_factory=collections.Counter
+    )
+    is_reported: bool = False
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class _Chances:
+    """
+    The workers with room for a task of a step, and which tasks may be started.
+    """
+
+    room: list[WorkerState]
+    safe_keys: frozenset[str]
+
+
+class LongRunningWaits:
+    """
+    Logs how long tasks wait for a run, and why, in one line a second.
+
+    The wait of a task lasts from the end of its run until a worker confirms the
+    start of the next one.  A line of its own tells of each wait of over three
+    seconds beside room.
+
+    Args:
+        shard: The state of the shard.
+        safe_to_start: Returns those of the tasks of a step that cannot be
+            running on a worker that has not listed its runs yet.
+    """
+
+    def __init__(self, shard: Shard, safe_to_start: SafeToStart) -> None:
+        self._shard = shard
+        self._safe_to_start = safe_to_start
+        self._waits: dict[str, _Wait] = {}
+        self._checked_ms: float = 0
+        self._logged_ms: float = 0
+        # Since the last line: the longest wait beside room that has ended.
+        self._longest_ended_ms: float = 0
+
+    def run_pass(self) -> None:
+        """
+        Follow the waits, and log them, unless the last pass was too recent.
+        """
+        now_ms = self._shard.now_ms
+        if now_ms - self._checked_ms < _CHECK_INTERVAL_MS:
+            return
+        self._checked_ms = now_ms
+        waiting = self._waiting_tasks(now_ms)
+        for key in self._waits.keys() - waiting.keys():
+            ended = self._waits.pop(key)
+            self._longest_ended_ms = max(self._longest_ended_ms, ended.room_ms)
+        chances = self._chances(waiting.values())
+        for waiting_key, task in waiting.items():
+            wait = self._waits.setdefault(
+                waiting_key,
+                _Wait(task=task, since_ms=now_ms, checked_ms=now_ms),
+            )
+            self._update(wait, chances[task.step.key], now_ms)
+        if now_ms - self._logged_ms >= _LOG_INTERVAL_MS:
+            self._logged_ms = now_ms
+            self._log(chances)
+
+    def _waiting_tasks(self, now_ms: float) -> dict[str, Task]:
+        return {
+            task.key: task
+            for step in self._long_running_steps()
+            for task in step.tasks
+            if not any(self._is_at_work(run, now_ms) for run in task.runs)
+        }
+
+    def _is_at_work(self, run: Run, now_ms: float) -> bool:
+        if run.phase is not RunPhase.RUNNING or self._is_silent(run, now_ms):
+            return False
+        return run.is_ready or now_ms - run.confirmed_ms < _STARTUP_MS
+
+    def _is_silent(self, run: Run, now_ms: float) -> bool:
+        worker = self._shard.workers[run.worker_id]
+        return (
+            worker.is_unresponsive
+            and now_ms - worker.last_reply_ms > _SILENCE_MS
+        )
+
+    def _chances(self, tasks: Iterable[Task]) -> dict[str, _Chances]:
+        pools = self._responsive_workers()
+        steps = {task.step.key: task.step for task in tasks}
+        return {
+            key: _Chances(
+                room=_workers_with_room(
+                    step, pools[self._shard.service_of(step.job)]
+                ),
+                safe_keys=frozenset(
+                    task.key for task in self._safe_to_start(step.waiting())
+                ),
+            )
+            for key, step in steps.items()
+        }
+
+    def _responsive_workers(self) -> dict[str, list[WorkerState]]:
+        """
+        Return the workers that reply and stay by service, roomiest first.
+        """
+        pools = collections.defaultdict(list)
+        for worker in self._shard.workers.values():
+            if not worker.is_leaving and not worker.is_unresponsive:
+                pools[worker.entry.service].append(worker)
+        for pool in pools.values():
+            pool.sort(key=_free_millis, reverse=True)
+        return pools
+
+    def _long_running_steps(self) -> list[Step]:
+        wall_ms = self._shard.clock.wall_ms()
+        occurrences = itertools.chain.from_iterable(
+            job.occurrences
+            for job in self._shard.active_jobs()
+            if job.plan.is_lasting
+        )
+        return [
+            step
+            for occurrence in occurrences
+            for step in occurrence.due_steps(wall_ms)
+            if step.plan.is_lasting
+        ]
+
+    def _update(self, wait: _Wait, chances: _Chances, now_ms: float) -> None:
+        elapsed_ms = now_ms - wait.checked_ms
+        wait.checked_ms = now_ms
+        wait.reason = self._reason(wait.task, chances, now_ms)
+        if not chances.room:
+            self._longest_ended_ms = max(self._longest_ended_ms, wait.room_ms)
+            wait.room_ms = 0
+            wait.reason_ms.clear()
+            return
+        wait.room_ms += elapsed_ms
+        wait.reason_ms[wait.reason] += int(elapsed_ms)
+        if wait.room_ms > _LONG_WAIT_MS and not wait.is_reported:
+            wait.is_reported = True
+            self._shard.log.record(
+                'long_running_wait', **self._describe(wait, chances.room)
+            )
+
+    def _reason(
+        self, task: Task, chances: _Chances, now_ms: float
+    ) -> WaitReason:
+        if task.runs:
+            run = task.runs[-1]
+            is_silent = self._is_silent(run, now_ms)
+            return _reason_of_run(run, is_silent=is_silent)
+        checks = self._checks(task, chances, now_ms)
+        return next(
+            (reason for reason, applies in checks if applies),
+            WaitReason.NOT_PLACED,
+        )
+
+    def _checks(
+        self, task: Task, chances: _Chances, now_ms: float
+    ) -> Iterator[tuple[WaitReason, bool]]:
+        shard, step = self._shard, task.step
+        service = shard.service_of(step.job)
+        yield WaitReason.OWNER_LEAVING, shard.is_draining
+        yield WaitReason.NO_PERMIT, not shard.permits.may_start
+        is_permitted = shard.permits.may_start_on(service)
+        yield WaitReason.SERVICE_NOT_PERMITTED, not is_permitted
+        yield WaitReason.MAYBE_RUNNING, task.key not in chances.safe_keys
+        yield WaitReason.NO_ROOM, not chances.room
+        eligible = (
+            worker
+            for worker in chances.room
+            if find_exclusion(worker, step, now_ms) is None
+        )
+        yield WaitReason.EXCLUDED, next(eligible, None) is None
+        yield WaitReason.AWAITS_TRIAL, is_crash_suspect(task)
+
+    def _log(self, chances: dict[str, _Chances]) -> None:
+        longest = sorted(
+            self._waits.values(),
+            key=lambda wait: (wait.room_ms, wait.checked_ms - wait.since_ms),
+            reverse=True,
+        )
+        if not longest and not self._longest_ended_ms:
+            return
+        self._shard.log.record(
+            'long_running_waits',
+            shard=self._shard.name,
+            epoch=self._shard.epoch,
+            waiting=len(longest),
+            with_room=sum(1 for wait in longest if wait.room_ms),
+            longest_ended_ms=int(self._longest_ended_ms),
+            reasons=collections.Counter(wait.reason for wait in longest),
+            longest=[
+                self._describe(wait, chances[wait.task.step.key].room)
+                for wait in longest[:_NAMED_COUNT]
+            ],
+        )
+        self._longest_ended_ms = 0
+
+    def _describe(
+        self, wait: _Wait, room: list[WorkerState]
+    ) -> dict[str, object]:
+        step = wait.task.step
+        last = wait.task.last_end
+        return {
+            'task': wait.task.key,
+            'waited_ms': int(wait.checked_ms - wait.since_ms),
+            'room_ms': int(wait.room_ms),
+            'reason': wait.reason,
+            'reason_ms': dict(wait.reason_ms.most_common(_NAMED_COUNT)),
+            # The runs that keep it from being placed, then the last that ended.
+            'runs': [_describe_run(run) for run in wait.task.runs],
+            'last_end': last and (last.attempt, last.worker_id, last.outcome),
+            'workers_with_room': len(room),
+            'exclusions': self._exclusions(step, room),
+        }
+
+    def _exclusions(
+        self, step: Step, room: list[WorkerState]
+    ) -> dict[Exclusion | str, int]:
+        now_ms = self._shard.now_ms
+        return collections.Counter(
+            find_exclusion(worker, step, now_ms) or 'none' for worker in room
+        )
+
+
+def _workers_with_room(
+    step: Step, pool: list[WorkerState]
+) -> list[WorkerState]:
+    candidates = itertools.takewhile(
+        lambda worker: _free_millis(worker) >= step.plan.processor_millis, pool
+    )
+    return [
+        worker
+        for worker in candidates
+        if worker.fits(step) and not lacks_label(worker, step)
+    ]
+
+
+def _free_millis(worker: WorkerState) -> int:
+    return worker.entry.processor_millis - worker.reserved_millis
+
+
+def _reason_of_run(run: Run, *, is_silent: bool) -> WaitReason:
+    if run.phase is RunPhase.RUNNING:
+        return WaitReason.WORKER_SILENT if is_silent else WaitReason.NOT_READY
+    if run.phase is RunPhase.STOPPING:
+        if run.order_acknowledged_ms:
+            return WaitReason.STOP_ACKNOWLEDGED
+        return WaitReason.STOP_QUEUED_OR_UNANSWERED
+    if run.sent_ms:
+        return WaitReason.START_UNANSWERED
+    return WaitReason.START_QUEUED
+
+
+def _describe_run(run: Run) -> tuple[int, str, RunPhase]:
+    return (run.attempt, run.worker_id, run.phase)
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -8,6 +8,7 @@
 
 from hawthornpier.fleet._crash_trials import CrashTrials
 from hawthornpier.fleet._evacuation import Evacuation
+from hawthornpier.fleet._long_running_waits import LongRunningWaits
 from hawthornpier.fleet._moves import Moves
 from hawthornpier.fleet._ordering import rank_step
 from hawthornpier.fleet._permits import STALE_ORDER_MS
@@ -61,6 +62,7 @@
         lease_ms = timings.lease_ms * (1 + timings.clock_drift)
         self._unlisted_span_ms = lease_ms + STALE_ORDER_MS
         self._state_logged_ms: float = 0
+        self._waits = LongRunningWaits(shard, self._safe_to_start)
 
     def run_pass(self) -> None:
         """
@@ -70,6 +72,7 @@
         certain that this process still owns it.
         """
         shard = self._shard
+        self._waits.run_pass()
         if shard.is_draining or not shard.permits.may_start:
             return
         if shard.now_ms - self._state_logged_ms >= _STATE_LOG_INTERVAL_MS:
@@ -100,8 +103,11 @@
         After a change of the owner, workers that have not listed their runs
         yet may still be running tasks of jobs from an earlier epoch.
         """
-        shard, step = self._shard, tasks[0].step
-        if not shard.unlisted_tasks or step.plan.may_run_copies:
+        shard = self._shard
+        if not tasks or not shard.unlisted_tasks:
+            return tasks
+        step = tasks[0].step
+        if step.plan.may_run_copies:
             return tasks
         if not shard.is_recent_owner(self._unlisted_span_ms):
             shard.forget_lapsed_workers()
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -19,6 +19,7 @@
     JobPlan,
     RecordError,
     Run,
+    RunEnd,
     RunOutcome,
     RunPhase,
     Task,
@@ -272,6 +273,9 @@
         worker.changed_ms = now_ms
         task = run.task
         task.runs.remove(run)
+        task.last_end = RunEnd(
+            attempt=run.attempt, worker_id=run.worker_id, outcome=outcome
+        )
         self.log.record(
             'run_ended',
             task=task.key,
--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -36,6 +36,7 @@
     encode_task_progress,
     restore_progress,
 )
+from hawthornpier.steps._run_end import RunEnd
 from hawthornpier.steps._run_phase import RunPhase
 from hawthornpier.steps._state import (
     Job,
@@ -56,6 +57,7 @@
     'QueuePolicy',
     'RecordError',
     'Run',
+    'RunEnd',
     'RunOutcome',
     'RunPhase',
     'Step',
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from hawthornpier.steps._model import JobPhase, JobPlan, StepPlan
+from hawthornpier.steps._run_end import RunEnd
 from hawthornpier.steps._run_phase import RunPhase
 from hawthornpier.steps._suspicion import Suspicion
 
@@ -144,6 +145,7 @@
         'index',
         'is_done',
         'key',
+        'last_end',
         'runs',
         'step',
         'suspicions',
@@ -164,6 +166,8 @@
         # Runs that may have crashed a worker which does not respond, by worker.
         self.suspicions: dict[str, Suspicion] = {}
         self.checkpoint = ''
+        # Of the runs that this owner knew.
+        self.last_end: RunEnd | None = None
         self.is_done = False
         # Workers on which a run of this task or of its gang failed, stalled, or
         # may still start because its start was not acknowledged.
