Log what each class of work waits for

The logs could not tell whether a class is served too little for want of the owner's processor, through the order of starts or for want of room: they had neither the length of a pass nor the wait of a class by cause.

Once a second the owner now logs wait_times: for each class of work the waits of its tasks for the owner to learn of the job, for a scheduling pass, for room, for the start to be sent and for the worker's confirmation; for the tasks that wait for room why there is none (full, fragmented, taken by steps of higher rank, or the worker is excluded); and the length of the passes. It is one line a second; the free room of all workers is compared twice a second.

Nothing is scheduled differently.

--- a/src/hawthornpier/fleet/_run_orders.py
+++ b/src/hawthornpier/fleet/_run_orders.py
@@ -5,6 +5,7 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._job_index import JobIndex
 from hawthornpier.fleet._orders import Order, OrderKind
+from hawthornpier.fleet._wait_times import WaitTimes
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import Clock
 from hawthornpier.steps import Run, RunPhase
@@ -26,12 +27,17 @@
         super().__init__(clock, row_bytes)
         self.log = log
         self.workers: dict[str, WorkerState] = {}
+        self.waits = WaitTimes()
 
     def order_start(self, run: Run, reason: str) -> None:
         """
         Order the start of a run that has its resources allocated already.
         """
         task = run.task
+        if task.attempt:
+            self.waits.add_restart(task.step)
+        else:
+            self.waits.add_placement(run)
         task.attempt = run.attempt
         run.is_copy = bool(task.runs)
         run.checkpoint = task.checkpoint
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -16,6 +16,7 @@
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._state_log import log_shard_state
 from hawthornpier.fleet._timings import PlatformBounds, WorkerTimings
+from hawthornpier.fleet._wait_log import WaitLog
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import (
     Job,
@@ -61,6 +62,7 @@
         lease_ms = timings.lease_ms * (1 + timings.clock_drift)
         self._unlisted_span_ms = lease_ms + STALE_ORDER_MS
         self._state_logged_ms: float = 0
+        self._wait_log = WaitLog(shard)
 
     def run_pass(self) -> None:
         """
@@ -72,6 +74,7 @@
         shard = self._shard
         if shard.is_draining or not shard.permits.may_start:
             return
+        self._wait_log.begin_pass()
         if shard.now_ms - self._state_logged_ms >= _STATE_LOG_INTERVAL_MS:
             self._state_logged_ms = shard.now_ms
             log_shard_state(shard, self._placement)
@@ -79,6 +82,7 @@
         self._trials.end_trials()
         self._moves.run_pass()
         candidates = self._candidate_pools()
+        self._wait_log.observe_room(candidates)
         failed: dict[str, list[Step]] = collections.defaultdict(list)
         steps = self._ranked_steps()
         for step in steps:
@@ -87,11 +91,15 @@
             cannot_fit = any(
                 _needs_at_least(step, other) for other in failed[service]
             )
-            if not cannot_fit and not self._place(step, pool):
+            if cannot_fit:
+                self._wait_log.refuse(step)
+            elif not self._place(step, pool):
                 failed[service].append(step)
+                self._wait_log.refuse(step)
             if step.plan.may_run_copies:
                 self._place_copies(step, pool)
         self._evacuation.run_pass(steps)
+        self._wait_log.end_pass(candidates, steps)
 
     def _safe_to_start(self, tasks: list[Task]) -> list[Task]:
         """
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -23,6 +23,7 @@
     RunPhase,
     Task,
     apply_outcome,
+    release_followers,
     restore_progress,
     update_end_phase,
 )
@@ -246,6 +247,7 @@
         if run.phase in {RunPhase.STARTING, RunPhase.UNCERTAIN}:
             run.phase = RunPhase.RUNNING
             self._log_late_start(run)
+            self.waits.add_confirmation(run, self.now_ms)
             run.confirmed_ms = self.now_ms
             run.percent_changed_ms = self.now_ms
         job = run.task.step.job
@@ -312,6 +314,7 @@
         self.dirty.add(job.plan.job_id)
         if task.is_done:
             self._stop_copies(task)
+            release_followers(task.step, self.now_ms)
         self._end_job_if_due(job)
         self.wake.set()
 
--- a/src/hawthornpier/fleet/_state_log.py
+++ b/src/hawthornpier/fleet/_state_log.py
@@ -8,8 +8,9 @@
 from hawthornpier.fleet._interference import max_tail_ratio
 from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._wait_times import task_kind
 from hawthornpier.fleet._worker_state import WorkerState
-from hawthornpier.steps import Step, StepPlan
+from hawthornpier.steps import Step
 
 
 def log_shard_state(shard: Shard, placement: Placement) -> None:
@@ -21,7 +22,7 @@
     jobs = collections.Counter(job.phase for job in shard.active_jobs())
     smallest: dict[str, Step] = {}
     for step in _waiting_steps(shard):
-        kind = _task_kind(step.plan)
+        kind = task_kind(step.plan)
         waiting[kind] += len(step.waiting())
         if step.plan.is_filling:
             images[step.plan.image] += len(step.waiting())
@@ -125,11 +126,5 @@
     return worker.entry.processor_millis - worker.reserved_millis
 
 
-def _task_kind(plan: StepPlan) -> str:
-    if plan.is_lasting:
-        return 'lasting'
-    return 'filling' if plan.is_filling else 'plain'
-
-
 def _image_count(worker: WorkerState) -> int:
     return len(worker.long_running_images())
--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -24,6 +24,7 @@
 from hawthornpier.steps._outcomes import (
     apply_outcome,
     mark_done,
+    release_followers,
     update_end_phase,
 )
 from hawthornpier.steps._progress import (
@@ -75,6 +76,7 @@
     'is_crash_suspect',
     'mark_done',
     'may_run_a_copy',
+    'release_followers',
     'restore_progress',
     'update_end_phase',
 ]
--- a/src/hawthornpier/steps/_outcomes.py
+++ b/src/hawthornpier/steps/_outcomes.py
@@ -4,7 +4,7 @@
 
 from hawthornpier.steps._crashes import has_crashed_too_often
 from hawthornpier.steps._model import JobPhase, RunOutcome
-from hawthornpier.steps._state import Job, Task
+from hawthornpier.steps._state import Job, Step, Task
 
 
 def mark_done(task: Task) -> None:
@@ -42,6 +42,17 @@
             failed_member.failed_attempts.add(attempt)
 
 
+def release_followers(step: Step, now_ms: float) -> None:
+    """
+    Record that the steps after a completed one may start as far as it goes.
+    """
+    if not step.is_done:
+        return
+    for later in step.occurrence.steps:
+        if step.number in later.plan.after:
+            later.startable_ms = now_ms
+
+
 def update_end_phase(job: Job, now_ms: float) -> bool:
     """
     Set the final state of a job if it has ended.
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -212,7 +212,9 @@
         'occurrence',
         'plan',
         'ready_ms',
+        'refused_ms',
         'searched_ms',
+        'startable_ms',
         'tasks',
         'unplaced_since_ms',
     )
@@ -230,6 +232,10 @@
         # When the step became ready to start, by the owner's monotonic clock;
         # None before that.
         self.ready_ms: float | None = None
+        # When the owner learned that nothing holds the step back but a worker,
+        # and when a pass first found none for a task of it.
+        self.startable_ms = occurrence.job.accepted_ms
+        self.refused_ms: float | None = None
         # When no worker was found for a task of the step, and when all workers
         # were last considered; both by the owner's monotonic clock.  None
         # while all its tasks have found one.
