Date the permission of a new owner from when its claim was sent

A process that was suspended between sending its claim and reading the reply became the owner with a fresh permission, although others had claimed the shard in the meantime. For up to 0.6 s, until its next renewal at the store was due, it could start tasks on workers that the later owner had not reached, and grant them leases: after a suspension of nine seconds, six seconds later than the 2.5 s by which the later owner expects the last of them.

The permission was created with the state of the shard, after the reply. It is now created before the claim is sent and belongs to it. An owner whose reply came late is thus one that was suspended: it starts nothing, and writes to the store at once, which rejects its epoch.

--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -81,6 +81,7 @@
             clock=context.clock,
             log=context.log,
             bounds=context.bounds,
+            claim=writer.permit,
         )
         self.is_loaded = False
         self._context = context
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -10,6 +10,7 @@
 from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._errors import HistoryGoneError
+from hawthornpier.fleet._permits import PausePermit
 from hawthornpier.fleet._ports import (
     RecordStore,
     RowPage,
@@ -290,6 +291,9 @@
             epoch=epoch,
             sequence=0,
         )
+        # If this process is suspended before it reads the reply, another one
+        # may have claimed the shard by then.
+        permit = PausePermit(self._clock)
         outcome = await self._store.transact(
             RowTransaction(
                 part=self.shard,
@@ -320,6 +324,7 @@
             card=self._card,
             epoch=epoch,
             claim_outcome=outcome,
+            permit=permit,
             predecessor=predecessor,
             clock=self._clock,
             timings=self._timings,
--- a/src/hawthornpier/fleet/_permits.py
+++ b/src/hawthornpier/fleet/_permits.py
@@ -92,18 +92,24 @@
         clock: The clock of this process.
         contact_ms: For how long a smaller capacity of a worker need not be
             known after the worker has reported it.
+        claim: The permission by the claim of the shard, if there was one.
     """
 
-    def __init__(self, clock: Clock, contact_ms: float) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        contact_ms: float,
+        claim: PausePermit | None = None,
+    ) -> None:
         self._clock = clock
         self._capacity_max_age_ms = contact_ms - _ORDER_DELIVERY_MS
         # Confirmed by writes to the store, and by reads of the registry.
-        self.writes = PausePermit(clock)
+        self.writes = claim or PausePermit(clock)
         self.registry = PausePermit(clock)
         # Services whose workers execute every start, also beyond their
         # capacity.
         self.unguarded_services: frozenset[str] = frozenset()
-        self._unclaimed_ms: float = clock.monotonic_ms()
+        self._unclaimed_ms = clock.monotonic_ms() - self.writes.age_ms
 
     def confirm_unclaimed(self, asked_ms: float) -> None:
         """
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -7,7 +7,7 @@
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._interference import InterferenceModel
-from hawthornpier.fleet._permits import OwnerPermits
+from hawthornpier.fleet._permits import OwnerPermits, PausePermit
 from hawthornpier.fleet._ports import StoredRow
 from hawthornpier.fleet._run_orders import RunOrders
 from hawthornpier.fleet._timings import PlatformBounds
@@ -48,6 +48,7 @@
         clock: The clock of this process.
         log: The log of scheduling decisions.
         bounds: Limits that the platform specifies.
+        claim: The permission by the claim of the shard, if there was one.
     """
 
     def __init__(
@@ -58,11 +59,12 @@
         clock: Clock,
         log: DecisionLog,
         bounds: PlatformBounds = _DEFAULT_BOUNDS,
+        claim: PausePermit | None = None,
     ) -> None:
         super().__init__(clock, log, row_bytes=bounds.row_content_bytes)
         self.name = name
         self.epoch = epoch
-        self.permits = OwnerPermits(clock, bounds.contact_ms)
+        self.permits = OwnerPermits(clock, bounds.contact_ms, claim)
         # By worker that was removed without having returned: the tasks that
         # may have crashed it.
         self.missing_suspects: dict[str, list[Task]] = {}
--- a/src/hawthornpier/fleet/_writer.py
+++ b/src/hawthornpier/fleet/_writer.py
@@ -9,6 +9,7 @@
 
 from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.fleet._errors import ShardLostError
+from hawthornpier.fleet._permits import PausePermit
 from hawthornpier.fleet._ports import (
     RecordStore,
     RowTransaction,
@@ -92,6 +93,7 @@
         card: The identity of this process.
         epoch: The epoch of the claim.
         claim_outcome: The result of the transaction that claimed the shard.
+        permit: The permission by the claim, from when it was sent.
         predecessor: The owner row that the claim replaced, if there was one.
         clock: The clock of this process.
         timings: Durations concerning ownership.
@@ -105,12 +107,14 @@
         card: ProcessCard,
         epoch: int,
         claim_outcome: TransactionOutcome,
+        permit: PausePermit,
         predecessor: OwnerRow | None,
         clock: Clock,
         timings: OwnershipTimings,
     ) -> None:
         self.shard = shard
         self.epoch = epoch
+        self.permit = permit
         self.predecessor = predecessor
         self._store = store
         self._card = card
--- a/tests/fleet_suspension.py
+++ b/tests/fleet_suspension.py
@@ -38,6 +38,10 @@
         self._since_ms = None
         self._ended.set()
 
+    @property
+    def is_suspended(self):
+        return not self._ended.is_set()
+
     def monotonic_ms(self):
         if self._since_ms is None:
             return self._clock.monotonic_ms()
