Do not follow a reader whose configuration cannot be used

A process that is no reader of the configuration asks one for versions above its own. If the reply announced a higher version, but its content was missing, unreadable, or of an older version, the process took it for a current one and asked again at once. It kept its old configuration, in which it answers 404 for new routes, and sent thousands of requests a second to the reader, for as long as the reader replied like that.

Such a reply now counts as none, as the method's documentation says for an unreadable one: the next reader is asked, then the store.

Before the change, the two tests of test_fleet_odd_configurations.py had three of eight processes on version 1, 2.5 s after version 7 was written, and 8,667 replies of the readers in 3.5 s of virtual time; now all eight have version 7, with 24 replies.

--- a/src/hawthornpier/fleet/_configuration_watch.py
+++ b/src/hawthornpier/fleet/_configuration_watch.py
@@ -234,7 +234,8 @@
             return None
         if reply.version > current_version and content:
             self._apply(content, peer.card.process_id)
-        return reply
+        # A reader whose version cannot be used would reply at once for ever.
+        return reply if reply.version <= self._current_version else None
 
     def _apply(self, content: bytes, origin: str) -> None:
         configuration = self._source.decode(content)
