Send no calls that waited in a suspended relay

A relay that was suspended right after an owner had connected carried out the owner's first calls when it went on, seconds after the owner had given up the connection and turned to other relays. The delay of a call is measured against the shortest one of its connection, and the first message has nothing to compare with; those that waited together with it were measured against it. A suspension between the reading of a batch and the request to the worker was not noticed at all. Epoch, deadline and attempt of an order limit what it can do, but a worker that has started again under its id meanwhile knows no epoch.

The session now watches for suspensions of its own process: its sender runs at least every 150 ms, so an interval of more than 500 ms between two looks at the clock is one. For 150 ms after it, in which the messages that have arrived meanwhile are read, calls are answered as not sent, also if their batch was read before. The protocol does not change.

--- a/src/hawthornpier/fleet/_relay_session.py
+++ b/src/hawthornpier/fleet/_relay_session.py
@@ -31,6 +31,7 @@
     SpeedOrder,
     StopOrder,
 )
+from hawthornpier.fleet._relay_pauses import SuspensionWatch
 from hawthornpier.fleet._transit import TransitMeter
 from hawthornpier.ports import Clock, WorkerError, WorkerReplyLostError
 
@@ -44,6 +45,7 @@
 # Calls that were on their way for longer are not sent, because the owner has
 # given them up by then.
 _MAX_TRANSIT_MS = 500.0
+_TOO_LATE = Failure(is_sent=False, why='the call arrived too late')
 
 
 class RelaySession:
@@ -73,6 +75,7 @@
         self._log = log
         self._is_leaving = is_leaving
         self._transit = TransitMeter()
+        self._suspensions = SuspensionWatch(clock, _MAX_TRANSIT_MS)
         self._clients: dict[int, FleetWorker] = {}
         self._answers: list[Answer] = []
         self._has_answers = asyncio.Event()
@@ -100,7 +103,8 @@
             batch.sent_ms,
             self._clock.monotonic_ms(),
         )
-        if transit_ms > _MAX_TRANSIT_MS:
+        have_waited = self._suspensions.check_waiting()
+        if have_waited or transit_ms > _MAX_TRANSIT_MS:
             self._reject(batch, transit_ms)
             return
         for call in batch.calls:
@@ -125,12 +129,12 @@
             transit_ms=int(transit_ms),
         )
         for call in batch.calls:
-            self._answer(
-                call.number,
-                Failure(is_sent=False, why='the call arrived too late'),
-            )
+            self._answer(call.number, _TOO_LATE)
 
     async def _execute(self, call: Call) -> None:
+        if self._suspensions.check_waiting():
+            self._answer(call.number, _TOO_LATE)
+            return
         client = self._clients.get(call.contact)
         if client is None:
             failure = Failure(is_sent=False, why='unknown contact')
@@ -157,6 +161,7 @@
 
     async def _send_answers_forever(self) -> None:
         while True:
+            self._suspensions.check_waiting()
             try:
                 async with asyncio.timeout(_ALIVE_INTERVAL_MS / 1000):
                     await self._has_answers.wait()
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -100,13 +100,13 @@
     A relay session with one worker, and what it sends to the owner.
     """
 
-    def __init__(self):
+    def __init__(self, clock=None):
         self.worker = RecordingWorker()
         self.sent = []
         self.session = RelaySession(
             lambda entry: self.worker,
             self.sent.append,
-            clock=VirtualClock(),
+            clock=clock or VirtualClock(),
             log=DecisionLog('relay', lines_per_s=10**6),
             is_leaving=self.is_leaving,
         )
