--- a/tests/test_fleet_relay_errors.py
+++ b/tests/test_fleet_relay_errors.py
@@ -7,14 +7,29 @@
 import pytest
 from fake_store import virtual_tests
 from fleet_world import World
-from test_fleet_relays import SMALL_CORES, QuietSocket
+from hypothesis import given
+from hypothesis import strategies as st
+from test_fleet_relays import ENTRY, ORDER, SMALL_CORES, QuietSocket
 from virtual_time import VirtualClock, run_virtual
 
 from hawthornpier.fleet import connect_relay
 from hawthornpier.fleet._relay_channel import RelayChannel
-from hawthornpier.ports import PeerUnreachableError
+from hawthornpier.ports import (
+    PeerUnreachableError,
+    WorkerReplyLostError,
+    WorkerUnreachableError,
+)
 from hawthornpier.steps import JobPhase
 
+DEEP = '[' * 100_000
+# Answers to calls that were not made, and twice to the first one.
+ODD_ANSWERS = (
+    b'{"answers":[[99,["failure",false,""]]]}',
+    b'{"answers":[[1,["failure",false,""]],[1,["failure",true,""]]]}',
+    b'{"answers":[[-1,["failure",true,""]]],"is_leaving":true}',
+    f'{{"answers":{DEEP}'.encode(),
+)
+
 
 async def cancelled_call(*arguments):
     call = asyncio.get_running_loop().create_future()
@@ -79,6 +94,29 @@
         run_virtual(scenario())
 
 
+class TestUnreadableAnswers:
+    """
+    Whatever a relay sends, it only ends the connection.
+    """
+
+    @given(content=st.binary(max_size=80) | st.sampled_from(ODD_ANSWERS))
+    def test_any_content(self, content):
+        """
+        Guards against a call that waits for ever, or an error of the owner.
+        """
+
+        async def scenario():
+            socket = QuietSocket()
+            socket.inbox.put_nowait(content)
+            channel = RelayChannel(socket, VirtualClock())
+            call = asyncio.ensure_future(channel.call(ENTRY, ORDER, 300))
+            assert await channel.run()
+            with pytest.raises((WorkerReplyLostError, WorkerUnreachableError)):
+                await call
+
+        run_virtual(scenario())
+
+
 class TestAddresses:
     """
     An address that no host has counts as unreachable.
