Give up the shard whatever the last write ends with

When an owner is asked to end, it writes the rest of the progress and releases the shard. An error there that was neither of the store nor of the shard, or a call that a library cancelled, ended the whole shutdown: the process stopped at once, cut off the requests that it had read, and did not tell the other processes that it had given up the shard.

Any error is now logged as release_failed. The ownership is given up, the other processes learn of it from the presence reply, and the process serves its callers for the rest of the grace period.

Both tests of test_fleet_leaving.py failed before the change, with ValueError and CancelledError from leave().

--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -136,9 +136,10 @@
         self.shard.is_draining = True
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                await self._committer.write_all()
-        except (TimeoutError, StoreError, ShardLostError) as error:
-            self._context.log.record('release_failed', why=str(error))
+                await run_part(self._committer.write_all)
+        except Exception as error:
+            # Whatever it is, the process has to answer its callers yet.
+            self._context.log.record('release_failed', why=repr(error))
             return False
         return True
 
