Count a call that the HTTP client cancels as lost

If the HTTP client cancelled one of its calls, the cancellation was raised in the task that waited for the call, which nobody had cancelled. A submission was answered with 500, which does not say whether the job may run; in the parts of a process, the same error had to be told apart from a real cancellation by each of them.

The connection pool reports such a call as one whose reply was lost: the request may have been sent. The caller gets 504.

Both tests of test_adapters_cancelled_calls.py failed before the change, with CancelledError and with 500 in place of 504.

--- a/src/hawthornpier/adapters/_connections.py
+++ b/src/hawthornpier/adapters/_connections.py
@@ -207,6 +207,9 @@
         # has arrived is read.
         if not exchange.done():
             await asyncio.wait({exchange}, timeout=_CLIENT_GRACE_MS / 1000)
+        if exchange.cancelled():
+            # The caller was not, so it must not take this for its own end.
+            raise ReplyLostError('the client cancelled the call')
         if exchange.done():
             return exchange.result()
         exchange.cancel()
