Acknowledge no ends to a worker whose clock has begun anew

Cause: a worker restarts under its id within milliseconds, between a listing and the renewal that acknowledges the ends in it. Starts sent in between reach the next incarnation, which numbers ends from 1 again. The number of the acknowledgement, 42, covered ends 1 and 2 there, which no owner had seen.

Change: a reply to a start or stop whose clock is earlier than it must have been when the request was sent comes from the next incarnation. It counts as a missed reply, so that the next renewal acknowledges nothing and its listing tells which incarnation replies. Replies may overtake each other, so the comparison uses the time of the request, with the drift of the clocks. The clock of a worker is a class of its own now.

--- a/src/hawthornpier/fleet/_ports.py
+++ b/src/hawthornpier/fleet/_ports.py
@@ -235,6 +235,19 @@
     MALFORMED = 'malformed'
 
 
+# Verdicts on a start order that imply that the worker did not start the run.
+NOT_STARTED = frozenset(
+    (
+        Verdict.NO_CAPACITY,
+        Verdict.NO_TICKET,
+        Verdict.UNHEALTHY,
+        Verdict.MALFORMED,
+        Verdict.OTHER_INCARNATION,
+        Verdict.OUTDATED,
+    ),
+)
+
+
 class OrderReply(
     msgspec.Struct,
     frozen=True,
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -10,6 +10,7 @@
 from hawthornpier.fleet._orders import Order, OrderKind
 from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
+    NOT_STARTED,
     FleetWorker,
     OrderReply,
     Renewal,
@@ -23,17 +24,6 @@
 from hawthornpier.ports import WorkerError, WorkerReplyLostError
 from hawthornpier.steps import Run, RunOutcome, RunPhase
 
-# Verdicts on a start order that imply that the worker did not start the run.
-_NOT_STARTED = frozenset(
-    (
-        Verdict.NO_CAPACITY,
-        Verdict.NO_TICKET,
-        Verdict.UNHEALTHY,
-        Verdict.MALFORMED,
-        Verdict.OTHER_INCARNATION,
-        Verdict.OUTDATED,
-    ),
-)
 # Time without further starts on a worker after it rejected one for lack of
 # resources.
 _NO_CAPACITY_DELAY_MS = 250.0
@@ -185,6 +175,17 @@
                 why=why,
             )
 
+    def _check_clock(self, reply: OrderReply, sent_ms: float) -> None:
+        """
+        Note that the next incarnation replied, which a restarted clock shows.
+        """
+        drift = self._timings.clock_drift
+        clock = self._worker.clock
+        if reply.clock_ms and clock.has_restarted(
+            reply.clock_ms, sent_ms, drift
+        ):
+            self._record_missed_reply('the clock has restarted')
+
     async def _execute_orders(self) -> None:
         while True:
             order = await self._orders.get()
@@ -241,7 +242,9 @@
                 self._record_missed_reply(str(error))
                 await self._shard.clock.sleep_ms(self._timings.retry_min_ms)
             else:
-                self._handle_start_reply(run, reply, is_uncertain=is_uncertain)
+                self._handle_start_reply(
+                    run, reply, tried_ms, is_uncertain=is_uncertain
+                )
                 return
         self._abandon_start(run, is_uncertain=is_uncertain, why='no reply')
 
@@ -286,10 +289,12 @@
         self,
         run: Run,
         reply: OrderReply,
+        sent_ms: float,
         *,
         is_uncertain: bool,
     ) -> None:
         now_ms = self._shard.now_ms
+        self._check_clock(reply, sent_ms)
         # Only a listing tells which incarnation replies.
         if reply.clock_ms and not self._worker.is_unresponsive:
             self._worker.synchronize(reply.clock_ms, now_ms)
@@ -303,7 +308,7 @@
             self._worker.health.record_refusal(now_ms)
         if reply.verdict is Verdict.NO_CAPACITY:
             self._worker.refused_until_ms = now_ms + _NO_CAPACITY_DELAY_MS
-        if reply.verdict in _NOT_STARTED and not is_uncertain:
+        if reply.verdict in NOT_STARTED and not is_uncertain:
             self._log_refused_start(run, reply.verdict)
             self._shard.end_run(run, RunOutcome.LOST)
             return
@@ -348,6 +353,7 @@
         """
         if self._has_ended(order):
             return
+        sent_ms = self._shard.now_ms
         try:
             reply = await self._port.stop(
                 order.task_key,
@@ -358,6 +364,7 @@
             self._record_missed_reply(str(error))
             self._postpone(order, self._timings.retry_max_ms)
             return
+        self._check_clock(reply, sent_ms)
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
         elif reply.verdict is not Verdict.ACCEPTED:
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -8,6 +8,7 @@
 from hawthornpier.fleet._orders import Order
 from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.fleet._timings import WorkerTimings
+from hawthornpier.fleet._worker_clock import WorkerClock
 from hawthornpier.steps import Run, Step, Task
 
 RunKey = tuple[str, int]
@@ -15,8 +16,6 @@
 # A long-running task serves changing load; on average it uses this fraction of
 # its reserved processors and leaves the rest to best-effort tasks.
 _LONG_RUNNING_USE = 0.45
-# Added to the computed expiry of a lease, for the granularity of timers.
-_EXPIRY_SLACK_MS = 60
 
 
 class WorkerState:
@@ -60,9 +59,7 @@
         self.last_reply_ms: float = 0
         # Requests since then that got no response.
         self.missed_reply_count = 0
-        # The owner's and the worker's clock at the last response.
-        self._synced_ms: float = 0
-        self._synced_clock_ms = 0
+        self.clock = WorkerClock()
         self._deadline_clock_ms = 0
         # When the lease ends, by the owner's monotonic clock, that a start has
         # granted which this incarnation may have accepted from before; 0 if
@@ -158,7 +155,7 @@
         self._confirmed_number = 0
         self.has_deferred_ends = False
         self._deadline_clock_ms = 0
-        self._synced_clock_ms = 0
+        self.clock.begin_incarnation()
         self.health.reset()
         self.trial_run = None
         self.has_crashed = False
@@ -179,9 +176,7 @@
         """
         self.last_reply_ms = now_ms
         self.missed_reply_count = 0
-        if clock_ms >= self._synced_clock_ms:
-            self._synced_ms = now_ms
-            self._synced_clock_ms = clock_ms
+        self.clock.synchronize(clock_ms, now_ms)
 
     def next_acknowledgement(self) -> int:
         """
@@ -207,8 +202,7 @@
 
         The latest deadline returned determines `lease_expiry_ms`.
         """
-        elapsed_ms = now_ms - self._synced_ms
-        deadline = int(self._synced_clock_ms + elapsed_ms + lease_ms)
+        deadline = int(self.clock.estimate_ms(now_ms) + lease_ms)
         self._deadline_clock_ms = max(self._deadline_clock_ms, deadline)
         return deadline
 
@@ -235,9 +229,10 @@
         absolute deadline, so that one that the worker carries out late cannot
         extend the lease further.
         """
-        left_ms = self._deadline_clock_ms - self._synced_clock_ms
-        span_ms = max(0, left_ms) * (1 + timings.clock_drift * 1.1)
-        expiry_ms = self._synced_ms + span_ms + _EXPIRY_SLACK_MS
+        expiry_ms = self.clock.latest_ms(
+            self._deadline_clock_ms,
+            timings.clock_drift,
+        )
         return max(expiry_ms, self.early_lease_end_ms)
 
     def charge(self, run: Run) -> None:
--- a/tests/test_fleet_ends.py
+++ b/tests/test_fleet_ends.py
@@ -109,6 +109,24 @@
         return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=5)
 
 
+class RestartingPort:
+    """
+    A worker that lists one end, then restarts and executes a start.
+    """
+
+    def __init__(self):
+        self.acknowledged_numbers = []
+
+    async def renew(self, renewal):
+        self.acknowledged_numbers.append(renewal.acknowledged_number)
+        await asyncio.sleep(0.01)
+        return listing_of((task_key(0), 1, RunOutcome.DONE))
+
+    async def start(self, order):
+        await asyncio.sleep(0.02)
+        return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=5)
+
+
 class TestHandedOverEnds:
     """
     The ends in a handover and those that workers list add up.
@@ -330,3 +348,31 @@
                 await asyncio.sleep(0)
         task.cancel()
         assert not worker.is_usable
+
+    async def test_a_start_reply_shows_that_the_clock_began_anew(self):
+        """
+        Guards against numbers of ends that cover those of the next incarnation.
+
+        It has executed a start, whose end it may number 1, too.
+        """
+        shard = shard_with(epoch=1)
+        worker = add_worker(shard)
+        port = RestartingPort()
+        link = WorkerLink(
+            worker,
+            port,
+            shard=shard,
+            listings=ListingReconciler(shard),
+            timings=WorkerTimings(),
+        )
+        task = asyncio.create_task(link.run())
+        while len(port.acknowledged_numbers) < 2:
+            await asyncio.sleep(0.02)
+        run = shard.start_run(shard.find_task(task_key(1)), worker, reason='t')
+        await asyncio.sleep(0.05)
+        worker.acknowledged_number = worker.processed_number
+        worker.acknowledged.set()
+        await asyncio.sleep(0.005)
+        task.cancel()
+        assert run.is_delivered
+        assert port.acknowledged_numbers == [0, 0, 0]
