Withdraw unsent starts from a worker that does not reply

Callers saw long-running tasks that did not run for seconds beside empty workers.

Two requests at a time carry out the orders to a worker, and a start without a reply is tried three times, 0.7 s each. The starts placed on the worker before the first timeout waited for the sum: a worker that replies to renewals but not to orders is usable, and tasks of one image are packed on it. The new log shows such tasks as `start is queued`.

Now a start that gets no reply, while the worker has replied to no order since it was sent, withdraws the starts that wait for the worker, and so does the second request in a row that fails. A start that was never sent has certainly not run, so its task is placed again at once. Nothing is placed there for as long as the next try takes. A start that was sent still needs its stop or the end of the lease. The members of a gang stay, since the others would end without them.

--- /dev/null
+++ b/src/hawthornpier/fleet/_withdrawals.py
@@ -0,0 +1,39 @@
+"""
+Starts that are given up before they are sent.
+"""
+
+from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.steps import Run, RunOutcome, RunPhase
+
+
+def withdraw_start(shard: Shard, run: Run, why: str) -> None:
+    """
+    Place a task again whose start its worker has certainly not executed.
+
+    Args:
+        shard: The state of the shard.
+        run: The run whose start was rejected or not sent.
+        why: The reason, for the log.
+    """
+    shard.log.record(
+        'start_refused',
+        task=run.task.key,
+        attempt=run.attempt,
+        worker=run.worker_id,
+        why=why,
+    )
+    shard.end_run(run, RunOutcome.LOST)
+
+
+def withdraw_unsent_starts(shard: Shard, worker: WorkerState) -> None:
+    """
+    Place the tasks again whose starts wait for a worker that does not reply.
+
+    The members of a gang are not placed again, because those that have started
+    would end for want of the others.
+    """
+    for run in list(worker.runs.values()):
+        is_unsent = run.phase is RunPhase.STARTING and not run.sent_ms
+        if is_unsent and not run.task.step.plan.is_gang:
+            withdraw_start(shard, run, 'worker does not reply')
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -19,6 +19,10 @@
 )
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import WorkerTimings
+from hawthornpier.fleet._withdrawals import (
+    withdraw_start,
+    withdraw_unsent_starts,
+)
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import WorkerError, WorkerReplyLostError
 from hawthornpier.steps import Run, RunOutcome, RunPhase
@@ -73,6 +77,8 @@
         self._timings = timings
         self._retry_ms: float = timings.retry_min_ms
         self._orders = worker.orders
+        # When the worker last replied to an order.
+        self._answered_ms: float = 0
 
     async def run(self) -> None:
         """
@@ -184,6 +190,8 @@
                 ),
                 why=why,
             )
+        else:
+            withdraw_unsent_starts(self._shard, worker)
 
     async def _execute_orders(self) -> None:
         while True:
@@ -234,8 +242,7 @@
                 reply = await self._port.start(self._start_order(run))
             except WorkerReplyLostError:
                 is_uncertain = True
-                waited_ms = self._shard.now_ms - tried_ms
-                run.has_lost_connection |= waited_ms < _CONNECTION_END_MS
+                self._handle_lost_reply(run, tried_ms)
             except WorkerError as error:
                 run.sent_ms = earlier_sent_ms
                 self._record_missed_reply(str(error))
@@ -245,6 +252,15 @@
                 return
         self._abandon_start(run, is_uncertain=is_uncertain, why='no reply')
 
+    def _handle_lost_reply(self, run: Run, tried_ms: float) -> None:
+        shard, worker = self._shard, self._worker
+        if shard.now_ms - tried_ms < _CONNECTION_END_MS:
+            run.has_lost_connection = True
+        elif self._answered_ms < tried_ms:
+            pause_ms = self._timings.order_timeout_ms
+            worker.refused_until_ms = shard.now_ms + pause_ms
+            withdraw_unsent_starts(shard, worker)
+
     def _is_start_due(self, order: Order, run: Run) -> bool:
         """
         Return whether a start is still due.
@@ -261,8 +277,7 @@
             why = Verdict.NO_CAPACITY
         if run.sent_ms or not why:
             return True
-        self._log_refused_start(run, why)
-        self._shard.end_run(run, RunOutcome.LOST)
+        withdraw_start(self._shard, run, why)
         return False
 
     def _start_order(self, run: Run) -> StartOrder:
@@ -290,6 +305,7 @@
         is_uncertain: bool,
     ) -> None:
         now_ms = self._shard.now_ms
+        self._answered_ms = now_ms
         # Only a listing tells which incarnation replies.
         if reply.clock_ms and not self._worker.is_unresponsive:
             self._worker.synchronize(reply.clock_ms, now_ms)
@@ -304,20 +320,10 @@
         if reply.verdict is Verdict.NO_CAPACITY:
             self._worker.refused_until_ms = now_ms + _NO_CAPACITY_DELAY_MS
         if reply.verdict in _NOT_STARTED and not is_uncertain:
-            self._log_refused_start(run, reply.verdict)
-            self._shard.end_run(run, RunOutcome.LOST)
+            withdraw_start(self._shard, run, reply.verdict)
             return
         self._abandon_start(run, is_uncertain=True, why=reply.verdict)
 
-    def _log_refused_start(self, run: Run, why: str) -> None:
-        self._shard.log.record(
-            'start_refused',
-            task=run.task.key,
-            attempt=run.attempt,
-            worker=run.worker_id,
-            why=why,
-        )
-
     def _abandon_start(self, run: Run, *, is_uncertain: bool, why: str) -> None:
         """
         Give up a start, so that the task can be placed again.
@@ -358,6 +364,7 @@
             self._record_missed_reply(str(error))
             self._postpone(order, self._timings.retry_max_ms)
             return
+        self._answered_ms = self._shard.now_ms
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
         elif reply.verdict is not Verdict.ACCEPTED:
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -85,7 +85,7 @@
         self.evacuated_for_image = ''
         self.evacuated_until_ms: float = 0
         # No start is sent before this time, because the worker rejected one
-        # for lack of resources.
+        # for lack of resources, or did not reply to one.
         self.refused_until_ms: float = 0
         self.orders: asyncio.Queue[Order] = asyncio.Queue()
         # Set when processed ended runs have become durable.
