Give up a start without a reply once its deadline has passed

Callers saw a long-running task that does not run although there is room, for as long as its worker replies to renewals but acknowledges no order.

A run whose start got no reply is stopped, and its task waits until the stop is acknowledged, or until the worker is silent for a lease. Each try of the start had a deadline of its own, five seconds after it, so that tries to a silent worker also extended the lease that the owner had to wait for.

A worker executes no start after the deadline that the start carries. All tries of a start now carry the first one's deadline. If a complete listing of the same incarnation has a later clock and does not contain the run, the run is over and its task is placed again. A restart of the worker voids the deadline, since the clock of the next incarnation begins anew.

Test: test_a_start_after_its_deadline_is_given_up failed without the change of the listings; the cases in which the task must not run twice are tests, too.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -72,7 +72,7 @@
         worker.is_reached = True
         worker.listed_end_count = len(listing.ended)
         if not listing.has_more_ended:
-            self._end_unlisted_runs(worker, listed, requested_ms)
+            self._end_unlisted_runs(worker, listed, listing, requested_ms)
             if not worker.is_listed:
                 self._record_first_listing(worker, now_ms)
         interference = self._shard.interference
@@ -152,18 +152,22 @@
         self,
         worker: WorkerState,
         listed: set[tuple[str, int]],
+        listing: WorkerListing,
         requested_ms: float,
     ) -> None:
         """
         End the runs that the worker no longer lists.
 
-        Only a run whose last order was acknowledged before the listing was
-        requested has ended; the listing may not reflect later orders.
+        A run has ended if its last order was acknowledged before the listing
+        was requested; the listing may not reflect later orders.  If no order
+        is acknowledged, its start is no longer executed after its deadline.
         """
         for key, run in list(worker.runs.items()):
-            if key in listed or not run.order_acknowledged_ms:
+            if key in listed:
                 continue
-            if run.order_acknowledged_ms < requested_ms:
+            ordered_ms = run.order_acknowledged_ms
+            is_over = ordered_ms and ordered_ms < requested_ms
+            if is_over or _is_start_overdue(run, listing.clock_ms):
                 self._shard.end_run(run, RunOutcome.LOST)
 
     def _apply_ended_run(
@@ -265,3 +269,11 @@
             worker=worker.worker_id,
             phase=run.phase,
         )
+
+
+def _is_start_overdue(run: Run, clock_ms: int) -> bool:
+    """
+    Return whether a start without a reply can no longer be executed.
+    """
+    deadline = run.start_deadline_clock_ms
+    return run.has_unacknowledged_order and 0 < deadline < clock_ms
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -282,11 +282,10 @@
 
     def _start_order(self, run: Run) -> StartOrder:
         shard = self._shard
-        run.sent_ms = run.sent_ms or shard.now_ms
-        deadline = self._worker.next_deadline(
-            self._timings.lease_ms,
-            shard.now_ms,
+        deadline = self._worker.start_deadline(
+            run, self._timings.lease_ms, shard.now_ms
         )
+        run.sent_ms = run.sent_ms or shard.now_ms
         return StartOrder(
             task_key=run.task.key,
             attempt=run.attempt,
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -150,6 +150,7 @@
         lost = list(self.runs.values())
         for run in lost:
             self.release(run)
+            run.start_deadline_clock_ms = 0
         self.entry = entry
         self.expect_listing()
         self.missed_reply_count = 0
@@ -212,6 +213,17 @@
         self._deadline_clock_ms = max(self._deadline_clock_ms, deadline)
         return deadline
 
+    def start_deadline(self, run: Run, lease_ms: float, now_ms: float) -> int:
+        """
+        Return until when a start may be executed, on the worker's clock.
+
+        Repeating a start that may have been executed does not postpone this, so
+        that the time by which the run has ended or started stays known.
+        """
+        if not run.sent_ms:
+            run.start_deadline_clock_ms = self.next_deadline(lease_ms, now_ms)
+        return run.start_deadline_clock_ms
+
     def assume_lease(self, clock_ms: int, lease_max_ms: float) -> None:
         """
         Count with the longest lease that the previous owner may have granted.
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -33,6 +33,7 @@
         'phase',
         'sent_ms',
         'speed_percent',
+        'start_deadline_clock_ms',
         'started_ms',
         'stop_reason',
         'task',
@@ -59,6 +60,8 @@
         # When this owner first sent the start to the worker, or first saw the
         # run in its listing; 0 before.
         self.sent_ms: float = 0
+        # Until when its start may be executed, by the worker's clock, or 0.
+        self.start_deadline_clock_ms = 0
         # Whether the start has certainly reached the worker, which has replied
         # or listed the run.
         self.is_delivered = False
--- a/tests/test_fleet_silent_workers.py
+++ b/tests/test_fleet_silent_workers.py
@@ -2,9 +2,12 @@
 Tests of tasks that are placed on workers which do not reply to orders.
 """
 
+import msgspec
 from fake_store import virtual_tests
 from fleet_world import World
+from test_fleet_ends import add_worker, listing_of, shard_with, task_key
 
+from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.steps import StepPlan
 from hawthornpier_standin.fleet import WorkerFault
 
@@ -52,3 +55,67 @@
         worker.fault = WorkerFault.START_LATE
         worker.late_delay_ms = 60_000
         return worker
+
+
+class TestStartsWithoutReply:
+    """
+    A start can be executed until its deadline only.
+    """
+
+    async def test_a_start_after_its_deadline_is_given_up(self):
+        """
+        Guards against a task that waits until its worker acknowledges a stop.
+        """
+        shard, run = _started_run()
+        shard.stop_run(run, 'no reply')
+        self._list(shard, run.start_deadline_clock_ms + 1)
+        assert not run.task.runs
+
+    async def test_a_start_before_its_deadline_is_not_given_up(self):
+        """
+        Guards against a task that runs twice.
+        """
+        shard, run = _started_run()
+        shard.stop_run(run, 'no reply')
+        self._list(shard, run.start_deadline_clock_ms)
+        assert run.task.runs
+
+    async def test_a_deadline_of_the_previous_incarnation_does_not_count(self):
+        """
+        Guards against a task that runs twice after a restart of its worker.
+        """
+        shard, run = _started_run()
+        worker = shard.workers['w0']
+        worker.begin_incarnation(worker.entry)
+        worker.charge(run)
+        shard.stop_run(run, 'no reply')
+        self._list(shard, 60_000)
+        assert run.task.runs
+
+    async def test_a_further_try_does_not_postpone_the_deadline(self):
+        """
+        Guards against a silent worker whose lease is extended by each try.
+        """
+        shard, run = _started_run()
+        worker = shard.workers['w0']
+        deadline = run.start_deadline_clock_ms
+        later_ms = shard.now_ms + 1_400
+        assert worker.start_deadline(run, 5_000, later_ms) == deadline
+
+    def _list(self, shard, clock_ms):
+        listing = msgspec.structs.replace(listing_of(), clock_ms=clock_ms)
+        worker = shard.workers['w0']
+        ListingReconciler(shard).apply(worker, listing, shard.now_ms)
+
+
+def _started_run():
+    """
+    Return a shard and a run of it whose start was sent.
+    """
+    shard = shard_with()
+    shard.clock.jump_ms = 1_000
+    worker = add_worker(shard)
+    run = shard.start_run(shard.find_task(task_key(0)), worker, reason='test')
+    worker.start_deadline(run, 5_000, shard.now_ms)
+    run.sent_ms = shard.now_ms
+    return shard, run
