--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -20,6 +20,10 @@
 )
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import WorkerTimings
+from hawthornpier.fleet._withdrawals import (
+    withdraw_start,
+    withdraw_unsent_starts,
+)
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import WorkerError, WorkerReplyLostError
 from hawthornpier.steps import Run, RunOutcome, RunPhase
@@ -63,6 +67,8 @@
         self._timings = timings
         self._retry_ms: float = timings.retry_min_ms
         self._orders = worker.orders
+        # When the worker last replied to an order.
+        self._answered_ms: float = 0
 
     async def run(self) -> None:
         """
@@ -174,6 +180,8 @@
                 ),
                 why=why,
             )
+        else:
+            withdraw_unsent_starts(self._shard, worker)
 
     def _check_clock(self, reply: OrderReply, sent_ms: float) -> None:
         """
@@ -235,8 +243,7 @@
                 reply = await self._port.start(self._start_order(run))
             except WorkerReplyLostError:
                 is_uncertain = True
-                waited_ms = self._shard.now_ms - tried_ms
-                run.has_lost_connection |= waited_ms < _CONNECTION_END_MS
+                self._handle_lost_reply(run, tried_ms)
             except WorkerError as error:
                 run.sent_ms = earlier_sent_ms
                 self._record_missed_reply(str(error))
@@ -248,6 +255,15 @@
                 return
         self._abandon_start(run, is_uncertain=is_uncertain, why='no reply')
 
+    def _handle_lost_reply(self, run: Run, tried_ms: float) -> None:
+        shard, worker = self._shard, self._worker
+        if shard.now_ms - tried_ms < _CONNECTION_END_MS:
+            run.has_lost_connection = True
+        elif self._answered_ms < tried_ms:
+            pause_ms = self._timings.order_timeout_ms
+            worker.refused_until_ms = shard.now_ms + pause_ms
+            withdraw_unsent_starts(shard, worker)
+
     def _is_start_due(self, order: Order, run: Run) -> bool:
         """
         Return whether a start is still due.
@@ -264,17 +280,15 @@
             why = Verdict.NO_CAPACITY
         if run.sent_ms or not why:
             return True
-        self._log_refused_start(run, why)
-        self._shard.end_run(run, RunOutcome.LOST)
+        withdraw_start(self._shard, run, why)
         return False
 
     def _start_order(self, run: Run) -> StartOrder:
         shard = self._shard
-        run.sent_ms = run.sent_ms or shard.now_ms
-        deadline = self._worker.next_deadline(
-            self._timings.lease_ms,
-            shard.now_ms,
+        deadline = self._worker.start_deadline(
+            run, self._timings.lease_ms, shard.now_ms
         )
+        run.sent_ms = run.sent_ms or shard.now_ms
         return StartOrder(
             task_key=run.task.key,
             attempt=run.attempt,
@@ -295,6 +309,7 @@
     ) -> None:
         now_ms = self._shard.now_ms
         self._check_clock(reply, sent_ms)
+        self._answered_ms = now_ms
         # Only a listing tells which incarnation replies.
         if reply.clock_ms and not self._worker.is_unresponsive:
             self._worker.synchronize(reply.clock_ms, now_ms)
@@ -309,20 +324,10 @@
         if reply.verdict is Verdict.NO_CAPACITY:
             self._worker.refused_until_ms = now_ms + _NO_CAPACITY_DELAY_MS
         if reply.verdict in NOT_STARTED and not is_uncertain:
-            self._log_refused_start(run, reply.verdict)
-            self._shard.end_run(run, RunOutcome.LOST)
+            withdraw_start(self._shard, run, reply.verdict)
             return
         self._abandon_start(run, is_uncertain=True, why=reply.verdict)
 
-    def _log_refused_start(self, run: Run, why: str) -> None:
-        self._shard.log.record(
-            'start_refused',
-            task=run.task.key,
-            attempt=run.attempt,
-            worker=run.worker_id,
-            why=why,
-        )
-
     def _abandon_start(self, run: Run, *, is_uncertain: bool, why: str) -> None:
         """
         Give up a start, so that the task can be placed again.
@@ -365,6 +370,7 @@
             self._postpone(order, self._timings.retry_max_ms)
             return
         self._check_clock(reply, sent_ms)
+        self._answered_ms = self._shard.now_ms
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
         elif reply.verdict is not Verdict.ACCEPTED:
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -82,7 +82,7 @@
         self.evacuated_for_image = ''
         self.evacuated_until_ms: float = 0
         # No start is sent before this time, because the worker rejected one
-        # for lack of resources.
+        # for lack of resources, or did not reply to one.
         self.refused_until_ms: float = 0
         self.orders: asyncio.Queue[Order] = asyncio.Queue()
         # Set when processed ended runs have become durable.
@@ -147,6 +147,7 @@
         lost = list(self.runs.values())
         for run in lost:
             self.release(run)
+            run.start_deadline_clock_ms = 0
         self.entry = entry
         self.expect_listing()
         self.missed_reply_count = 0
@@ -206,6 +207,17 @@
         self._deadline_clock_ms = max(self._deadline_clock_ms, deadline)
         return deadline
 
+    def start_deadline(self, run: Run, lease_ms: float, now_ms: float) -> int:
+        """
+        Return until when a start may be executed, on the worker's clock.
+
+        Repeating a start that may have been executed does not postpone this, so
+        that the time by which the run has ended or started stays known.
+        """
+        if not run.sent_ms:
+            run.start_deadline_clock_ms = self.next_deadline(lease_ms, now_ms)
+        return run.start_deadline_clock_ms
+
     def assume_lease(self, clock_ms: int, lease_max_ms: float) -> None:
         """
         Count with the longest lease that the previous owner may have granted.
--- /dev/null
+++ b/tests/test_fleet_silent_workers.py
@@ -0,0 +1,121 @@
+"""
+Tests of tasks that are placed on workers which do not reply to orders.
+"""
+
+import msgspec
+from fake_store import virtual_tests
+from fleet_world import World
+from test_fleet_ends import add_worker, listing_of, shard_with, task_key
+
+from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.steps import StepPlan
+from hawthornpier_standin.fleet import WorkerFault
+
+# They share a worker if they can.
+PACKED = StepPlan(
+    task_count=8, processor_millis=1_000, is_lasting=True, image='a'
+)
+
+
+@virtual_tests(World)
+class TestQueuedStarts:
+    """
+    Starts that were not sent do not wait for a worker that does not reply.
+    """
+
+    options = {'worker_count': 2}
+
+    async def test_starts_behind_one_without_a_reply_go_elsewhere(self, world):
+        """
+        Guards against long-running tasks that wait for each other's timeouts.
+        """
+        await world.wait_first_owner()
+        worker = self._silence_all_but_one(world)
+        await world.any_node().entry.submit(world.plan(PACKED))
+        await world.run_for(2_500)
+        running = [
+            run for run, where in world.checker.running.items() if where == 'w1'
+        ]
+        assert len(running) >= 6, worker.entry.worker_id
+
+    async def test_the_others_follow_when_their_starts_are_withdrawn(
+        self, world
+    ):
+        """
+        Guards against tasks that are not started again after a withdrawal.
+        """
+        await world.wait_first_owner()
+        self._silence_all_but_one(world)
+        await world.any_node().entry.submit(world.plan(PACKED))
+        await world.run_for(6_000)
+        assert len(world.checker.running) == 8
+
+    def _silence_all_but_one(self, world):
+        worker = world.workers['w0']
+        worker.fault = WorkerFault.START_LATE
+        worker.late_delay_ms = 60_000
+        return worker
+
+
+class TestStartsWithoutReply:
+    """
+    A start can be executed until its deadline only.
+    """
+
+    async def test_a_start_after_its_deadline_is_given_up(self):
+        """
+        Guards against a task that waits until its worker acknowledges a stop.
+        """
+        shard, run = _started_run()
+        shard.stop_run(run, 'no reply')
+        self._list(shard, run.start_deadline_clock_ms + 1)
+        assert not run.task.runs
+
+    async def test_a_start_before_its_deadline_is_not_given_up(self):
+        """
+        Guards against a task that runs twice.
+        """
+        shard, run = _started_run()
+        shard.stop_run(run, 'no reply')
+        self._list(shard, run.start_deadline_clock_ms)
+        assert run.task.runs
+
+    async def test_a_deadline_of_the_previous_incarnation_does_not_count(self):
+        """
+        Guards against a task that runs twice after a restart of its worker.
+        """
+        shard, run = _started_run()
+        worker = shard.workers['w0']
+        worker.begin_incarnation(worker.entry)
+        worker.charge(run)
+        shard.stop_run(run, 'no reply')
+        self._list(shard, 60_000)
+        assert run.task.runs
+
+    async def test_a_further_try_does_not_postpone_the_deadline(self):
+        """
+        Guards against a silent worker whose lease is extended by each try.
+        """
+        shard, run = _started_run()
+        worker = shard.workers['w0']
+        deadline = run.start_deadline_clock_ms
+        later_ms = shard.now_ms + 1_400
+        assert worker.start_deadline(run, 5_000, later_ms) == deadline
+
+    def _list(self, shard, clock_ms):
+        listing = msgspec.structs.replace(listing_of(), clock_ms=clock_ms)
+        worker = shard.workers['w0']
+        ListingReconciler(shard).apply(worker, listing, shard.now_ms)
+
+
+def _started_run():
+    """
+    Return a shard and a run of it whose start was sent.
+    """
+    shard = shard_with()
+    shard.clock.jump_ms = 1_000
+    worker = add_worker(shard)
+    run = shard.start_run(shard.find_task(task_key(0)), worker, reason='test')
+    worker.start_deadline(run, 5_000, shard.now_ms)
+    run.sent_ms = shard.now_ms
+    return shard, run
