Search only workers with room for the tasks of a step

What callers saw: on a large site, tasks wait for an owner whose processor is busy. In each scheduling pass, each waiting step was checked against every worker that had changed, which is nearly all of them while tasks end, although most workers did not have the processors that it needs.

Change: a pass orders the workers once by their free processors, and for best-effort tasks by their spare ones. A step is checked only against workers with as much as it needs. Whether any task may be started on a worker is checked once a pass and worker, and no longer before the room. In the log of a state, a worker that may not be used counts for that reason even if it has no room either.

One test compares with a check of all workers, one counts the workers that are checked.

--- /dev/null
+++ b/src/hawthornpier/fleet/_candidates.py
@@ -0,0 +1,84 @@
+"""
+The workers that a scheduling pass may start tasks on, ordered by their room.
+"""
+
+import bisect
+from collections.abc import Iterable, Sequence
+
+from hawthornpier.fleet._eligibility import is_closed
+from hawthornpier.fleet._placement import best_effort_room
+from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.steps import Step
+
+
+class CandidatePool:
+    """
+    The usable workers of one service in one scheduling pass.
+
+    Most steps of a backlog find no worker with the processors that they need.
+    Ordered by these, the workers without them cost nothing.
+
+    Args:
+        workers: The usable workers.
+        now_ms: The current time on the monotonic clock.
+    """
+
+    def __init__(self, workers: Sequence[WorkerState], now_ms: float) -> None:
+        self.workers = workers
+        self._now_ms = now_ms
+        # By whether best-effort tasks are placed.
+        self._orders: dict[bool, _RoomOrder] = {}
+        # Whether no task may be started on a worker, by its index.
+        self._closed: dict[int, bool] = {}
+
+    def with_room(self, step: Step) -> list[WorkerState]:
+        """
+        Return the workers that have room for a task of a step.
+
+        Workers on which no task may be started now are left out, too.  The
+        others are in the same order as in `workers`.
+        """
+        is_filling = step.plan.is_filling
+        order = self._orders.get(is_filling)
+        if order is None:
+            room_of = best_effort_room if is_filling else _free_millis
+            order = _RoomOrder(map(room_of, self.workers))
+            self._orders[is_filling] = order
+        return [
+            self.workers[index]
+            for index in order.indexes(step.plan.processor_millis)
+            if self.workers[index].fits(step) and not self._is_closed(index)
+        ]
+
+    def _is_closed(self, index: int) -> bool:
+        found = self._closed.get(index)
+        if found is None:
+            found = is_closed(self.workers[index], self._now_ms)
+            self._closed[index] = found
+        return found
+
+
+class _RoomOrder:
+    """
+    Indexes of workers, ordered by the processors that were free on each.
+
+    Within a pass, tasks are started but none ends, so that a worker never has
+    more room than when the order was made.
+
+    Args:
+        rooms: The free processors of each worker, in thousandths of a core.
+    """
+
+    def __init__(self, rooms: Iterable[float]) -> None:
+        self._rooms = sorted((room, index) for index, room in enumerate(rooms))
+
+    def indexes(self, need_millis: int) -> list[int]:
+        """
+        Return the indexes of the workers that may have room, in their order.
+        """
+        first = bisect.bisect_left(self._rooms, (need_millis, 0))
+        return sorted(index for _, index in self._rooms[first:])
+
+
+def _free_millis(worker: WorkerState) -> int:
+    return worker.free_millis
--- a/src/hawthornpier/fleet/_eligibility.py
+++ b/src/hawthornpier/fleet/_eligibility.py
@@ -47,12 +47,22 @@
         step: The step.
         now_ms: The current time on the monotonic clock.
     """
-    for exclusion, applies in _CHECKS:
-        if applies(worker, step, now_ms):
+    for exclusion, applies in _WORKER_CHECKS:
+        if applies(worker, now_ms):
             return exclusion
+    for lack, applies_to_step in _STEP_CHECKS:
+        if applies_to_step(worker, step):
+            return lack
     return None
 
 
+def is_closed(worker: WorkerState, now_ms: float) -> bool:
+    """
+    Return whether no task of any step may be started on a worker now.
+    """
+    return any(applies(worker, now_ms) for _, applies in _WORKER_CHECKS)
+
+
 def lacks_label(worker: WorkerState, step: Step) -> bool:
     """
     Return whether a worker does not have the label that a step requires.
@@ -61,11 +71,11 @@
     return bool(label) and label not in worker.entry.labels
 
 
-def _is_quarantined(worker: WorkerState, _step: Step, now_ms: float) -> bool:
+def _is_quarantined(worker: WorkerState, now_ms: float) -> bool:
     return worker.health.health_status(now_ms) is HealthStatus.QUARANTINED
 
 
-def _is_on_probation(worker: WorkerState, _step: Step, now_ms: float) -> bool:
+def _is_on_probation(worker: WorkerState, now_ms: float) -> bool:
     if worker.health.health_status(now_ms) is not HealthStatus.PROBATION:
         return False
     return any(
@@ -74,33 +84,34 @@
     )
 
 
-def _has_unacknowledged_ends(
-    worker: WorkerState, _step: Step, _now_ms: float
-) -> bool:
-    return worker.listed_end_count >= _UNACKNOWLEDGED_MAX
+def _has_no_room(worker: WorkerState, step: Step) -> bool:
+    return not worker.fits(step)
 
 
-_CHECKS: tuple[
-    tuple[Exclusion, Callable[[WorkerState, Step, float], bool]], ...
+# What a worker lacks for the tasks of a step.
+_STEP_CHECKS: tuple[
+    tuple[Exclusion, Callable[[WorkerState, Step], bool]], ...
 ] = (
-    (Exclusion.UNUSABLE, lambda worker, _step, _now_ms: not worker.is_usable),
+    (Exclusion.NO_ROOM, _has_no_room),
+    (Exclusion.NO_LABEL, lacks_label),
+)
+# Why no task at all may be started on a worker.
+_WORKER_CHECKS: tuple[
+    tuple[Exclusion, Callable[[WorkerState, float], bool]], ...
+] = (
+    (Exclusion.UNUSABLE, lambda worker, _now_ms: not worker.is_usable),
     (
         Exclusion.REJECTING,
-        lambda worker, _step, now_ms: now_ms < worker.refused_until_ms,
+        lambda worker, now_ms: now_ms < worker.refused_until_ms,
     ),
     (
         Exclusion.ON_TRIAL,
-        lambda worker, _step, _now_ms: worker.trial_run is not None,
-    ),
-    (
-        Exclusion.NO_ROOM,
-        lambda worker, step, _now_ms: not worker.fits(step),
+        lambda worker, _now_ms: worker.trial_run is not None,
     ),
     (
-        Exclusion.NO_LABEL,
-        lambda worker, step, _now_ms: lacks_label(worker, step),
+        Exclusion.UNACKNOWLEDGED,
+        lambda worker, _now_ms: worker.listed_end_count >= _UNACKNOWLEDGED_MAX,
     ),
-    (Exclusion.UNACKNOWLEDGED, _has_unacknowledged_ends),
     (Exclusion.QUARANTINED, _is_quarantined),
     (Exclusion.ON_PROBATION, _is_on_probation),
 )
--- a/src/hawthornpier/fleet/_evacuation.py
+++ b/src/hawthornpier/fleet/_evacuation.py
@@ -262,7 +262,7 @@
     Return the processors and the memory (MB) that no run has allocated.
     """
     return (
-        worker.entry.processor_millis - worker.reserved_millis,
+        worker.free_millis,
         worker.entry.memory_mb - worker.memory_mb,
     )
 
--- a/src/hawthornpier/fleet/_placement.py
+++ b/src/hawthornpier/fleet/_placement.py
@@ -3,6 +3,7 @@
 """
 
 import heapq
+import math
 from collections.abc import Iterable, Sequence
 
 from hawthornpier.fleet._eligibility import Exclusion, find_exclusion
@@ -189,13 +190,11 @@
         now_ms: float,
     ) -> tuple[float, ...] | None:
         need = step.plan.processor_millis
-        left = worker.spare_millis * _BEST_EFFORT_OVERCOMMIT - need
-        if left < 0 and worker.best_effort_count:
+        if best_effort_room(worker) < need:
             return None
+        left = worker.spare_millis * _BEST_EFFORT_OVERCOMMIT - need
         if not worker.long_running_count:
             return (0, -left)
-        if left < 0:
-            return None
         effect = self._max_effect(worker, step)
         if effect >= HARMFUL_EFFECT and not _has_waited(step, now_ms):
             return None
@@ -291,6 +290,18 @@
         )
 
 
+def best_effort_room(worker: WorkerState) -> float:
+    """
+    Return the most processors that one more best-effort task may request.
+
+    They are in thousandths of a core.  A worker with neither best-effort nor
+    long-running tasks accepts any.
+    """
+    if worker.best_effort_count or worker.long_running_count:
+        return worker.spare_millis * _BEST_EFFORT_OVERCOMMIT
+    return math.inf
+
+
 def workers_to_search(
     step: Step,
     workers: Sequence[WorkerState],
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -6,6 +6,7 @@
 import math
 from collections.abc import Sequence
 
+from hawthornpier.fleet._candidates import CandidatePool
 from hawthornpier.fleet._crash_trials import CrashTrials
 from hawthornpier.fleet._evacuation import Evacuation
 from hawthornpier.fleet._moves import Moves
@@ -31,6 +32,7 @@
 _COPY_FACTOR = 1.6
 _COPY_SLACK_MS = 150.0
 _STATE_LOG_INTERVAL_MS = 1_000.0
+_NO_CANDIDATES = CandidatePool((), 0)
 
 
 class Scheduler:
@@ -83,7 +85,7 @@
         steps = self._ranked_steps()
         for step in steps:
             service = shard.service_of(step.job)
-            pool = candidates.get(service, ())
+            pool = candidates.get(service, _NO_CANDIDATES)
             cannot_fit = any(
                 _needs_at_least(step, other) for other in failed[service]
             )
@@ -114,13 +116,14 @@
             maybe_running.update(keys)
         return [task for task in tasks if task.key not in maybe_running]
 
-    def _candidate_pools(self) -> dict[str, list[WorkerState]]:
+    def _candidate_pools(self) -> dict[str, CandidatePool]:
         pools: dict[str, list[WorkerState]] = {}
         for worker in self._shard.workers.values():
             if worker.is_usable:
                 pools.setdefault(worker.entry.service, []).append(worker)
+        now_ms = self._shard.now_ms
         return {
-            service: pool
+            service: CandidatePool(pool, now_ms)
             for service, pool in pools.items()
             if self._shard.permits.may_start_on(service)
         }
@@ -145,7 +148,7 @@
         )
         return due
 
-    def _place(self, step: Step, pool: Sequence[WorkerState]) -> bool:
+    def _place(self, step: Step, pool: CandidatePool) -> bool:
         """
         Start the waiting tasks of a step.
 
@@ -158,9 +161,9 @@
         ready = self._safe_to_start(waiting)
         if step.plan.is_gang:
             is_whole = len(ready) == len(waiting)
-            return self._place_gang(step, pool) if is_whole else True
+            return self._place_gang(step, pool.workers) if is_whole else True
         for suspect in filter(is_crash_suspect, ready):
-            self._trials.start(suspect, pool)
+            self._trials.start(suspect, pool.workers)
         return self._place_plainly(
             step, [task for task in ready if not is_crash_suspect(task)], pool
         )
@@ -169,12 +172,12 @@
         self,
         step: Step,
         ready: Sequence[Task],
-        pool: Sequence[WorkerState],
+        pool: CandidatePool,
     ) -> bool:
         if not ready:
             return True
         now_ms = self._shard.now_ms
-        workers = workers_to_search(step, pool, now_ms)
+        workers = workers_to_search(step, pool.with_room(step), now_ms)
         ranking = self._placement.ranking(step, workers, now_ms)
         for task in ready:
             worker = ranking.choose(task)
@@ -232,7 +235,7 @@
             runs.append(run)
         return runs
 
-    def _place_copies(self, step: Step, pool: Sequence[WorkerState]) -> None:
+    def _place_copies(self, step: Step, pool: CandidatePool) -> None:
         shard = self._shard
         now_ms = shard.now_ms
         limit_ms = shard.durations.expected_ms(step) * _COPY_FACTOR
@@ -244,7 +247,7 @@
                 continue
             worker = self._placement.choose(
                 task,
-                pool,
+                pool.with_room(step),
                 now_ms,
                 excluded=run.worker_id,
             )
--- a/src/hawthornpier/fleet/_state_log.py
+++ b/src/hawthornpier/fleet/_state_log.py
@@ -45,7 +45,9 @@
         # Whether tasks wait for want of room, or of a worker that may be used:
         # the most that is free on one, and by kind of task the least that is
         # needed and how many workers are excluded for each reason.
-        max_free_millis=max(map(_free_millis, workers), default=0),
+        max_free_millis=max(
+            (worker.free_millis for worker in workers), default=0
+        ),
         min_waiting_millis={
             name: _processor_millis(least) for name, least in smallest.items()
         },
@@ -121,10 +123,6 @@
     )
 
 
-def _free_millis(worker: WorkerState) -> int:
-    return worker.entry.processor_millis - worker.reserved_millis
-
-
 def _task_kind(plan: StepPlan) -> str:
     if plan.is_lasting:
         return 'lasting'
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -270,6 +270,13 @@
         self._reserved_steps.remove(step)
         self._add(step, -1)
 
+    @property
+    def free_millis(self) -> int:
+        """
+        Return the processors that are not reserved, in thousandths of a core.
+        """
+        return self.entry.processor_millis - self.reserved_millis
+
     @property
     def spare_millis(self) -> int:
         """
@@ -307,8 +314,7 @@
             return False
         if plan.is_filling:
             return True
-        reserved = self.reserved_millis + plan.processor_millis
-        return reserved <= entry.processor_millis
+        return plan.processor_millis <= self.free_millis
 
     def is_overcommitted(self, step: Step) -> bool:
         """
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -4,6 +4,10 @@
 
 import random
 
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hawthornpier.fleet._candidates import CandidatePool
 from hawthornpier.fleet._pass_gap import pass_gap_ms
 from hawthornpier.fleet._placement import Placement, workers_to_search
 from hawthornpier.fleet._ports import WorkerEntry
@@ -161,6 +165,61 @@
         return step, workers
 
 
+class TestCandidatePool:
+    """
+    Workers without the processors that a step needs cost a search nothing.
+    """
+
+    @given(st.integers(0, 2**32))
+    def test_leaves_out_only_workers_that_are_not_eligible(self, seed):
+        """
+        Guards against a step that waits although a worker could take it.
+
+        Its workers are loaded before the pool is made and after.
+        """
+        rng = random.Random(seed)
+        placement = Placement(NoInterference())
+        workers = usable_workers(20, rng)
+        for worker in workers:
+            worker.refused_until_ms = rng.choice((0, 0, 0, 9))
+        self._load(workers, rng)
+        pool = CandidatePool(workers, 1)
+        for step in random_steps(rng):
+            self._load(workers[:3], rng)
+            eligible = [
+                worker
+                for worker in workers
+                if placement.rank(worker, step.tasks[0], 1) is not None
+            ]
+            found = [
+                worker for worker in pool.with_room(step) if worker in eligible
+            ]
+            assert found == eligible
+
+    def test_full_workers_are_not_checked(self, monkeypatch):
+        """
+        Guards against a backlog that costs steps times workers in each pass.
+        """
+        checked = []
+        monkeypatch.setattr(
+            WorkerState,
+            'fits',
+            lambda worker, _step: checked.append(worker) or True,
+        )
+        workers = usable_workers(WORKER_COUNT, random.Random(1))
+        for worker in workers[2:]:
+            worker.reserved_millis = worker.entry.processor_millis - 500
+        pool = CandidatePool(workers, 0)
+        step = step_of(task_count=1, processor_millis=1_000)
+        assert pool.with_room(step) == checked == workers[:2]
+
+    def _load(self, workers, rng):
+        for number, step in enumerate(random_steps(rng)):
+            worker = rng.choice(workers)
+            if worker.fits(step):
+                worker.charge(Run(step.tasks[0], number, worker.worker_id, 0))
+
+
 class TestPassGap:
     """
     Scheduling passes take a bounded share of the process's time.
