Keep the runs of a worker by kind, and the images of the long-running ones

What callers saw: on a large site, tasks wait for an owner whose processor is busy. Each rank of a worker, and each listing several times, walked all runs of the worker to find those of one kind and collected their images in a set. Besides, each pass checked every task that waits for a suspicion of a crash twice, also those without any evidence.

Change: they are kept as runs are charged and released. A task without evidence is no suspect.

--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -162,11 +162,12 @@
         if step.plan.is_gang:
             is_whole = len(ready) == len(waiting)
             return self._place_gang(step, pool.workers) if is_whole else True
-        for suspect in filter(is_crash_suspect, ready):
+        suspects = [task for task in ready if is_crash_suspect(task)]
+        for suspect in suspects:
             self._trials.start(suspect, pool.workers)
-        return self._place_plainly(
-            step, [task for task in ready if not is_crash_suspect(task)], pool
-        )
+        if suspects:
+            ready = [task for task in ready if task not in suspects]
+        return self._place_plainly(step, ready, pool)
 
     def _place_plainly(
         self,
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -93,8 +93,12 @@
         # When its load or its usage last changed, by the owner's monotonic
         # clock.
         self.changed_ms: float = 0
-        # By task that is not started yet, its step; their resources count.
-        self._reserved_steps: list[Step] = []
+        # The same runs by kind of task.
+        self._best_effort_runs: dict[RunKey, Run] = {}
+        self._long_running_runs: dict[RunKey, Run] = {}
+        self._plain_runs: dict[RunKey, Run] = {}
+        # The number of long-running tasks by image, with those to be started.
+        self._image_counts: dict[str, int] = {}
         # The number of runs of each step, by step key.
         self.step_counts: dict[str, int] = {}
         # A run of a task that may crash the worker.  No other run is started
@@ -247,27 +251,28 @@
         key = (run.task.key, run.attempt)
         if key not in self.runs:
             self.runs[key] = run
+            self._runs_of_kind(run)[key] = run
             self._add(run.task.step, 1)
 
     def release(self, run: Run) -> None:
         """
         Free the resources of a run that has ended.
         """
-        if self.runs.pop((run.task.key, run.attempt), None) is not None:
+        key = (run.task.key, run.attempt)
+        if self.runs.pop(key, None) is not None:
+            self._runs_of_kind(run).pop(key, None)
             self._add(run.task.step, -1)
 
     def reserve(self, step: Step) -> None:
         """
         Allocate resources for a task of a step that is not started yet.
         """
-        self._reserved_steps.append(step)
         self._add(step, 1)
 
     def cancel_reservation(self, step: Step) -> None:
         """
         Free the resources that `reserve` has allocated.
         """
-        self._reserved_steps.remove(step)
         self._add(step, -1)
 
     @property
@@ -336,42 +341,31 @@
         """
         Return the runs of long-running tasks.
         """
-        if not self.long_running_count:
-            return []
-        return [
-            run for run in self.runs.values() if run.task.step.plan.is_lasting
-        ]
+        return list(self._long_running_runs.values())
 
     def long_running_images(self) -> set[str]:
         """
         Return the images of long-running tasks that run or will be started.
         """
-        steps = [run.task.step for run in self.long_running_runs()]
-        return {
-            step.plan.image
-            for step in (*steps, *self._reserved_steps)
-            if step.plan.is_lasting
-        }
+        return set(self._image_counts)
 
     def best_effort_runs(self) -> list[Run]:
         """
         Return the runs of best-effort tasks.
         """
-        if not self.best_effort_count:
-            return []
-        return [
-            run for run in self.runs.values() if run.task.step.plan.is_filling
-        ]
+        return list(self._best_effort_runs.values())
+
+    def _runs_of_kind(self, run: Run) -> dict[RunKey, Run]:
+        plan = run.task.step.plan
+        if plan.is_filling:
+            return self._best_effort_runs
+        return self._long_running_runs if plan.is_lasting else self._plain_runs
 
     def _add(self, step: Step, sign: int) -> None:
         plan = step.plan
         self.memory_mb += sign * plan.memory_mb
         self.accelerator_count += sign * plan.accelerator_count
-        count = self.step_counts.get(step.key, 0) + sign
-        if count:
-            self.step_counts[step.key] = count
-        else:
-            self.step_counts.pop(step.key, None)
+        _change_count(self.step_counts, step.key, sign)
         if plan.is_filling:
             self.best_effort_millis += sign * plan.processor_millis
             self.best_effort_count += sign
@@ -380,3 +374,12 @@
         if plan.is_lasting:
             self.long_running_millis += sign * plan.processor_millis
             self.long_running_count += sign
+            _change_count(self._image_counts, plan.image, sign)
+
+
+def _change_count(counts: dict[str, int], key: str, change: int) -> None:
+    count = counts.get(key, 0) + change
+    if count:
+        counts[key] = count
+    else:
+        counts.pop(key, None)
--- a/src/hawthornpier/steps/_crashes.py
+++ b/src/hawthornpier/steps/_crashes.py
@@ -66,6 +66,8 @@
     """
     Return whether a task may crash the next worker that starts it.
     """
+    if not task.crashes and not task.suspicions:
+        return False
     if len(task.crashes) >= _SUSPECT_CRASH_COUNT:
         return True
     pending = (suspicion.weight for suspicion in task.suspicions.values())
