--- a/src/hawthornpier/fleet/_room.py
+++ b/src/hawthornpier/fleet/_room.py
@@ -91,9 +91,7 @@
 
 
 def _free_room(worker: WorkerState, for_best_effort: bool) -> Room:
-    millis = worker.entry.processor_millis - worker.reserved_millis
-    if for_best_effort:
-        millis = worker.spare_millis
+    millis = worker.spare_millis if for_best_effort else worker.free_millis
     return Room(
         max(millis, 0), max(worker.entry.memory_mb - worker.memory_mb, 0)
     )
--- a/src/hawthornpier/fleet/_wait_log.py
+++ b/src/hawthornpier/fleet/_wait_log.py
@@ -4,9 +4,9 @@
 
 from collections.abc import Mapping, Sequence
 
+from hawthornpier.fleet._candidates import CandidatePool
 from hawthornpier.fleet._room import FreeRoom, find_shortage
 from hawthornpier.fleet._shard import Shard
-from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Step
 
 _LOG_INTERVAL_MS = 1_000.0
@@ -14,7 +14,7 @@
 # often, which bounds the processor time that it takes.
 _SAMPLE_INTERVAL_MS = 500.0
 
-_Pools = Mapping[str, Sequence[WorkerState]]
+_Pools = Mapping[str, CandidatePool]
 # The free room by service, and whether it is that of best-effort tasks.
 _Rooms = dict[tuple[str, bool], FreeRoom]
 
@@ -77,7 +77,7 @@
                 'wait_times',
                 candidate_steps=len(steps),
                 waiting_steps=len(self._refused),
-                workers=sum(map(len, pools.values())),
+                workers=sum(len(pool.workers) for pool in pools.values()),
                 **shard.waits.report(),
             )
 
@@ -100,8 +100,8 @@
 def _free_rooms(pools: _Pools) -> _Rooms:
     return {
         (service, for_best_effort): FreeRoom(
-            workers, for_best_effort=for_best_effort
+            pool.workers, for_best_effort=for_best_effort
         )
-        for service, workers in pools.items()
+        for service, pool in pools.items()
         for for_best_effort in (False, True)
     }
