Count the tasks of a step that do not wait

What callers saw: on a large site, tasks wait for an owner whose processor is busy. A pass may follow every 6 ms, and each one walked all tasks of all steps that run, also those of long-running jobs, to find the steps with a waiting task. It also checked all workers if there was none.

Change: a step counts its tasks that are complete or have a run, as runs are added and removed. The workers are looked at only if a step waits.

A test compares the count with a walk over the tasks, after random starts and ends.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -7,7 +7,7 @@
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._throttling import ThrottleActions, control_throttling
 from hawthornpier.fleet._worker_state import WorkerState
-from hawthornpier.steps import Run, RunOutcome, RunPhase
+from hawthornpier.steps import Run, RunOutcome, RunPhase, add_run
 
 # A listed run whose job is not in the store is stopped once the owner has read
 # the accepted jobs this long after the run was first listed.  Without such a
@@ -243,7 +243,7 @@
         run.order_acknowledged_ms = now_ms
         others = [other for other in task.runs if other.attempt != run.attempt]
         task.attempt = max(task.attempt, row.attempt)
-        task.runs.append(run)
+        add_run(task, run)
         worker.charge(run)
         self._update_run(run, row, now_ms)
         task.step.job.has_started = True
--- a/src/hawthornpier/fleet/_run_orders.py
+++ b/src/hawthornpier/fleet/_run_orders.py
@@ -7,7 +7,7 @@
 from hawthornpier.fleet._orders import Order, OrderKind
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import Clock
-from hawthornpier.steps import Run, RunPhase
+from hawthornpier.steps import Run, RunPhase, add_run
 
 
 class RunOrders(JobIndex):
@@ -36,7 +36,7 @@
         run.is_copy = bool(task.runs)
         run.checkpoint = task.checkpoint
         run.has_resumed = bool(task.checkpoint)
-        task.runs.append(run)
+        add_run(task, run)
         worker = self.workers[run.worker_id]
         worker.orders.put_nowait(
             Order(
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -80,9 +80,9 @@
         self._run_monitor.run_pass()
         self._trials.end_trials()
         self._moves.run_pass()
-        candidates = self._candidate_pools()
         failed: dict[str, list[Step]] = collections.defaultdict(list)
         steps = self._ranked_steps()
+        candidates = self._candidate_pools() if steps else {}
         for step in steps:
             service = shard.service_of(step.job)
             pool = candidates.get(service, _NO_CANDIDATES)
@@ -267,9 +267,7 @@
 
 
 def _may_start_runs(step: Step) -> bool:
-    if step.plan.may_run_copies:
-        return True
-    return any(task.is_waiting for task in step.tasks)
+    return step.plan.may_run_copies or step.busy_count < len(step.tasks)
 
 
 def _needs_at_least(step: Step, other: Step) -> bool:
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -23,6 +23,7 @@
     RunPhase,
     Task,
     apply_outcome,
+    remove_run,
     restore_progress,
     update_end_phase,
 )
@@ -271,7 +272,7 @@
         now_ms = self.now_ms
         worker.changed_ms = now_ms
         task = run.task
-        task.runs.remove(run)
+        remove_run(task, run)
         self.log.record(
             'run_ended',
             task=task.key,
--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -23,7 +23,6 @@
 )
 from hawthornpier.steps._outcomes import (
     apply_outcome,
-    mark_done,
     update_end_phase,
 )
 from hawthornpier.steps._progress import (
@@ -45,6 +44,7 @@
     Task,
 )
 from hawthornpier.steps._suspicion import Suspicion
+from hawthornpier.steps._task_runs import add_run, mark_done, remove_run
 
 __all__ = [
     'AdviceTimings',
@@ -62,6 +62,7 @@
     'StepPlan',
     'Suspicion',
     'Task',
+    'add_run',
     'apply_outcome',
     'clear_suspicion',
     'count_crash',
@@ -75,6 +76,7 @@
     'is_crash_suspect',
     'mark_done',
     'may_run_a_copy',
+    'remove_run',
     'restore_progress',
     'update_end_phase',
 ]
--- a/src/hawthornpier/steps/_outcomes.py
+++ b/src/hawthornpier/steps/_outcomes.py
@@ -5,16 +5,7 @@
 from hawthornpier.steps._crashes import has_crashed_too_often
 from hawthornpier.steps._model import JobPhase, RunOutcome
 from hawthornpier.steps._state import Job, Task
-
-
-def mark_done(task: Task) -> None:
-    """
-    Mark a task as complete; for a gang, mark all its members.
-    """
-    for member in task.members:
-        if not member.is_done:
-            member.is_done = True
-            member.step.done_count += 1
+from hawthornpier.steps._task_runs import mark_done
 
 
 def apply_outcome(
--- a/src/hawthornpier/steps/_progress.py
+++ b/src/hawthornpier/steps/_progress.py
@@ -12,9 +12,9 @@
 from hawthornpier.decoding import decode_json
 from hawthornpier.errors import HawthornpierError
 from hawthornpier.steps._model import JobPhase, JobPlan
-from hawthornpier.steps._outcomes import mark_done
 from hawthornpier.steps._state import Job, Step, Task
 from hawthornpier.steps._suspicion import Suspicion
+from hawthornpier.steps._task_runs import mark_done
 
 # Plans above this size are stored compressed.
 _PLAIN_PLAN_BYTES = 8_192
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -206,6 +206,7 @@
     """
 
     __slots__ = (
+        'busy_count',
         'done_count',
         'fully_searched_ms',
         'number',
@@ -227,6 +228,8 @@
         self.number = number
         self.plan = plan
         self.done_count = 0
+        # The number of tasks that are not waiting.
+        self.busy_count = 0
         # When the step became ready to start, by the owner's monotonic clock;
         # None before that.
         self.ready_ms: float | None = None
--- a/tests/test_steps_end_phase.py
+++ b/tests/test_steps_tasks.py
@@ -1,5 +1,5 @@
 """
-Tests of the final state of a job as the runs of its tasks end.
+Tests of the state of tasks and jobs as runs start and end.
 """
 
 from hypothesis import given, settings
@@ -11,12 +11,16 @@
     JobPhase,
     JobPlan,
     QueuePolicy,
+    Run,
     RunOutcome,
     StepPlan,
+    add_run,
     apply_outcome,
     count_crash,
     encode_progress,
     has_crashed_too_often,
+    mark_done,
+    remove_run,
     restore_progress,
     update_end_phase,
 )
@@ -87,3 +91,27 @@
         for attempt in range(MAX_ATTEMPTS):
             apply_outcome(next(job.tasks()), attempt, RunOutcome.FAILED, '')
         assert update_end_phase(self._restarted(job), 0)
+
+
+class TestBusyCount:
+    """
+    A step knows how many of its tasks are complete or have a run.
+    """
+
+    @settings(deadline=None)
+    @given(st.lists(st.tuples(st.integers(0, 6), st.integers(0, 3))))
+    def test_runs_and_ends_are_counted(self, changes):
+        """
+        Guards against a waiting task that the scheduling pass skips.
+        """
+        tasks = tuple(Job(PLAN, 0).tasks())
+        for index, change in changes:
+            task = tasks[index]
+            if change == 0:
+                mark_done(task)
+            elif change == 1 and task.runs:
+                remove_run(task, task.runs[0])
+            else:
+                add_run(task, Run(task, len(task.runs), 'w', 0))
+            waiting = task.step.waiting()
+            assert task.step.busy_count == len(task.step.tasks) - len(waiting)
