Pass over a job that has ended only once

What callers saw: on a large site, tasks wait for an owner whose processor is busy.

Change: the jobs that were not seen to have ended are kept apart.

--- a/src/hawthornpier/fleet/_job_index.py
+++ b/src/hawthornpier/fleet/_job_index.py
@@ -24,6 +24,8 @@
         self.clock = clock
         self.row_bytes = row_bytes
         self.jobs: dict[str, Job] = {}
+        # Those of them that were not seen to have ended.
+        self._active_jobs: dict[str, Job] = {}
         # When the last successful read of the accepted jobs was requested.
         self.jobs_read_ms: float = 0
         self.durations = DurationEstimator()
@@ -69,12 +71,25 @@
         if job_id in self.jobs:
             self.dirty.add(job_id)
 
+    def index_job(self, job: Job) -> None:
+        """
+        Add a job that is not known yet.
+        """
+        job_id = job.plan.job_id
+        self.jobs[job_id] = job
+        self._active_jobs[job_id] = job
+
     def active_jobs(self) -> Iterator[Job]:
         """
         Yield the jobs that have neither ended nor been cancelled.
+
+        A job that has ended stays so.  It is known for minutes, but passed over
+        only once.
         """
-        for job in self.jobs.values():
-            if not job.is_terminal:
+        for job_id, job in tuple(self._active_jobs.items()):
+            if job.is_terminal:
+                self._active_jobs.pop(job_id, None)
+            else:
                 yield job
 
     def expired_jobs(self, retention_ms: float) -> list[str]:
@@ -85,7 +100,7 @@
         return [
             job_id
             for job_id, job in self.jobs.items()
-            if job.is_removable and job.ended_ms < oldest_ms
+            if job.ended_ms < oldest_ms and job.is_removable
         ]
 
     def expired_cancellations(self, retention_ms: float) -> list[str]:
@@ -104,6 +119,7 @@
         Remove a job; the next write deletes its progress from the store.
         """
         self.jobs.pop(job_id, None)
+        self._active_jobs.pop(job_id, None)
         self.dirty.discard(job_id)
         self.removed_rows.extend(self.progress_rows(job_id).keys)
         self._progress_rows.pop(job_id)
@@ -142,10 +158,8 @@
         """
         return sum(
             1
-            for job in self.jobs.values()
-            if job.plan.queue.name == queue
-            and not job.has_started
-            and not job.is_terminal
+            for job in self.active_jobs()
+            if job.plan.queue.name == queue and not job.has_started
         )
 
 
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -122,7 +122,7 @@
             # The end time is not stored.  Using the current time keeps an
             # ended job for at least the retention period.
             job.ended_ms = self.now_ms
-        self.jobs[plan.job_id] = job
+        self.index_job(job)
         self.progress_rows(plan.job_id).restore(row.key for row in progress)
         self.durations.register_job(job)
         handover_progress = self.handover_progress.pop(plan.job_id, None)
