--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -25,6 +25,7 @@
     Task,
     apply_outcome,
     release_followers,
+    remove_run,
     restore_progress,
     update_end_phase,
 )
@@ -125,7 +126,7 @@
             # The end time is not stored.  Using the current time keeps an
             # ended job for at least the retention period.
             job.ended_ms = self.now_ms
-        self.jobs[plan.job_id] = job
+        self.index_job(job)
         self.progress_rows(plan.job_id).restore(row.key for row in progress)
         self.durations.register_job(job)
         handover_progress = self.handover_progress.pop(plan.job_id, None)
@@ -276,7 +277,7 @@
         now_ms = self.now_ms
         worker.changed_ms = now_ms
         task = run.task
-        task.runs.remove(run)
+        remove_run(task, run)
         task.last_end = RunEnd(
             attempt=run.attempt, worker_id=run.worker_id, outcome=outcome
         )
--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -23,7 +23,6 @@
 )
 from hawthornpier.steps._outcomes import (
     apply_outcome,
-    mark_done,
     release_followers,
     update_end_phase,
 )
@@ -47,6 +46,7 @@
     Task,
 )
 from hawthornpier.steps._suspicion import Suspicion
+from hawthornpier.steps._task_runs import add_run, mark_done, remove_run
 
 __all__ = [
     'AdviceTimings',
@@ -65,6 +65,7 @@
     'StepPlan',
     'Suspicion',
     'Task',
+    'add_run',
     'apply_outcome',
     'clear_suspicion',
     'count_crash',
@@ -79,6 +80,7 @@
     'mark_done',
     'may_run_a_copy',
     'release_followers',
+    'remove_run',
     'restore_progress',
     'update_end_phase',
 ]
