Tie the report that an owner has ended to its epoch

A process that had lost the shard while it could not reach the store, and owned it again later, was replaced within a second by another one, for the reason that its process had ended or given up the shard. Each such change of the owner interrupts scheduling, takes a loaded shard from a sound process, and is one more moment at which two processes act.

Every process that monitors the owner remembers which process it was told of, by its id, until it is told of another one. The process that handed the shard over goes on running under its id. If the next owner then disappeared without a reply, for instance in a partition, and the first one claimed the shard, the old report applied to it.

The report now names the epoch, too, and holds only while the owner row has both.

--- a/src/hawthornpier/fleet/_owner_monitor.py
+++ b/src/hawthornpier/fleet/_owner_monitor.py
@@ -61,7 +61,7 @@
         if owner_id == '':
             owner_id = await self._get_owner_id(peer, row.epoch)
         if owner_id is not None and owner_id != process_id:
-            self._ownership.report_process_ended(process_id)
+            self._ownership.report_owner_ended(row)
 
     async def _get_owner_id(self, peer: FleetPeer, epoch: int) -> str | None:
         """
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -88,7 +88,8 @@
         self._store_healthy_since_ms: float | None = None
         # Moving average of the store's response time.
         self._store_response_ms = 30.0
-        self._ended_process_id = ''
+        # The process that has ended or given up the shard, and its epoch then.
+        self._ended_owner: tuple[str, int] | None = None
         # Set to interrupt a pending read of changes.
         self._process_ended = asyncio.Event()
 
@@ -113,13 +114,17 @@
             and owner.card.process_id == self._card.process_id
         )
 
-    def report_process_ended(self, process_id: str) -> None:
+    def report_owner_ended(self, owner: OwnerRow) -> None:
         """
-        Report that a process has ended or has given up the shard.
+        Report that an owner has ended or has given up the shard.
 
-        If the owner row names it, the shard is vacant despite its lease.
+        While the owner row names it in that epoch, the shard is vacant despite
+        its lease.  The process may be the owner again in a later epoch.
+
+        Args:
+            owner: The owner row that named the process.
         """
-        self._ended_process_id = process_id
+        self._ended_owner = (owner.card.process_id, owner.epoch)
         self._process_ended.set()
 
     async def follow_until_claimed(self) -> ShardWriter:
@@ -256,7 +261,7 @@
             ('released', owner.is_released),
             (
                 'owner process has ended or given up the shard',
-                owner.card.process_id == self._ended_process_id,
+                (owner.card.process_id, owner.epoch) == self._ended_owner,
             ),
             (
                 'owner was an earlier process at the address of this one',
