Ask an owner that replies at once only at intervals

A process that once gave up the shard answers requests for its status at once, until it knows that a later claim has succeeded. Between the write of the claim and its reply, for up to the time limit of the store if the reply is lost, the row already names the process, and all others asked it again and again without a pause.

They now wait 120 ms after an answer that came sooner than that. The request that detects the end of the owner, which is open for 1.5 s, is not affected.

test_claim_whose_reply_the_owner_has_not_read counted 999 requests in one second of virtual time before the change; the limit is 12.

--- a/src/hawthornpier/fleet/_owner_monitor.py
+++ b/src/hawthornpier/fleet/_owner_monitor.py
@@ -45,9 +45,12 @@
         while True:
             row = self._ownership.owner
             peer = self._owner_peer()
+            asked_ms = self._clock.monotonic_ms()
             if row is not None and peer is not None:
                 await self._check_owner(peer, row)
-            else:
+            # A process that gave up an earlier epoch replies at once until it
+            # knows that its claim has succeeded.
+            if self._clock.monotonic_ms() - asked_ms < _PRESENCE_RETRY_MS:
                 await self._clock.sleep_ms(_PRESENCE_RETRY_MS)
 
     async def _check_owner(self, peer: FleetPeer, row: OwnerRow) -> None:
