Give up no long-running task for crashes, but try it less often

Cause: a long-running task was given up as the sole suspect of three crashes. One that a crash has hit is tried by itself, so each further crash within half a second of its start makes it the sole suspect again, whoever causes it.

Change: a long-running task is never given up. A task that does crash its workers is isolated as before, and is tried at growing intervals: 1 s after the first crash of which it was the sole suspect, twice that after each further one, 5 s at most. With that limit it starts again well within the time in which a long-running task has to run again. The interval holds for all suspects; others are given up before it grows.

--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -201,7 +201,7 @@
         attempt = max(shard.next_attempt(task) for task in step.tasks)
         is_trial = any(is_crash_suspect(task) for task in step.tasks)
         if is_trial:
-            pool = self._trials.suitable_workers(step, pool)
+            pool = self._trials.suitable_workers(step.tasks, pool)
         groups = _group_by_rack(pool) if step.plan.is_same_rack else [pool]
         for group in groups:
             runs = self._reserve(step.tasks, group, attempt)
--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -12,6 +12,7 @@
     has_crashed_too_often,
     is_crash_suspect,
     may_run_a_copy,
+    trial_interval_ms,
 )
 from hawthornpier.steps._model import (
     AdviceTimings,
@@ -76,5 +77,6 @@
     'mark_done',
     'may_run_a_copy',
     'restore_progress',
+    'trial_interval_ms',
     'update_end_phase',
 ]
--- a/src/hawthornpier/steps/_crashes.py
+++ b/src/hawthornpier/steps/_crashes.py
@@ -37,8 +37,10 @@
 _MIN_CERTAIN_COUNT = 2
 # With more crashes, a task would be started more often than is allowed.
 _MAX_CRASH_COUNT = 5
-# The same for a long-running task.
-_MIN_SOLE_COUNT = 3
+# The minimum time between two trials of a task after the first crash of which
+# it was the sole suspect; it doubles with each further one, up to the maximum.
+_MIN_TRIAL_INTERVAL_MS = 1_000.0
+_MAX_TRIAL_INTERVAL_MS = 5_000.0
 # A task may be suspected without having caused a single crash.
 _SUSPECT_CRASH_COUNT = 2
 
@@ -47,13 +49,12 @@
     """
     Return whether a task has to be given up.
 
-    A long-running task has no limit of attempts.  It is given up only if it
-    was the sole suspect of several crashes without a start in between that its
-    worker has outlived.
+    A long-running task has no limit of attempts and is never given up; its
+    trials become less frequent instead.
     """
-    weights = tuple(task.crashes.values())
     if task.step.plan.is_lasting:
-        return weights.count(CrashEvidence.SOLE) >= _MIN_SOLE_COUNT
+        return False
+    weights = tuple(task.crashes.values())
     if len(weights) >= _MAX_CRASH_COUNT:
         return True
     certain_count = sum(weight not in _UNCERTAIN for weight in weights)
@@ -75,6 +76,20 @@
     )
 
 
+def trial_interval_ms(task: Task) -> float:
+    """
+    Return the minimum time between the starts of two trials of a task.
+
+    It grows with the crashes of which the task was the sole suspect, without a
+    start in between that its worker has outlived.
+    """
+    sole_count = list(task.crashes.values()).count(CrashEvidence.SOLE)
+    if not sole_count:
+        return 0
+    interval_ms = _MIN_TRIAL_INTERVAL_MS * 2.0 ** (sole_count - 1)
+    return min(interval_ms, _MAX_TRIAL_INTERVAL_MS)
+
+
 def may_run_a_copy(task: Task) -> bool:
     """
     Return whether a copy of a task would not crash a further worker.
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -147,6 +147,7 @@
         'runs',
         'step',
         'suspicions',
+        'tried_ms',
     )
 
     def __init__(self, step: 'Step', index: int) -> None:
@@ -163,6 +164,8 @@
         self.crashes: dict[int, int] = {}
         # Runs that may have crashed a worker which does not respond, by worker.
         self.suspicions: dict[str, Suspicion] = {}
+        # When it was last started on trial, by the owner's monotonic clock.
+        self.tried_ms: float | None = None
         self.checkpoint = ''
         self.is_done = False
         # Workers on which a run of this task or of its gang failed, stalled, or
