--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -12,6 +12,7 @@
     has_crashed_too_often,
     is_crash_suspect,
     may_run_a_copy,
+    trial_interval_ms,
 )
 from hawthornpier.steps._model import (
     AdviceTimings,
@@ -82,5 +83,6 @@
     'release_followers',
     'remove_run',
     'restore_progress',
+    'trial_interval_ms',
     'update_end_phase',
 ]
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -152,6 +152,7 @@
         'runs',
         'step',
         'suspicions',
+        'tried_ms',
     )
 
     def __init__(self, step: 'Step', index: int) -> None:
@@ -168,6 +169,8 @@
         self.crashes: dict[int, int] = {}
         # Runs that may have crashed a worker which does not respond, by worker.
         self.suspicions: dict[str, Suspicion] = {}
+        # When it was last started on trial, by the owner's monotonic clock.
+        self.tried_ms: float | None = None
         self.checkpoint = ''
         # Of the runs that this owner knew.
         self.last_end: RunEnd | None = None
