Count heartbeats as proof that a worker outlived a start

Its task was given up after two crashes, with evidence 5 and 10.

Cause: a run counts as just started when its worker crashed if the worker's last reply was not long after the start. But replies can be lost while the worker lives on.

Change: an entry that the registry reports as changed since the previous read was written after that read was sent. Such a heartbeat of the same incarnation, half a second after the runs came under suspicion, shows that the worker outlived their start, as a reply would: the evidence becomes weak. Runs that come under suspicion later are judged by the last sign of life of either kind. A worker that a start crashes sends no more heartbeats, so tasks that crash their workers are given up as before.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -30,20 +30,20 @@
 _SETTLED_MS = 30_000.0
 
 
-def is_fresh(run: Run, last_reply_ms: float) -> bool:
+def is_fresh(run: Run, alive_ms: float) -> bool:
     """
     Return whether a worker has not outlived the start of a run for long enough.
 
     Args:
         run: A run on the worker.
-        last_reply_ms: When the worker last replied.
+        alive_ms: Until when the worker is known to have been alive.
     """
-    return run.is_delivered and run.sent_ms + FRESH_RUN_MS > last_reply_ms
+    return run.is_delivered and run.sent_ms + FRESH_RUN_MS > alive_ms
 
 
 def attribute_crash(
     runs: Collection[Run],
-    last_reply_ms: float,
+    alive_ms: float,
 ) -> dict[RunKey, CrashEvidence]:
     """
     Return the evidence that a crash of the worker gives against its runs.
@@ -53,18 +53,18 @@
 
     Args:
         runs: The runs on the worker when it crashed.
-        last_reply_ms: When it last replied.
+        alive_ms: Until when it is known to have been alive.
     """
     possible = {
         _suspect_key(run)
         for run in runs
-        if run.has_lost_connection or is_fresh(run, last_reply_ms)
+        if run.has_lost_connection or is_fresh(run, alive_ms)
     }
     is_sole = len(possible) == 1
     return {
-        run.key: _evidence(run, last_reply_ms, is_sole=is_sole)
+        run.key: _evidence(run, alive_ms, is_sole=is_sole)
         for run in runs
-        if run.sent_ms and not _has_settled(run, last_reply_ms)
+        if run.sent_ms and not _has_settled(run, alive_ms)
     }
 
 
@@ -78,7 +78,7 @@
     # A worker that drains ends its runs when it leaves.
     if worker.suspected_tasks or worker.entry.is_draining:
         return
-    evidence = attribute_crash(worker.runs.values(), worker.last_reply_ms)
+    evidence = attribute_crash(worker.runs.values(), worker.alive_ms)
     for key, weight in evidence.items():
         task = worker.runs[key].task
         task.suspicions[worker.worker_id] = Suspicion(
@@ -87,7 +87,7 @@
             address=worker.entry.address,
             incarnation_ms=worker.entry.incarnation_ms,
         )
-        worker.suspected_tasks.append(task)
+        worker.suspect([task], shard.now_ms)
         shard.mark_dirty(task)
 
 
@@ -191,9 +191,8 @@
         if is_same or replaced:
             shard.missing_suspects.pop(worker_id)
         if is_same:
-            worker.suspected_tasks.extend(
-                suspect for suspect in suspects if suspect not in replaced
-            )
+            remaining = [task for task in suspects if task not in replaced]
+            worker.suspect(remaining, shard.now_ms)
 
 
 def restore_suspicions(shard: Shard) -> None:
@@ -238,7 +237,7 @@
         task.suspicions.pop(worker.worker_id)
         _refute_crash(shard, task, suspicion)
     elif task not in worker.suspected_tasks:
-        worker.suspected_tasks.append(task)
+        worker.suspect([task], shard.now_ms)
 
 
 def _suspect_remaining_runs(
@@ -250,7 +249,7 @@
         log_interrupted_runs(shard, worker, why)
     suspect_crash(shard, worker)
     for run in worker.runs.values():
-        if run.sent_ms and _has_settled(run, worker.last_reply_ms):
+        if run.sent_ms and _has_settled(run, worker.alive_ms):
             run.task.crashes.clear()
 
 
@@ -265,11 +264,11 @@
 
 def _evidence(
     run: Run,
-    last_reply_ms: float,
+    alive_ms: float,
     *,
     is_sole: bool,
 ) -> CrashEvidence:
-    if is_fresh(run, last_reply_ms):
+    if is_fresh(run, alive_ms):
         return CrashEvidence.SOLE if is_sole else CrashEvidence.SHARED
     if run.is_delivered:
         return CrashEvidence.WEAK
@@ -330,5 +329,5 @@
     return step.key if step.plan.is_gang else run.task.key
 
 
-def _has_settled(run: Run, last_reply_ms: float) -> bool:
-    return last_reply_ms - run.sent_ms >= _SETTLED_MS
+def _has_settled(run: Run, alive_ms: float) -> bool:
+    return alive_ms - run.sent_ms >= _SETTLED_MS
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -12,6 +12,7 @@
     remember_missing_worker,
 )
 from hawthornpier.fleet._errors import HistoryGoneError, error_text
+from hawthornpier.fleet._heartbeats import record_heartbeat
 from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
@@ -69,6 +70,8 @@
         self._links: dict[str, asyncio.Task[None]] = {}
         self._missing_since_ms: dict[str, float] = {}
         self._version: int | None = None
+        # When the last read of all changes was sent; 0 if there is none.
+        self._read_ms: float = 0
 
     def worker_places(self) -> list[WorkerPlace]:
         """
@@ -103,6 +106,7 @@
         while True:
             await self._context.clock.sleep_ms(_REGISTRY_POLL_INTERVAL_MS)
             sent = self.shard.permits.registry.mark()
+            sent_ms = self.shard.now_ms
             try:
                 is_current = await self._poll_once()
             except StoreError:
@@ -113,6 +117,7 @@
                 )
             else:
                 if is_current:
+                    self._read_ms = sent_ms
                     self.shard.permits.registry.confirm(sent)
             self._remove_departed_workers()
 
@@ -139,7 +144,7 @@
         for row in rows:
             if row.is_deleted:
                 self._missing_since_ms.setdefault(row.key, self.shard.now_ms)
-        self._apply_entries(rows)
+        self._apply_entries(rows, self._read_ms)
         return not page.has_more
 
     async def read(self) -> None:
@@ -164,9 +169,13 @@
                     self.shard.now_ms,
                 )
 
-    def _apply_entries(self, rows: Sequence[StoredRow]) -> None:
+    def _apply_entries(
+        self,
+        rows: Sequence[StoredRow],
+        alive_ms: float = 0,
+    ) -> None:
         """
-        Apply entries that exist.
+        Apply entries that exist, and were written after *alive_ms*.
 
         An unreadable one adds no worker.  If it replaces that of a known
         worker, the worker remains registered with its last readable entry.
@@ -183,7 +192,10 @@
         }
         for readable_entry in entries.values():
             self._update_worker(readable_entry)
-            self.shard.workers[readable_entry.worker_id].has_entry = True
+            worker = self.shard.workers[readable_entry.worker_id]
+            worker.has_entry = True
+            if worker.entry is readable_entry:
+                record_heartbeat(self.shard, worker, alive_ms)
         unreadable_ids = sorted(present_ids - entries.keys())
         if unreadable_ids:
             self._context.log.record(
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+from collections.abc import Iterable
 
 from hawthornpier.fleet._health import WorkerHealth
 from hawthornpier.fleet._orders import Order
@@ -57,7 +58,10 @@
         self.is_recorded = False
         # When the worker last responded, by the owner's monotonic clock.
         self.last_reply_ms: float = 0
-        # Requests since then that got no response.
+        # Until when it was alive by the heartbeats in the registry, by the same
+        # clock.
+        self.heartbeat_ms: float = 0
+        # Requests since the last response that got none.
         self.missed_reply_count = 0
         self.clock = WorkerClock()
         self._deadline_clock_ms = 0
@@ -100,8 +104,9 @@
         # Whether this incarnation is known to have ended.
         self.has_crashed = False
         # While it is unknown whether it has: the tasks of its runs that may
-        # have caused it.
+        # have caused it, and since when they are suspected.
         self.suspected_tasks: list[Task] = []
+        self.suspected_ms: float = 0
 
     @property
     def worker_id(self) -> str:
@@ -122,6 +127,13 @@
             and not self.is_leaving
         )
 
+    @property
+    def alive_ms(self) -> float:
+        """
+        Return until when the worker is known to have been alive.
+        """
+        return max(self.last_reply_ms, self.heartbeat_ms)
+
     @property
     def is_unresponsive(self) -> bool:
         """
@@ -170,6 +182,13 @@
         self.is_listed = False
         self.listed_end_count = 0
 
+    def suspect(self, tasks: Iterable[Task], now_ms: float) -> None:
+        """
+        Record tasks that may have crashed the worker, which does not respond.
+        """
+        self.suspected_tasks.extend(tasks)
+        self.suspected_ms = now_ms
+
     def synchronize(self, clock_ms: int, now_ms: float) -> None:
         """
         Record a response and the worker's clock in it.
--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -13,6 +13,7 @@
     is_crash_suspect,
     may_run_a_copy,
     trial_interval_ms,
+    weaken_suspicion,
 )
 from hawthornpier.steps._model import (
     AdviceTimings,
@@ -79,4 +80,5 @@
     'restore_progress',
     'trial_interval_ms',
     'update_end_phase',
+    'weaken_suspicion',
 ]
--- a/src/hawthornpier/steps/_crashes.py
+++ b/src/hawthornpier/steps/_crashes.py
@@ -122,12 +122,23 @@
     task.crashes = {
         attempt: _weakened(weight) for attempt, weight in task.crashes.items()
     }
-    task.suspicions = {
-        worker_id: dataclasses.replace(
-            suspicion, weight=_weakened(suspicion.weight)
-        )
-        for worker_id, suspicion in task.suspicions.items()
-    }
+    for worker_id in task.suspicions:
+        weaken_suspicion(task, worker_id)
+
+
+def weaken_suspicion(task: Task, worker_id: str) -> bool:
+    """
+    Weaken the evidence against a run whose start its worker has outlived.
+
+    Returns:
+        Whether the evidence was stronger.
+    """
+    suspicion = task.suspicions.get(worker_id)
+    if suspicion is None:
+        return False
+    weight = _weakened(suspicion.weight)
+    task.suspicions[worker_id] = dataclasses.replace(suspicion, weight=weight)
+    return weight != suspicion.weight
 
 
 def _weakened(weight: int) -> int:
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -164,6 +164,31 @@
             each.fault = WorkerFault.NONE
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
 
+    async def test_a_worker_that_sends_heartbeats_outlives_the_start(
+        self, world
+    ):
+        """
+        Guards against a task that is given up for a crash after its end.
+
+        The replies of the second worker are lost from its start on.
+        """
+        plan = world.plan(ONE_TASK, work_ms=2_500)
+        task = await world.submit(plan)
+        await world.wait_starts(1)
+        first = world.workers_of(task)[0]
+        first.crash()
+        first.restart()
+        await world.wait_starts(2)
+        await world.run_for(50)
+        second = world.workers_of(task)[0]
+        second.fault = WorkerFault.LOSE_REPLIES
+        await world.wait_until(lambda: task in world.checker.done)
+        await world.run_for(500)
+        second.crash()
+        second.restart()
+        second.fault = WorkerFault.NONE
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+
     async def test_a_silent_worker_has_not_crashed(self, world):
         """
         Guards against a task that is given up while its workers are only cut.
