End waits of the simulated store in spite of rounding

It spun at one virtual time.

Cause: a read of changes waits until the time of the loop reaches its end. A timer that is so close counts as due, so the wait ended and began again at once, and other handles were always ready, so that the time never advanced.

Change: the timer itself ends the wait. No check is changed.

--- a/src/hawthornpier_standin/fleet/_store.py
+++ b/src/hawthornpier_standin/fleet/_store.py
@@ -185,6 +185,7 @@
         """
         loop = asyncio.get_running_loop()
         end_s = loop.time() + wait_ms / 1000
+        may_wait = wait_ms > 0
         while True:
             if after < self._discarded_version:
                 raise HistoryGoneError(table)
@@ -193,13 +194,13 @@
                 for row in self._changes
                 if row.table == table and row.version > after
             )
-            if found or loop.time() >= end_s:
+            if found or not may_wait:
                 return RowPage(
                     rows=found,
                     version=self.version,
                     store_ms=self.clock.monotonic_ms(),
                 )
-            await self._wait_for_change(end_s)
+            may_wait = await self._wait_for_change(end_s)
 
     def _check(self, transaction: RowTransaction) -> None:
         sizes = [
@@ -224,12 +225,18 @@
             self.rejection_count += 1
             raise StoreRejectedError('a value or the transaction is too large')
 
-    async def _wait_for_change(self, end_s: float) -> None:
+    async def _wait_for_change(self, end_s: float) -> bool:
+        """
+        Wait, and return whether there was a change before the end.
+
+        At the end, the time of the loop may still be less by a rounding error.
+        """
         try:
             async with asyncio.timeout_at(end_s):
                 await self._changed.wait()
         except TimeoutError:
-            return
+            return False
+        return True
 
     def _write(self, transaction: RowTransaction) -> None:
         self.version += 1
