Rank a worker in full only if it may be the best

What callers saw: on a large site, tasks wait for an owner whose processor is busy. A copy of a task, and a task that avoids a worker, ranked all workers in full, with the margin of pressure of each.

Change: a worker whose rank cannot be below the best one so far is passed over.

A test compares with the lowest of all ranks.

--- a/src/hawthornpier/fleet/_placement.py
+++ b/src/hawthornpier/fleet/_placement.py
@@ -64,14 +64,13 @@
             excluded: The id of a worker that already runs a copy of the task.
         """
         best: WorkerState | None = None
-        best_rank: tuple[float, ...] = ()
+        best_rank: tuple[float, ...] = (math.inf,)
         for worker in workers:
-            rank = None
             if worker.worker_id != excluded:
-                rank = self.rank(worker, task, now_ms)
-            if rank is not None and (best is None or rank < best_rank):
-                best = worker
-                best_rank = rank
+                rank = self._rank_below(best_rank, worker, task, now_ms)
+                if rank is not None:
+                    best = worker
+                    best_rank = rank
         return best
 
     def ranking(
@@ -152,6 +151,19 @@
         spare = pressure_margin(worker, task.step, self._interference, now_ms)
         return None if spare < 0 else (*floor[:-1], -spare)
 
+    def _rank_below(
+        self,
+        limit: tuple[float, ...],
+        worker: WorkerState,
+        task: Task,
+        now_ms: float,
+    ) -> tuple[float, ...] | None:
+        floor = self.rank_floor(worker, task, now_ms)
+        if floor is None or floor >= limit:
+            return None
+        rank = self.rank(worker, task, now_ms)
+        return None if rank is None or rank >= limit else rank
+
     def _long_running_rank(
         self,
         worker: WorkerState,
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -159,6 +159,28 @@
             place(task, chosen)
             place(task, expected)
 
+    @settings(deadline=None, max_examples=30)
+    @given(st.integers(0, 2**32))
+    def test_chooses_the_lowest_rank(self, seed):
+        """
+        Guards against a copy of a task on a worker that is not the best.
+        """
+        placement = Placement(SomeInterference())
+        workers = self._shared_workers(random.Random(seed))
+        for step in random_steps(random.Random(seed)):
+            task = step.tasks[0]
+            task.avoided_workers.add(f'w{seed % 12}')
+            ranks = {
+                worker.worker_id: rank
+                for worker in workers[1:]
+                if (rank := placement.rank(worker, task, 1)) is not None
+            }
+            chosen = placement.choose(task, workers, 1, excluded='w0')
+            chosen_id = chosen.worker_id if chosen else None
+            assert chosen_id == min(ranks, key=ranks.get, default=None)
+            if chosen is not None:
+                place(task, chosen)
+
     def _shared_workers(self, rng):
         workers = usable_workers(12, rng)
         for number in range(20):
