Reserve room before long-running tasks leave a draining worker

Callers saw long-running tasks that were stopped on draining workers and then waited, because other tasks took the room that they would have had.

All long-running tasks on a draining worker were stopped as soon as the registry had its report. Nothing was reserved for them, so they competed for room with everything that waited, and those that fit nowhere stood still for the rest of the drain as well. It is the class of fault of the evacuations: something running is given up for a place that is not held.

They now move as evacuated tasks do: a task is stopped once room is reserved for it elsewhere, and started there when its run has ended.

--- a/src/hawthornpier/fleet/_long_running_waits.py
+++ b/src/hawthornpier/fleet/_long_running_waits.py
@@ -7,6 +7,7 @@
 import itertools
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 from hawthornpier.fleet._eligibility import (
     Exclusion,
@@ -170,7 +171,7 @@
             if not worker.is_leaving and not worker.is_unresponsive:
                 pools[worker.entry.service].append(worker)
         for pool in pools.values():
-            pool.sort(key=_free_millis, reverse=True)
+            pool.sort(key=attrgetter('free_millis'), reverse=True)
         return pools
 
     def _long_running_steps(self) -> list[Step]:
@@ -290,7 +291,7 @@
     step: Step, pool: list[WorkerState]
 ) -> list[WorkerState]:
     candidates = itertools.takewhile(
-        lambda worker: _free_millis(worker) >= step.plan.processor_millis, pool
+        lambda worker: worker.free_millis >= step.plan.processor_millis, pool
     )
     return [
         worker
@@ -299,10 +300,6 @@
     ]
 
 
-def _free_millis(worker: WorkerState) -> int:
-    return worker.entry.processor_millis - worker.reserved_millis
-
-
 def _reason_of_run(run: Run, *, is_silent: bool) -> WaitReason:
     if run.phase is RunPhase.RUNNING:
         return WaitReason.WORKER_SILENT if is_silent else WaitReason.NOT_READY
--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -3,6 +3,7 @@
 """
 
 from hawthornpier.fleet._crashes import presume_crash, suspect_crash
+from hawthornpier.fleet._departures import DEFAULT_REMAINING_MS
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._state_log import log_interrupted_runs
 from hawthornpier.fleet._timings import WorkerTimings
@@ -24,8 +25,6 @@
 _SUSPICION_DELAY_MS = 250.0
 # Minimum interval between two passes.
 _CHECK_INTERVAL_MS = 200.0
-# Assumed time until a draining worker stops, if the registry has none.
-_DEFAULT_REMAINING_MS = 2_000.0
 
 
 class RunMonitor:
@@ -33,8 +32,7 @@
     Ends runs whose worker's lease has expired, and stops those that must move.
 
     Runs must move if they are stalled, or if their worker is draining and they
-    are long-running or can resume elsewhere from a checkpoint but are not
-    expected to end in time.
+    can resume elsewhere from a checkpoint but are not expected to end in time.
 
     Args:
         shard: The state of the shard.
@@ -92,13 +90,10 @@
     ) -> None:
         drain_ms = worker.entry.remaining_ms
         if drain_ms is None:
-            drain_ms = int(_DEFAULT_REMAINING_MS)
+            drain_ms = int(DEFAULT_REMAINING_MS)
         for run in list(worker.runs.values()):
-            if run.phase is not RunPhase.RUNNING:
-                continue
             step = run.task.step
-            if step.plan.is_lasting:
-                self._shard.stop_run(run, 'worker is draining')
+            if run.phase is not RunPhase.RUNNING or step.plan.is_lasting:
                 continue
             expected_ms = self._shard.durations.expected_ms(step)
             remaining_ms = expected_ms - (now_ms - run.confirmed_ms)
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 
 from hawthornpier.fleet._crash_trials import CrashTrials
+from hawthornpier.fleet._departures import Departures
 from hawthornpier.fleet._evacuation import Evacuation
 from hawthornpier.fleet._long_running_waits import LongRunningWaits
 from hawthornpier.fleet._moves import Moves
@@ -56,8 +57,9 @@
         self._timings = timings
         self._placement = Placement(shard.interference)
         self._trials = CrashTrials(shard, self._placement)
-        self._run_monitor = RunMonitor(shard, timings)
         self._moves = Moves(shard)
+        self._departures = Departures(shard, self._placement, self._moves)
+        self._run_monitor = RunMonitor(shard, timings)
         self._evacuation = Evacuation(shard, self._placement, self._moves)
         lease_ms = timings.lease_ms * (1 + timings.clock_drift)
         self._unlisted_span_ms = lease_ms + STALE_ORDER_MS
@@ -79,6 +81,7 @@
             self._state_logged_ms = shard.now_ms
             log_shard_state(shard, self._placement)
         self._run_monitor.run_pass()
+        self._departures.run_pass()
         self._trials.end_trials()
         self._moves.run_pass()
         candidates = self._candidate_pools()
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -293,6 +293,13 @@
         used = plain + int(self.long_running_millis * _LONG_RUNNING_USE)
         return self.entry.processor_millis - used - self.best_effort_millis
 
+    @property
+    def free_millis(self) -> int:
+        """
+        Return the processors, in thousandths of a core, that none reserves.
+        """
+        return self.entry.processor_millis - self.reserved_millis
+
     def processor_share(self, millis: int) -> float:
         """
         Return processors as a fraction of the worker's capacity.
