Move tasks off a draining worker that has not replied

Callers saw long-running tasks that waited for the end of a lease after their worker had drained.

A worker that drains with two seconds' notice was left alone while one of its replies was missing.

The tasks are now moved or stopped whether or not the worker has replied: a stop that it does not get costs nothing, as it leaves anyway.

Test, failed before: test_a_task_leaves_a_worker_that_does_not_reply.

--- a/src/hawthornpier/fleet/_departures.py
+++ b/src/hawthornpier/fleet/_departures.py
@@ -61,8 +61,7 @@
         for worker_id in self._stop_ms.keys() - draining.keys():
             self._stop_ms.pop(worker_id)
         for worker in draining.values():
-            if not worker.is_unresponsive and not worker.is_deregistered:
-                self._move_runs(worker, now_ms)
+            self._move_runs(worker, now_ms)
 
     def _move_runs(self, worker: WorkerState, now_ms: float) -> None:
         remaining_ms = worker.entry.remaining_ms
--- a/tests/test_fleet_draining.py
+++ b/tests/test_fleet_draining.py
@@ -85,6 +85,17 @@
         draining.run_pass(elapsed_ms)
         assert draining.run.phase is phase
 
+    def test_a_task_leaves_a_worker_that_does_not_reply(self):
+        """
+        Guards against a short notice that passes while one reply is missing.
+        """
+        draining = _Draining(2_000)
+        worker = draining.shard.workers['w0']
+        worker.missed_reply_count = 1
+        worker.early_lease_end_ms = draining.shard.now_ms + 5_000
+        draining.run_pass()
+        assert draining.run.phase is RunPhase.STOPPING
+
     def test_a_task_moves_once_there_is_room(self):
         """
         Guards against a task that is stopped late, when its worker has stopped.
