Try a worker with one start at a time after a lost reply

Callers saw long-running tasks that waited beside workers with room.

If a worker replies to some orders only, the starts behind a try without a reply were kept, and waited up to 1.5 s. And nothing was placed on the worker for the length of a timeout, so that its second request stood idle: tasks waited as `has just rejected a start` while most workers had lost a reply.

A try without a reply now withdraws each start that has waited for as long as that try. After it, a start is placed on the worker only while none is queued, so that one start at a time is tried. The log has a reason of its own for this.

Tests, impossible before: a start that waits for a timeout is withdrawn, and one at a time is tried after a lost reply.

--- a/src/hawthornpier/fleet/_eligibility.py
+++ b/src/hawthornpier/fleet/_eligibility.py
@@ -22,6 +22,8 @@
 
     UNUSABLE = 'unusable'
     REJECTING = 'has just rejected a start'
+    # Orders are queued behind one that got no reply.
+    UNANSWERED = 'has not replied to an order'
     ON_TRIAL = 'on trial'
     NO_ROOM = 'no room'
     NO_LABEL = 'no label'
@@ -74,6 +76,10 @@
     )
 
 
+def _is_unanswered(worker: WorkerState, _step: Step, now_ms: float) -> bool:
+    return now_ms < worker.unanswered_until_ms and not worker.orders.empty()
+
+
 def _has_unacknowledged_ends(
     worker: WorkerState, _step: Step, _now_ms: float
 ) -> bool:
@@ -88,6 +94,7 @@
         Exclusion.REJECTING,
         lambda worker, _step, now_ms: now_ms < worker.refused_until_ms,
     ),
+    (Exclusion.UNANSWERED, _is_unanswered),
     (
         Exclusion.ON_TRIAL,
         lambda worker, _step, _now_ms: worker.trial_run is not None,
--- a/src/hawthornpier/fleet/_withdrawals.py
+++ b/src/hawthornpier/fleet/_withdrawals.py
@@ -2,6 +2,8 @@
 Starts that are given up before they are sent.
 """
 
+import math
+
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Run, RunOutcome, RunPhase
@@ -26,14 +28,22 @@
     shard.end_run(run, RunOutcome.LOST)
 
 
-def withdraw_unsent_starts(shard: Shard, worker: WorkerState) -> None:
+def withdraw_unsent_starts(
+    shard: Shard, worker: WorkerState, placed_by_ms: float = math.inf
+) -> None:
     """
     Place the tasks again whose starts wait for a worker that does not reply.
 
     The members of a gang are not placed again, because those that have started
     would end for want of the others.
+
+    Args:
+        shard: The state of the shard.
+        worker: The worker.
+        placed_by_ms: Starts that were placed later are kept.
     """
     for run in list(worker.runs.values()):
         is_unsent = run.phase is RunPhase.STARTING and not run.sent_ms
+        is_unsent = is_unsent and run.started_ms <= placed_by_ms
         if is_unsent and not run.task.step.plan.is_gang:
             withdraw_start(shard, run, 'worker does not reply')
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -253,13 +253,13 @@
         self._abandon_start(run, is_uncertain=is_uncertain, why='no reply')
 
     def _handle_lost_reply(self, run: Run, tried_ms: float) -> None:
-        shard, worker = self._shard, self._worker
-        if shard.now_ms - tried_ms < _CONNECTION_END_MS:
+        now_ms, worker = self._shard.now_ms, self._worker
+        if now_ms - tried_ms < _CONNECTION_END_MS:
             run.has_lost_connection = True
-        elif self._answered_ms < tried_ms:
-            pause_ms = self._timings.order_timeout_ms
-            worker.refused_until_ms = shard.now_ms + pause_ms
-            withdraw_unsent_starts(shard, worker)
+            return
+        worker.unanswered_until_ms = now_ms + self._timings.order_timeout_ms
+        placed_by_ms = now_ms if self._answered_ms < tried_ms else tried_ms
+        withdraw_unsent_starts(self._shard, worker, placed_by_ms)
 
     def _is_start_due(self, order: Order, run: Run) -> bool:
         """
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -85,8 +85,11 @@
         self.evacuated_for_image = ''
         self.evacuated_until_ms: float = 0
         # No start is sent before this time, because the worker rejected one
-        # for lack of resources, or did not reply to one.
+        # for lack of resources.
         self.refused_until_ms: float = 0
+        # Until then no start is queued behind other orders, because the worker
+        # did not reply to one.
+        self.unanswered_until_ms: float = 0
         self.orders: asyncio.Queue[Order] = asyncio.Queue()
         # Set when processed ended runs have become durable.
         self.acknowledged = asyncio.Event()
--- a/tests/test_fleet_silent_workers.py
+++ b/tests/test_fleet_silent_workers.py
@@ -6,8 +6,11 @@
 from fake_store import virtual_tests
 from fleet_world import World
 from test_fleet_ends import add_worker, listing_of, shard_with, task_key
+from test_fleet_held_work import usable
 
+from hawthornpier.fleet._eligibility import Exclusion, find_exclusion
 from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._withdrawals import withdraw_unsent_starts
 from hawthornpier.steps import StepPlan
 from hawthornpier_standin.fleet import WorkerFault
 
@@ -50,6 +53,35 @@
         await world.run_for(6_000)
         assert len(world.checker.running) == 8
 
+    async def test_a_start_that_waits_for_a_timeout_is_withdrawn(self, world):
+        """
+        Guards against tasks that wait because their worker replies to some
+        orders only.
+        """
+        shard, run = _started_run()
+        worker = shard.workers['w0']
+        waiting = shard.start_run(
+            shard.find_task(task_key(1)), worker, reason='test'
+        )
+        withdraw_unsent_starts(shard, worker, waiting.started_ms - 1)
+        assert waiting.task.runs
+        withdraw_unsent_starts(shard, worker, waiting.started_ms)
+        assert not waiting.task.runs
+        assert run.task.runs
+
+    async def test_one_start_at_a_time_is_tried_after_a_lost_reply(self, world):
+        """
+        Guards against starts that queue up anew, and against a worker that is
+        not tried although it replies to some orders.
+        """
+        shard, run = _started_run()
+        worker = usable(shard.workers['w0'])
+        worker.unanswered_until_ms = shard.now_ms + 700
+        step, now_ms = run.task.step, shard.now_ms
+        assert find_exclusion(worker, step, now_ms) is Exclusion.UNANSWERED
+        worker.orders.get_nowait()
+        assert find_exclusion(worker, step, now_ms) is None
+
     def _silence_all_but_one(self, world):
         worker = world.workers['w0']
         worker.fault = WorkerFault.START_LATE
