--- a/src/hawthornpier/fleet/_eligibility.py
+++ b/src/hawthornpier/fleet/_eligibility.py
@@ -22,6 +22,8 @@
 
     UNUSABLE = 'unusable'
     REJECTING = 'has just rejected a start'
+    # Orders are queued behind one that got no reply.
+    UNANSWERED = 'has not replied to an order'
     ON_TRIAL = 'on trial'
     NO_ROOM = 'no room'
     NO_LABEL = 'no label'
@@ -88,6 +90,10 @@
     return not worker.fits(step)
 
 
+def _is_unanswered(worker: WorkerState, now_ms: float) -> bool:
+    return now_ms < worker.unanswered_until_ms and not worker.orders.empty()
+
+
 # What a worker lacks for the tasks of a step.
 _STEP_CHECKS: tuple[
     tuple[Exclusion, Callable[[WorkerState, Step], bool]], ...
@@ -104,6 +110,7 @@
         Exclusion.REJECTING,
         lambda worker, now_ms: now_ms < worker.refused_until_ms,
     ),
+    (Exclusion.UNANSWERED, _is_unanswered),
     (
         Exclusion.ON_TRIAL,
         lambda worker, _now_ms: worker.trial_run is not None,
--- a/src/hawthornpier/fleet/_long_running_waits.py
+++ b/src/hawthornpier/fleet/_long_running_waits.py
@@ -5,9 +5,9 @@
 import collections
 import enum
 import itertools
-import operator
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass, field
+from operator import attrgetter
 
 from hawthornpier.fleet._eligibility import (
     Exclusion,
@@ -171,7 +171,7 @@
             if not worker.is_leaving and not worker.is_unresponsive:
                 pools[worker.entry.service].append(worker)
         for pool in pools.values():
-            pool.sort(key=operator.attrgetter('free_millis'), reverse=True)
+            pool.sort(key=attrgetter('free_millis'), reverse=True)
         return pools
 
     def _long_running_steps(self) -> list[Step]:
