Count all long waits by reason in the line of each second

The line of each second now counts all of them by reason, so that the log is complete for these. The test of the long waits checks the count, too.

--- a/src/hawthornpier/fleet/_long_running_waits.py
+++ b/src/hawthornpier/fleet/_long_running_waits.py
@@ -253,6 +253,10 @@
             with_room=sum(1 for wait in longest if wait.room_ms),
             longest_ended_ms=int(self._longest_ended_ms),
             reasons=collections.Counter(wait.reason for wait in longest),
+            # Complete, also if lines about single waits are left out.
+            long_reasons=collections.Counter(
+                wait.reason for wait in longest if wait.is_reported
+            ),
             longest=[
                 self._describe(wait, chances[wait.task.step.key].room)
                 for wait in longest[:_NAMED_COUNT]
--- a/tests/test_fleet_long_running_waits.py
+++ b/tests/test_fleet_long_running_waits.py
@@ -159,6 +159,8 @@
         assert lines[0]['room_ms'] == 3_500
         assert lines[0]['last_end'] == (1, 'w0', RunOutcome.LOST)
         assert described['room_ms'] == 6_000
+        summary = waits.shard.log.lines[-1][1]
+        assert summary['long_reasons'] == {WaitReason.NOT_PLACED: 1}
 
     def test_tasks_at_work_are_not_logged(self):
         """
