Move runs and the load of a worker to modules of their own

Runs are in steps/_run.py, allocated resources in _worker_load.py, and the wait of a renewal is decided by the state of the worker. The placement of all steps is a method of its own. Nothing else changes.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -12,7 +12,8 @@
 from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._state_log import log_interrupted_runs
-from hawthornpier.fleet._worker_state import RunKey, WorkerState
+from hawthornpier.fleet._worker_load import RunKey
+from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import (
     CrashEvidence,
     Run,
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -4,7 +4,7 @@
 
 import collections
 import math
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from hawthornpier.fleet._candidates import CandidatePool
 from hawthornpier.fleet._crash_trials import CrashTrials
@@ -67,7 +67,7 @@
         lease_ms = timings.lease_ms * (1 + timings.clock_drift)
         self._unlisted_span_ms = lease_ms + STALE_ORDER_MS
         self._state_logged_ms: float = 0
-        self._waits = LongRunningWaits(shard, self._safe_to_start)
+        self._long_running_waits = LongRunningWaits(shard, self._safe_to_start)
         self._wait_log = WaitLog(shard)
 
     def run_pass(self) -> None:
@@ -78,7 +78,7 @@
         certain that this process still owns it.
         """
         shard = self._shard
-        self._waits.run_pass()
+        self._long_running_waits.run_pass()
         if shard.is_draining or not shard.permits.may_start:
             return
         self._wait_log.begin_pass()
@@ -89,12 +89,19 @@
         self._departures.run_pass()
         self._trials.end_trials()
         self._moves.run_pass()
-        failed: dict[str, list[Step]] = collections.defaultdict(list)
         steps = self._ranked_steps()
         candidates = self._candidate_pools() if steps else {}
         self._wait_log.observe_room(candidates)
+        self._place_all(steps, candidates)
+        self._evacuation.run_pass(steps)
+        self._wait_log.end_pass(candidates, steps)
+
+    def _place_all(
+        self, steps: Sequence[Step], candidates: Mapping[str, CandidatePool]
+    ) -> None:
+        failed: dict[str, list[Step]] = collections.defaultdict(list)
         for step in steps:
-            service = shard.service_of(step.job)
+            service = self._shard.service_of(step.job)
             pool = candidates.get(service, _NO_CANDIDATES)
             cannot_fit = any(
                 _needs_at_least(step, other) for other in failed[service]
@@ -106,8 +113,6 @@
                 self._wait_log.refuse(step)
             if step.plan.may_run_copies:
                 self._place_copies(step, pool)
-        self._evacuation.run_pass(steps)
-        self._wait_log.end_pass(candidates, steps)
 
     def _safe_to_start(self, tasks: list[Task]) -> list[Task]:
         """
--- a/src/hawthornpier/fleet/_worker_clock.py
+++ b/src/hawthornpier/fleet/_worker_clock.py
@@ -66,10 +66,10 @@
         clock that is earlier than when the request was sent shows it.
 
         Args:
-            clock_ms: The worker's clock in the response.
+            clock_ms: The worker's clock in the response; 0 if it has none.
             sent_ms: When the request was sent, by the owner's clock.
             drift: The limit of the clock's drift, as a fraction.
         """
         drift_ms = abs(sent_ms - self._synced_ms) * drift * _DRIFT_FACTOR
         earliest_ms = self.estimate_ms(sent_ms) - drift_ms - _SLACK_MS
-        return self._synced_clock_ms > 0 and clock_ms < earliest_ms
+        return self._synced_clock_ms > 0 and 0 < clock_ms < earliest_ms
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -114,7 +114,7 @@
                     epoch=shard.epoch,
                     acknowledged_number=acknowledged_number,
                     deadline_clock_ms=deadline,
-                    wait_ms=self._renewal_wait_ms(),
+                    wait_ms=worker.renewal_wait_ms(self._timings),
                 ),
             )
         except WorkerError as error:
@@ -138,18 +138,6 @@
             end_crashed_incarnation(shard, worker, 'another worker replied')
         return False
 
-    def _renewal_wait_ms(self) -> int:
-        worker = self._worker
-        if not worker.is_listed or worker.missed_reply_count:
-            return 0
-        if worker.processed_number > worker.acknowledged_number:
-            return 0
-        if worker.long_running_count and worker.best_effort_count:
-            return self._timings.colocated_wait_ms
-        if worker.runs:
-            return self._timings.renewal_wait_ms
-        return self._timings.idle_wait_ms
-
     async def _wait_until_durable(self) -> None:
         """
         Wait until the ended runs that were listed are durable.
@@ -187,10 +175,8 @@
         """
         Note that the next incarnation replied, which a restarted clock shows.
         """
-        drift = self._timings.clock_drift
-        clock = self._worker.clock
-        if reply.clock_ms and clock.has_restarted(
-            reply.clock_ms, sent_ms, drift
+        if self._worker.clock.has_restarted(
+            reply.clock_ms, sent_ms, self._timings.clock_drift
         ):
             self._record_missed_reply('the clock has restarted')
 
--- a/src/hawthornpier/steps/__init__.py
+++ b/src/hawthornpier/steps/__init__.py
@@ -38,12 +38,12 @@
     encode_task_progress,
     restore_progress,
 )
+from hawthornpier.steps._run import Run
 from hawthornpier.steps._run_end import RunEnd
 from hawthornpier.steps._run_phase import RunPhase
 from hawthornpier.steps._state import (
     Job,
     Occurrence,
-    Run,
     Step,
     Task,
 )
--- a/src/hawthornpier/steps/_task_runs.py
+++ b/src/hawthornpier/steps/_task_runs.py
@@ -2,7 +2,8 @@
 The runs of tasks, and how many tasks of a step need another one.
 """
 
-from hawthornpier.steps._state import Run, Task
+from hawthornpier.steps._run import Run
+from hawthornpier.steps._state import Task
 
 
 def add_run(task: Task, run: Run) -> None:
