Do not count a trial that has not taken place

What callers see: a long-running task whose worker has crashed under it waits up to 5 s twice, although its trial was never sent to a worker, so that it is without a run for up to 10 s beside room.

Cause: the interval between two trials counts from the placement of the last one. A start that is withdrawn because its worker does not reply, or that is rejected, has not been executed, but still counted as a trial. The class is that of the withdrawn starts: what has certainly not happened is awaited like what may have.

Change: withdrawing the start of a trial makes the trial due again; it was due when it was placed. A start that is given up after tries that were certainly not sent is withdrawn in the same way instead of ending on its own path.

Evidence: by reading, then a test of the decision only. It failed before, as no worker was suitable after the withdrawal.

--- a/src/hawthornpier/fleet/_withdrawals.py
+++ b/src/hawthornpier/fleet/_withdrawals.py
@@ -25,6 +25,9 @@
         worker=run.worker_id,
         why=why,
     )
+    if shard.workers[run.worker_id].trial_run is run:
+        # The trial was due and has not taken place.
+        run.task.tried_ms = None
     shard.end_run(run, RunOutcome.LOST)
 
 
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -26,7 +26,7 @@
 )
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import WorkerError, WorkerReplyLostError
-from hawthornpier.steps import Run, RunOutcome, RunPhase
+from hawthornpier.steps import Run, RunPhase
 
 # Time without further starts on a worker after it rejected one for lack of
 # resources.
@@ -334,7 +334,7 @@
             run.task.avoid_worker(run.worker_id)
             self._shard.stop_run(run, f'start may still be executed: {why}')
         else:
-            self._shard.end_run(run, RunOutcome.LOST)
+            withdraw_start(self._shard, run, why)
 
     async def _stop(self, order: Order) -> None:
         """
--- a/tests/test_fleet_silent_workers.py
+++ b/tests/test_fleet_silent_workers.py
@@ -8,10 +8,12 @@
 from test_fleet_ends import add_worker, listing_of, shard_with, task_key
 from test_fleet_held_work import usable
 
+from hawthornpier.fleet._crash_trials import CrashTrials
 from hawthornpier.fleet._eligibility import Exclusion, find_exclusion
 from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._withdrawals import withdraw_unsent_starts
-from hawthornpier.steps import StepPlan
+from hawthornpier.steps import CrashEvidence, RunOutcome, StepPlan
 from hawthornpier_standin.fleet import WorkerFault
 
 # They share a worker if they can.
@@ -82,6 +84,21 @@
         worker.orders.get_nowait()
         assert find_exclusion(worker, step, now_ms) is None
 
+    async def test_a_withdrawn_trial_is_due_again(self, world):
+        """
+        Guards against a suspect that waits twice for a single trial.
+        """
+        shard, run = _started_run()
+        worker = usable(shard.workers['w0'])
+        suspect = shard.find_task(task_key(1))
+        suspect.crashes = dict.fromkeys(range(3), CrashEvidence.SOLE)
+        trials = CrashTrials(shard, Placement(shard.interference))
+        trials.begin(shard.start_run(suspect, worker, reason='test'))
+        assert not trials.suitable_workers([suspect], [worker])
+        withdraw_unsent_starts(shard, worker)
+        shard.end_run(run, RunOutcome.LOST)
+        assert trials.suitable_workers([suspect], [worker])
+
     def _silence_all_but_one(self, world):
         worker = world.workers['w0']
         worker.fault = WorkerFault.START_LATE
