Withdraw starts that a restarted worker was never sent

What callers see: tasks whose starts are queued for a worker as it restarts stay without a run until the new incarnation has acknowledged a stop of each, or, if it does not reply, until the longest lease has ended.

Cause: all runs that no listing has contained count as ones whose start the new incarnation may execute, also those whose start was never sent, and the queue of orders is discarded. The same cause as of starts that wait for a worker that does not reply: what has certainly not happened is awaited.

Change: these starts are withdrawn as the new incarnation is registered. A start counts as sent from before the request is made, so that none on its way is withdrawn; members of gangs are left as they were.

Evidence: by reading, then a test of the registry only; it failed before, as the unsent run was kept.

--- a/src/hawthornpier/fleet/_withdrawals.py
+++ b/src/hawthornpier/fleet/_withdrawals.py
@@ -32,10 +32,14 @@
 
 
 def withdraw_unsent_starts(
-    shard: Shard, worker: WorkerState, placed_by_ms: float = math.inf
+    shard: Shard,
+    worker: WorkerState,
+    placed_by_ms: float = math.inf,
+    *,
+    why: str = 'worker does not reply',
 ) -> None:
     """
-    Place the tasks again whose starts wait for a worker that does not reply.
+    Place the tasks again whose starts have not been sent to their worker.
 
     The members of a gang are not placed again, because those that have started
     would end for want of the others.
@@ -44,9 +48,10 @@
         shard: The state of the shard.
         worker: The worker.
         placed_by_ms: Starts that were placed later are kept.
+        why: The reason, for the log.
     """
     for run in list(worker.runs.values()):
         is_unsent = run.phase is RunPhase.STARTING and not run.sent_ms
         is_unsent = is_unsent and run.started_ms <= placed_by_ms
         if is_unsent and not run.task.step.plan.is_gang:
-            withdraw_start(shard, run, 'worker does not reply')
+            withdraw_start(shard, run, why)
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -24,6 +24,7 @@
 from hawthornpier.fleet._relay_assignment import WorkerPlace
 from hawthornpier.fleet._row_pages import read_all_rows, read_changes
 from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._withdrawals import withdraw_unsent_starts
 from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import StoreError
@@ -244,6 +245,7 @@
         for run in list(worker.runs.values()):
             if run.is_listed and not run.has_unacknowledged_order:
                 self.shard.end_run(run, RunOutcome.LOST)
+        withdraw_unsent_starts(self.shard, worker, why='worker restarted')
         uncertain_runs = worker.begin_incarnation(entry)
         if uncertain_runs:
             timings = self._context.worker_timings
--- a/tests/test_fleet_silent_workers.py
+++ b/tests/test_fleet_silent_workers.py
@@ -2,17 +2,23 @@
 Tests of tasks that are placed on workers which do not reply to orders.
 """
 
+import asyncio
+import dataclasses
+from types import SimpleNamespace
+
 import msgspec
 from fake_store import virtual_tests
 from fleet_world import World
 from test_fleet_ends import add_worker, listing_of, shard_with, task_key
 from test_fleet_held_work import usable
 
+from hawthornpier.fleet import WorkerTimings
 from hawthornpier.fleet._crash_trials import CrashTrials
 from hawthornpier.fleet._eligibility import Exclusion, find_exclusion
 from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._withdrawals import withdraw_unsent_starts
+from hawthornpier.fleet._worker_registry import WorkerRegistry
 from hawthornpier.steps import CrashEvidence, RunOutcome, StepPlan
 from hawthornpier_standin.fleet import WorkerFault
 
@@ -99,6 +105,30 @@
         shard.end_run(run, RunOutcome.LOST)
         assert trials.suitable_workers([suspect], [worker])
 
+    async def test_a_restart_of_the_worker_does_not_hold_unsent_starts(
+        self, world
+    ):
+        """
+        Guards against tasks that wait until the next incarnation acknowledges
+        that it has not executed what was never sent.
+        """
+        shard, run = _started_run()
+        worker = usable(shard.workers['w0'])
+        unsent = shard.start_run(
+            shard.find_task(task_key(1)), worker, reason='test'
+        )
+        context = SimpleNamespace(
+            worker_timings=WorkerTimings(), log=shard.log, clock=shard.clock
+        )
+        async with asyncio.TaskGroup() as group:
+            registry = WorkerRegistry(shard, context, lambda entry: None, group)
+            registry._update_worker(
+                dataclasses.replace(worker.entry, incarnation_ms=2)
+            )
+            registry._stop_link('w0')
+        assert run.task.runs
+        assert not unsent.task.runs
+
     def _silence_all_but_one(self, world):
         worker = world.workers['w0']
         worker.fault = WorkerFault.START_LATE
