Write the oldest changes first, and acknowledge ends behind a backlog

Callers could see: while the store is slow, jobs with high ids are shown as running long after they have ended, and no worker's ended runs are taken note of; a worker that keeps 250 of them gets no more starts.

Cause: each batch takes up to 80 rows of the changed jobs in the order of their ids, from the start each time, so that jobs with low ids that change again go first. Ends were acknowledged only by a batch that contained all changes, which does not come while more than 80 jobs change between two writes. The class: an order that does not depend on age starves what comes last, and a condition on everything is not met under load.

Evidence: with 240 jobs that change before each write, test_jobs_that_change_often_do_not_starve_another did not find the last job in five writes, and test_ends_are_acknowledged_although_jobs_change had 0 acknowledged after ten. Both pass now; test_ends_are_not_acknowledged_before_they_are_stored guards the other side.

Change: changed jobs keep the order in which they came, and ends are acknowledged once the jobs that had changes when they were applied are written.

--- a/src/hawthornpier/fleet/_commit_batch.py
+++ b/src/hawthornpier/fleet/_commit_batch.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 
 from hawthornpier.fleet._shard import Shard
-from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.fleet._writer import PROGRESS_TABLE, RowKey
 from hawthornpier.steps import Job
 
@@ -24,9 +23,7 @@
     The rows of one transaction, and what is durable once it is applied.
 
     Rows of *progress* are by job and key.  All changes of the jobs in
-    *job_ids* are in the batch, and *is_complete* tells whether these are all
-    jobs with changes.  *processed_numbers* has for each worker its incarnation
-    and the number of the last ended run that was applied.
+    *job_ids* are in the batch.
     """
 
     writes: dict[RowKey, bytes]
@@ -34,8 +31,6 @@
     progress: dict[str, dict[str, bytes]]
     job_ids: tuple[str, ...]
     ended_jobs: tuple[Job, ...]
-    is_complete: bool
-    processed_numbers: dict[WorkerState, tuple[int, int]]
 
     def rows_of(self, table: str) -> dict[str, bytes]:
         """
@@ -99,17 +94,11 @@
         """
         Return the batch with all rows that have been added.
         """
-        shard = self._shard
-        jobs = [shard.jobs[job_id] for job_id in self._job_ids]
+        jobs = [self._shard.jobs[job_id] for job_id in self._job_ids]
         return Batch(
             writes=self._writes,
             removals=removals,
             progress=self._progress,
             job_ids=tuple(self._job_ids),
             ended_jobs=tuple(job for job in jobs if job.end_phase is not None),
-            is_complete=len(jobs) == len(shard.dirty),
-            processed_numbers={
-                worker: (worker.entry.incarnation_ms, worker.processed_number)
-                for worker in shard.workers.values()
-            },
         )
--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -8,12 +8,12 @@
 
 from hawthornpier.fleet._commit_batch import Batch, BatchBuilder
 from hawthornpier.fleet._divided_rows import row_owner
+from hawthornpier.fleet._durable_ends import DurableEnds
 from hawthornpier.fleet._interference import EffectRow
 from hawthornpier.fleet._rejected_rows import RejectedRows
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import OwnershipTimings
 from hawthornpier.fleet._worker_rows import WORKERS_KEY, RecordedWorkers
-from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.fleet._writer import PROGRESS_TABLE, RowKey, ShardWriter
 from hawthornpier.ports import StoreError, StoreRejectedError
 from hawthornpier.steps import encode_phase
@@ -49,6 +49,7 @@
         self._shard = shard
         self._writer = writer
         self._timings = timings
+        self._durable_ends = DurableEnds(shard)
         self._rejected = RejectedRows(shard)
         self._retry_ms: float = timings.retry_min_ms
         self._effects_written_ms = shard.now_ms
@@ -133,6 +134,7 @@
 
     def _build_batch(self) -> Batch:
         shard = self._shard
+        self._durable_ends.collect()
         builder = BatchBuilder(shard, row_limit=self._rejected.row_limit)
         is_reduced = self._rejected.is_batch_reduced
         for worker_key, content in self.recorded_workers.changed():
@@ -174,25 +176,7 @@
         del shard.removed_rows[: len(batch.removals)]
         for job in batch.ended_jobs:
             job.is_stored = True
-        if batch.is_complete:
-            self._acknowledge(batch.processed_numbers)
-
-    def _acknowledge(
-        self, processed_numbers: dict[WorkerState, tuple[int, int]]
-    ) -> None:
-        """
-        Let the next renewals acknowledge the ended runs that are now durable.
-
-        Args:
-            processed_numbers: By worker, its incarnation and the number of the
-                last ended run applied, both as of the start of the write.
-        """
-        for worker in self._shard.workers.values():
-            incarnation_ms, number = processed_numbers.get(worker, (0, 0))
-            is_newer = number > worker.acknowledged_number
-            if worker.entry.incarnation_ms == incarnation_ms and is_newer:
-                worker.acknowledged_number = number
-                worker.acknowledged.set()
+        self._durable_ends.confirm(batch.job_ids)
 
 
 def _encode_effects(effects: list[EffectRow], max_bytes: int) -> bytes:
--- a/src/hawthornpier/fleet/_job_index.py
+++ b/src/hawthornpier/fleet/_job_index.py
@@ -5,6 +5,7 @@
 import functools
 from collections.abc import Iterator, Sequence
 
+from hawthornpier.fleet._changed_jobs import ChangedJobs
 from hawthornpier.fleet._divided_rows import DividedRows
 from hawthornpier.fleet._durations import DurationEstimator
 from hawthornpier.ports import Clock
@@ -31,7 +32,7 @@
         self.durations = DurationEstimator()
         # Jobs whose progress has to be written, and jobs in a write that
         # has not succeeded yet.
-        self.dirty: set[str] = set()
+        self.dirty = ChangedJobs()
         self.writing: set[str] = set()
         # The queues of the current configuration, by name.
         self.queues: dict[str, QueuePolicy] = {}
--- a/src/hawthornpier/fleet/_rejected_rows.py
+++ b/src/hawthornpier/fleet/_rejected_rows.py
@@ -52,11 +52,11 @@
 
     def writable_jobs(self) -> list[str]:
         """
-        Return the jobs with changes that are not held back.
+        Return the jobs with changes that are not held back, oldest first.
         """
-        return sorted(
+        return [
             job_id for job_id in self._shard.dirty if not self.is_held(job_id)
-        )
+        ]
 
     def is_held(self, name: str) -> bool:
         """
--- /dev/null
+++ b/tests/test_fleet_commit_order.py
@@ -0,0 +1,76 @@
+"""
+Tests of which changes an owner writes first while it has more than fit.
+"""
+
+import dataclasses
+
+from test_fleet_ends import PLAN, add_worker, shard_with
+
+from hawthornpier.fleet import OwnershipTimings
+from hawthornpier.fleet._commit_batch import ROW_COUNT_MAX
+from hawthornpier.fleet._commits import Committer
+from hawthornpier.fleet._writer import PROGRESS_TABLE
+
+LAST_ID = 'f' * 16
+
+
+class _Owner:
+    """
+    The writes of an owner of many jobs; all but one change all the time.
+    """
+
+    def __init__(self):
+        self.shard = shard_with(PLAN)
+        self.shard.dirty.clear()
+        self.worker = add_worker(self.shard)
+        self.written = []
+        self.committer = Committer(self.shard, self, timings=OwnershipTimings())
+        self.busy = [f'{number:016x}' for number in range(3 * ROW_COUNT_MAX)]
+        for job_id in (*self.busy, LAST_ID):
+            self.shard.add_job(dataclasses.replace(PLAN, job_id=job_id))
+
+    async def write(self, writes, removals=()):
+        self.written.append(
+            {key for table, key in writes if table == PROGRESS_TABLE}
+        )
+
+    async def commit_while_jobs_change(self, count):
+        for _ in range(count):
+            for job_id in self.busy:
+                self.shard.dirty.add(job_id)
+                task = next(self.shard.jobs[job_id].tasks())
+                task.checkpoint = f'{task.checkpoint}.'
+            await self.committer._write()
+
+
+class TestBacklogOfChanges:
+    """
+    Changes are written in the order in which they came.
+    """
+
+    async def test_jobs_that_change_often_do_not_starve_another(self):
+        owner = _Owner()
+        owner.shard.dirty.add(LAST_ID)
+        await owner.commit_while_jobs_change(5)
+        assert LAST_ID in set().union(*owner.written)
+
+    async def test_ends_are_acknowledged_although_jobs_change(self):
+        """
+        Guards against workers that keep their ended runs as long as some job
+        has changes.
+        """
+        owner = _Owner()
+        owner.worker.processed_number = 7
+        await owner.commit_while_jobs_change(10)
+        assert owner.worker.acknowledged_number == 7
+
+    async def test_ends_are_not_acknowledged_before_they_are_stored(self):
+        owner = _Owner()
+        owner.shard.dirty.update([*owner.busy, LAST_ID])
+        owner.worker.processed_number = 7
+        unstored = {*owner.busy, LAST_ID}
+        while unstored:
+            assert not owner.worker.acknowledged_number
+            await owner.committer._write()
+            unstored -= owner.written[-1]
+        assert owner.worker.acknowledged_number == 7
