Shed requests that are retried after their owner has closed

What callers see: a request whose worker rejects the epoch of a deposed owner gets no answer, ever; its process does not end gracefully while it is open.

Cause: whether the owner is open is checked once, as a request arrives. A later attempt was queued at the policy of the closed owner, which no part asks any more, not even for deadlines.

Change: the dispatcher sheds requests that arrive after it was closed, as it already sheds the queued ones.

The new test failed before with TimeoutError after 5 s of virtual time.

--- a/src/hawthornpier/owner/_dispatch.py
+++ b/src/hawthornpier/owner/_dispatch.py
@@ -51,6 +51,7 @@
         ] = {}
         self._slot_holder_ids: set[str] = set()
         self._is_applying = False
+        self._is_closed = False
 
     async def place(
         self,
@@ -66,7 +67,11 @@
 
         If the decision is a `PlaceRequest`, a slot of the worker is reserved
         until `release` is called.  *deadline_ms* is monotonic time.
+
+        After `close`, the request is shed at once.
         """
+        if self._is_closed:
+            return _shed_without_worker(request_id)
         future: asyncio.Future[PlaceRequest | ShedRequest] = (
             asyncio.get_running_loop().create_future()
         )
@@ -132,12 +137,14 @@
         now_ms = self._clock.monotonic_ms()
         for request_id in tuple(self._futures):
             self.policy.cancel_request(request_id, now_ms)
-            self._resolve_waiting(
-                ShedRequest(
-                    request_id=request_id,
-                    reason=ShedReason.NO_WORKER,
-                ),
-            )
+            self._resolve_waiting(_shed_without_worker(request_id))
+
+    def close(self) -> None:
+        """
+        Shed every queued request, and all later ones as they arrive.
+        """
+        self._is_closed = True
+        self.shed_all()
 
     @property
     def waiting_count(self) -> int:
@@ -204,3 +211,7 @@
                 0,
                 now_ms,
             )
+
+
+def _shed_without_worker(request_id: str) -> ShedRequest:
+    return ShedRequest(request_id=request_id, reason=ShedReason.NO_WORKER)
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -192,7 +192,7 @@
         """
         self._is_open = False
         self.jobs.runner.close()
-        self._dispatcher.shed_all()
+        self._dispatcher.close()
         while self._in_flight_count:
             await self._clock.sleep_ms(self._timing.tick_interval_ms)
 
@@ -202,7 +202,7 @@
         """
         self._is_open = False
         self.jobs.runner.close()
-        self._dispatcher.shed_all()
+        self._dispatcher.close()
         await self._tasks.cancel()
 
     # Work.
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -465,7 +465,10 @@
         await self.clock.sleep_ms(2_000)
         for process in self.processes.values():
             await process.kill()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        # With a limit, a call that never ends fails the test; without one, the
+        # loop would idle.
+        async with asyncio.timeout(limit_ms / 1000):
+            await asyncio.gather(*self._tasks, return_exceptions=True)
         return check_history(self.history)
 
     def spawn(
--- a/tests/test_owner_requests.py
+++ b/tests/test_owner_requests.py
@@ -109,6 +109,25 @@
             isinstance(outcome, Answer) for outcome in run_virtual(scenario())
         )
 
+    def test_request_refused_after_the_owner_closed_ends(self) -> None:
+        """
+        Guards against a retry that waits in the queue of a closed owner.
+        """
+
+        async def scenario() -> object:
+            harness = OwnerHarness(worker_count=1)
+            owner = await harness.new_owner()
+            worker = harness.workers['w0']
+            worker.apply_faults(WorkerFaults(delivery_delay_ms=500))
+            pending = asyncio.ensure_future(owner.serve(request_of('a')))
+            await harness.clock.sleep_ms(100)
+            worker.apply_faults(WorkerFaults())
+            await harness.new_owner()
+            await owner.close()
+            return await asyncio.wait_for(pending, 5)
+
+        assert isinstance(run_virtual(scenario()), NotRun)
+
 
 class TestKeyedRequests:
     """
