Start no background task of a shard after its owner has closed

What operators see: polls of a worker every few hundred milliseconds, for as long as the process lives, for each request whose reply was lost as its shard was lost.

Cause: a request that was in flight when its owner closed started its poll after the background tasks had been cancelled. The link of a closed owner never becomes lost, so that polls of a worker that is gone have no end.

Change: tasks that are started after the cancellation are discarded.

The new test failed before: 60 s after the close, RequestServer._release_when_ended was still running.

--- a/src/hawthornpier/owner/_background_tasks.py
+++ b/src/hawthornpier/owner/_background_tasks.py
@@ -17,20 +17,26 @@
 
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._is_cancelled = False
 
-    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+    def spawn(self, coroutine: Coroutine[Any, Any, Any]) -> None:
         """
-        Run *coroutine* in the background.
+        Run *coroutine* in the background; after `cancel`, discard it.
         """
+        if self._is_cancelled:
+            coroutine.close()
+            return
         task = asyncio.get_running_loop().create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._finish)
-        return task
 
     async def cancel(self) -> None:
         """
         Cancel every task and wait until all have ended.
+
+        Later ones are not started.
         """
+        self._is_cancelled = True
         tasks = tuple(self._tasks)
         for task in tasks:
             task.cancel()
--- a/tests/test_owner_requests.py
+++ b/tests/test_owner_requests.py
@@ -128,6 +128,26 @@
 
         assert isinstance(run_virtual(scenario()), NotRun)
 
+    def test_closed_owner_polls_no_worker(self) -> None:
+        """
+        Guards against polls without end after the loss of a shard.
+        """
+
+        async def scenario() -> set[asyncio.Task[object]]:
+            harness = OwnerHarness(worker_count=1)
+            owner = await harness.new_owner()
+            worker = harness.workers['w0']
+            worker.apply_faults(WorkerFaults(is_silent=True))
+            pending = asyncio.ensure_future(owner.serve(request_of('a')))
+            await harness.clock.sleep_ms(100)
+            await owner.close()
+            assert isinstance(await pending, Unknown)
+            worker.apply_faults(WorkerFaults(is_dead=True))
+            await harness.clock.sleep_ms(60_000)
+            return asyncio.all_tasks() - {asyncio.current_task()}
+
+        assert not run_virtual(scenario())
+
 
 class TestKeyedRequests:
     """
