--- a/src/hawthornpier_standin/fleet/_store.py
+++ b/src/hawthornpier_standin/fleet/_store.py
@@ -275,6 +275,8 @@
 
     def __init__(self, store: StandinRowStore) -> None:
         self.fault = StoreFault.NONE
+        # Reads of these tables fail, whatever the fault.
+        self.unreadable_tables: set[str] = set()
         self._store = store
         self._late: set[asyncio.Task[None]] = set()
 
@@ -309,7 +311,7 @@
         """
         Return the rows of a partition with *first_key* <= key < *end_key*.
         """
-        await self._begin_call(_TIMEOUT_MS)
+        await self._begin_read(table)
         return self._store.page(table, part, first_key, end_key)
 
     async def changes(
@@ -322,7 +324,7 @@
         """
         Return the rows of a table that changed after a version.
         """
-        await self._begin_call(_TIMEOUT_MS)
+        await self._begin_read(table)
         page = await self._store.changes(table, after_version, wait_ms)
         if self.fault in {StoreFault.REFUSE, StoreFault.SILENT}:
             raise StoreUnavailableError(
@@ -330,6 +332,11 @@
             )
         return page
 
+    async def _begin_read(self, table: str) -> None:
+        await self._begin_call(_TIMEOUT_MS)
+        if table in self.unreadable_tables:
+            raise StoreUnavailableError('the table is not available')
+
     async def _begin_call(self, timeout_ms: float) -> None:
         self._store.call_count += 1
         await self._store.clock.sleep_ms(
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -67,6 +67,8 @@
         self.nodes = {}
         self.clients = {}
         self.models = {}
+        # The steps of each job.
+        self.steps = {}
         # By task, how many of its runs fail by their own fault.
         self.failures = {}
         self.log_lines = []
@@ -271,6 +273,7 @@
         """
         job_id = f'{len(self.models):016x}'
         plans = steps or (StepPlan(task_count=4, processor_millis=1_000),)
+        self.steps[job_id] = plans
         self.models[job_id] = [
             standin.TaskModel(
                 work_ms=work_ms,
--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -34,9 +34,20 @@
     Submits jobs and injects overlapping faults in one simulated installation.
     """
 
+    worker_count = 5
+    worker_faults = (
+        WorkerFault.PARTITIONED,
+        WorkerFault.PARTITIONED,
+        WorkerFault.STALLED,
+        WorkerFault.REFUSE,
+        WorkerFault.START_LATE,
+    )
+
     def __init__(self, seed):
         self.rng = random.Random(seed)
-        self.world = World(node_count=4, worker_count=5, seed=seed)
+        self.world = World(
+            node_count=4, worker_count=self.worker_count, seed=seed
+        )
         self.world.keeps_worker_id = bool(self.rng.randrange(2))
         self.accepted = []
         self.refused = []
@@ -184,15 +195,7 @@
 
     async def _fail_worker(self):
         worker = self.rng.choice(list(self.world.workers.values()))
-        worker.fault = self.rng.choice(
-            [
-                WorkerFault.PARTITIONED,
-                WorkerFault.PARTITIONED,
-                WorkerFault.STALLED,
-                WorkerFault.REFUSE,
-                WorkerFault.START_LATE,
-            ],
-        )
+        worker.fault = self.rng.choice(self.worker_faults)
         await self.world.run_for(self.rng.randint(500, 8_000))
         worker.fault = WorkerFault.NONE
 
@@ -201,7 +204,10 @@
         if worker.is_up:
             worker.crash()
             await self.world.run_for(self.rng.randint(100, 6_000))
-            worker.restart()
+            self._restart_as_new(worker)
+
+    def _restart_as_new(self, worker):
+        worker.restart()
 
 
 class _BudgetSoak(_Soak):
@@ -273,7 +279,7 @@
         worker = self.rng.choice(list(self.world.workers.values()))
         if worker.is_up:
             worker.crash()
-            worker.restart()
+            self._restart_as_new(worker)
 
 
 class TestFaultsTogether:
