Write the list of workers again if it returns to its earlier state

A worker with room stayed without starts for the rest of an owner's time, though it was registered, replied and listed its runs. A long-running task that fitted only there waited as long; in the reasons of waiting, the worker counted as unusable.

Cause: an owner starts nothing on a worker until the stored list names it. The list is compared with what was found to be stored last, and that was not brought up to date when a list was written. If a worker without runs lost its lease, so that a list without it was written, and was back before the next comparison, the list equalled the one stored before, and nothing was written. The time in between is 40 ms, and that of the write, seconds with a slow store.

Each write that has rows of the list invalidates what is known to be stored.

--- a/src/hawthornpier/fleet/_worker_rows.py
+++ b/src/hawthornpier/fleet/_worker_rows.py
@@ -57,8 +57,8 @@
         self._rows = DividedRows(WORKERS_KEY, shard.row_bytes)
         # The workers that the store's rows name, by row.
         self._stored: dict[str, frozenset[str]] = {}
-        # What the store's rows contain together.
-        self._stored_rows: frozenset[WorkerRow] = frozenset()
+        # What the store's rows contain together; None until that is known.
+        self._stored_rows: frozenset[WorkerRow] | None = None
 
     def restore(
         self, keys: Iterable[str], contents: Mapping[str, bytes]
@@ -100,6 +100,8 @@
         """
         Record that rows were written, by key; their workers may be used.
         """
+        if contents:
+            self._stored_rows = None
         self._rows.confirm(contents)
         self._mark(contents)
 
--- a/tests/test_fleet_held_work.py
+++ b/tests/test_fleet_held_work.py
@@ -256,6 +256,24 @@
             await committer._write()
         assert again.is_recorded
 
+    async def test_a_worker_that_returns_while_a_write_without_it_is_sent(self):
+        """
+        Guards against a worker that is never used, because the list was to be
+        written as it was before.
+        """
+        shard = shard_with(PLAN, epoch=1)
+        worker = usable(add_worker(shard))
+        committer = Committer(
+            shard, SimpleNamespace(write=_write), timings=OwnershipTimings()
+        )
+        for is_listed in (True, True, False):
+            worker.is_listed = is_listed
+            await committer._write()
+        worker.is_listed = True
+        for _ in range(3):
+            await committer._write()
+        assert worker.is_recorded
+
 
 async def _write(*_arguments, **_options):
     await asyncio.sleep(0)
