Write the list of workers again after a write of unknown outcome

A start could be sent to a worker that the stored list does not name. If the worker's entry in the registry has expired too, as behind a cut, the next owner does not know of its runs and may start their tasks a second time.

Cause: a list without a worker was written, and the reply was lost. The owner went on to take the list before it for the stored one: the worker, back by then, counted as named, and the list was not written again as nothing had changed. Progress of jobs is written again in that case; the list was left out.

The new test failed before ("assert not True", is_recorded).

After a write that failed, the rows of the list in it count as unknown, and only workers count as named that the rows name both before and after.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -122,6 +122,7 @@
             shard.dirty.update(batch.job_ids)
             for job_id, contents in batch.progress.items():
                 shard.progress_rows(job_id).forget(contents)
+            self.recorded_workers.forget(_rows_of_workers(batch))
             if not isinstance(error, StoreRejectedError):
                 raise
             await self._writer.write({})
@@ -164,13 +165,7 @@
         shard.writing.clear()
         for job_id, contents in batch.progress.items():
             shard.progress_rows(job_id).confirm(contents)
-        self.recorded_workers.confirm(
-            {
-                key: content
-                for key, content in batch.rows_of(FLEET_TABLE).items()
-                if row_owner(key) == WORKERS_KEY
-            }
-        )
+        self.recorded_workers.confirm(_rows_of_workers(batch))
         del shard.removed_rows[: len(batch.removals)]
         for job in batch.ended_jobs:
             job.is_stored = True
@@ -195,6 +190,14 @@
                 worker.acknowledged.set()
 
 
+def _rows_of_workers(batch: Batch) -> dict[str, bytes]:
+    return {
+        key: content
+        for key, content in batch.rows_of(FLEET_TABLE).items()
+        if row_owner(key) == WORKERS_KEY
+    }
+
+
 def _encode_effects(effects: list[EffectRow], max_bytes: int) -> bytes:
     """
     Encode the learned effects, leaving out the weakest if they are too many.
--- a/src/hawthornpier/fleet/_worker_rows.py
+++ b/src/hawthornpier/fleet/_worker_rows.py
@@ -71,8 +71,7 @@
             contents: The readable ones, by key.
         """
         self._rows.restore(keys)
-        self._rows.confirm(contents)
-        self._mark(contents)
+        self.confirm(contents)
 
     def changed(self) -> list[tuple[str, bytes]]:
         """
@@ -103,7 +102,23 @@
         if contents:
             self._stored_rows = None
         self._rows.confirm(contents)
-        self._mark(contents)
+        for key, content in contents.items():
+            self._stored[key] = _worker_ids(content)
+        self._mark()
+
+    def forget(self, contents: Mapping[str, bytes]) -> None:
+        """
+        Record that it is unknown whether rows were written, by key.
+
+        Only workers that they name both before and after may be used.
+        """
+        if contents:
+            self._stored_rows = None
+        self._rows.forget(contents)
+        for key, content in contents.items():
+            earlier_ids = self._stored.get(key, frozenset())
+            self._stored[key] = earlier_ids & _worker_ids(content)
+        self._mark()
 
     def _may_have_runs(self, worker: WorkerState) -> bool:
         """
@@ -117,16 +132,18 @@
             return True
         return worker.is_listed and not worker.is_leaving
 
-    def _mark(self, contents: Mapping[str, bytes]) -> None:
-        for key, content in contents.items():
-            rows = msgspec.json.decode(content, type=list[WorkerRow])
-            self._stored[key] = frozenset(row[0] for row in rows)
+    def _mark(self) -> None:
         recorded = frozenset().union(*self._stored.values())
         for worker in self._shard.workers.values():
             worker.is_recorded = worker.worker_id in recorded
         self._shard.wake.set()
 
 
+def _worker_ids(content: bytes) -> frozenset[str]:
+    rows = msgspec.json.decode(content, type=list[WorkerRow])
+    return frozenset(row[0] for row in rows)
+
+
 def _row_of(entry: WorkerEntry) -> WorkerRow:
     return (
         entry.worker_id,
--- a/tests/test_fleet_held_work.py
+++ b/tests/test_fleet_held_work.py
@@ -6,6 +6,7 @@
 import dataclasses
 from types import SimpleNamespace
 
+import pytest
 from test_fleet_ends import PLAN, add_worker, shard_with, task_key
 from test_fleet_evacuation import LONG_RUNNING, _entry, _Fleet
 
@@ -16,12 +17,14 @@
     Verdict,
     WorkerTimings,
 )
-from hawthornpier.fleet._commits import Committer
+from hawthornpier.fleet._commits import FLEET_TABLE, Committer
 from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._scheduler import Scheduler
 from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_registry import WorkerRegistry
+from hawthornpier.fleet._worker_rows import WORKERS_KEY
 from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.ports import StoreReplyLostError
 from hawthornpier.steps import (
     JobPlan,
     QueuePolicy,
@@ -32,6 +35,8 @@
     add_run,
 )
 
+ROW_OF_WORKERS = (FLEET_TABLE, WORKERS_KEY)
+
 
 def usable(worker):
     worker.is_listed = True
@@ -274,6 +279,41 @@
             await committer._write()
         assert worker.is_recorded
 
+    async def test_a_worker_that_returns_after_a_write_without_reply(self):
+        """
+        Guards against a next owner that does not know of a worker with runs.
+        """
+        shard = shard_with(PLAN, epoch=1)
+        worker = usable(add_worker(shard))
+        writer = _Writer()
+        committer = Committer(shard, writer, timings=OwnershipTimings())
+        await committer._write()
+        worker.is_listed = False
+        writer.loses_replies = True
+        with pytest.raises(StoreReplyLostError):
+            await committer._write()
+        assert not worker.is_recorded
+        worker.is_listed = True
+        writer.loses_replies = False
+        await committer._write()
+        assert worker.worker_id.encode() in writer.rows[ROW_OF_WORKERS]
+        assert worker.is_recorded
+
+
+class _Writer:
+    """
+    Applies writes, also those without a reply.
+    """
+
+    def __init__(self):
+        self.rows = {}
+        self.loses_replies = False
+
+    async def write(self, writes, _removals=(), **_options):
+        self.rows.update(writes)
+        if self.loses_replies:
+            raise StoreReplyLostError('no reply')
+
 
 async def _write(*_arguments, **_options):
     await asyncio.sleep(0)
