Do not prolong a quarantine by failures of runs from before it

Long-running tasks waited for up to 10 s beside workers whose runs had failed for three seconds only.

Cause: while a worker was quarantined, each further failure quarantined it again, for twice as long. Runs that had been started before fail soon after each other, so one burst led from 1.5 s to the limit of 12 s. The longer times are meant for workers that fail again once they are tried.

A failure prolongs a quarantine only if its run was started after the last one had ended. What remains: workers that fail for over 10 s in trials reach the limit of 12 s, and a long-running task then waits beside them for as long.

--- a/src/hawthornpier/fleet/_health.py
+++ b/src/hawthornpier/fleet/_health.py
@@ -71,7 +71,7 @@
         self._outcomes.append((job_id, kind is RunOutcome.FAILED))
         if kind is RunOutcome.FAILED:
             self._suspect_until_ms = now_ms + _SUSPICION_MS
-            return self._quarantine_if_failing(now_ms)
+            return self._quarantine_if_failing(run, now_ms)
         return False
 
     def record_ready_run(self, run: Run) -> None:
@@ -141,7 +141,13 @@
             return HealthStatus.SUSPECT
         return HealthStatus.HEALTHY
 
-    def _quarantine_if_failing(self, now_ms: float) -> bool:
+    def _quarantine_if_failing(self, run: Run, now_ms: float) -> bool:
+        if self._is_quarantined:
+            # A run from before the quarantine tells nothing new.
+            is_new = run.started_ms >= self._quarantined_until_ms
+            if is_new:
+                self.quarantine(now_ms)
+            return is_new
         failed_jobs = {
             job_id for job_id, is_failed in self._outcomes if is_failed
         }
@@ -151,7 +157,6 @@
             and len(failed_jobs) >= 2
             and failures * 2 >= len(self._outcomes)
         )
-        if is_bad or self._is_quarantined:
+        if is_bad:
             self.quarantine(now_ms)
-            return True
-        return False
+        return is_bad
--- a/tests/test_fleet_probation.py
+++ b/tests/test_fleet_probation.py
@@ -15,6 +15,8 @@
     is_lasting=True,
 )
 SHORT = StepPlan(task_count=2, processor_millis=1_000)
+# The quarantine after a run that fails on probation, and the start after it.
+QUARANTINE_MS = 3_000 + 500
 # The longest quarantine and the time for a trial of the worker after it.
 LIMIT_MS = 12_000 + 2_000
 
@@ -72,6 +74,22 @@
             task.startswith(job.job_id) for task, _ in world.checker.running
         )
 
+    async def test_failures_from_before_a_quarantine_do_not_prolong_it(
+        self, world
+    ):
+        """
+        Guards against tasks that wait for seconds beside workers that have
+        failed only for a moment.
+        """
+        await self._fail_on_all_workers(world)
+        world.recover_workers()
+        plan = world.plan(LASTING)
+        await world.any_node().entry.submit(plan)
+        await world.run_for(QUARANTINE_MS)
+        assert all(
+            world.workers_of(f'{plan.job_id}.0.0.{index}') for index in range(2)
+        )
+
     async def _fail_on_all_workers(self, world, *steps):
         await world.wait_first_owner()
         if steps:
