Let a late start reach only the worker that it names

The simulated worker carried out a late start also after it had restarted under another id, though the start names the id that was given up.

A late start is dropped if the id has changed meanwhile, as a request that arrives then is. A restart under the same id still carries it out. The new test failed before ("assert not {...}").

--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -213,7 +213,9 @@
         """
         Start a run after `late_delay_ms`, when the owner has given up.
         """
-        late = asyncio.ensure_future(self._start_late(order))
+        late = asyncio.ensure_future(
+            self._start_late(order, self.entry.worker_id)
+        )
         self._late.add(late)
         late.add_done_callback(self._late.discard)
 
@@ -248,11 +250,11 @@
         run.speed_percent = percent
         return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=self.clock_ms)
 
-    async def _start_late(self, order: StartOrder) -> None:
+    async def _start_late(self, order: StartOrder, worker_id: str) -> None:
         # A start request names the worker but not its incarnation, so it takes
-        # effect even if the worker restarts in the meantime.
+        # effect even if the worker restarts under its id in the meantime.
         await self._clock.sleep_ms(self.late_delay_ms)
-        if self.is_up:
+        if self.is_up and self.entry.worker_id == worker_id:
             self.start(order)
 
     def _extend(self, deadline_clock_ms: int) -> None:
--- a/tests/test_fleet_oracle.py
+++ b/tests/test_fleet_oracle.py
@@ -8,6 +8,7 @@
 from fleet_oracle import FleetOracle
 from fleet_world import World
 
+from hawthornpier import fleet
 from hawthornpier.steps import RunOutcome, StepPlan
 
 LASTING = StepPlan(task_count=2, processor_millis=3_000, is_lasting=True)
@@ -70,5 +71,28 @@
         return FleetOracle(world, {plan.job_id}.__contains__)
 
 
+@virtual_tests(World)
+class TestLateStart:
+    """
+    A late start reaches the worker that it names.
+    """
+
+    options = {'worker_count': 1}
+
+    async def test_another_worker_at_the_same_address(self, world):
+        worker = world.workers['w0']
+        order = fleet.StartOrder(
+            task_key=f'{world.plan().job_id}.0.0.0',
+            attempt=1,
+            payload='',
+            epoch=1,
+            deadline_clock_ms=60_000,
+        )
+        worker.start_late(order)
+        worker.restart('another')
+        await world.run_for(worker.late_delay_ms + 100)
+        assert not worker.runs
+
+
 def _frozen(listing):
     return lambda: listing
