Give up a relay that answers no calls

An owner on a small host sends its requests to workers through relays. If messages of a relay arrived but those to it did not, the owner took the relay for alive: every call through it failed after its time limit, the leases of all workers behind it lapsed, and their running work was started again elsewhere, although other relays reach these workers. That lasted as long as the messages took to arrive, which after an interruption can be as long again, as TCP repeats them at growing intervals.

A connection counted as alive by what the relay sends by itself. It now ends, too, once a call has exceeded its time limit and the relay has answered none since the call was made. A relay answers each call before the owner's time limit, with a failure if need be.

test_a_relay_that_hears_nothing_loses_no_run failed before: "assert 20 == 12", the number of starts of 12 tasks; so did test_a_relay_that_answers_no_call_is_given_up. test_a_relay_that_answers_other_calls_is_kept holds before and after.

--- a/src/hawthornpier/fleet/_relay_channel.py
+++ b/src/hawthornpier/fleet/_relay_channel.py
@@ -64,9 +64,10 @@
 @dataclass(slots=True)
 class _PendingCall:
     """
-    A call without an answer; *deadline_ms* is in active time.
+    A call without an answer; the times are in active time.
     """
 
+    made_ms: float
     deadline_ms: float
     future: 'asyncio.Future[WorkerListing | OrderReply]'
 
@@ -87,6 +88,8 @@
         self._clock = clock
         self._active = ActiveTime(clock, _MAX_STEP_MS)
         self._heard_ms = self._active.read_ms()
+        # When the relay last answered a call.
+        self._answered_ms = self._heard_ms
         self._numbers = itertools.count(1)
         self._contacts: dict[tuple[str, int, str], int] = {}
         self._pending: dict[int, _PendingCall] = {}
@@ -148,8 +151,10 @@
             ),
         )
         self._has_calls.set()
+        made_ms = self._active.read_ms()
         pending = _PendingCall(
-            self._active.read_ms() + timeout_ms,
+            made_ms,
+            made_ms + timeout_ms,
             asyncio.get_running_loop().create_future(),
         )
         self._pending[number] = pending
@@ -208,6 +213,8 @@
             self._heard_ms = self._active.read_ms()
             batch = decode_json(content, AnswerBatch, subject='batch')
             self.is_leaving = batch.is_leaving
+            if batch.answers:
+                self._answered_ms = self._heard_ms
             for answer in batch.answers:
                 pending = self._pending.get(answer.number)
                 if pending is not None and not pending.future.done():
@@ -219,9 +226,17 @@
             now_ms = self._active.read_ms()
             if now_ms - self._heard_ms > _SILENCE_MS:
                 return 'the relay does not respond'
-            for pending in tuple(self._pending.values()):
-                if now_ms > pending.deadline_ms:
-                    _fail(pending.future, 'no reply through the relay')
+            expired = [
+                pending
+                for pending in self._pending.values()
+                if now_ms > pending.deadline_ms
+            ]
+            for pending in expired:
+                _fail(pending.future, 'no reply through the relay')
+            # Messages of the relay may arrive although those to it do not, and
+            # repetitions of the latter may take as long as they did not.
+            if any(each.made_ms >= self._answered_ms for each in expired):
+                return 'the relay does not answer calls'
 
     def _close(self) -> None:
         self.is_open = False
--- a/tests/fleet_connections.py
+++ b/tests/fleet_connections.py
@@ -175,7 +175,7 @@
     An owner's connection to a relay in the same event loop.
 
     Nothing passes while one of the processes is partitioned or the relay is
-    frozen; what was sent then arrives afterwards.
+    frozen, nor to a relay that is deaf; what was sent then arrives afterwards.
     """
 
     def __init__(self, world, origin, address):
@@ -216,6 +216,6 @@
         while True:
             content = await self._outbox.get()
             await asyncio.sleep(0.001)
-            while self._is_blocked:
+            while self._is_blocked or self._relay.is_deaf:
                 await asyncio.sleep(0.005)
             self._session.receive(content)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -42,6 +42,8 @@
     is_dead = False
     is_partitioned = False
     is_frozen = False
+    # Whether no message of the owner reaches it, though its own ones arrive.
+    is_deaf = False
 
 
 class World:
@@ -224,7 +226,7 @@
     async def _connect_relay(self, origin, address):
         await asyncio.sleep(0.001)
         relay = self.nodes.get(address)
-        if relay is None or relay.is_dead or relay.is_frozen:
+        if relay is None or relay.is_dead or relay.is_frozen or relay.is_deaf:
             raise PeerUnreachableError('refused')
         return LocalRelaySocket(self, origin, address)
 
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -28,6 +28,7 @@
 )
 from hawthornpier.fleet._relay_channel import RelayChannel
 from hawthornpier.fleet._relay_messages import (
+    Answer,
     AnswerBatch,
     Call,
     CallBatch,
@@ -304,6 +305,47 @@
 
         run_virtual(scenario())
 
+    def test_a_relay_that_answers_no_call_is_given_up(self):
+        """
+        Guards against workers that stay out of reach behind such a relay.
+        """
+
+        async def scenario():
+            socket = QuietSocket()
+            channel = RelayChannel(socket, VirtualClock())
+            end = asyncio.ensure_future(channel.run())
+            call = asyncio.ensure_future(channel.call(ENTRY, ORDER, 700))
+            for _ in range(10):
+                socket.inbox.put_nowait(msgspec.json.encode(AnswerBatch()))
+                await asyncio.sleep(0.15)
+            with pytest.raises(WorkerReplyLostError):
+                await call
+            assert end.done()
+
+        run_virtual(scenario())
+
+    def test_a_relay_that_answers_other_calls_is_kept(self):
+        """
+        Guards against one late answer that ends the calls to many workers.
+        """
+
+        async def scenario():
+            socket = QuietSocket()
+            channel = RelayChannel(socket, VirtualClock())
+            end = asyncio.ensure_future(channel.run())
+            call = asyncio.ensure_future(channel.call(ENTRY, ORDER, 700))
+            reply = OrderReply(verdict=Verdict.ACCEPTED, clock_ms=7)
+            batch = AnswerBatch(answers=(Answer(number=99, result=reply),))
+            for _ in range(10):
+                socket.inbox.put_nowait(msgspec.json.encode(batch))
+                await asyncio.sleep(0.15)
+            with pytest.raises(WorkerReplyLostError):
+                await call
+            assert not end.done()
+            end.cancel()
+
+        run_virtual(scenario())
+
     def test_calls_on_an_ended_connection_are_not_sent(self):
         """
         Guards against a task that waits because its start counts as sent.
@@ -400,6 +442,18 @@
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
         assert world.checker.started_count == 12
 
+    async def test_a_relay_that_hears_nothing_loses_no_run(self, world):
+        """
+        Guards against leases that lapse behind a relay that seems alive.
+        """
+        plan = await self._begin_long_job(world)
+        relay = self._relays(world)[0]
+        relay.is_deaf = True
+        await world.run_for(7_000)
+        relay.is_deaf = False
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 12
+
     async def test_starts_through_a_frozen_relay_run_once(self, world):
         """
         Guards against a task that runs twice: elsewhere and by a late start.
