Let the last calls through an unneeded relay be answered

An owner uses relays while its workers are more than its host can serve. Workers that have left count until their leases are over, so that a release or a failure of some hosts takes the number across that limit and back. When it fell below, the owner closed the connections to all relays at once. Each call on its way failed: all workers counted as unresponsive until their next renewal, starts as possibly executed, and as evidence that their task crashes its worker.

A relay that is not needed any more gets no new calls. Its connection is now kept until the others have their answers, three seconds at most by their time limits.

test_their_last_calls_are_answered failed before: workers w1 and w2 were lost as w0 left.

--- a/src/hawthornpier/fleet/_relay_channel.py
+++ b/src/hawthornpier/fleet/_relay_channel.py
@@ -100,6 +100,13 @@
         self._ended_contacts: list[int] = []
         self._has_calls = asyncio.Event()
 
+    @property
+    def is_idle(self) -> bool:
+        """
+        Return whether no call awaits an answer.
+        """
+        return not self._pending
+
     async def run(self) -> str:
         """
         Exchange messages until the connection ends.
--- a/src/hawthornpier/fleet/_relay_pool.py
+++ b/src/hawthornpier/fleet/_relay_pool.py
@@ -144,7 +144,10 @@
             for address in addresses
         }
         for address in self._keepers.keys() - wanted:
-            self._keepers.pop(address).cancel()
+            channel = self._channels.get(address)
+            # Otherwise its last calls are answered first.
+            if channel is None or channel.is_idle:
+                self._keepers.pop(address).cancel()
         for address in wanted - self._keepers.keys():
             self._keepers[address] = asyncio.ensure_future(
                 self._keep_connected(address),
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 from fake_store import virtual_tests
-from fleet_world import World
+from fleet_world import REGISTRY, World
 from hypothesis import given
 from hypothesis import strategies as st
 from virtual_time import JumpingClock, VirtualClock, run_virtual
@@ -494,3 +494,29 @@
     def _relays(self, world):
         owner = world.owner()
         return [each for each in world.nodes.values() if each is not owner]
+
+
+@virtual_tests(World)
+class TestUnneededRelays:
+    """
+    The owner uses relays only while it has many workers.
+    """
+
+    options = {'cores': SMALL_CORES, 'worker_count': 3}
+
+    async def test_their_last_calls_are_answered(self, world):
+        """
+        Guards against workers that seem unresponsive when one of them leaves.
+        """
+        await world.run_for(5_000)
+        leaving = world.workers['w0']
+        leaving.crash()
+        world.store.remove(REGISTRY, 'w0')
+        await world.wait_until(lambda: world.has_logged('worker_gone'))
+        await world.run_for(3_000)
+        lost = {
+            fields['worker']
+            for _, kind, fields in world.log_lines
+            if kind == 'worker_lost'
+        }
+        assert lost == {'w0'}
