Reach a worker another way if its relay does not

A worker that had lost the path to its relay, but not to other hosts, counted as unresponsive for as long: every request went through the first relay that was connected. After five seconds its lease had lapsed, and its running work was started again elsewhere. Meanwhile nothing was started there, whatever its room.

After two calls in a row without a reply through one relay, the worker's requests now go through the next of its relays, or directly, for three seconds. Then the first one is tried again. Orders stay safe on two paths as before on a change of the relay: they carry their deadline and attempt, and workers reject what is late.

test_a_relay_that_reaches_no_worker_loses_no_run failed before: "assert 20 == 12", the number of starts of 12 tasks.

--- a/src/hawthornpier/fleet/_relay_pool.py
+++ b/src/hawthornpier/fleet/_relay_pool.py
@@ -3,7 +3,8 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterable
+import collections
+from collections.abc import Callable, Container, Iterable
 from functools import partial
 from typing import Protocol
 
@@ -29,7 +30,12 @@
 from hawthornpier.fleet._relay_messages import Request, SpeedOrder, StopOrder
 from hawthornpier.fleet._timings import WorkerTimings
 from hawthornpier.fleet._writer import ProcessCard
-from hawthornpier.ports import Clock, PeerError, WorkerReplyLostError
+from hawthornpier.ports import (
+    Clock,
+    PeerError,
+    WorkerError,
+    WorkerReplyLostError,
+)
 
 _REFRESH_INTERVAL_MS = 500.0
 _RECONNECT_MS = 300.0
@@ -38,6 +44,10 @@
 _FIRST_CONNECTIONS_MS = 800.0
 # The relay detects a lost reply first; this is added to its time limit.
 _RELAY_SLACK_MS = 200.0
+# After as many calls in a row without a reply, a worker is reached another way
+# for this long: the relay may be parted from it.
+_MAX_FAILURE_COUNT = 2
+_AVOIDANCE_MS = 3_000.0
 
 
 class RelayConnector(Protocol):
@@ -85,7 +95,7 @@
         self._dial = dial
         self._card = card
         self._cards = cards
-        self._clock = clock
+        self.clock = clock
         self._log = log
         self._assigned: dict[str, tuple[str, ...]] = {}
         self._channels: dict[str, RelayChannel] = {}
@@ -109,14 +119,20 @@
         try:
             while True:
                 self._refresh(tuple(places()))
-                await self._clock.sleep_ms(_REFRESH_INTERVAL_MS)
+                await self.clock.sleep_ms(_REFRESH_INTERVAL_MS)
         finally:
             for keeper in self._keepers.values():
                 keeper.cancel()
 
-    async def channel(self, worker_id: str) -> RelayChannel | None:
+    async def channel(
+        self, worker_id: str, avoided: Container[RelayChannel]
+    ) -> RelayChannel | None:
         """
         Return the connection to a worker's relay, or None if it has none.
+
+        Args:
+            worker_id: The worker.
+            avoided: Connections that are not returned.
         """
         if not self._is_ready.is_set():
             try:
@@ -126,7 +142,9 @@
                 self._is_ready.set()
         for address in self._assigned.get(worker_id, ()):
             channel = self._channels.get(address)
-            if channel and channel.is_open and not channel.is_leaving:
+            if channel is None or channel in avoided:
+                continue
+            if channel.is_open and not channel.is_leaving:
                 return channel
         return None
 
@@ -169,13 +187,13 @@
                 )
             self._tried.add(address)
             self._update_readiness()
-            await self._clock.sleep_ms(_RECONNECT_MS)
+            await self.clock.sleep_ms(_RECONNECT_MS)
 
     async def _connect_once(self, address: str) -> None:
         await self._use(address, await self._connect(address))
 
     async def _use(self, address: str, socket: RelaySocket) -> None:
-        channel = RelayChannel(socket, self._clock)
+        channel = RelayChannel(socket, self.clock)
         self._channels[address] = channel
         self._tried.add(address)
         self._update_readiness()
@@ -196,7 +214,7 @@
     A client of one incarnation of a worker; implements `FleetWorker`.
 
     Each request goes through the worker's relay, or straight to the worker
-    while no relay is connected.
+    while no relay is connected or none of them seems to reach it.
 
     Args:
         entry: The worker according to the registry.
@@ -215,6 +233,12 @@
         self._dial = dial
         self._channel: RelayChannel | None = None
         self._direct: FleetWorker | None = None
+        # By connection: its calls in a row without a reply.
+        self._failure_counts: collections.Counter[RelayChannel] = (
+            collections.Counter()
+        )
+        # Until when connections are not used, by the monotonic clock.
+        self._avoided_until_ms: dict[RelayChannel, float] = {}
 
     async def renew(self, renewal: Renewal) -> WorkerListing | Verdict:
         """
@@ -226,8 +250,8 @@
         channel = await self._current_channel()
         if channel is None:
             return await self._direct_client().renew(renewal)
-        reply = await channel.call(
-            self._entry,
+        reply = await self._call(
+            channel,
             renewal,
             renewal.wait_ms
             + self._pool.timings.renewal_slack_ms
@@ -291,8 +315,8 @@
     async def _send_order(
         self, channel: RelayChannel, order: Request
     ) -> OrderReply:
-        reply = await channel.call(
-            self._entry,
+        reply = await self._call(
+            channel,
             order,
             self._pool.timings.order_timeout_ms + _RELAY_SLACK_MS,
         )
@@ -300,8 +324,35 @@
             raise WorkerReplyLostError('the relay sent another kind of reply')
         return reply
 
+    async def _call(
+        self, channel: RelayChannel, request: Request, timeout_ms: float
+    ) -> WorkerListing | OrderReply:
+        try:
+            reply = await channel.call(self._entry, request, timeout_ms)
+        except WorkerError:
+            self._record_failure(channel)
+            raise
+        self._failure_counts.pop(channel, None)
+        return reply
+
+    def _record_failure(self, channel: RelayChannel) -> None:
+        self._failure_counts[channel] += 1
+        if self._failure_counts[channel] >= _MAX_FAILURE_COUNT:
+            self._failure_counts.pop(channel)
+            self._avoided_until_ms[channel] = (
+                self._pool.clock.monotonic_ms() + _AVOIDANCE_MS
+            )
+
     async def _current_channel(self) -> RelayChannel | None:
-        channel = await self._pool.channel(self._entry.worker_id)
+        now_ms = self._pool.clock.monotonic_ms()
+        self._avoided_until_ms = {
+            channel: until_ms
+            for channel, until_ms in self._avoided_until_ms.items()
+            if now_ms < until_ms
+        }
+        channel = await self._pool.channel(
+            self._entry.worker_id, self._avoided_until_ms
+        )
         if channel is not self._channel:
             self._leave_channel()
             self._channel = channel
--- a/tests/fleet_connections.py
+++ b/tests/fleet_connections.py
@@ -161,7 +161,8 @@
 
         async def call(*arguments):
             await thaw(self._node)
-            if self._node.is_partitioned != self._is_beside():
+            is_apart = self._node.is_partitioned != self._is_beside()
+            if is_apart or not self._node.reaches_workers:
                 await asyncio.sleep(0.7)
                 raise WorkerReplyLostError('timed out')
             return await call_when_thawed(self._node, method, *arguments)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -44,6 +44,7 @@
     is_frozen = False
     # Whether no message of the owner reaches it, though its own ones arrive.
     is_deaf = False
+    reaches_workers = True
 
 
 class World:
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -454,6 +454,18 @@
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
         assert world.checker.started_count == 12
 
+    async def test_a_relay_that_reaches_no_worker_loses_no_run(self, world):
+        """
+        Guards against leases that lapse although another path is open.
+        """
+        plan = await self._begin_long_job(world)
+        relay = self._relays(world)[0]
+        relay.reaches_workers = False
+        await world.run_for(7_000)
+        relay.reaches_workers = True
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 12
+
     async def test_starts_through_a_frozen_relay_run_once(self, world):
         """
         Guards against a task that runs twice: elsewhere and by a late start.
