--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -398,6 +398,18 @@
         assert meter.delay_ms(200, 90_900) == 800
         assert meter.delay_ms(300, 90_190) == 0
 
+    def test_clocks_of_different_rates(self):
+        """
+        Guards against a relay that rejects every call after some hours.
+        """
+        meter = TransitMeter()
+        delays_ms = [
+            meter.delay_ms(sent_ms, sent_ms * 1.0005)
+            for sent_ms in range(0, 4 * 3_600_000, 1_000)
+        ]
+        assert max(delays_ms) < 1
+        assert meter.delay_ms(4 * 3_600_000, 4 * 3_600_000 * 1.0005 + 600) > 500
+
 
 @virtual_tests(World)
 class TestRelayFaults:
