--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 from fake_store import virtual_tests
-from fleet_world import World
+from fleet_world import REGISTRY, World
 from hypothesis import given
 from hypothesis import strategies as st
 from virtual_time import JumpingClock, VirtualClock, run_virtual
@@ -28,6 +28,7 @@
 )
 from hawthornpier.fleet._relay_channel import RelayChannel
 from hawthornpier.fleet._relay_messages import (
+    Answer,
     AnswerBatch,
     Call,
     CallBatch,
@@ -304,6 +305,47 @@
 
         run_virtual(scenario())
 
+    def test_a_relay_that_answers_no_call_is_given_up(self):
+        """
+        Guards against workers that stay out of reach behind such a relay.
+        """
+
+        async def scenario():
+            socket = QuietSocket()
+            channel = RelayChannel(socket, VirtualClock())
+            end = asyncio.ensure_future(channel.run())
+            call = asyncio.ensure_future(channel.call(ENTRY, ORDER, 700))
+            for _ in range(10):
+                socket.inbox.put_nowait(msgspec.json.encode(AnswerBatch()))
+                await asyncio.sleep(0.15)
+            with pytest.raises(WorkerReplyLostError):
+                await call
+            assert end.done()
+
+        run_virtual(scenario())
+
+    def test_a_relay_that_answers_other_calls_is_kept(self):
+        """
+        Guards against one late answer that ends the calls to many workers.
+        """
+
+        async def scenario():
+            socket = QuietSocket()
+            channel = RelayChannel(socket, VirtualClock())
+            end = asyncio.ensure_future(channel.run())
+            call = asyncio.ensure_future(channel.call(ENTRY, ORDER, 700))
+            reply = OrderReply(verdict=Verdict.ACCEPTED, clock_ms=7)
+            batch = AnswerBatch(answers=(Answer(number=99, result=reply),))
+            for _ in range(10):
+                socket.inbox.put_nowait(msgspec.json.encode(batch))
+                await asyncio.sleep(0.15)
+            with pytest.raises(WorkerReplyLostError):
+                await call
+            assert not end.done()
+            end.cancel()
+
+        run_virtual(scenario())
+
     def test_calls_on_an_ended_connection_are_not_sent(self):
         """
         Guards against a task that waits because its start counts as sent.
@@ -356,6 +398,18 @@
         assert meter.delay_ms(200, 90_900) == 800
         assert meter.delay_ms(300, 90_190) == 0
 
+    def test_clocks_of_different_rates(self):
+        """
+        Guards against a relay that rejects every call after some hours.
+        """
+        meter = TransitMeter()
+        delays_ms = [
+            meter.delay_ms(sent_ms, sent_ms * 1.0005)
+            for sent_ms in range(0, 4 * 3_600_000, 1_000)
+        ]
+        assert max(delays_ms) < 1
+        assert meter.delay_ms(4 * 3_600_000, 4 * 3_600_000 * 1.0005 + 600) > 500
+
 
 @virtual_tests(World)
 class TestRelayFaults:
@@ -400,6 +454,30 @@
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
         assert world.checker.started_count == 12
 
+    async def test_a_relay_that_hears_nothing_loses_no_run(self, world):
+        """
+        Guards against leases that lapse behind a relay that seems alive.
+        """
+        plan = await self._begin_long_job(world)
+        relay = self._relays(world)[0]
+        relay.is_deaf = True
+        await world.run_for(7_000)
+        relay.is_deaf = False
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 12
+
+    async def test_a_relay_that_reaches_no_worker_loses_no_run(self, world):
+        """
+        Guards against leases that lapse although another path is open.
+        """
+        plan = await self._begin_long_job(world)
+        relay = self._relays(world)[0]
+        relay.reaches_workers = False
+        await world.run_for(7_000)
+        relay.reaches_workers = True
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 12
+
     async def test_starts_through_a_frozen_relay_run_once(self, world):
         """
         Guards against a task that runs twice: elsewhere and by a late start.
@@ -440,3 +518,29 @@
     def _relays(self, world):
         owner = world.owner()
         return [each for each in world.nodes.values() if each is not owner]
+
+
+@virtual_tests(World)
+class TestUnneededRelays:
+    """
+    The owner uses relays only while it has many workers.
+    """
+
+    options = {'cores': SMALL_CORES, 'worker_count': 3}
+
+    async def test_their_last_calls_are_answered(self, world):
+        """
+        Guards against workers that seem unresponsive when one of them leaves.
+        """
+        await world.run_for(5_000)
+        leaving = world.workers['w0']
+        leaving.crash()
+        world.store.remove(REGISTRY, 'w0')
+        await world.wait_until(lambda: world.has_logged('worker_gone'))
+        await world.run_for(3_000)
+        lost = {
+            fields['worker']
+            for _, kind, fields in world.log_lines
+            if kind == 'worker_lost'
+        }
+        assert lost == {'w0'}
