Discard the messages of other tests before the log's volume is tested

Cause: eliot keeps up to 1000 messages until a first destination is added, and passes them to it. The test adds the first destination of its process, so that it got the messages of all tests before; they filled the pipe, and the line at its end was written in part only. A process of the product adds its destination before it logs.

Change: the test discards these messages first. What it checks is unchanged.

--- a/tests/test_events_decisions.py
+++ b/tests/test_events_decisions.py
@@ -11,6 +11,17 @@
 from hawthornpier.events import DecisionLog, LineWriter, collect_subject_log
 
 
+def discard_kept_messages():
+    """
+    Discard the messages that eliot keeps for its first destination.
+
+    They are those of all tests before, and may be more than a pipe holds.
+    """
+    messages = []
+    eliot.add_destinations(messages.append)
+    eliot.remove_destination(messages.append)
+
+
 def read_lines(descriptor):
     os.set_blocking(descriptor, False)
     try:
@@ -29,6 +40,7 @@
         """
         Guards against a log volume that grows with the load.
         """
+        discard_kept_messages()
         reader, writer = os.pipe()
         lines = LineWriter(writer)
         eliot.add_destinations(lines)
