Start a process of the soak only if no other fault has started it

Two kills of one process, or a kill during its rolling restart, each started it again. The node of the first start was left running beside the second one under the same name and address, which no installation can do, and which no fault could reach any more.

--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -289,10 +289,13 @@
         """
         Start a new incarnation of the process, without any earlier state.
         """
-        self.is_stopping = False
         # The checkers order exits and starts by time, so the two times must
         # differ.
         await self.clock.sleep_ms(2)
+        if self.node is not None:
+            # Another fault has started it meanwhile.
+            return
+        self.is_stopping = False
         self.node = Node(
             self.world.settings_of(self.name),
             self,
