Refuse requests for a service that the owner's table lacks

What callers see: a request with an Idempotency-Key that reaches an owner whose version of the table lacks the service is answered with 504, and so is each repeat of it, until the shard changes its owner; the key is never purged. If the service is removed while the request's intent is being stored, its slot stays reserved as well. A request without a key fails with status 500.

Cause: the class "one unexpected error ends more than its request". The demand of the service was looked up in the task that runs the request, before each placement and again before each sending. KeyError ended that task, and nobody set the outcome. During an edit of the table, processes have different versions for a while.

Change: the demand is looked up once, before the request is registered. Without it, the owner refuses the request as it does while its table is unconfirmed, so that the sender tries again until its deadline.

--- a/src/hawthornpier/owner/_context.py
+++ b/src/hawthornpier/owner/_context.py
@@ -5,7 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from hawthornpier.messages import RowPut
+from hawthornpier.messages import ForwardedRequest, Resources, RowPut
 from hawthornpier.owner._background_tasks import BackgroundTasks
 from hawthornpier.owner._errors import OwnerError, ShardClosedError
 from hawthornpier.owner._interfaces import Committer, ServiceCatalog
@@ -40,6 +40,21 @@
         """
         return self.clock.monotonic_ms()
 
+    def demand_of(self, request: ForwardedRequest) -> Resources:
+        """
+        Return the resources that a request occupies on a worker.
+
+        Raises:
+            ShardClosedError: The table of this process has no such service;
+                the sender may have a newer version of the table.
+        """
+        try:
+            return self.catalog.demand(request.member, request.service)
+        except KeyError as error:
+            raise ShardClosedError(
+                f'the table of this process has no service {request.service!r}'
+            ) from error
+
     def retention_cutoff_ms(self) -> int:
         """
         Return the wall clock time before which ended work may be deleted.
--- a/src/hawthornpier/owner/_errors.py
+++ b/src/hawthornpier/owner/_errors.py
@@ -28,5 +28,5 @@
     The shard accepts no work in this process.
 
     The process has lost the shard, is handing it over, or may admit no work
-    because its table version is not confirmed.
+    because its table version is not confirmed or has no such service.
     """
--- a/src/hawthornpier/owner/_keyed_requests.py
+++ b/src/hawthornpier/owner/_keyed_requests.py
@@ -21,6 +21,7 @@
     NotRun,
     Outcome,
     OutcomeKind,
+    Resources,
     Unknown,
 )
 from hawthornpier.owner._context import ShardContext
@@ -97,6 +98,10 @@
     async def serve(self, request: ForwardedRequest) -> Outcome:
         """
         Return the outcome of the key; run the request if the key is new.
+
+        Raises:
+            ShardClosedError: The request was not run, because the table of
+                this process has no such service.
         """
         keyed_request = self._requests_by_key.get(request.idempotency_key)
         if keyed_request is None:
@@ -139,6 +144,7 @@
             self._requests_by_key.pop(key, None)
 
     def _register(self, request: ForwardedRequest) -> _KeyedRequest:
+        demand = self._context.demand_of(request)
         keyed_request = _KeyedRequest(
             intent=IntentRecord(
                 idempotency_key=request.idempotency_key,
@@ -153,20 +159,21 @@
         self._requests_by_key[request.idempotency_key] = keyed_request
         # A separate task runs the request to its end even if the caller
         # disconnects.
-        self._context.tasks.spawn(self._run(keyed_request, request))
+        self._context.tasks.spawn(self._run(keyed_request, request, demand))
         return keyed_request
 
     async def _run(
-        self, keyed_request: _KeyedRequest, request: ForwardedRequest
+        self,
+        keyed_request: _KeyedRequest,
+        request: ForwardedRequest,
+        demand: Resources,
     ) -> None:
         deadline_ms = self._context.now_ms() + request.remaining_ms
         decision = await self._dispatcher.place(
             request_id=keyed_request.intent.request_id,
             member=request.member,
             service=request.service,
-            demand=self._context.catalog.demand(
-                request.member, request.service
-            ),
+            demand=demand,
             deadline_ms=deadline_ms,
         )
         if isinstance(decision, ShedRequest):
@@ -184,7 +191,7 @@
         if not await self._record_intent(keyed_request, deadline_ms):
             self._release(keyed_request, RequestResult.REFUSED, 0)
             return
-        await self._send(keyed_request, request, deadline_ms)
+        await self._send(keyed_request, request, demand, deadline_ms)
 
     async def _record_intent(
         self, keyed_request: _KeyedRequest, deadline_ms: int
@@ -226,6 +233,7 @@
         self,
         keyed_request: _KeyedRequest,
         request: ForwardedRequest,
+        demand: Resources,
         deadline_ms: int,
     ) -> None:
         link = self._context.links[keyed_request.intent.worker_id]
@@ -235,9 +243,7 @@
             service=request.service,
             shard=self._context.shard,
             epoch=keyed_request.intent.epoch,
-            demand=self._context.catalog.demand(
-                request.member, request.service
-            ),
+            demand=demand,
             deadline_ms=max(1, deadline_ms - sent_ms),
             body=request.body,
             idempotency_key=request.idempotency_key,
--- a/src/hawthornpier/owner/_requests.py
+++ b/src/hawthornpier/owner/_requests.py
@@ -15,6 +15,7 @@
     ForwardedRequest,
     NotRun,
     Outcome,
+    Resources,
     Unknown,
 )
 from hawthornpier.owner._context import ShardContext
@@ -92,14 +93,19 @@
     async def serve(self, request: ForwardedRequest) -> Outcome:
         """
         Run a request, with up to `MAX_ATTEMPTS` attempts until its deadline.
+
+        Raises:
+            ShardClosedError: The request was not run, because the table of
+                this process has no such service.
         """
+        demand = self._context.demand_of(request)
         deadline_ms = self._context.now_ms() + request.remaining_ms
         outcome: Outcome = _not_run(request, 'deadline')
         had_unknown_outcome = False
         for _ in range(MAX_ATTEMPTS):
             if self._remaining_ms(deadline_ms) < MIN_REMAINING_MS:
                 break
-            outcome = await self._attempt(request, deadline_ms)
+            outcome = await self._attempt(request, demand, deadline_ms)
             had_unknown_outcome = had_unknown_outcome or isinstance(
                 outcome, Unknown
             )
@@ -119,6 +125,7 @@
     async def _attempt(
         self,
         request: ForwardedRequest,
+        demand: Resources,
         deadline_ms: int,
     ) -> Outcome:
         self._attempt_count += 1
@@ -129,9 +136,7 @@
             request_id=attempt_id,
             member=request.member,
             service=request.service,
-            demand=self._context.catalog.demand(
-                request.member, request.service
-            ),
+            demand=demand,
             deadline_ms=deadline_ms,
         )
         if isinstance(decision, ShedRequest):
@@ -148,11 +153,12 @@
             epoch=link.confirmed_epoch,
             incarnation=link.incarnation,
         )
-        return await self._send(request, attempt, link)
+        return await self._send(request, demand, attempt, link)
 
     async def _send(
         self,
         request: ForwardedRequest,
+        demand: Resources,
         attempt: Attempt,
         link: WorkerLink,
     ) -> Outcome:
@@ -161,9 +167,7 @@
             service=request.service,
             shard=self._context.shard,
             epoch=attempt.epoch,
-            demand=self._context.catalog.demand(
-                request.member, request.service
-            ),
+            demand=demand,
             deadline_ms=max(1, self._remaining_ms(attempt.deadline_ms)),
             body=request.body,
         )
--- a/tests/owner_harness.py
+++ b/tests/owner_harness.py
@@ -92,10 +92,14 @@
     A catalog with one idempotent service and one that is not idempotent.
     """
 
+    is_empty = False
+
     def demand(self, member: str, service: str) -> Resources:
         """
-        Return the same demand for each service.
+        Return the same demand for each service, unless the catalog is empty.
         """
+        if self.is_empty:
+            raise KeyError(service)
         return REQUEST_DEMAND
 
     def is_idempotent(self, member: str, service: str) -> bool:
@@ -148,6 +152,7 @@
         self.store = MemoryStore(clock=self.clock)
         self.history: list[Record] = []
         self.events = RecordedEventKinds()
+        self.catalog = FixedCatalog()
         self.workers = {
             f'w{index}': MemoryWorker(
                 worker_id=f'w{index}',
@@ -204,7 +209,7 @@
             ),
             store=self.store,
             connect=lambda host: self.workers[host.worker_id],
-            catalog=FixedCatalog(),
+            catalog=self.catalog,
             gate=OpenGate(),
             clock=self.clock,
             timing=timing or OwnerTiming(),
--- a/tests/test_owner_requests.py
+++ b/tests/test_owner_requests.py
@@ -6,11 +6,12 @@
 
 import asyncio
 
+import pytest
 from owner_harness import OwnerHarness, job_of, request_of
 from virtual_time import run_virtual
 
 from hawthornpier.messages import Answer, NotRun, Unknown
-from hawthornpier.owner import OwnerTiming
+from hawthornpier.owner import OwnerTiming, ShardClosedError
 from hawthornpier.ports import StoreError
 from hawthornpier_standin.history import RecordKind
 from hawthornpier_standin.platform import StoreFaults
@@ -221,6 +222,26 @@
         assert first.body == second.body
         assert executions == 1
 
+    def test_service_that_is_missing_in_the_owners_table(self) -> None:
+        """
+        Guards against a key without an outcome after a change of the table.
+        """
+
+        async def scenario() -> object:
+            harness = OwnerHarness()
+            owner = await harness.new_owner()
+            request = request_of('o', key='k')
+            harness.catalog.is_empty = True
+            with pytest.raises(ShardClosedError):
+                await owner.serve(request)
+            harness.catalog.is_empty = False
+            pending = asyncio.ensure_future(owner.serve(request))
+            await asyncio.sleep(0)
+            harness.catalog.is_empty = True
+            return await pending
+
+        assert isinstance(run_virtual(scenario()), Answer)
+
     def test_owner_killed_between_intent_and_outcome(self) -> None:
         """
         G6: the next owner gets the outcome from the worker and does not run
