--- a/src/hawthornpier/fleet/_job_index.py
+++ b/src/hawthornpier/fleet/_job_index.py
@@ -92,6 +92,12 @@
             else:
                 yield job
 
+    def is_active(self, job_id: str) -> bool:
+        """
+        Return whether `active_jobs` yields a job unless it has ended.
+        """
+        return job_id in self._active_jobs
+
     def expired_jobs(self, retention_ms: float) -> list[str]:
         """
         Return the removable jobs that ended more than *retention_ms* ago.
--- a/src/hawthornpier/fleet/_moves.py
+++ b/src/hawthornpier/fleet/_moves.py
@@ -2,9 +2,8 @@
 Moves of tasks to other workers.
 """
 
-from dataclasses import dataclass
-
 from hawthornpier.fleet._eligibility import find_exclusion
+from hawthornpier.fleet._reservations import Reservation
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Run, Task, is_crash_suspect
@@ -14,17 +13,6 @@
 _RESERVATION_MS = 4_000.0
 
 
-@dataclass(frozen=True, slots=True, kw_only=True)
-class _Move:
-    """
-    A task whose run is being stopped, and the room that is reserved for it.
-    """
-
-    task: Task
-    destination: WorkerState
-    expires_ms: float
-
-
 class Moves:
     """
     Stops runs to start their tasks again where room is reserved for them.
@@ -38,7 +26,7 @@
 
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
-        self._moves: dict[str, _Move] = {}
+        self._reservations = shard.reservations
 
     def begin(self, run: Run, destination: WorkerState, reason: str) -> None:
         """
@@ -51,7 +39,7 @@
         """
         task = run.task
         self._cancel(task.key)
-        self._moves[task.key] = _Move(
+        self._reservations[task.key] = Reservation(
             task=task,
             destination=destination,
             expires_ms=self._shard.now_ms + _RESERVATION_MS,
@@ -67,7 +55,7 @@
         long.
         """
         now_ms = self._shard.now_ms
-        for move in list(self._moves.values()):
+        for move in list(self._reservations.values()):
             task = move.task
             if task.step.job.is_terminal or now_ms > move.expires_ms:
                 self._cancel(task.key)
@@ -89,6 +77,6 @@
             shard.start_run(task, worker, reason='move')
 
     def _cancel(self, task_key: str) -> None:
-        move = self._moves.pop(task_key, None)
+        move = self._reservations.pop(task_key, None)
         if move is not None:
             move.destination.cancel_reservation(move.task.step)
--- a/src/hawthornpier/fleet/_run_orders.py
+++ b/src/hawthornpier/fleet/_run_orders.py
@@ -5,6 +5,7 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._job_index import JobIndex
 from hawthornpier.fleet._orders import Order, OrderKind
+from hawthornpier.fleet._reservations import Reservation
 from hawthornpier.fleet._wait_times import WaitTimes
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import Clock
@@ -27,6 +28,8 @@
         super().__init__(clock, row_bytes)
         self.log = log
         self.workers: dict[str, WorkerState] = {}
+        # The room that is reserved for tasks that move, by task key.
+        self.reservations: dict[str, Reservation] = {}
         self.waits = WaitTimes()
 
     def order_start(self, run: Run, reason: str) -> None:
--- a/src/hawthornpier/fleet/_worker_load.py
+++ b/src/hawthornpier/fleet/_worker_load.py
@@ -2,6 +2,10 @@
 The runs on one worker and the resources that they occupy.
 """
 
+import collections
+from collections.abc import Iterable, Mapping
+from typing import Any
+
 from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.steps import Run, Step
 
@@ -153,6 +157,44 @@
         """
         return list(self._best_effort_runs.values())
 
+    def counters(self) -> dict[str, Mapping[Any, int]]:
+        """
+        Return what is kept beside the runs, in groups.
+
+        The runs of each kind of task count 1 each, by their keys.
+        """
+        return {
+            'totals': {
+                'reserved_millis': self.reserved_millis,
+                'best_effort_millis': self.best_effort_millis,
+                'long_running_millis': self.long_running_millis,
+                'long_running_count': self.long_running_count,
+                'best_effort_count': self.best_effort_count,
+                'memory_mb': self.memory_mb,
+                'accelerator_count': self.accelerator_count,
+            },
+            'step_counts': dict(self.step_counts),
+            'image_counts': dict(self._image_counts),
+            'best_effort_runs': dict.fromkeys(self._best_effort_runs, 1),
+            'long_running_runs': dict.fromkeys(self._long_running_runs, 1),
+            'plain_runs': dict.fromkeys(self._plain_runs, 1),
+        }
+
+    def recount(self, reserved: Iterable[Step]) -> 'WorkerLoad':
+        """
+        Return the load that follows from the runs alone.
+
+        Args:
+            reserved: The steps of tasks for which room is reserved.
+        """
+        load = WorkerLoad(self.entry)
+        steps = [run.task.step for run in self.runs.values()]
+        for key, run in self.runs.items():
+            load._runs_of_kind(run)[key] = run
+        for step, count in collections.Counter([*steps, *reserved]).items():
+            load._add(step, count)
+        return load
+
     def _runs_of_kind(self, run: Run) -> dict[RunKey, Run]:
         plan = run.task.step.plan
         if plan.is_filling:
