Audit the owner's state while it runs

Every 10 s the owner now compares its state with a new count, with the last listings of its workers and with the registry: counters, runs that only a worker, only a task, only the ledger or only a listing has, old registry entries with the row that was ignored, workers out of use with the reason, and steps that no pass considers. `ledger_audit` sums up, `ledger_difference` names each new difference with its worker and task, so that `explain` finds it, and `starts_denied` tells of denials of over 3 s. A wait also has `listed_room_ms`, for how long one worker had room by its own listings; over 3 s without room in the owner's eyes `long_running_wait_hidden_room` names what hides the room. Nothing is repaired.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -9,10 +9,10 @@
 import itertools
 from collections.abc import Collection, Iterable
 
+from hawthornpier.fleet._listed_load import RunKey
 from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._state_log import log_interrupted_runs
-from hawthornpier.fleet._worker_load import RunKey
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import (
     CrashEvidence,
--- a/src/hawthornpier/fleet/_ledger_differences.py
+++ b/src/hawthornpier/fleet/_ledger_differences.py
@@ -2,58 +2,21 @@
 Differences between what a shard's owner keeps count of and a new count.
 
 The owner keeps the load of workers and the progress of steps by increments, and
-each run in two places: with its worker and with its task.
+each run in two places: with its worker and with its task.  See `_stale_state`
+for what it knows from workers and from the registry.
 """
 
-import enum
 import itertools
 from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
 from typing import TypeVar
 
+from hawthornpier.fleet._difference import Difference, DifferenceKind
 from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._stale_state import stale_step, stale_worker_state
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Job, Run, Step
 
 _Key = TypeVar('_Key', str, tuple[str, int])
-
-
-class DifferenceKind(enum.StrEnum):
-    """
-    What a difference is about.
-    """
-
-    # A counter of a worker's load, against its runs and its reservations.
-    WORKER_COUNTER = 'worker counter'
-    # A counter of a step, against its tasks.
-    STEP_COUNTER = 'step counter'
-    # A run that occupies a worker, but is none of its task's runs.
-    RUN_WITHOUT_TASK = 'run without task'
-    # A run that keeps its task from waiting, but is not with its worker.
-    RUN_WITHOUT_WORKER = 'run without worker'
-    # Room is reserved on a worker that is no longer one of the shard.
-    STALE_RESERVATION = 'reservation on a removed worker'
-    # A job that has not ended, but is not considered for placement.
-    INACTIVE_JOB = 'inactive job'
-
-
-@dataclass(frozen=True, slots=True, kw_only=True)
-class Difference:
-    """
-    One difference between the owner's state and what it should agree with.
-
-    *kept* is what the owner acts on, *counted* what was found instead.  *task*
-    is the key of a task, of a step or of a job.
-    """
-
-    kind: DifferenceKind
-    worker: str = ''
-    task: str = ''
-    field: str = ''
-    kept: int | str = ''
-    counted: int | str = ''
-
-
 # How many runs and tasks were compared, and the differences among them.
 DifferenceBatch = tuple[int, list[Difference]]
 
@@ -78,13 +41,16 @@
     for worker in tuple(shard.workers.values()):
         if shard.workers.get(worker.worker_id) is worker:
             found = _worker_differences(shard, worker)
+            found += stale_worker_state(worker, shard.now_ms)
             yield (1 + len(worker.runs), found)
     yield (len(shard.reservations), _reservation_differences(shard))
     for job in tuple(shard.jobs.values()):
         if not job.is_terminal:
             yield (1, _job_differences(shard, job))
             for step in _steps_of(job):
-                yield (1 + len(step.tasks), step_differences(shard, step))
+                found = step_differences(shard, step)
+                found += stale_step(shard, step)
+                yield (1 + len(step.tasks), found)
 
 
 def load_differences(
--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -3,6 +3,7 @@
 """
 
 from hawthornpier.fleet._crashes import clear_suspicions
+from hawthornpier.fleet._listed_load import measure_listing
 from hawthornpier.fleet._ports import EndedRun, RunningRun, WorkerListing
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._throttling import ThrottleActions, control_throttling
@@ -71,6 +72,9 @@
                 run.listed_ms = requested_ms
         worker.is_reached = True
         worker.listed_end_count = len(listing.ended)
+        worker.listed_load = measure_listing(
+            listing.running, worker.runs, requested_ms, worker.listed_load
+        )
         if not listing.has_more_ended:
             self._end_unlisted_runs(worker, listed, listing, requested_ms)
             if not worker.is_listed:
--- a/src/hawthornpier/fleet/_long_running_waits.py
+++ b/src/hawthornpier/fleet/_long_running_waits.py
@@ -14,6 +14,12 @@
     find_exclusion,
     lacks_label,
 )
+from hawthornpier.fleet._listed_room import (
+    ListedRoom,
+    describe_hidden_room,
+    is_staying,
+    listed_free_millis,
+)
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Run, RunPhase, Step, Task, is_crash_suspect
@@ -68,7 +74,10 @@
     reason_ms: collections.Counter[WaitReason] = field(
         default_factory=collections.Counter
     )
+    # How long one worker has had room by its own listings.
+    listed_room_ms: float = 0
     is_reported: bool = False
+    is_hidden_room_reported: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -87,7 +96,7 @@
 
     The wait of a task lasts from the end of its run until a worker confirms the
     start of the next one.  A line of its own tells of each wait of over three
-    seconds beside room.
+    seconds beside room, also if only the listings of a worker show the room.
 
     Args:
         shard: The state of the shard.
@@ -99,6 +108,8 @@
         self._shard = shard
         self._safe_to_start = safe_to_start
         self._waits: dict[str, _Wait] = {}
+        self._listed_room = ListedRoom()
+        self._hidden_room_lines = 0
         self._checked_ms: float = 0
         self._logged_ms: float = 0
         # Since the last line: the longest wait beside room that has ended.
@@ -112,6 +123,7 @@
         if now_ms - self._checked_ms < _CHECK_INTERVAL_MS:
             return
         self._checked_ms = now_ms
+        self._hidden_room_lines = 0
         waiting = self._waiting_tasks(now_ms)
         for key in self._waits.keys() - waiting.keys():
             ended = self._waits.pop(key)
@@ -150,6 +162,9 @@
     def _chances(self, tasks: Iterable[Task]) -> dict[str, _Chances]:
         pools = self._responsive_workers()
         steps = {task.step.key: task.step for task in tasks}
+        self._observe_listed_room(steps.values(), pools)
+        for pool in pools.values():
+            pool.sort(key=attrgetter('free_millis'), reverse=True)
         return {
             key: _Chances(
                 room=_workers_with_room(
@@ -164,16 +179,24 @@
 
     def _responsive_workers(self) -> dict[str, list[WorkerState]]:
         """
-        Return the workers that reply and stay by service, roomiest first.
+        Return the workers that reply and stay by service.
         """
         pools = collections.defaultdict(list)
         for worker in self._shard.workers.values():
-            if not worker.is_leaving and not worker.is_unresponsive:
+            if is_staying(worker):
                 pools[worker.entry.service].append(worker)
-        for pool in pools.values():
-            pool.sort(key=attrgetter('free_millis'), reverse=True)
         return pools
 
+    def _observe_listed_room(
+        self, steps: Iterable[Step], pools: dict[str, list[WorkerState]]
+    ) -> None:
+        for pool in pools.values():
+            pool.sort(key=listed_free_millis, reverse=True)
+        self._listed_room.observe(
+            ((step, pools[self._shard.service_of(step.job)]) for step in steps),
+            self._shard.now_ms,
+        )
+
     def _long_running_steps(self) -> list[Step]:
         wall_ms = self._shard.clock.wall_ms()
         occurrences = itertools.chain.from_iterable(
@@ -192,6 +215,7 @@
         elapsed_ms = now_ms - wait.checked_ms
         wait.checked_ms = now_ms
         wait.reason = self._reason(wait.task, chances, now_ms)
+        self._update_listed_room(wait, chances, now_ms)
         if not chances.room:
             self._longest_ended_ms = max(self._longest_ended_ms, wait.room_ms)
             wait.room_ms = 0
@@ -205,6 +229,33 @@
                 'long_running_wait', **self._describe(wait, chances.room)
             )
 
+    def _update_listed_room(
+        self, wait: _Wait, chances: _Chances, now_ms: float
+    ) -> None:
+        """
+        Follow the room by listings, and log a wait beside it by itself.
+
+        The wait itself counts, as the worker may have had room before it.
+        """
+        found = self._listed_room.longest(wait.task.step)
+        if found is None:
+            wait.listed_room_ms = 0
+            return
+        worker, since_ms = found
+        wait.listed_room_ms = now_ms - max(since_ms, wait.since_ms)
+        is_hidden = wait.listed_room_ms > _LONG_WAIT_MS and not chances.room
+        if wait.is_hidden_room_reported or not is_hidden:
+            return
+        # The others have their lines after the next checks.
+        if self._hidden_room_lines < _NAMED_COUNT:
+            self._hidden_room_lines += 1
+            wait.is_hidden_room_reported = True
+            self._shard.log.record(
+                'long_running_wait_hidden_room',
+                **self._describe(wait, chances.room),
+                **describe_hidden_room(self._shard, worker),
+            )
+
     def _reason(
         self, task: Task, chances: _Chances, now_ms: float
     ) -> WaitReason:
@@ -251,6 +302,7 @@
             epoch=self._shard.epoch,
             waiting=len(longest),
             with_room=sum(1 for wait in longest if wait.room_ms),
+            with_listed_room=sum(1 for wait in longest if wait.listed_room_ms),
             longest_ended_ms=int(self._longest_ended_ms),
             reasons=collections.Counter(wait.reason for wait in longest),
             # Complete, also if lines about single waits are left out.
@@ -273,6 +325,7 @@
             'task': wait.task.key,
             'waited_ms': int(wait.checked_ms - wait.since_ms),
             'room_ms': int(wait.room_ms),
+            'listed_room_ms': int(wait.listed_room_ms),
             'reason': wait.reason,
             'reason_ms': dict(wait.reason_ms.most_common(_NAMED_COUNT)),
             # The runs that keep it from being placed, then the last that ended.
--- a/src/hawthornpier/fleet/_run_orders.py
+++ b/src/hawthornpier/fleet/_run_orders.py
@@ -28,6 +28,8 @@
         super().__init__(clock, row_bytes)
         self.log = log
         self.workers: dict[str, WorkerState] = {}
+        # When a scheduling pass last looked for steps that are due.
+        self.considered_ms: float = 0
         # The room that is reserved for tasks that move, by task key.
         self.reservations: dict[str, Reservation] = {}
         self.waits = WaitTimes()
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -10,6 +10,7 @@
 from hawthornpier.fleet._crash_trials import CrashTrials
 from hawthornpier.fleet._departures import Departures
 from hawthornpier.fleet._evacuation import Evacuation
+from hawthornpier.fleet._ledger_audit import LedgerAudit
 from hawthornpier.fleet._long_running_waits import LongRunningWaits
 from hawthornpier.fleet._moves import Moves
 from hawthornpier.fleet._ordering import rank_step
@@ -68,6 +69,7 @@
         self._unlisted_span_ms = lease_ms + STALE_ORDER_MS
         self._state_logged_ms: float = 0
         self._long_running_waits = LongRunningWaits(shard, self._safe_to_start)
+        self._audit = LedgerAudit(shard)
         self._wait_log = WaitLog(shard)
 
     def run_pass(self) -> None:
@@ -79,6 +81,7 @@
         """
         shard = self._shard
         self._long_running_waits.run_pass()
+        self._audit.run_pass()
         if shard.is_draining or not shard.permits.may_start:
             return
         self._wait_log.begin_pass()
@@ -153,10 +156,12 @@
     def _ranked_steps(self) -> list[Step]:
         shard = self._shard
         now_ms = shard.now_ms
+        shard.considered_ms = now_ms
         wall_ms = shard.clock.wall_ms() + self._bounds.early_ms / 4
         due = []
         for job in shard.active_jobs():
             for step in _due_steps(job, wall_ms):
+                step.considered_ms = now_ms
                 if step.ready_ms is None:
                     step.ready_ms = now_ms
                 if _may_start_runs(step):
--- a/src/hawthornpier/fleet/_state_log.py
+++ b/src/hawthornpier/fleet/_state_log.py
@@ -8,6 +8,7 @@
 from hawthornpier.fleet._interference import max_tail_ratio
 from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._usability import unusable_reason
 from hawthornpier.fleet._wait_times import task_kind
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Step
@@ -38,6 +39,11 @@
         waiting=dict(waiting),
         workers=len(workers),
         unusable_workers=len(shard.workers) - len(workers),
+        unusable_reasons=collections.Counter(
+            reason
+            for worker in shard.workers.values()
+            if (reason := unusable_reason(worker)) is not None
+        ),
         trial_workers=sum(1 for worker in workers if worker.trial_run),
         capacity_millis=sum(
             worker.entry.processor_millis for worker in workers
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -122,7 +122,7 @@
             return False
         if isinstance(reply, WorkerListing):
             if reply.incarnation_ms != worker.entry.incarnation_ms:
-                self._record_missed_reply('another incarnation replied')
+                self._record_other_incarnation('another incarnation replied')
                 return False
             was_reached = worker.is_reached
             worker.confirm_acknowledgement(acknowledged_number)
@@ -134,7 +134,7 @@
         if reply is Verdict.OTHER_INCARNATION:
             # The registry may keep the entry of the ended incarnation for
             # seconds.
-            self._record_missed_reply('another worker replied')
+            self._record_other_incarnation('another worker replied')
             end_crashed_incarnation(shard, worker, 'another worker replied')
         return False
 
@@ -171,6 +171,10 @@
         else:
             withdraw_unsent_starts(self._shard, worker)
 
+    def _record_other_incarnation(self, why: str) -> None:
+        self._record_missed_reply(why)
+        self._worker.is_superseded = True
+
     def _check_clock(self, reply: OrderReply, sent_ms: float) -> None:
         """
         Note that the next incarnation replied, which a restarted clock shows.
@@ -178,7 +182,7 @@
         if self._worker.clock.has_restarted(
             reply.clock_ms, sent_ms, self._timings.clock_drift
         ):
-            self._record_missed_reply('the clock has restarted')
+            self._record_other_incarnation('the clock has restarted')
 
     async def _execute_orders(self) -> None:
         while True:
--- a/src/hawthornpier/fleet/_worker_load.py
+++ b/src/hawthornpier/fleet/_worker_load.py
@@ -6,11 +6,10 @@
 from collections.abc import Iterable, Mapping
 from typing import Any
 
+from hawthornpier.fleet._listed_load import RunKey
 from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.steps import Run, Step
 
-RunKey = tuple[str, int]
-
 # A long-running task serves changing load; on average it uses this fraction of
 # its reserved processors and leaves the rest to best-effort tasks.
 _LONG_RUNNING_USE = 0.45
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -11,6 +11,7 @@
     identify_missing_workers,
     remember_missing_worker,
 )
+from hawthornpier.fleet._entry_age import IgnoredEntry
 from hawthornpier.fleet._errors import HistoryGoneError, error_text
 from hawthornpier.fleet._heartbeats import record_heartbeat
 from hawthornpier.fleet._listings import ListingReconciler
@@ -196,8 +197,22 @@
             worker = self.shard.workers[readable_entry.worker_id]
             worker.has_entry = True
             if worker.entry is readable_entry:
+                worker.entry_age.accept(self.shard.now_ms)
                 record_heartbeat(self.shard, worker, alive_ms)
+            else:
+                worker.entry_age.ignore(
+                    IgnoredEntry.OTHER_INCARNATION, self.shard.now_ms
+                )
         unreadable_ids = sorted(present_ids - entries.keys())
+        self._record_unreadable(unreadable_ids)
+
+    def _record_unreadable(self, unreadable_ids: Sequence[str]) -> None:
+        for worker_id in unreadable_ids:
+            known = self.shard.workers.get(worker_id)
+            if known is not None:
+                known.entry_age.ignore(
+                    IgnoredEntry.UNREADABLE, self.shard.now_ms
+                )
         if unreadable_ids:
             self._context.log.record(
                 'worker_entry_unreadable',
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -5,7 +5,9 @@
 import asyncio
 from collections.abc import Iterable
 
+from hawthornpier.fleet._entry_age import EntryAge
 from hawthornpier.fleet._health import WorkerHealth
+from hawthornpier.fleet._listed_load import ListedLoad
 from hawthornpier.fleet._orders import Order
 from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.fleet._timings import WorkerTimings
@@ -47,6 +49,11 @@
         self.heartbeat_ms: float = 0
         # Requests since the last response that got none.
         self.missed_reply_count = 0
+        # Whether another incarnation has replied since.
+        self.is_superseded = False
+        self.entry_age = EntryAge()
+        # The load by the last listing of this incarnation.
+        self.listed_load: ListedLoad | None = None
         self.clock = WorkerClock()
         self._deadline_clock_ms = 0
         # When the lease ends, by the owner's monotonic clock, that a start has
@@ -146,6 +153,7 @@
         self.entry = entry
         self.expect_listing()
         self.missed_reply_count = 0
+        self.is_superseded = False
         self.processed_number = 0
         self.acknowledged_number = 0
         self._confirmed_number = 0
@@ -165,6 +173,7 @@
         self.is_reached = False
         self.is_listed = False
         self.listed_end_count = 0
+        self.listed_load = None
 
     def suspect(self, tasks: Iterable[Task], now_ms: float) -> None:
         """
@@ -179,6 +188,7 @@
         """
         self.last_reply_ms = now_ms
         self.missed_reply_count = 0
+        self.is_superseded = False
         self.clock.synchronize(clock_ms, now_ms)
 
     def next_acknowledgement(self) -> int:
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -93,6 +93,7 @@
 
     __slots__ = (
         'busy_count',
+        'considered_ms',
         'done_count',
         'fully_searched_ms',
         'number',
@@ -118,6 +119,8 @@
         self.done_count = 0
         # The number of tasks that are not waiting.
         self.busy_count = 0
+        # When a scheduling pass last found the step due.
+        self.considered_ms: float = 0
         # When the step became ready to start, by the owner's monotonic clock;
         # None before that.
         self.ready_ms: float | None = None
--- a/tests/test_fleet_long_running_waits.py
+++ b/tests/test_fleet_long_running_waits.py
@@ -55,16 +55,16 @@
         """
         self.waits.run_pass()
         for _ in range(waited_ms // 500):
-            self.fleet.clock.now_ms += 500
-            for permit in (
-                self.shard.permits.writes,
-                self.shard.permits.registry,
-            ):
-                permit.confirm(permit.mark())
-            self.shard.permits.confirm_unclaimed(self.shard.now_ms)
-            self.waits.run_pass()
+            self.wait()
         return self.shard.log.lines[-1][1]['longest'][0]
 
+    def wait(self):
+        self.fleet.clock.now_ms += 500
+        for permit in (self.shard.permits.writes, self.shard.permits.registry):
+            permit.confirm(permit.mark())
+        self.shard.permits.confirm_unclaimed(self.shard.now_ms)
+        self.waits.run_pass()
+
 
 def _stop_without_reply(waits):
     waits.shard.stop_run(waits.run, 'test')
