Try a quarantined worker with a long-running task after 1.5 s

A long-running task waited for up to 12 s beside the only worker with room, as the worker's quarantine had grown to that while its runs failed. The platform counts such a task as lost after 3 s beside room.

A quarantine grows to keep short tasks, whose attempts are limited, off a worker that fails. Runs of long-running tasks are not limited, and one that waits beside the only room gains nothing by waiting longer. For these, no quarantine is now longer than the first one. Other workers with room still come first, and the worker is tried by one run at a time; one that becomes ready ends the quarantine.

The new test failed before ("assert False"). What a worker's state forbids is therefore decided, and kept for a pass, for the two kinds of steps separately.

--- a/src/hawthornpier/fleet/_candidates.py
+++ b/src/hawthornpier/fleet/_candidates.py
@@ -28,8 +28,9 @@
         self._now_ms = now_ms
         # By whether best-effort tasks are placed.
         self._orders: dict[bool, _RoomOrder] = {}
-        # Whether no task may be started on a worker, by its index.
-        self._closed: dict[int, bool] = {}
+        # Whether no task may be started on a worker, by its index and whether
+        # the task is long-running.
+        self._closed: dict[tuple[int, bool], bool] = {}
 
     def with_room(self, step: Step) -> list[WorkerState]:
         """
@@ -47,14 +48,16 @@
         return [
             self.workers[index]
             for index in order.indexes(step.plan.processor_millis)
-            if self.workers[index].fits(step) and not self._is_closed(index)
+            if self.workers[index].fits(step)
+            and not self._is_closed(index, step)
         ]
 
-    def _is_closed(self, index: int) -> bool:
-        found = self._closed.get(index)
+    def _is_closed(self, index: int, step: Step) -> bool:
+        key = (index, step.plan.is_lasting)
+        found = self._closed.get(key)
         if found is None:
-            found = is_closed(self.workers[index], self._now_ms)
-            self._closed[index] = found
+            found = is_closed(self.workers[index], step, self._now_ms)
+            self._closed[key] = found
         return found
 
 
--- a/src/hawthornpier/fleet/_eligibility.py
+++ b/src/hawthornpier/fleet/_eligibility.py
@@ -50,7 +50,7 @@
         now_ms: The current time on the monotonic clock.
     """
     for exclusion, applies in _WORKER_CHECKS:
-        if applies(worker, now_ms):
+        if applies(worker, step, now_ms):
             return exclusion
     for lack, applies_to_step in _STEP_CHECKS:
         if applies_to_step(worker, step):
@@ -58,11 +58,13 @@
     return None
 
 
-def is_closed(worker: WorkerState, now_ms: float) -> bool:
+def is_closed(worker: WorkerState, step: Step, now_ms: float) -> bool:
     """
-    Return whether no task of any step may be started on a worker now.
+    Return whether no task may be started on a worker now, whatever it needs.
+
+    It is the same for all steps that are long-running, and for all others.
     """
-    return any(applies(worker, now_ms) for _, applies in _WORKER_CHECKS)
+    return any(applies(worker, step, now_ms) for _, applies in _WORKER_CHECKS)
 
 
 def lacks_label(worker: WorkerState, step: Step) -> bool:
@@ -73,12 +75,16 @@
     return bool(label) and label not in worker.entry.labels
 
 
-def _is_quarantined(worker: WorkerState, now_ms: float) -> bool:
-    return worker.health.health_status(now_ms) is HealthStatus.QUARANTINED
+def _health(worker: WorkerState, step: Step, now_ms: float) -> HealthStatus:
+    return worker.health.health_status(now_ms, is_lasting=step.plan.is_lasting)
+
+
+def _is_quarantined(worker: WorkerState, step: Step, now_ms: float) -> bool:
+    return _health(worker, step, now_ms) is HealthStatus.QUARANTINED
 
 
-def _is_on_probation(worker: WorkerState, now_ms: float) -> bool:
-    if worker.health.health_status(now_ms) is not HealthStatus.PROBATION:
+def _is_on_probation(worker: WorkerState, step: Step, now_ms: float) -> bool:
+    if _health(worker, step, now_ms) is not HealthStatus.PROBATION:
         return False
     return any(
         worker.health.is_on_trial_by(run, now_ms)
@@ -90,7 +96,7 @@
     return not worker.fits(step)
 
 
-def _is_unanswered(worker: WorkerState, now_ms: float) -> bool:
+def _is_unanswered(worker: WorkerState, _step: Step, now_ms: float) -> bool:
     return now_ms < worker.unanswered_until_ms and not worker.orders.empty()
 
 
@@ -101,23 +107,25 @@
     (Exclusion.NO_ROOM, _has_no_room),
     (Exclusion.NO_LABEL, lacks_label),
 )
-# Why no task at all may be started on a worker.
+# Why no task may be started on a worker, whatever the task needs.
 _WORKER_CHECKS: tuple[
-    tuple[Exclusion, Callable[[WorkerState, float], bool]], ...
+    tuple[Exclusion, Callable[[WorkerState, Step, float], bool]], ...
 ] = (
-    (Exclusion.UNUSABLE, lambda worker, _now_ms: not worker.is_usable),
+    (Exclusion.UNUSABLE, lambda worker, _step, _now_ms: not worker.is_usable),
     (
         Exclusion.REJECTING,
-        lambda worker, now_ms: now_ms < worker.refused_until_ms,
+        lambda worker, _step, now_ms: now_ms < worker.refused_until_ms,
     ),
     (Exclusion.UNANSWERED, _is_unanswered),
     (
         Exclusion.ON_TRIAL,
-        lambda worker, _now_ms: worker.trial_run is not None,
+        lambda worker, _step, _now_ms: worker.trial_run is not None,
     ),
     (
         Exclusion.UNACKNOWLEDGED,
-        lambda worker, _now_ms: worker.listed_end_count >= _UNACKNOWLEDGED_MAX,
+        lambda worker, _step, _now_ms: (
+            worker.listed_end_count >= _UNACKNOWLEDGED_MAX
+        ),
     ),
     (Exclusion.QUARANTINED, _is_quarantined),
     (Exclusion.ON_PROBATION, _is_on_probation),
--- a/src/hawthornpier/fleet/_health.py
+++ b/src/hawthornpier/fleet/_health.py
@@ -12,6 +12,8 @@
 # the failed ones belong to two or more jobs.
 _WINDOW_SIZE = 6
 _QUARANTINE_FAILURE_COUNT = 2
+# For long-running tasks, no quarantine is longer than the first one: their runs
+# are not limited in number, and waiting beside the only room gains nothing.
 _QUARANTINE_MS = 1_500.0
 _QUARANTINE_MAX_MS = 12_000.0
 _REFUSAL_MS = 300.0
@@ -45,6 +47,7 @@
         self._outcomes: collections.deque[tuple[str, bool]] = collections.deque(
             maxlen=_WINDOW_SIZE,
         )
+        self._quarantined_ms: float = 0
         self._quarantined_until_ms: float = 0
         self._quarantine_ms = _QUARANTINE_MS
         self._is_quarantined = False
@@ -81,17 +84,15 @@
         The next quarantine is as long as after a failure during the probation,
         because only a run that succeeds shows that the worker completes tasks.
         """
-        if run.started_ms >= self._quarantined_until_ms:
+        if self._is_since_quarantine(run):
             self._is_quarantined = False
 
     def is_on_trial_by(self, run: Run, now_ms: float) -> bool:
         """
         Return whether a run is a recent one since the last quarantine.
         """
-        return (
-            run.started_ms >= self._quarantined_until_ms
-            and now_ms - run.started_ms < _TRIAL_MS
-        )
+        is_recent = now_ms - run.started_ms < _TRIAL_MS
+        return is_recent and self._is_since_quarantine(run)
 
     def record_refusal(self, now_ms: float) -> None:
         """
@@ -111,6 +112,7 @@
         succeeds.
         """
         self._is_quarantined = True
+        self._quarantined_ms = now_ms
         self._quarantined_until_ms = now_ms + self._quarantine_ms
         self._quarantine_ms = min(self._quarantine_ms * 2, _QUARANTINE_MAX_MS)
         self._outcomes.clear()
@@ -123,28 +125,41 @@
         """
         self._outcomes.clear()
         self._is_quarantined = False
+        self._quarantined_ms = 0
         self._quarantined_until_ms = 0
         self._refused_until_ms = 0
         self._suspect_until_ms = 0
 
-    def health_status(self, now_ms: float) -> HealthStatus:
+    def health_status(
+        self, now_ms: float, *, is_lasting: bool = False
+    ) -> HealthStatus:
         """
         Return whether runs may be started on the worker.
+
+        Args:
+            now_ms: The current time, by the owner's monotonic clock.
+            is_lasting: Whether the runs are those of long-running tasks.
         """
         if now_ms < self._refused_until_ms:
             return HealthStatus.QUARANTINED
         if self._is_quarantined:
-            if now_ms < self._quarantined_until_ms:
+            until_ms = self._quarantined_until_ms
+            if is_lasting:
+                until_ms = min(until_ms, self._quarantined_ms + _QUARANTINE_MS)
+            if now_ms < until_ms:
                 return HealthStatus.QUARANTINED
             return HealthStatus.PROBATION
         if now_ms < self._suspect_until_ms:
             return HealthStatus.SUSPECT
         return HealthStatus.HEALTHY
 
+    def _is_since_quarantine(self, run: Run) -> bool:
+        return run.started_ms > self._quarantined_ms
+
     def _quarantine_if_failing(self, run: Run, now_ms: float) -> bool:
         if self._is_quarantined:
             # A run from before the quarantine tells nothing new.
-            is_new = run.started_ms >= self._quarantined_until_ms
+            is_new = self._is_since_quarantine(run)
             if is_new:
                 self.quarantine(now_ms)
             return is_new
--- a/tests/test_fleet_probation.py
+++ b/tests/test_fleet_probation.py
@@ -82,6 +82,23 @@
         failed only for a moment.
         """
         await self._fail_on_all_workers(world)
+        await self._check_recovery(world)
+
+    async def test_a_long_quarantine_does_not_hold_long_running_tasks(
+        self, world
+    ):
+        """
+        Guards against tasks that wait beside room until it has ended.
+        """
+        await world.wait_first_owner()
+        for worker in world.workers.values():
+            worker.fault = WorkerFault.FAIL_ALL
+        for _ in range(27):
+            await world.any_node().entry.submit(world.plan(SHORT, work_ms=300))
+            await world.run_for(500)
+        await self._check_recovery(world)
+
+    async def _check_recovery(self, world):
         world.recover_workers()
         plan = world.plan(LASTING)
         await world.any_node().entry.submit(plan)
