--- a/tests/test_fleet_ledger.py
+++ b/tests/test_fleet_ledger.py
@@ -13,7 +13,12 @@
 from fleet_oracle import FleetOracle
 from fleet_world import ENTRY_EXPIRY_MS, REGISTRY
 from registry_rows import encode_entry
-from test_fleet_faults import FIRST_SEED, SEED_COUNT, _BudgetSoak
+from test_fleet_faults import (
+    FIRST_SEED,
+    SEED_COUNT,
+    SETTLE_MS,
+    _BudgetSoak,
+)
 from virtual_time import run_virtual
 
 from hawthornpier import fleet
@@ -280,6 +285,39 @@
         self.world.break_store(StoreFault.NONE)
 
 
+class _CrashSoak(_LedgerSoak):
+    """
+    A soak in which tasks crash workers, until they are given up.
+    """
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.is_troubled = False
+        self.crashing = []
+
+    async def _cause_trouble(self):
+        self.is_troubled = True
+        await super()._cause_trouble()
+        self.is_troubled = False
+        await self.world.wait_until(
+            self._have_crashing_jobs_ended, limit_ms=SETTLE_MS
+        )
+
+    def _have_crashing_jobs_ended(self):
+        owner = self.world.owner()
+        if owner is None:
+            return False
+        jobs = map(owner.local_shard().jobs.get, self.crashing)
+        return all(job is None or job.is_terminal for job in jobs)
+
+    def _plan(self):
+        if not self.is_troubled or self.rng.randrange(8):
+            return super()._plan()
+        plan = self.world.plan(SHORT, crashing_tasks=((0, 0),))
+        self.crashing.append(plan.job_id)
+        return plan
+
+
 class TestLedger:
     """
     The owner's ledger agrees with the workers, and no task waits beside room.
@@ -296,8 +334,19 @@
         After each trouble there is calm, in which the owner's counters, runs
         and capacities have to agree with what the workers have.
         """
-        run_virtual(_soak(seed))
+        run_virtual(_soak(_LedgerSoak, seed))
+
+    @pytest.mark.parametrize(
+        'seed',
+        range(FIRST_SEED, FIRST_SEED + (SEED_COUNT + 1) // 2),
+    )
+    def test_crashing_tasks(self, seed):
+        """
+        Guards against long-running tasks that wait because others have crashed
+        their workers.
+        """
+        run_virtual(_soak(_CrashSoak, seed))
 
 
-async def _soak(seed):
-    await _LedgerSoak(seed).run()
+async def _soak(kind, seed):
+    await kind(seed).run()
