Use workers whose row of the list is divided by a write without reply

Workers that run got no more starts while the store did not reply.

Cause: if a write of the list of workers has no reply, only the workers count as named that its rows name both before and after, and that was decided row by row.

Found by reading. The new test (rows of 1,000 bytes, 20 workers, then 40 and two writes without a reply) failed before: the new row's workers were missing among those in use.

What counts is now whether any row names a worker, before and after.

--- a/src/hawthornpier/fleet/_worker_rows.py
+++ b/src/hawthornpier/fleet/_worker_rows.py
@@ -55,8 +55,11 @@
     def __init__(self, shard: Shard) -> None:
         self._shard = shard
         self._rows = DividedRows(WORKERS_KEY, shard.row_bytes)
-        # The workers that the store's rows name, by row.
+        # The workers that the store's rows name for certain, by row.
         self._stored: dict[str, frozenset[str]] = {}
+        # Those that they name together, also while one of them moves from one
+        # row to another.
+        self._named: frozenset[str] = frozenset()
         # What the store's rows contain together; None until that is known.
         self._stored_rows: frozenset[WorkerRow] | None = None
 
@@ -101,23 +104,27 @@
         """
         if contents:
             self._stored_rows = None
-        self._rows.confirm(contents)
-        for key, content in contents.items():
-            self._stored[key] = _worker_ids(content)
+            self._rows.confirm(contents)
+            for key, content in contents.items():
+                self._stored[key] = _worker_ids(content)
+            self._named = frozenset().union(*self._stored.values())
         self._mark()
 
     def forget(self, contents: Mapping[str, bytes]) -> None:
         """
         Record that it is unknown whether rows were written, by key.
 
-        Only workers that they name both before and after may be used.
+        Only workers that are named both before and after may be used.
         """
-        if contents:
-            self._stored_rows = None
+        if not contents:
+            return
+        self._stored_rows = None
         self._rows.forget(contents)
-        for key, content in contents.items():
-            earlier_ids = self._stored.get(key, frozenset())
-            self._stored[key] = earlier_ids & _worker_ids(content)
+        written = {key: _worker_ids(each) for key, each in contents.items()}
+        after = {**self._stored, **written}
+        self._named &= frozenset().union(*after.values())
+        for key, worker_ids in written.items():
+            self._stored[key] = self._stored.get(key, frozenset()) & worker_ids
         self._mark()
 
     def _may_have_runs(self, worker: WorkerState) -> bool:
@@ -133,9 +140,8 @@
         return worker.is_listed and not worker.is_leaving
 
     def _mark(self) -> None:
-        recorded = frozenset().union(*self._stored.values())
         for worker in self._shard.workers.values():
-            worker.is_recorded = worker.worker_id in recorded
+            worker.is_recorded = worker.worker_id in self._named
         self._shard.wake.set()
 
 
--- a/tests/test_fleet_held_work.py
+++ b/tests/test_fleet_held_work.py
@@ -299,6 +299,36 @@
         assert worker.worker_id.encode() in writer.rows[ROW_OF_WORKERS]
         assert worker.is_recorded
 
+    async def test_workers_that_move_to_another_row_in_a_lost_write(self):
+        """
+        Guards against workers out of use while the store does not reply.
+        """
+        shard = shard_with(PLAN, epoch=1)
+        shard.row_bytes = 1_000
+        worker = usable(add_worker(shard))
+        writer = _Writer()
+        committer = Committer(shard, writer, timings=OwnershipTimings())
+        _add_listed(shard, worker, 20)
+        await committer._write()
+        earlier = list(shard.workers.values())
+        _add_listed(shard, worker, 40)
+        writer.loses_replies = True
+        for _ in range(2):
+            with pytest.raises(StoreReplyLostError):
+                await committer._write()
+        assert len(writer.rows) == 2
+        named = [each for each in shard.workers.values() if each.is_recorded]
+        assert named == earlier
+
+
+def _add_listed(shard, like, count):
+    for number in range(len(shard.workers), count):
+        worker = WorkerState(
+            dataclasses.replace(like.entry, worker_id=f'worker-{number}')
+        )
+        worker.is_listed = True
+        shard.workers[worker.worker_id] = worker
+
 
 class _Writer:
     """
