Start nothing on a worker while its removal from the list is written

A start could be sent to a worker that the stored list does not name. If the owner was killed then, the next one did not wait for this worker's listing and could start the task a second time.

Cause: while a list without a worker is on its way to the store, seconds with a slow one, the worker still counted as named. If it listed its runs again meanwhile, it could be used until the write was confirmed, and it was unnamed until the next.

Found by reading. The new test failed before ("assert not True", is_usable while the write is in flight).

The rows now count as unknown from before the write is sent.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -117,13 +117,13 @@
         shard.dirty.difference_update(batch.job_ids)
         shard.writing.update(batch.job_ids)
         sent = shard.permits.writes.mark()
+        self.recorded_workers.forget(_rows_of_workers(batch))
         try:
             await self._writer.write(batch.writes, batch.removals)
         except StoreError as error:
             shard.dirty.update(batch.job_ids)
             for job_id, contents in batch.progress.items():
                 shard.progress_rows(job_id).forget(contents)
-            self.recorded_workers.forget(_rows_of_workers(batch))
             if not isinstance(error, StoreRejectedError):
                 raise
             await self._writer.write({})
--- a/src/hawthornpier/fleet/_worker_rows.py
+++ b/src/hawthornpier/fleet/_worker_rows.py
@@ -112,7 +112,7 @@
 
     def forget(self, contents: Mapping[str, bytes]) -> None:
         """
-        Record that it is unknown whether rows were written, by key.
+        Record that rows may be written from now on, by key.
 
         Only workers that are named both before and after may be used.
         """
--- a/tests/test_fleet_held_work.py
+++ b/tests/test_fleet_held_work.py
@@ -299,6 +299,25 @@
         assert worker.worker_id.encode() in writer.rows[ROW_OF_WORKERS]
         assert worker.is_recorded
 
+    async def test_a_worker_that_returns_while_its_removal_is_written(self):
+        """
+        Guards against a start on a worker that the next owner may not know of.
+        """
+        shard = shard_with(PLAN, epoch=1)
+        worker = usable(add_worker(shard))
+        committer = Committer(
+            shard, SimpleNamespace(write=_write), timings=OwnershipTimings()
+        )
+        await committer._write()
+        worker.is_listed = False
+        write = asyncio.create_task(committer._write())
+        await asyncio.sleep(0)
+        worker.is_listed = True
+        assert not worker.is_usable
+        await write
+        await committer._write()
+        assert worker.is_usable
+
     async def test_workers_that_move_to_another_row_in_a_lost_write(self):
         """
         Guards against workers out of use while the store does not reply.
