Write the changes of a write that fails during a release before it

A process that left released its shard without the last changes if a write was on its way and failed. Unless the next owner got them from it before it ended, tasks that had completed were run again.

Cause: the regular write and those of a release ran at the same time, and each took its changes out of the same sets. The release found nothing to write, waited for the other one, and was written although that had failed. The same overlap could acknowledge ends whose changes were still in the other write, and drop rows of removed jobs from those to delete; these two were seen by reading only.

The new test failed before: the store had applied ['release'] only.

One batch is now built after the other has ended, and a release is one step.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -4,6 +4,8 @@
 The changed progress of several jobs is written in one transaction.
 """
 
+import asyncio
+
 import msgspec
 
 from hawthornpier.fleet._commit_batch import Batch, BatchBuilder
@@ -49,6 +51,8 @@
         self._shard = shard
         self._writer = writer
         self._timings = timings
+        # Each batch is built from what the one before has left unwritten.
+        self._lock = asyncio.Lock()
         self._durable_ends = DurableEnds(shard)
         self._rejected = RejectedRows(shard)
         self._retry_ms: float = timings.retry_min_ms
@@ -78,9 +82,10 @@
             StoreError: A write was not applied, or it is unknown whether it
                 was.
         """
-        while self._rejected.writable_jobs():
-            await self._write()
-        await self._writer.write({}, is_release=True)
+        async with self._lock:
+            while self._rejected.writable_jobs():
+                await self._write_batch()
+            await self._writer.write({}, is_release=True)
 
     def _is_write_due(self) -> bool:
         return (
@@ -107,6 +112,10 @@
             self._retry_ms = self._timings.retry_min_ms
 
     async def _write(self) -> None:
+        async with self._lock:
+            await self._write_batch()
+
+    async def _write_batch(self) -> None:
         """
         Write one batch.
 
--- a/tests/test_fleet_commit_order.py
+++ b/tests/test_fleet_commit_order.py
@@ -2,6 +2,7 @@
 Tests of which changes an owner writes first while it has more than fit.
 """
 
+import asyncio
 import dataclasses
 
 from test_fleet_ends import PLAN, add_worker, shard_with
@@ -10,6 +11,7 @@
 from hawthornpier.fleet._commit_batch import ROW_COUNT_MAX
 from hawthornpier.fleet._commits import Committer
 from hawthornpier.fleet._writer import PROGRESS_TABLE
+from hawthornpier.ports import StoreReplyLostError
 
 LAST_ID = 'f' * 16
 
@@ -74,3 +76,46 @@
             await owner.committer._write()
             unstored -= owner.written[-1]
         assert owner.worker.acknowledged_number == 7
+
+
+class _SlowStore:
+    """
+    Applies one write after the other, but not the first one.
+    """
+
+    def __init__(self):
+        self.applied = []
+        self.is_first = True
+        self._lock = asyncio.Lock()
+
+    async def write(self, writes, _removals=(), *, is_release=False):
+        async with self._lock:
+            await asyncio.sleep(0.01)
+            if self.is_first:
+                self.is_first = False
+                raise StoreReplyLostError('no reply')
+            self.applied += [key for table, key in writes]
+            if is_release:
+                self.applied.append('release')
+
+
+class TestRelease:
+    """
+    A shard is released once all its changes are written.
+    """
+
+    async def test_changes_in_a_write_that_fails_meanwhile(self):
+        """
+        Guards against a next owner that runs completed tasks again.
+        """
+        shard = shard_with(PLAN)
+        shard.dirty.add(PLAN.job_id)
+        store = _SlowStore()
+        committer = Committer(shard, store, timings=OwnershipTimings())
+        run = asyncio.create_task(committer.run())
+        while not shard.writing:
+            await asyncio.sleep(0.001)
+        await committer.write_all()
+        run.cancel()
+        assert store.applied[-1] == 'release'
+        assert PLAN.job_id in store.applied
