Run a part of an entry process again after an unexpected error

What operators see: one unexpected error in the lease, the heartbeats, the host list, the table or the ownership of an entry process ends the whole process, and what caused it, such as a row in the store, may end the next one, too. A call of such a part that a library cancels ends the part silently, and the process goes on without it, for example without sending heartbeats to one peer.

Cause: the process waited for the first of its parts to end, and stopped. The task group of the heartbeats drops a cancelled task.

Leases, confirmations and suspicions expire by time, so that a part that keeps failing admits nothing that it should not. The parts of the fleet scheduler run like this already.

--- a/src/hawthornpier/coordination/_membership.py
+++ b/src/hawthornpier/coordination/_membership.py
@@ -165,11 +165,16 @@
         """
         Exchange heartbeats until the task is cancelled.
         """
-        async with asyncio.TaskGroup() as group:
-            while True:
-                self._update_peers()
-                self._update_tasks(group)
-                await self._clock.sleep_ms(self._timings.tick_ms)
+        try:
+            async with asyncio.TaskGroup() as group:
+                while True:
+                    self._update_peers()
+                    self._update_tasks(group)
+                    await self._clock.sleep_ms(self._timings.tick_ms)
+        finally:
+            # The tasks have ended; the next run starts them again.
+            for process_id in tuple(self._tasks):
+                self._stop_heartbeats(process_id)
 
     def _update_peers(self) -> None:
         """
@@ -201,6 +206,10 @@
         """
         Run one heartbeat task for each peer that gets heartbeats.
         """
+        for ended_id, task in tuple(self._tasks.items()):
+            # A library may have cancelled a call of the task.
+            if task.done():
+                self._stop_heartbeats(ended_id)
         targets = {
             peer.process_id: peer
             for peer in self._peers.values()
--- a/src/hawthornpier/daemon/_node.py
+++ b/src/hawthornpier/daemon/_node.py
@@ -20,7 +20,7 @@
     StoreLink,
     TableConfirmation,
 )
-from hawthornpier.daemon import _timings
+from hawthornpier.daemon import _parts, _timings
 from hawthornpier.daemon._catalog import TableCatalog
 from hawthornpier.daemon._chooser import LoadChooser
 from hawthornpier.daemon._committer import GroupCommitter
@@ -73,7 +73,6 @@
         process = settings.process
         timing = settings.timing
         self.activity = Activity()
-        self._tasks: list[asyncio.Task[None]] = []
         self._rng = rng or random.SystemRandom()
         self._identity = ProcessIdentity(
             process_id=process.process_id,
@@ -86,6 +85,7 @@
             self._hybrid_clock,
             max_event_count=settings.observability.event_ring_count,
         )
+        self._parts = _parts.Parts(self._clock, self.recorder)
         self._metrics = metrics
         leases = _timings.lease_timings(timing)
         self._link = StoreLink(
@@ -109,31 +109,18 @@
 
     async def start(self) -> None:
         """
-        Start the long-running tasks, which join the cluster and claim shards.
+        Start the long-running parts, which join the cluster and claim shards.
         """
         self.recorder.record(EventKind.PROCESS_STARTED)
         # The first claim needs the list of workers.
         await self._host_view.refresh()
-        runs = (
-            self._lease.run(),
-            self._membership.run(),
-            self._host_view.run(),
-            self._table_sync.run(),
-            self._ownership.run(),
+        self._parts.start(
+            self._lease.run,
+            self._membership.run,
+            self._host_view.run,
+            self._table_sync.run,
+            self._ownership.run,
         )
-        loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(run) for run in runs]
-
-    async def wait_failed(self) -> None:
-        """
-        Wait until one of the long-running tasks ends, and raise its error.
-        """
-        done, _ = await asyncio.wait(
-            self._tasks,
-            return_when=asyncio.FIRST_COMPLETED,
-        )
-        for task in done:
-            task.result()
 
     async def leave(self) -> None:
         """
@@ -154,9 +141,7 @@
 
         The next owners recover the state of the shards from the store.
         """
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._parts.cancel()
         for shard in tuple(self._local_shards.owners()):
             await self._local_shards.on_loss(shard)
 
--- a/src/hawthornpier/daemon/_process.py
+++ b/src/hawthornpier/daemon/_process.py
@@ -60,12 +60,6 @@
         self._server.listen(process.listen_port, process.listen_address)
         await self.node.start()
 
-    async def wait_failed(self) -> None:
-        """
-        Wait until one of the long-running tasks ends, and raise its error.
-        """
-        await self.node.wait_failed()
-
     async def stop(self) -> None:
         """
         Stop gracefully: hand over all shards and wait for open requests.
--- a/src/hawthornpier/daemon/_run.py
+++ b/src/hawthornpier/daemon/_run.py
@@ -39,16 +39,8 @@
         loop.add_signal_handler(number, stop.set)
     process = EntryProcess(settings)
     await process.start()
-    failure_task = asyncio.create_task(process.wait_failed())
-    stop_task = asyncio.create_task(stop.wait())
-    done, _ = await asyncio.wait(
-        (failure_task, stop_task),
-        return_when=asyncio.FIRST_COMPLETED,
-    )
-    failure_task.cancel()
+    await stop.wait()
     await process.stop()
-    if failure_task in done:
-        failure_task.result()
     return 0
 
 
--- a/src/hawthornpier/messages/_event.py
+++ b/src/hawthornpier/messages/_event.py
@@ -15,6 +15,7 @@
 
     PROCESS_STARTED = 'process_started'
     PROCESS_STOPPING = 'process_stopping'
+    PART_FAILED = 'part_failed'
     PEER_JOINED = 'peer_joined'
     PEER_SUSPECTED = 'peer_suspected'
     LEASE_GAINED = 'lease_gained'
