Skip an unreadable row in the store's reply to a claim

What callers see: requests and jobs of a shard find no owner, although a process holds it under a valid lease, until that process ends.

Cause: all rows of a claim were decoded before the owners of their shards were started. An unreadable one ended that with an error, after some of the shards had been recorded as owned. The lookup of a single owner row had the same fault; it has no caller yet.

Change: an unreadable row is skipped. The next regular read shows that the shard was claimed by this process, which then claims it again.

Evidence: by garbling rows that are read back.

--- a/src/hawthornpier/coordination/_owner_rows.py
+++ b/src/hawthornpier/coordination/_owner_rows.py
@@ -70,15 +70,23 @@
         """
         return self._owners
 
-    def update_owner(self, owner: ShardOwner) -> None:
+    def update_row(self, row: Row) -> ShardOwner | None:
         """
         Replace a known row by one that was read or written on its own.
 
         An older version than the known one is ignored.
+
+        Returns:
+            The owner in the row, or None if it is unreadable.
         """
+        try:
+            owner = shard_owner(row)
+        except UnreadableRowError:
+            return None
         known = self._owners.get(owner.shard)
         if known is None or known.version <= owner.version:
             self._owners[owner.shard] = owner
+        return owner
 
     async def read(self) -> bool:
         """
@@ -124,6 +132,4 @@
         row = await self._link.read(OWNER_PREFIX + shard)
         if row is None:
             return None
-        owner = shard_owner(row)
-        self.update_owner(owner)
-        return owner
+        return self.update_row(row)
--- a/src/hawthornpier/coordination/_ownership.py
+++ b/src/hawthornpier/coordination/_ownership.py
@@ -19,7 +19,6 @@
 from hawthornpier.coordination._owner_rows import (
     OwnerRows,
     ShardOwner,
-    shard_owner,
 )
 from hawthornpier.coordination._rows import OWNER_PREFIX, failure_domain_of
 from hawthornpier.coordination._timings import OwnershipTimings
@@ -293,15 +292,19 @@
         now_ms = self._clock.monotonic_ms()
         if written.incarnation != self._lease.incarnation:
             return
-        gained = []
-        for row in written.rows:
-            if row.key.startswith(OWNER_PREFIX):
-                owner = shard_owner(row)
-                self._rows.update_owner(owner)
-                delay_ms = self._timings.delivery_delay_ms
-                owned = owned_shard(owner, now_ms, delay_ms)
-                self._owned[owned.shard] = owned
-                gained.append(owned)
+        # An unreadable row is skipped.  Once it has been read, it shows that
+        # this process has claimed the shard, which it then claims again.
+        owners = [
+            self._rows.update_row(row)
+            for row in written.rows
+            if row.key.startswith(OWNER_PREFIX)
+        ]
+        gained = [
+            owned_shard(owner, now_ms, self._timings.delivery_delay_ms)
+            for owner in owners
+            if owner is not None
+        ]
+        self._owned.update((owned.shard, owned) for owned in gained)
         for owned in gained:
             if self._events is not None:
                 self._events.record(
--- a/tests/test_daemon_errors.py
+++ b/tests/test_daemon_errors.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+from dataclasses import replace
 
 import pytest
 from node_world import World
@@ -66,3 +67,40 @@
             return failing.call_counts
 
         assert min(run_virtual(scenario()).values()) > 5
+
+
+class TestClaims:
+    """
+    Replies of the store to claims of shards.
+    """
+
+    def test_unreadable_reply_to_a_claim(self):
+        """
+        Guards against a garbled row that ends the claims of a process.
+        """
+
+        async def scenario():
+            world = World(seed=1)
+            transact = world.store.transact
+
+            async def transact_garbled(transaction):
+                result = await transact(transaction)
+                rows = [
+                    replace(row, text='{') if 'melaka' in row.key else row
+                    for row in result.rows
+                ]
+                return replace(result, rows=tuple(rows))
+
+            process = world.processes['ipoh-0']
+            world.store.transact = transact_garbled
+            await process.start()
+            await world.clock.sleep_ms(40_000)
+            world.store.transact = transact
+            await world.clock.sleep_ms(5_000)
+            owned = set(process.node._ownership.owned)
+            served = set(process.node._local_shards.owners())
+            await world.finish()
+            return owned, served
+
+        owned, served = run_virtual(scenario())
+        assert owned == served == {'ipoh/0', 'kuching/0', 'melaka/0'}
