Continue the exchange with a worker after an unexpected error

What callers see: tasks on a worker stay "running" without end, and new ones of their shard do not start, after one unexpected error, or one call that a library cancelled, in the exchange with that worker. An error in the owner's regular query of the policy or in its purge ends that for as long as it owns the shard.

Cause: the same class as of the parts of a process. The background tasks of an owner were not started again; the error went to the handler of the event loop.

Change: the exchange with each worker, the query and the purge run again after the usual delay, and the timeline shows `part_failed`. The exchange begins with a new fence, since a start that was sent may still arrive; an outcome whose processing failed is processed again with the next listing of the worker. The loop is the one of the parts of a process, which moves here.

Evidence: by making one call of a worker fail. All six cases of the new test failed before: the tasks were running after 30 s. The HTTP client of the workers is not known to raise such errors.

--- a/src/hawthornpier/daemon/_parts.py
+++ b/src/hawthornpier/daemon/_parts.py
@@ -3,17 +3,14 @@
 """
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
 
 from hawthornpier.messages import EventKind
+from hawthornpier.owner import Part, run_again_after_errors
 from hawthornpier.ports import Clock, EventSink
 
 # Time before a part that has failed runs again.
 RESTART_DELAY_MS = 1_000
 
-Part = Callable[[], Coroutine[Any, Any, None]]
-
 
 class Parts:
     """
@@ -45,17 +42,12 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     async def _run(self, part: Part) -> None:
-        while True:
-            try:
-                return await part()
-            except (Exception, asyncio.CancelledError) as error:
-                # A library may cancel a call that the part waits for.
-                if _is_cancelled():
-                    raise
-                self._events.record(EventKind.PART_FAILED, detail=repr(error))
-            await self._clock.sleep_ms(RESTART_DELAY_MS)
-
-
-def _is_cancelled() -> bool:
-    task = asyncio.current_task()
-    return task is not None and task.cancelling() > 0
+        await run_again_after_errors(
+            part,
+            clock=self._clock,
+            delay_ms=RESTART_DELAY_MS,
+            on_error=self._record,
+        )
+
+    def _record(self, error: BaseException) -> None:
+        self._events.record(EventKind.PART_FAILED, detail=repr(error))
--- a/src/hawthornpier/owner/__init__.py
+++ b/src/hawthornpier/owner/__init__.py
@@ -2,6 +2,10 @@
 The owner of a shard: admission, requests, batch jobs and recovery.
 """
 
+from hawthornpier.owner._background_tasks import (
+    Part,
+    run_again_after_errors,
+)
 from hawthornpier.owner._errors import (
     CommitNotAppliedError,
     CommitUnknownError,
@@ -24,8 +28,10 @@
     'Committer',
     'OwnerError',
     'OwnerTiming',
+    'Part',
     'ServiceCatalog',
     'ShardClosedError',
     'ShardOwner',
     'newest_job_ids',
+    'run_again_after_errors',
 ]
--- a/src/hawthornpier/owner/_background_tasks.py
+++ b/src/hawthornpier/owner/_background_tasks.py
@@ -3,9 +3,45 @@
 """
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
+from hawthornpier.ports import Clock
+
+Part = Callable[[], Coroutine[Any, Any, None]]
+
+
+async def run_again_after_errors(
+    part: Part,
+    *,
+    clock: Clock,
+    delay_ms: int,
+    on_error: Callable[[BaseException], None],
+) -> None:
+    """
+    Run a part until it returns or its task is cancelled.
+
+    Args:
+        part: Runs the part.
+        clock: The clock of the process.
+        delay_ms: Time before a part that has failed runs again.
+        on_error: Called with each error.
+    """
+    while True:
+        try:
+            return await part()
+        except (Exception, asyncio.CancelledError) as error:
+            # A library may cancel a call that the part waits for.
+            if _is_cancelled():
+                raise
+            on_error(error)
+        await clock.sleep_ms(delay_ms)
+
+
+def _is_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
 
 class BackgroundTasks:
     """
@@ -13,9 +49,23 @@
 
     Unlike with `asyncio.TaskGroup`, a failed task does not cancel the others;
     its exception is passed to the exception handler of the event loop.
+
+    Args:
+        clock: The clock of the process.
+        restart_delay_ms: Time before a part that has failed runs again.
+        on_error: Called with each error of a part.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        restart_delay_ms: int,
+        on_error: Callable[[BaseException], None],
+    ) -> None:
+        self._clock = clock
+        self._restart_delay_ms = restart_delay_ms
+        self._on_error = on_error
         self._tasks: set[asyncio.Task[Any]] = set()
         self._is_cancelled = False
 
@@ -30,6 +80,19 @@
         self._tasks.add(task)
         task.add_done_callback(self._finish)
 
+    def keep_running(self, part: Part) -> None:
+        """
+        Run a part in the background, and run it again after an error.
+        """
+        self.spawn(
+            run_again_after_errors(
+                part,
+                clock=self._clock,
+                delay_ms=self._restart_delay_ms,
+                on_error=self._on_error,
+            ),
+        )
+
     async def cancel(self) -> None:
         """
         Cancel every task and wait until all have ended.
--- a/src/hawthornpier/owner/_link.py
+++ b/src/hawthornpier/owner/_link.py
@@ -257,6 +257,8 @@
         """
         Exchange messages with the worker until cancelled.
         """
+        # After an error, messages of the last run may still arrive.
+        self.refence()
         while True:
             if self.state is not LinkState.OPEN:
                 await self._fence_worker()
@@ -436,8 +438,9 @@
         self.runs.pop(outcome.run_id, None)
         if outcome.run_id in self._reported_run_ids:
             return
-        self._reported_run_ids.add(outcome.run_id)
         self._listener.on_outcome(self, outcome)
+        # After an error, the outcome is passed on again.
+        self._reported_run_ids.add(outcome.run_id)
 
     def _count_failure(self) -> None:
         self._failure_count += 1
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -87,7 +87,11 @@
         self._timing = timing
         self._events = events
         self._links: dict[str, WorkerLink] = {}
-        self._tasks = BackgroundTasks()
+        self._tasks = BackgroundTasks(
+            clock=clock,
+            restart_delay_ms=timing.retry_delay_ms,
+            on_error=self._record_error,
+        )
         self._is_open = False
         self._is_recovered = False
         self._opened_ms = clock.monotonic_ms()
@@ -160,8 +164,8 @@
         self._keyed_requests.load(records.intents)
         self._is_open = True
         await self.set_hosts(list_hosts())
-        self._tasks.spawn(self._tick())
-        self._tasks.spawn(self._purge())
+        self._tasks.keep_running(self._tick)
+        self._tasks.keep_running(self._purge)
 
     async def set_hosts(self, hosts: Iterable[HostRecord]) -> None:
         """
@@ -411,7 +415,7 @@
             listener=self,
         )
         self._links[host.worker_id] = link
-        self._tasks.spawn(link.run())
+        self._tasks.keep_running(link.run)
 
     async def _record_workers(self, worker_ids: Iterable[str]) -> bool:
         """
@@ -446,6 +450,13 @@
     def _on_task_decision(self, decision: TaskDecision) -> None:
         self._task_handlers[type(decision)](decision)
 
+    def _record_error(self, error: BaseException) -> None:
+        self._events.record(
+            EventKind.PART_FAILED,
+            shard=self.shard,
+            detail=repr(error),
+        )
+
     async def _tick(self) -> None:
         """
         Query the policy regularly, so that it also acts on deadlines.
--- a/tests/test_owner_waiting.py
+++ b/tests/test_owner_waiting.py
@@ -2,6 +2,9 @@
 Tests that accepted tasks start once a worker can run them.
 """
 
+import asyncio
+
+import pytest
 from owner_harness import OwnerHarness, job_of, request_of
 from virtual_time import run_virtual
 
@@ -92,3 +95,42 @@
             return await _job_states(harness, owner, 40_000)
 
         assert run_virtual(scenario()) == {TaskState.DONE}
+
+
+class TestUnexpectedErrors:
+    """
+    Errors in the background tasks of an owner with one worker.
+    """
+
+    @pytest.mark.parametrize('method', ['renew', 'report', 'start'])
+    @pytest.mark.parametrize(
+        'error', [RuntimeError('x'), asyncio.CancelledError()]
+    )
+    def test_worker_is_used_after_an_error(
+        self,
+        method: str,
+        error: BaseException,
+    ) -> None:
+        """
+        Guards against one error that ends all exchange with a worker.
+        """
+
+        async def scenario() -> set[TaskState]:
+            harness = OwnerHarness(worker_count=1)
+            owner = await harness.new_owner()
+            worker = harness.workers['w0']
+            call = getattr(worker, method)
+            errors = [error]
+
+            async def fail_once(*arguments: object) -> object:
+                if errors:
+                    raise errors.pop()
+                return await call(*arguments)
+
+            setattr(worker, method, fail_once)
+            await owner.submit_job('j', job_of(2, work_ms=1_000))
+            states = await _job_states(harness, owner, 30_000)
+            assert not errors
+            return states
+
+        assert run_virtual(scenario()) == {TaskState.DONE}
