Wait until the unreadable records of a shard are repaired

What callers see: requests and jobs of a shard find no owner although a process holds it, also after its rows have been repaired, until that process ends; the list of jobs fails with status 500 for all members.

Cause: an unreadable row of a job, task, intent or list of workers ended the task that opens the owner, and nobody looked at its error.

Change: the records are read until all of them are readable, and the timeline shows `row_unreadable` once for each reason. The shard stays closed meanwhile, since work that the record shows to have started could start again without it. The list of jobs leaves unreadable jobs out.

Evidence: by garbling the row of a job. The new test failed before, as the owner did not open (msgspec.DecodeError). Left: one unreadable row still closes its whole shard, and an unreadable row of the group commits ends its writes.

--- a/src/hawthornpier/messages/_event.py
+++ b/src/hawthornpier/messages/_event.py
@@ -23,6 +23,7 @@
     SHARD_GAINED = 'shard_gained'
     SHARD_LOST = 'shard_lost'
     SHARD_RECOVERED = 'shard_recovered'
+    ROW_UNREADABLE = 'row_unreadable'
     STORE_OUT = 'store_out'
     STORE_BACK = 'store_back'
     TABLE_VERSION = 'table_version'
--- a/src/hawthornpier/owner/_errors.py
+++ b/src/hawthornpier/owner/_errors.py
@@ -30,3 +30,9 @@
     The process has lost the shard, is handing it over, or may admit no work
     because its table version is not confirmed or has no such service.
     """
+
+
+class UnreadableRecordError(OwnerError):
+    """
+    A row with a record of the shard cannot be decoded.
+    """
--- a/src/hawthornpier/owner/_records.py
+++ b/src/hawthornpier/owner/_records.py
@@ -5,13 +5,19 @@
 shard, so that a new owner reads them with one scan for each type.
 """
 
+import contextlib
 from collections.abc import Iterable
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 import xxhash
 
+from hawthornpier.decoding import decode_json
 from hawthornpier.messages import JobSpec, Row, RowPut, TaskState
+from hawthornpier.owner._errors import UnreadableRecordError
+
+_Record = TypeVar('_Record')
 
 # The number of tasks stored in one row.  Recording one outcome rewrites one
 # row, which stays small even if the job is large.
@@ -100,16 +106,34 @@
     """
     Return the ids of a member's jobs, newest first.
     """
-    records = [msgspec.json.decode(row.text, type=JobRecord) for row in rows]
-    member_records = [
-        record for record in records if record.spec.member == member
-    ]
+    member_records = []
+    for row in rows:
+        # An unreadable job is left out; its owner reports it.
+        with contextlib.suppress(UnreadableRecordError):
+            record = decode_record(row, JobRecord)
+            if record.spec.member == member:
+                member_records.append(record)
     member_records.sort(
         key=lambda record: record.accepted_wall_ms, reverse=True
     )
     return [record.job_id for record in member_records]
 
 
+def decode_record(row: Row, record_type: type[_Record]) -> _Record:
+    """
+    Decode the text of a row as an instance of *record_type*.
+
+    Raises:
+        UnreadableRecordError: The text cannot be decoded.
+    """
+    return decode_json(
+        row.text,
+        record_type,
+        UnreadableRecordError,
+        subject=f'row {row.key}',
+    )
+
+
 def job_key(shard: str, job_id: str) -> str:
     """
     Return the key of a job's row.
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -152,6 +152,7 @@
             self.shard,
             store=self._store,
             clock=self._clock,
+            on_unreadable=self._record_unreadable,
         )
         remaining_ms = wait_until_ms - self._clock.monotonic_ms()
         if remaining_ms > 0:
@@ -450,6 +451,13 @@
     def _on_task_decision(self, decision: TaskDecision) -> None:
         self._task_handlers[type(decision)](decision)
 
+    def _record_unreadable(self, reason: str) -> None:
+        self._events.record(
+            EventKind.ROW_UNREADABLE,
+            shard=self.shard,
+            detail=reason,
+        )
+
     def _record_error(self, error: BaseException) -> None:
         self._events.record(
             EventKind.PART_FAILED,
--- a/tests/test_owner_jobs.py
+++ b/tests/test_owner_jobs.py
@@ -10,8 +10,15 @@
 from owner_harness import TASK_DEMAND, OwnerHarness, job_of, request_of
 from virtual_time import run_virtual
 
-from hawthornpier.messages import Answer, JobView, TaskState
-from hawthornpier.owner import OwnerError, ShardOwner
+from hawthornpier.messages import (
+    Answer,
+    EventKind,
+    JobView,
+    RowPut,
+    TaskState,
+    Transaction,
+)
+from hawthornpier.owner import OwnerError, ShardOwner, newest_job_ids
 from hawthornpier.owner._job_state import new_run_id
 from hawthornpier.policy import EvictTask
 from hawthornpier_standin.history import (
@@ -316,6 +323,42 @@
         assert not _violations(harness)
 
 
+class TestUnreadableRecords:
+    """
+    A record that the next owner cannot read.
+    """
+
+    def test_owner_opens_once_the_row_is_repaired(self) -> None:
+        """
+        Guards against a shard that stays closed for no visible reason.
+        """
+
+        async def scenario() -> tuple[object, list[EventKind], list[str]]:
+            harness = OwnerHarness()
+            owner = await harness.new_owner()
+            await owner.submit_job('j', job_of(2))
+            await owner.close()
+            row = (await harness.store.scan('job/'))[0]
+            await _write(harness, RowPut(key=row.key, text='{'))
+            opening = asyncio.ensure_future(harness.new_owner())
+            await harness.clock.sleep_ms(2_000)
+            listed = newest_job_ids(await harness.store.scan('job/'), 'm')
+            await _write(harness, RowPut(key=row.key, text=row.text))
+            successor = await asyncio.wait_for(opening, 2)
+            return successor.jobs.view('j'), harness.events.kinds, listed
+
+        view, kinds, listed = run_virtual(scenario())
+        assert view is not None
+        assert kinds.count(EventKind.ROW_UNREADABLE) == 1
+        assert not listed
+
+
+async def _write(harness: OwnerHarness, row: RowPut) -> None:
+    await harness.store.transact(
+        Transaction(transaction_id=f'test.{row.text}', puts=(row,)),
+    )
+
+
 class TestNonIdempotentTasks:
     """
     Tasks that run at most once.
