Replace an unreadable row of the group commits

What callers see: no job, order or outcome of a shard is stored any more, by any owner of it, after its row of the group commits has become unreadable; only stores that forget transaction ids have such a row.

Cause: the error ended the task of the group commits, which then counted as closed by a loss of the shard.

Change: the next commit replaces the row, whose version it checks as before. An outcome that only the row could show is reported as unknown, also to earlier owners, for which the new row names the current epoch as the previous one.

Evidence: by garbling the row, which the last commit left. Two new tests failed before, one with CommitClosedError.

--- a/src/hawthornpier/coordination/_marker.py
+++ b/src/hawthornpier/coordination/_marker.py
@@ -4,6 +4,7 @@
 
 import enum
 
+from hawthornpier.coordination._errors import UnreadableRowError
 from hawthornpier.coordination._link import Backoff, read_with_retries
 from hawthornpier.coordination._rows import (
     MARKER_PREFIX,
@@ -53,6 +54,7 @@
         self._version = ABSENT_VERSION
         self._row = MarkerRow(epoch=0, sequence=0)
         self._is_read = False
+        self._is_unreadable = False
 
     async def prepare(self, sequence: int) -> tuple[RowCheck, RowPut]:
         """
@@ -92,9 +94,12 @@
         Read whether the commit *sequence* of this epoch was applied.
 
         The row holds this information until two later owners have each
-        replaced it; after that the outcome is `UNKNOWN`.
+        replaced it; after that, or if the row is unreadable, the outcome is
+        `UNKNOWN`.
         """
         await self._read()
+        if self._is_unreadable:
+            return TransactionOutcome.UNKNOWN
         searched = (self._epoch, sequence)
         last = (self._row.epoch, self._row.sequence)
         previous = (self._row.previous_epoch, self._row.previous_sequence)
@@ -109,9 +114,21 @@
         self._is_read = True
         self._version = ABSENT_VERSION
         self._row = MarkerRow(epoch=0, sequence=0)
-        if row is not None:
-            self._version = row.version
+        self._is_unreadable = False
+        if row is None:
+            return
+        self._version = row.version
+        try:
             self._row = decode(row, MarkerRow)
+        except UnreadableRowError:
+            # The next commit replaces the row, so that earlier owners find
+            # the outcome of their last commit unknown.
+            self._is_unreadable = True
+            self._row = MarkerRow(
+                epoch=self._epoch,
+                sequence=0,
+                previous_epoch=self._epoch,
+            )
 
     def _next_row(self, sequence: int) -> MarkerRow:
         row = self._row
--- a/tests/test_coordination_commit.py
+++ b/tests/test_coordination_commit.py
@@ -253,3 +253,33 @@
             await later.commit([row], deadline_ms=10_000)
         with pytest.raises(co.CommitUnknownError):
             await writing
+
+    async def test_an_unreadable_marker_is_replaced(self, harness):
+        """
+        Guards against a shard that no owner can write for any more.
+        """
+        await harness.put('key/1')
+        marker = RowPut(key='commit/ipoh/0', text='{')
+        harness.store.apply(Transaction(transaction_id='x', puts=(marker,)))
+        harness.commits = harness.open(2)
+        await harness.put('key/2')
+        harness.lose_next_reply()
+        await harness.put('key/3')
+        # Earlier owners do not know whether their last commit was applied.
+        text = harness.store.rows['commit/ipoh/0'].text
+        assert '"previous_epoch":2' in text
+
+    async def test_a_commit_is_unknown_if_the_marker_is_unreadable(
+        self, harness
+    ):
+        """
+        Guards against a commit that is called not applied but was applied.
+        """
+        harness.lose_next_reply()
+        pending = asyncio.create_task(harness.put('key/1'))
+        await harness.wait_until_written('key/1')
+        marker = RowPut(key='commit/ipoh/0', text='{')
+        harness.store.apply(Transaction(transaction_id='x', puts=(marker,)))
+        with pytest.raises(co.CommitUnknownError):
+            await pending
+        assert harness.deposed
