--- a/src/hawthornpier/messages/_event.py
+++ b/src/hawthornpier/messages/_event.py
@@ -15,6 +15,7 @@
 
     PROCESS_STARTED = 'process_started'
     PROCESS_STOPPING = 'process_stopping'
+    PART_FAILED = 'part_failed'
     PEER_JOINED = 'peer_joined'
     PEER_SUSPECTED = 'peer_suspected'
     LEASE_GAINED = 'lease_gained'
@@ -22,6 +23,7 @@
     SHARD_GAINED = 'shard_gained'
     SHARD_LOST = 'shard_lost'
     SHARD_RECOVERED = 'shard_recovered'
+    ROW_UNREADABLE = 'row_unreadable'
     STORE_OUT = 'store_out'
     STORE_BACK = 'store_back'
     TABLE_VERSION = 'table_version'
