Believe a worker itself about its incarnation, not its registry entry

Callers could see a worker stay empty for the rest of its life while tasks waited, and two runs of one task.

Cause: the owner took the entry with the latest `born` for the worker. `born` is wall-clock time, so after a clock was set back a restarted worker has an earlier one, and its entry and its listings were ignored for good. One odd row with a `born` in the future ended all runs of a live worker as lost, which were then started again beside those that ran on, and hid the worker afterwards. An odd address in the row that a new owner read first had the same effect: the owner never dialled again, and took the reply of whoever is there for the end of the worker.

Now an entry with another incarnation or address than is known only leads to a request to the worker there, without a deadline or an acknowledgement. The `born` of a listing decides, whatever the order of the two: if it differs from the known one, the next incarnation begins, with the entry if that agrees, and otherwise without starts until the registry has an entry of it. A crash that a previous owner suspected counts if the worker replies as another incarnation. An entry under another id at the address of a missing worker still has to be the later one, because the entry of an earlier worker may be written late.

Stand-ins, nearer to the contract: a renewal that waits ends with the connection when its worker restarts (it hung until the new clock reached the old one's deadline); the client dials the address of the entry and finds a closed port where nobody listens; workers carry Unix times. Two tests of the registry's private methods, which are gone, now call the parts that have replaced them, with the same assertions; one of them begins the incarnation by the worker's reply, as an entry alone no longer does.

--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -9,7 +9,6 @@
 import itertools
 from collections.abc import Collection, Iterable
 
-from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._state_log import log_interrupted_runs
 from hawthornpier.fleet._worker_load import RunKey
@@ -95,10 +94,12 @@
 def clear_suspicions(shard: Shard, worker: WorkerState) -> None:
     """
     Drop the evidence against the runs of a worker that responds again.
+
+    Evidence that a previous owner had about an earlier incarnation counts.
     """
     worker.has_crashed = False
     for task, suspicion in _pop_suspicions(worker):
-        _refute_crash(shard, task, suspicion)
+        _settle_suspicion(shard, task, suspicion, worker)
 
 
 def confirm_crash(shard: Shard, worker: WorkerState, why: str) -> None:
@@ -176,15 +177,18 @@
         shard: The state of the shard.
         worker: The worker that was registered.
     """
-    address = worker.entry.address
+    entry = worker.entry
     for worker_id, tasks in list(shard.missing_suspects.items()):
         is_same = worker_id == worker.worker_id
         suspects = [task for task in tasks if worker_id in task.suspicions]
+        # Under the same id, the worker's reply tells whether it has crashed.
         replaced = [
             task
             for task in suspects
-            if _is_replaced(task.suspicions[worker_id], worker.entry)
-            and (is_same or task.suspicions[worker_id].address == address)
+            if not is_same
+            and task.suspicions[worker_id].is_replaced_at(
+                entry.address, entry.incarnation_ms
+            )
         ]
         for culprit in replaced:
             suspicion = culprit.suspicions.pop(worker_id)
@@ -192,8 +196,7 @@
         if is_same or replaced:
             shard.missing_suspects.pop(worker_id)
         if is_same:
-            remaining = [task for task in suspects if task not in replaced]
-            worker.suspect(remaining, shard.now_ms)
+            worker.suspect(suspects, shard.now_ms)
 
 
 def restore_suspicions(shard: Shard) -> None:
@@ -236,7 +239,7 @@
         _count_crash(shard, task, suspicion.attempt, suspicion.weight)
     elif worker.is_listed:
         task.suspicions.pop(worker.worker_id)
-        _refute_crash(shard, task, suspicion)
+        _settle_suspicion(shard, task, suspicion, worker)
     elif task not in worker.suspected_tasks:
         worker.suspect([task], shard.now_ms)
 
@@ -293,6 +296,21 @@
             )
 
 
+def _settle_suspicion(
+    shard: Shard,
+    task: Task,
+    suspicion: Suspicion,
+    worker: WorkerState,
+) -> None:
+    """
+    Decide by the incarnation as which a worker has replied.
+    """
+    if suspicion.incarnation_ms in {0, worker.entry.incarnation_ms}:
+        _refute_crash(shard, task, suspicion)
+    else:
+        _count_crash(shard, task, suspicion.attempt, suspicion.weight)
+
+
 def _refute_crash(shard: Shard, task: Task, suspicion: Suspicion) -> None:
     task.crashes.pop(suspicion.attempt, None)
     shard.mark_dirty(task)
@@ -320,10 +338,6 @@
     return task.step.job.plan.job_id in shard.jobs
 
 
-def _is_replaced(suspicion: Suspicion, entry: WorkerEntry) -> bool:
-    return 0 < suspicion.incarnation_ms < entry.incarnation_ms
-
-
 def _suspect_key(run: Run) -> str:
     # The members of a gang start together.
     step = run.task.step
--- a/src/hawthornpier/fleet/_ports.py
+++ b/src/hawthornpier/fleet/_ports.py
@@ -147,6 +147,15 @@
     # Time left until a draining worker stops, if it is known.
     remaining_ms: int | None = None
 
+    def is_same_incarnation(self, other: 'WorkerEntry') -> bool:
+        """
+        Return whether two entries name one incarnation at one address.
+        """
+        return (self.incarnation_ms, self.address) == (
+            other.incarnation_ms,
+            other.address,
+        )
+
     @property
     def rack(self) -> str:
         """
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -24,7 +24,7 @@
     withdraw_start,
     withdraw_unsent_starts,
 )
-from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.fleet._worker_state import IncarnationObserver, WorkerState
 from hawthornpier.ports import WorkerError, WorkerReplyLostError
 from hawthornpier.steps import Run, RunPhase
 
@@ -49,6 +49,8 @@
         shard: The shard that the worker belongs to.
         listings: Applies the worker's listings to the shard.
         timings: Durations and limits of requests.
+        on_incarnation: Called if the worker replies as another incarnation,
+            with the Unix time in ms at which that started.
     """
 
     def __init__(
@@ -59,12 +61,14 @@
         shard: Shard,
         listings: ListingReconciler,
         timings: WorkerTimings,
+        on_incarnation: IncarnationObserver | None = None,
     ) -> None:
         self._worker = worker
         self._port = port
         self._shard = shard
         self._listings = listings
         self._timings = timings
+        self._on_incarnation = on_incarnation
         self._retry_ms: float = timings.retry_min_ms
         self._orders = worker.orders
         # When the worker last replied to an order.
@@ -122,7 +126,7 @@
             return False
         if isinstance(reply, WorkerListing):
             if reply.incarnation_ms != worker.entry.incarnation_ms:
-                self._record_missed_reply('another incarnation replied')
+                self._report_incarnation(reply.incarnation_ms)
                 return False
             was_reached = worker.is_reached
             worker.confirm_acknowledgement(acknowledged_number)
@@ -156,6 +160,11 @@
         except TimeoutError:
             return
 
+    def _report_incarnation(self, incarnation_ms: int) -> None:
+        self._record_missed_reply('another incarnation replied')
+        if incarnation_ms and self._on_incarnation:
+            self._on_incarnation(self._worker, incarnation_ms)
+
     def _record_missed_reply(self, why: str) -> None:
         worker = self._worker
         worker.missed_reply_count += 1
@@ -365,9 +374,8 @@
             order.run.order_acknowledged_ms = self._shard.now_ms
 
     def _has_ended(self, order: Order) -> bool:
-        if order.run is None:
-            return False
-        return (order.task_key, order.attempt) not in self._worker.runs
+        key = (order.task_key, order.attempt)
+        return order.run is not None and key not in self._worker.runs
 
     async def _throttle(self, order: Order) -> None:
         run = order.run
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -7,16 +7,13 @@
 
 from hawthornpier.fleet._context import FleetContext
 from hawthornpier.fleet._crashes import (
-    confirm_crash,
     identify_missing_workers,
     remember_missing_worker,
 )
-from hawthornpier.fleet._errors import HistoryGoneError, error_text
+from hawthornpier.fleet._errors import HistoryGoneError
 from hawthornpier.fleet._heartbeats import record_heartbeat
-from hawthornpier.fleet._listings import ListingReconciler
-from hawthornpier.fleet._parts import run_part
+from hawthornpier.fleet._incarnations import Incarnations
 from hawthornpier.fleet._ports import (
-    FleetWorker,
     StoredRow,
     WorkerDialer,
     WorkerEntry,
@@ -24,11 +21,8 @@
 from hawthornpier.fleet._relay_assignment import WorkerPlace
 from hawthornpier.fleet._row_pages import read_all_rows, read_changes
 from hawthornpier.fleet._shard import Shard
-from hawthornpier.fleet._withdrawals import withdraw_unsent_starts
-from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import StoreError
-from hawthornpier.steps import RunOutcome, RunPhase
 
 # A worker counts as deregistered if its entry has been missing for this long.
 # Entries that expired during an outage of the store reappear within two seconds
@@ -37,9 +31,6 @@
 _REGISTRY_POLL_INTERVAL_MS = 600
 # A log line names at most this many unreadable entries.
 _LOGGED_ENTRY_COUNT = 5
-# After an unexpected error, the requests to a worker begin anew after this
-# time.
-_LINK_RESTART_MS = 500.0
 
 
 class WorkerRegistry:
@@ -62,13 +53,10 @@
     ) -> None:
         self.shard = shard
         self._context = context
-        self._dial = dial
-        self._group = group
-        self._listings = ListingReconciler(shard)
+        self._incarnations = Incarnations(shard, context, dial, group)
         # Whether any worker may run tasks of the previous owner, because its
         # list of workers is unreadable.
         self.are_all_workers_unlisted = False
-        self._links: dict[str, asyncio.Task[None]] = {}
         self._missing_since_ms: dict[str, float] = {}
         self._version: int | None = None
         # When the last read of all changes was sent; 0 if there is none.
@@ -92,11 +80,9 @@
 
         The registry may no longer have an entry for it.
         """
-        is_known = entry.worker_id in self.shard.workers
         self._missing_since_ms[entry.worker_id] = self.shard.now_ms
-        self._update_worker(entry)
+        self._update_worker(entry, is_registered=False)
         worker = self.shard.workers[entry.worker_id]
-        worker.has_entry = worker.has_entry and is_known
         if not worker.is_listed:
             self.shard.unlisted_tasks.setdefault(entry.worker_id, None)
 
@@ -194,7 +180,6 @@
         for readable_entry in entries.values():
             self._update_worker(readable_entry)
             worker = self.shard.workers[readable_entry.worker_id]
-            worker.has_entry = True
             if worker.entry is readable_entry:
                 record_heartbeat(self.shard, worker, alive_ms)
         unreadable_ids = sorted(present_ids - entries.keys())
@@ -205,21 +190,28 @@
                 workers=unreadable_ids[:_LOGGED_ENTRY_COUNT],
             )
 
-    def _update_worker(self, entry: WorkerEntry) -> None:
+    def _update_worker(
+        self, entry: WorkerEntry, *, is_registered: bool = True
+    ) -> None:
         worker = self.shard.workers.get(entry.worker_id)
         if worker is None:
-            worker = WorkerState(entry)
-            self.shard.workers[entry.worker_id] = worker
-            identify_missing_workers(self.shard, worker)
-            if self.are_all_workers_unlisted:
-                self.shard.unlisted_tasks.setdefault(entry.worker_id, None)
-            self._start_link(worker)
-            return
-        if entry.incarnation_ms > worker.entry.incarnation_ms:
-            self._begin_incarnation(worker, entry)
-        elif entry.incarnation_ms == worker.entry.incarnation_ms:
+            self._add_worker(entry, is_registered=is_registered)
+        elif not entry.is_same_incarnation(worker.entry):
+            self._incarnations.suggest(
+                worker, entry, is_registered=is_registered
+            )
+        elif is_registered:
             self._update_entry(worker, entry)
 
+    def _add_worker(self, entry: WorkerEntry, *, is_registered: bool) -> None:
+        worker = WorkerState(entry)
+        worker.has_entry = is_registered
+        self.shard.workers[entry.worker_id] = worker
+        identify_missing_workers(self.shard, worker)
+        if self.are_all_workers_unlisted:
+            self.shard.unlisted_tasks.setdefault(entry.worker_id, None)
+        self._incarnations.links.start(worker)
+
     def _update_entry(self, worker: WorkerState, entry: WorkerEntry) -> None:
         if entry.is_draining and not worker.entry.is_draining:
             self._context.log.record(
@@ -229,83 +221,9 @@
                 runs=len(worker.runs),
             )
         worker.entry = entry
-        if entry.worker_id not in self._links:
-            self._start_link(worker)
-
-    def _begin_incarnation(
-        self, worker: WorkerState, entry: WorkerEntry
-    ) -> None:
-        self._context.log.record(
-            'worker_reborn',
-            worker=entry.worker_id,
-            incarnation=entry.incarnation_ms,
-            runs=len(worker.runs),
-        )
-        confirm_crash(self.shard, worker, 'another incarnation registered')
-        for run in list(worker.runs.values()):
-            if run.is_listed and not run.has_unacknowledged_order:
-                self.shard.end_run(run, RunOutcome.LOST)
-        withdraw_unsent_starts(self.shard, worker, why='worker restarted')
-        uncertain_runs = worker.begin_incarnation(entry)
-        if uncertain_runs:
-            timings = self._context.worker_timings
-            worker.early_lease_end_ms = self.shard.now_ms + (
-                timings.lease_max_ms * (1 + timings.clock_drift * 1.1)
-            )
-        self._stop_link(worker.worker_id)
-        self._start_link(worker)
-        for uncertain_run in uncertain_runs:
-            # The new incarnation may have accepted the start; its first listing
-            # shows whether it has.
-            worker.charge(uncertain_run)
-            uncertain_run.is_listed = False
-            if uncertain_run.has_unacknowledged_order:
-                # It may also execute the start later, so the run is stopped
-                # explicitly.
-                uncertain_run.phase = RunPhase.STARTING
-                self.shard.stop_run(
-                    uncertain_run,
-                    'start not acknowledged before the worker restarted',
-                )
-
-    def _start_link(self, worker: WorkerState) -> None:
-        self._links[worker.worker_id] = self._group.create_task(
-            self._run_link(worker),
-        )
-
-    async def _run_link(self, worker: WorkerState) -> None:
-        client = self._dial(worker.entry)
-        try:
-            while True:
-                await self._run_link_once(worker, client)
-                await self._context.clock.sleep_ms(_LINK_RESTART_MS)
-        finally:
-            client.close()
-
-    async def _run_link_once(
-        self, worker: WorkerState, client: FleetWorker
-    ) -> None:
-        link = WorkerLink(
-            worker,
-            client,
-            shard=self.shard,
-            listings=self._listings,
-            timings=self._context.worker_timings,
-        )
-        try:
-            await run_part(link.run)
-        except Exception as error:
-            # An error that concerns one worker must not end the owner.
-            self._context.log.record(
-                'worker_link_failed',
-                worker=worker.worker_id,
-                why=error_text(error),
-            )
-
-    def _stop_link(self, worker_id: str) -> None:
-        task = self._links.pop(worker_id, None)
-        if task is not None:
-            task.cancel()
+        worker.has_entry = True
+        if not worker.is_unresponsive:
+            self._incarnations.withdraw(entry.worker_id)
 
     def _remove_departed_workers(self) -> None:
         """
@@ -331,7 +249,7 @@
                 and now_ms > lease_expiry_ms
             ):
                 remember_missing_worker(self.shard, worker)
-                self._stop_link(worker_id)
+                self._incarnations.remove(worker_id)
                 self.shard.workers.pop(worker_id)
                 self.shard.interference.forget_worker(worker_id)
                 self._context.log.record('worker_gone', worker=worker_id)
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -3,7 +3,7 @@
 """
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from hawthornpier.fleet._health import WorkerHealth
 from hawthornpier.fleet._orders import Order
@@ -260,3 +260,8 @@
             timings.clock_drift,
         )
         return max(expiry_ms, self.early_lease_end_ms)
+
+
+# Called with a worker that replies as another incarnation than the known one,
+# and the Unix time in ms at which that started.
+IncarnationObserver = Callable[[WorkerState, int], None]
--- a/src/hawthornpier/steps/_suspicion.py
+++ b/src/hawthornpier/steps/_suspicion.py
@@ -19,3 +19,16 @@
     weight: int
     address: str = ''
     incarnation_ms: int = 0
+
+    def is_replaced_at(self, address: str, incarnation_ms: int) -> bool:
+        """
+        Return whether an entry under another id names a later worker there.
+
+        The entry of an earlier worker at the address may be written late.
+
+        Args:
+            address: The address in the entry.
+            incarnation_ms: The Unix time at which that worker started.
+        """
+        is_later = 0 < self.incarnation_ms < incarnation_ms
+        return is_later and self.address == address
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -6,6 +6,7 @@
 import dataclasses
 import itertools
 from collections.abc import Callable
+from typing import Any
 
 from hawthornpier.fleet import (
     LISTED_ENDS_MAX,
@@ -136,18 +137,18 @@
         if self._on_crash is not None:
             self._on_crash(self)
 
-    def restart(self, worker_id: str = '') -> None:
+    def restart(self, worker_id: str = '', **changes: Any) -> None:
         """
         Start a new incarnation without any state.
 
         Args:
             worker_id: Its id; by default, that of the previous incarnation.
+            changes: Other fields of its entry that change.
         """
-        incarnation_ms = self._clock.wall_ms() + 1
         self.entry = dataclasses.replace(
             self.entry,
             worker_id=worker_id or self.entry.worker_id,
-            incarnation_ms=incarnation_ms,
+            **{'incarnation_ms': self._clock.wall_ms() + 1, **changes},
         )
         self.is_up = True
         self.is_refusing = False
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -43,6 +43,7 @@
         """
         if not await self._begin_call():
             return Verdict.OTHER_INCARNATION
+        incarnation_ms = self._worker.entry.incarnation_ms
         reply = self._worker.renew(renewal)
         end_ms = self._worker.clock_ms + renewal.wait_ms
         while (
@@ -52,6 +53,8 @@
         ):
             await asyncio.sleep(TICK_MS / 1000)
             await self._raise_if_unreachable()
+            if self._worker.entry.incarnation_ms != incarnation_ms:
+                raise WorkerReplyLostError('the worker closed the connection')
             reply = self._worker.listing()
         await self._raise_if_reply_is_lost()
         return reply
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -32,6 +32,8 @@
 # The registry drops the entry of a worker that has sent no heartbeat for this
 # long.
 ENTRY_EXPIRY_MS = 3 * HEARTBEAT_MS
+# The wall clock when the world is created, in Unix time.
+FIRST_WALL_MS = 1_800_000_000_000
 
 
 class Node(fleet.FleetNode):
@@ -52,7 +54,7 @@
     """
 
     def __init__(self, *, node_count=3, worker_count=4, seed=1, cores=1):
-        self.clock = VirtualClock()
+        self.clock = VirtualClock(offset_ms=FIRST_WALL_MS)
         # After how long a call to a peer that does not respond fails.
         self.peer_timeout_s = 0.4
         self.peer_delay_s = 0.001
@@ -71,6 +73,10 @@
         self.failures = {}
         self.log_lines = []
         self.workers = {}
+        # By address.
+        self.hosts = {}
+        # By how much the clock of a host differs once its worker has crashed.
+        self.restarted_clock_step_ms = 0
         # Workers that send no heartbeats.
         self.silent_workers = set()
         # Workers that only partitioned processes reach.
@@ -96,7 +102,7 @@
             processor_millis=8_000,
             memory_mb=64_000,
             accelerator_count=0,
-            incarnation_ms=1,
+            incarnation_ms=self.clock.wall_ms(),
             **options,
         )
         worker = standin.StandinFleetWorker(
@@ -107,9 +113,23 @@
             on_crash=self._handle_crash,
         )
         self.workers[worker_id] = worker
+        self.hosts[entry.address] = worker
         self._spawn(worker.run())
         return worker
 
+    def _host_at(self, entry):
+        """
+        Return what is at the address of an entry, if only a closed port.
+        """
+        host = self.hosts.get(entry.address)
+        if host is None:
+            host = standin.StandinFleetWorker(
+                entry, self.clock, model_of=None, on_run_event=None
+            )
+            host.crash_and_refuse()
+            self.hosts[entry.address] = host
+        return host
+
     def _handle_crash(self, worker):
         self.crash_count += 1
         self._spawn(self._bring_back(worker))
@@ -120,7 +140,8 @@
         await self.run_for(self.restart_delay_ms)
         worker_id = crashed_id if self.keeps_worker_id else f'{crashed_id}+'
         self.workers[worker_id] = worker
-        worker.restart(worker_id)
+        wall_ms = self.clock.wall_ms() + self.restarted_clock_step_ms
+        worker.restart(worker_id, incarnation_ms=wall_ms + 1)
 
     def cut_off(self, worker):
         """
@@ -182,11 +203,8 @@
             decoder=PlatformDecoder(),
             dial=lambda entry: PartitionedWorkerClient(
                 node_box[0],
-                standin.StandinWorkerClient(
-                    self.workers[entry.worker_id],
-                    entry,
-                ),
-                lambda: self.workers[entry.worker_id] in self.parted_workers,
+                standin.StandinWorkerClient(self._host_at(entry), entry),
+                lambda: self._host_at(entry) in self.parted_workers,
             ),
             clock=self.clock,
             log=log,
--- a/tests/test_fleet_held_work.py
+++ b/tests/test_fleet_held_work.py
@@ -17,10 +17,10 @@
     WorkerTimings,
 )
 from hawthornpier.fleet._commits import Committer
+from hawthornpier.fleet._incarnations import Incarnations
 from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._scheduler import Scheduler
 from hawthornpier.fleet._worker_link import WorkerLink
-from hawthornpier.fleet._worker_registry import WorkerRegistry
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import (
     JobPlan,
@@ -182,11 +182,14 @@
             worker_timings=WorkerTimings(), log=shard.log, clock=shard.clock
         )
         port = Port(breaks=True)
-        registry = WorkerRegistry(shard, context, lambda entry: port, None)
         confirm_permits(shard)
-        link = asyncio.create_task(registry._run_link(worker))
-        await asyncio.sleep(1.5)
-        link.cancel()
+        async with asyncio.TaskGroup() as group:
+            incarnations = Incarnations(
+                shard, context, lambda entry: port, group
+            )
+            incarnations.links.start(worker)
+            await asyncio.sleep(1.5)
+            incarnations.remove(worker.worker_id)
         assert run.phase is RunPhase.RUNNING
 
     async def test_stops_that_are_rejected_do_not_block_starts(self):
--- a/tests/test_fleet_silent_workers.py
+++ b/tests/test_fleet_silent_workers.py
@@ -3,7 +3,6 @@
 """
 
 import asyncio
-import dataclasses
 from types import SimpleNamespace
 
 import msgspec
@@ -15,10 +14,10 @@
 from hawthornpier.fleet import WorkerTimings
 from hawthornpier.fleet._crash_trials import CrashTrials
 from hawthornpier.fleet._eligibility import Exclusion, find_exclusion
+from hawthornpier.fleet._incarnations import Incarnations
 from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._withdrawals import withdraw_unsent_starts
-from hawthornpier.fleet._worker_registry import WorkerRegistry
 from hawthornpier.steps import CrashEvidence, RunOutcome, StepPlan
 from hawthornpier_standin.fleet import WorkerFault
 
@@ -121,11 +120,11 @@
             worker_timings=WorkerTimings(), log=shard.log, clock=shard.clock
         )
         async with asyncio.TaskGroup() as group:
-            registry = WorkerRegistry(shard, context, lambda entry: None, group)
-            registry._update_worker(
-                dataclasses.replace(worker.entry, incarnation_ms=2)
+            incarnations = Incarnations(
+                shard, context, lambda entry: None, group
             )
-            registry._stop_link('w0')
+            incarnations.begin(worker, 2)
+            incarnations.remove('w0')
         assert run.task.runs
         assert not unsent.task.runs
 
