--- a/src/hawthornpier/fleet/_entry_age.py
+++ b/src/hawthornpier/fleet/_entry_age.py
@@ -11,7 +11,7 @@
     """
 
     UNREADABLE = 'unreadable'
-    OTHER_INCARNATION = 'earlier incarnation'
+    OTHER_INCARNATION = 'another incarnation or address'
 
 
 class EntryAge:
