--- a/tests/fleet_oracle.py
+++ b/tests/fleet_oracle.py
@@ -248,10 +248,10 @@
     Yield the counters of an owner that differ from a new count.
     """
     shard = owner.local_shard()
-    moves = owner._owner._scheduler._moves._moves.values()
+    reservations = shard.reservations.values()
     for state in shard.workers.values():
         reserved = [
-            move.task.step for move in moves if move.destination is state
+            each.task.step for each in reservations if each.destination is state
         ]
         ledger = Ledger(state, reserved)
         for name, counted in ledger.figures.items():
