Request a handover again if its reply is lost

After a change of the owner, tasks that had completed ran again if one reply was lost. The previous owner could not store their outcomes, the workers that ran them were unreachable, and the handover, which has the outcomes, was requested once. The previous owner keeps it for later requests, but none came.

The new owner now requests it up to four times, 300 ms apart, unless the other process has ended or was not the owner in that epoch.

test_a_handover_whose_reply_is_lost failed before: "assert 5 == 4", the number of starts of four tasks.

--- a/src/hawthornpier/fleet/_handover.py
+++ b/src/hawthornpier/fleet/_handover.py
@@ -10,12 +10,24 @@
     presume_missing_workers_crashed,
     restore_suspicions,
 )
-from hawthornpier.fleet._peer_port import Handover, PeerDialer
+from hawthornpier.fleet._peer_port import (
+    FleetPeer,
+    Handover,
+    PeerDialer,
+    PeerGoneError,
+)
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._writer import OwnerRow
-from hawthornpier.ports import PeerError
+from hawthornpier.ports import PeerError, PeerRefusedError
 from hawthornpier.steps import encode_progress
 
+# The handover is requested as often, with a pause, until the previous owner
+# replies: what it could not store, it may tell only here.
+_REQUEST_COUNT = 4
+_REQUEST_PAUSE_MS = 300.0
+# The previous owner has ended, or knows nothing of the epoch.
+_FINAL_ERRORS = (PeerGoneError, PeerRefusedError)
+
 
 def build_handover(shard: Shard) -> Handover:
     """
@@ -68,7 +80,7 @@
         return
     peer = dial_peer(predecessor.card)
     try:
-        handover = await peer.hand_over(predecessor.epoch)
+        handover = await _request(peer, predecessor.epoch, shard)
     except PeerError as error:
         shard.log.record(
             'handover_unknown',
@@ -92,6 +104,17 @@
     shard.wake.set()
 
 
+async def _request(peer: FleetPeer, epoch: int, shard: Shard) -> Handover:
+    for _ in range(_REQUEST_COUNT - 1):
+        try:
+            return await peer.hand_over(epoch)
+        except _FINAL_ERRORS:
+            raise
+        except PeerError:
+            await shard.clock.sleep_ms(_REQUEST_PAUSE_MS)
+    return await peer.hand_over(epoch)
+
+
 def _apply_handover(shard: Shard, handover: Handover) -> None:
     for job_id, progress in handover.progress.items():
         shard.apply_handover_progress(job_id, progress.encode())
--- a/tests/fleet_connections.py
+++ b/tests/fleet_connections.py
@@ -8,7 +8,11 @@
 
 from hawthornpier import fleet
 from hawthornpier.errors import HawthornpierError
-from hawthornpier.ports import PeerUnreachableError, WorkerReplyLostError
+from hawthornpier.ports import (
+    PeerReplyLostError,
+    PeerUnreachableError,
+    WorkerReplyLostError,
+)
 from hawthornpier.steps import JobPlan
 
 
@@ -86,6 +90,10 @@
         handover = (await self._reach()).hand_over(epoch)
         if handover is None:
             raise PeerUnreachableError('not the owner of that epoch')
+        if self._world.lost_handover_count:
+            self._world.lost_handover_count -= 1
+            await asyncio.sleep(self._world.peer_timeout_s)
+            raise PeerReplyLostError('timed out')
         return handover
 
     async def notify_job(self, content):
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -59,6 +59,8 @@
         # After how long a call to a peer that does not respond fails.
         self.peer_timeout_s = 0.4
         self.peer_delay_s = 0.001
+        # How many of the next replies with a handover are lost.
+        self.lost_handover_count = 0
         # After how long a worker that a task has crashed starts again, and
         # whether it keeps its id.
         self.restart_delay_ms = 3_000
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -81,6 +81,16 @@
         The previous owner could not store its outcome, and the worker that
         ran it is unreachable, so only the handover contains the outcome.
         """
+        await self._run_without_store(world)
+
+    async def test_a_handover_whose_reply_is_lost(self, world):
+        """
+        Guards against a task that runs again as one reply was lost.
+        """
+        world.lost_handover_count = 1
+        await self._run_without_store(world)
+
+    async def _run_without_store(self, world):
         await world.wait_first_owner()
         plan = world.plan(WHOLE_WORKER, work_ms=1_000)
         await world.any_node().entry.submit(plan)
