Reach workers through relays if the owner does not reach them

An owner that contacts its workers itself had no other path to one that had lost the path to the owner's host only. After five seconds its lease lapsed: its running work was started again elsewhere, and nothing was started there, whatever its room, until the path was back.

After two calls in a row without a reply, such a worker now has relays for eight seconds, then the owner tries itself again. The client of a worker moves to a module of its own.

test_their_runs_go_on failed before: "assert 6 == 3", the number of starts of three tasks.

--- a/src/hawthornpier/fleet/_relay_pool.py
+++ b/src/hawthornpier/fleet/_relay_pool.py
@@ -1,9 +1,8 @@
 """
-The owner's connections to relays, and the clients of workers behind them.
+The owner's connections to relays.
 """
 
 import asyncio
-import collections
 from collections.abc import Callable, Container, Iterable
 from functools import partial
 from typing import Protocol
@@ -13,13 +12,8 @@
 from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
     FleetWorker,
-    OrderReply,
-    Renewal,
-    StartOrder,
-    Verdict,
     WorkerDialer,
     WorkerEntry,
-    WorkerListing,
 )
 from hawthornpier.fleet._relay_assignment import (
     WorkerPlace,
@@ -27,27 +21,18 @@
     needs_relays,
 )
 from hawthornpier.fleet._relay_channel import RelayChannel, RelaySocket
-from hawthornpier.fleet._relay_messages import Request, SpeedOrder, StopOrder
+from hawthornpier.fleet._relayed_worker import RelayedWorker
 from hawthornpier.fleet._timings import WorkerTimings
 from hawthornpier.fleet._writer import ProcessCard
-from hawthornpier.ports import (
-    Clock,
-    PeerError,
-    WorkerError,
-    WorkerReplyLostError,
-)
+from hawthornpier.ports import Clock, PeerError
 
 _REFRESH_INTERVAL_MS = 500.0
 _RECONNECT_MS = 300.0
 # Requests to workers wait at most this long for the first connections of a new
 # owner; after that, the owner contacts the workers itself.
 _FIRST_CONNECTIONS_MS = 800.0
-# The relay detects a lost reply first; this is added to its time limit.
-_RELAY_SLACK_MS = 200.0
-# After as many calls in a row without a reply, a worker is reached another way
-# for this long: the relay may be parted from it.
-_MAX_FAILURE_COUNT = 2
-_AVOIDANCE_MS = 3_000.0
+# A worker that the owner did not reach itself has relays for this long.
+_UNREACHED_MS = 8_000.0
 
 
 class RelayConnector(Protocol):
@@ -101,6 +86,8 @@
         self._channels: dict[str, RelayChannel] = {}
         self._keepers: dict[str, asyncio.Task[None]] = {}
         self._tried: set[str] = set()
+        # Until when workers have relays because the owner did not reach them.
+        self._unreached_until_ms: dict[str, float] = {}
         self._is_ready = asyncio.Event()
 
     def dial(self, entry: WorkerEntry) -> FleetWorker:
@@ -109,6 +96,16 @@
         """
         return RelayedWorker(entry, self, self._dial)
 
+    def add_unreached(self, worker_id: str) -> None:
+        """
+        Find relays for a worker that does not reply to the owner itself.
+
+        It may be parted from the owner's host only.
+        """
+        self._unreached_until_ms[worker_id] = (
+            self.clock.monotonic_ms() + _UNREACHED_MS
+        )
+
     async def run(self, places: Callable[[], Iterable[WorkerPlace]]) -> None:
         """
         Keep the connections until cancelled.
@@ -149,13 +146,11 @@
         return None
 
     def _refresh(self, places: tuple[WorkerPlace, ...]) -> None:
-        self._assigned = {}
-        if needs_relays(len(places), self._card.processor_cores):
-            self._assigned = assign_relays(
-                places,
-                self._cards(),
-                own_address=self._card.address,
-            )
+        self._assigned = assign_relays(
+            self._relayed_places(places),
+            self._cards(),
+            own_address=self._card.address,
+        )
         wanted = {
             address
             for addresses in self._assigned.values()
@@ -172,6 +167,23 @@
             )
         self._update_readiness()
 
+    def _relayed_places(
+        self, places: tuple[WorkerPlace, ...]
+    ) -> tuple[WorkerPlace, ...]:
+        now_ms = self.clock.monotonic_ms()
+        self._unreached_until_ms = {
+            worker_id: until_ms
+            for worker_id, until_ms in self._unreached_until_ms.items()
+            if now_ms < until_ms
+        }
+        if needs_relays(len(places), self._card.processor_cores):
+            return places
+        return tuple(
+            place
+            for place in places
+            if place.worker_id in self._unreached_until_ms
+        )
+
     async def _keep_connected(self, address: str) -> None:
         while True:
             try:
@@ -207,163 +219,3 @@
     def _update_readiness(self) -> None:
         if self._keepers.keys() <= self._tried:
             self._is_ready.set()
-
-
-class RelayedWorker:
-    """
-    A client of one incarnation of a worker; implements `FleetWorker`.
-
-    Each request goes through the worker's relay, or straight to the worker
-    while no relay is connected or none of them seems to reach it.
-
-    Args:
-        entry: The worker according to the registry.
-        pool: The connections to relays.
-        dial: Creates a client that contacts the worker without a relay.
-    """
-
-    def __init__(
-        self,
-        entry: WorkerEntry,
-        pool: RelayPool,
-        dial: WorkerDialer,
-    ) -> None:
-        self._entry = entry
-        self._pool = pool
-        self._dial = dial
-        self._channel: RelayChannel | None = None
-        self._direct: FleetWorker | None = None
-        # By connection: its calls in a row without a reply.
-        self._failure_counts: collections.Counter[RelayChannel] = (
-            collections.Counter()
-        )
-        # Until when connections are not used, by the monotonic clock.
-        self._avoided_until_ms: dict[RelayChannel, float] = {}
-
-    async def renew(self, renewal: Renewal) -> WorkerListing | Verdict:
-        """
-        Renew the lease.
-
-        Returns:
-            The running and ended runs, or why the renewal was rejected.
-        """
-        channel = await self._current_channel()
-        if channel is None:
-            return await self._direct_client().renew(renewal)
-        reply = await self._call(
-            channel,
-            renewal,
-            renewal.wait_ms
-            + self._pool.timings.renewal_slack_ms
-            + _RELAY_SLACK_MS,
-        )
-        return reply.verdict if isinstance(reply, OrderReply) else reply
-
-    async def start(self, order: StartOrder) -> OrderReply:
-        """
-        Start a run; repeating the same order has no further effect.
-        """
-        channel = await self._current_channel()
-        if channel is None:
-            return await self._direct_client().start(order)
-        return await self._send_order(channel, order)
-
-    async def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
-        """
-        Stop a run, and prevent this and lower attempts from starting.
-        """
-        channel = await self._current_channel()
-        if channel is None:
-            return await self._direct_client().stop(task_key, attempt, epoch)
-        return await self._send_order(
-            channel,
-            StopOrder(task_key=task_key, attempt=attempt, epoch=epoch),
-        )
-
-    async def pace(
-        self,
-        task_key: str,
-        attempt: int,
-        percent: int,
-        epoch: int,
-    ) -> OrderReply:
-        """
-        Throttle a run to a percentage of its full speed.
-        """
-        channel = await self._current_channel()
-        if channel is None:
-            direct = self._direct_client()
-            return await direct.pace(task_key, attempt, percent, epoch)
-        return await self._send_order(
-            channel,
-            SpeedOrder(
-                task_key=task_key,
-                attempt=attempt,
-                percent=percent,
-                epoch=epoch,
-            ),
-        )
-
-    def close(self) -> None:
-        """
-        Close the connections, also those of the relay.
-        """
-        self._leave_channel()
-        if self._direct is not None:
-            self._direct.close()
-
-    async def _send_order(
-        self, channel: RelayChannel, order: Request
-    ) -> OrderReply:
-        reply = await self._call(
-            channel,
-            order,
-            self._pool.timings.order_timeout_ms + _RELAY_SLACK_MS,
-        )
-        if not isinstance(reply, OrderReply):
-            raise WorkerReplyLostError('the relay sent another kind of reply')
-        return reply
-
-    async def _call(
-        self, channel: RelayChannel, request: Request, timeout_ms: float
-    ) -> WorkerListing | OrderReply:
-        try:
-            reply = await channel.call(self._entry, request, timeout_ms)
-        except WorkerError:
-            self._record_failure(channel)
-            raise
-        self._failure_counts.pop(channel, None)
-        return reply
-
-    def _record_failure(self, channel: RelayChannel) -> None:
-        self._failure_counts[channel] += 1
-        if self._failure_counts[channel] >= _MAX_FAILURE_COUNT:
-            self._failure_counts.pop(channel)
-            self._avoided_until_ms[channel] = (
-                self._pool.clock.monotonic_ms() + _AVOIDANCE_MS
-            )
-
-    async def _current_channel(self) -> RelayChannel | None:
-        now_ms = self._pool.clock.monotonic_ms()
-        self._avoided_until_ms = {
-            channel: until_ms
-            for channel, until_ms in self._avoided_until_ms.items()
-            if now_ms < until_ms
-        }
-        channel = await self._pool.channel(
-            self._entry.worker_id, self._avoided_until_ms
-        )
-        if channel is not self._channel:
-            self._leave_channel()
-            self._channel = channel
-        return channel
-
-    def _leave_channel(self) -> None:
-        if self._channel is not None and self._channel.is_open:
-            self._channel.end_contact(self._entry)
-        self._channel = None
-
-    def _direct_client(self) -> FleetWorker:
-        if self._direct is None:
-            self._direct = self._dial(self._entry)
-        return self._direct
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -544,3 +544,28 @@
             if kind == 'worker_lost'
         }
         assert lost == {'w0'}
+
+
+@virtual_tests(World)
+class TestUnreachedWorkers:
+    """
+    Workers that the owner does not reach itself are reached through relays.
+    """
+
+    options = {'worker_count': 3}
+
+    async def test_their_runs_go_on(self, world):
+        """
+        Guards against a lease that lapses although another path is open.
+        """
+        await world.run_for(5_000)
+        plan = world.plan(
+            StepPlan(task_count=3, processor_millis=8_000), work_ms=12_000
+        )
+        await world.any_node().entry.submit(plan)
+        await world.run_for(600)
+        world.owner().reaches_workers = False
+        await world.run_for(9_000)
+        world.owner().reaches_workers = True
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 3
