Leave unreadable events of a peer out of the timeline

Cause: the events of all peers were decoded together, and the error of one was not handled. Deep nesting and invalid UTF-8 raised errors that the decoder does not convert.

Change: events are decoded by decode_json, and unreadable peers are left out, as those that do not reply are.

Evidence: a test with an unknown kind, deep nesting and invalid UTF-8, which failed before with 500.

--- a/src/hawthornpier/daemon/_operator_handlers.py
+++ b/src/hawthornpier/daemon/_operator_handlers.py
@@ -2,6 +2,7 @@
 HTTP handlers for operators: table, status, timeline, health and metrics.
 """
 
+import contextlib
 from http import HTTPStatus
 from types import MappingProxyType
 from typing import Any
@@ -13,6 +14,7 @@
 from hawthornpier.daemon._status import status_document
 from hawthornpier.events import (
     EventFilter,
+    EventsDecodeError,
     decode_events,
     encode_events,
     merge_timelines,
@@ -170,6 +172,8 @@
         """
         Send the timeline as text, JSON or HTML.
 
+        It omits the events of peers whose events are unreadable.
+
         The query arguments *shard*, *worker_id*, *task_id* and *request_id*
         filter the events.
         """
@@ -193,7 +197,12 @@
 
     async def _merged_events(self) -> list[Event]:
         encoded = await self.services.peer_events()
-        timelines = [decode_events(content) for content in encoded]
+        timelines = []
+        for content in encoded:
+            # A peer with a newer version of the program may have events of a
+            # kind that this one does not know.
+            with contextlib.suppress(EventsDecodeError):
+                timelines.append(decode_events(content))
         return merge_timelines([self.services.recorder.events(), *timelines])
 
 
--- a/src/hawthornpier/events/_timeline.py
+++ b/src/hawthornpier/events/_timeline.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from hawthornpier.decoding import decode_json
 from hawthornpier.errors import HawthornpierError
 from hawthornpier.messages import ClockStamp, Event
 
@@ -54,12 +55,12 @@
     Raises:
         EventsDecodeError: The bytes are not a JSON list of events.
     """
-    try:
-        return msgspec.json.decode(encoded, type=list[Event])
-    except msgspec.MsgspecError as error:
-        raise EventsDecodeError(
-            f'not a JSON list of events: {error}'
-        ) from error
+    return decode_json(
+        encoded,
+        list[Event],
+        EventsDecodeError,
+        subject='list of events',
+    )
 
 
 def format_event_ids(event: Event) -> str:
--- a/tests/test_daemon_http.py
+++ b/tests/test_daemon_http.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+from types import SimpleNamespace
 
 import http_inputs as inputs
 import pytest
@@ -352,6 +353,29 @@
             assert response.json() == {'is_ready': False}
             assert (await daemon.send('GET', '/healthz')).status == 200
 
+    async def test_timeline_with_unreadable_events_of_a_peer(self) -> None:
+        """
+        Guards against a timeline that a peer of another version prevents.
+        """
+        odd = [b'[{"kind": "odd"}]', b'[' * 9_000, b'\xff']
+
+        async def events() -> bytes:
+            return odd.pop()
+
+        async with running_daemon() as daemon:
+            node = daemon.node
+            node._connections = SimpleNamespace(
+                peer=lambda address: SimpleNamespace(events=events)
+            )
+            peers = [SimpleNamespace(address=number) for number in range(3)]
+            node._membership.live_peers = lambda: peers
+            response = await daemon.send(
+                'GET', '/v1/timeline', b'', operator_headers()
+            )
+            assert response.status == 200
+            assert b'process_started' in response.body
+            assert not odd
+
     async def test_requests_are_counted(self) -> None:
         """
         The metrics are in text format and count requests by outcome.
