Apply ended runs after a wrong number in a worker's listing

What callers see: tasks that complete on one worker are started again and again, up to 20 times a second, and their jobs never end, until the owner changes or the worker restarts.

Cause: one ended run was listed with a number that is too high. The owner takes all lower ones for processed. A run whose end it skips is no longer listed as running, so that it counts as lost and is started again.

Change: an end with a processed number is applied nevertheless if its run has not ended here, and the numbers continue from it. A number that is processed belongs to a run that has ended, so that correct listings are read as before. A write that is under way no longer acknowledges more than is processed.

The new test lists one wrong number. It failed before: the job did not complete in 20 s; now each task starts once.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -189,7 +189,8 @@
         """
         for worker in self._shard.workers.values():
             incarnation_ms, number = processed_numbers.get(worker, (0, 0))
-            is_newer = number > worker.acknowledged_number
+            last_number = worker.processed_number
+            is_newer = worker.acknowledged_number < number <= last_number
             if worker.entry.incarnation_ms == incarnation_ms and is_newer:
                 worker.acknowledged_number = number
                 worker.acknowledged.set()
--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -97,7 +97,7 @@
         """
         may_acknowledge = True
         for row in rows:
-            if row.number <= worker.processed_number:
+            if worker.is_processed(row):
                 continue
             is_applied = self._apply_ended_run(worker, row, now_ms)
             may_acknowledge = may_acknowledge and is_applied
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -7,7 +7,7 @@
 
 from hawthornpier.fleet._health import WorkerHealth
 from hawthornpier.fleet._orders import Order
-from hawthornpier.fleet._ports import WorkerEntry
+from hawthornpier.fleet._ports import EndedRun, WorkerEntry
 from hawthornpier.fleet._timings import WorkerTimings
 from hawthornpier.fleet._worker_clock import WorkerClock
 from hawthornpier.fleet._worker_load import WorkerLoad
@@ -199,6 +199,22 @@
         """
         self._confirmed_number = max(self._confirmed_number, number)
 
+    def is_processed(self, row: EndedRun) -> bool:
+        """
+        Return whether an ended run is applied to the owner's state.
+
+        If its run has not ended here, its number shows that the worker has
+        once listed a wrong one, and later ends continue from its own.
+        """
+        if row.number > self.processed_number:
+            return False
+        if (row.task_key, row.attempt) not in self.runs:
+            return True
+        self.processed_number = row.number - 1
+        self.acknowledged_number = row.number - 1
+        self._confirmed_number = row.number - 1
+        return False
+
     def next_deadline(self, lease_ms: float, now_ms: float) -> int:
         """
         Return the end of a lease that starts now, on the worker's clock.
--- a/tests/test_fleet_odd_rows.py
+++ b/tests/test_fleet_odd_rows.py
@@ -1,9 +1,10 @@
 """
-Tests of rows of the store that another writer has left.
+Tests of odd rows that other writers leave and of odd replies of workers.
 """
 
 from types import MappingProxyType
 
+import msgspec
 from fake_store import virtual_tests
 from fleet_world import REGISTRY, World
 from registry_rows import encode_entry
@@ -119,3 +120,37 @@
         await world.submit(plan)
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
         assert not world.has_logged('part_failed')
+
+
+@virtual_tests(World)
+class TestListings:
+    """
+    A worker lists a wrong number of an ended run once.
+    """
+
+    options = {'worker_count': 1}
+
+    async def test_the_ends_after_a_wrong_number_count(self, world):
+        """
+        Guards against completed tasks that are started again without end.
+        """
+        worker = world.workers['w0']
+        list_runs = worker.listing
+        wrong_numbers = [2**40]
+
+        def list_wrongly():
+            listing = list_runs()
+            if not (listing.ended and wrong_numbers):
+                return listing
+            row = msgspec.structs.replace(
+                listing.ended[-1], number=wrong_numbers.pop()
+            )
+            ended = (*listing.ended[:-1], row)
+            return msgspec.structs.replace(listing, ended=ended)
+
+        worker.listing = list_wrongly
+        plan = world.plan(SHORT)
+        await world.submit(plan)
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert not wrong_numbers
+        assert world.checker.started_count == SHORT.task_count
