Learn that a worker is leaving before the next owner uses it

What callers see: after a restart of an entry process or another change of the owner, requests and starts are sent to workers that have been leaving for any time. The workers refuse them, so that the requests lose attempts and time, and a request whose three attempts are refused is not run.

Only the owner that got the worker's report knows that it is leaving; the next one placed work as soon as the worker had confirmed its epoch, before its report.

Change: the report is requested together with the fence, and both are applied before anything is placed. A worker is used once both have replied.

Evidence: the new test failed before: requests were sent to the leaving worker.

--- a/src/hawthornpier/owner/_link.py
+++ b/src/hawthornpier/owner/_link.py
@@ -76,9 +76,16 @@
     The callbacks of a link to its shard's owner.
     """
 
-    def on_fenced(self, link: 'WorkerLink', reply: FenceReply) -> None:
+    def on_fenced(
+        self,
+        link: 'WorkerLink',
+        reply: FenceReply,
+        report: WorkerReport,
+    ) -> None:
         """
         The worker has confirmed the epoch and reported its current work.
+
+        *report* tells whether it is leaving.
         """
         ...
 
@@ -276,7 +283,12 @@
         epoch = (self._epoch << _GENERATION_BITS) + self._generation
         fence = Fence(shard=self._shard, epoch=epoch)
         try:
-            reply = await self._port.fence(fence)
+            # Only the report tells whether the worker is leaving, which a
+            # previous owner may have known.
+            reply, report = await asyncio.gather(
+                self._port.fence(fence),
+                self._port.report(),
+            )
         except WorkerError:
             if self.state is LinkState.FENCING:
                 self._close()
@@ -293,7 +305,7 @@
         self.confirmed_epoch = epoch
         self.incarnation = reply.incarnation
         self._failure_count = 0
-        self._listener.on_fenced(self, reply)
+        self._listener.on_fenced(self, reply, report)
         held_run_ids = {running.run_id for running in reply.running}
         self._reconcile(
             held_run_ids, reply.outcomes, self._clock.monotonic_ms()
--- a/src/hawthornpier/owner/_shard_owner.py
+++ b/src/hawthornpier/owner/_shard_owner.py
@@ -289,15 +289,22 @@
 
     # Callbacks of the links; see `LinkListener`.
 
-    def on_fenced(self, link: WorkerLink, reply: FenceReply) -> None:
+    def on_fenced(
+        self,
+        link: WorkerLink,
+        reply: FenceReply,
+        report: WorkerReport,
+    ) -> None:
         """
         Adopt the worker's runs and requests and readmit it to placement.
 
+        A worker that reports that it is leaving stays excluded.
         Runs that belong to no task that may run are stopped.
         """
         self._unfenced_worker_ids.discard(link.worker_id)
         now_ms = self._clock.monotonic_ms()
         self._policy.add_worker(worker_info_of(link.host), now_ms)
+        self._apply_report(link, report)
         for running in reply.running:
             if not self.jobs.adopt_run(link, running.run_id, running.task_id):
                 link.control(running.run_id, TaskAction.STOP)
@@ -356,9 +363,7 @@
         """
         Pass a usage report to the policy; exclude a leaving worker.
         """
-        if report.is_leaving:
-            self._exclusions.exclude(link, ExclusionReason.REPORTED_LEAVING)
-        self._policy.observe(report, self._clock.monotonic_ms())
+        self._apply_report(link, report)
         self._dispatcher.apply_decisions()
 
     def on_deposed(self, link: WorkerLink, highest_epoch: int) -> None:
@@ -371,6 +376,11 @@
 
     # Internals.
 
+    def _apply_report(self, link: WorkerLink, report: WorkerReport) -> None:
+        if report.is_leaving:
+            self._exclusions.exclude(link, ExclusionReason.REPORTED_LEAVING)
+        self._policy.observe(report, self._clock.monotonic_ms())
+
     def _check_open(self) -> None:
         if not self._is_open:
             raise ShardClosedError(
--- a/tests/test_owner_jobs.py
+++ b/tests/test_owner_jobs.py
@@ -21,6 +21,7 @@
 from hawthornpier.owner import OwnerError, ShardOwner, newest_job_ids
 from hawthornpier.owner._job_state import new_run_id
 from hawthornpier.policy import EvictTask
+from hawthornpier.ports import WorkerReplyLostError
 from hawthornpier_standin.history import (
     Guarantee,
     Record,
@@ -322,6 +323,34 @@
         assert _states(view) == {TaskState.DONE}
         assert not _violations(harness)
 
+    def test_nothing_is_sent_to_a_worker_that_was_leaving(self) -> None:
+        """
+        Guards against a new owner that uses a worker until its first report.
+        """
+
+        async def scenario() -> tuple[list[str], JobView]:
+            harness = OwnerHarness(worker_count=2)
+            leaving = harness.workers['w0']
+            leaving.apply_faults(WorkerFaults(is_leaving=True))
+            sent = []
+
+            async def record(message: object) -> object:
+                sent.append(str(message))
+                raise WorkerReplyLostError('not expected')
+
+            leaving.start = record
+            leaving.request = record
+            owner = await harness.new_owner()
+            await owner.submit_job('j', job_of(2))
+            requests = [request_of(f'o{index}') for index in range(9)]
+            outcomes = await asyncio.gather(*map(owner.serve, requests))
+            assert all(isinstance(each, Answer) for each in outcomes)
+            return sent, await _wait_for_job_end(harness, owner)
+
+        sent, view = run_virtual(scenario())
+        assert not sent
+        assert _states(view) == {TaskState.DONE}
+
 
 class TestUnreadableRecords:
     """
