--- a/src/hawthornpier/fleet/_durable_ends.py
+++ b/src/hawthornpier/fleet/_durable_ends.py
@@ -53,7 +53,8 @@
         applied = self._applied
         self._applied = None
         for worker, (incarnation_ms, number) in applied.items():
-            is_newer = number > worker.acknowledged_number
+            last_number = worker.processed_number
+            is_newer = worker.acknowledged_number < number <= last_number
             if worker.entry.incarnation_ms == incarnation_ms and is_newer:
                 worker.acknowledged_number = number
                 worker.acknowledged.set()
