Add evacuations and relays to the soak of the ledger

No best-effort image harmed a long-running one in it, so that nothing was evacuated, and the hosts were large enough to do without relays.

--- a/tests/test_fleet_faults.py
+++ b/tests/test_fleet_faults.py
@@ -35,6 +35,8 @@
     """
 
     worker_count = 5
+    # Of each host; an owner on a small one uses relays.
+    cores = 1
     worker_faults = (
         WorkerFault.PARTITIONED,
         WorkerFault.PARTITIONED,
@@ -46,7 +48,10 @@
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.world = World(
-            node_count=4, worker_count=self.worker_count, seed=seed
+            node_count=4,
+            worker_count=self.worker_count,
+            seed=seed,
+            cores=self.cores,
         )
         self.world.keeps_worker_id = bool(self.rng.randrange(2))
         self.accepted = []
@@ -150,7 +155,7 @@
         if not node.is_dead:
             self.world.kill(node)
             await self.world.run_for(self.rng.randint(300, 3_000))
-            self.world.start_node(name)
+            self.world.start_node(name, cores=self.cores)
 
     async def _stop_node(self):
         name = self.rng.choice(list(self.world.nodes))
--- a/tests/test_fleet_ledger.py
+++ b/tests/test_fleet_ledger.py
@@ -143,7 +143,14 @@
         )
 
     def _long_running_plan(self):
-        step = StepPlan(
+        step = self._long_running_step()
+        plan = self.world.plan(step, work_ms=60_000)
+        millis = step.task_count * step.processor_millis
+        self.long_running[plan.job_id] = millis
+        return plan
+
+    def _long_running_step(self):
+        return StepPlan(
             task_count=self.rng.randint(1, 4),
             processor_millis=self.rng.choice((500, 1_000, 2_500, 4_000)),
             memory_mb=self.rng.choice((0, 1_000, 8_000)),
@@ -153,10 +160,6 @@
             is_lasting=True,
             tail_target_ms=100,
         )
-        plan = self.world.plan(step, work_ms=60_000)
-        millis = step.task_count * step.processor_millis
-        self.long_running[plan.job_id] = millis
-        return plan
 
     def _expected_phases(self, job_id):
         raise NotImplementedError(job_id)
@@ -318,6 +321,27 @@
         return plan
 
 
+class _EvacuationSoak(_LedgerSoak):
+    """
+    A soak in which workers are evacuated, and relays send all orders.
+    """
+
+    cores = 0.02
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        for worker in self.world.workers.values():
+            worker.interfering_images = {('a', 'd'), ('b', 'd')}
+
+    def _long_running_step(self):
+        return dataclasses.replace(
+            super()._long_running_step(),
+            task_count=self.rng.randint(2, 6),
+            processor_millis=self.rng.choice((500, 1_000)),
+            per_worker_limit=self.rng.choice((0, 1)),
+        )
+
+
 class TestLedger:
     """
     The owner's ledger agrees with the workers, and no task waits beside room.
@@ -347,6 +371,17 @@
         """
         run_virtual(_soak(_CrashSoak, seed))
 
+    @pytest.mark.parametrize(
+        'seed',
+        range(FIRST_SEED, FIRST_SEED + (SEED_COUNT + 1) // 2),
+    )
+    def test_evacuations(self, seed):
+        """
+        Guards against long-running tasks that wait because workers are
+        evacuated, and orders are relayed.
+        """
+        run_virtual(_soak(_EvacuationSoak, seed))
+
 
 async def _soak(kind, seed):
     await kind(seed).run()
