Give up a worker with the first order that another one rejects

A worker restarts under another id, and the registry keeps its old entry for seconds. Each start at the old address was rejected, as it names an id that has gone, and its task was placed there again in the next pass: the worker that has ended has the most room.

Cause: only a renewal that was rejected for this reason ended the incarnation. Renewals wait for up to two seconds; starts and stops that were rejected were withdrawn, or repeated.

A start or stop that is rejected now ends it in the same way.

--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -132,10 +132,7 @@
         if reply is Verdict.FENCED:
             shard.deposed.set()
         if reply is Verdict.OTHER_INCARNATION:
-            # The registry may keep the entry of the ended incarnation for
-            # seconds.
-            self._record_missed_reply('another worker replied')
-            end_crashed_incarnation(shard, worker, 'another worker replied')
+            self._end_incarnation()
         return False
 
     async def _wait_until_durable(self) -> None:
@@ -160,17 +157,22 @@
         worker = self._worker
         worker.missed_reply_count += 1
         if worker.missed_reply_count == 1:
+            age_ms = self._shard.now_ms - worker.last_reply_ms
             self._shard.log.record(
                 'worker_lost',
                 worker=worker.worker_id,
-                last_reply_age_ms=int(
-                    self._shard.now_ms - worker.last_reply_ms
-                ),
+                last_reply_age_ms=int(age_ms),
                 why=why,
             )
         else:
             withdraw_unsent_starts(self._shard, worker)
 
+    def _end_incarnation(self) -> None:
+        # The registry may keep the entry of the ended incarnation for seconds.
+        why = 'another worker replied'
+        self._record_missed_reply(why)
+        end_crashed_incarnation(self._shard, self._worker, why)
+
     def _check_clock(self, reply: OrderReply, sent_ms: float) -> None:
         """
         Note that the next incarnation replied, which a restarted clock shows.
@@ -305,6 +307,9 @@
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
             return
+        if reply.verdict is Verdict.OTHER_INCARNATION:
+            self._end_incarnation()
+            return
         if reply.verdict is Verdict.UNHEALTHY:
             self._worker.health.record_refusal(now_ms)
         if reply.verdict is Verdict.NO_CAPACITY:
@@ -359,6 +364,8 @@
         self._answered_ms = self._shard.now_ms
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
+        elif reply.verdict is Verdict.OTHER_INCARNATION:
+            self._end_incarnation()
         elif reply.verdict is not Verdict.ACCEPTED:
             self._postpone(order, self._timings.retry_max_ms)
         elif order.run is not None:
--- a/tests/test_fleet_departures.py
+++ b/tests/test_fleet_departures.py
@@ -125,3 +125,21 @@
         plan = world.plan(StepPlan(task_count=16, processor_millis=1_000))
         await world.any_node().entry.submit(plan)
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+
+    async def test_starts_that_another_id_rejects_are_not_repeated(self, world):
+        """
+        Guards against tasks that are placed, pass after pass, on a worker whose
+        address has another one now.
+        """
+        await world.wait_first_owner()
+        worker = world.workers['w0']
+        worker.crash()
+        world.workers['other'] = worker
+        worker.restart('other')
+        plan = world.plan(StepPlan(task_count=12, processor_millis=1_000))
+        await world.any_node().entry.submit(plan)
+        await world.run_for(1_000)
+        refused = [kind for _, kind, _ in world.log_lines].count(
+            'start_refused'
+        )
+        assert refused <= plan.steps[0].task_count
