Free the room of a run that is stopped before its start was sent

A job that was cancelled as soon as it was placed kept its room for one to two seconds, though nothing of it ever ran: room taken only in the owner's ledger.

Cause: the start that was queued was dropped, and a stop was sent for a run that the worker had never heard of. The room was free once a listing requested later did not contain the run, and an idle worker lists after up to two seconds.

The new test failed before ("assert not", four runs after 10 ms). A queued start that is not wanted any more and was never sent now ends its run, so that no stop is sent either.

--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -257,18 +257,19 @@
         Return whether a start is still due.
 
         While the order was queued, the run may have ended because the worker's
-        lease expired, the worker's capacity may have shrunk, or the worker may
-        have begun to leave.
+        lease expired or been stopped, the worker's capacity may have shrunk, or
+        the worker may have begun to leave.
         """
-        if run.phase is not RunPhase.STARTING or self._has_ended(order):
+        if self._has_ended(order):
             return False
         worker = self._worker
+        is_wanted = run.phase is RunPhase.STARTING
         why = 'worker is leaving' if worker.is_leaving else ''
         if worker.is_overcommitted(run.task.step):
             why = Verdict.NO_CAPACITY
-        if run.sent_ms or not why:
-            return True
-        withdraw_start(self._shard, run, why)
+        if run.sent_ms or not (why or run.stop_reason):
+            return is_wanted
+        withdraw_start(self._shard, run, run.stop_reason or why)
         return False
 
     def _start_order(self, run: Run) -> StartOrder:
@@ -372,9 +373,8 @@
             order.run.order_acknowledged_ms = self._shard.now_ms
 
     def _has_ended(self, order: Order) -> bool:
-        if order.run is None:
-            return False
-        return (order.task_key, order.attempt) not in self._worker.runs
+        key = (order.task_key, order.attempt)
+        return order.run is not None and key not in self._worker.runs
 
     async def _throttle(self, order: Order) -> None:
         run = order.run
--- a/tests/test_fleet_held_work.py
+++ b/tests/test_fleet_held_work.py
@@ -7,6 +7,8 @@
 from types import SimpleNamespace
 
 import pytest
+from fake_store import virtual_tests
+from fleet_world import World
 from test_fleet_ends import PLAN, add_worker, shard_with, task_key
 from test_fleet_evacuation import LONG_RUNNING, _entry, _Fleet
 
@@ -238,6 +240,32 @@
         task.cancel()
 
 
+@virtual_tests(World)
+class TestUnsentStarts:
+    """
+    A start that is not wanted any more takes no room.
+    """
+
+    options = {'worker_count': 1}
+
+    async def test_a_job_that_is_cancelled_before_its_starts_are_sent(
+        self, world
+    ):
+        """
+        Guards against room that is taken until the next listing.
+        """
+        await world.wait_first_owner()
+        shard = world.owner().local_shard()
+        shard.add_job(world.plan(StepPlan(task_count=4)))
+        world.owner()._owner._scheduler.run_pass()
+        assert shard.workers['w0'].runs
+        shard.cancel_job(next(iter(shard.jobs)))
+        await world.run_for(10)
+        assert not shard.workers['w0'].runs
+        await world.run_for(3_000)
+        assert not world.checker.started_count
+
+
 class TestRecordedWorkers:
     """
     Workers in the stored list may be used.
