--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -136,10 +136,7 @@
         if reply is Verdict.FENCED:
             shard.deposed.set()
         if reply is Verdict.OTHER_INCARNATION:
-            # The registry may keep the entry of the ended incarnation for
-            # seconds.
-            self._record_other_incarnation('another worker replied')
-            end_crashed_incarnation(shard, worker, 'another worker replied')
+            self._end_incarnation()
         return False
 
     async def _wait_until_durable(self) -> None:
@@ -169,12 +166,11 @@
         worker = self._worker
         worker.missed_reply_count += 1
         if worker.missed_reply_count == 1:
+            age_ms = self._shard.now_ms - worker.last_reply_ms
             self._shard.log.record(
                 'worker_lost',
                 worker=worker.worker_id,
-                last_reply_age_ms=int(
-                    self._shard.now_ms - worker.last_reply_ms
-                ),
+                last_reply_age_ms=int(age_ms),
                 why=why,
             )
         else:
@@ -184,6 +180,12 @@
         self._record_missed_reply(why)
         self._worker.is_superseded = True
 
+    def _end_incarnation(self) -> None:
+        # The registry may keep the entry of the ended incarnation for seconds.
+        why = 'another worker replied'
+        self._record_other_incarnation(why)
+        end_crashed_incarnation(self._shard, self._worker, why)
+
     def _check_clock(self, reply: OrderReply, sent_ms: float) -> None:
         """
         Note that the next incarnation replied, which a restarted clock shows.
@@ -268,18 +270,19 @@
         Return whether a start is still due.
 
         While the order was queued, the run may have ended because the worker's
-        lease expired, the worker's capacity may have shrunk, or the worker may
-        have begun to leave.
+        lease expired or been stopped, the worker's capacity may have shrunk, or
+        the worker may have begun to leave.
         """
-        if run.phase is not RunPhase.STARTING or self._has_ended(order):
+        if self._has_ended(order):
             return False
         worker = self._worker
+        is_wanted = run.phase is RunPhase.STARTING
         why = 'worker is leaving' if worker.is_leaving else ''
         if worker.is_overcommitted(run.task.step):
             why = Verdict.NO_CAPACITY
-        if run.sent_ms or not why:
-            return True
-        withdraw_start(self._shard, run, why)
+        if run.sent_ms or not (why or run.stop_reason):
+            return is_wanted
+        withdraw_start(self._shard, run, run.stop_reason or why)
         return False
 
     def _start_order(self, run: Run) -> StartOrder:
@@ -318,6 +321,9 @@
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
             return
+        if reply.verdict is Verdict.OTHER_INCARNATION:
+            self._end_incarnation()
+            return
         if reply.verdict is Verdict.UNHEALTHY:
             self._worker.health.record_refusal(now_ms)
         if reply.verdict is Verdict.NO_CAPACITY:
@@ -372,6 +378,8 @@
         self._answered_ms = self._shard.now_ms
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
+        elif reply.verdict is Verdict.OTHER_INCARNATION:
+            self._end_incarnation()
         elif reply.verdict is not Verdict.ACCEPTED:
             self._postpone(order, self._timings.retry_max_ms)
         elif order.run is not None:
