Give each incarnation of a worker a higher fencing token

Callers could see two runs of a long-running task for up to seconds: a start without a reply was given up, its worker restarted under its id, and the next incarnation executed the start late. Requests name the id only, and the new incarnation had seen the same token, or none. A second way: the first listing of the next incarnation already contained the run that it had started late, but the owner ended the run before it read the following listing.

Now the token is a million times the epoch plus a number that grows with each incarnation that this owner meets, below that of the next epoch. Once the new incarnation has accepted one request, it rejects starts for the previous one. So a run whose start may still be executed (a lost reply, or a run of an earlier owner) is kept until a listing under the new token lacks it, which is one round trip; other runs end at once as before. Stops for such runs are no longer needed. `FENCED` in reply to an inquiry with an earlier token of this owner does not depose it; links are closed when the token changes, so that no other request can have one. Requests now name the field `fencing_token`, as they carry no epoch any more. `may_have_been_sent` of an order moves to the run.

Without its condition, the test of an outdated token fails. One test waited for the worker's epoch and now waits for a token of that epoch.

--- a/src/hawthornpier/fleet/_incarnations.py
+++ b/src/hawthornpier/fleet/_incarnations.py
@@ -144,7 +144,9 @@
         """
         End the runs of an incarnation that are known to have ended with it.
 
-        Stop the others, which the next incarnation may have accepted.
+        The next one may have executed the starts of the others.  Once it has
+        accepted its fencing token, it executes no more of them, so that its
+        listing shows which have ended.
         """
         shard = self._shard
         self._context.log.record(
@@ -155,28 +157,23 @@
         )
         confirm_crash(shard, worker, 'another incarnation replied')
         for run in list(worker.runs.values()):
-            if run.is_listed and not run.has_unacknowledged_order:
+            if run.is_listed and not run.may_start_late:
                 shard.end_run(run, RunOutcome.LOST)
         withdraw_unsent_starts(shard, worker, why='worker restarted')
         uncertain_runs = worker.begin_incarnation(next_entry)
+        shard.tokens.assign(worker)
         if uncertain_runs:
             timings = self._context.worker_timings
             worker.early_lease_end_ms = shard.now_ms + (
                 timings.lease_max_ms * (1 + timings.clock_drift * 1.1)
             )
         for uncertain_run in uncertain_runs:
-            # The new incarnation may have accepted the start; its first listing
-            # shows whether it has.
             worker.charge(uncertain_run)
             uncertain_run.is_listed = False
-            if uncertain_run.has_unacknowledged_order:
-                # It may also execute the start later, so the run is stopped
-                # explicitly.
-                uncertain_run.phase = RunPhase.STARTING
-                shard.stop_run(
-                    uncertain_run,
-                    'start not acknowledged before the worker restarted',
-                )
+            uncertain_run.order_acknowledged_ms = shard.now_ms
+            if uncertain_run.phase is RunPhase.STOPPING:
+                task_key, attempt = uncertain_run.key
+                shard.order_stop(worker, task_key, attempt, run=uncertain_run)
 
     async def _inquire(
         self, worker: WorkerState, suggestion: _Suggestion
@@ -220,10 +217,11 @@
         Ask a worker for its incarnation once; return whether it has replied.
         """
         known = worker.entry
+        fencing_token = self._shard.tokens.token(worker)
         try:
             reply = await client.renew(
                 Renewal(
-                    epoch=self._shard.epoch,
+                    fencing_token=fencing_token,
                     acknowledged_number=0,
                     deadline_clock_ms=None,
                     wait_ms=0,
@@ -231,7 +229,9 @@
             )
         except WorkerError:
             return False
-        if reply is Verdict.FENCED:
+        tokens = self._shard.tokens
+        if reply is Verdict.FENCED and fencing_token == tokens.token(worker):
+            # Not by a higher token of this owner.
             self._shard.deposed.set()
         if not isinstance(reply, WorkerListing):
             return reply is Verdict.OTHER_INCARNATION
--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -244,6 +244,7 @@
         run.has_resumed = True
         run.sent_ms = now_ms
         run.is_delivered = True
+        run.may_start_late = True
         run.order_acknowledged_ms = now_ms
         others = [other for other in task.runs if other.attempt != run.attempt]
         task.attempt = max(task.attempt, row.attempt)
--- a/src/hawthornpier/fleet/_orders.py
+++ b/src/hawthornpier/fleet/_orders.py
@@ -24,8 +24,7 @@
     An order that is queued for a worker.
 
     The owner may order a stop for a run that it has no record of; *run* is
-    then None.  *percent* is the speed to which a run is throttled.  An earlier
-    request for the order may still take effect if it *may_have_been_sent*.
+    then None.  *percent* is the speed to which a run is throttled.
     """
 
     kind: OrderKind
@@ -33,4 +32,3 @@
     attempt: int
     run: Run | None = None
     percent: int = 100
-    may_have_been_sent: bool = False
--- a/src/hawthornpier/fleet/_ports.py
+++ b/src/hawthornpier/fleet/_ports.py
@@ -228,7 +228,8 @@
     """
 
     ACCEPTED = 'accepted'
-    # The worker has seen a higher epoch: another process owns the shard.
+    # The worker has seen a higher fencing token: of another process that owns
+    # the shard, or of this one if it has met another incarnation since.
     FENCED = 'fenced'
     # The worker has seen this or a higher attempt number of the task.
     OUTDATED = 'outdated'
@@ -290,7 +291,7 @@
     run to list.
     """
 
-    epoch: int
+    fencing_token: int
     acknowledged_number: int
     deadline_clock_ms: int | None
     wait_ms: int
@@ -312,7 +313,7 @@
     task_key: str
     attempt: int
     payload: str
-    epoch: int
+    fencing_token: int
     deadline_clock_ms: int
     checkpoint: str = ''
     ticket: str = ''
@@ -341,7 +342,9 @@
         """
         ...
 
-    async def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
+    async def stop(
+        self, task_key: str, attempt: int, fencing_token: int
+    ) -> OrderReply:
         """
         Stop a run, and prevent this and lower attempts from starting.
 
@@ -354,7 +357,7 @@
         task_key: str,
         attempt: int,
         percent: int,
-        epoch: int,
+        fencing_token: int,
     ) -> OrderReply:
         """
         Throttle a run to a percentage of its full speed.
--- a/src/hawthornpier/fleet/_relay_messages.py
+++ b/src/hawthornpier/fleet/_relay_messages.py
@@ -25,7 +25,7 @@
 
     task_key: str
     attempt: int
-    epoch: int
+    fencing_token: int
 
 
 class SpeedOrder(
@@ -38,7 +38,7 @@
     task_key: str
     attempt: int
     percent: int
-    epoch: int
+    fencing_token: int
 
 
 Request = Renewal | StartOrder | StopOrder | SpeedOrder
--- a/src/hawthornpier/fleet/_relay_pool.py
+++ b/src/hawthornpier/fleet/_relay_pool.py
@@ -241,16 +241,23 @@
             return await self._direct_client().start(order)
         return await self._send_order(channel, order)
 
-    async def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
+    async def stop(
+        self, task_key: str, attempt: int, fencing_token: int
+    ) -> OrderReply:
         """
         Stop a run, and prevent this and lower attempts from starting.
         """
         channel = await self._current_channel()
         if channel is None:
-            return await self._direct_client().stop(task_key, attempt, epoch)
+            direct = self._direct_client()
+            return await direct.stop(task_key, attempt, fencing_token)
         return await self._send_order(
             channel,
-            StopOrder(task_key=task_key, attempt=attempt, epoch=epoch),
+            StopOrder(
+                task_key=task_key,
+                attempt=attempt,
+                fencing_token=fencing_token,
+            ),
         )
 
     async def pace(
@@ -258,7 +265,7 @@
         task_key: str,
         attempt: int,
         percent: int,
-        epoch: int,
+        fencing_token: int,
     ) -> OrderReply:
         """
         Throttle a run to a percentage of its full speed.
@@ -266,14 +273,14 @@
         channel = await self._current_channel()
         if channel is None:
             direct = self._direct_client()
-            return await direct.pace(task_key, attempt, percent, epoch)
+            return await direct.pace(task_key, attempt, percent, fencing_token)
         return await self._send_order(
             channel,
             SpeedOrder(
                 task_key=task_key,
                 attempt=attempt,
                 percent=percent,
-                epoch=epoch,
+                fencing_token=fencing_token,
             ),
         )
 
--- a/src/hawthornpier/fleet/_relay_session.py
+++ b/src/hawthornpier/fleet/_relay_session.py
@@ -211,7 +211,9 @@
 
 @_send_request.register
 async def _stop(request: StopOrder, client: FleetWorker) -> OrderReply:
-    return await client.stop(request.task_key, request.attempt, request.epoch)
+    return await client.stop(
+        request.task_key, request.attempt, request.fencing_token
+    )
 
 
 @_send_request.register
@@ -220,7 +222,7 @@
         request.task_key,
         request.attempt,
         request.percent,
-        request.epoch,
+        request.fencing_token,
     )
 
 
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Sequence
 
 from hawthornpier.events import DecisionLog
+from hawthornpier.fleet._fencing import FencingTokens
 from hawthornpier.fleet._interference import InterferenceModel
 from hawthornpier.fleet._permits import OwnerPermits, PausePermit
 from hawthornpier.fleet._ports import StoredRow
@@ -47,7 +48,7 @@
 
     Args:
         name: The name of the shard.
-        epoch: The owner's epoch, which workers check as a fencing token.
+        epoch: The owner's epoch.
         clock: The clock of this process.
         log: The log of scheduling decisions.
         bounds: Limits that the platform specifies.
@@ -67,6 +68,7 @@
         super().__init__(clock, log, row_bytes=bounds.row_content_bytes)
         self.name = name
         self.epoch = epoch
+        self.tokens = FencingTokens(epoch)
         self.permits = OwnerPermits(clock, bounds.contact_ms, claim)
         # By worker that was removed without having returned: the tasks that
         # may have crashed it.
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -3,7 +3,6 @@
 """
 
 import asyncio
-import dataclasses
 
 from hawthornpier.fleet._crashes import end_crashed_incarnation
 from hawthornpier.fleet._listings import ListingReconciler
@@ -115,7 +114,7 @@
         try:
             reply = await self._port.renew(
                 Renewal(
-                    epoch=shard.epoch,
+                    fencing_token=shard.tokens.token(worker),
                     acknowledged_number=acknowledged_number,
                     deadline_clock_ms=deadline,
                     wait_ms=worker.renewal_wait_ms(self._timings),
@@ -169,12 +168,11 @@
         worker = self._worker
         worker.missed_reply_count += 1
         if worker.missed_reply_count == 1:
+            age_ms = self._shard.now_ms - worker.last_reply_ms
             self._shard.log.record(
                 'worker_lost',
                 worker=worker.worker_id,
-                last_reply_age_ms=int(
-                    self._shard.now_ms - worker.last_reply_ms
-                ),
+                last_reply_age_ms=int(age_ms),
                 why=why,
             )
         else:
@@ -197,9 +195,9 @@
             except BaseException:
                 # Also if this task is cancelled, because the link starts anew
                 # after an unexpected error.
-                self._orders.put_nowait(
-                    dataclasses.replace(order, may_have_been_sent=True)
-                )
+                if order.run and order.kind is OrderKind.START:
+                    order.run.may_start_late = True
+                self._orders.put_nowait(order)
                 raise
 
     async def _execute(self, order: Order) -> None:
@@ -222,36 +220,32 @@
         run = order.run
         if run is None:
             return
-        is_uncertain = order.may_have_been_sent
         for _ in range(self._timings.start_try_count):
             if not self._is_start_due(order, run):
                 return
             if not self._shard.permits.may_start_on(self._worker.entry.service):
-                self._postpone(
-                    dataclasses.replace(order, may_have_been_sent=is_uncertain),
-                    self._timings.retry_min_ms,
-                )
+                self._postpone(order, self._timings.retry_min_ms)
                 return
             earlier_sent_ms = run.sent_ms
             tried_ms = self._shard.now_ms
             try:
                 reply = await self._port.start(self._start_order(run))
             except WorkerReplyLostError:
-                is_uncertain = True
                 self._handle_lost_reply(run, tried_ms)
             except WorkerError as error:
                 run.sent_ms = earlier_sent_ms
                 self._record_missed_reply(str(error))
                 await self._shard.clock.sleep_ms(self._timings.retry_min_ms)
             else:
-                self._handle_start_reply(
-                    run, reply, tried_ms, is_uncertain=is_uncertain
-                )
+                self._handle_start_reply(run, reply, tried_ms)
                 return
-        self._abandon_start(run, is_uncertain=is_uncertain, why='no reply')
+        self._abandon_start(
+            run, is_uncertain=run.may_start_late, why='no reply'
+        )
 
     def _handle_lost_reply(self, run: Run, tried_ms: float) -> None:
         now_ms, worker = self._shard.now_ms, self._worker
+        run.may_start_late = True
         if now_ms - tried_ms < _CONNECTION_END_MS:
             run.has_lost_connection = True
             return
@@ -288,7 +282,7 @@
             task_key=run.task.key,
             attempt=run.attempt,
             payload=run.task.step.job.plan.payload,
-            epoch=shard.epoch,
+            fencing_token=shard.tokens.token(self._worker),
             deadline_clock_ms=deadline,
             checkpoint=run.checkpoint,
             ticket=run.ticket,
@@ -299,8 +293,6 @@
         run: Run,
         reply: OrderReply,
         sent_ms: float,
-        *,
-        is_uncertain: bool,
     ) -> None:
         now_ms = self._shard.now_ms
         self._check_clock(reply, sent_ms)
@@ -318,7 +310,7 @@
             self._worker.health.record_refusal(now_ms)
         if reply.verdict is Verdict.NO_CAPACITY:
             self._worker.refused_until_ms = now_ms + _NO_CAPACITY_DELAY_MS
-        if reply.verdict in NOT_STARTED and not is_uncertain:
+        if reply.verdict in NOT_STARTED and not run.may_start_late:
             withdraw_start(self._shard, run, reply.verdict)
             return
         self._abandon_start(run, is_uncertain=True, why=reply.verdict)
@@ -358,7 +350,7 @@
             reply = await self._port.stop(
                 order.task_key,
                 order.attempt,
-                self._shard.epoch,
+                self._shard.tokens.token(self._worker),
             )
         except WorkerError as error:
             self._record_missed_reply(str(error))
@@ -388,7 +380,7 @@
                 order.task_key,
                 order.attempt,
                 order.percent,
-                self._shard.epoch,
+                self._shard.tokens.token(self._worker),
             )
         except WorkerError as error:
             self._record_missed_reply(str(error))
--- a/src/hawthornpier/fleet/_worker_registry.py
+++ b/src/hawthornpier/fleet/_worker_registry.py
@@ -206,6 +206,7 @@
     def _add_worker(self, entry: WorkerEntry, *, is_registered: bool) -> None:
         worker = WorkerState(entry)
         worker.has_entry = is_registered
+        self.shard.tokens.assign(worker)
         self.shard.workers[entry.worker_id] = worker
         identify_missing_workers(self.shard, worker)
         if self.are_all_workers_unlisted:
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -29,6 +29,8 @@
         # Whether it has listed everything since then, also the ends that do
         # not fit into one listing.
         self.is_listed = False
+        # Of its known incarnation, the last part of the fencing token.
+        self.token_number = 0
         # The number of ended runs in its last listing.
         self.listed_end_count = 0
         # Whether the registry has had an entry of it.  The capacity of a worker
--- a/src/hawthornpier/platform/_worker.py
+++ b/src/hawthornpier/platform/_worker.py
@@ -143,7 +143,7 @@
             The running and ended runs, or why the renewal was rejected.
         """
         body: dict[str, Any] = {
-            'fencing_token': renewal.epoch,
+            'fencing_token': renewal.fencing_token,
             'last_seen': renewal.acknowledged_number,
         }
         if renewal.deadline_clock_ms is not None:
@@ -168,7 +168,7 @@
             'attempt': order.attempt,
             'spec': order.payload,
             'deadline_ms': order.deadline_clock_ms,
-            'fencing_token': order.epoch,
+            'fencing_token': order.fencing_token,
         }
         if order.checkpoint:
             body['checkpoint'] = order.checkpoint
@@ -176,7 +176,9 @@
             body['ticket'] = order.ticket
         return await self._send_order('/hawthornpier/run-start', body)
 
-    async def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
+    async def stop(
+        self, task_key: str, attempt: int, fencing_token: int
+    ) -> OrderReply:
         """
         Stop a run, and prevent this and lower attempts from starting.
 
@@ -184,7 +186,11 @@
         """
         return await self._send_order(
             '/hawthornpier/run-stop',
-            {'task': task_key, 'attempt': attempt, 'fencing_token': epoch},
+            {
+                'task': task_key,
+                'attempt': attempt,
+                'fencing_token': fencing_token,
+            },
         )
 
     async def pace(
@@ -192,7 +198,7 @@
         task_key: str,
         attempt: int,
         percent: int,
-        epoch: int,
+        fencing_token: int,
     ) -> OrderReply:
         """
         Throttle a run to a percentage of its full speed.
@@ -203,7 +209,7 @@
                 'task': task_key,
                 'attempt': attempt,
                 'percent': percent,
-                'fencing_token': epoch,
+                'fencing_token': fencing_token,
             },
         )
 
--- a/src/hawthornpier/steps/_run.py
+++ b/src/hawthornpier/steps/_run.py
@@ -26,6 +26,7 @@
         'is_delivered',
         'is_listed',
         'listed_ms',
+        'may_start_late',
         'order_acknowledged_ms',
         'paused_ms',
         'percent',
@@ -67,6 +68,9 @@
         self.is_delivered = False
         # Whether a listing of the worker's current incarnation contained it.
         self.is_listed = False
+        # Whether a start whose reply is not known may still be executed, also
+        # by the next incarnation of the worker.
+        self.may_start_late = False
         # Whether the connection broke as the start was sent.
         self.has_lost_connection = False
         # When the worker last acknowledged an order for the run or first
--- a/src/hawthornpier_standin/fleet/_wire.py
+++ b/src/hawthornpier_standin/fleet/_wire.py
@@ -236,7 +236,7 @@
             task_key=body['task'],
             attempt=body['attempt'],
             payload=body['spec'],
-            epoch=body['fencing_token'],
+            fencing_token=body['fencing_token'],
             deadline_clock_ms=body['deadline_ms'],
             checkpoint=body.get('checkpoint', ''),
         )
@@ -296,7 +296,7 @@
         """
         body = self.body()
         renewal = Renewal(
-            epoch=body['fencing_token'],
+            fencing_token=body['fencing_token'],
             acknowledged_number=body['last_seen'],
             deadline_clock_ms=body.get('deadline_ms'),
             wait_ms=body.get('wait_ms', 0),
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -94,7 +94,7 @@
         # While the worker is down, whether its host refuses connections at
         # once instead of not responding.
         self.is_refusing = False
-        self.epoch = 0
+        self.fencing_token = 0
         self.deadline_ms = 0
         self.runs: dict[tuple[str, int], _Run] = {}
         self.ended_runs: list[EndedRun] = []
@@ -152,7 +152,7 @@
         )
         self.is_up = True
         self.is_refusing = False
-        self.epoch = 0
+        self.fencing_token = 0
         self.deadline_ms = 0
         self.ended_runs.clear()
         self.highest_attempts.clear()
@@ -172,9 +172,9 @@
         Renew the lease and drop the acknowledged ended runs.
         """
         self.renewal_count += 1
-        if renewal.epoch < self.epoch:
+        if renewal.fencing_token < self.fencing_token:
             return Verdict.FENCED
-        self.epoch = renewal.epoch
+        self.fencing_token = renewal.fencing_token
         if renewal.deadline_clock_ms is not None:
             self._extend(renewal.deadline_clock_ms)
         acknowledged = renewal.acknowledged_number
@@ -218,13 +218,15 @@
         self._late.add(late)
         late.add_done_callback(self._late.discard)
 
-    def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
+    def stop(
+        self, task_key: str, attempt: int, fencing_token: int
+    ) -> OrderReply:
         """
         Stop a run, and prevent this and lower attempts from starting.
         """
-        if epoch < self.epoch:
+        if fencing_token < self.fencing_token:
             return OrderReply(verdict=Verdict.FENCED, clock_ms=self.clock_ms)
-        self.epoch = epoch
+        self.fencing_token = fencing_token
         self.highest_attempts[task_key] = max(
             self.highest_attempts.get(task_key, 0), attempt
         )
@@ -238,13 +240,13 @@
         task_key: str,
         attempt: int,
         percent: int,
-        epoch: int,
+        fencing_token: int,
     ) -> OrderReply:
         """
         Throttle a run to a percentage of its full speed.
         """
         run = self.runs.get((task_key, attempt))
-        if epoch < self.epoch or run is None:
+        if fencing_token < self.fencing_token or run is None:
             return OrderReply(verdict=Verdict.FENCED, clock_ms=self.clock_ms)
         run.speed_percent = percent
         return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=self.clock_ms)
@@ -262,7 +264,7 @@
     def _check_start(self, order: StartOrder) -> Verdict:
         key = (order.task_key, order.attempt)
         checks = (
-            (Verdict.FENCED, order.epoch < self.epoch),
+            (Verdict.FENCED, order.fencing_token < self.fencing_token),
             (Verdict.ACCEPTED, key in self.runs),
             (Verdict.TOO_LATE, order.deadline_clock_ms <= self.clock_ms),
             (
@@ -271,7 +273,7 @@
             ),
             (Verdict.NO_CAPACITY, not self._fits(order)),
         )
-        self.epoch = max(self.epoch, order.epoch)
+        self.fencing_token = max(self.fencing_token, order.fencing_token)
         return next(
             (verdict for verdict, holds in checks if holds),
             Verdict.ACCEPTED,
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -78,13 +78,15 @@
         await self._raise_if_reply_is_lost()
         return reply
 
-    async def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
+    async def stop(
+        self, task_key: str, attempt: int, fencing_token: int
+    ) -> OrderReply:
         """
         Stop a run.
         """
         if not await self._begin_call():
             return _OTHER_INCARNATION
-        reply = self._worker.stop(task_key, attempt, epoch)
+        reply = self._worker.stop(task_key, attempt, fencing_token)
         await self._raise_if_reply_is_lost()
         return reply
 
@@ -93,14 +95,14 @@
         task_key: str,
         attempt: int,
         percent: int,
-        epoch: int,
+        fencing_token: int,
     ) -> OrderReply:
         """
         Throttle a run to a percentage of its full speed.
         """
         if not await self._begin_call():
             return _OTHER_INCARNATION
-        return self._worker.pace(task_key, attempt, percent, epoch)
+        return self._worker.pace(task_key, attempt, percent, fencing_token)
 
     def close(self) -> None:
         """
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -7,6 +7,7 @@
 from fake_store import virtual_tests
 from fleet_world import World
 
+from hawthornpier.fleet._fencing import TOKENS_PER_EPOCH
 from hawthornpier.steps import JobPhase, StepPlan
 from hawthornpier_standin.fleet import StoreFault, WorkerFault
 
@@ -145,7 +146,8 @@
         await world.run_for(300)
         unreachable = sorted(workers_of(world, plan))[0]
         world.kill(world.owner())
-        while world.workers[unreachable].epoch < 2:
+        worker = world.workers[unreachable]
+        while worker.fencing_token < 2 * TOKENS_PER_EPOCH:
             await world.run_for(1)
         world.workers[unreachable].fault = WorkerFault.RESET
         await world.run_for(9_000)
--- a/tests/test_fleet_held_work.py
+++ b/tests/test_fleet_held_work.py
@@ -87,7 +87,7 @@
         await asyncio.sleep(0.05)
         return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=5)
 
-    async def stop(self, task, attempt, epoch):
+    async def stop(self, task, attempt, fencing_token):
         self.sent.append('stop')
         return OrderReply(verdict=self._verdict)
 
--- a/tests/test_fleet_recovery.py
+++ b/tests/test_fleet_recovery.py
@@ -253,7 +253,7 @@
                 task_key=task_key,
                 attempt=1,
                 payload='payload',
-                epoch=shard.epoch,
+                fencing_token=worker.fencing_token,
                 deadline_clock_ms=worker.clock_ms + 5_000,
             ),
         )
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -54,7 +54,7 @@
     task_key='a.0.0.0',
     attempt=1,
     payload='',
-    epoch=1,
+    fencing_token=1,
     deadline_clock_ms=5_000,
 )
 
