Withhold acknowledgements after a start whose reply is lost

A lost reply to a start may be the end of the worker's process, so the next renewal acknowledges nothing; acknowledgements go on once the worker has listed its runs as the known incarnation, one round trip later.

Test: `test_a_lost_start_reply_stops_acknowledgements` (it failed before: `assert {0, 1} == {0}`). It shares its scenario with the test of a start reply from a restarted clock, whose assertions are unchanged.

Left: a start that is still under way when the acknowledgement is sent, and an acknowledgement that is carried out late.

--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -108,9 +108,11 @@
         if is_replying and shard.permits.is_unclaimed:
             deadline = worker.next_deadline(self._timings.lease_ms, sent_ms)
         # A worker that does not reply may be restarting.
+        may_acknowledge = is_replying and not worker.may_have_restarted
         acknowledged_number = (
-            worker.next_acknowledgement() if is_replying else 0
+            worker.next_acknowledgement() if may_acknowledge else 0
         )
+        worker.may_have_restarted = False
         try:
             reply = await self._port.renew(
                 Renewal(
@@ -246,6 +248,7 @@
     def _handle_lost_reply(self, run: Run, tried_ms: float) -> None:
         now_ms, worker = self._shard.now_ms, self._worker
         run.may_start_late = True
+        worker.may_have_restarted = True
         if now_ms - tried_ms < _CONNECTION_END_MS:
             run.has_lost_connection = True
             return
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -61,6 +61,9 @@
         self.acknowledged_number = 0
         # The highest number that the worker knows to be acknowledged.
         self._confirmed_number = 0
+        # Whether it may have restarted since its last listing, because a reply
+        # to a start was lost.  The next incarnation numbers ended runs anew.
+        self.may_have_restarted = False
         # Whether its last listing has ended runs that cannot be applied yet.
         self.has_deferred_ends = False
         self.health = WorkerHealth()
@@ -152,6 +155,7 @@
         self.acknowledged_number = 0
         self._confirmed_number = 0
         self.has_deferred_ends = False
+        self.may_have_restarted = False
         self._deadline_clock_ms = 0
         self.clock.begin_incarnation()
         self.health.reset()
--- a/tests/test_fleet_ends.py
+++ b/tests/test_fleet_ends.py
@@ -26,6 +26,7 @@
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_link import WorkerLink
 from hawthornpier.fleet._worker_state import WorkerState
+from hawthornpier.ports import WorkerReplyLostError
 from hawthornpier.steps import (
     JobPhase,
     JobPlan,
@@ -127,6 +128,27 @@
         return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=5)
 
 
+class LostStartPort(RestartingPort):
+    """
+    A worker that restarts, executes a start without a reply, and ends the run.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self._has_started = False
+
+    async def renew(self, renewal):
+        listing = await super().renew(renewal)
+        if self._has_started:
+            return msgspec.structs.replace(listing, incarnation_ms=2)
+        return listing
+
+    async def start(self, order):
+        self._has_started = True
+        await asyncio.sleep(0.02)
+        raise WorkerReplyLostError('the worker closed the connection')
+
+
 class TestHandedOverEnds:
     """
     The ends in a handover and those that workers list add up.
@@ -349,15 +371,27 @@
         task.cancel()
         assert not worker.is_usable
 
+    async def test_a_lost_start_reply_stops_acknowledgements(self):
+        """
+        Guards against an end that the next incarnation drops unlisted.
+        """
+        run, port = await self._start_as_it_restarts(LostStartPort())
+        assert not run.is_delivered
+        assert set(port.acknowledged_numbers) == {0}
+
     async def test_a_start_reply_shows_that_the_clock_began_anew(self):
         """
         Guards against numbers of ends that cover those of the next incarnation.
 
         It has executed a start, whose end it may number 1, too.
         """
+        run, port = await self._start_as_it_restarts(RestartingPort())
+        assert run.is_delivered
+        assert port.acknowledged_numbers == [0, 0, 0]
+
+    async def _start_as_it_restarts(self, port):
         shard = shard_with(epoch=1)
         worker = add_worker(shard)
-        port = RestartingPort()
         link = WorkerLink(
             worker,
             port,
@@ -374,5 +408,4 @@
         worker.acknowledged.set()
         await asyncio.sleep(0.005)
         task.cancel()
-        assert run.is_delivered
-        assert port.acknowledged_numbers == [0, 0, 0]
+        return run, port
