Merge the fencing of each incarnation of a worker

Whether a queued start is still due is decided beside the withdrawals, since the link to a worker had outgrown its module.

--- a/src/hawthornpier/fleet/_relayed_worker.py
+++ b/src/hawthornpier/fleet/_relayed_worker.py
@@ -116,7 +116,9 @@
             return await self._watch(None, self._direct_client().start(order))
         return await self._send_order(channel, order)
 
-    async def stop(self, task_key: str, attempt: int, epoch: int) -> OrderReply:
+    async def stop(
+        self, task_key: str, attempt: int, fencing_token: int
+    ) -> OrderReply:
         """
         Stop a run, and prevent this and lower attempts from starting.
         """
@@ -124,11 +126,13 @@
         if channel is None:
             direct = self._direct_client()
             return await self._watch(
-                None, direct.stop(task_key, attempt, epoch)
+                None, direct.stop(task_key, attempt, fencing_token)
             )
         return await self._send_order(
             channel,
-            StopOrder(task_key=task_key, attempt=attempt, epoch=epoch),
+            StopOrder(
+                task_key=task_key, attempt=attempt, fencing_token=fencing_token
+            ),
         )
 
     async def pace(
@@ -136,7 +140,7 @@
         task_key: str,
         attempt: int,
         percent: int,
-        epoch: int,
+        fencing_token: int,
     ) -> OrderReply:
         """
         Throttle a run to a percentage of its full speed.
@@ -145,7 +149,7 @@
         if channel is None:
             direct = self._direct_client()
             return await self._watch(
-                None, direct.pace(task_key, attempt, percent, epoch)
+                None, direct.pace(task_key, attempt, percent, fencing_token)
             )
         return await self._send_order(
             channel,
@@ -153,7 +157,7 @@
                 task_key=task_key,
                 attempt=attempt,
                 percent=percent,
-                epoch=epoch,
+                fencing_token=fencing_token,
             ),
         )
 
--- a/src/hawthornpier/fleet/_withdrawals.py
+++ b/src/hawthornpier/fleet/_withdrawals.py
@@ -4,6 +4,7 @@
 
 import math
 
+from hawthornpier.fleet._ports import Verdict
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Run, RunOutcome, RunPhase
@@ -55,3 +56,21 @@
         is_unsent = is_unsent and run.started_ms <= placed_by_ms
         if is_unsent and not run.task.step.plan.is_gang:
             withdraw_start(shard, run, why)
+
+
+def is_start_due(shard: Shard, worker: WorkerState, run: Run) -> bool:
+    """
+    Return whether a queued start is still due, and withdraw it if it is not.
+
+    Meanwhile, the run may have been stopped, the worker's capacity may have
+    shrunk, or the worker may have begun to leave.  A start that was sent before
+    is not withdrawn.
+    """
+    is_wanted = run.phase is RunPhase.STARTING
+    why = 'worker is leaving' if worker.is_leaving else ''
+    if worker.is_overcommitted(run.task.step):
+        why = Verdict.NO_CAPACITY
+    if run.sent_ms or not (why or run.stop_reason):
+        return is_wanted
+    withdraw_start(shard, run, run.stop_reason or why)
+    return False
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -31,6 +31,8 @@
         # Whether it has listed everything since then, also the ends that do
         # not fit into one listing.
         self.is_listed = False
+        # Of its known incarnation, the last part of the fencing token.
+        self.token_number = 0
         # The number of ended runs in its last listing.
         self.listed_end_count = 0
         # Whether the registry has had an entry of it.  The capacity of a worker
@@ -66,6 +68,9 @@
         self.acknowledged_number = 0
         # The highest number that the worker knows to be acknowledged.
         self._confirmed_number = 0
+        # Whether it may have restarted since its last listing, because a reply
+        # to a start was lost.  The next incarnation numbers ended runs anew.
+        self.may_have_restarted = False
         # Whether its last listing has ended runs that cannot be applied yet.
         self.has_deferred_ends = False
         self.health = WorkerHealth()
@@ -158,6 +163,7 @@
         self.acknowledged_number = 0
         self._confirmed_number = 0
         self.has_deferred_ends = False
+        self.may_have_restarted = False
         self._deadline_clock_ms = 0
         self.clock.begin_incarnation()
         self.health.reset()
--- a/tests/test_fleet_oracle.py
+++ b/tests/test_fleet_oracle.py
@@ -85,7 +85,7 @@
             task_key=f'{world.plan().job_id}.0.0.0',
             attempt=1,
             payload='',
-            epoch=1,
+            fencing_token=1,
             deadline_clock_ms=60_000,
         )
         worker.start_late(order)
