Keep the claim of a shard while it is loaded

A new owner renewed its lease only once it had loaded the shard. If loading took longer than the lease of 2.4 s, as on a small host or with a slow store, another process claimed the shard, and had to load it in turn. Nobody scheduled anything meanwhile.

The lease is now renewed during loading, for at most 20 s, so that a process that cannot load does not keep the shard.

test_the_first_owner_ends_its_loading failed before: "assert 7 == 1", the number of claims.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -66,6 +66,29 @@
             if not shard.permits.writes.is_valid or self._is_write_due():
                 await self._try_write()
 
+    async def keep_claim(self, limit_ms: float) -> None:
+        """
+        Renew the lease and write nothing else, until cancelled.
+
+        Args:
+            limit_ms: After this time, the lease is left to expire.
+
+        Raises:
+            ShardLostError: Another process owns the shard.
+        """
+        end_ms = self._shard.now_ms + limit_ms
+        while self._shard.now_ms < end_ms:
+            await self._shard.clock.sleep_ms(self._timings.commit_interval_ms)
+            if not self._writer.is_renewal_due:
+                continue
+            sent = self._shard.permits.writes.mark()
+            try:
+                await self._writer.write({})
+            except StoreError:
+                await self._shard.clock.sleep_ms(self._timings.retry_max_ms)
+            else:
+                self._shard.permits.writes.confirm(sent)
+
     async def write_all(self) -> None:
         """
         Write all remaining progress and release the shard.
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -46,6 +46,9 @@
 _PASS_INTERVAL_MS = 100
 _RETRY_MS = 150
 _EXPIRY_INTERVAL_MS = 5_000
+# The claim is kept for this long while the shard is loaded, which may take
+# longer than the lease lasts.  Then another process may try.
+_LOADING_LIMIT_MS = 20_000.0
 # Ended jobs stay readable for this multiple of the time that the platform
 # requires.
 _RETENTION_FACTOR = 1.25
@@ -107,7 +110,15 @@
         try:
             async with asyncio.TaskGroup() as group:
                 registry = self._open_registry(group)
+                renewal = group.create_task(
+                    run_part(
+                        functools.partial(
+                            self._committer.keep_claim, _LOADING_LIMIT_MS
+                        )
+                    )
+                )
                 await self._load(registry)
+                renewal.cancel()
                 for part in self._parts(registry):
                     group.create_task(run_part(part))
                 await self.shard.deposed.wait()
