Limit the time between two scheduling passes

Passes leave the process to others for twice their own duration, without a limit. A process that was suspended within a pass took the suspension for the duration of the pass, and placed nothing for twice as long again: tasks that lost their run waited although there was room.

The gap is now three seconds at most, so that passes of up to 1.5 s are as far apart as before.

Tried before and given up: a limit of one second.

test_a_suspension_in_a_pass: on the code before, the gap is 18,000 ms.

--- a/src/hawthornpier/fleet/_pass_gap.py
+++ b/src/hawthornpier/fleet/_pass_gap.py
@@ -7,6 +7,9 @@
 _MIN_GAP_MS = 6.0
 # A pass is followed by a gap of at least its own duration multiplied by this.
 _GAP_PER_PASS_TIME = 2.0
+# But no longer than this: tasks that lost their run wait for the next pass, and
+# a pass in which the process was suspended tells nothing about the backlog.
+_MAX_GAP_MS = 3_000.0
 
 
 def pass_gap_ms(pass_ms: float) -> float:
@@ -20,4 +23,5 @@
     Args:
         pass_ms: How long the pass took.
     """
-    return max(_MIN_GAP_MS, pass_ms * _GAP_PER_PASS_TIME)
+    gap_ms = max(_MIN_GAP_MS, pass_ms * _GAP_PER_PASS_TIME)
+    return min(gap_ms, _MAX_GAP_MS)
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -319,3 +319,9 @@
         Guards against short tasks that wait for the next pass.
         """
         assert pass_gap_ms(0.2) <= 10
+
+    def test_a_suspension_in_a_pass(self):
+        """
+        Guards against tasks that wait for twice the time of the suspension.
+        """
+        assert pass_gap_ms(9_000) <= 3_000
