Report no run that the next listing ends

The audit reported runs whose stop their worker had acknowledged after it was asked for its last listing. Such a listing cannot tell of the stop, and the next one, up to a second later, ends the run.

The new test failed before with one `run not listed`.

--- a/src/hawthornpier/fleet/_stale_state.py
+++ b/src/hawthornpier/fleet/_stale_state.py
@@ -80,7 +80,10 @@
     listed = worker.listed_load
     if listed is None:
         return []
-    oldest_ms = listed.requested_ms - _TRANSIT_MS
+    ages_ms = (
+        (run, listed.requested_ms - _expected_ms(run))
+        for run in worker.runs.values()
+    )
     return [
         Difference(
             kind=DifferenceKind.RUN_NOT_LISTED,
@@ -88,13 +91,23 @@
             task=run.task.key,
             field=f'attempt {run.attempt}',
             kept=f'{run.phase}, {describe_order(run)}',
-            age_ms=int(listed.requested_ms - run.listed_ms),
+            age_ms=int(age_ms),
         )
-        for run in worker.runs.values()
-        if run.listed_ms < oldest_ms
+        for run, age_ms in ages_ms
+        if age_ms > _TRANSIT_MS
     ]
 
 
+def _expected_ms(run: Run) -> float:
+    """
+    Return when a listing last had to contain a run, or may have changed it.
+
+    A listing that was requested before an order was acknowledged need not
+    reflect it.
+    """
+    return max(run.listed_ms, run.order_acknowledged_ms)
+
+
 def _unrecorded_runs(worker: WorkerState, now_ms: float) -> list[Difference]:
     if worker.listed_load is None:
         return []
--- a/tests/test_fleet_ledger_audit.py
+++ b/tests/test_fleet_ledger_audit.py
@@ -139,6 +139,16 @@
         assert found[0].kept == 'stopping, stop not acknowledged'
         assert found[0].age_ms > 3_000
 
+    def test_listing_from_before_an_acknowledged_stop_tells_nothing(self):
+        """
+        Guards against a report about a run that the next listing ends.
+        """
+        waits = _Listed()
+        waits.shard.stop_run(waits.run, 'test')
+        waits.run_for(5_000, omitted=[waits.run])
+        waits.run.order_acknowledged_ms = waits.shard.now_ms
+        assert not find_differences(waits.shard)
+
     def test_listed_run_without_record_is_found(self):
         """
         Guards against room that runs occupy of which the owner knows nothing.
