Keep nothing of a job that is removed while its progress is written

An owner could end with an error and leave its shard to the next one. And if the job was accepted again under its id, progress equal to that of the write was not stored, though callers and workers were told that it was.

Cause: a write that failed marked all its jobs as changed again, also one removed meanwhile, which the next batch does not find. And both outcomes of a write created the record of the job's stored rows anew, whose content was then taken for stored after the removal had deleted the rows.

Found by reading; jobs are removed minutes after their end, so that it takes a store that fails for long. The new tests failed before: "KeyError" in changed_progress, and "assert 1 == 2", the number of writes of the progress.

The outcome of a write now concerns known jobs only.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -130,9 +130,11 @@
         try:
             await self._writer.write(batch.writes, batch.removals)
         except StoreError as error:
-            shard.dirty.update(batch.job_ids)
+            # Jobs may have been removed meanwhile.
+            shard.dirty.update(filter(shard.jobs.__contains__, batch.job_ids))
             for job_id, contents in batch.progress.items():
-                shard.progress_rows(job_id).forget(contents)
+                if job_id in shard.jobs:
+                    shard.progress_rows(job_id).forget(contents)
             if not isinstance(error, StoreRejectedError):
                 raise
             await self._writer.write({})
@@ -175,7 +177,8 @@
         shard = self._shard
         shard.writing.clear()
         for job_id, contents in batch.progress.items():
-            shard.progress_rows(job_id).confirm(contents)
+            if job_id in shard.jobs:
+                shard.progress_rows(job_id).confirm(contents)
         self.recorded_workers.confirm(_rows_of_workers(batch))
         del shard.removed_rows[: len(batch.removals)]
         for job in batch.ended_jobs:
--- a/tests/test_fleet_commit_order.py
+++ b/tests/test_fleet_commit_order.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 
+import pytest
 from test_fleet_ends import PLAN, add_worker, shard_with
 
 from hawthornpier.fleet import OwnershipTimings
@@ -119,3 +120,42 @@
         run.cancel()
         assert store.applied[-1] == 'release'
         assert PLAN.job_id in store.applied
+
+
+class TestRemovedJobs:
+    """
+    A job may be removed while its progress is being written.
+    """
+
+    async def test_a_job_that_is_removed_during_a_write_that_fails(self):
+        """
+        Guards against an owner that ends because it writes an unknown job.
+        """
+        shard = shard_with(PLAN)
+        shard.dirty.add(PLAN.job_id)
+        committer = Committer(shard, _SlowStore(), timings=OwnershipTimings())
+        write = asyncio.create_task(committer._write())
+        await asyncio.sleep(0)
+        shard.remove_job(PLAN.job_id)
+        with pytest.raises(StoreReplyLostError):
+            await write
+        await committer._write()
+        assert not shard.dirty
+        assert not shard.removed_rows
+
+    async def test_a_job_that_is_removed_during_a_write_and_added_again(self):
+        """
+        Guards against progress that is never written, as its rows were deleted.
+        """
+        shard = shard_with(PLAN)
+        store = _SlowStore()
+        store.is_first = False
+        committer = Committer(shard, store, timings=OwnershipTimings())
+        for _ in range(2):
+            shard.dirty.add(PLAN.job_id)
+            write = asyncio.create_task(committer._write())
+            await asyncio.sleep(0)
+            shard.remove_job(PLAN.job_id)
+            await write
+            shard.add_job(PLAN)
+        assert store.applied.count(PLAN.job_id) == 2
