Forget the failed calls through a relay that is not used any more

The memory of an owner that uses relays grew with each connection that ended while calls were on their way, by one entry for each worker behind it.

Cause: calls without a reply are counted by connection, and the count of a connection went only with a reply or with the second failure. One that has ended has neither.

The new test failed before: "assert 5 == 1", the counts after five connections.

The counts are dropped when the worker is reached another way.

--- a/src/hawthornpier/fleet/_relay_pool.py
+++ b/src/hawthornpier/fleet/_relay_pool.py
@@ -355,6 +355,7 @@
         )
         if channel is not self._channel:
             self._leave_channel()
+            self._failure_counts.clear()
             self._channel = channel
         return channel
 
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -20,6 +20,7 @@
     StartOrder,
     Verdict,
     WorkerEntry,
+    WorkerTimings,
 )
 from hawthornpier.fleet._relay_assignment import (
     WorkerPlace,
@@ -34,9 +35,14 @@
     CallBatch,
     Contact,
 )
+from hawthornpier.fleet._relay_pool import RelayedWorker
 from hawthornpier.fleet._relay_session import RelaySession
 from hawthornpier.fleet._transit import TransitMeter
-from hawthornpier.ports import WorkerReplyLostError, WorkerUnreachableError
+from hawthornpier.ports import (
+    WorkerError,
+    WorkerReplyLostError,
+    WorkerUnreachableError,
+)
 from hawthornpier.steps import JobPhase, StepPlan
 
 # So small that the owner of a few workers needs relays.
@@ -384,6 +390,41 @@
         run_virtual(scenario())
 
 
+class EndingRelays:
+    """
+    Connections of which each ends during its first call.
+    """
+
+    clock = VirtualClock()
+    timings = WorkerTimings()
+
+    async def channel(self, _worker_id, _avoided):
+        channel = RelayChannel(QuietSocket(), self.clock)
+        end = asyncio.ensure_future(channel.run())
+        asyncio.get_running_loop().call_soon(end.cancel)
+        return channel
+
+
+class TestRelayedWorker:
+    """
+    A worker's relay is chosen by the last calls.
+    """
+
+    def test_connections_that_have_ended_are_forgotten(self):
+        """
+        Guards against memory that grows with each connection that ends.
+        """
+
+        async def scenario():
+            worker = RelayedWorker(ENTRY, EndingRelays(), dial=None)
+            for _ in range(5):
+                with pytest.raises(WorkerError):
+                    await worker.start(ORDER)
+            assert len(worker._failure_counts) == 1
+
+        run_virtual(scenario())
+
+
 class TestTransit:
     """
     The delay of messages between processes with different clocks.
