Do not prolong a quarantine by stalls of runs from before it

Tasks could wait for up to 12 s beside a worker that had stood still for a moment.

Cause: each pass that found a stalled run quarantined the worker anew, for twice as long, although the run had been started before the first quarantine. Runs of different length count as stalled at different times.

Found by reading. The new test, two runs that stall 300 ms apart, failed before: QUARANTINED 1.6 s after the second stall instead of PROBATION.

Stalled runs from before the quarantine no longer prolong it.

--- a/src/hawthornpier/fleet/_health.py
+++ b/src/hawthornpier/fleet/_health.py
@@ -103,6 +103,13 @@
         self._refused_until_ms = now_ms + self._refusal_ms
         self._refusal_ms = min(self._refusal_ms * 2, _REFUSAL_MAX_MS)
 
+    def record_stall(self, run: Run, now_ms: float) -> None:
+        """
+        Record a run without progress, which shows that the worker stands still.
+        """
+        if self._tells_news(run):
+            self.quarantine(now_ms)
+
     def quarantine(self, now_ms: float) -> None:
         """
         Start no runs on the worker for some time, then one at a time.
@@ -141,10 +148,18 @@
             return HealthStatus.SUSPECT
         return HealthStatus.HEALTHY
 
+    def _tells_news(self, run: Run) -> bool:
+        """
+        Return whether a run was not started before the current quarantine.
+        """
+        return (
+            not self._is_quarantined
+            or run.started_ms >= self._quarantined_until_ms
+        )
+
     def _quarantine_if_failing(self, run: Run, now_ms: float) -> bool:
         if self._is_quarantined:
-            # A run from before the quarantine tells nothing new.
-            is_new = run.started_ms >= self._quarantined_until_ms
+            is_new = self._tells_news(run)
             if is_new:
                 self.quarantine(now_ms)
             return is_new
--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -106,10 +106,8 @@
             for run in worker.runs.values()
             if _is_stalled(run, self._stall_ms(run))
         ]
-        if not stalled:
-            return
-        worker.health.quarantine(now_ms)
         for run in stalled:
+            worker.health.record_stall(run, now_ms)
             run.task.avoid_worker(worker.worker_id)
             self._shard.stop_run(run, 'no progress')
 
--- a/tests/test_fleet_probation.py
+++ b/tests/test_fleet_probation.py
@@ -4,8 +4,12 @@
 
 from fake_store import virtual_tests
 from fleet_world import World
+from test_fleet_ends import PLAN, add_worker, shard_with
 
-from hawthornpier.steps import JobPhase, StepPlan
+from hawthornpier.fleet import WorkerTimings
+from hawthornpier.fleet._health import HealthStatus
+from hawthornpier.fleet._run_monitor import RunMonitor
+from hawthornpier.steps import JobPhase, RunPhase, StepPlan
 from hawthornpier_standin.fleet import WorkerFault
 
 LASTING = StepPlan(
@@ -103,3 +107,33 @@
         await world.run_for(3_000)
         assert world.has_logged('worker_quarantined')
         return jobs
+
+
+class TestStalledRuns:
+    """
+    A worker whose runs stand still is quarantined.
+    """
+
+    async def test_stalls_from_before_a_quarantine_do_not_prolong_it(self):
+        """
+        Guards against tasks that wait for seconds beside a worker that has
+        stood still only for a moment.
+        """
+        shard = shard_with(PLAN)
+        worker = add_worker(shard)
+        monitor = RunMonitor(shard, WorkerTimings())
+        runs = [
+            shard.start_run(task, worker, reason='test')
+            for job in shard.active_jobs()
+            for task in job.tasks()
+        ]
+        stopped_ms = shard.now_ms
+        for run in runs:
+            run.phase = RunPhase.RUNNING
+            run.listed_ms = run.percent_changed_ms + 10_000
+            shard.clock.jump_ms += 300
+            monitor.run_pass()
+            assert run.phase is RunPhase.STOPPING
+        assert len(runs) == 2
+        status = worker.health.health_status(stopped_ms + 300 + 1_600)
+        assert status is HealthStatus.PROBATION
