--- a/src/hawthornpier/fleet/_health.py
+++ b/src/hawthornpier/fleet/_health.py
@@ -104,6 +104,13 @@
         self._refused_until_ms = now_ms + self._refusal_ms
         self._refusal_ms = min(self._refusal_ms * 2, _REFUSAL_MAX_MS)
 
+    def record_stall(self, run: Run, now_ms: float) -> None:
+        """
+        Record a run without progress, which shows that the worker stands still.
+        """
+        if self._tells_news(run):
+            self.quarantine(now_ms)
+
     def quarantine(self, now_ms: float) -> None:
         """
         Start no runs on the worker for some time, then one at a time.
@@ -156,10 +163,15 @@
     def _is_since_quarantine(self, run: Run) -> bool:
         return run.started_ms > self._quarantined_ms
 
+    def _tells_news(self, run: Run) -> bool:
+        """
+        Return whether a run was not started before the current quarantine.
+        """
+        return not self._is_quarantined or self._is_since_quarantine(run)
+
     def _quarantine_if_failing(self, run: Run, now_ms: float) -> bool:
         if self._is_quarantined:
-            # A run from before the quarantine tells nothing new.
-            is_new = self._is_since_quarantine(run)
+            is_new = self._tells_news(run)
             if is_new:
                 self.quarantine(now_ms)
             return is_new
