--- a/Makefile
+++ b/Makefile
@@ -58,4 +58,5 @@
 soak: $(STAMP)
 	SOAK_SEED=$(SEED) SOAK_COUNT=$(COUNT) $(BIN)/python -m pytest \
 		tests/test_node_faults.py tests/test_fleet_faults.py \
-		-k TestFaultsTogether
+		tests/test_fleet_ledger.py tests/test_fleet_restarts.py \
+		-k "TestFaultsTogether or TestLedger or TestRestartsTogether"
