--- a/src/hawthornpier/fleet/_usability.py
+++ b/src/hawthornpier/fleet/_usability.py
@@ -1,5 +1,5 @@
 """
-Why no runs are started on a worker, and how old its registry entry is.
+Why no runs are started on a worker.
 """
 
 import enum
