Count the network link in the size of a host that claims the shard

Cause: a claim is delayed by the number of processors alone. The card of a process does not name its link.

Change: the card carries the link, and a slow link limits the processors that count. The test could not be written before, as no card had a link.

--- a/src/hawthornpier/fleet/_context.py
+++ b/src/hawthornpier/fleet/_context.py
@@ -26,6 +26,7 @@
     failure_domain: str
     region: str = ''
     processor_cores: float = 1
+    link_mbps: float = 1_000
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -71,6 +71,7 @@
             failure_domain=host_info.failure_domain,
             region=host_info.region,
             processor_cores=host_info.processor_cores,
+            link_mbps=host_info.link_mbps,
         )
         self.is_leaving = False
         self._owner: ShardOwner | None = None
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -10,6 +10,7 @@
 from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._errors import HistoryGoneError
+from hawthornpier.fleet._host_size import effective_cores
 from hawthornpier.fleet._permits import PausePermit
 from hawthornpier.fleet._ports import (
     RecordStore,
@@ -173,9 +174,9 @@
         """
         Return by how much to delay a claim in favour of larger hosts.
         """
-        cores = self._card.processor_cores
-        cards = self._directory.cards.values()
-        largest = max((card.processor_cores for card in cards), default=cores)
+        cores = effective_cores(self._card)
+        others = map(effective_cores, self._directory.cards.values())
+        largest = max(others, default=cores)
         return _MAX_SMALL_HOST_DELAY_MS * max(
             0, 1 - cores / max(largest, cores)
         )
--- a/src/hawthornpier/fleet/_writer.py
+++ b/src/hawthornpier/fleet/_writer.py
@@ -42,6 +42,7 @@
     failure_domain: str = ''
     region: str = ''
     processor_cores: float = 1
+    link_mbps: float = 1_000
 
 
 class OwnerRow(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/hawthornpier/platform/_run.py
+++ b/src/hawthornpier/platform/_run.py
@@ -92,6 +92,7 @@
                 failure_domain=settings.failure_domain,
                 region=settings.region,
                 processor_cores=settings.processor_cores,
+                link_mbps=settings.link_mbps,
             ),
             configuration=ConfigurationSource(
                 table=_records.OPERATOR_TABLE,
--- a/src/hawthornpier/platform/_settings.py
+++ b/src/hawthornpier/platform/_settings.py
@@ -39,6 +39,7 @@
     store_address: str
     region: str = ''
     processor_cores: float = 1
+    link_mbps: float = 1_000
     advice_address: str = ''
     cloud_api_address: str = ''
     memory_mb: int = 0
@@ -110,6 +111,7 @@
         region=reader.text('region', ''),
         processor_cores=reader.number('limits.cpu_share', 1)
         * reader.number('limits.cores', 1),
+        link_mbps=reader.number('limits.link_mbps', 1_000),
         frontend_address=reader.text('bind_addresses.frontend'),
         readiness_address=reader.text('bind_addresses.readiness_addr'),
         peer_port=reader.first_port('internal_ports'),
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -199,7 +199,7 @@
         }
         self.store.put('op', 'config', msgspec.json.encode(document))
 
-    def start_node(self, name, *, cores=1):
+    def start_node(self, name, *, cores=1, link_mbps=1_000):
         self._incarnation_count += 1
         client = standin.StandinStoreClient(self.store)
         node_box = []
@@ -233,6 +233,7 @@
                 failure_domain='z',
                 region='r',
                 processor_cores=cores,
+                link_mbps=link_mbps,
             ),
             configuration=fleet.ConfigurationSource(
                 table='op',
--- a/tests/test_fleet_configuration.py
+++ b/tests/test_fleet_configuration.py
@@ -156,6 +156,16 @@
         await world.run_for(2_500)
         assert world.owner() is large
 
+    async def test_a_host_on_a_slow_link_claims_later(self, world):
+        """
+        Guards against an owner whose link cannot carry its requests, though its
+        processor could.
+        """
+        large = world.start_node('large', cores=4)
+        world.start_node('slow-link', cores=16, link_mbps=10)
+        await world.run_for(2_500)
+        assert world.owner() is large
+
     async def test_a_small_host_claims_without_a_large_one(self, world):
         """
         Guards against a shard that has no owner after the large host failed.
