Hand a shard over to a larger host that has come into touch

Cause: who owns the shard is decided once, within a second, and never again. An owner kept the shard until its lease expired or its process stopped.

Change: an owner whose host cannot contact the workers of its shard by itself looks for a process on a markedly larger host that has been in touch for a second, reaches the store and follows this owner. It releases the shard as for a planned stop, and the row names the successor, which claims at once; the others wait a second longer. So the owner stops before the successor starts, as before. A process that has not read the entries of the others waits for them before it claims.

Evidence: the tests of TestMove fail on the code before, which has no move. In virtual time the shard is without an owner for less than a second, all runs go on, and one move follows the start of three larger hosts.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -16,7 +16,12 @@
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import OwnershipTimings
 from hawthornpier.fleet._worker_rows import WORKERS_KEY, RecordedWorkers
-from hawthornpier.fleet._writer import PROGRESS_TABLE, RowKey, ShardWriter
+from hawthornpier.fleet._writer import (
+    PROGRESS_TABLE,
+    Release,
+    RowKey,
+    ShardWriter,
+)
 from hawthornpier.ports import StoreError, StoreRejectedError
 from hawthornpier.steps import encode_phase
 
@@ -94,12 +99,15 @@
             else:
                 self._shard.permits.writes.confirm(sent)
 
-    async def write_all(self) -> None:
+    async def write_all(self, release: Release) -> None:
         """
         Write all remaining progress and release the shard.
 
         Progress that the store does not accept is left out.
 
+        Args:
+            release: How to release the shard.
+
         Raises:
             ShardLostError: Another process owns the shard.
             StoreError: A write was not applied, or it is unknown whether it
@@ -108,7 +116,7 @@
         async with self._lock:
             while self._rejected.writable_jobs():
                 await self._write_batch()
-            await self._writer.write({}, is_release=True)
+            await self._writer.write({}, release=release)
 
     def _is_write_due(self) -> bool:
         return (
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -3,7 +3,6 @@
 """
 
 import asyncio
-import functools
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._configuration import Configuration
@@ -14,10 +13,10 @@
 from hawthornpier.fleet._context import FleetContext, HostInfo
 from hawthornpier.fleet._entry import JobEntry
 from hawthornpier.fleet._errors import error_text
-from hawthornpier.fleet._owner import ShardOwner
 from hawthornpier.fleet._owner_monitor import OwnerMonitor
 from hawthornpier.fleet._ownership import Ownership
-from hawthornpier.fleet._parts import Part, run_part
+from hawthornpier.fleet._ownership_cycle import OwnershipCycle
+from hawthornpier.fleet._parts import keep_running
 from hawthornpier.fleet._peer_port import (
     ConfigurationReply,
     FleetPeer,
@@ -30,16 +29,11 @@
 from hawthornpier.fleet._relay_pool import RelayPool
 from hawthornpier.fleet._relay_session import RelaySession, SendBatch
 from hawthornpier.fleet._shard import Shard
-from hawthornpier.fleet._writer import ProcessCard
+from hawthornpier.fleet._writer import ProcessCard, Release
 from hawthornpier.ports import Clock
 
 # One shard contains all workers of an installation of the current size.
 SHARD_NAME = 's0'
-# After an unexpected error, a part of the process is run again after this time.
-_PART_RESTART_MS = 300.0
-# If the store does not complete the release of the shard in this time, the
-# other processes learn of it from the presence reply of this process instead.
-_RELEASE_TIMEOUT_MS = 800.0
 
 
 class FleetNode:
@@ -74,12 +68,6 @@
             link_mbps=host_info.link_mbps,
         )
         self.is_leaving = False
-        self._owner: ShardOwner | None = None
-        # The handover of the last epoch in which this process was the owner, in
-        # case the next owner requests it late.
-        self._last_handover: Handover | None = None
-        self._given_up_epoch = 0
-        self._ownership_given_up = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
         self._process_directory = ProcessDirectory(
             context.store,
@@ -104,6 +92,13 @@
             dial=context.dial_peer,
             clock=context.clock,
         )
+        self.cycle = OwnershipCycle(
+            context,
+            self._ownership,
+            peers=self._peer_table,
+            card=self.card,
+            new_relays=self._relay_pool,
+        )
         self._owner_monitor = OwnerMonitor(
             self._ownership,
             self.owner,
@@ -116,7 +111,7 @@
             peers=self,
             clock=context.clock,
             log=context.log,
-            on_change=self._apply_configuration,
+            on_change=self.cycle.apply_configuration,
         )
         self.entry = JobEntry(
             context.store,
@@ -162,11 +157,16 @@
         parts = (
             self._configuration.run,
             self._process_directory.run,
-            self._run_ownership,
+            self.cycle.run,
             self._owner_monitor.run,
         )
+        # An error in one part, for instance from an unreadable row, would
+        # otherwise end the process, and then its successors one by one.
         self._tasks = [
-            asyncio.ensure_future(self._keep(part)) for part in parts
+            asyncio.ensure_future(
+                keep_running(part, clock=self.clock, log=self.log)
+            )
+            for part in parts
         ]
 
     async def wait_failed(self) -> None:
@@ -184,30 +184,13 @@
             why = '' if error is None else error_text(error)
             self.log.record('task_failed', why=why)
 
-    async def _keep(self, part: Part) -> None:
-        """
-        Run a part of this process, and again after an unexpected error.
-
-        An error in one part, for instance from an unreadable row, would
-        otherwise end the process, and then its successors one by one.
-        """
-        while True:
-            try:
-                await run_part(part)
-            except Exception as error:
-                self.log.record('part_failed', why=error_text(error))
-            await self.clock.sleep_ms(_PART_RESTART_MS)
-
     async def leave(self) -> None:
         """
         Become unready and release the shard if this process owns it.
         """
         self.is_leaving = True
         self._ownership.is_candidate = False
-        owner = self._owner
-        if owner is not None:
-            await owner.release(_RELEASE_TIMEOUT_MS)
-            self._give_up_ownership(owner)
+        await self.cycle.release(Release())
 
     async def close(self) -> None:
         """
@@ -225,10 +208,7 @@
         Returns:
             None also while this process is releasing the shard.
         """
-        owner = self._owner
-        if owner is None or not owner.is_loaded or owner.shard.is_draining:
-            return None
-        return owner.shard
+        return self.cycle.local_shard
 
     def owner(self) -> FleetPeer | None:
         """
@@ -268,9 +248,11 @@
         return Presence(
             process_id=self.card.process_id,
             configuration_version=configuration.version if configuration else 0,
-            epoch=self._owner.shard.epoch if self._owner else 0,
-            given_up_epoch=self._given_up_epoch,
+            epoch=self.cycle.epoch,
+            given_up_epoch=self.cycle.given_up_epoch,
             is_leaving=self.is_leaving,
+            watched_epoch=self._ownership.watched_epoch,
+            store_response_ms=self._ownership.store_response_ms,
         )
 
     async def wait_presence(
@@ -290,7 +272,7 @@
             self._peer_table.record_contact(observer)
         try:
             async with asyncio.timeout(wait_ms / 1000):
-                await self._ownership_given_up.wait()
+                await self.cycle.given_up.wait()
         except TimeoutError:
             pass
         return self.presence()
@@ -306,12 +288,7 @@
         Returns:
             The state, or None if this process was not the owner in that epoch.
         """
-        owner = self._owner
-        if owner is not None and owner.shard.epoch == epoch:
-            self._give_up_ownership(owner)
-            return owner.handover()
-        last = self._last_handover
-        return last if last is not None and last.epoch == epoch else None
+        return self.cycle.hand_over(epoch)
 
     async def wait_configuration(
         self,
@@ -336,33 +313,6 @@
         """
         return self._peer_table.readers(self._name, self.card.region)
 
-    def _apply_configuration(self, configuration: Configuration) -> None:
-        if self._owner is not None:
-            shard = self._owner.shard
-            shard.queues = configuration.queues
-            shard.permits.unguarded_services = configuration.unguarded_services
-
-    async def _run_ownership(self) -> None:
-        while True:
-            writer = await self._ownership.follow_until_claimed()
-            self._ownership_given_up.clear()
-            self._owner = ShardOwner(
-                self.context,
-                writer,
-                self._relay_pool(),
-                claimants=functools.partial(
-                    self._peer_table.claimants,
-                    self.clock.monotonic_ms(),
-                ),
-            )
-            if self.configuration is not None:
-                self._apply_configuration(self.configuration)
-            try:
-                await self._owner.run()
-            finally:
-                self._last_handover = self._owner.handover()
-                self._owner = None
-
     def open_relay(self, send: SendBatch) -> RelaySession:
         """
         Begin to relay the requests of an owner to workers.
@@ -390,11 +340,3 @@
             clock=self.clock,
             log=self.log,
         )
-
-    def _give_up_ownership(self, owner: ShardOwner) -> None:
-        # Scheduling passes must not start any task after the handover state has
-        # been collected, because the next owner would not know of it.
-        owner.shard.is_draining = True
-        owner.shard.deposed.set()
-        self._given_up_epoch = owner.shard.epoch
-        self._ownership_given_up.set()
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -36,7 +36,7 @@
     WorkerRow,
     recorded_entry,
 )
-from hawthornpier.fleet._writer import ShardWriter
+from hawthornpier.fleet._writer import Release, ShardWriter
 from hawthornpier.ports import StoreError
 
 # Entry processes notify the owner of accepted jobs; polling the store finds
@@ -87,6 +87,7 @@
             claim=writer.permit,
         )
         self.is_loaded = False
+        self._writer = writer
         self._context = context
         self._relays = relays
         self._predecessor = writer.predecessor
@@ -103,6 +104,20 @@
             timings=context.worker_timings,
         )
 
+    @property
+    def is_overloaded(self) -> bool:
+        """
+        Return whether this owner is too slow for its work.
+        """
+        return False
+
+    @property
+    def since_overload_move_ms(self) -> float:
+        """
+        Return how long ago an overloaded owner has released the shard.
+        """
+        return self._writer.since_overload_move_ms
+
     async def run(self) -> None:
         """
         Load and schedule the shard until another process owns it.
@@ -133,12 +148,16 @@
                 why=str(errors.exceptions[0]),
             )
 
-    async def release(self, timeout_ms: float) -> bool:
+    async def release(self, release: Release, *, timeout_ms: float) -> bool:
         """
         Write all progress and release the claim before its lease expires.
 
         No runs are started from then on.
 
+        Args:
+            release: How to release the claim.
+            timeout_ms: The longest time that this may take.
+
         Returns:
             Whether the release was written.  If not, another process claims
             the shard once this one reports to it that it has given up the
@@ -147,7 +166,9 @@
         self.shard.is_draining = True
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                await run_part(self._committer.write_all)
+                await run_part(
+                    functools.partial(self._committer.write_all, release)
+                )
         except Exception as error:
             # Whatever it is, the process has to answer its callers yet.
             self._context.log.record('release_failed', why=repr(error))
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -37,6 +37,9 @@
 # host becomes the owner.  The delay grows towards this limit the fewer cores a
 # host has in comparison with the largest one.
 _MAX_SMALL_HOST_DELAY_MS = 1_000.0
+# The process that an owner has named as its successor claims at once.  All
+# others wait for this long, in case it has failed.
+_SUCCESSOR_HEAD_START_MS = 1_000.0
 
 
 class Ownership:
@@ -115,6 +118,34 @@
             and owner.card.process_id == self._card.process_id
         )
 
+    @property
+    def watched_epoch(self) -> int:
+        """
+        Return the epoch of the owner that this process would follow.
+
+        Returns:
+            0 if the store cannot be read or this process is leaving.
+        """
+        if self._store_healthy_since_ms is None or not self.is_candidate:
+            return 0
+        return 0 if self.owner is None else self.owner.epoch
+
+    @property
+    def store_response_ms(self) -> float:
+        """
+        Return the moving average of the store's response time.
+        """
+        return self._store_response_ms
+
+    @property
+    def _is_successor(self) -> bool:
+        owner = self.owner
+        return (
+            owner is not None
+            and owner.is_released
+            and owner.successor_id == self._card.process_id
+        )
+
     def report_owner_ended(self, owner: OwnerRow) -> None:
         """
         Report that an owner has ended or has given up the shard.
@@ -161,8 +192,12 @@
         if self.owner is None:
             # The processes of a new installation discover each other first.
             delay_ms += self._timings.first_claim_ms
-        await self._sleep(delay_ms)
-        await self._sleep(self._small_host_delay_ms())
+        elif self.owner.successor_id:
+            delay_ms += _SUCCESSOR_HEAD_START_MS
+        if not self._is_successor:
+            await self._sleep(delay_ms)
+            await self._directory.wait_read(_MAX_SMALL_HOST_DELAY_MS)
+            await self._sleep(self._small_host_delay_ms())
         try:
             return await self._claim(reason)
         except StoreError as error:
@@ -291,6 +326,9 @@
             card=self._card,
             epoch=epoch,
             until_ms=read.store_ms + self._timings.lease_ms,
+            overload_moved_ms=(
+                self.owner.overload_moved_ms if self.owner else 0
+            ),
         )
         fence = FenceRow(
             process_id=self._card.process_id,
--- a/src/hawthornpier/fleet/_parts.py
+++ b/src/hawthornpier/fleet/_parts.py
@@ -4,9 +4,14 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
-from typing import Any
+from typing import Any, TypeVar
 
-from hawthornpier.fleet._errors import FleetError
+from hawthornpier.events import DecisionLog
+from hawthornpier.fleet._errors import FleetError, error_text
+from hawthornpier.ports import Clock
+
+# After an unexpected error, a part is run again after this time.
+_RESTART_MS = 300.0
 
 
 class PartEndedError(FleetError):
@@ -15,10 +20,14 @@
     """
 
 
+_Result = TypeVar('_Result')
+
 Part = Callable[[], Coroutine[Any, Any, None]]
 
 
-async def run_part(part: Part) -> None:
+async def run_part(
+    part: Callable[[], Coroutine[Any, Any, _Result]],
+) -> _Result:
     """
     Run a part, and report a cancellation that did not concern it as an error.
 
@@ -28,13 +37,41 @@
     Args:
         part: Runs the part.
 
+    Returns:
+        What the part returns.
+
     Raises:
         PartEndedError: The part has ended by such a cancellation.
     """
     try:
-        await part()
+        return await part()
     except asyncio.CancelledError as error:
         task = asyncio.current_task()
         if task is None or task.cancelling():
             raise
         raise PartEndedError('a call of the part was cancelled') from error
+
+
+async def keep_running(
+    part: Callable[[], Coroutine[Any, Any, _Result]],
+    *,
+    clock: Clock,
+    log: DecisionLog,
+) -> _Result:
+    """
+    Run a part until it returns, and again after each unexpected error.
+
+    Args:
+        part: Runs the part.
+        clock: The clock of this process.
+        log: Where errors are logged.
+
+    Returns:
+        What the part returns.
+    """
+    while True:
+        try:
+            return await run_part(part)
+        except Exception as error:
+            log.record('part_failed', why=error_text(error))
+        await clock.sleep_ms(_RESTART_MS)
--- a/src/hawthornpier/fleet/_peer_port.py
+++ b/src/hawthornpier/fleet/_peer_port.py
@@ -29,6 +29,10 @@
     # The last epoch in which the process owned the shard and then gave it up.
     given_up_epoch: int = 0
     is_leaving: bool = False
+    # The epoch of the owner that this process follows, if it reaches the store
+    # and would claim the shard, else 0; and how fast the store responds to it.
+    watched_epoch: int = 0
+    store_response_ms: float = 0
 
 
 class Handover(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/hawthornpier/fleet/_peer_table.py
+++ b/src/hawthornpier/fleet/_peer_table.py
@@ -4,7 +4,9 @@
 
 from collections.abc import Mapping
 
+from hawthornpier.fleet._contacts import Contacts
 from hawthornpier.fleet._peer_port import FleetPeer, PeerDialer
+from hawthornpier.fleet._succession import Candidate
 from hawthornpier.fleet._writer import ProcessCard
 from hawthornpier.ports import Clock
 
@@ -39,10 +41,9 @@
         self._address = address
         self._cards = cards
         self._dial = dial
-        self._clock = clock
         self._peers: dict[str, FleetPeer] = {}
-        # When processes last asked for the status of this one, by address.
-        self._asked_ms: dict[str, float] = {}
+        # Requests of the other processes for the status of this one.
+        self._contacts = Contacts(clock)
 
     def get(self, card: ProcessCard) -> FleetPeer:
         """
@@ -90,7 +91,20 @@
         """
         Record that a process has asked for the status of this one.
         """
-        self._asked_ms[address] = self._clock.monotonic_ms()
+        self._contacts.record(address)
+
+    def candidates(self) -> list[Candidate]:
+        """
+        Return the other processes, and for how long they have been in touch.
+        """
+        return [
+            Candidate(
+                card=card,
+                contact_ms=self._contacts.duration_ms(card.address),
+            )
+            for card in self._cards.values()
+            if card.address != self._address
+        ]
 
     def claimants(
         self,
@@ -118,7 +132,7 @@
         return [
             peer
             for peer in self.others()
-            if self._asked_ms.get(peer.card.address, owned_since_ms)
+            if self._contacts.last_ms(peer.card.address, owned_since_ms)
             >= oldest_ms
         ]
 
--- a/src/hawthornpier/fleet/_process_directory.py
+++ b/src/hawthornpier/fleet/_process_directory.py
@@ -2,6 +2,8 @@
 The directory of an installation's entry processes, kept in the store.
 """
 
+import asyncio
+
 import msgspec
 
 from hawthornpier.decoding import DecodingError, decode_json
@@ -43,6 +45,7 @@
     ) -> None:
         # The registered processes, by host name.
         self.cards: dict[str, ProcessCard] = {}
+        self._was_read = asyncio.Event()
         self._store = store
         self._name = name
         self._card = card
@@ -63,6 +66,19 @@
                 continue
             self._apply_page(page)
 
+    async def wait_read(self, timeout_ms: float) -> None:
+        """
+        Wait until the entries of the others have been read, or some time.
+
+        Args:
+            timeout_ms: The longest time to wait.
+        """
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                await self._was_read.wait()
+        except TimeoutError:
+            self._log.record('process_directory_unread')
+
     async def _register(self) -> None:
         key = (PROCESS_TABLE, self._name)
         while True:
@@ -101,6 +117,7 @@
 
     def _apply_page(self, page: RowPage) -> None:
         self._version = page.version
+        self._was_read.set()
         updated: list[str] = []
         for row in page.rows:
             if row.is_deleted:
--- a/src/hawthornpier/fleet/_writer.py
+++ b/src/hawthornpier/fleet/_writer.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import math
 
 import msgspec
 
@@ -49,13 +50,31 @@
     """
     The owner of a shard and the end of its lease.
 
-    *until_ms* is on the store's monotonic clock.
+    *until_ms* is on the store's monotonic clock, as is *overload_moved_ms*, the
+    time of the last release because of an overload.  *successor_id* names the
+    process that is to claim a released shard, if there is one.
     """
 
     card: ProcessCard
     epoch: int
     until_ms: int
     is_released: bool = False
+    successor_id: str = ''
+    overload_moved_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Release:
+    """
+    How an owner releases its shard.
+
+    Attributes:
+        successor_id: The process that is to claim the shard, if there is one.
+        is_for_overload: Whether the owner was overloaded.
+    """
+
+    successor_id: str = ''
+    is_for_overload: bool = False
 
 
 class FenceRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -131,6 +150,18 @@
         self._store_time_ms = claim_outcome.store_ms
         self._store_time_read_ms = clock.monotonic_ms()
         self.renewed_ms = clock.monotonic_ms()
+        self._overload_moved_ms = (
+            0 if predecessor is None else predecessor.overload_moved_ms
+        )
+
+    @property
+    def since_overload_move_ms(self) -> float:
+        """
+        Return how long ago an overloaded owner has released the shard.
+        """
+        if not self._overload_moved_ms:
+            return math.inf
+        return self._store_now_ms() - self._overload_moved_ms
 
     @property
     def is_renewal_due(self) -> bool:
@@ -145,7 +176,7 @@
         writes: dict[RowKey, bytes],
         removals: tuple[RowKey, ...] = (),
         *,
-        is_release: bool = False,
+        release: Release | None = None,
     ) -> None:
         """
         Write and remove rows in one transaction.
@@ -155,8 +186,8 @@
         Args:
             writes: New contents by row key.
             removals: Keys of the rows to remove.
-            is_release: Whether to release the shard, so that another process
-                may claim it at once.
+            release: How to release the shard, so that another process may
+                claim it at once; None to keep it.
 
         Raises:
             ShardLostError: Another process owns the shard.
@@ -164,21 +195,20 @@
                 whether it was.
         """
         async with self._lock:
-            await self._write(writes, removals, is_release=is_release)
+            await self._write(writes, removals, release)
 
     async def _write(
         self,
         writes: dict[RowKey, bytes],
         removals: tuple[RowKey, ...],
-        *,
-        is_release: bool,
+        release: Release | None,
     ) -> None:
         sent_ms = self._clock.monotonic_ms()
-        is_renewal = is_release or self.is_renewal_due
+        is_renewal = release is not None or self.is_renewal_due
         transaction = self._transaction(
             writes,
             removals,
-            owner=self._owner_row(is_release) if is_renewal else None,
+            owner=self._owner_row(release) if is_renewal else None,
         )
         outcome = await self._apply(transaction)
         self._fence_version = outcome.version
@@ -222,18 +252,25 @@
             f'shard {self.shard} was claimed by another process'
         )
 
-    def _owner_row(self, is_release: bool) -> bytes:
-        elapsed_ms = self._clock.monotonic_ms() - self._store_time_read_ms
-        until_ms = self._store_time_ms + elapsed_ms + self._timings.lease_ms
+    def _owner_row(self, release: Release | None) -> bytes:
+        store_ms = int(self._store_now_ms())
+        if release is not None and release.is_for_overload:
+            self._overload_moved_ms = store_ms
         return msgspec.json.encode(
             OwnerRow(
                 card=self._card,
                 epoch=self.epoch,
-                until_ms=int(until_ms),
-                is_released=is_release,
+                until_ms=store_ms + self._timings.lease_ms,
+                is_released=release is not None,
+                successor_id=release.successor_id if release else '',
+                overload_moved_ms=self._overload_moved_ms,
             ),
         )
 
+    def _store_now_ms(self) -> float:
+        elapsed_ms = self._clock.monotonic_ms() - self._store_time_read_ms
+        return self._store_time_ms + elapsed_ms
+
     def _transaction(
         self,
         writes: dict[RowKey, bytes],
--- a/tests/test_fleet_commit_order.py
+++ b/tests/test_fleet_commit_order.py
@@ -11,7 +11,7 @@
 from hawthornpier.fleet import OwnershipTimings
 from hawthornpier.fleet._commit_batch import ROW_COUNT_MAX
 from hawthornpier.fleet._commits import Committer
-from hawthornpier.fleet._writer import PROGRESS_TABLE
+from hawthornpier.fleet._writer import PROGRESS_TABLE, Release
 from hawthornpier.ports import StoreReplyLostError
 
 LAST_ID = 'f' * 16
@@ -89,14 +89,14 @@
         self.is_first = True
         self._lock = asyncio.Lock()
 
-    async def write(self, writes, _removals=(), *, is_release=False):
+    async def write(self, writes, _removals=(), *, release=None):
         async with self._lock:
             await asyncio.sleep(0.01)
             if self.is_first:
                 self.is_first = False
                 raise StoreReplyLostError('no reply')
             self.applied += [key for table, key in writes]
-            if is_release:
+            if release:
                 self.applied.append('release')
 
 
@@ -116,7 +116,7 @@
         run = asyncio.create_task(committer.run())
         while not shard.writing:
             await asyncio.sleep(0.001)
-        await committer.write_all()
+        await committer.write_all(Release())
         run.cancel()
         assert store.applied[-1] == 'release'
         assert PLAN.job_id in store.applied
--- a/tests/test_fleet_paused_claim.py
+++ b/tests/test_fleet_paused_claim.py
@@ -66,7 +66,7 @@
             owner = None
             while owner is None:
                 await asyncio.sleep(0.001)
-                owner = pause.node._owner
+                owner = pause.node.cycle.owner
             assert not owner.shard.permits.may_start
             assert not owner.shard.permits.is_unclaimed
             await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
--- /dev/null
+++ b/tests/test_fleet_succession.py
@@ -0,0 +1,251 @@
+"""
+Tests of moving a shard to a process on a larger host.
+"""
+
+import asyncio
+import math
+
+import pytest
+from fake_store import virtual_tests
+from fleet_world import World
+
+from hawthornpier.fleet import ProcessCard
+from hawthornpier.fleet._contacts import Contacts
+from hawthornpier.fleet._succession import (
+    Candidate,
+    MoveReason,
+    OwnerStatus,
+    find_successors,
+    move_reason,
+)
+from hawthornpier.steps import StepPlan
+from hawthornpier_standin import fleet as standin
+
+# So small that the owner of the workers of these tests needs relays.
+SMALL_CORES = 0.02
+LASTING = StepPlan(task_count=6, processor_millis=1_000, is_lasting=True)
+# From the start of a larger host until it owns the shard.
+MOVE_LIMIT_MS = 5_000
+
+
+def card(name, cores, link_mbps=1_000):
+    return ProcessCard(
+        process_id=name,
+        address=name,
+        processor_cores=cores,
+        link_mbps=link_mbps,
+    )
+
+
+def status(cores=0.5, **changes):
+    options = {
+        'worker_count': 176,
+        'tenure_ms': 5_000,
+        'since_overload_move_ms': math.inf,
+        **changes,
+    }
+    return OwnerStatus(card=card('own', cores), **options)
+
+
+def names(owner_status, *candidates):
+    found = find_successors(
+        owner_status,
+        [
+            Candidate(card=other, contact_ms=contact_ms)
+            for other, contact_ms in candidates
+        ],
+    )
+    return [other.process_id for other in found]
+
+
+class TestDecision:
+    """
+    Whether and where a shard moves, without a network.
+    """
+
+    def test_the_largest_hosts_in_touch_are_chosen(self):
+        """
+        Guards against a shard that moves step by step, or to a host that has
+        just come back and may go again.
+        """
+        assert names(
+            status(),
+            (card('medium', 1), 9_000),
+            (card('large', 2), 9_000),
+            (card('large-too', 2.1), 9_000),
+            (card('returned', 8), 400),
+        ) == ['large', 'large-too']
+
+    def test_a_slow_link_makes_a_host_small(self):
+        """
+        Guards against a move to a host whose link cannot carry the requests.
+        """
+        assert not names(status(), (card('slow-link', 16, 10), 9_000))
+
+    @pytest.mark.parametrize(
+        'owner_status',
+        [
+            status(cores=2),
+            status(worker_count=24),
+            status(tenure_ms=100),
+        ],
+        ids=['large-host', 'few-workers', 'new-owner'],
+    )
+    def test_an_owner_that_carries_the_shard_keeps_it(self, owner_status):
+        """
+        Guards against changes of the owner that serve nobody.
+        """
+        assert not names(owner_status, (card('larger', 8), 9_000))
+
+    def test_hosts_of_about_the_same_size_do_not_alternate(self):
+        """
+        Guards against a shard too large for any host that moves all the time.
+        """
+        assert not names(status(cores=1.5), (card('other', 1.6), 9_000))
+
+    def test_an_overloaded_owner_moves_to_an_equal_host_rarely(self):
+        """
+        Guards against an owner on a slowed host that keeps the shard, and
+        against moves one after another where all hosts are too slow.
+        """
+        equal = (card('equal', 2), 9_000)
+        overloaded = {'cores': 2, 'is_overloaded': True}
+        assert names(status(**overloaded), equal) == ['equal']
+        assert not names(
+            status(since_overload_move_ms=3_000, **overloaded), equal
+        )
+        assert move_reason(status(**overloaded)) is MoveReason.OVERLOAD
+
+
+@virtual_tests
+class TestContacts:
+    """
+    For how long another process has been in touch.
+    """
+
+    async def test_a_gap_begins_a_new_contact(self):
+        """
+        Guards against a host that was dark meanwhile and counts as steady.
+        """
+        world = World(node_count=1, worker_count=0)
+        contacts = Contacts(world.clock)
+        for pause_ms in (1_500, 1_500, 9_000, 1_500):
+            contacts.record('a')
+            await world.run_for(pause_ms)
+        assert contacts.duration_ms('a') == 1_500
+        assert contacts.duration_ms('unknown') == 0
+        await world.run_for(4_000)
+        assert contacts.duration_ms('a') == 0
+        world.finish()
+
+
+@pytest.fixture
+async def world():
+    created = World(node_count=1, worker_count=4, cores=SMALL_CORES)
+    yield created
+    created.finish()
+
+
+async def start_long_running(world):
+    plan = world.plan(LASTING)
+    await world.submit(plan)
+    await world.wait_starts(LASTING.task_count)
+    return plan
+
+
+def owners_since(world, count):
+    """
+    Return the successors that owners have named, after *count* lines.
+    """
+    return [
+        fields['successor']
+        for _, kind, fields in world.log_lines[count:]
+        if kind == 'shard_moves'
+    ]
+
+
+@virtual_tests
+class TestMove:
+    """
+    An owner on a small host hands the shard over to a larger one.
+    """
+
+    async def test_a_small_owner_does_not_keep_the_shard(self, world):
+        """
+        Guards against long-running tasks that wait for an owner whose host
+        cannot carry the shard, while larger hosts are idle.
+        """
+        await start_long_running(world)
+        large = world.start_node('large', cores=4)
+        await world.run_for(MOVE_LIMIT_MS)
+        assert world.owner() is large
+
+    async def test_the_move_stops_no_run(self, world):
+        """
+        Guards against a change of the owner that costs work or doubles it.
+        """
+        await start_long_running(world)
+        running = dict(world.checker.running)
+        world.start_node('large', cores=4)
+        await world.run_for(MOVE_LIMIT_MS + 8_000)
+        assert world.checker.running == running
+        assert world.checker.started_count == LASTING.task_count
+
+    async def test_starts_go_on_within_a_second(self, world):
+        """
+        Guards against a move that leaves the shard without an owner.
+        """
+        await start_long_running(world)
+        large = world.start_node('large', cores=4)
+        await world.wait_until(lambda: world.owner() is None)
+        started_s = asyncio.get_running_loop().time()
+        await world.wait_until(lambda: world.owner() is large)
+        assert asyncio.get_running_loop().time() - started_s < 1
+
+    async def test_one_move_is_enough(self, world):
+        """
+        Guards against a shard that goes back and forth between hosts.
+        """
+        await start_long_running(world)
+        for number in range(3):
+            world.start_node(f'large{number}', cores=4)
+            world.start_node(f'small{number}', cores=SMALL_CORES)
+        await world.run_for(30_000)
+        moves = owners_since(world, 0)
+        assert len(moves) == 1
+        assert moves[0].startswith('large')
+
+    async def test_a_host_without_the_store_is_not_chosen(self, world):
+        """
+        Guards against a successor that cannot claim the shard.
+        """
+        await start_long_running(world)
+        owner = world.owner()
+        large = world.start_node('large', cores=4)
+        large.client.fault = standin.StoreFault.SILENT
+        await world.run_for(MOVE_LIMIT_MS)
+        assert world.owner() is owner
+
+    async def test_a_successor_that_dies_leaves_no_vacancy(self, world):
+        """
+        Guards against a shard that waits for a process that has ended.
+        """
+        await start_long_running(world)
+        large = world.start_node('large', cores=4)
+        await world.wait_until(lambda: world.has_logged('shard_moves'))
+        world.kill(large)
+        await world.run_for(4_000)
+        assert world.owner() not in (None, large)
+
+    async def test_a_stop_of_the_owner_during_a_move(self, world):
+        """
+        Guards against a planned stop that ends the move halfway.
+        """
+        await start_long_running(world)
+        owner = world.owner()
+        large = world.start_node('large', cores=4)
+        await world.wait_until(lambda: world.has_logged('shard_moves'))
+        await owner.leave()
+        world.kill(owner)
+        await world.run_for(3_000)
+        assert world.owner() is large
