Measure whether the owner of a shard is behind its work

It measured the length of its passes only, and nothing drew a conclusion from that.

OwnerLoad (fleet/_owner_load.py) is a class without I/O. A timer every 50 ms measures how late the event loop is, from the claim on.

- owner.load (ShardOwner) and shard.load: the load of this owner.
- load.is_overloaded: at least four timers in the last 3 s were late by more than 1/24 of the owner's lease (100 ms), the first and the last a second or more apart; or the last three passes each took more than half a lease.
A single pause, and the late requests that follow it, do not count.
- load.share_busy(): the part of the last 3 s in which other work had to wait.
- load.late_ms(since_ms, now_ms), load.was_late(since_ms, now_ms): how long the owner did not get to its work since a request was sent, also before the late timer has fired.

The owner logs owner_load at most once a second while there is load worth reporting. The loop of the passes moves to _scheduling_loop.py; what it does is unchanged.

Tests: tests/test_fleet_owner_load.py (the measurement is new).

--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -23,12 +23,12 @@
 from hawthornpier.fleet._handover import build_handover, request_handover
 from hawthornpier.fleet._intake import Intake
 from hawthornpier.fleet._interference import EffectRow
+from hawthornpier.fleet._owner_load import OwnerLoad
 from hawthornpier.fleet._parts import Part, run_part
-from hawthornpier.fleet._pass_gap import pass_gap_ms
 from hawthornpier.fleet._peer_port import Handover
 from hawthornpier.fleet._relay_pool import RelayPool
 from hawthornpier.fleet._row_pages import read_all_rows
-from hawthornpier.fleet._scheduler import Scheduler
+from hawthornpier.fleet._scheduling_loop import SchedulingLoop
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_registry import WorkerRegistry
 from hawthornpier.fleet._worker_rows import (
@@ -42,8 +42,6 @@
 # Entry processes notify the owner of accepted jobs; polling the store finds
 # jobs whose notification was lost.
 _INTAKE_POLL_INTERVAL_MS = 400
-# Longest time between two scheduling passes.
-_PASS_INTERVAL_MS = 100
 _RETRY_MS = 150
 _EXPIRY_INTERVAL_MS = 5_000
 # The claim is kept for this long while the shard is loaded, which may take
@@ -85,6 +83,7 @@
             log=context.log,
             bounds=context.bounds,
             claim=writer.permit,
+            claim_lease_ms=context.ownership_timings.lease_ms,
         )
         self.is_loaded = False
         self._context = context
@@ -97,12 +96,19 @@
             writer,
             timings=context.ownership_timings,
         )
-        self._scheduler = Scheduler(
+        self._scheduling = SchedulingLoop(
             self.shard,
             bounds=context.bounds,
             timings=context.worker_timings,
         )
 
+    @property
+    def load(self) -> OwnerLoad:
+        """
+        Return how far this owner is behind its work.
+        """
+        return self.shard.load
+
     async def run(self) -> None:
         """
         Load and schedule the shard until another process owns it.
@@ -110,6 +116,7 @@
         try:
             async with asyncio.TaskGroup() as group:
                 registry = self._open_registry(group)
+                group.create_task(run_part(self._scheduling.measure_load))
                 renewal = group.create_task(
                     run_part(
                         functools.partial(
@@ -169,7 +176,7 @@
             ),
             self._committer.run,
             self._claim_check.run,
-            self._schedule_forever,
+            self._scheduling.run,
             self._poll_intake,
             self._remove_expired_jobs,
         ]
@@ -262,21 +269,6 @@
             )
             return None
 
-    async def _schedule_forever(self) -> None:
-        shard = self.shard
-        while True:
-            try:
-                async with asyncio.timeout(_PASS_INTERVAL_MS / 1000):
-                    await shard.wake.wait()
-            except TimeoutError:
-                shard.wake.clear()
-            shard.wake.clear()
-            started_ms = shard.now_ms
-            self._scheduler.run_pass()
-            await shard.clock.sleep_ms(
-                pass_gap_ms(shard.now_ms - started_ms),
-            )
-
     async def _poll_intake(self) -> None:
         while True:
             try:
--- a/src/hawthornpier/fleet/_run_orders.py
+++ b/src/hawthornpier/fleet/_run_orders.py
@@ -5,6 +5,7 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._job_index import JobIndex
 from hawthornpier.fleet._orders import Order, OrderKind
+from hawthornpier.fleet._owner_load import OwnerLoad
 from hawthornpier.fleet._reservations import Reservation
 from hawthornpier.fleet._wait_times import WaitTimes
 from hawthornpier.fleet._worker_state import WorkerState
@@ -20,12 +21,19 @@
         clock: The clock of this process.
         log: The log of scheduling decisions.
         row_bytes: The largest content of a row of the store.
+        load: The load of the owner, which sends them.
     """
 
     def __init__(
-        self, clock: Clock, log: DecisionLog, *, row_bytes: int
+        self,
+        clock: Clock,
+        log: DecisionLog,
+        *,
+        row_bytes: int,
+        load: OwnerLoad,
     ) -> None:
         super().__init__(clock, row_bytes)
+        self.load = load
         self.log = log
         self.workers: dict[str, WorkerState] = {}
         # When a scheduling pass last looked for steps that are due.
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -8,10 +8,11 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._fencing import FencingTokens
 from hawthornpier.fleet._interference import InterferenceModel
+from hawthornpier.fleet._owner_load import OwnerLoad
 from hawthornpier.fleet._permits import OwnerPermits, PausePermit
 from hawthornpier.fleet._ports import StoredRow
 from hawthornpier.fleet._run_orders import RunOrders
-from hawthornpier.fleet._timings import PlatformBounds
+from hawthornpier.fleet._timings import OwnershipTimings, PlatformBounds
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import Clock
 from hawthornpier.steps import (
@@ -40,6 +41,7 @@
 # A start that is confirmed this long after its placement is logged.
 _LATE_START_MS = 1_000.0
 _DEFAULT_BOUNDS = PlatformBounds()
+_DEFAULT_LEASE_MS = OwnershipTimings().lease_ms
 
 
 class Shard(RunOrders):
@@ -53,6 +55,7 @@
         log: The log of scheduling decisions.
         bounds: Limits that the platform specifies.
         claim: The permission by the claim of the shard, if there was one.
+        claim_lease_ms: How long a claim of the shard lasts.
     """
 
     def __init__(
@@ -64,8 +67,14 @@
         log: DecisionLog,
         bounds: PlatformBounds = _DEFAULT_BOUNDS,
         claim: PausePermit | None = None,
+        claim_lease_ms: float = _DEFAULT_LEASE_MS,
     ) -> None:
-        super().__init__(clock, log, row_bytes=bounds.row_content_bytes)
+        super().__init__(
+            clock,
+            log,
+            row_bytes=bounds.row_content_bytes,
+            load=OwnerLoad(claim_lease_ms),
+        )
         self.name = name
         self.epoch = epoch
         self.tokens = FencingTokens(epoch)
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -239,7 +239,8 @@
             earlier_sent_ms = run.sent_ms
             tried_ms = self._shard.now_ms
             try:
-                reply = await self._port.start(self._start_order(run))
+                with self._shard.load.start_in_flight(self._shard.clock):
+                    reply = await self._port.start(self._start_order(run))
             except WorkerReplyLostError:
                 self._handle_lost_reply(run, tried_ms)
             except WorkerError as error:
--- a/tests/fleet_oracle.py
+++ b/tests/fleet_oracle.py
@@ -276,7 +276,7 @@
 
 
 def _waits(owner):
-    return owner._owner._scheduler._long_running_waits._waits
+    return owner._owner._scheduling._scheduler._long_running_waits._waits
 
 
 def _extend(durations_ms, found):
--- a/tests/test_fleet_held_work.py
+++ b/tests/test_fleet_held_work.py
@@ -260,7 +260,7 @@
         await world.wait_first_owner()
         shard = world.owner().local_shard()
         shard.add_job(world.plan(StepPlan(task_count=4)))
-        world.owner()._owner._scheduler.run_pass()
+        world.owner()._owner._scheduling._scheduler.run_pass()
         assert shard.workers['w0'].runs
         shard.cancel_job(next(iter(shard.jobs)))
         await world.run_for(10)
--- a/tests/test_fleet_oracle.py
+++ b/tests/test_fleet_oracle.py
@@ -56,7 +56,7 @@
 
     async def test_task_that_is_never_placed(self, world):
         oracle = await self._start(world)
-        world.owner()._owner._scheduler._ranked_steps = list
+        world.owner()._owner._scheduling._scheduler._ranked_steps = list
         for worker in world.workers.values():
             for key in list(worker.runs):
                 worker._end(key, RunOutcome.STOPPED)
