--- a/src/hawthornpier/fleet/_shard_move.py
+++ b/src/hawthornpier/fleet/_shard_move.py
@@ -45,13 +45,6 @@
         """
         ...
 
-    @property
-    def is_overloaded(self) -> bool:
-        """
-        Return whether the owner is too slow for its work.
-        """
-        ...
-
     @property
     def since_overload_move_ms(self) -> float:
         """
@@ -134,7 +127,7 @@
             worker_count=len(owner.shard.workers),
             tenure_ms=now_ms - self._loaded_ms,
             since_overload_move_ms=owner.since_overload_move_ms,
-            is_overloaded=owner.is_overloaded,
+            is_overloaded=owner.shard.load.is_overloaded,
         )
 
     async def _first_able(self, cards: list[ProcessCard]) -> Presence | None:
