Notice the end of an owner's lease when it comes

Cause: the others read the owner row with a long poll of one second, and see that a lease has expired when a poll ends, up to a second later.

Change: a poll ends with the lease. While the owner renews, its lease ends later than a poll would, so that there is no further call. What a process knows of the lease is a class of its own.

--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -11,6 +11,7 @@
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._errors import HistoryGoneError
 from hawthornpier.fleet._host_size import effective_cores
+from hawthornpier.fleet._lease_view import LeaseView
 from hawthornpier.fleet._permits import PausePermit
 from hawthornpier.fleet._ports import (
     RecordStore,
@@ -87,9 +88,7 @@
         # The table version as of the last read; None if the owner row has to
         # be read instead of its changes.
         self._watched_version: int | None = None
-        # Since when all reads of the owner row have succeeded; None after a
-        # failure.
-        self._store_healthy_since_ms: float | None = None
+        self._lease = LeaseView(clock, timings)
         # Moving average of the store's response time.
         self._store_response_ms = 30.0
         # The process that has ended or given up the shard, and its epoch then.
@@ -126,7 +125,7 @@
         Returns:
             0 if the store cannot be read or this process is leaving.
         """
-        if self._store_healthy_since_ms is None or not self.is_candidate:
+        if not self._lease.is_readable or not self.is_candidate:
             return 0
         return 0 if self.owner is None else self.owner.epoch
 
@@ -169,19 +168,19 @@
         self._watched_version = None
         while True:
             try:
-                page = await self._read_owner_row()
+                await self._read_owner_row()
             except StoreError as error:
-                if self._store_healthy_since_ms is not None:
+                if self._lease.is_readable:
                     self._log.record('store_lost', why=str(error))
-                self._store_healthy_since_ms = None
+                self._lease.record_failure()
                 await self._sleep(self._timings.retry_max_ms)
                 continue
-            writer = await self._claim_if_vacant(page)
+            writer = await self._claim_if_vacant()
             if writer is not None:
                 return writer
 
-    async def _claim_if_vacant(self, page: RowPage) -> ShardWriter | None:
-        reason = self._vacancy_reason(page)
+    async def _claim_if_vacant(self) -> ShardWriter | None:
+        reason = self._vacancy_reason()
         if not reason or not self.is_candidate:
             return None
         delay_ms = min(
@@ -216,7 +215,7 @@
             0, 1 - cores / max(largest, cores)
         )
 
-    async def _read_owner_row(self) -> RowPage:
+    async def _read_owner_row(self) -> None:
         started_ms = self._clock.monotonic_ms()
         if self._watched_version is None:
             page = await self._store.read(OWNER_TABLE, self.shard)
@@ -231,9 +230,7 @@
         for row in page.rows:
             if row.part == self.shard:
                 self._apply_row(row)
-        if self._store_healthy_since_ms is None:
-            self._store_healthy_since_ms = started_ms
-        return page
+        self._lease.record_read(started_ms, page.store_ms)
 
     async def _wait_for_change(self, version: int) -> RowPage:
         """
@@ -243,7 +240,7 @@
             self._store.changes(
                 OWNER_TABLE,
                 after_version=version,
-                wait_ms=self._timings.watch_wait_ms,
+                wait_ms=self._lease.watch_wait_ms(self.owner),
             ),
         )
         ended = asyncio.ensure_future(self._process_ended.wait())
@@ -286,7 +283,7 @@
                 version=row.version,
             )
 
-    def _vacancy_reason(self, page: RowPage) -> str:
+    def _vacancy_reason(self) -> str:
         """
         Return why the shard may be claimed, or '' if it may not.
         """
@@ -303,17 +300,10 @@
                 'owner was an earlier process at the address of this one',
                 owner.card.address == self._card.address,
             ),
-            ('lease expired', self._has_lease_expired(owner, page.store_ms)),
+            ('lease expired', self._lease.has_expired(owner)),
         )
         return next((reason for reason, holds in reasons if holds), '')
 
-    def _has_lease_expired(self, owner: OwnerRow, store_ms: int) -> bool:
-        if store_ms < owner.until_ms or self._store_healthy_since_ms is None:
-            return False
-        # After an outage of the store, the owner gets time to renew its lease.
-        healthy_ms = self._clock.monotonic_ms() - self._store_healthy_since_ms
-        return healthy_ms >= self._timings.lease_ms / 2
-
     async def _claim(self, reason: str) -> ShardWriter | None:
         read = await self._store.read(OWNER_TABLE, self.shard)
         for row in read.rows:
--- a/tests/test_fleet_succession.py
+++ b/tests/test_fleet_succession.py
@@ -117,17 +117,24 @@
         assert move_reason(status(**overloaded)) is MoveReason.OVERLOAD
 
 
-@virtual_tests
+def contacts_world():
+    return World(node_count=1, worker_count=0)
+
+
+def small_owner_world():
+    return World(node_count=1, worker_count=4, cores=SMALL_CORES)
+
+
+@virtual_tests(contacts_world)
 class TestContacts:
     """
     For how long another process has been in touch.
     """
 
-    async def test_a_gap_begins_a_new_contact(self):
+    async def test_a_gap_begins_a_new_contact(self, world):
         """
         Guards against a host that was dark meanwhile and counts as steady.
         """
-        world = World(node_count=1, worker_count=0)
         contacts = Contacts(world.clock)
         for pause_ms in (1_500, 1_500, 9_000, 1_500):
             contacts.record('a')
@@ -136,14 +143,6 @@
         assert contacts.duration_ms('unknown') == 0
         await world.run_for(4_000)
         assert contacts.duration_ms('a') == 0
-        world.finish()
-
-
-@pytest.fixture
-async def world():
-    created = World(node_count=1, worker_count=4, cores=SMALL_CORES)
-    yield created
-    created.finish()
 
 
 async def start_long_running(world):
@@ -164,7 +163,7 @@
     ]
 
 
-@virtual_tests
+@virtual_tests(small_owner_world)
 class TestMove:
     """
     An owner on a small host hands the shard over to a larger one.
