Let the largest hosts that reply read the configuration

Cause: readers were the first five hosts by name, whatever their size, and whether they still exist. All others asked the first of them; two that do not reply took 1.4 s each before the store was read.

Change: the largest hosts of a region read. The others spread over them in proportion to their size.

--- a/src/hawthornpier/fleet/_host_size.py
+++ b/src/hawthornpier/fleet/_host_size.py
@@ -2,10 +2,16 @@
 The size of a host, measured by what the owner of a shard needs.
 """
 
+import math
+import zlib
+from collections.abc import Iterable
+
 from hawthornpier.fleet._writer import ProcessCard
 
 # An owner uses about this much of its network link for each core that it uses.
 _LINK_MBPS_PER_CORE = 50.0
+_MIN_CORES = 0.01
+_HASH_RANGE = 2**32
 
 
 def effective_cores(card: ProcessCard) -> float:
@@ -18,3 +24,23 @@
         card: The process on the host.
     """
     return min(card.processor_cores, card.link_mbps / _LINK_MBPS_PER_CORE)
+
+
+def ranked_by_size(cards: Iterable[ProcessCard], key: str) -> list[ProcessCard]:
+    """
+    Return processes by weighted rendezvous hashing for a key.
+
+    Larger hosts come first for more keys.  When a process comes or goes, the
+    others keep their order.
+
+    Args:
+        cards: The processes.
+        key: What the processes are ordered for.
+    """
+    return sorted(cards, key=lambda card: _score(card, key))
+
+
+def _score(card: ProcessCard, key: str) -> float:
+    digest = zlib.crc32(f'{key}|{card.address}'.encode())
+    fraction = (digest + 1) / (_HASH_RANGE + 1)
+    return -math.log(fraction) / max(effective_cores(card), _MIN_CORES)
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -327,14 +327,14 @@
         """
         return await self._configuration.serve(after_version, wait_ms)
 
-    def configuration_readers(self) -> list[FleetPeer]:
+    def configuration_readers(self, silent: set[str]) -> list[FleetPeer]:
         """
         Return the readers from which this process gets the configuration.
 
         The list is empty if this process is a reader itself, or if it has not
         read its own entry in the directory of processes yet.
         """
-        return self._peer_table.readers(self._name, self.card.region)
+        return self._peer_table.readers(self._name, silent)
 
     def _apply_configuration(self, configuration: Configuration) -> None:
         if self._owner is not None:
