Choose relays by their link too, and replace unreachable ones

Cause: relays were weighted by processors alone, and so was the need for relays. The number of relays was filled up with processes that could not be reached, while other processes of the domain were ready.

Change: the size of a host, with its link, counts in both. Relays to which no connection can be opened stay in the list, in case they return, but others are added until the number is reached. A connection that opens again needs no further change of the other relays.

--- a/src/hawthornpier/fleet/_relay_assignment.py
+++ b/src/hawthornpier/fleet/_relay_assignment.py
@@ -3,10 +3,10 @@
 """
 
 import math
-import zlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Container, Iterable, Iterator
 from dataclasses import dataclass
 
+from hawthornpier.fleet._host_size import ranked_by_size
 from hawthornpier.fleet._writer import ProcessCard
 
 # An owner contacts this many workers per processor core of its host itself.
@@ -16,7 +16,6 @@
 _WORKERS_PER_RELAY = 12
 # Further relays that are ready to replace one of a failure domain.
 _SPARE_RELAYS = 1
-_HASH_RANGE = 2**32
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,7 +28,7 @@
     failure_domain: str
 
 
-def needs_relays(worker_count: int, processor_cores: float) -> bool:
+def needs_relays(worker_count: int, cores: float) -> bool:
     """
     Return whether the owner needs relays for its workers.
 
@@ -38,9 +37,9 @@
 
     Args:
         worker_count: The number of workers of the shard.
-        processor_cores: The cores of the owner's host.
+        cores: The cores that the owner can use on its host.
     """
-    return worker_count > processor_cores * _DIRECT_WORKERS_PER_CORE
+    return worker_count > cores * _DIRECT_WORKERS_PER_CORE
 
 
 def assign_relays(
@@ -48,18 +47,22 @@
     cards: Iterable[ProcessCard],
     *,
     own_address: str,
+    unreachable: Container[str] = (),
 ) -> dict[str, tuple[str, ...]]:
     """
     Return the addresses of the relays for each worker, preferred ones first.
 
     The relays of a worker are in its failure domain if there are any, else in
-    any.  Hosts with more processors are chosen more often.  When one process
-    comes or goes, only the workers that it serves change their relay.
+    any.  Larger hosts are chosen more often.  When one process comes or goes,
+    only the workers that it serves change their relay.
 
     Args:
         workers: All workers of the shard.
         cards: The entry processes.
         own_address: The address of the owner, which is no relay.
+        unreachable: Addresses of processes to which no connection could be
+            opened.  They remain relays, in case they return, but further ones
+            are chosen.
     """
     others = [card for card in cards if card.address != own_address]
     by_domain: dict[str, list[WorkerPlace]] = {}
@@ -69,22 +72,26 @@
     for domain, places in by_domain.items():
         near = [card for card in others if card.failure_domain == domain]
         count = math.ceil(len(places) / _WORKERS_PER_RELAY) + _SPARE_RELAYS
-        relays = _ranked(near or others, domain)[:count]
+        relays = tuple(
+            _first_reachable(
+                ranked_by_size(near or others, domain), count, unreachable
+            )
+        )
         for place in places:
             assigned[place.worker_id] = tuple(
-                card.address for card in _ranked(relays, place.worker_id)
+                card.address for card in ranked_by_size(relays, place.worker_id)
             )
     return assigned
 
 
-def _ranked(cards: Sequence[ProcessCard], key: str) -> list[ProcessCard]:
+def _first_reachable(
+    ranked: Iterable[ProcessCard], count: int, unreachable: Container[str]
+) -> Iterator[ProcessCard]:
     """
-    Return processes by weighted rendezvous hashing for a key.
+    Yield processes until a number of reachable ones is among them.
     """
-    return sorted(cards, key=lambda card: _score(card, key))
-
-
-def _score(card: ProcessCard, key: str) -> float:
-    digest = zlib.crc32(f'{key}|{card.address}'.encode())
-    fraction = (digest + 1) / (_HASH_RANGE + 1)
-    return -math.log(fraction) / max(card.processor_cores, 0.01)
+    for card in ranked:
+        if count == 0:
+            return
+        yield card
+        count -= card.address not in unreachable
--- a/src/hawthornpier/fleet/_relay_pool.py
+++ b/src/hawthornpier/fleet/_relay_pool.py
@@ -9,6 +9,7 @@
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._errors import error_text
+from hawthornpier.fleet._host_size import effective_cores
 from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
     FleetWorker,
@@ -86,6 +87,8 @@
         self._channels: dict[str, RelayChannel] = {}
         self._keepers: dict[str, asyncio.Task[None]] = {}
         self._tried: set[str] = set()
+        # Addresses to which the last attempt to connect has failed.
+        self._unreachable: set[str] = set()
         # Until when workers have relays because the owner did not reach them.
         self._unreached_until_ms: dict[str, float] = {}
         self._is_ready = asyncio.Event()
@@ -150,6 +153,7 @@
             self._relayed_places(places),
             self._cards(),
             own_address=self._card.address,
+            unreachable=self._unreachable,
         )
         wanted = {
             address
@@ -176,7 +180,7 @@
             for worker_id, until_ms in self._unreached_until_ms.items()
             if now_ms < until_ms
         }
-        if needs_relays(len(places), self._card.processor_cores):
+        if needs_relays(len(places), effective_cores(self._card)):
             return places
         return tuple(
             place
@@ -189,6 +193,7 @@
             try:
                 await run_part(partial(self._connect_once, address))
             except PeerError as error:
+                self._unreachable.add(address)
                 self._log.record(
                     'relay_unreachable', address=address, why=str(error)
                 )
@@ -207,6 +212,7 @@
     async def _use(self, address: str, socket: RelaySocket) -> None:
         channel = RelayChannel(socket, self.clock)
         self._channels[address] = channel
+        self._unreachable.discard(address)
         self._tried.add(address)
         self._update_readiness()
         self._log.record('relay_connected', address=address)
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -66,13 +66,14 @@
 )
 
 
-def cards(count, domain='z', cores=1.0):
+def cards(count, domain='z', cores=1.0, link_mbps=1_000):
     return [
         ProcessCard(
             process_id=f'{domain}{number}',
             address=f'{domain}{number}',
             failure_domain=domain,
             processor_cores=cores,
+            link_mbps=link_mbps,
         )
         for number in range(count)
     ]
@@ -211,6 +212,36 @@
         assigned = assign_relays(places(40), cards(6), own_address='z3')
         assert all('z3' not in relays for relays in assigned.values())
 
+    def test_a_slow_link_serves_fewer_workers(self):
+        """
+        Guards against orders and listings that wait for the link of a relay.
+        """
+        slow = [
+            msgspec.structs.replace(card, failure_domain='z')
+            for card in cards(4, 'z-slow', cores=4, link_mbps=10)
+        ]
+        assigned = assign_relays(
+            places(60), [*slow, *cards(4)], own_address='x'
+        )
+        first = [relays[0] for relays in assigned.values()]
+        served = [each for each in first if each.startswith('z-slow')]
+        assert len(served) < len(first) / 5
+
+    def test_unreachable_relays_are_replaced(self):
+        """
+        Guards against an owner that contacts the workers itself because all
+        their relays are dark, although other processes could relay.
+        """
+        before = assign_relays(places(30), cards(12), own_address='x')
+        dark = set(before['z-w0'])
+        after = assign_relays(
+            places(30), cards(12), own_address='x', unreachable=dark
+        )
+        assert all(
+            len(set(relays) - dark) == len(dark) for relays in after.values()
+        )
+        assert dark <= set(after['z-w0'])
+
     def test_the_end_of_a_process_moves_only_its_workers(self):
         """
         Guards against all connections moving when one process ends.
@@ -532,6 +563,21 @@
         relays[0].is_frozen = False
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
 
+    async def test_dark_relays_are_replaced(self, world):
+        """
+        Guards against an owner without relays after all of them were lost.
+        """
+        for number in range(6):
+            world.start_node(f'further{number}', cores=SMALL_CORES)
+        plan = await self._begin_long_job(world)
+        connected = self._connected(world)
+        for address in connected:
+            world.kill(world.nodes[address])
+        await world.run_for(3_000)
+        assert self._connected(world) - connected
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 12
+
     async def test_a_change_of_the_owner_loses_no_run(self, world):
         """
         Guards against runs of the previous owner that are started again.
@@ -556,6 +602,13 @@
         assert len(world.checker.running) == 12
         return plan
 
+    def _connected(self, world):
+        return {
+            fields['address']
+            for _, kind, fields in world.log_lines
+            if kind == 'relay_connected'
+        }
+
     def _relays(self, world):
         owner = world.owner()
         return [each for each in world.nodes.values() if each is not owner]
