Remove the entries of processes that have left

Their entries stay in the directory of processes for ever.

Cause: a process writes its entry at its start and nobody removes it. A process that had missed a removal would have kept the entry, too, because a read of the whole directory did not drop what is missing there.

Nothing is written while all processes are there. A process that was only silent finds its entry removed and registers again.

--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -6,6 +6,7 @@
 import functools
 
 from hawthornpier.events import DecisionLog
+from hawthornpier.fleet._absent_processes import AbsentProcesses
 from hawthornpier.fleet._configuration import Configuration
 from hawthornpier.fleet._configuration_watch import (
     ConfigurationSource,
@@ -164,6 +165,9 @@
             self._process_directory.run,
             self._run_ownership,
             self._owner_monitor.run,
+            AbsentProcesses(
+                self._process_directory, self._peer_table, self._ownership
+            ).run,
         )
         self._tasks = [
             asyncio.ensure_future(self._keep(part)) for part in parts
@@ -220,10 +224,7 @@
 
     def local_shard(self) -> Shard | None:
         """
-        Return the shard if this process owns it and has loaded it.
-
-        Returns:
-            None also while this process is releasing the shard.
+        Return the shard if this process has loaded it and is not releasing it.
         """
         owner = self._owner
         if owner is None or not owner.is_loaded or owner.shard.is_draining:
@@ -330,9 +331,6 @@
     def configuration_readers(self, silent: set[str]) -> list[FleetPeer]:
         """
         Return the readers from which this process gets the configuration.
-
-        The list is empty if this process is a reader itself, or if it has not
-        read its own entry in the directory of processes yet.
         """
         return self._peer_table.readers(self._name, silent)
 
--- a/src/hawthornpier/fleet/_peer_table.py
+++ b/src/hawthornpier/fleet/_peer_table.py
@@ -84,6 +84,16 @@
         """
         self._asked_ms[address] = self._clock.monotonic_ms()
 
+    def heard_since(self, time_ms: float) -> set[str]:
+        """
+        Return the addresses of processes that have asked since a time.
+        """
+        return {
+            address
+            for address, asked_ms in self._asked_ms.items()
+            if asked_ms >= time_ms
+        }
+
     def claimants(
         self,
         owned_since_ms: float,
--- a/src/hawthornpier/fleet/_process_directory.py
+++ b/src/hawthornpier/fleet/_process_directory.py
@@ -46,22 +46,57 @@
         self._store = store
         self._name = name
         self._card = card
-        self._clock = clock
+        self.clock = clock
         self._log = log
         self._version: int | None = None
+        self._is_registered = False
+        # The versions of the entries, by host name.
+        self._entry_versions: dict[str, int] = {}
 
     async def run(self) -> None:
         """
         Register this process, then watch the table until cancelled.
+
+        If its entry is removed, because the others believe that it has left,
+        it is registered again.
         """
-        await self._register()
         while True:
+            if not self._is_registered:
+                await self._register()
+                self._is_registered = True
             try:
                 page = await self._read_changes()
             except StoreError:
-                await self._clock.sleep_ms(_RETRY_MS)
+                await self.clock.sleep_ms(_RETRY_MS)
                 continue
             self._apply_page(page)
+            self._is_registered = self._name in self.cards
+
+    def others(self) -> list[ProcessCard]:
+        """
+        Return the other registered processes.
+        """
+        return [card for name, card in self.cards.items() if name != self._name]
+
+    async def remove(self, card: ProcessCard) -> None:
+        """
+        Remove the entry of a process, unless it has changed.
+
+        Raises:
+            StoreError: The entry may not have been removed.
+        """
+        names = [name for name, each in self.cards.items() if each == card]
+        for name in names:
+            key = (PROCESS_TABLE, name)
+            await self._store.transact(
+                RowTransaction(
+                    part='',
+                    expected={key: self._entry_versions[name]},
+                    writes={},
+                    removals=(key,),
+                ),
+            )
+            self._log.record('absent_process_removed', host=name)
 
     async def _register(self) -> None:
         key = (PROCESS_TABLE, self._name)
@@ -82,14 +117,14 @@
                     ),
                 )
             except StoreError:
-                await self._clock.sleep_ms(_RETRY_MS)
+                await self.clock.sleep_ms(_RETRY_MS)
                 continue
             if outcome.is_applied:
                 return
 
     async def _read_changes(self) -> RowPage:
         if self._version is None:
-            return await read_all_rows(self._store, PROCESS_TABLE, '')
+            return await self._read_all()
         try:
             return await self._store.changes(
                 PROCESS_TABLE,
@@ -97,15 +132,27 @@
                 wait_ms=_WATCH_WAIT_MS,
             )
         except HistoryGoneError:
-            return await read_all_rows(self._store, PROCESS_TABLE, '')
+            return await self._read_all()
+
+    async def _read_all(self) -> RowPage:
+        page = await read_all_rows(self._store, PROCESS_TABLE, '')
+        # Entries may have been removed since the last read.
+        for name in self.cards.keys() - {row.key for row in page.rows}:
+            self._forget(name)
+        return page
+
+    def _forget(self, name: str) -> None:
+        self.cards.pop(name, None)
+        self._entry_versions.pop(name, None)
 
     def _apply_page(self, page: RowPage) -> None:
         self._version = page.version
         updated: list[str] = []
         for row in page.rows:
             if row.is_deleted:
-                self.cards.pop(row.key, None)
+                self._forget(row.key)
                 continue
+            self._entry_versions[row.key] = row.version
             try:
                 card = decode_json(row.content, ProcessCard)
             except DecodingError as error:
