--- a/src/hawthornpier/fleet/_contacts.py
+++ b/src/hawthornpier/fleet/_contacts.py
@@ -57,6 +57,16 @@
         contact = self._contacts.get(address)
         return default_ms if contact is None else contact.last_ms
 
+    def heard_since(self, time_ms: float) -> set[str]:
+        """
+        Return the addresses of processes that were in contact since a time.
+        """
+        return {
+            address
+            for address, contact in self._contacts.items()
+            if contact.last_ms >= time_ms
+        }
+
     def duration_ms(self, address: str) -> float:
         """
         Return for how long a process has been in touch until now.
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -5,6 +5,7 @@
 import asyncio
 
 from hawthornpier.events import DecisionLog
+from hawthornpier.fleet._absent_processes import AbsentProcesses
 from hawthornpier.fleet._configuration import Configuration
 from hawthornpier.fleet._configuration_watch import (
     ConfigurationSource,
@@ -159,6 +160,9 @@
             self._process_directory.run,
             self.cycle.run,
             self._owner_monitor.run,
+            AbsentProcesses(
+                self._process_directory, self._peer_table, self._ownership
+            ).run,
         )
         # An error in one part, for instance from an unreadable row, would
         # otherwise end the process, and then its successors one by one.
@@ -203,10 +207,7 @@
 
     def local_shard(self) -> Shard | None:
         """
-        Return the shard if this process owns it and has loaded it.
-
-        Returns:
-            None also while this process is releasing the shard.
+        Return the shard if this process has loaded it and is not releasing it.
         """
         return self.cycle.local_shard
 
@@ -304,14 +305,11 @@
         """
         return await self._configuration.serve(after_version, wait_ms)
 
-    def configuration_readers(self) -> list[FleetPeer]:
+    def configuration_readers(self, silent: set[str]) -> list[FleetPeer]:
         """
         Return the readers from which this process gets the configuration.
-
-        The list is empty if this process is a reader itself, or if it has not
-        read its own entry in the directory of processes yet.
         """
-        return self._peer_table.readers(self._name, self.card.region)
+        return self._peer_table.readers(self._name, silent)
 
     def open_relay(self, send: SendBatch) -> RelaySession:
         """
