Send as many starts as the owner reads replies to

Replies waited in the owner's sockets until their requests had timed out. Then the start counted against the worker (health refusals, avoidance, queued starts withdrawn), missed renewals made it unusable, and a run could be ended before the listing that arrived meanwhile was read.

- StartWindow decides how many starts may be in flight: 128 at first, one more with each reply in time, half as many when the owner's own delay made one late, which replies of the same time do once.
StartGate holds the others back, those of long-running tasks without a run first.
A start that has waited for a second is placed again, with no blame for its worker.
One without a reply for 200 ms in which the owner was not behind its work counts no longer, so that workers that do not respond hold up no others.
- MissedReplies repeats a request up to twice before it counts against the worker, if the owner was 350 ms or more behind its work since it was sent.
Meanwhile the lease is not extended and nothing is acknowledged, as after a reply that counts.
A start that is given up for that reason leaves the worker's health as it is.
- RunMonitor waits until replies that arrived while the owner was behind are read, at most until a second after the end of the lease.

--- a/src/hawthornpier/fleet/_load_monitor.py
+++ b/src/hawthornpier/fleet/_load_monitor.py
@@ -51,5 +51,7 @@
                 epoch=self._shard.epoch,
                 is_overloaded=load.is_overloaded,
                 share_busy=round(load.share_busy(), 2),
+                start_limit=self._shard.start_gate.window.limit,
+                starts_waiting=self._shard.start_gate.waiting_count,
                 **report.fields(),
             )
--- a/src/hawthornpier/fleet/_owner_load.py
+++ b/src/hawthornpier/fleet/_owner_load.py
@@ -3,12 +3,10 @@
 """
 
 import collections
-import contextlib
-from collections.abc import Iterable, Iterator
+import itertools
 from dataclasses import dataclass
 
 from hawthornpier.fleet._load_report import LoadReport
-from hawthornpier.ports import Clock
 
 # Records are kept for this long.
 _WINDOW_MS = 3_000.0
@@ -107,23 +105,18 @@
             self._report.add_gap(now_ms - pass_ms - self._pass_end_ms)
         self._pass_end_ms = now_ms
 
-    @contextlib.contextmanager
-    def start_in_flight(self, clock: Clock) -> Iterator[None]:
+    def record_starts_in_flight(self, count: int) -> None:
         """
-        Record that a start is sent, and whether its reply was late.
+        Record how many starts have no reply yet.
+        """
+        self._starts_in_flight = count
+        self._report.add_starts_in_flight(count)
 
-        Args:
-            clock: The clock of this process.
+    def record_late_reply(self) -> None:
         """
-        sent_ms = clock.monotonic_ms()
-        self._starts_in_flight += 1
-        self._report.add_starts_in_flight(self._starts_in_flight)
-        try:
-            yield
-        finally:
-            self._starts_in_flight -= 1
-            if self.was_late(sent_ms, clock.monotonic_ms()):
-                self._report.late_replies += 1
+        Record a start whose reply the owner's own delay has made late.
+        """
+        self._report.late_replies += 1
 
     def take_report(self) -> LoadReport:
         """
@@ -177,12 +170,11 @@
         spans.popleft()
 
 
-def _time_since(spans: Iterable[_Span], since_ms: float) -> float:
+def _time_since(spans: collections.deque[_Span], since_ms: float) -> float:
     """
     Return the time of spans that is later than a moment.
     """
-    return sum(
-        min(span.length_ms, span.end_ms - since_ms)
-        for span in spans
-        if span.end_ms > since_ms
+    recent = itertools.takewhile(
+        lambda span: span.end_ms > since_ms, reversed(spans)
     )
+    return sum(min(span.length_ms, span.end_ms - since_ms) for span in recent)
--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -23,6 +23,11 @@
 _LISTING_GRACE_MS = 4_000.0
 # A worker that has not replied for this long may have crashed.
 _SUSPICION_DELAY_MS = 250.0
+# Replies that arrived while the owner was behind its work are read within this
+# time, and ends that only the owner's clock shows wait for them.  Not for
+# longer than the limit, because an owner may be behind all the time.
+_CATCH_UP_MS = 250.0
+_CATCH_UP_LIMIT_MS = 1_000.0
 # Minimum interval between two passes.
 _CHECK_INTERVAL_MS = 200.0
 
@@ -68,9 +73,12 @@
         only the worker can tell.  While the registry still has its entry, it
         is alive, and its listing is awaited for some time.
         """
+        expired_ms = now_ms - worker.lease_expiry_ms(self._timings)
+        is_behind = self._shard.load.was_late(now_ms - _CATCH_UP_MS, now_ms)
+        if is_behind and expired_ms < _CATCH_UP_LIMIT_MS:
+            return
         if now_ms - worker.last_reply_ms >= _SUSPICION_DELAY_MS:
             suspect_crash(self._shard, worker)
-        expired_ms = now_ms - worker.lease_expiry_ms(self._timings)
         if expired_ms < 0:
             return
         if worker.is_reached:
--- a/src/hawthornpier/fleet/_run_orders.py
+++ b/src/hawthornpier/fleet/_run_orders.py
@@ -7,6 +7,7 @@
 from hawthornpier.fleet._orders import Order, OrderKind
 from hawthornpier.fleet._owner_load import OwnerLoad
 from hawthornpier.fleet._reservations import Reservation
+from hawthornpier.fleet._start_gate import StartGate
 from hawthornpier.fleet._wait_times import WaitTimes
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.ports import Clock
@@ -34,6 +35,7 @@
     ) -> None:
         super().__init__(clock, row_bytes)
         self.load = load
+        self.start_gate = StartGate(clock, load)
         self.log = log
         self.workers: dict[str, WorkerState] = {}
         # When a scheduling pass last looked for steps that are due.
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -21,6 +21,7 @@
 from hawthornpier.fleet._state_log import log_shard_state
 from hawthornpier.fleet._timings import PlatformBounds, WorkerTimings
 from hawthornpier.fleet._wait_log import WaitLog
+from hawthornpier.fleet._withdrawals import send_waiting_starts
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import (
     Job,
@@ -85,6 +86,7 @@
         if shard.is_draining or not shard.permits.may_start:
             return
         self._wait_log.begin_pass()
+        send_waiting_starts(shard)
         if shard.now_ms - self._state_logged_ms >= _STATE_LOG_INTERVAL_MS:
             self._state_logged_ms = shard.now_ms
             log_shard_state(shard, self._placement)
--- a/src/hawthornpier/fleet/_withdrawals.py
+++ b/src/hawthornpier/fleet/_withdrawals.py
@@ -10,6 +10,41 @@
 from hawthornpier.steps import Run, RunOutcome, RunPhase
 
 
+def abandon_start(
+    shard: Shard,
+    run: Run,
+    *,
+    is_uncertain: bool,
+    why: str,
+    is_own_delay: bool,
+) -> None:
+    """
+    Give up a start, so that the task can be placed again.
+
+    If the worker may still execute the start, order a stop, which also prevents
+    a late start, and avoid this worker for the task.
+
+    Args:
+        shard: The state of the shard.
+        run: The run to start.
+        is_uncertain: Whether the worker may still execute the start.
+        why: The reason, for the log.
+        is_own_delay: Whether the owner may have read the reply too late, for
+            which the worker is not to blame.
+    """
+    worker = shard.workers[run.worker_id]
+    if run.phase is not RunPhase.STARTING or run.key not in worker.runs:
+        return
+    if not is_own_delay:
+        worker.health.record_refusal(shard.now_ms)
+    if is_uncertain:
+        if not is_own_delay:
+            run.task.avoid_worker(run.worker_id)
+        shard.stop_run(run, f'start may still be executed: {why}')
+    else:
+        withdraw_start(shard, run, why)
+
+
 def withdraw_start(shard: Shard, run: Run, why: str) -> None:
     """
     Place a task again whose start its worker has certainly not executed.
@@ -58,6 +93,25 @@
             withdraw_start(shard, run, why)
 
 
+def send_waiting_starts(shard: Shard) -> None:
+    """
+    Send the starts that had to wait, and withdraw those that wait for long.
+
+    The tasks of the latter are placed again.  Their workers are not to blame,
+    and meanwhile other tasks may have become more urgent, or have found a
+    better worker.
+
+    Args:
+        shard: The state of the shard.
+    """
+    for run in shard.start_gate.take_expired():
+        worker = shard.workers.get(run.worker_id)
+        is_known = worker is not None and run.key in worker.runs
+        if is_known and run.phase is RunPhase.STARTING and not run.sent_ms:
+            withdraw_start(shard, run, 'owner has too many starts in flight')
+    shard.start_gate.wake()
+
+
 def is_start_due(shard: Shard, worker: WorkerState, run: Run) -> bool:
     """
     Return whether a queued start is still due, and withdraw it if it is not.
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -6,6 +6,7 @@
 
 from hawthornpier.fleet._crashes import end_crashed_incarnation
 from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._missed_replies import MissedReplies
 from hawthornpier.fleet._orders import Order, OrderKind
 from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
@@ -20,13 +21,14 @@
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import WorkerTimings
 from hawthornpier.fleet._withdrawals import (
+    abandon_start,
     is_start_due,
     withdraw_start,
     withdraw_unsent_starts,
 )
 from hawthornpier.fleet._worker_state import IncarnationObserver, WorkerState
 from hawthornpier.ports import WorkerError, WorkerReplyLostError
-from hawthornpier.steps import Run, RunPhase
+from hawthornpier.steps import Run
 
 # Time without further starts on a worker after it rejected one for lack of
 # resources.
@@ -71,6 +73,7 @@
         self._on_incarnation = on_incarnation
         self._retry_ms: float = timings.retry_min_ms
         self._orders = worker.orders
+        self._missed = MissedReplies(shard, worker)
         # When the worker last replied to an order.
         self._answered_ms: float = 0
 
@@ -105,7 +108,8 @@
         # The worker may execute a renewal long after it was sent.  While
         # renewals get no reply, only the first one carries a new deadline, so
         # that the time by which the runs must have ended is not postponed.
-        is_replying = worker.is_reached and not worker.missed_reply_count
+        has_missed = worker.is_unresponsive or self._missed.is_excused
+        is_replying = worker.is_reached and not has_missed
         if is_replying and shard.permits.is_unclaimed:
             deadline = worker.next_deadline(self._timings.lease_ms, sent_ms)
         # A worker that does not reply may be restarting.
@@ -120,11 +124,11 @@
                     fencing_token=shard.tokens.token(worker),
                     acknowledged_number=acknowledged_number,
                     deadline_clock_ms=deadline,
-                    wait_ms=worker.renewal_wait_ms(self._timings),
+                    wait_ms=self._renewal_wait_ms(),
                 ),
             )
         except WorkerError as error:
-            self._record_missed_reply(str(error))
+            self._missed.record_unless_excused(str(error), sent_ms)
             return False
         if isinstance(reply, WorkerListing):
             if reply.incarnation_ms != worker.entry.incarnation_ms:
@@ -141,6 +145,11 @@
             self._end_incarnation()
         return False
 
+    def _renewal_wait_ms(self) -> int:
+        if self._missed.is_excused:
+            return 0
+        return self._worker.renewal_wait_ms(self._timings)
+
     async def _wait_until_durable(self) -> None:
         """
         Wait until the ended runs that were listed are durable.
@@ -164,22 +173,8 @@
         if incarnation_ms and self._on_incarnation:
             self._on_incarnation(self._worker, incarnation_ms)
 
-    def _record_missed_reply(self, why: str) -> None:
-        worker = self._worker
-        worker.missed_reply_count += 1
-        if worker.missed_reply_count == 1:
-            age_ms = self._shard.now_ms - worker.last_reply_ms
-            self._shard.log.record(
-                'worker_lost',
-                worker=worker.worker_id,
-                last_reply_age_ms=int(age_ms),
-                why=why,
-            )
-        else:
-            withdraw_unsent_starts(self._shard, worker)
-
     def _record_other_incarnation(self, why: str) -> None:
-        self._record_missed_reply(why)
+        self._missed.record(why)
         self._worker.is_superseded = True
 
     def _end_incarnation(self) -> None:
@@ -231,21 +226,18 @@
         if run is None:
             return
         for _ in range(self._timings.start_try_count):
-            if not self._is_start_due(order, run):
-                return
-            if not self._shard.permits.may_start_on(self._worker.entry.service):
-                self._postpone(order, self._timings.retry_min_ms)
+            if not self._may_send_start(order, run):
                 return
             earlier_sent_ms = run.sent_ms
             tried_ms = self._shard.now_ms
             try:
-                with self._shard.load.start_in_flight(self._shard.clock):
+                with self._shard.start_gate.in_flight():
                     reply = await self._port.start(self._start_order(run))
             except WorkerReplyLostError:
                 self._handle_lost_reply(run, tried_ms)
             except WorkerError as error:
                 run.sent_ms = earlier_sent_ms
-                self._record_missed_reply(str(error))
+                self._missed.record_unless_excused(str(error), tried_ms)
                 await self._shard.clock.sleep_ms(self._timings.retry_min_ms)
             else:
                 self._handle_start_reply(run, reply, tried_ms)
@@ -261,14 +253,27 @@
         if now_ms - tried_ms < _CONNECTION_END_MS:
             run.has_lost_connection = True
             return
+        if self._missed.is_own_delay(tried_ms):
+            return
         worker.unanswered_until_ms = now_ms + self._timings.order_timeout_ms
         placed_by_ms = now_ms if self._answered_ms < tried_ms else tried_ms
         withdraw_unsent_starts(self._shard, worker, placed_by_ms)
 
-    def _is_start_due(self, order: Order, run: Run) -> bool:
-        return not self._has_ended(order) and is_start_due(
+    def _may_send_start(self, order: Order, run: Run) -> bool:
+        """
+        Return whether to send a start now; otherwise it waits if it is due.
+        """
+        is_due = not self._has_ended(order) and is_start_due(
             self._shard, self._worker, run
         )
+        if not is_due:
+            return False
+        if not self._shard.permits.may_start_on(self._worker.entry.service):
+            self._postpone(order, self._timings.retry_min_ms)
+            return False
+        return run.sent_ms > 0 or self._shard.start_gate.admit(
+            order, run, self._worker
+        )
 
     def _start_order(self, run: Run) -> StartOrder:
         shard = self._shard
@@ -317,26 +322,15 @@
         self._abandon_start(run, is_uncertain=True, why=reply.verdict)
 
     def _abandon_start(self, run: Run, *, is_uncertain: bool, why: str) -> None:
-        """
-        Give up a start, so that the task can be placed again.
-
-        If the worker may still execute the start, order a stop, which also
-        prevents a late start, and avoid this worker for the task.
-
-        Args:
-            run: The run to start.
-            is_uncertain: Whether the worker may still execute the start.
-            why: The reason, for the log.
-        """
-        has_run = (run.task.key, run.attempt) in self._worker.runs
-        if run.phase is not RunPhase.STARTING or not has_run:
-            return
-        self._worker.health.record_refusal(self._shard.now_ms)
-        if is_uncertain:
-            run.task.avoid_worker(run.worker_id)
-            self._shard.stop_run(run, f'start may still be executed: {why}')
-        else:
-            withdraw_start(self._shard, run, why)
+        abandon_start(
+            self._shard,
+            run,
+            is_uncertain=is_uncertain,
+            why=why,
+            is_own_delay=self._missed.is_own_delay(
+                run.sent_ms or self._shard.now_ms
+            ),
+        )
 
     async def _stop(self, order: Order) -> None:
         """
@@ -354,7 +348,7 @@
                 self._shard.tokens.token(self._worker),
             )
         except WorkerError as error:
-            self._record_missed_reply(str(error))
+            self._missed.record_unless_excused(str(error), sent_ms)
             self._postpone(order, self._timings.retry_max_ms)
             return
         self._check_clock(reply, sent_ms)
@@ -378,6 +372,7 @@
             return
         if run.speed_percent != order.percent:
             return
+        sent_ms = self._shard.now_ms
         try:
             reply = await self._port.pace(
                 order.task_key,
@@ -386,7 +381,7 @@
                 self._shard.tokens.token(self._worker),
             )
         except WorkerError as error:
-            self._record_missed_reply(str(error))
+            self._missed.record_unless_excused(str(error), sent_ms)
             # With an invalid speed, `control_throttling` orders the speed again
             # after the next listing.
             run.speed_percent = -1
