Withdraw the starts that an owner has not sent when it releases the shard

What callers could see: an order of the previous owner reaches a worker after the shard was released, when the next owner already sends its own. Found by reading, with the question of operators of similar systems whether both act around a hand-over.

Cause: a release stops scheduling passes only. Starts that wait in the queues of workers were sent for as long as the release took, up to 0.8 s, and the next owner had to wait for the tasks until it had the handover.

Change: unsent starts are withdrawn with the release, so that their tasks can be placed at once by the next owner.

An owner that is overloaded on one of several hosts of equal size keeps the shard: a move would not tell a slow host from too much work, and costs what the owner has learned; this part of the move is taken out.

--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -29,6 +29,7 @@
 from hawthornpier.fleet._row_pages import read_all_rows
 from hawthornpier.fleet._scheduling_loop import SchedulingLoop
 from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._withdrawals import withdraw_all_unsent_starts
 from hawthornpier.fleet._worker_registry import WorkerRegistry
 from hawthornpier.fleet._worker_rows import (
     WORKERS_KEY,
@@ -85,7 +86,6 @@
             claim_lease_ms=context.ownership_timings.lease_ms,
         )
         self.is_loaded = False
-        self._writer = writer
         self._context = context
         self._relays = relays
         self._predecessor = writer.predecessor
@@ -102,13 +102,6 @@
             timings=context.worker_timings,
         )
 
-    @property
-    def since_overload_move_ms(self) -> float:
-        """
-        Return how long ago an overloaded owner has released the shard.
-        """
-        return self._writer.since_overload_move_ms
-
     async def run(self) -> None:
         """
         Load and schedule the shard until another process owns it.
@@ -156,6 +149,7 @@
             shard, or once the lease has expired.
         """
         self.shard.is_draining = True
+        withdraw_all_unsent_starts(self.shard, 'shard is being released')
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 await run_part(
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -316,9 +316,6 @@
             card=self._card,
             epoch=epoch,
             until_ms=read.store_ms + self._timings.lease_ms,
-            overload_moved_ms=(
-                self.owner.overload_moved_ms if self.owner else 0
-            ),
         )
         fence = FenceRow(
             process_id=self._card.process_id,
--- a/src/hawthornpier/fleet/_shard_move.py
+++ b/src/hawthornpier/fleet/_shard_move.py
@@ -11,7 +11,6 @@
 from hawthornpier.fleet._peer_table import PeerTable
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._succession import (
-    MoveReason,
     OwnerStatus,
     find_successors,
     move_reason,
@@ -45,13 +44,6 @@
         """
         ...
 
-    @property
-    def since_overload_move_ms(self) -> float:
-        """
-        Return how long ago an overloaded owner has released the shard.
-        """
-        ...
-
 
 class ShardMove:
     """
@@ -105,10 +97,7 @@
                 cores=effective_cores(self._card),
                 workers=status.worker_count,
             )
-            return Release(
-                successor_id=presence.process_id,
-                is_for_overload=reason is MoveReason.OVERLOAD,
-            )
+            return Release(successor_id=presence.process_id)
 
     def _status(self) -> OwnerStatus | None:
         """
@@ -126,7 +115,6 @@
             card=self._card,
             worker_count=len(owner.shard.workers),
             tenure_ms=now_ms - self._loaded_ms,
-            since_overload_move_ms=owner.since_overload_move_ms,
             is_overloaded=owner.shard.load.is_overloaded,
         )
 
--- a/src/hawthornpier/fleet/_succession.py
+++ b/src/hawthornpier/fleet/_succession.py
@@ -16,15 +16,12 @@
 
 # Only a host that is larger by this factor is worth the change of the owner.
 _LARGER_RATIO = 1.5
-# Hosts that are smaller than the largest one by less than this are equal.
+# Of the larger hosts, those down to this part of the largest one are equal.
 _EQUAL_RATIO = 0.9
 # An owner keeps the shard for at least this long after it has loaded it.
 _MIN_TENURE_MS = 1_000.0
 # Another process must have been in touch for this long.
 _MIN_CONTACT_MS = 1_000.0
-# After a move from an overloaded owner, the next one to a host of equal size
-# comes after this time at the earliest.
-_OVERLOAD_MOVE_INTERVAL_MS = 10_000.0
 
 
 class MoveReason(enum.StrEnum):
@@ -41,14 +38,12 @@
     """
     The state of an owner that decides about a move.
 
-    Durations are in milliseconds: since the owner has loaded the shard, and
-    since the last move of the shard because of an overload.
+    *tenure_ms* is the time since the owner has loaded the shard.
     """
 
     card: ProcessCard
     worker_count: int
     tenure_ms: float
-    since_overload_move_ms: float
     is_overloaded: bool = False
 
 
@@ -67,7 +62,7 @@
     Return why a shard has to move, or None if its owner may keep it.
 
     It answers a shard with more workers than the owner's host can contact, and
-    an owner whose host has become slow.
+    an owner that is behind its work for another reason.
     """
     if status.tenure_ms < _MIN_TENURE_MS:
         return None
@@ -92,15 +87,9 @@
         Processes on hosts of about the same size, or nothing if the shard
         stays.
     """
-    reason = move_reason(status)
-    if reason is None:
+    if move_reason(status) is None:
         return []
-    may_be_equal = (
-        reason is MoveReason.OVERLOAD
-        and status.since_overload_move_ms >= _OVERLOAD_MOVE_INTERVAL_MS
-    )
-    ratio = _EQUAL_RATIO if may_be_equal else _LARGER_RATIO
-    least_cores = effective_cores(status.card) * ratio
+    least_cores = effective_cores(status.card) * _LARGER_RATIO
     cards = [
         candidate.card
         for candidate in candidates
--- a/src/hawthornpier/fleet/_withdrawals.py
+++ b/src/hawthornpier/fleet/_withdrawals.py
@@ -112,6 +112,24 @@
     shard.start_gate.wake()
 
 
+def withdraw_all_unsent_starts(shard: Shard, why: str) -> None:
+    """
+    Place the tasks of all starts again that were not sent.
+
+    The members of a gang are left out, because those that have started would
+    end for want of the others.
+
+    Args:
+        shard: The state of the shard.
+        why: The reason, for the log.
+    """
+    for worker in shard.workers.values():
+        for run in tuple(worker.runs.values()):
+            is_unsent = run.phase is RunPhase.STARTING and not run.sent_ms
+            if is_unsent and not run.task.step.plan.is_gang:
+                withdraw_start(shard, run, why)
+
+
 def is_start_due(shard: Shard, worker: WorkerState, run: Run) -> bool:
     """
     Return whether a queued start is still due, and withdraw it if it is not.
--- a/src/hawthornpier/fleet/_writer.py
+++ b/src/hawthornpier/fleet/_writer.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import math
 
 import msgspec
 
@@ -50,8 +49,7 @@
     """
     The owner of a shard and the end of its lease.
 
-    *until_ms* is on the store's monotonic clock, as is *overload_moved_ms*, the
-    time of the last release because of an overload.  *successor_id* names the
+    *until_ms* is on the store's monotonic clock.  *successor_id* names the
     process that is to claim a released shard, if there is one.
     """
 
@@ -60,7 +58,6 @@
     until_ms: int
     is_released: bool = False
     successor_id: str = ''
-    overload_moved_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -70,11 +67,9 @@
 
     Attributes:
         successor_id: The process that is to claim the shard, if there is one.
-        is_for_overload: Whether the owner was overloaded.
     """
 
     successor_id: str = ''
-    is_for_overload: bool = False
 
 
 class FenceRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -150,18 +145,6 @@
         self._store_time_ms = claim_outcome.store_ms
         self._store_time_read_ms = clock.monotonic_ms()
         self.renewed_ms = clock.monotonic_ms()
-        self._overload_moved_ms = (
-            0 if predecessor is None else predecessor.overload_moved_ms
-        )
-
-    @property
-    def since_overload_move_ms(self) -> float:
-        """
-        Return how long ago an overloaded owner has released the shard.
-        """
-        if not self._overload_moved_ms:
-            return math.inf
-        return self._store_now_ms() - self._overload_moved_ms
 
     @property
     def is_renewal_due(self) -> bool:
@@ -253,24 +236,18 @@
         )
 
     def _owner_row(self, release: Release | None) -> bytes:
-        store_ms = int(self._store_now_ms())
-        if release is not None and release.is_for_overload:
-            self._overload_moved_ms = store_ms
+        elapsed_ms = self._clock.monotonic_ms() - self._store_time_read_ms
+        until_ms = self._store_time_ms + elapsed_ms + self._timings.lease_ms
         return msgspec.json.encode(
             OwnerRow(
                 card=self._card,
                 epoch=self.epoch,
-                until_ms=store_ms + self._timings.lease_ms,
+                until_ms=int(until_ms),
                 is_released=release is not None,
                 successor_id=release.successor_id if release else '',
-                overload_moved_ms=self._overload_moved_ms,
             ),
         )
 
-    def _store_now_ms(self) -> float:
-        elapsed_ms = self._clock.monotonic_ms() - self._store_time_read_ms
-        return self._store_time_ms + elapsed_ms
-
     def _transaction(
         self,
         writes: dict[RowKey, bytes],
