Move a shard to a larger host also if the owner carries it

Change: a host that is larger by half takes the shard over after three seconds in touch; where the owner is overloaded or has too many workers, after one.

--- a/src/hawthornpier/fleet/_shard_move.py
+++ b/src/hawthornpier/fleet/_shard_move.py
@@ -85,15 +85,14 @@
                 continue
             cards = find_successors(status, self._peers.candidates())
             presence = await self._first_able(cards[:_MAX_ASKED])
-            reason = move_reason(status)
-            if presence is None or reason is None:
+            if presence is None:
                 continue
             self._log.record(
                 'shard_moves',
                 shard=self._owner.shard.name,
                 epoch=self._owner.shard.epoch,
                 successor=presence.process_id,
-                why=reason,
+                why=move_reason(status),
                 cores=effective_cores(self._card),
                 workers=status.worker_count,
             )
--- a/src/hawthornpier/fleet/_succession.py
+++ b/src/hawthornpier/fleet/_succession.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import types
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -18,10 +19,6 @@
 _LARGER_RATIO = 1.5
 # Of the larger hosts, those down to this part of the largest one are equal.
 _EQUAL_RATIO = 0.9
-# An owner keeps the shard for at least this long after it has loaded it.
-_MIN_TENURE_MS = 1_000.0
-# Another process must have been in touch for this long.
-_MIN_CONTACT_MS = 1_000.0
 
 
 class MoveReason(enum.StrEnum):
@@ -29,8 +26,20 @@
     Why a shard has to move to another host.
     """
 
-    SMALL_HOST = 'the host is too small for the shard'
     OVERLOAD = 'the owner is overloaded'
+    SMALL_HOST = 'the host is too small for the shard'
+    LARGER_HOST = 'a larger host is there'
+
+
+# How long an owner has had the shard, and another process has been in touch,
+# before the shard moves.
+_MIN_STAY_MS = types.MappingProxyType(
+    {
+        MoveReason.OVERLOAD: 1_000.0,
+        MoveReason.SMALL_HOST: 1_000.0,
+        MoveReason.LARGER_HOST: 3_000.0,
+    }
+)
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,20 +66,19 @@
     contact_ms: float
 
 
-def move_reason(status: OwnerStatus) -> MoveReason | None:
+def move_reason(status: OwnerStatus) -> MoveReason:
     """
-    Return why a shard has to move, or None if its owner may keep it.
+    Return why a shard moves if a larger host is there.
 
     It answers a shard with more workers than the owner's host can contact, and
-    an owner that is behind its work for another reason.
+    an owner that is behind its work for another reason.  These are urgent; a
+    host that carries the shard only leaves less room for growth.
     """
-    if status.tenure_ms < _MIN_TENURE_MS:
-        return None
     if status.is_overloaded:
         return MoveReason.OVERLOAD
     if needs_relays(status.worker_count, effective_cores(status.card)):
         return MoveReason.SMALL_HOST
-    return None
+    return MoveReason.LARGER_HOST
 
 
 def find_successors(
@@ -87,13 +95,14 @@
         Processes on hosts of about the same size, or nothing if the shard
         stays.
     """
-    if move_reason(status) is None:
+    stay_ms = _MIN_STAY_MS[move_reason(status)]
+    if status.tenure_ms < stay_ms:
         return []
     least_cores = effective_cores(status.card) * _LARGER_RATIO
     cards = [
         candidate.card
         for candidate in candidates
-        if candidate.contact_ms >= _MIN_CONTACT_MS
+        if candidate.contact_ms >= stay_ms
         and effective_cores(candidate.card) >= least_cores
     ]
     largest = max(map(effective_cores, cards), default=0)
