Look up the expected run time only of runs without progress

Callers saw tasks wait for a pass of the owner: every 200 ms, the check for stalled runs looked up the expected run time of each run, though only runs without progress in their listings for 1.9 s can be stalled.

The same runs are stopped, which a test holds against the plain computation for random runs.

--- a/src/hawthornpier/fleet/_run_monitor.py
+++ b/src/hawthornpier/fleet/_run_monitor.py
@@ -104,7 +104,7 @@
         stalled = [
             run
             for run in worker.runs.values()
-            if _is_stalled(run, self._stall_ms(run))
+            if _may_be_stalled(run) and _is_stalled(run, self._stall_ms(run))
         ]
         for run in stalled:
             worker.health.record_stall(run, now_ms)
@@ -119,15 +119,25 @@
         return max(_STALL_MS, expected_ms / 100 * _STALL_PERCENT)
 
 
-def _is_stalled(run: Run, stall_ms: float) -> bool:
+def _may_be_stalled(run: Run) -> bool:
     """
-    Return whether listings have shown no progress of a run for *stall_ms*.
+    Return whether listings have shown no progress of a run for long.
 
-    Time without a listing does not count: a worker that is slow to report, or
-    whose reports are lost, may have worked on.
+    Few runs are as far as that, and only for these the expected run time is
+    looked up.  Time without a listing does not count: a worker that is slow to
+    report, or whose reports are lost, may have worked on.
+    """
+    return (
+        run.percent < 100
+        and run.listed_ms - run.percent_changed_ms > _STALL_MS
+        and run.phase is RunPhase.RUNNING
+    )
+
+
+def _is_stalled(run: Run, stall_ms: float) -> bool:
+    """
+    Return whether a run has made no progress for *stall_ms*.
     """
-    if run.phase is not RunPhase.RUNNING or run.percent >= 100:
-        return False
     # Scaled by the speed, because a throttled run progresses more slowly and a
     # paused one not at all.
     speed = max(run.speed_percent, 0) / 100
--- /dev/null
+++ b/tests/test_fleet_pass_cost.py
@@ -0,0 +1,68 @@
+"""
+Tests that what makes a scheduling pass cheap changes none of its decisions.
+"""
+
+import random
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from test_fleet_evacuation import _Clock
+from test_fleet_placement import step_of, usable_workers
+
+from hawthornpier.events import DecisionLog
+from hawthornpier.fleet._run_monitor import RunMonitor
+from hawthornpier.fleet._shard import Shard
+from hawthornpier.fleet._timings import WorkerTimings
+from hawthornpier.steps import Run, RunPhase
+
+RANDOM = st.integers(0, 2**32).map(random.Random)
+IMAGES = ('a', 'bb', 'ccc')
+
+
+def random_step(number, rng, **options):
+    return step_of(
+        number,
+        task_count=rng.randrange(1, 6),
+        processor_millis=rng.randrange(1, 4) * 1_000,
+        memory_mb=rng.randrange(1, 4) * 1_000,
+        estimate_ms=rng.choice((0, 700, 90_000)),
+        image=rng.choice(IMAGES),
+        required_label=rng.choice(('', '', 'gpu')),
+        **options,
+    )
+
+
+class TestSameDecisions:
+    """
+    What is kept, grouped or looked up late is as if it were always worked out.
+    """
+
+    @settings(deadline=None, max_examples=30)
+    @given(RANDOM)
+    def test_stalled_runs(self, rng):
+        """
+        Guards against a run without progress that is passed over.
+        """
+        shard = Shard('s', epoch=1, clock=_Clock(), log=DecisionLog('n'))
+        worker = usable_workers(1, rng)[0]
+        shard.workers[worker.worker_id] = worker
+        expected = set()
+        for number in range(40):
+            step = random_step(
+                number, rng, is_lasting=rng.choice((True, False))
+            )
+            run = Run(step.tasks[0], 1, worker.worker_id, 0)
+            run.phase = rng.choice((RunPhase.RUNNING, RunPhase.STARTING))
+            run.percent = rng.choice((0, 40, 100))
+            run.speed_percent = rng.choice((-1, 0, 50, 100))
+            run.listed_ms = rng.randrange(9_000)
+            worker.charge(run)
+            limit_ms = max(1_900, step.plan.estimate_ms * 0.03)
+            if step.plan.is_lasting:
+                limit_ms = 1_900 if run.listed_ms > 4_000 else 90_000
+            is_slow = run.listed_ms * run.speed_percent / 100 > limit_ms
+            if run.phase is RunPhase.RUNNING and run.percent < 100 and is_slow:
+                expected.add(run)
+        RunMonitor(shard, WorkerTimings()).run_pass()
+        runs = worker.runs.values()
+        assert {run for run in runs if run.stop_reason} == expected
