Keep what the order of a backlog depends on between passes

With hundreds of steps that no worker can take, each pass worked out the expected run time, the work and the objective of each job several times, and compared each step with all failed ones. Now an estimate is kept until a task of the job or of its queue ends, and a step is compared with the failed steps of its own kind only. The order and the choices stay the same: tests hold both against the plain computation for random jobs and steps.

--- a/src/hawthornpier/fleet/_job_index.py
+++ b/src/hawthornpier/fleet/_job_index.py
@@ -128,6 +128,7 @@
         self.jobs.pop(job_id, None)
         self._active_jobs.pop(job_id, None)
         self.dirty.discard(job_id)
+        self.durations.forget_job(job_id)
         self.removed_rows.extend(self.progress_rows(job_id).keys)
         self._progress_rows.pop(job_id)
 
--- a/src/hawthornpier/fleet/_ordering.py
+++ b/src/hawthornpier/fleet/_ordering.py
@@ -9,8 +9,8 @@
 
 import math
 
-from hawthornpier.fleet._durations import DurationEstimator
-from hawthornpier.steps import Job, Step
+from hawthornpier.fleet._durations import DurationEstimator, JobOutlook
+from hawthornpier.steps import Step
 
 # A job has no value if its response time exceeds the objective by this factor.
 # If it exceeds the objective by less, the job has this fraction of its value.
@@ -38,10 +38,11 @@
     if step.plan.is_lasting:
         return (0, 0, 0)
     job = step.job
-    objective_ms = durations.objective_ms(job)
+    outlook = durations.outlook(job)
+    objective_ms = outlook.objective_ms
     waited_ms = now_ms - _waiting_since_ms(step)
-    end_ms = waited_ms + durations.critical_path_ms(job, is_remaining_only=True)
-    value = _value(job, durations)
+    end_ms = waited_ms + outlook.remaining_path_ms
+    value = _value(outlook)
     slack_ms = objective_ms - end_ms
     if slack_ms < 0:
         value *= _LATE_VALUE
@@ -50,13 +51,13 @@
     urgency = math.exp(
         -max(slack_ms, 0) / max(objective_ms * _URGENCY_SCALE, 1)
     )
-    remaining_work = max(durations.work(job, is_remaining_only=True), 1)
+    remaining_work = max(outlook.remaining_work, 1)
     return (tier, job.plan.queue.priority, -value * urgency / remaining_work)
 
 
-def _value(job: Job, durations: DurationEstimator) -> float:
-    mean = durations.mean_work(job)
-    ratio = durations.work(job) / mean if mean else 1
+def _value(outlook: JobOutlook) -> float:
+    mean = outlook.mean_work
+    ratio = outlook.work / mean if mean else 1
     return min(_BASE_VALUE + (1 - _BASE_VALUE) * ratio, _MAX_VALUE)
 
 
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -2,14 +2,14 @@
 The scheduling pass: starts tasks on workers and stops runs that must move.
 """
 
-import collections
-import math
+import itertools
 from collections.abc import Mapping, Sequence
 
 from hawthornpier.fleet._candidates import CandidatePool
 from hawthornpier.fleet._crash_trials import CrashTrials
 from hawthornpier.fleet._departures import Departures
 from hawthornpier.fleet._evacuation import Evacuation
+from hawthornpier.fleet._failed_steps import FailedSteps
 from hawthornpier.fleet._ledger_audit import LedgerAudit
 from hawthornpier.fleet._long_running_waits import LongRunningWaits
 from hawthornpier.fleet._moves import Moves
@@ -23,7 +23,6 @@
 from hawthornpier.fleet._wait_log import WaitLog
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import (
-    Job,
     Run,
     Step,
     Task,
@@ -102,17 +101,14 @@
     def _place_all(
         self, steps: Sequence[Step], candidates: Mapping[str, CandidatePool]
     ) -> None:
-        failed: dict[str, list[Step]] = collections.defaultdict(list)
+        failed = FailedSteps()
         for step in steps:
             service = self._shard.service_of(step.job)
             pool = candidates.get(service, _NO_CANDIDATES)
-            cannot_fit = any(
-                _needs_at_least(step, other) for other in failed[service]
-            )
-            if cannot_fit:
+            if failed.rule_out(step, service):
                 self._wait_log.refuse(step)
             elif not self._place(step, pool):
-                failed[service].append(step)
+                failed.add(step, service)
                 self._wait_log.refuse(step)
             if step.plan.may_run_copies:
                 self._place_copies(step, pool)
@@ -159,8 +155,11 @@
         shard.considered_ms = now_ms
         wall_ms = shard.clock.wall_ms() + self._bounds.early_ms / 4
         due = []
-        for job in shard.active_jobs():
-            for step in _due_steps(job, wall_ms):
+        occurrences = itertools.chain.from_iterable(
+            job.occurrences for job in shard.active_jobs()
+        )
+        for occurrence in occurrences:
+            for step in occurrence.due_steps(wall_ms):
                 step.considered_ms = now_ms
                 if step.ready_ms is None:
                     step.ready_ms = now_ms
@@ -285,48 +284,8 @@
                 )
 
 
-def _due_steps(job: Job, wall_ms: float) -> list[Step]:
-    return [
-        step
-        for occurrence in job.occurrences
-        for step in occurrence.due_steps(wall_ms)
-    ]
-
-
 def _may_start_runs(step: Step) -> bool:
-    return step.plan.may_run_copies or step.busy_count < len(step.tasks)
-
-
-def _needs_at_least(step: Step, other: Step) -> bool:
-    """
-    Return whether a step certainly finds no worker because another found none.
-
-    Both are of the same service.  True only if the step is of the same kind and
-    needs at least the same resources.
-    """
-    plan, failed = step.plan, other.plan
-    if failed.per_worker_limit or failed.required_label or failed.is_gang:
-        return False
-    if (plan.is_filling, plan.is_lasting) != (
-        failed.is_filling,
-        failed.is_lasting,
-    ):
-        return False
-    # The workers that are eligible for a best-effort task depend on its image
-    # and on how long the step has waited.
-    if plan.is_filling and (
-        plan.image != failed.image or _ready_ms(step) < _ready_ms(other)
-    ):
-        return False
-    return (
-        plan.processor_millis >= failed.processor_millis
-        and plan.memory_mb >= failed.memory_mb
-        and plan.accelerator_count >= failed.accelerator_count
-    )
-
-
-def _ready_ms(step: Step) -> float:
-    return math.inf if step.ready_ms is None else step.ready_ms
+    return step.plan.may_run_copies or step.waiting_count > 0
 
 
 def _group_by_rack(pool: Sequence[WorkerState]) -> list[list[WorkerState]]:
--- a/src/hawthornpier/fleet/_shard.py
+++ b/src/hawthornpier/fleet/_shard.py
@@ -367,7 +367,7 @@
                 job=job.plan.job_id,
                 phase=job.end_phase,
                 duration_ms=int(self.now_ms - job.accepted_ms),
-                objective_ms=int(self.durations.objective_ms(job)),
+                objective_ms=int(self.durations.outlook(job).objective_ms),
                 queue=job.plan.queue.name,
             )
             self._stop_all(job, 'job has ended')
--- a/src/hawthornpier/steps/_state.py
+++ b/src/hawthornpier/steps/_state.py
@@ -159,6 +159,13 @@
         """
         return self.done_count >= len(self.tasks)
 
+    @property
+    def waiting_count(self) -> int:
+        """
+        Return the number of incomplete tasks that have no run.
+        """
+        return len(self.tasks) - self.busy_count
+
     def waiting(self) -> list[Task]:
         """
         Return the incomplete tasks that have no run.
@@ -202,9 +209,10 @@
         if wall_ms < self.due_ms:
             return
         for step in self.steps:
-            if not step.is_done and all(
-                self.steps[number].is_done for number in step.plan.after
-            ):
+            if step.is_done:
+                continue
+            after = step.plan.after
+            if not after or all(self.steps[number].is_done for number in after):
                 yield step
 
 
--- a/tests/test_fleet_pass_cost.py
+++ b/tests/test_fleet_pass_cost.py
@@ -10,10 +10,12 @@
 from test_fleet_placement import step_of, usable_workers
 
 from hawthornpier.events import DecisionLog
+from hawthornpier.fleet._durations import DurationEstimator
+from hawthornpier.fleet._failed_steps import FailedSteps
 from hawthornpier.fleet._run_monitor import RunMonitor
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import WorkerTimings
-from hawthornpier.steps import Run, RunPhase
+from hawthornpier.steps import Run, RunPhase, mark_done
 
 RANDOM = st.integers(0, 2**32).map(random.Random)
 IMAGES = ('a', 'bb', 'ccc')
@@ -37,6 +39,43 @@
     What is kept, grouped or looked up late is as if it were always worked out.
     """
 
+    @settings(deadline=None, max_examples=30)
+    @given(RANDOM)
+    def test_failed_steps(self, rng):
+        """
+        Guards against a step that is passed over for one of another kind.
+        """
+        failed, added = FailedSteps(), []
+        for number in range(30):
+            kind = rng.choice(('is_filling', 'is_lasting', 'is_gang'))
+            step = random_step(number, rng, **{kind: rng.choice((True, False))})
+            step.ready_ms = rng.randrange(3)
+            expected = any(map(step_needs_more(step), added))
+            assert failed.rule_out(step, 'desk') == expected
+            assert not failed.rule_out(step, 'shop')
+            failed.add(step, 'desk')
+            added.append(step)
+
+    @settings(deadline=None, max_examples=30)
+    @given(RANDOM)
+    def test_outlook(self, rng):
+        """
+        Guards against an order by what was expected before tasks had ended.
+        """
+        estimator = DurationEstimator()
+        steps = [random_step(number, rng) for number in range(6)]
+        for step in steps:
+            estimator.register_job(step.job)
+        for _ in range(20):
+            ended = rng.choice(steps)
+            estimator.learn(ended, rng.randrange(10, 5_000))
+            mark_done(rng.choice(ended.tasks))
+            kept = [estimator.outlook(step.job) for step in steps]
+            for step in steps:
+                estimator.forget_job(step.job.plan.job_id)
+            assert kept == [estimator.outlook(step.job) for step in steps]
+            mark_done(rng.choice(rng.choice(steps).tasks))
+
     @settings(deadline=None, max_examples=30)
     @given(RANDOM)
     def test_stalled_runs(self, rng):
@@ -66,3 +105,29 @@
         RunMonitor(shard, WorkerTimings()).run_pass()
         runs = worker.runs.values()
         assert {run for run in runs if run.stop_reason} == expected
+
+
+def step_needs_more(step):
+    """
+    Return a function that tells whether another failed step rules one out.
+    """
+
+    def needs_more(failed):
+        one, other = step.plan, failed.plan
+        if other.is_gang or other.required_label:
+            return False
+        if (one.is_filling, one.is_lasting) != (
+            other.is_filling,
+            other.is_lasting,
+        ):
+            return False
+        if one.is_filling and (
+            one.image != other.image or step.ready_ms < failed.ready_ms
+        ):
+            return False
+        return (
+            one.processor_millis >= other.processor_millis
+            and one.memory_mb >= other.memory_mb
+        )
+
+    return needs_more
