Keep the rank of a worker for long-running tasks until its load changes

Now the part of the rank that depends on the load is kept for each image until the load, the evacuation of the worker or the estimated interference changes, and it is made from the images of the best-effort runs. The choices stay the same, which a test holds against fresh ranks for random changes.

--- a/src/hawthornpier/fleet/_interference.py
+++ b/src/hawthornpier/fleet/_interference.py
@@ -91,6 +91,8 @@
         self._log = log
         self._clock = clock
         self._effects: dict[Pair, _EffectEstimate] = {}
+        # The number of times that effects have changed.
+        self.change_count = 0
         self._unloaded_ms: dict[str, float] = {}
         self._reports: dict[str, deque[_Report]] = {}
 
@@ -120,6 +122,7 @@
         """
         Load the estimates that the previous owner exported.
         """
+        self.change_count += 1
         now_ms = self._clock.monotonic_ms()
         for long_running_image, best_effort_image, mean, variance in estimates:
             self._effects[long_running_image, best_effort_image] = (
@@ -214,6 +217,7 @@
             for image in changes
         }
         _update_estimates(effects, changes, rise)
+        self.change_count += 1
         for image, estimate in effects.items():
             self._log_change((plan.image, image), estimate)
 
--- a/src/hawthornpier/fleet/_placement.py
+++ b/src/hawthornpier/fleet/_placement.py
@@ -169,19 +169,34 @@
         worker: WorkerState,
         step: Step,
     ) -> tuple[float, ...]:
+        """
+        Return the part of a rank that depends on the load of a worker.
+
+        It is kept until that changes, which answers hundreds of tasks that have
+        lost their runs at the same time.
+        """
+        image = step.plan.image
+        key = (worker.evacuated_for_image, self._interference.change_count)
+        kept = worker.kept_ranks.get(image)
+        if kept is not None and kept[0] == key:
+            return kept[1]
+        rank = self._load_rank(worker, image)
+        worker.kept_ranks[image] = (key, rank)
+        return rank
+
+    def _load_rank(self, worker: WorkerState, image: str) -> tuple[float, ...]:
         # Tasks of the same image share workers, so that a best-effort image
         # that harms some images finds workers without these.  A task that
         # fits on no such worker goes to one without long-running tasks, else
         # to one whose images are mixed already, so that few are mixed.
-        image = step.plan.image
         images = worker.long_running_images()
         mix_rank = _IMAGE_MIX_RANKS[min(len(images), 2)]
         if images == {image}:
             mix_rank = 0
         harm = max(
             (
-                self._interference.effect(image, run.task.step.plan.image)
-                for run in worker.best_effort_runs()
+                self._interference.effect(image, other)
+                for other in worker.best_effort_images()
             ),
             default=0,
         )
--- a/src/hawthornpier/fleet/_worker_load.py
+++ b/src/hawthornpier/fleet/_worker_load.py
@@ -13,6 +13,9 @@
 # A long-running task serves changing load; on average it uses this fraction of
 # its reserved processors and leaves the rest to best-effort tasks.
 _LONG_RUNNING_USE = 0.45
+# The image that the worker is evacuated for, and the number of changes of the
+# estimated interference; then the rank.
+KeptRank = tuple[tuple[str, int], tuple[float, ...]]
 
 
 class WorkerLoad:
@@ -40,8 +43,13 @@
         self._best_effort_runs: dict[RunKey, Run] = {}
         self._long_running_runs: dict[RunKey, Run] = {}
         self._plain_runs: dict[RunKey, Run] = {}
-        # The number of long-running tasks by image, with those to be started.
+        # The number of long-running tasks by image, with those to be started,
+        # and of best-effort tasks by image.
         self._image_counts: dict[str, int] = {}
+        self._best_effort_images: dict[str, int] = {}
+        # Ranks of the worker for long-running images, kept until the load
+        # changes, each with what else it depends on.
+        self.kept_ranks: dict[str, KeptRank] = {}
         # The number of runs of each step, by step key.
         self.step_counts: dict[str, int] = {}
 
@@ -156,6 +164,12 @@
         """
         return list(self._best_effort_runs.values())
 
+    def best_effort_images(self) -> Iterable[str]:
+        """
+        Return the images of best-effort tasks.
+        """
+        return self._best_effort_images.keys()
+
     def counters(self) -> dict[str, Mapping[Any, int]]:
         """
         Return what is kept beside the runs, in groups.
@@ -174,6 +188,7 @@
             },
             'step_counts': dict(self.step_counts),
             'image_counts': dict(self._image_counts),
+            'best_effort_images': dict(self._best_effort_images),
             'best_effort_runs': dict.fromkeys(self._best_effort_runs, 1),
             'long_running_runs': dict.fromkeys(self._long_running_runs, 1),
             'plain_runs': dict.fromkeys(self._plain_runs, 1),
@@ -202,12 +217,14 @@
 
     def _add(self, step: Step, sign: int) -> None:
         plan = step.plan
+        self.kept_ranks.clear()
         self.memory_mb += sign * plan.memory_mb
         self.accelerator_count += sign * plan.accelerator_count
         _change_count(self.step_counts, step.key, sign)
         if plan.is_filling:
             self.best_effort_millis += sign * plan.processor_millis
             self.best_effort_count += sign
+            _change_count(self._best_effort_images, plan.image, sign)
             return
         self.reserved_millis += sign * plan.processor_millis
         if plan.is_lasting:
--- a/tests/test_fleet_pass_cost.py
+++ b/tests/test_fleet_pass_cost.py
@@ -7,11 +7,12 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_fleet_evacuation import _Clock
-from test_fleet_placement import step_of, usable_workers
+from test_fleet_placement import SomeInterference, step_of, usable_workers
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._durations import DurationEstimator
 from hawthornpier.fleet._failed_steps import FailedSteps
+from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._run_monitor import RunMonitor
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import WorkerTimings
@@ -21,6 +22,16 @@
 IMAGES = ('a', 'bb', 'ccc')
 
 
+class _DriftingInterference(SomeInterference):
+    """
+    An interference model whose effects change.
+    """
+
+    def effect(self, long_running_image, best_effort_image):
+        effect = super().effect(long_running_image, best_effort_image)
+        return effect + self.change_count % 3 / 4
+
+
 def random_step(number, rng, **options):
     return step_of(
         number,
@@ -39,6 +50,32 @@
     What is kept, grouped or looked up late is as if it were always worked out.
     """
 
+    @settings(deadline=None, max_examples=30)
+    @given(RANDOM)
+    def test_ranks(self, rng):
+        """
+        Guards against a rank from before the load, the evacuation of the worker
+        or the estimated interference has changed.
+        """
+        interference = _DriftingInterference()
+        placement = Placement(interference)
+        workers = usable_workers(4, rng)
+        for number in range(30):
+            is_filling = rng.choice((True, False))
+            step = random_step(
+                number, rng, is_filling=is_filling, is_lasting=not is_filling
+            )
+            for worker in workers:
+                kept = placement._long_running_rank(worker, step)
+                assert kept == placement._load_rank(worker, step.plan.image)
+            changed = rng.choice(workers)
+            run = Run(step.tasks[0], 1, changed.worker_id, 0)
+            rng.choice((changed.charge, interference_change(interference)))(run)
+            if changed.runs and rng.choice((True, False)):
+                changed.release(rng.choice(list(changed.runs.values())))
+            evacuated = rng.choice(workers)
+            evacuated.evacuated_for_image = rng.choice(('', *IMAGES))
+
     @settings(deadline=None, max_examples=30)
     @given(RANDOM)
     def test_failed_steps(self, rng):
@@ -107,6 +144,13 @@
         assert {run for run in runs if run.stop_reason} == expected
 
 
+def interference_change(interference):
+    def change(_run):
+        interference.change_count += 1
+
+    return change
+
+
 def step_needs_more(step):
     """
     Return a function that tells whether another failed step rules one out.
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -22,6 +22,8 @@
     An interference model without harmful images.
     """
 
+    change_count = 0
+
     def effect(self, long_running_image, best_effort_image):
         return 0
 
@@ -37,6 +39,8 @@
     An interference model whose effects and pressures vary by name and load.
     """
 
+    change_count = 0
+
     def effect(self, long_running_image, best_effort_image):
         return (len(long_running_image) * len(best_effort_image)) % 5 / 8
 
