Bound the time that the owner spends on its log of waits

Each worker was held against each step, twice for the log, and permissions were worked out for each task.

Now a worker is held against a step only until the answer is certain, and why it may not be used is found once for all long-running steps; the counts in a line are made only for tasks that it describes. Room is sampled without an object for each worker. And each look (waits, samples of room, state of the shard, a part of the audit) is followed by a pause of 50 times its own duration, up to 5 s, so that none takes more than a fiftieth of the owner's time.

--- a/src/hawthornpier/fleet/_candidates.py
+++ b/src/hawthornpier/fleet/_candidates.py
@@ -5,7 +5,7 @@
 import bisect
 from collections.abc import Iterable, Sequence
 
-from hawthornpier.fleet._eligibility import is_closed
+from hawthornpier.fleet._eligibility import find_worker_exclusion
 from hawthornpier.fleet._placement import best_effort_room
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Step
@@ -56,7 +56,10 @@
         key = (index, step.plan.is_lasting)
         found = self._closed.get(key)
         if found is None:
-            found = is_closed(self.workers[index], step, self._now_ms)
+            exclusion = find_worker_exclusion(
+                self.workers[index], step, self._now_ms
+            )
+            found = exclusion is not None
             self._closed[key] = found
         return found
 
--- a/src/hawthornpier/fleet/_eligibility.py
+++ b/src/hawthornpier/fleet/_eligibility.py
@@ -49,22 +49,27 @@
         step: The step.
         now_ms: The current time on the monotonic clock.
     """
-    for exclusion, applies in _WORKER_CHECKS:
-        if applies(worker, step, now_ms):
-            return exclusion
+    exclusion = find_worker_exclusion(worker, step, now_ms)
+    if exclusion is not None:
+        return exclusion
     for lack, applies_to_step in _STEP_CHECKS:
         if applies_to_step(worker, step):
             return lack
     return None
 
 
-def is_closed(worker: WorkerState, step: Step, now_ms: float) -> bool:
+def find_worker_exclusion(
+    worker: WorkerState, step: Step, now_ms: float
+) -> Exclusion | None:
     """
-    Return whether no task may be started on a worker now, whatever it needs.
+    Return why no task may be started on a worker now, whatever it needs.
 
     It is the same for all steps that are long-running, and for all others.
     """
-    return any(applies(worker, step, now_ms) for _, applies in _WORKER_CHECKS)
+    for exclusion, applies in _WORKER_CHECKS:
+        if applies(worker, step, now_ms):
+            return exclusion
+    return None
 
 
 def lacks_label(worker: WorkerState, step: Step) -> bool:
--- a/src/hawthornpier/fleet/_ledger_audit.py
+++ b/src/hawthornpier/fleet/_ledger_audit.py
@@ -16,6 +16,7 @@
     walk_differences,
 )
 from hawthornpier.fleet._listed_room import rooms_by_service
+from hawthornpier.fleet._observation_pace import ObservationPace
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._unusable_workers import UnusableWorkers
 
@@ -46,6 +47,8 @@
         self._due_ms = shard.now_ms + _AUDIT_PAUSE_MS
         self._found: list[Difference] = []
         self._pass_count = 0
+        # The first part of an audit is due when the audit is.
+        self._pace = ObservationPace(0)
         # Those of the last audit, which have had a line.
         self._reported: set[_DifferenceKey] = set()
         self._unusable = UnusableWorkers(shard)
@@ -71,9 +74,14 @@
             if now_ms < self._due_ms:
                 return
             self._batches = walk_differences(self._shard)
+        if self._pace.is_due(now_ms):
+            self._compare_some(self._batches)
+            self._pace.record(now_ms, self._shard.now_ms)
+
+    def _compare_some(self, batches: Iterator[DifferenceBatch]) -> None:
         self._pass_count += 1
         compared_count = 0
-        for count, differences in self._batches:
+        for count, differences in batches:
             self._found += differences
             compared_count += count
             if compared_count >= _BATCH_SIZE:
--- a/src/hawthornpier/fleet/_long_running_waits.py
+++ b/src/hawthornpier/fleet/_long_running_waits.py
@@ -5,21 +5,17 @@
 import collections
 import enum
 import itertools
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
-from operator import attrgetter
 
-from hawthornpier.fleet._eligibility import (
-    Exclusion,
-    find_exclusion,
-    lacks_label,
-)
 from hawthornpier.fleet._listed_room import (
     ListedRoom,
     describe_hidden_room,
     is_staying,
     listed_free_millis,
 )
+from hawthornpier.fleet._long_running_room import LongRunningRoom
+from hawthornpier.fleet._observation_pace import ObservationPace
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Run, RunPhase, Step, Task, is_crash_suspect
@@ -32,6 +28,8 @@
 _NAMED_COUNT = 5
 # A run that is confirmed but not ready after this time counts as waiting.
 _STARTUP_MS = 4_000.0
+# The progress of a long-running task that is ready.
+_READY_PERCENT = 100
 # So does one whose worker has not replied for this long.
 _SILENCE_MS = 1_500.0
 
@@ -83,13 +81,16 @@
 @dataclass(frozen=True, slots=True, kw_only=True)
 class _Chances:
     """
-    The workers with room for a task of a step, and which tasks may be started.
+    Whether there is room for a task of a step, and what keeps tasks off it.
 
-    *exclusions* counts why workers with room are excluded, by reason.
+    *denial* is why the owner starts no task of the step, if it may not.
     """
 
-    room_count: int
-    exclusions: collections.Counter[Exclusion | None]
+    step: Step
+    room: LongRunningRoom
+    has_room: bool
+    has_eligible_room: bool
+    denial: WaitReason | None
     safe_keys: frozenset[str]
 
 
@@ -113,19 +114,21 @@
         self._waits: dict[str, _Wait] = {}
         self._listed_room = ListedRoom()
         self._hidden_room_lines = 0
-        self._checked_ms: float = 0
+        self._pace = ObservationPace(_CHECK_INTERVAL_MS)
         self._logged_ms: float = 0
         # Since the last line: the longest wait beside room that has ended.
         self._longest_ended_ms: float = 0
 
     def run_pass(self) -> None:
         """
-        Follow the waits, and log them, unless the last pass was too recent.
+        Follow the waits, and log them, unless the last look was too recent.
         """
         now_ms = self._shard.now_ms
-        if now_ms - self._checked_ms < _CHECK_INTERVAL_MS:
-            return
-        self._checked_ms = now_ms
+        if self._pace.is_due(now_ms):
+            self._check(now_ms)
+            self._pace.record(now_ms, self._shard.now_ms)
+
+    def _check(self, now_ms: float) -> None:
         self._hidden_room_lines = 0
         waiting = self._waiting_tasks(now_ms)
         for key in self._waits.keys() - waiting.keys():
@@ -143,49 +146,76 @@
             self._log(chances)
 
     def _waiting_tasks(self, now_ms: float) -> dict[str, Task]:
+        silent = self._silent_workers(now_ms)
+        tasks = itertools.chain.from_iterable(
+            step.tasks for step in self._long_running_steps()
+        )
         return {
             task.key: task
-            for step in self._long_running_steps()
-            for task in step.tasks
-            if not any(self._is_at_work(run, now_ms) for run in task.runs)
+            for task in tasks
+            if not task.runs
+            or not any(
+                run.phase is RunPhase.RUNNING
+                and run.worker_id not in silent
+                and (
+                    run.percent >= _READY_PERCENT
+                    or now_ms - run.confirmed_ms < _STARTUP_MS
+                )
+                for run in task.runs
+            )
         }
 
-    def _is_at_work(self, run: Run, now_ms: float) -> bool:
-        if run.phase is not RunPhase.RUNNING or self._is_silent(run, now_ms):
-            return False
-        return run.is_ready or now_ms - run.confirmed_ms < _STARTUP_MS
-
-    def _is_silent(self, run: Run, now_ms: float) -> bool:
-        worker = self._shard.workers[run.worker_id]
-        return (
-            worker.is_unresponsive
-            and now_ms - worker.last_reply_ms > _SILENCE_MS
-        )
+    def _silent_workers(self, now_ms: float) -> set[str]:
+        return {
+            worker.worker_id
+            for worker in self._shard.workers.values()
+            if _is_silent(worker, now_ms)
+        }
 
     def _chances(self, tasks: Iterable[Task]) -> dict[str, _Chances]:
         pools = self._responsive_workers()
         steps = {task.step.key: task.step for task in tasks}
         self._observe_listed_room(steps.values(), pools)
-        for pool in pools.values():
-            pool.sort(key=attrgetter('free_millis'), reverse=True)
+        services = {self._shard.service_of(step.job) for step in steps.values()}
+        rooms = {
+            service: LongRunningRoom(pools[service], self._shard.now_ms)
+            for service in services
+        }
+        denials = {service: self._denial(service) for service in services}
         return {
-            key: self._chances_of(step, pools[self._shard.service_of(step.job)])
+            key: self._chances_of(step, rooms, denials)
             for key, step in steps.items()
         }
 
-    def _chances_of(self, step: Step, pool: list[WorkerState]) -> _Chances:
-        now_ms = self._shard.now_ms
-        room = _workers_with_room(step, pool)
+    def _chances_of(
+        self,
+        step: Step,
+        rooms: Mapping[str, LongRunningRoom],
+        denials: Mapping[str, WaitReason | None],
+    ) -> _Chances:
+        service = self._shard.service_of(step.job)
+        room = rooms[service]
         return _Chances(
-            room_count=len(room),
-            exclusions=collections.Counter(
-                find_exclusion(worker, step, now_ms) for worker in room
-            ),
+            step=step,
+            room=room,
+            has_room=room.has_room(step),
+            has_eligible_room=room.has_eligible_room(step),
+            denial=denials[service],
             safe_keys=frozenset(
                 task.key for task in self._safe_to_start(step.waiting())
             ),
         )
 
+    def _denial(self, service: str) -> WaitReason | None:
+        if self._shard.is_draining:
+            return WaitReason.OWNER_LEAVING
+        permits = self._shard.permits
+        if permits.may_start_on(service):
+            return None
+        if permits.may_start:
+            return WaitReason.SERVICE_NOT_PERMITTED
+        return WaitReason.NO_PERMIT
+
     def _responsive_workers(self) -> dict[str, list[WorkerState]]:
         """
         Return the workers that reply and stay by service.
@@ -225,7 +255,7 @@
         wait.checked_ms = now_ms
         wait.reason = self._reason(wait.task, chances, now_ms)
         self._update_listed_room(wait, chances, now_ms)
-        if not chances.room_count:
+        if not chances.has_room:
             self._longest_ended_ms = max(self._longest_ended_ms, wait.room_ms)
             wait.room_ms = 0
             wait.reason_ms.clear()
@@ -252,9 +282,7 @@
             return
         worker, since_ms = found
         wait.listed_room_ms = now_ms - max(since_ms, wait.since_ms)
-        is_hidden = (
-            wait.listed_room_ms > _LONG_WAIT_MS and not chances.room_count
-        )
+        is_hidden = wait.listed_room_ms > _LONG_WAIT_MS and not chances.has_room
         if wait.is_hidden_room_reported or not is_hidden:
             return
         # The others have their lines after the next checks.
@@ -272,28 +300,21 @@
     ) -> WaitReason:
         if task.runs:
             run = task.runs[-1]
-            is_silent = self._is_silent(run, now_ms)
-            return _reason_of_run(run, is_silent=is_silent)
-        checks = self._checks(task, chances)
+            worker = self._shard.workers[run.worker_id]
+            return _reason_of_run(run, is_silent=_is_silent(worker, now_ms))
+        if chances.denial is not None:
+            return chances.denial
+        checks = (
+            (WaitReason.MAYBE_RUNNING, task.key not in chances.safe_keys),
+            (WaitReason.NO_ROOM, not chances.has_room),
+            (WaitReason.EXCLUDED, not chances.has_eligible_room),
+            (WaitReason.AWAITS_TRIAL, is_crash_suspect(task)),
+        )
         return next(
             (reason for reason, applies in checks if applies),
             WaitReason.NOT_PLACED,
         )
 
-    def _checks(
-        self, task: Task, chances: _Chances
-    ) -> Iterator[tuple[WaitReason, bool]]:
-        shard = self._shard
-        service = shard.service_of(task.step.job)
-        yield WaitReason.OWNER_LEAVING, shard.is_draining
-        yield WaitReason.NO_PERMIT, not shard.permits.may_start
-        is_permitted = shard.permits.may_start_on(service)
-        yield WaitReason.SERVICE_NOT_PERMITTED, not is_permitted
-        yield WaitReason.MAYBE_RUNNING, task.key not in chances.safe_keys
-        yield WaitReason.NO_ROOM, not chances.room_count
-        yield WaitReason.EXCLUDED, not chances.exclusions[None]
-        yield WaitReason.AWAITS_TRIAL, is_crash_suspect(task)
-
     def _log(self, chances: dict[str, _Chances]) -> None:
         longest = sorted(
             self._waits.values(),
@@ -323,17 +344,10 @@
         self._longest_ended_ms = 0
 
 
-def _workers_with_room(
-    step: Step, pool: list[WorkerState]
-) -> list[WorkerState]:
-    candidates = itertools.takewhile(
-        lambda worker: worker.free_millis >= step.plan.processor_millis, pool
+def _is_silent(worker: WorkerState, now_ms: float) -> bool:
+    return (
+        worker.is_unresponsive and now_ms - worker.last_reply_ms > _SILENCE_MS
     )
-    return [
-        worker
-        for worker in candidates
-        if worker.fits(step) and not lacks_label(worker, step)
-    ]
 
 
 def _reason_of_run(run: Run, *, is_silent: bool) -> WaitReason:
@@ -354,6 +368,7 @@
 
 def _describe(wait: _Wait, chances: _Chances) -> dict[str, object]:
     last = wait.task.last_end
+    exclusions = collections.Counter(chances.room.exclusions(chances.step))
     return {
         'task': wait.task.key,
         'waited_ms': int(wait.checked_ms - wait.since_ms),
@@ -364,8 +379,8 @@
         # The runs that keep it from being placed, then the last that ended.
         'runs': [_describe_run(run) for run in wait.task.runs],
         'last_end': last and (last.attempt, last.worker_id, last.outcome),
-        'workers_with_room': chances.room_count,
+        'workers_with_room': exclusions.total(),
         'exclusions': {
-            why or 'none': count for why, count in chances.exclusions.items()
+            why or 'none': count for why, count in exclusions.items()
         },
     }
--- a/src/hawthornpier/fleet/_room.py
+++ b/src/hawthornpier/fleet/_room.py
@@ -3,8 +3,10 @@
 """
 
 import enum
+import functools
 from collections.abc import Iterable
 from dataclasses import dataclass
+from operator import attrgetter, itemgetter
 
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import StepPlan
@@ -56,12 +58,26 @@
     def __init__(
         self, workers: Iterable[WorkerState], *, for_best_effort: bool
     ) -> None:
-        rooms = [_free_room(worker, for_best_effort) for worker in workers]
-        self.total = Room(
-            sum(room.millis for room in rooms),
-            sum(room.memory_mb for room in rooms),
+        millis_of = attrgetter(
+            'spare_millis' if for_best_effort else 'free_millis'
+        )
+        self._rooms = [
+            (
+                max(millis_of(worker), 0),
+                max(worker.entry.memory_mb - worker.memory_mb, 0),
+            )
+            for worker in workers
+        ]
+
+    @functools.cached_property
+    def total(self) -> Room:
+        """
+        Return the room of all workers together.
+        """
+        return Room(
+            sum(map(itemgetter(0), self._rooms)),
+            sum(map(itemgetter(1), self._rooms)),
         )
-        self._largest = _undominated(rooms)
 
     def has_worker_for(self, plan: StepPlan) -> bool:
         """
@@ -69,6 +85,10 @@
         """
         return any(room.holds(plan) for room in self._largest)
 
+    @functools.cached_property
+    def _largest(self) -> list[Room]:
+        return _undominated(self._rooms)
+
 
 def find_shortage(
     plan: StepPlan, *, before: FreeRoom, after: FreeRoom
@@ -90,20 +110,12 @@
     return RoomShortage.FULL
 
 
-def _free_room(worker: WorkerState, for_best_effort: bool) -> Room:
-    millis = worker.spare_millis if for_best_effort else worker.free_millis
-    return Room(
-        max(millis, 0), max(worker.entry.memory_mb - worker.memory_mb, 0)
-    )
-
-
-def _undominated(rooms: Iterable[Room]) -> list[Room]:
+def _undominated(rooms: Iterable[tuple[int, int]]) -> list[Room]:
     """
     Return the rooms that no other exceeds in both resources.
     """
     largest: list[Room] = []
-    ordered = sorted(rooms, key=lambda room: (-room.millis, -room.memory_mb))
-    for room in ordered:
-        if not largest or room.memory_mb > largest[-1].memory_mb:
-            largest.append(room)
+    for millis, memory_mb in sorted(rooms, reverse=True):
+        if not largest or memory_mb > largest[-1].memory_mb:
+            largest.append(Room(millis, memory_mb))
     return largest
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -13,6 +13,7 @@
 from hawthornpier.fleet._ledger_audit import LedgerAudit
 from hawthornpier.fleet._long_running_waits import LongRunningWaits
 from hawthornpier.fleet._moves import Moves
+from hawthornpier.fleet._observation_pace import ObservationPace
 from hawthornpier.fleet._ordering import rank_step
 from hawthornpier.fleet._permits import STALE_ORDER_MS
 from hawthornpier.fleet._placement import Placement, workers_to_search
@@ -66,7 +67,7 @@
         self._evacuation = Evacuation(shard, self._placement, self._moves)
         lease_ms = timings.lease_ms * (1 + timings.clock_drift)
         self._unlisted_span_ms = lease_ms + STALE_ORDER_MS
-        self._state_logged_ms: float = 0
+        self._state_log_pace = ObservationPace(_STATE_LOG_INTERVAL_MS)
         self._long_running_waits = LongRunningWaits(shard, self._safe_to_start)
         self._audit = LedgerAudit(shard)
         self._wait_log = WaitLog(shard)
@@ -84,9 +85,10 @@
         if shard.is_draining or not shard.permits.may_start:
             return
         self._wait_log.begin_pass()
-        if shard.now_ms - self._state_logged_ms >= _STATE_LOG_INTERVAL_MS:
-            self._state_logged_ms = shard.now_ms
+        started_ms = shard.now_ms
+        if self._state_log_pace.is_due(started_ms):
             log_shard_state(shard, self._placement)
+            self._state_log_pace.record(started_ms, shard.now_ms)
         self._run_monitor.run_pass()
         self._departures.run_pass()
         self._trials.end_trials()
--- a/src/hawthornpier/fleet/_state_log.py
+++ b/src/hawthornpier/fleet/_state_log.py
@@ -24,9 +24,9 @@
     smallest: dict[str, Step] = {}
     for step in _waiting_steps(shard):
         kind = task_kind(step.plan)
-        waiting[kind] += len(step.waiting())
+        waiting[kind] += step.waiting_count
         if step.plan.is_filling:
-            images[step.plan.image] += len(step.waiting())
+            images[step.plan.image] += step.waiting_count
         smallest[kind] = min(
             step, smallest.get(kind, step), key=_processor_millis
         )
@@ -110,7 +110,7 @@
     for job in shard.active_jobs():
         for occurrence in job.occurrences:
             for step in occurrence.due_steps(wall_ms):
-                if step.waiting():
+                if step.waiting_count:
                     yield step
 
 
--- a/src/hawthornpier/fleet/_wait_log.py
+++ b/src/hawthornpier/fleet/_wait_log.py
@@ -5,13 +5,14 @@
 from collections.abc import Mapping, Sequence
 
 from hawthornpier.fleet._candidates import CandidatePool
+from hawthornpier.fleet._observation_pace import ObservationPace
 from hawthornpier.fleet._room import FreeRoom, find_shortage
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.steps import Step
 
 _LOG_INTERVAL_MS = 1_000.0
 # The free room of all workers is compared with the waiting steps at most this
-# often, which bounds the processor time that it takes.
+# often.
 _SAMPLE_INTERVAL_MS = 500.0
 
 _Pools = Mapping[str, CandidatePool]
@@ -31,6 +32,9 @@
         self._shard = shard
         self._logged_ms = shard.now_ms
         self._sampled_ms = shard.now_ms
+        self._pace = ObservationPace(_SAMPLE_INTERVAL_MS)
+        # How long the first part of a sample took.
+        self._observed_ms: float = 0
         self._started_ms: float = 0
         self._before: _Rooms | None = None
         self._refused: list[Step] = []
@@ -46,8 +50,10 @@
         """
         Record the free room before tasks are placed.
         """
-        is_due = self._shard.now_ms - self._sampled_ms >= _SAMPLE_INTERVAL_MS
+        started_ms = self._shard.now_ms
+        is_due = self._pace.is_due(started_ms)
         self._before = _free_rooms(pools) if is_due else None
+        self._observed_ms = self._shard.now_ms - started_ms
 
     def refuse(self, step: Step) -> None:
         """
@@ -68,8 +74,11 @@
         shard = self._shard
         now_ms = shard.now_ms
         if self._before is not None:
-            self._add_shortages(self._before, _free_rooms(pools))
+            if self._refused:
+                self._add_shortages(self._before, _free_rooms(pools))
             self._sampled_ms = now_ms
+            # As one look, although tasks are placed in between.
+            self._pace.record(now_ms - self._observed_ms, self._shard.now_ms)
         shard.waits.add_pass(shard.now_ms - self._started_ms)
         if now_ms - self._logged_ms >= _LOG_INTERVAL_MS:
             self._logged_ms = now_ms
@@ -93,7 +102,7 @@
                 find_shortage(
                     step.plan, before=before[place], after=after[place]
                 ),
-                len(step.waiting()) * (now_ms - since_ms),
+                step.waiting_count * (now_ms - since_ms),
             )
 
 
--- a/src/hawthornpier/fleet/_wait_times.py
+++ b/src/hawthornpier/fleet/_wait_times.py
@@ -171,7 +171,11 @@
 
     def _of(self, step: Step) -> _ClassWaits:
         name = f'{step.job.plan.queue.name}:{task_kind(step.plan)}'
-        return self._classes.setdefault(name, _ClassWaits())
+        waits = self._classes.get(name)
+        if waits is None:
+            waits = _ClassWaits()
+            self._classes[name] = waits
+        return waits
 
 
 def task_kind(plan: StepPlan) -> str:
--- a/tests/test_fleet_pass_cost.py
+++ b/tests/test_fleet_pass_cost.py
@@ -2,8 +2,10 @@
 Tests that what makes a scheduling pass cheap changes none of its decisions.
 """
 
+import collections
 import random
 
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_fleet_evacuation import _Clock
@@ -11,7 +13,10 @@
 
 from hawthornpier.events import DecisionLog
 from hawthornpier.fleet._durations import DurationEstimator
+from hawthornpier.fleet._eligibility import find_exclusion, lacks_label
 from hawthornpier.fleet._failed_steps import FailedSteps
+from hawthornpier.fleet._long_running_room import LongRunningRoom
+from hawthornpier.fleet._observation_pace import ObservationPace
 from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._run_monitor import RunMonitor
 from hawthornpier.fleet._shard import Shard
@@ -143,6 +148,28 @@
         runs = worker.runs.values()
         assert {run for run in runs if run.stop_reason} == expected
 
+    @settings(deadline=None, max_examples=30)
+    @given(RANDOM)
+    def test_room_for_long_running_tasks(self, rng):
+        """
+        Guards against a wait beside room that is logged as one without.
+        """
+        workers = usable_workers(20, rng)
+        for worker in workers:
+            worker.reserved_millis = rng.randrange(13_000, 32_000)
+            worker.refused_until_ms = rng.choice((0, 9))
+        room = LongRunningRoom(workers, 1)
+        for number in range(20):
+            step = random_step(number, rng, is_lasting=True)
+            expected = collections.Counter(
+                find_exclusion(worker, step, 1)
+                for worker in workers
+                if worker.fits(step) and not lacks_label(worker, step)
+            )
+            assert collections.Counter(room.exclusions(step)) == expected
+            assert room.has_room(step) == bool(expected)
+            assert room.has_eligible_room(step) == bool(expected[None])
+
 
 def interference_change(interference):
     def change(_run):
@@ -175,3 +202,21 @@
         )
 
     return needs_more
+
+
+class TestObservationPace:
+    """
+    What only serves the log takes a bounded share of the process's time.
+    """
+
+    @pytest.mark.parametrize(
+        ('look_ms', 'due_ms'), [(0, 500), (40, 2_040), (20_000, 25_000)]
+    )
+    def test_long_looks_are_rarer(self, look_ms, due_ms):
+        """
+        Guards against a slow owner that spends its time on its log.
+        """
+        pace = ObservationPace(500)
+        pace.record(0, look_ms)
+        assert not pace.is_due(due_ms - 1)
+        assert pace.is_due(due_ms)
