Count a crash after silence as uncertain evidence

Cause: evidence was weighed by the time of the worker's last reply. If the replies were lost from the start of a run on, the run counted as just started however much later the worker crashed, and as its sole cause if it had been on trial.

Change: evidence is certain only if the worker was in touch until it crashed, which the end of a connection or the reply of another incarnation shows, soon after the last reply. After a timeout or a pause of the owner it is uncertain. The HTTP client, relays and the stand-in tell an ended connection from silence. A task that crashes its workers silently is given up after five crashes, as the limit was before.

Tests: test_a_crash_after_an_unknown_end_is_not_certain failed before.

--- a/src/hawthornpier/adapters/__init__.py
+++ b/src/hawthornpier/adapters/__init__.py
@@ -17,6 +17,7 @@
 )
 from hawthornpier.adapters._errors import (
     AdapterError,
+    ConnectionEndedError,
     CouldNotConnectError,
     MessageError,
     NotSentError,
@@ -39,6 +40,7 @@
 __all__ = [
     'REQUEST_ID_HEADER',
     'AdapterError',
+    'ConnectionEndedError',
     'ConnectionPool',
     'CouldNotConnectError',
     'HttpCall',
--- a/src/hawthornpier/adapters/_connections.py
+++ b/src/hawthornpier/adapters/_connections.py
@@ -15,6 +15,7 @@
 
 from hawthornpier.adapters._errors import (
     AdapterError,
+    ConnectionEndedError,
     CouldNotConnectError,
     NotSentError,
     ReplyLostError,
@@ -112,7 +113,10 @@
 
     def _convert_error(self, error: CurlError) -> AdapterError:
         if self._is_sent:
-            return ReplyLostError(_error_text(error))
+            kind = (
+                ReplyLostError if _is_timeout(error) else ConnectionEndedError
+            )
+            return kind(_error_text(error))
         if error.errno == pycurl.E_COULDNT_CONNECT:
             return CouldNotConnectError(_error_text(error))
         return NotSentError(_error_text(error))
--- a/src/hawthornpier/adapters/_errors.py
+++ b/src/hawthornpier/adapters/_errors.py
@@ -29,6 +29,12 @@
     """
 
 
+class ConnectionEndedError(ReplyLostError):
+    """
+    The connection ended before the reply was complete.
+    """
+
+
 class MessageError(AdapterError):
     """
     A body is not valid JSON of the expected message type.
--- a/src/hawthornpier/fleet/_crash_trials.py
+++ b/src/hawthornpier/fleet/_crash_trials.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 
-from hawthornpier.fleet._crashes import FRESH_RUN_MS
+from hawthornpier.fleet._crash_evidence import FRESH_RUN_MS
 from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
--- a/src/hawthornpier/fleet/_crashes.py
+++ b/src/hawthornpier/fleet/_crashes.py
@@ -7,15 +7,14 @@
 """
 
 import itertools
-from collections.abc import Collection, Iterable
+from collections.abc import Iterable
 
-from hawthornpier.fleet._listed_load import RunKey
+from hawthornpier.fleet._crash_evidence import attribute_crash, has_settled
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._state_log import log_interrupted_runs
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import (
     CrashEvidence,
-    Run,
     RunOutcome,
     Suspicion,
     Task,
@@ -23,50 +22,6 @@
     has_crashed_too_often,
 )
 
-# A run that was started this recently may have caused the crash of its worker.
-FRESH_RUN_MS = 500.0
-# A task that has run for this long does not crash workers; its earlier crashes
-# no longer count.
-_SETTLED_MS = 30_000.0
-
-
-def is_fresh(run: Run, alive_ms: float) -> bool:
-    """
-    Return whether a worker has not outlived the start of a run for long enough.
-
-    Args:
-        run: A run on the worker.
-        alive_ms: Until when the worker is known to have been alive.
-    """
-    return run.is_delivered and run.sent_ms + FRESH_RUN_MS > alive_ms
-
-
-def attribute_crash(
-    runs: Collection[Run],
-    alive_ms: float,
-) -> dict[RunKey, CrashEvidence]:
-    """
-    Return the evidence that a crash of the worker gives against its runs.
-
-    There is none against runs whose start was not sent, and against those that
-    had been running for long.
-
-    Args:
-        runs: The runs on the worker when it crashed.
-        alive_ms: Until when it is known to have been alive.
-    """
-    possible = {
-        _suspect_key(run)
-        for run in runs
-        if run.has_lost_connection or is_fresh(run, alive_ms)
-    }
-    is_sole = len(possible) == 1
-    return {
-        run.key: _evidence(run, alive_ms, is_sole=is_sole)
-        for run in runs
-        if run.sent_ms and not _has_settled(run, alive_ms)
-    }
-
 
 def suspect_crash(shard: Shard, worker: WorkerState) -> None:
     """
@@ -78,7 +33,11 @@
     # A worker that drains ends its runs when it leaves.
     if worker.suspected_tasks or worker.entry.is_draining:
         return
-    evidence = attribute_crash(worker.runs.values(), worker.alive_ms)
+    evidence = attribute_crash(
+        worker.runs.values(),
+        worker.alive_ms,
+        was_in_touch=worker.was_in_touch_at_end,
+    )
     for key, weight in evidence.items():
         task = worker.runs[key].task
         task.suspicions[worker.worker_id] = Suspicion(
@@ -253,7 +212,7 @@
         log_interrupted_runs(shard, worker, why)
     suspect_crash(shard, worker)
     for run in worker.runs.values():
-        if run.sent_ms and _has_settled(run, worker.alive_ms):
+        if run.sent_ms and has_settled(run, worker.alive_ms):
             run.task.crashes.clear()
 
 
@@ -266,21 +225,6 @@
     return [(task, each) for task, each in popped if each is not None]
 
 
-def _evidence(
-    run: Run,
-    alive_ms: float,
-    *,
-    is_sole: bool,
-) -> CrashEvidence:
-    if is_fresh(run, alive_ms):
-        return CrashEvidence.SOLE if is_sole else CrashEvidence.SHARED
-    if run.is_delivered:
-        return CrashEvidence.WEAK
-    if run.has_lost_connection:
-        return CrashEvidence.UNCONFIRMED
-    return CrashEvidence.UNCERTAIN
-
-
 def _presume_crash_by_any(
     shard: Shard,
     worker_id: str,
@@ -336,13 +280,3 @@
 
 def _is_known(shard: Shard, task: Task) -> bool:
     return task.step.job.plan.job_id in shard.jobs
-
-
-def _suspect_key(run: Run) -> str:
-    # The members of a gang start together.
-    step = run.task.step
-    return step.key if step.plan.is_gang else run.task.key
-
-
-def _has_settled(run: Run, alive_ms: float) -> bool:
-    return alive_ms - run.sent_ms >= _SETTLED_MS
--- a/src/hawthornpier/fleet/_heartbeats.py
+++ b/src/hawthornpier/fleet/_heartbeats.py
@@ -2,7 +2,7 @@
 Signs of life of workers in the registry.
 """
 
-from hawthornpier.fleet._crashes import FRESH_RUN_MS
+from hawthornpier.fleet._crash_evidence import FRESH_RUN_MS
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import weaken_suspicion
--- a/src/hawthornpier/fleet/_incarnations.py
+++ b/src/hawthornpier/fleet/_incarnations.py
@@ -13,6 +13,7 @@
 from hawthornpier.fleet._context import FleetContext
 from hawthornpier.fleet._crashes import confirm_crash
 from hawthornpier.fleet._errors import error_text
+from hawthornpier.fleet._missed_replies import record_other_incarnation
 from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
     FleetWorker,
@@ -252,6 +253,9 @@
         entry = suggestion.entry
         if incarnation_ms != worker.entry.incarnation_ms:
             if incarnation_ms:
+                record_other_incarnation(
+                    self._shard, worker, 'another incarnation replied'
+                )
                 self.begin(worker, incarnation_ms, entry.address)
         elif incarnation_ms == entry.incarnation_ms:
             worker.entry = entry
--- a/src/hawthornpier/fleet/_relay_messages.py
+++ b/src/hawthornpier/fleet/_relay_messages.py
@@ -86,10 +86,14 @@
 ):
     """
     A request got no reply; *is_sent* tells whether it may have arrived.
+
+    *has_disconnected* tells whether the worker's host ended or refused the
+    connection.
     """
 
     is_sent: bool
     why: str
+    has_disconnected: bool = False
 
 
 class Answer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/src/hawthornpier/fleet/_relay_session.py
+++ b/src/hawthornpier/fleet/_relay_session.py
@@ -146,6 +146,7 @@
             failure = Failure(
                 is_sent=isinstance(error, WorkerReplyLostError),
                 why=str(error),
+                has_disconnected=error.has_disconnected,
             )
             self._answer(call.number, failure)
         else:
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -6,6 +6,10 @@
 
 from hawthornpier.fleet._crashes import end_crashed_incarnation
 from hawthornpier.fleet._listings import ListingReconciler
+from hawthornpier.fleet._missed_replies import (
+    record_error,
+    record_other_incarnation,
+)
 from hawthornpier.fleet._orders import Order, OrderKind
 from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
@@ -124,7 +128,7 @@
                 ),
             )
         except WorkerError as error:
-            self._record_missed_reply(str(error))
+            record_error(self._shard, self._worker, error)
             return False
         if isinstance(reply, WorkerListing):
             if reply.incarnation_ms != worker.entry.incarnation_ms:
@@ -160,32 +164,16 @@
             return
 
     def _report_incarnation(self, incarnation_ms: int) -> None:
-        self._record_other_incarnation('another incarnation replied')
+        record_other_incarnation(
+            self._shard, self._worker, 'another incarnation replied'
+        )
         if incarnation_ms and self._on_incarnation:
             self._on_incarnation(self._worker, incarnation_ms)
 
-    def _record_missed_reply(self, why: str) -> None:
-        worker = self._worker
-        worker.missed_reply_count += 1
-        if worker.missed_reply_count == 1:
-            age_ms = self._shard.now_ms - worker.last_reply_ms
-            self._shard.log.record(
-                'worker_lost',
-                worker=worker.worker_id,
-                last_reply_age_ms=int(age_ms),
-                why=why,
-            )
-        else:
-            withdraw_unsent_starts(self._shard, worker)
-
-    def _record_other_incarnation(self, why: str) -> None:
-        self._record_missed_reply(why)
-        self._worker.is_superseded = True
-
     def _end_incarnation(self) -> None:
         # The registry may keep the entry of the ended incarnation for seconds.
         why = 'another worker replied'
-        self._record_other_incarnation(why)
+        record_other_incarnation(self._shard, self._worker, why)
         end_crashed_incarnation(self._shard, self._worker, why)
 
     def _check_clock(self, reply: OrderReply, sent_ms: float) -> None:
@@ -195,7 +183,9 @@
         if self._worker.clock.has_restarted(
             reply.clock_ms, sent_ms, self._timings.clock_drift
         ):
-            self._record_other_incarnation('the clock has restarted')
+            record_other_incarnation(
+                self._shard, self._worker, 'the clock has restarted'
+            )
 
     async def _execute_orders(self) -> None:
         while True:
@@ -244,7 +234,7 @@
                 self._handle_lost_reply(run, tried_ms)
             except WorkerError as error:
                 run.sent_ms = earlier_sent_ms
-                self._record_missed_reply(str(error))
+                record_error(self._shard, self._worker, error)
                 await self._shard.clock.sleep_ms(self._timings.retry_min_ms)
             else:
                 self._handle_start_reply(run, reply, tried_ms)
@@ -353,7 +343,7 @@
                 self._shard.tokens.token(self._worker),
             )
         except WorkerError as error:
-            self._record_missed_reply(str(error))
+            record_error(self._shard, self._worker, error)
             self._postpone(order, self._timings.retry_max_ms)
             return
         self._check_clock(reply, sent_ms)
@@ -385,7 +375,7 @@
                 self._shard.tokens.token(self._worker),
             )
         except WorkerError as error:
-            self._record_missed_reply(str(error))
+            record_error(self._shard, self._worker, error)
             # With an invalid speed, `control_throttling` orders the speed again
             # after the next listing.
             run.speed_percent = -1
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -51,6 +51,11 @@
         self.heartbeat_ms: float = 0
         # Requests since the last response that got none.
         self.missed_reply_count = 0
+        # Whether the first of these showed that its host had ended the
+        # connection, or that another incarnation replied, soon after the last
+        # response.  If it has crashed, it ran until then what it had listed; a
+        # worker that was silent at first may have completed that before.
+        self.was_in_touch_at_end = False
         # Whether another incarnation has replied since.
         self.is_superseded = False
         self.entry_age = EntryAge()
--- a/src/hawthornpier/platform/_worker.py
+++ b/src/hawthornpier/platform/_worker.py
@@ -11,7 +11,9 @@
 
 from hawthornpier.adapters import (
     AdapterError,
+    ConnectionEndedError,
     ConnectionPool,
+    CouldNotConnectError,
     HttpReply,
     NotSentError,
 )
@@ -240,9 +242,15 @@
         try:
             return await exchange
         except NotSentError as error:
-            raise WorkerUnreachableError(str(error)) from error
+            raise WorkerUnreachableError(
+                str(error),
+                has_disconnected=isinstance(error, CouldNotConnectError),
+            ) from error
         except AdapterError as error:
-            raise WorkerReplyLostError(str(error)) from error
+            raise WorkerReplyLostError(
+                str(error),
+                has_disconnected=isinstance(error, ConnectionEndedError),
+            ) from error
 
 
 def _decode_order_reply(reply: HttpReply) -> OrderReply:
--- a/src/hawthornpier/ports/_errors.py
+++ b/src/hawthornpier/ports/_errors.py
@@ -41,8 +41,19 @@
 class WorkerError(PortError):
     """
     A call to a worker failed.
+
+    Args:
+        why: What happened.
+        has_disconnected: Whether the worker's host ended or refused the
+            connection, instead of staying silent.
     """
 
+    def __init__(
+        self, why: str = '', *, has_disconnected: bool = False
+    ) -> None:
+        super().__init__(why)
+        self.has_disconnected = has_disconnected
+
 
 class WorkerUnreachableError(WorkerError):
     """
--- a/src/hawthornpier/steps/_crashes.py
+++ b/src/hawthornpier/steps/_crashes.py
@@ -18,12 +18,14 @@
     after three otherwise.  Any five crashes suffice.
     """
 
-    # The worker may not have run the task, or may not have crashed.
+    # The worker may not have run the task when it crashed, or may not have
+    # crashed.
     UNCERTAIN = 2
     # The task had been running for some time.
     WEAK = 3
-    # The connection broke as the start was sent; the worker may have crashed
-    # before it arrived.
+    # The task may have just started: the connection broke as the start was
+    # sent, or the worker stayed silent after the start, and the task may have
+    # ended before the worker crashed.
     UNCONFIRMED = 4
     # The task had just started, and so had others on the worker.
     SHARED = 5
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -54,7 +54,9 @@
             await asyncio.sleep(TICK_MS / 1000)
             await self._raise_if_unreachable()
             if self._worker.entry.incarnation_ms != incarnation_ms:
-                raise WorkerReplyLostError('the worker closed the connection')
+                raise WorkerReplyLostError(
+                    'the worker closed the connection', has_disconnected=True
+                )
             reply = self._worker.listing()
         await self._raise_if_reply_is_lost()
         return reply
@@ -69,7 +71,9 @@
             return OrderReply(verdict=Verdict.UNHEALTHY)
         if self._worker.fault is WorkerFault.CRASH:
             self._worker.crash_and_refuse()
-            raise WorkerReplyLostError('the worker closed the connection')
+            raise WorkerReplyLostError(
+                'the worker closed the connection', has_disconnected=True
+            )
         if self._worker.fault is WorkerFault.START_LATE:
             self._worker.start_late(order)
             await asyncio.sleep(_TIMEOUT_MS / 1000)
@@ -118,7 +122,9 @@
         """
         await asyncio.sleep(_REPLY_DELAY_MS / 1000)
         if not self._worker.is_up and self._worker.is_refusing:
-            raise WorkerUnreachableError('the connection was refused')
+            raise WorkerUnreachableError(
+                'the connection was refused', has_disconnected=True
+            )
         await self._raise_if_unreachable()
         return self._worker.entry.worker_id == self._entry.worker_id
 
@@ -129,9 +135,13 @@
 
     async def _raise_if_unreachable(self) -> None:
         if self._worker.fault is WorkerFault.RESET:
-            raise WorkerReplyLostError('the connection was reset')
+            raise WorkerReplyLostError(
+                'the connection was reset', has_disconnected=True
+            )
         if not self._worker.is_up and self._worker.is_refusing:
-            raise WorkerReplyLostError('the worker closed the connection')
+            raise WorkerReplyLostError(
+                'the worker closed the connection', has_disconnected=True
+            )
         if (
             self._worker.is_up
             and self._worker.fault is not WorkerFault.PARTITIONED
--- a/tests/test_adapters_connections.py
+++ b/tests/test_adapters_connections.py
@@ -158,6 +158,22 @@
             with pytest.raises(ports.StoreReplyLostError):
                 await store.transact(messages.Transaction(transaction_id='t'))
 
+    @pytest.mark.parametrize(
+        ('reply', 'has_ended'), [(b'', True), (None, False)]
+    )
+    async def test_an_ended_connection_is_told_from_silence(
+        self, reply: bytes | None, has_ended: bool
+    ) -> None:
+        """
+        Guards against a silent server that counts as crashed at that moment.
+        """
+        call = adapters.HttpCall(method='GET', path='/', deadline_ms=500)
+        async with serving(writes(reply)) as (_, address):
+            with pytest.raises(adapters.ReplyLostError) as caught:
+                await adapters.ConnectionPool(address).send(call)
+        is_ended = isinstance(caught.value, adapters.ConnectionEndedError)
+        assert is_ended is has_ended
+
     async def test_a_message_is_sent_once(self) -> None:
         """
         G6: curl must not resend a request on a new connection.
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -189,6 +189,28 @@
         second.fault = WorkerFault.NONE
         await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
 
+    async def test_a_crash_after_an_unknown_end_is_not_certain(self, world):
+        """
+        Guards against a task that is given up for crashes after its end.
+
+        The owner does not hear of its ends, because the replies of its workers
+        are lost; nor do heartbeats show that they have outlived its start.
+        """
+        plan = world.plan(ONE_TASK)
+        task = await world.submit(plan)
+        for run_count in (1, 2):
+            await world.wait_starts(run_count)
+            await world.run_for(5)
+            worker = world.workers_of(task)[0]
+            worker.fault = WorkerFault.LOSE_REPLIES
+            await world.run_for(400)
+            assert not world.checker.running
+            worker.crash()
+            await world.run_for(1_500)
+            worker.restart()
+            worker.fault = WorkerFault.NONE
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+
     async def test_a_silent_worker_has_not_crashed(self, world):
         """
         Guards against a task that is given up while its workers are only cut.
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -93,9 +93,13 @@
     def __init__(self):
         self.started = []
         self.is_closed = False
+        # Raised instead of a reply.
+        self.error = None
 
     async def start(self, order):
         self.started.append(order.task_key)
+        if self.error is not None:
+            raise self.error
         return OrderReply(verdict=Verdict.ACCEPTED, clock_ms=7)
 
     def close(self):
@@ -243,6 +247,18 @@
         reply = OrderReply(verdict=Verdict.ACCEPTED, clock_ms=7)
         assert [answer.result for answer in subject.answers()] == [reply]
 
+    async def test_the_end_of_a_connection_is_passed_on(self, subject):
+        """
+        Guards against crashes behind a relay that count as silence.
+        """
+        subject.worker.error = WorkerReplyLostError(
+            'the worker closed the connection', has_disconnected=True
+        )
+        subject.deliver(sent_ms=0)
+        await asyncio.sleep(0.1)
+        failures = [answer.result for answer in subject.answers()]
+        assert [each.has_disconnected for each in failures] == [True]
+
     async def test_delayed_calls_are_not_sent(self, subject):
         """
         Guards against a paused relay that acts on outdated orders.
