Do not use a clock of a worker that cannot be true

Cause: each clock later than the last one was adopted, and never an earlier one. After one clock of 2**41 all true clocks looked like those of a restarted worker, and deadlines by the wrong one asked for leases up to the worker's limit of 6 s while the owner counted with 5 s. Starts without a reply also counted as overdue by that clock.

Change: a clock must fit the known one and the time that has passed since, whichever moments of the two requests it was read at. One that does not is not used until the next reply agrees with it; then it replaces the known one, and the longest lease counts until a new one is granted. The stand-in worker shortens leases to 6 s, as the platform's workers do.

Tests: TestOneWrongReply failed before, in a later reply (no second run may start while the first is leased) and in the first reply to a new owner.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -57,7 +57,9 @@
                 monotonic clock.
         """
         now_ms = self._shard.now_ms
-        worker.synchronize(listing.clock_ms, now_ms)
+        is_clock_plausible = worker.synchronize(
+            listing.clock_ms, requested_ms, now_ms
+        )
         worker.changed_ms = now_ms
         clear_suspicions(self._shard, worker)
         self._apply_ended_runs(worker, listing.ended, now_ms)
@@ -76,7 +78,8 @@
             listing.running, worker.runs, requested_ms, worker.listed_load
         )
         if not listing.has_more_ended:
-            self._end_unlisted_runs(worker, listed, listing, requested_ms)
+            clock_ms = listing.clock_ms if is_clock_plausible else 0
+            self._end_unlisted_runs(worker, listed, clock_ms, requested_ms)
             if not worker.is_listed:
                 self._record_first_listing(worker, now_ms)
         interference = self._shard.interference
@@ -157,7 +160,7 @@
         self,
         worker: WorkerState,
         listed: set[tuple[str, int]],
-        listing: WorkerListing,
+        clock_ms: int,
         requested_ms: float,
     ) -> None:
         """
@@ -172,7 +175,7 @@
                 continue
             ordered_ms = run.order_acknowledged_ms
             is_over = ordered_ms and ordered_ms < requested_ms
-            if is_over or _is_start_overdue(run, listing.clock_ms):
+            if is_over or _is_start_overdue(run, clock_ms):
                 self._shard.end_run(run, RunOutcome.LOST)
 
     def _apply_ended_run(
@@ -280,6 +283,10 @@
 def _is_start_overdue(run: Run, clock_ms: int) -> bool:
     """
     Return whether a start without a reply can no longer be executed.
+
+    Args:
+        run: The run.
+        clock_ms: The worker's clock; 0 if it is not known.
     """
     deadline = run.start_deadline_clock_ms
     return run.has_unacknowledged_order and 0 < deadline < clock_ms
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -136,8 +136,8 @@
                 return False
             was_reached = worker.is_reached
             worker.confirm_acknowledgement(acknowledged_number)
-            worker.assume_lease(reply.clock_ms, self._timings.lease_max_ms)
             self._listings.apply(worker, reply, sent_ms)
+            worker.assume_lease(shard.now_ms, self._timings.lease_max_ms)
             return was_reached
         if reply is Verdict.FENCED:
             shard.deposed.set()
@@ -286,7 +286,7 @@
         self._answered_ms = now_ms
         # Only a listing tells which incarnation replies.
         if reply.clock_ms and not self._worker.is_unresponsive:
-            self._worker.synchronize(reply.clock_ms, now_ms)
+            self._worker.synchronize(reply.clock_ms, sent_ms, now_ms)
         if reply.verdict is Verdict.ACCEPTED:
             self._shard.confirm_run(run)
             return
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -11,7 +11,7 @@
 from hawthornpier.fleet._orders import Order
 from hawthornpier.fleet._ports import EndedRun, WorkerEntry
 from hawthornpier.fleet._timings import WorkerTimings
-from hawthornpier.fleet._worker_clock import WorkerClock
+from hawthornpier.fleet._worker_clock import ClockCheck, WorkerClock
 from hawthornpier.fleet._worker_load import WorkerLoad
 from hawthornpier.steps import Run, Task
 
@@ -193,14 +193,21 @@
         self.suspected_tasks.extend(tasks)
         self.suspected_ms = now_ms
 
-    def synchronize(self, clock_ms: int, now_ms: float) -> None:
+    def synchronize(self, clock_ms: int, sent_ms: float, now_ms: float) -> bool:
         """
         Record a response and the worker's clock in it.
+
+        Returns:
+            Whether the clock is plausible.
         """
         self.last_reply_ms = now_ms
         self.missed_reply_count = 0
         self.is_superseded = False
-        self.clock.synchronize(clock_ms, now_ms)
+        check = self.clock.synchronize(clock_ms, sent_ms, now_ms)
+        if check is ClockCheck.CORRECTED:
+            # Leases were granted by the wrong clock.
+            self._deadline_clock_ms = 0
+        return check is not ClockCheck.IMPLAUSIBLE
 
     def next_acknowledgement(self) -> int:
         """
@@ -259,19 +266,20 @@
             run.start_deadline_clock_ms = self.next_deadline(lease_ms, now_ms)
         return run.start_deadline_clock_ms
 
-    def assume_lease(self, clock_ms: int, lease_max_ms: float) -> None:
+    def assume_lease(self, now_ms: float, lease_max_ms: float) -> None:
         """
         Count with the longest lease that the previous owner may have granted.
 
         Its orders are rejected once the worker has listed its runs to this
         owner, so that no later lease is possible.  Has no effect if this owner
-        has granted one already.
+        has granted one already, unless by a wrong clock of the worker.
 
         Args:
-            clock_ms: The worker's clock when it listed its runs.
+            now_ms: When the worker has listed its runs.
             lease_max_ms: The platform's limit for leases.
         """
         if not self._deadline_clock_ms:
+            clock_ms = self.clock.estimate_ms(now_ms)
             self._deadline_clock_ms = int(clock_ms + lease_max_ms)
 
     def renewal_wait_ms(self, timings: WorkerTimings) -> int:
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -6,7 +6,9 @@
 import dataclasses
 import itertools
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
+
+import msgspec
 
 from hawthornpier.fleet import (
     LISTED_ENDS_MAX,
@@ -25,8 +27,12 @@
 
 TICK_MS = 10.0
 _STOP_MS = 40.0
+# A longer lease is shortened to this.
+_LEASE_MAX_MS = 6_000
 _LONG_RUNNING_STARTUP_MS = 300.0
 
+_Reply = TypeVar('_Reply', WorkerListing, OrderReply)
+
 
 class _Run:
     """
@@ -85,6 +91,8 @@
         # Whether starts that exceed the capacity are rejected.
         self.checks_capacity = True
         self.renewal_count = 0
+        # Fields of its next reply that are wrong.
+        self.wrong_fields: dict[str, Any] = {}
         self._clock = clock
         self._model_of = model_of
         self._on_run = on_run_event
@@ -260,8 +268,19 @@
         if self.is_up and self.entry.worker_id == worker_id:
             self.start(order)
 
+    def distort(self, reply: _Reply) -> _Reply:
+        """
+        Return a reply with the fields that are wrong in it.
+        """
+        wrong_fields = self.wrong_fields
+        self.wrong_fields = {}
+        return msgspec.structs.replace(reply, **wrong_fields)
+
     def _extend(self, deadline_clock_ms: int) -> None:
-        self.deadline_ms = max(self.deadline_ms, deadline_clock_ms)
+        longest_ms = self.clock_ms + _LEASE_MAX_MS
+        self.deadline_ms = max(
+            self.deadline_ms, min(deadline_clock_ms, longest_ms)
+        )
 
     def _check_start(self, order: StartOrder) -> Verdict:
         key = (order.task_key, order.attempt)
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -59,6 +59,8 @@
                 )
             reply = self._worker.listing()
         await self._raise_if_reply_is_lost()
+        if isinstance(reply, WorkerListing):
+            return self._worker.distort(reply)
         return reply
 
     async def start(self, order: StartOrder) -> OrderReply:
--- /dev/null
+++ b/tests/test_fleet_odd_replies.py
@@ -0,0 +1,106 @@
+"""
+Tests of workers one of whose replies is wrong.
+"""
+
+import pytest
+from fake_store import virtual_tests
+from fleet_world import World
+
+from hawthornpier.fleet._worker_clock import ClockCheck, WorkerClock
+from hawthornpier.steps import StepPlan
+from hawthornpier_standin.fleet import WorkerFault
+
+LONG_RUNNING = StepPlan(task_count=1, processor_millis=1_000, is_lasting=True)
+WRONG_CLOCK_MS = 2**41
+
+
+def clock_at(clock_ms, now_ms):
+    clock = WorkerClock()
+    clock.synchronize(clock_ms, now_ms - 2, now_ms)
+    return clock
+
+
+class TestClock:
+    """
+    A clock that cannot be true is used only once another reply agrees with it.
+    """
+
+    @pytest.mark.parametrize('wrong_ms', [WRONG_CLOCK_MS, 1, 9_000])
+    def test_one_wrong_clock_changes_nothing(self, wrong_ms):
+        """
+        Guards against deadlines by a clock that a worker has reported once.
+        """
+        clock = clock_at(5_000, 100_000)
+        check = clock.synchronize(wrong_ms, 100_990, 101_000)
+        assert check is ClockCheck.IMPLAUSIBLE
+        assert clock.estimate_ms(101_000) == 6_000
+        check = clock.synchronize(6_995, 101_990, 102_000)
+        assert check is ClockCheck.PLAUSIBLE
+
+    @pytest.mark.parametrize('wrong_ms', [WRONG_CLOCK_MS, 1])
+    def test_a_wrong_first_clock_is_corrected(self, wrong_ms):
+        """
+        Guards against a worker that is unusable after one wrong reply.
+        """
+        clock = clock_at(wrong_ms, 100_000)
+        clock.synchronize(50_000, 100_990, 101_000)
+        check = clock.synchronize(51_000, 101_990, 102_000)
+        assert check is ClockCheck.CORRECTED
+        assert clock.estimate_ms(102_000) == 51_000
+
+    def test_a_reply_that_took_long_may_show_an_early_clock(self):
+        """
+        Guards against a clock that is rejected because its reply was late.
+        """
+        clock = WorkerClock()
+        clock.synchronize(1_000, 10_000, 13_000)
+        check = clock.synchronize(3_900, 13_000, 13_010)
+        assert check is ClockCheck.PLAUSIBLE
+
+    def test_replies_may_overtake_each_other(self):
+        """
+        Guards against a clock that counts as wrong because it is older.
+        """
+        clock = clock_at(5_000, 100_000)
+        check = clock.synchronize(4_200, 99_150, 100_100)
+        assert check is ClockCheck.PLAUSIBLE
+        assert clock.estimate_ms(100_100) == 5_100
+
+
+@virtual_tests(World)
+class TestOneWrongReply:
+    """
+    One wrong reply of a worker ends none of its runs, and nothing runs twice.
+    """
+
+    async def start_task(self, world):
+        task = await world.submit(world.plan(LONG_RUNNING))
+        await world.wait_starts(1)
+        await world.run_for(1_500)
+        return world.workers_of(task)[0]
+
+    async def check_that_runs_go_on(self, world, worker):
+        await world.run_for(3_000)
+        assert world.checker.started_count == 1
+        known = world.owner().local_shard().workers[worker.entry.worker_id]
+        assert known.is_usable
+        worker.fault = WorkerFault.PARTITIONED
+        await world.wait_starts(2)
+
+    async def test_a_wrong_clock(self, world):
+        """
+        Guards against a run whose lease outlasts what the owner counts with.
+        """
+        worker = await self.start_task(world)
+        worker.wrong_fields = {'clock_ms': WRONG_CLOCK_MS}
+        await self.check_that_runs_go_on(world, worker)
+
+    async def test_a_wrong_first_clock(self, world):
+        """
+        Guards against a new owner that counts with a wrong clock for good.
+        """
+        worker = await self.start_task(world)
+        worker.wrong_fields = {'clock_ms': WRONG_CLOCK_MS}
+        world.kill(world.owner())
+        await world.wait_until(lambda: world.owner() is not None)
+        await self.check_that_runs_go_on(world, worker)
