End runs with their incarnation once a second source names the next

What callers saw: after one reply of a worker with a wrong start time, or one wrong rejection as another worker, all its runs counted as lost and were started elsewhere while they went on.

Cause: a single reply was proof enough that the incarnation had ended.

Change: another incarnation begins, and another worker at the address ends the runs, once the next reply or the registry names it, too. The worker is asked again at once, so that this takes one more exchange. Until then it gets no starts, and a stop that was rejected is repeated.

Tests: test_a_wrong_incarnation, test_a_wrong_rejection and test_a_wrongly_rejected_start; the first two failed before (the run is started a second time), the third was not run without the change in its present form. The tests of restarts, crashes and missing workers pass.

--- a/src/hawthornpier/fleet/_incarnations.py
+++ b/src/hawthornpier/fleet/_incarnations.py
@@ -61,7 +61,7 @@
         group: asyncio.TaskGroup,
     ) -> None:
         self.links = WorkerLinks(
-            shard, context, dial, group, on_incarnation=self.begin
+            shard, context, dial, group, on_incarnation=self.report
         )
         self._shard = shard
         self._context = context
@@ -107,6 +107,36 @@
         self.withdraw(worker_id)
         self.links.stop(worker_id)
 
+    def report(
+        self,
+        worker: WorkerState,
+        incarnation_ms: int,
+        address: str = '',
+    ) -> bool:
+        """
+        Begin an incarnation once a second source names it.
+
+        That is the registry or the next reply; a single reply may be wrong.
+
+        Args:
+            worker: The worker.
+            incarnation_ms: Unix time at which the incarnation started,
+                according to a reply.
+            address: Where it replied; by default, at the known address.
+
+        Returns:
+            Whether it has begun.
+        """
+        suggestion = self._suggestions.get(worker.worker_id)
+        is_registered = (
+            suggestion is not None
+            and suggestion.entry.incarnation_ms == incarnation_ms
+        )
+        if not worker.confirms_other(incarnation_ms) and not is_registered:
+            return False
+        self.begin(worker, incarnation_ms, address)
+        return True
+
     def begin(
         self,
         worker: WorkerState,
@@ -241,23 +271,25 @@
         if not known.is_same_incarnation(worker.entry):
             # The reply may be of the incarnation before.
             return False
-        self._apply_reply(worker, suggestion, reply.incarnation_ms)
-        return True
+        return self._apply_reply(worker, suggestion, reply.incarnation_ms)
 
     def _apply_reply(
         self,
         worker: WorkerState,
         suggestion: _Suggestion,
         incarnation_ms: int,
-    ) -> None:
+    ) -> bool:
+        """
+        Apply the reply to an inquiry, and return whether that is settled.
+        """
         entry = suggestion.entry
-        if incarnation_ms != worker.entry.incarnation_ms:
-            if incarnation_ms:
-                record_other_incarnation(
-                    self._shard, worker, 'another incarnation replied'
-                )
-                self.begin(worker, incarnation_ms, entry.address)
-        elif incarnation_ms == entry.incarnation_ms:
+        if incarnation_ms and incarnation_ms != worker.entry.incarnation_ms:
+            record_other_incarnation(
+                self._shard, worker, 'another incarnation replied'
+            )
+            return self.report(worker, incarnation_ms, entry.address)
+        if worker.entry.incarnation_ms == entry.incarnation_ms:
             worker.entry = entry
             worker.has_entry = worker.has_entry or suggestion.is_registered
             self.links.restart(worker)
+        return True
--- a/src/hawthornpier/fleet/_missed_replies.py
+++ b/src/hawthornpier/fleet/_missed_replies.py
@@ -1,7 +1,9 @@
 """
-Requests to workers that got no reply.
+Requests to workers that got no reply, or that of another incarnation.
 """
 
+from hawthornpier.fleet._crashes import end_crashed_incarnation
+from hawthornpier.fleet._ports import Verdict
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._withdrawals import withdraw_unsent_starts
 from hawthornpier.fleet._worker_state import WorkerState
@@ -43,6 +45,42 @@
     worker.is_superseded = True
 
 
+def end_if_replaced(shard: Shard, worker: WorkerState) -> bool:
+    """
+    Record that another worker has replied, and end the runs at the second time.
+
+    The registry may keep the entry of the ended incarnation for seconds.
+
+    Returns:
+        Whether the runs have ended.
+    """
+    why = 'another worker replied'
+    record_other_incarnation(shard, worker, why)
+    is_confirmed = worker.confirms_other(Verdict.OTHER_INCARNATION)
+    if is_confirmed:
+        end_crashed_incarnation(shard, worker, why)
+    return is_confirmed
+
+
+def check_clock(
+    shard: Shard,
+    worker: WorkerState,
+    clock_ms: int,
+    sent_ms: float,
+) -> None:
+    """
+    Note that the next incarnation replied, which a restarted clock shows.
+
+    Args:
+        shard: The state of the shard.
+        worker: The worker.
+        clock_ms: The clock in a reply to an order, or 0 if it has none.
+        sent_ms: When the order was sent.
+    """
+    if worker.clock.has_restarted(clock_ms, sent_ms):
+        record_other_incarnation(shard, worker, 'the clock has restarted')
+
+
 def _record_missed_reply(
     shard: Shard,
     worker: WorkerState,
--- a/src/hawthornpier/fleet/_worker_clock.py
+++ b/src/hawthornpier/fleet/_worker_clock.py
@@ -9,8 +9,6 @@
 _SLACK_MS = 60
 # The bound of the drift is itself measured with a drift.
 _DRIFT_FACTOR = 1.1
-
-
 # No worker's clock gains or loses more than this part of the owner's.
 _MAX_DRIFT = 0.03
 
@@ -122,26 +120,19 @@
         span_ms = left_ms * (1 + drift * _DRIFT_FACTOR)
         return known_ms + span_ms + _SLACK_MS
 
-    def has_restarted(
-        self,
-        clock_ms: int,
-        sent_ms: float,
-        drift: float,
-    ) -> bool:
+    def has_restarted(self, clock_ms: int, sent_ms: float) -> bool:
         """
-        Return whether a response is that of the next incarnation.
+        Return whether a reply is that of the next incarnation.
 
-        Responses on different connections may overtake each other, so only a
+        Replies on different connections may overtake each other, so only a
         clock that is earlier than when the request was sent shows it.
 
         Args:
-            clock_ms: The worker's clock in the response; 0 if it has none.
+            clock_ms: The worker's clock in the reply; 0 if it has none.
             sent_ms: When the request was sent, by the owner's clock.
-            drift: The limit of the clock's drift, as a fraction.
         """
         if self._known is None:
             return False
         passed_ms = abs(sent_ms - self._known.received_ms)
-        drift_ms = passed_ms * drift * _DRIFT_FACTOR
-        earliest_ms = self.estimate_ms(sent_ms) - drift_ms - _SLACK_MS
-        return 0 < clock_ms < earliest_ms
+        tolerance_ms = _SLACK_MS + _MAX_DRIFT * passed_ms
+        return 0 < clock_ms < self.estimate_ms(sent_ms) - tolerance_ms
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
-from hawthornpier.fleet._crashes import end_crashed_incarnation
 from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._missed_replies import (
+    check_clock,
+    end_if_replaced,
     record_error,
     record_other_incarnation,
 )
@@ -132,8 +133,7 @@
             return False
         if isinstance(reply, WorkerListing):
             if reply.incarnation_ms != worker.entry.incarnation_ms:
-                self._report_incarnation(reply.incarnation_ms)
-                return False
+                return self._report_incarnation(reply.incarnation_ms)
             was_reached = worker.is_reached
             worker.confirm_acknowledgement(acknowledged_number)
             self._listings.apply(worker, reply, sent_ms)
@@ -141,8 +141,11 @@
             return was_reached
         if reply is Verdict.FENCED:
             shard.deposed.set()
-        if reply is Verdict.OTHER_INCARNATION:
-            self._end_incarnation()
+        is_first = not worker.is_superseded
+        if reply is Verdict.OTHER_INCARNATION and not end_if_replaced(
+            self._shard, self._worker
+        ):
+            return is_first
         return False
 
     async def _wait_until_durable(self) -> None:
@@ -154,7 +157,8 @@
         """
         worker = self._worker
         is_durable = worker.processed_number <= worker.acknowledged_number
-        if is_durable and not worker.has_deferred_ends:
+        has_all = is_durable and not worker.has_deferred_ends
+        if has_all or worker.is_unresponsive:
             return
         worker.acknowledged.clear()
         try:
@@ -163,29 +167,18 @@
         except TimeoutError:
             return
 
-    def _report_incarnation(self, incarnation_ms: int) -> None:
+    def _report_incarnation(self, incarnation_ms: int) -> bool:
+        """
+        Report another incarnation; return whether to ask again at once.
+        """
+        is_first = not self._worker.is_superseded
         record_other_incarnation(
             self._shard, self._worker, 'another incarnation replied'
         )
-        if incarnation_ms and self._on_incarnation:
-            self._on_incarnation(self._worker, incarnation_ms)
-
-    def _end_incarnation(self) -> None:
-        # The registry may keep the entry of the ended incarnation for seconds.
-        why = 'another worker replied'
-        record_other_incarnation(self._shard, self._worker, why)
-        end_crashed_incarnation(self._shard, self._worker, why)
-
-    def _check_clock(self, reply: OrderReply, sent_ms: float) -> None:
-        """
-        Note that the next incarnation replied, which a restarted clock shows.
-        """
-        if self._worker.clock.has_restarted(
-            reply.clock_ms, sent_ms, self._timings.clock_drift
-        ):
-            record_other_incarnation(
-                self._shard, self._worker, 'the clock has restarted'
-            )
+        if not incarnation_ms or self._on_incarnation is None:
+            return False
+        has_begun = self._on_incarnation(self._worker, incarnation_ms)
+        return is_first and not has_begun
 
     async def _execute_orders(self) -> None:
         while True:
@@ -282,7 +275,7 @@
         sent_ms: float,
     ) -> None:
         now_ms = self._shard.now_ms
-        self._check_clock(reply, sent_ms)
+        check_clock(self._shard, self._worker, reply.clock_ms, sent_ms)
         self._answered_ms = now_ms
         # Only a listing tells which incarnation replies.
         if reply.clock_ms and not self._worker.is_unresponsive:
@@ -293,8 +286,8 @@
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
             return
-        if reply.verdict is Verdict.OTHER_INCARNATION:
-            self._end_incarnation()
+        is_other = reply.verdict is Verdict.OTHER_INCARNATION
+        if is_other and end_if_replaced(self._shard, self._worker):
             return
         if reply.verdict is Verdict.UNHEALTHY:
             self._worker.health.record_refusal(now_ms)
@@ -346,12 +339,13 @@
             record_error(self._shard, self._worker, error)
             self._postpone(order, self._timings.retry_max_ms)
             return
-        self._check_clock(reply, sent_ms)
+        check_clock(self._shard, self._worker, reply.clock_ms, sent_ms)
         self._answered_ms = self._shard.now_ms
+        is_other = reply.verdict is Verdict.OTHER_INCARNATION
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
-        elif reply.verdict is Verdict.OTHER_INCARNATION:
-            self._end_incarnation()
+        elif is_other and end_if_replaced(self._shard, self._worker):
+            return
         elif reply.verdict is not Verdict.ACCEPTED:
             self._postpone(order, self._timings.retry_max_ms)
         elif order.run is not None:
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -9,7 +9,7 @@
 from hawthornpier.fleet._health import WorkerHealth
 from hawthornpier.fleet._listed_load import ListedLoad
 from hawthornpier.fleet._orders import Order
-from hawthornpier.fleet._ports import EndedRun, WorkerEntry
+from hawthornpier.fleet._ports import EndedRun, Verdict, WorkerEntry
 from hawthornpier.fleet._timings import WorkerTimings
 from hawthornpier.fleet._worker_clock import ClockCheck, WorkerClock
 from hawthornpier.fleet._worker_load import WorkerLoad
@@ -56,8 +56,10 @@
         # response.  If it has crashed, it ran until then what it had listed; a
         # worker that was silent at first may have completed that before.
         self.was_in_touch_at_end = False
-        # Whether another incarnation has replied since.
+        # Whether another incarnation has replied since, and what the last such
+        # reply said: its start, or that another worker is there.
         self.is_superseded = False
+        self._other_identity: int | Verdict | None = None
         self.entry_age = EntryAge()
         # The load by the last listing of this incarnation.
         self.listed_load: ListedLoad | None = None
@@ -164,6 +166,7 @@
         self.expect_listing()
         self.missed_reply_count = 0
         self.is_superseded = False
+        self._other_identity = None
         self.processed_number = 0
         self.acknowledged_number = 0
         self._confirmed_number = 0
@@ -186,6 +189,20 @@
         self.listed_end_count = 0
         self.listed_load = None
 
+    def confirms_other(self, identity: int | Verdict) -> bool:
+        """
+        Return whether two replies in a row were of the same other incarnation.
+
+        A single one may be wrong, and must not end the runs.
+
+        Args:
+            identity: When the one that has replied started, or the verdict if
+                it is another worker.
+        """
+        is_confirmed = self._other_identity == identity
+        self._other_identity = identity
+        return is_confirmed
+
     def suspect(self, tasks: Iterable[Task], now_ms: float) -> None:
         """
         Record tasks that may have crashed the worker, which does not respond.
@@ -203,6 +220,7 @@
         self.last_reply_ms = now_ms
         self.missed_reply_count = 0
         self.is_superseded = False
+        self._other_identity = None
         check = self.clock.synchronize(clock_ms, sent_ms, now_ms)
         if check is ClockCheck.CORRECTED:
             # Leases were granted by the wrong clock.
@@ -310,5 +328,5 @@
 
 
 # Called with a worker that replies as another incarnation than the known one,
-# and the Unix time in ms at which that started.
-IncarnationObserver = Callable[[WorkerState, int], None]
+# and the Unix time in ms at which that started, each time.
+IncarnationObserver = Callable[[WorkerState, int], bool]
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -6,9 +6,7 @@
 import dataclasses
 import itertools
 from collections.abc import Callable
-from typing import Any, TypeVar
-
-import msgspec
+from typing import Any
 
 from hawthornpier.fleet import (
     LISTED_ENDS_MAX,
@@ -23,7 +21,11 @@
 )
 from hawthornpier.ports import Clock
 from hawthornpier.steps import RunOutcome
-from hawthornpier_standin.fleet._worker_model import TaskModel, WorkerFault
+from hawthornpier_standin.fleet._worker_model import (
+    TaskModel,
+    WorkerFault,
+    WrongReplies,
+)
 
 TICK_MS = 10.0
 _STOP_MS = 40.0
@@ -31,8 +33,6 @@
 _LEASE_MAX_MS = 6_000
 _LONG_RUNNING_STARTUP_MS = 300.0
 
-_Reply = TypeVar('_Reply', WorkerListing, OrderReply)
-
 
 class _Run:
     """
@@ -91,8 +91,7 @@
         # Whether starts that exceed the capacity are rejected.
         self.checks_capacity = True
         self.renewal_count = 0
-        # Fields of its next reply that are wrong.
-        self.wrong_fields: dict[str, Any] = {}
+        self.wrong_replies = WrongReplies()
         self._clock = clock
         self._model_of = model_of
         self._on_run = on_run_event
@@ -209,6 +208,9 @@
         """
         Start a run, unless it is running already or has to be rejected.
         """
+        wrong_verdict = self.wrong_replies.next_to_start()
+        if wrong_verdict is not None:
+            return OrderReply(verdict=wrong_verdict)
         verdict = self._check_start(order)
         key = (order.task_key, order.attempt)
         if verdict is Verdict.ACCEPTED and key not in self.runs:
@@ -268,14 +270,6 @@
         if self.is_up and self.entry.worker_id == worker_id:
             self.start(order)
 
-    def distort(self, reply: _Reply) -> _Reply:
-        """
-        Return a reply with the fields that are wrong in it.
-        """
-        wrong_fields = self.wrong_fields
-        self.wrong_fields = {}
-        return msgspec.structs.replace(reply, **wrong_fields)
-
     def _extend(self, deadline_clock_ms: int) -> None:
         longest_ms = self.clock_ms + _LEASE_MAX_MS
         self.deadline_ms = max(
--- a/src/hawthornpier_standin/fleet/_worker_client.py
+++ b/src/hawthornpier_standin/fleet/_worker_client.py
@@ -59,9 +59,7 @@
                 )
             reply = self._worker.listing()
         await self._raise_if_reply_is_lost()
-        if isinstance(reply, WorkerListing):
-            return self._worker.distort(reply)
-        return reply
+        return self._worker.wrong_replies.next_to_renewal(reply)
 
     async def start(self, order: StartOrder) -> OrderReply:
         """
--- a/src/hawthornpier_standin/fleet/_worker_model.py
+++ b/src/hawthornpier_standin/fleet/_worker_model.py
@@ -4,6 +4,11 @@
 
 import dataclasses
 import enum
+from typing import Any
+
+import msgspec
+
+from hawthornpier.fleet import Verdict, WorkerListing
 
 
 class WorkerFault(enum.StrEnum):
@@ -51,3 +56,38 @@
     # Tail latency of a long-running task without interference.
     tail_ms: int = 0
     is_filling: bool = False
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class WrongReplies:
+    """
+    What is wrong in the next reply of a worker to a renewal or to a start.
+
+    *fields* replace those of the listing, *to_renewal* and *to_start* the whole
+    reply.
+    """
+
+    fields: dict[str, Any] = dataclasses.field(default_factory=dict)
+    to_renewal: Verdict | None = None
+    to_start: Verdict | None = None
+
+    def next_to_renewal(
+        self, reply: WorkerListing | Verdict
+    ) -> WorkerListing | Verdict:
+        """
+        Return a reply to a renewal with what is wrong in it.
+        """
+        if isinstance(reply, Verdict):
+            return reply
+        verdict, fields = self.to_renewal, self.fields
+        self.to_renewal = None
+        self.fields = {}
+        return verdict or msgspec.structs.replace(reply, **fields)
+
+    def next_to_start(self) -> Verdict | None:
+        """
+        Return the wrong reply to a start that is not carried out, if any.
+        """
+        verdict = self.to_start
+        self.to_start = None
+        return verdict
--- a/tests/test_fleet_odd_replies.py
+++ b/tests/test_fleet_odd_replies.py
@@ -6,12 +6,16 @@
 from fake_store import virtual_tests
 from fleet_world import World
 
+from hawthornpier.fleet import Verdict
 from hawthornpier.fleet._worker_clock import ClockCheck, WorkerClock
-from hawthornpier.steps import StepPlan
+from hawthornpier.steps import JobPhase, StepPlan
 from hawthornpier_standin.fleet import WorkerFault
 
 LONG_RUNNING = StepPlan(task_count=1, processor_millis=1_000, is_lasting=True)
+ONE_TASK = StepPlan(task_count=1, processor_millis=1_000)
 WRONG_CLOCK_MS = 2**41
+# Of the first job.
+LONG_RUNNING_KEY = '0000000000000000.0.0.0'
 
 
 def clock_at(clock_ms, now_ms):
@@ -92,7 +96,7 @@
         Guards against a run whose lease outlasts what the owner counts with.
         """
         worker = await self.start_task(world)
-        worker.wrong_fields = {'clock_ms': WRONG_CLOCK_MS}
+        worker.wrong_replies.fields = {'clock_ms': WRONG_CLOCK_MS}
         await self.check_that_runs_go_on(world, worker)
 
     async def test_a_wrong_first_clock(self, world):
@@ -100,7 +104,46 @@
         Guards against a new owner that counts with a wrong clock for good.
         """
         worker = await self.start_task(world)
-        worker.wrong_fields = {'clock_ms': WRONG_CLOCK_MS}
+        worker.wrong_replies.fields = {'clock_ms': WRONG_CLOCK_MS}
         world.kill(world.owner())
         await world.wait_until(lambda: world.owner() is not None)
         await self.check_that_runs_go_on(world, worker)
+
+    async def test_a_wrong_incarnation(self, world):
+        """
+        Guards against runs that are started again while they go on.
+        """
+        worker = await self.start_task(world)
+        wrong_ms = worker.entry.incarnation_ms + 1_000
+        worker.wrong_replies.fields = {'incarnation_ms': wrong_ms}
+        await self.check_that_runs_go_on(world, worker)
+
+    async def test_a_wrong_rejection(self, world):
+        """
+        Guards against runs that end because one reply names another worker.
+        """
+        worker = await self.start_task(world)
+        worker.wrong_replies.to_renewal = Verdict.OTHER_INCARNATION
+        await self.check_that_runs_go_on(world, worker)
+
+    async def test_a_wrongly_rejected_start(self, world):
+        """
+        Guards against the same if the reply is that to a start.
+        """
+        worker = await self.start_task(world)
+        self.leave_only(world, worker)
+        worker.wrong_replies.to_start = Verdict.OTHER_INCARNATION
+        plan = world.plan(ONE_TASK)
+        await world.any_node().entry.submit(plan)
+        await world.wait_phase(plan.job_id, JobPhase.COMPLETED)
+        ended_tasks = {
+            fields['task']
+            for _, kind, fields in world.log_lines
+            if kind == 'run_ended'
+        }
+        assert LONG_RUNNING_KEY not in ended_tasks
+
+    def leave_only(self, world, worker):
+        for other in world.workers.values():
+            if other is not worker:
+                other.fault = WorkerFault.REFUSE
