Merge the evidence of crashes and the clocks of workers

Requests without a reply are excused by the owner's own delay as before, unless the worker closed the connection; replies of other incarnations have a module of their own.

--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -4,10 +4,14 @@
 
 import asyncio
 
-from hawthornpier.fleet._crashes import end_crashed_incarnation
 from hawthornpier.fleet._listings import ListingReconciler
 from hawthornpier.fleet._missed_replies import MissedReplies
 from hawthornpier.fleet._orders import Order, OrderKind
+from hawthornpier.fleet._other_incarnations import (
+    check_clock,
+    end_if_replaced,
+    record_other_incarnation,
+)
 from hawthornpier.fleet._parts import run_part
 from hawthornpier.fleet._ports import (
     NOT_STARTED,
@@ -128,21 +132,23 @@
                 ),
             )
         except WorkerError as error:
-            self._missed.record_unless_excused(str(error), sent_ms)
+            self._missed.record_error(error, sent_ms)
             return False
         if isinstance(reply, WorkerListing):
             if reply.incarnation_ms != worker.entry.incarnation_ms:
-                self._report_incarnation(reply.incarnation_ms)
-                return False
+                return self._report_incarnation(reply.incarnation_ms)
             was_reached = worker.is_reached
             worker.confirm_acknowledgement(acknowledged_number)
-            worker.assume_lease(reply.clock_ms, self._timings.lease_max_ms)
             self._listings.apply(worker, reply, sent_ms)
+            worker.assume_lease(shard.now_ms, self._timings.lease_max_ms)
             return was_reached
         if reply is Verdict.FENCED:
             shard.deposed.set()
-        if reply is Verdict.OTHER_INCARNATION:
-            self._end_incarnation()
+        is_first = not worker.is_superseded
+        if reply is Verdict.OTHER_INCARNATION and not end_if_replaced(
+            self._shard, self._worker
+        ):
+            return is_first
         return False
 
     def _renewal_wait_ms(self) -> int:
@@ -159,7 +165,8 @@
         """
         worker = self._worker
         is_durable = worker.processed_number <= worker.acknowledged_number
-        if is_durable and not worker.has_deferred_ends:
+        has_all = is_durable and not worker.has_deferred_ends
+        if has_all or worker.is_unresponsive:
             return
         worker.acknowledged.clear()
         try:
@@ -168,29 +175,18 @@
         except TimeoutError:
             return
 
-    def _report_incarnation(self, incarnation_ms: int) -> None:
-        self._record_other_incarnation('another incarnation replied')
-        if incarnation_ms and self._on_incarnation:
-            self._on_incarnation(self._worker, incarnation_ms)
-
-    def _record_other_incarnation(self, why: str) -> None:
-        self._missed.record(why)
-        self._worker.is_superseded = True
-
-    def _end_incarnation(self) -> None:
-        # The registry may keep the entry of the ended incarnation for seconds.
-        why = 'another worker replied'
-        self._record_other_incarnation(why)
-        end_crashed_incarnation(self._shard, self._worker, why)
-
-    def _check_clock(self, reply: OrderReply, sent_ms: float) -> None:
+    def _report_incarnation(self, incarnation_ms: int) -> bool:
         """
-        Note that the next incarnation replied, which a restarted clock shows.
+        Report another incarnation; return whether to ask again at once.
         """
-        if self._worker.clock.has_restarted(
-            reply.clock_ms, sent_ms, self._timings.clock_drift
-        ):
-            self._record_other_incarnation('the clock has restarted')
+        is_first = not self._worker.is_superseded
+        record_other_incarnation(
+            self._shard, self._worker, 'another incarnation replied'
+        )
+        if not incarnation_ms or self._on_incarnation is None:
+            return False
+        has_begun = self._on_incarnation(self._worker, incarnation_ms)
+        return is_first and not has_begun
 
     async def _execute_orders(self) -> None:
         while True:
@@ -237,7 +233,7 @@
                 self._handle_lost_reply(run, tried_ms)
             except WorkerError as error:
                 run.sent_ms = earlier_sent_ms
-                self._missed.record_unless_excused(str(error), tried_ms)
+                self._missed.record_error(error, tried_ms)
                 await self._shard.clock.sleep_ms(self._timings.retry_min_ms)
             else:
                 self._handle_start_reply(run, reply, tried_ms)
@@ -298,19 +294,19 @@
         sent_ms: float,
     ) -> None:
         now_ms = self._shard.now_ms
-        self._check_clock(reply, sent_ms)
+        check_clock(self._shard, self._worker, reply.clock_ms, sent_ms)
         self._answered_ms = now_ms
         # Only a listing tells which incarnation replies.
         if reply.clock_ms and not self._worker.is_unresponsive:
-            self._worker.synchronize(reply.clock_ms, now_ms)
+            self._worker.synchronize(reply.clock_ms, sent_ms, now_ms)
         if reply.verdict is Verdict.ACCEPTED:
             self._shard.confirm_run(run)
             return
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
             return
-        if reply.verdict is Verdict.OTHER_INCARNATION:
-            self._end_incarnation()
+        is_other = reply.verdict is Verdict.OTHER_INCARNATION
+        if is_other and end_if_replaced(self._shard, self._worker):
             return
         if reply.verdict is Verdict.UNHEALTHY:
             self._worker.health.record_refusal(now_ms)
@@ -348,15 +344,16 @@
                 self._shard.tokens.token(self._worker),
             )
         except WorkerError as error:
-            self._missed.record_unless_excused(str(error), sent_ms)
+            self._missed.record_error(error, sent_ms)
             self._postpone(order, self._timings.retry_max_ms)
             return
-        self._check_clock(reply, sent_ms)
+        check_clock(self._shard, self._worker, reply.clock_ms, sent_ms)
         self._answered_ms = self._shard.now_ms
+        is_other = reply.verdict is Verdict.OTHER_INCARNATION
         if reply.verdict is Verdict.FENCED:
             self._shard.deposed.set()
-        elif reply.verdict is Verdict.OTHER_INCARNATION:
-            self._end_incarnation()
+        elif is_other and end_if_replaced(self._shard, self._worker):
+            return
         elif reply.verdict is not Verdict.ACCEPTED:
             self._postpone(order, self._timings.retry_max_ms)
         elif order.run is not None:
@@ -381,7 +378,7 @@
                 self._shard.tokens.token(self._worker),
             )
         except WorkerError as error:
-            self._missed.record_unless_excused(str(error), sent_ms)
+            self._missed.record_error(error, sent_ms)
             # With an invalid speed, `control_throttling` orders the speed again
             # after the next listing.
             run.speed_percent = -1
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -9,9 +9,9 @@
 from hawthornpier.fleet._health import WorkerHealth
 from hawthornpier.fleet._listed_load import ListedLoad
 from hawthornpier.fleet._orders import Order
-from hawthornpier.fleet._ports import EndedRun, WorkerEntry
+from hawthornpier.fleet._ports import EndedRun, Verdict, WorkerEntry
 from hawthornpier.fleet._timings import WorkerTimings
-from hawthornpier.fleet._worker_clock import WorkerClock
+from hawthornpier.fleet._worker_clock import ClockCheck, WorkerClock
 from hawthornpier.fleet._worker_load import WorkerLoad
 from hawthornpier.steps import Run, Task
 
@@ -51,8 +51,15 @@
         self.heartbeat_ms: float = 0
         # Requests since the last response that got none.
         self.missed_reply_count = 0
-        # Whether another incarnation has replied since.
+        # Whether the first of these showed that its host had ended the
+        # connection, or that another incarnation replied, soon after the last
+        # response.  If it has crashed, it ran until then what it had listed; a
+        # worker that was silent at first may have completed that before.
+        self.was_in_touch_at_end = False
+        # Whether another incarnation has replied since, and what the last such
+        # reply said: its start, or that another worker is there.
         self.is_superseded = False
+        self._other_identity: int | Verdict | None = None
         self.entry_age = EntryAge()
         # The load by the last listing of this incarnation.
         self.listed_load: ListedLoad | None = None
@@ -159,6 +166,7 @@
         self.expect_listing()
         self.missed_reply_count = 0
         self.is_superseded = False
+        self._other_identity = None
         self.processed_number = 0
         self.acknowledged_number = 0
         self._confirmed_number = 0
@@ -181,6 +189,20 @@
         self.listed_end_count = 0
         self.listed_load = None
 
+    def confirms_other(self, identity: int | Verdict) -> bool:
+        """
+        Return whether two replies in a row were of the same other incarnation.
+
+        A single one may be wrong, and must not end the runs.
+
+        Args:
+            identity: When the one that has replied started, or the verdict if
+                it is another worker.
+        """
+        is_confirmed = self._other_identity == identity
+        self._other_identity = identity
+        return is_confirmed
+
     def suspect(self, tasks: Iterable[Task], now_ms: float) -> None:
         """
         Record tasks that may have crashed the worker, which does not respond.
@@ -188,14 +210,22 @@
         self.suspected_tasks.extend(tasks)
         self.suspected_ms = now_ms
 
-    def synchronize(self, clock_ms: int, now_ms: float) -> None:
+    def synchronize(self, clock_ms: int, sent_ms: float, now_ms: float) -> bool:
         """
         Record a response and the worker's clock in it.
+
+        Returns:
+            Whether the clock is plausible.
         """
         self.last_reply_ms = now_ms
         self.missed_reply_count = 0
         self.is_superseded = False
-        self.clock.synchronize(clock_ms, now_ms)
+        self._other_identity = None
+        check = self.clock.synchronize(clock_ms, sent_ms, now_ms)
+        if check is ClockCheck.CORRECTED:
+            # Leases were granted by the wrong clock.
+            self._deadline_clock_ms = 0
+        return check is not ClockCheck.IMPLAUSIBLE
 
     def next_acknowledgement(self) -> int:
         """
@@ -254,19 +284,20 @@
             run.start_deadline_clock_ms = self.next_deadline(lease_ms, now_ms)
         return run.start_deadline_clock_ms
 
-    def assume_lease(self, clock_ms: int, lease_max_ms: float) -> None:
+    def assume_lease(self, now_ms: float, lease_max_ms: float) -> None:
         """
         Count with the longest lease that the previous owner may have granted.
 
         Its orders are rejected once the worker has listed its runs to this
         owner, so that no later lease is possible.  Has no effect if this owner
-        has granted one already.
+        has granted one already, unless by a wrong clock of the worker.
 
         Args:
-            clock_ms: The worker's clock when it listed its runs.
+            now_ms: When the worker has listed its runs.
             lease_max_ms: The platform's limit for leases.
         """
         if not self._deadline_clock_ms:
+            clock_ms = self.clock.estimate_ms(now_ms)
             self._deadline_clock_ms = int(clock_ms + lease_max_ms)
 
     def renewal_wait_ms(self, timings: WorkerTimings) -> int:
@@ -297,5 +328,5 @@
 
 
 # Called with a worker that replies as another incarnation than the known one,
-# and the Unix time in ms at which that started.
-IncarnationObserver = Callable[[WorkerState, int], None]
+# and the Unix time in ms at which that started, each time.
+IncarnationObserver = Callable[[WorkerState, int], bool]
--- a/src/hawthornpier_standin/fleet/_worker.py
+++ b/src/hawthornpier_standin/fleet/_worker.py
@@ -21,10 +21,16 @@
 )
 from hawthornpier.ports import Clock
 from hawthornpier.steps import RunOutcome
-from hawthornpier_standin.fleet._worker_model import TaskModel, WorkerFault
+from hawthornpier_standin.fleet._worker_model import (
+    TaskModel,
+    WorkerFault,
+    WrongReplies,
+)
 
 TICK_MS = 10.0
 _STOP_MS = 40.0
+# A longer lease is shortened to this.
+_LEASE_MAX_MS = 6_000
 _LONG_RUNNING_STARTUP_MS = 300.0
 
 
@@ -85,6 +91,7 @@
         # Whether starts that exceed the capacity are rejected.
         self.checks_capacity = True
         self.renewal_count = 0
+        self.wrong_replies = WrongReplies()
         self._clock = clock
         self._model_of = model_of
         self._on_run = on_run_event
@@ -201,6 +208,9 @@
         """
         Start a run, unless it is running already or has to be rejected.
         """
+        wrong_verdict = self.wrong_replies.next_to_start()
+        if wrong_verdict is not None:
+            return OrderReply(verdict=wrong_verdict)
         verdict = self._check_start(order)
         key = (order.task_key, order.attempt)
         if verdict is Verdict.ACCEPTED and key not in self.runs:
@@ -261,7 +271,10 @@
             self.start(order)
 
     def _extend(self, deadline_clock_ms: int) -> None:
-        self.deadline_ms = max(self.deadline_ms, deadline_clock_ms)
+        longest_ms = self.clock_ms + _LEASE_MAX_MS
+        self.deadline_ms = max(
+            self.deadline_ms, min(deadline_clock_ms, longest_ms)
+        )
 
     def _check_start(self, order: StartOrder) -> Verdict:
         key = (order.task_key, order.attempt)
