Avoid relays that are much slower than the others

Cause: a relay is replaced when it does not respond or reaches no worker, but nothing measured how long it takes.

Change: a relay reports how long it waited for a worker, so that the owner knows what the relay itself took for a listing.

--- a/src/hawthornpier/fleet/_relay_assignment.py
+++ b/src/hawthornpier/fleet/_relay_assignment.py
@@ -47,7 +47,7 @@
     cards: Iterable[ProcessCard],
     *,
     own_address: str,
-    unreachable: Container[str] = (),
+    unusable: Container[str] = (),
 ) -> dict[str, tuple[str, ...]]:
     """
     Return the addresses of the relays for each worker, preferred ones first.
@@ -60,9 +60,9 @@
         workers: All workers of the shard.
         cards: The entry processes.
         own_address: The address of the owner, which is no relay.
-        unreachable: Addresses of processes to which no connection could be
-            opened.  They remain relays, in case they return, but further ones
-            are chosen.
+        unusable: Addresses of relays that are slow or to which no connection
+            could be opened.  They remain relays, in case they recover, but
+            further ones are chosen.
     """
     others = [card for card in cards if card.address != own_address]
     by_domain: dict[str, list[WorkerPlace]] = {}
@@ -73,8 +73,8 @@
         near = [card for card in others if card.failure_domain == domain]
         count = math.ceil(len(places) / _WORKERS_PER_RELAY) + _SPARE_RELAYS
         relays = tuple(
-            _first_reachable(
-                ranked_by_size(near or others, domain), count, unreachable
+            _first_usable(
+                ranked_by_size(near or others, domain), count, unusable
             )
         )
         for place in places:
@@ -84,14 +84,14 @@
     return assigned
 
 
-def _first_reachable(
-    ranked: Iterable[ProcessCard], count: int, unreachable: Container[str]
+def _first_usable(
+    ranked: Iterable[ProcessCard], count: int, unusable: Container[str]
 ) -> Iterator[ProcessCard]:
     """
-    Yield processes until a number of reachable ones is among them.
+    Yield processes until a number of usable ones is among them.
     """
     for card in ranked:
         if count == 0:
             return
         yield card
-        count -= card.address not in unreachable
+        count -= card.address not in unusable
--- a/src/hawthornpier/fleet/_relay_channel.py
+++ b/src/hawthornpier/fleet/_relay_channel.py
@@ -13,6 +13,7 @@
 from hawthornpier.decoding import decode_json
 from hawthornpier.fleet._ports import OrderReply, WorkerEntry, WorkerListing
 from hawthornpier.fleet._relay_messages import (
+    Answer,
     AnswerBatch,
     Call,
     CallBatch,
@@ -79,13 +80,22 @@
     Args:
         socket: The connection to the relay.
         clock: The clock of this process.
+        on_delay: Called with the time that the relay took for a call, in
+            milliseconds of active time.
     """
 
-    def __init__(self, socket: RelaySocket, clock: Clock) -> None:
+    def __init__(
+        self,
+        socket: RelaySocket,
+        clock: Clock,
+        *,
+        on_delay: Callable[[float], None] | None = None,
+    ) -> None:
         self.is_open = True
         self.is_leaving = False
         self._socket = socket
         self._clock = clock
+        self._on_delay = on_delay or _ignore_delay
         self._active = ActiveTime(clock, _MAX_STEP_MS)
         self._heard_ms = self._active.read_ms()
         # When the relay last answered a call.
@@ -225,8 +235,22 @@
             for answer in batch.answers:
                 pending = self._pending.get(answer.number)
                 if pending is not None and not pending.future.done():
+                    self._record_delay(pending, answer)
                     _resolve(pending.future, answer.result)
 
+    def _record_delay(self, pending: _PendingCall, answer: Answer) -> None:
+        """
+        Record how long the relay took for a call.
+
+        Workers delay their listings, but reply to orders at once.  A call that
+        the relay has sent in vain tells more about the worker.
+        """
+        taken_ms = self._active.read_ms() - pending.made_ms
+        if isinstance(answer.result, WorkerListing):
+            self._on_delay(max(taken_ms - answer.worker_ms, 0))
+        elif not (isinstance(answer.result, Failure) and answer.result.is_sent):
+            self._on_delay(taken_ms)
+
     async def _check_forever(self) -> str:
         while True:
             await self._clock.sleep_ms(_CHECK_INTERVAL_MS)
@@ -239,6 +263,7 @@
                 if now_ms > pending.deadline_ms
             ]
             for pending in expired:
+                self._on_delay(now_ms - pending.made_ms)
                 _fail(pending.future, 'no reply through the relay')
             # Messages of the relay may arrive although those to it do not, and
             # repetitions of the latter may take as long as they did not.
@@ -260,6 +285,12 @@
         self._socket.close()
 
 
+def _ignore_delay(delay_ms: float) -> None:
+    """
+    Do nothing, as nobody measures this relay.
+    """
+
+
 def _contact_key(entry: WorkerEntry) -> tuple[str, int, str]:
     return (entry.worker_id, entry.incarnation_ms, entry.address)
 
--- a/src/hawthornpier/fleet/_relay_messages.py
+++ b/src/hawthornpier/fleet/_relay_messages.py
@@ -95,10 +95,13 @@
 class Answer(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """
     The result of the call with the same number.
+
+    *worker_ms* is how long the relay waited for the worker.
     """
 
     number: int
     result: WorkerListing | OrderReply | Failure
+    worker_ms: int = 0
 
 
 class AnswerBatch(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/hawthornpier/fleet/_relay_pool.py
+++ b/src/hawthornpier/fleet/_relay_pool.py
@@ -22,6 +22,7 @@
     needs_relays,
 )
 from hawthornpier.fleet._relay_channel import RelayChannel, RelaySocket
+from hawthornpier.fleet._relay_delays import RelayDelays
 from hawthornpier.fleet._relayed_worker import RelayedWorker
 from hawthornpier.fleet._timings import WorkerTimings
 from hawthornpier.fleet._writer import ProcessCard
@@ -89,6 +90,9 @@
         self._tried: set[str] = set()
         # Addresses to which the last attempt to connect has failed.
         self._unreachable: set[str] = set()
+        self._delays = RelayDelays(clock)
+        # Addresses of relays that are used only where there is no other.
+        self._slow: set[str] = set()
         # Until when workers have relays because the owner did not reach them.
         self._unreached_until_ms: dict[str, float] = {}
         self._is_ready = asyncio.Event()
@@ -140,7 +144,8 @@
                     await self._is_ready.wait()
             except TimeoutError:
                 self._is_ready.set()
-        for address in self._assigned.get(worker_id, ()):
+        addresses = self._assigned.get(worker_id, ())
+        for address in sorted(addresses, key=self._slow.__contains__):
             channel = self._channels.get(address)
             if channel is None or channel in avoided:
                 continue
@@ -149,11 +154,12 @@
         return None
 
     def _refresh(self, places: tuple[WorkerPlace, ...]) -> None:
+        self._find_slow_relays()
         self._assigned = assign_relays(
             self._relayed_places(places),
             self._cards(),
             own_address=self._card.address,
-            unreachable=self._unreachable,
+            unusable=self._unreachable | self._slow,
         )
         wanted = {
             address
@@ -171,6 +177,14 @@
             )
         self._update_readiness()
 
+    def _find_slow_relays(self) -> None:
+        slow = self._delays.slow_relays()
+        for address in slow.keys() - self._slow:
+            self._log.record(
+                'relay_slow', address=address, delay_ms=int(slow[address])
+            )
+        self._slow = set(slow)
+
     def _relayed_places(
         self, places: tuple[WorkerPlace, ...]
     ) -> tuple[WorkerPlace, ...]:
@@ -210,7 +224,11 @@
         await self._use(address, await self._connect(address))
 
     async def _use(self, address: str, socket: RelaySocket) -> None:
-        channel = RelayChannel(socket, self.clock)
+        channel = RelayChannel(
+            socket,
+            self.clock,
+            on_delay=partial(self._delays.record, address),
+        )
         self._channels[address] = channel
         self._unreachable.discard(address)
         self._tried.add(address)
--- a/src/hawthornpier/fleet/_relay_session.py
+++ b/src/hawthornpier/fleet/_relay_session.py
@@ -140,6 +140,7 @@
             failure = Failure(is_sent=False, why='unknown contact')
             self._answer(call.number, failure)
             return
+        sent_ms = self._clock.monotonic_ms()
         try:
             reply = await _send_request(call.request, client)
         except WorkerError as error:
@@ -149,14 +150,17 @@
             )
             self._answer(call.number, failure)
         else:
-            self._answer(call.number, reply)
+            worker_ms = self._clock.monotonic_ms() - sent_ms
+            self._answer(call.number, reply, int(worker_ms))
 
     def _answer(
         self,
         number: int,
         reply: WorkerListing | OrderReply | Failure,
+        worker_ms: int = 0,
     ) -> None:
-        self._answers.append(Answer(number=number, result=reply))
+        answer = Answer(number=number, result=reply, worker_ms=worker_ms)
+        self._answers.append(answer)
         self._has_answers.set()
 
     async def _send_answers_forever(self) -> None:
--- a/tests/fleet_connections.py
+++ b/tests/fleet_connections.py
@@ -208,7 +208,9 @@
         self._pump = asyncio.ensure_future(self._deliver())
 
     def send(self, content):
-        self._outbox.put_nowait(content)
+        self._relay.relayed_batch_count += 1
+        due_s = asyncio.get_running_loop().time() + self._relay.relay_delay_s
+        self._outbox.put_nowait((due_s, content))
 
     async def receive(self):
         while True:
@@ -234,8 +236,9 @@
 
     async def _deliver(self):
         while True:
-            content = await self._outbox.get()
-            await asyncio.sleep(0.001)
+            due_s, content = await self._outbox.get()
+            delay_s = due_s - asyncio.get_running_loop().time()
+            await asyncio.sleep(max(delay_s, 0))
             while self._is_blocked or self._relay.is_deaf:
                 await asyncio.sleep(0.005)
             self._session.receive(content)
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -47,6 +47,9 @@
     # Whether no message of the owner reaches it, though its own ones arrive.
     is_deaf = False
     reaches_workers = True
+    # How long a batch of the owner takes to reach it, and how many it got.
+    relay_delay_s = 0.001
+    relayed_batch_count = 0
 
 
 class World:
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -235,7 +235,7 @@
         before = assign_relays(places(30), cards(12), own_address='x')
         dark = set(before['z-w0'])
         after = assign_relays(
-            places(30), cards(12), own_address='x', unreachable=dark
+            places(30), cards(12), own_address='x', unusable=dark
         )
         assert all(
             len(set(relays) - dark) == len(dark) for relays in after.values()
