Load the shard in small portions on a slow link

Cause: the 17 partitions are read at once, in pages of up to 500 rows. On a slow link they share it, and all of them run out of the 1.2 s that the client of the store waits. Loading then began again with the same reads, without end.

Change: a partition keeps the pages that have arrived. After a failure, what is missing is read in pages of 100 rows, two at a time, as long as any of them arrives.

--- a/src/hawthornpier/fleet/_intake.py
+++ b/src/hawthornpier/fleet/_intake.py
@@ -9,7 +9,6 @@
 only a few per second.
 """
 
-import asyncio
 import collections
 import zlib
 from collections.abc import Mapping, Sequence
@@ -23,7 +22,7 @@
     RowTransaction,
     StoredRow,
 )
-from hawthornpier.fleet._row_pages import read_all_rows, read_changes
+from hawthornpier.fleet._row_pages import read_changes, read_partitions
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._writer import INTAKE_TABLE, PROGRESS_TABLE
 from hawthornpier.steps import RecordError, decode_plan
@@ -83,10 +82,11 @@
         Raises:
             StoreError: The rows could not be read.
         """
-        progress, page = await asyncio.gather(
-            read_all_rows(self._store, PROGRESS_TABLE, self._shard.name),
-            self._read_all_partitions(),
+        progress, *pages = await read_partitions(
+            self._store,
+            [(PROGRESS_TABLE, self._shard.name), *self._partitions()],
         )
+        page = _joined(pages)
         stored: dict[str, list[StoredRow]] = collections.defaultdict(list)
         for progress_row in progress.rows:
             stored[row_owner(progress_row.key)].append(progress_row)
@@ -165,21 +165,13 @@
         return outcome.is_applied
 
     async def _read_all_partitions(self) -> RowPage:
-        pages = await asyncio.gather(
-            *(
-                read_all_rows(
-                    self._store,
-                    INTAKE_TABLE,
-                    f'{self._shard.name}.{number}',
-                )
-                for number in range(_PARTITION_COUNT)
-            ),
-        )
-        return RowPage(
-            rows=tuple(row for page in pages for row in page.rows),
-            version=min(page.version for page in pages),
-            store_ms=pages[0].store_ms,
-        )
+        return _joined(await read_partitions(self._store, self._partitions()))
+
+    def _partitions(self) -> list[tuple[str, str]]:
+        return [
+            (INTAKE_TABLE, f'{self._shard.name}.{number}')
+            for number in range(_PARTITION_COUNT)
+        ]
 
     def _exists(self, row: StoredRow) -> bool:
         """
@@ -209,3 +201,14 @@
             )
         except RecordError as error:
             self._log.record('job_row_unreadable', key=row.key, why=str(error))
+
+
+def _joined(pages: Sequence[RowPage]) -> RowPage:
+    """
+    Return the rows of all partitions, with the version of the oldest read.
+    """
+    return RowPage(
+        rows=tuple(row for page in pages for row in page.rows),
+        version=min(page.version for page in pages),
+        store_ms=pages[0].store_ms,
+    )
--- a/src/hawthornpier/fleet/_ports.py
+++ b/src/hawthornpier/fleet/_ports.py
@@ -97,9 +97,12 @@
         *,
         first_key: str = '',
         end_key: str = '',
+        row_limit: int | None = None,
     ) -> RowPage:
         """
         Return the rows of a partition with *first_key* <= key < *end_key*.
+
+        A page has at most *row_limit* rows, and no more than the store allows.
         """
         ...
 
--- a/src/hawthornpier/platform/_store.py
+++ b/src/hawthornpier/platform/_store.py
@@ -134,11 +134,15 @@
         *,
         first_key: str = '',
         end_key: str = '',
+        row_limit: int | None = None,
     ) -> RowPage:
         """
         Return the rows of a partition with *first_key* <= key < *end_key*.
+
+        A page has at most *row_limit* rows, and no more than the store allows.
         """
-        query = {'table': table, 'part': part, 'limit': str(_MAX_PAGE_ROWS)}
+        limit = min(row_limit or _MAX_PAGE_ROWS, _MAX_PAGE_ROWS)
+        query = {'table': table, 'part': part, 'limit': str(limit)}
         if first_key:
             query['from'] = first_key
         if end_key:
@@ -146,6 +150,7 @@
         return await self._get_page(
             f'/hawthornpier/rows-get?{urlencode(query)}',
             _READ_TIMEOUT_MS,
+            row_limit=limit,
         )
 
     async def changes(
@@ -180,7 +185,13 @@
         """
         self._pool.close()
 
-    async def _get_page(self, path: str, timeout_ms: float) -> RowPage:
+    async def _get_page(
+        self,
+        path: str,
+        timeout_ms: float,
+        *,
+        row_limit: int = _MAX_PAGE_ROWS,
+    ) -> RowPage:
         reply = await self._send(
             _client.get(self._pool, path, timeout_ms=timeout_ms),
         )
@@ -193,7 +204,8 @@
             rows=_decode_rows(rows_reply),
             version=rows_reply.ver,
             store_ms=rows_reply.now_ms,
-            has_more=rows_reply.has_more or _may_be_cut(reply, rows_reply),
+            has_more=rows_reply.has_more
+            or _may_be_cut(reply, rows_reply, row_limit),
         )
 
     async def _send(
@@ -241,13 +253,14 @@
     return StoreReplyLostError(why)
 
 
-def _may_be_cut(reply: HttpReply, rows_reply: _RowsReply) -> bool:
+def _may_be_cut(
+    reply: HttpReply, rows_reply: _RowsReply, row_limit: int
+) -> bool:
     """
     Return whether the store may have left out rows; only some replies tell.
     """
     return (
-        len(rows_reply.rows) >= _MAX_PAGE_ROWS
-        or len(reply.body) >= _FULL_PAGE_BYTES
+        len(rows_reply.rows) >= row_limit or len(reply.body) >= _FULL_PAGE_BYTES
     )
 
 
--- a/src/hawthornpier_standin/fleet/_store.py
+++ b/src/hawthornpier_standin/fleet/_store.py
@@ -151,12 +151,21 @@
             await self.clock.sleep_ms(_TRANSACTION_MS * self.delay_factor)
             return self.apply(transaction)
 
-    def page(self, table: str, part: str, first: str, end: str) -> RowPage:
+    def page(
+        self,
+        table: str,
+        part: str,
+        first: str,
+        end: str,
+        *,
+        row_limit: int | None = None,
+    ) -> RowPage:
         """
         Return the rows of a partition with *first* <= key < *end*.
 
         An empty *end* stands for no upper bound.
         """
+        limit = min(row_limit or _PAGE_ROW_COUNT, _PAGE_ROW_COUNT)
         found = sorted(
             (
                 row
@@ -168,10 +177,10 @@
             key=lambda row: row.key,
         )
         return RowPage(
-            rows=tuple(found[:_PAGE_ROW_COUNT]),
+            rows=tuple(found[:limit]),
             version=self.version,
             store_ms=self.clock.monotonic_ms(),
-            has_more=len(found) > _PAGE_ROW_COUNT,
+            has_more=len(found) > limit,
         )
 
     async def changes(self, table: str, after: int, wait_ms: float) -> RowPage:
@@ -307,12 +316,15 @@
         *,
         first_key: str = '',
         end_key: str = '',
+        row_limit: int | None = None,
     ) -> RowPage:
         """
         Return the rows of a partition with *first_key* <= key < *end_key*.
         """
         await self._begin_read(table)
-        return self._store.page(table, part, first_key, end_key)
+        return self._store.page(
+            table, part, first_key, end_key, row_limit=row_limit
+        )
 
     async def changes(
         self,
--- a/src/hawthornpier_standin/fleet/_wire.py
+++ b/src/hawthornpier_standin/fleet/_wire.py
@@ -157,6 +157,7 @@
                 self.get_query_argument('part', ''),
                 self.get_query_argument('from', '', strip=False),
                 self.get_query_argument('to', '', strip=False),
+                row_limit=int(self.get_query_argument('limit')),
             ),
         )
 
