End a process that is stopped while it loses the shard

What callers could see: a process that is told to end at the moment in which it loses the shard does not end before it is killed. Seen in virtual time: the test of releases did not return.

Cause: a task group whose body fails while its task is cancelled raises the error of the body only. The loop that claims the shard again went on.

Change: the loop checks whether it was cancelled once an owner has ended. The test fails without that.

--- a/src/hawthornpier/fleet/_ownership_cycle.py
+++ b/src/hawthornpier/fleet/_ownership_cycle.py
@@ -10,7 +10,7 @@
 from hawthornpier.fleet._context import FleetContext
 from hawthornpier.fleet._owner import ShardOwner
 from hawthornpier.fleet._ownership import Ownership
-from hawthornpier.fleet._parts import keep_running
+from hawthornpier.fleet._parts import keep_running, raise_if_cancelled
 from hawthornpier.fleet._peer_port import Handover
 from hawthornpier.fleet._peer_table import PeerTable
 from hawthornpier.fleet._relay_pool import RelayPool
@@ -103,6 +103,7 @@
                 move.cancel()
                 self._last_handover = self.owner.handover()
                 self.owner = None
+            raise_if_cancelled()
 
     async def release(self, release: Release) -> None:
         """
--- a/src/hawthornpier/fleet/_parts.py
+++ b/src/hawthornpier/fleet/_parts.py
@@ -75,3 +75,15 @@
         except Exception as error:
             log.record('part_failed', why=error_text(error))
         await clock.sleep_ms(_RESTART_MS)
+
+
+def raise_if_cancelled() -> None:
+    """
+    Raise `CancelledError` if the current task has been cancelled.
+
+    A task group whose body fails at the moment of the cancellation raises its
+    own errors only.
+    """
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
--- a/tests/test_fleet_succession.py
+++ b/tests/test_fleet_succession.py
@@ -284,3 +284,15 @@
             for run in state.runs.values()
         )
         await release
+
+    async def test_a_process_ends_while_it_loses_the_shard(self, world):
+        """
+        Guards against a process that does not end, because the cancellation of
+        its parts is lost.
+        """
+        await start_long_running(world)
+        owner = world.owner()
+        owner.local_shard().deposed.set()
+        await asyncio.sleep(0)
+        async with asyncio.timeout(5):
+            await owner.close()
