Place the long-running tasks first that have waited the longest

Cause: long-running steps had equal ranks, so that each worker that became free went to the job that was submitted first.

Change: the rank is the time since when a step has had tasks without a place; a step that was ruled out because another found no worker counts, too.

--- a/src/hawthornpier/fleet/_ordering.py
+++ b/src/hawthornpier/fleet/_ordering.py
@@ -32,11 +32,12 @@
     """
     Return the rank of a step; the step with the lowest is placed first.
 
-    Long-running steps come first, and jobs that can have no value any more
-    come last.
+    Long-running steps come first, those that have waited the longest for room
+    before the others.  Jobs that can have no value any more come last.
     """
     if step.plan.is_lasting:
-        return (0, 0, 0)
+        since_ms = step.unplaced_since_ms
+        return (0, 0, now_ms if since_ms is None else since_ms)
     job = step.job
     outlook = durations.outlook(job)
     objective_ms = outlook.objective_ms
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -110,6 +110,8 @@
             service = self._shard.service_of(step.job)
             pool = candidates.get(service, _NO_CANDIDATES)
             if failed.rule_out(step, service):
+                if step.plan.is_lasting and step.waiting():
+                    _mark_unplaced(step, self._shard.now_ms)
                 self._wait_log.refuse(step)
             elif not self._place(step, pool):
                 failed.add(step, service)
@@ -214,8 +216,7 @@
             worker = ranking.choose(task)
             if worker is None:
                 step.searched_ms = now_ms
-                if step.unplaced_since_ms is None:
-                    step.unplaced_since_ms = now_ms
+                _mark_unplaced(step, now_ms)
                 return False
             self._shard.start_run(task, worker, reason='turn')
         step.searched_ms = None
@@ -288,6 +289,11 @@
                 )
 
 
+def _mark_unplaced(step: Step, now_ms: float) -> None:
+    if step.unplaced_since_ms is None:
+        step.unplaced_since_ms = now_ms
+
+
 def _may_start_runs(step: Step) -> bool:
     return step.plan.may_run_copies or step.waiting_count > 0
 
--- a/tests/test_fleet_ordering.py
+++ b/tests/test_fleet_ordering.py
@@ -15,11 +15,14 @@
 LATER = 100_000.0
 
 
-def job_of(task_count, *, accepted_ms=0, estimate_ms=1_000, number=0):
+def job_of(
+    task_count, *, accepted_ms=0, estimate_ms=1_000, number=0, is_lasting=False
+):
     step = StepPlan(
         task_count=task_count,
         processor_millis=1_000,
         estimate_ms=estimate_ms,
+        is_lasting=is_lasting,
     )
     plan = JobPlan(
         job_id=f'{number:016x}',
@@ -87,3 +90,22 @@
         valueless = job_of(1, accepted_ms=-LATER)
         late = job_of(40, accepted_ms=-5_000.0)
         assert ordered([valueless, late, job_of(40)], 0) == [2, 1, 0]
+
+
+class TestLongRunningSteps:
+    """
+    Long-running steps go first, in the order in which they began to wait.
+    """
+
+    def test_the_one_that_has_waited_longest_goes_first(self):
+        """
+        Guards against a task that waits beside room for seconds, because each
+        worker that becomes free goes to a job that was submitted earlier.
+        """
+        jobs = [
+            job_of(1, number=number, is_lasting=True) for number in range(3)
+        ]
+        steps = [job.occurrences[0].steps[0] for job in jobs]
+        steps[1].unplaced_since_ms = 900
+        steps[2].unplaced_since_ms = 500
+        assert ordered([*jobs, job_of(1)], 1_000) == [2, 1, 0, 3]
