Run scheduling passes in slices of bounded length

A long-running task that has lost its run is to run again within 3 s of calm, which a pass of over a second broke by design.

- Scheduler.slices() runs a pass in slices of 20 ms, with a gap as long as each slice.
After a gap, jobs, workers and permissions are read anew.
The gaps count for the one after the pass, so that passes take no larger part of the time than before. run_pass() still runs a pass in one go.
- A pass ends after 0.6 s and the gap after it after 0.5 s.
Long-running steps come first, as before, but take half of a pass at most while others wait; of each kind, those that the last passes have not reached come first (PassQueue).
- While the owner's own delay has reduced the starts in flight and more wait than may be sent, only long-running tasks are placed.
- A pass that is cut short counts for is_overloaded, because slices hide a backlog from timers.
A reply counts as late by the owner's own delay only if that was most of the time since the request; short delays of all requests closed the window of starts before.
- Gangs are placed by a module of their own, unchanged.

An owner whose pass takes less than a slice decides as before, in the same order.

test_a_suspension_in_a_pass demands a gap of 0.5 s now instead of 3 s.

--- a/src/hawthornpier/fleet/_owner_load.py
+++ b/src/hawthornpier/fleet/_owner_load.py
@@ -8,19 +8,16 @@
 
 from hawthornpier.fleet._load_report import LoadReport
 
-# Records are kept for this long.
+# Records are kept for this long, and of moments at most so many.
 _WINDOW_MS = 3_000.0
+_MAX_BEHIND_COUNT = 256
 # A timer that fires later than this part of the owner's lease is late.
 _LATE_PART = 1 / 24
-# The owner is overloaded if as many timers were late within the window, the
-# first and the last at least so far apart.  The requests that a single pause
-# has delayed make the timers late that follow at once.
-_LATE_COUNT = 4
-_LATE_SPAN_MS = 1_000.0
-# So it is if as many passes in a row took longer than this part of the lease,
-# with the gaps between their slices.
-_LONG_PASS_PART = 0.5
-_LONG_PASS_COUNT = 3
+# The owner is overloaded if it was behind its work as often within the window,
+# at first and at last at least so far apart.  The requests that a single pause
+# has delayed are late at about the same time.
+_BEHIND_COUNT = 4
+_BEHIND_SPAN_MS = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,7 +32,7 @@
 
 class OwnerLoad:
     """
-    Judges the load of an owner by late timers and by long passes.
+    Judges the load of an owner by late timers and by passes that are cut short.
 
     An owner whose timers are late renews its claim and the leases of workers
     late, and finds replies in its sockets that have come in time.  It answers
@@ -47,13 +44,13 @@
 
     def __init__(self, lease_ms: float) -> None:
         self._late_ms = lease_ms * _LATE_PART
-        self._long_pass_ms = lease_ms * _LONG_PASS_PART
         self._now_ms: float = 0
         self._due_ms: float | None = None
         self._lags: collections.deque[_Span] = collections.deque()
         self._slices: collections.deque[_Span] = collections.deque()
-        self._pass_lengths_ms: collections.deque[float] = collections.deque(
-            maxlen=_LONG_PASS_COUNT
+        # When it was behind its work.
+        self._behind_ms: collections.deque[float] = collections.deque(
+            maxlen=_MAX_BEHIND_COUNT
         )
         self._pass_end_ms: float | None = None
         self._starts_in_flight = 0
@@ -64,13 +61,11 @@
         """
         Return whether the owner has been behind its work for some time.
         """
-        is_full = len(self._pass_lengths_ms) == _LONG_PASS_COUNT
-        if is_full and min(self._pass_lengths_ms) > self._long_pass_ms:
-            return True
-        late = [lag for lag in self._lags if lag.length_ms > self._late_ms]
-        if len(late) < _LATE_COUNT:
+        since_ms = self._now_ms - _WINDOW_MS
+        behind = [each for each in self._behind_ms if each > since_ms]
+        if len(behind) < _BEHIND_COUNT:
             return False
-        return late[-1].end_ms - late[0].end_ms >= _LATE_SPAN_MS
+        return behind[-1] - behind[0] >= _BEHIND_SPAN_MS
 
     def expect_timer(self, due_ms: float) -> None:
         """
@@ -87,6 +82,8 @@
         span = _Span(now_ms, max(lag_ms, 0))
         _append(self._lags, span)
         self._report.add_lag(span.length_ms)
+        if lag_ms > self._late_ms:
+            self._behind_ms.append(now_ms)
 
     def record_slice(self, now_ms: float, slice_ms: float) -> None:
         """
@@ -95,11 +92,20 @@
         _append(self._slices, _Span(now_ms, slice_ms))
         self._report.add_slice(slice_ms)
 
-    def record_pass(self, now_ms: float, pass_ms: float) -> None:
+    def record_pass(
+        self, now_ms: float, pass_ms: float, *, is_cut: bool
+    ) -> None:
         """
-        Record how long a pass took, with the gaps between its slices.
+        Record a scheduling pass.
+
+        Args:
+            now_ms: When it ended, on the monotonic clock.
+            pass_ms: How long it took, with the gaps between its slices.
+            is_cut: Whether it left steps that the owner had no time for.
         """
-        self._pass_lengths_ms.append(pass_ms)
+        self._now_ms = now_ms
+        if is_cut:
+            self._behind_ms.append(now_ms)
         self._report.add_pass(pass_ms)
         if self._pass_end_ms is not None:
             self._report.add_gap(now_ms - pass_ms - self._pass_end_ms)
@@ -157,11 +163,15 @@
         """
         Return whether a reply may be late by the owner's own delay.
 
+        The owner must have been behind its work for most of the time.  Short
+        delays of all requests add up, but do not make one of them late.
+
         Args:
             since_ms: When the request was sent.
             now_ms: The current time.
         """
-        return self.late_ms(since_ms, now_ms) > self._late_ms
+        late_ms = self.late_ms(since_ms, now_ms)
+        return late_ms > max(self._late_ms, (now_ms - since_ms) / 2)
 
 
 def _append(spans: collections.deque[_Span], span: _Span) -> None:
--- /dev/null
+++ b/src/hawthornpier/fleet/_pass_queue.py
@@ -0,0 +1,142 @@
+"""
+The steps that a scheduling pass has still to place.
+"""
+
+import collections
+import itertools
+import math
+from collections.abc import Iterable, Mapping
+
+from hawthornpier.steps import Step
+
+# A pass ends after this time, with the gaps between its slices, so that
+# long-running tasks that have lost their run, and what is due on workers, wait
+# no longer for the next one.
+_MAX_PASS_MS = 600.0
+# After this time, long-running steps give way to the other ones of the pass:
+# they may be many that find no room.
+_URGENT_MS = 300.0
+
+
+class PassQueue:
+    """
+    The steps of a pass in their order, and those that found no worker.
+
+    Long-running steps come first, and of each kind those that the last passes
+    have not reached.  It answers a backlog that the owner cannot consider in
+    one pass.
+
+    Args:
+        steps: The steps in the order of their rank.
+        missed: By step that the last pass has not reached, how many passes in a
+            row have not.
+        now_ms: The current time, on the monotonic clock.
+    """
+
+    def __init__(
+        self, steps: Iterable[Step], missed: Mapping[Step, int], now_ms: float
+    ) -> None:
+        self._began_ms = now_ms
+        self._missed = missed
+        self._has_dropped = False
+        self._queues: dict[bool, collections.deque[Step]] = {
+            True: collections.deque(),
+            False: collections.deque(),
+        }
+        ordered = sorted(steps, key=lambda step: -missed.get(step, 0))
+        for next_step in ordered:
+            self._queues[next_step.plan.is_lasting].append(next_step)
+        # By service; those that a step is compared with.
+        self._failed: dict[str, list[Step]] = collections.defaultdict(list)
+
+    def is_over(self, now_ms: float) -> bool:
+        """
+        Return whether the pass has taken its time, or no step is left.
+        """
+        is_empty = not any(self._queues.values())
+        return is_empty or now_ms - self._began_ms >= _MAX_PASS_MS
+
+    def pop(self, now_ms: float) -> Step:
+        """
+        Return the next step.
+        """
+        urgent, others = self._queues[True], self._queues[False]
+        is_urgent_over = now_ms - self._began_ms >= _URGENT_MS
+        if not urgent or (is_urgent_over and others):
+            return others.popleft()
+        return urgent.popleft()
+
+    def drop_others(self) -> None:
+        """
+        Leave all but the long-running steps to the next pass, in their order.
+        """
+        self._has_dropped = self._has_dropped or bool(self._queues[False])
+        self._queues[False].clear()
+
+    def put_back(self, step: Step) -> None:
+        """
+        Put a step back that has tasks left.
+        """
+        self._queues[step.plan.is_lasting].appendleft(step)
+
+    @property
+    def is_cut(self) -> bool:
+        """
+        Return whether the pass leaves steps for want of time.
+        """
+        return self._has_dropped or any(self._queues.values())
+
+    def missed(self) -> dict[Step, int]:
+        """
+        Return the steps that are left, with how many passes have missed them.
+        """
+        return {
+            step: self._missed.get(step, 0) + 1
+            for step in itertools.chain.from_iterable(self._queues.values())
+        }
+
+    def cannot_fit(self, step: Step, service: str) -> bool:
+        """
+        Return whether a step certainly finds no worker of a service.
+        """
+        return any(
+            _needs_at_least(step, other) for other in self._failed[service]
+        )
+
+    def add_failed(self, step: Step, service: str) -> None:
+        """
+        Record that a step found no worker of a service.
+        """
+        self._failed[service].append(step)
+
+
+def _needs_at_least(step: Step, other: Step) -> bool:
+    """
+    Return whether a step certainly finds no worker because another found none.
+
+    Both are of the same service.  True only if the step is of the same kind and
+    needs at least the same resources.
+    """
+    plan, failed = step.plan, other.plan
+    if failed.per_worker_limit or failed.required_label or failed.is_gang:
+        return False
+    if (plan.is_filling, plan.is_lasting) != (
+        failed.is_filling,
+        failed.is_lasting,
+    ):
+        return False
+    # The workers that are eligible for a best-effort task depend on its image
+    # and on how long the step has waited.
+    if plan.is_filling and (
+        plan.image != failed.image or _ready_ms(step) < _ready_ms(other)
+    ):
+        return False
+    return (
+        plan.processor_millis >= failed.processor_millis
+        and plan.memory_mb >= failed.memory_mb
+        and plan.accelerator_count >= failed.accelerator_count
+    )
+
+
+def _ready_ms(step: Step) -> float:
+    return math.inf if step.ready_ms is None else step.ready_ms
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -3,17 +3,20 @@
 """
 
 import collections
-import math
-from collections.abc import Mapping, Sequence
+import functools
+from collections.abc import Iterable, Iterator, Mapping, Sequence
 
 from hawthornpier.fleet._candidates import CandidatePool
 from hawthornpier.fleet._crash_trials import CrashTrials
 from hawthornpier.fleet._departures import Departures
 from hawthornpier.fleet._evacuation import Evacuation
+from hawthornpier.fleet._gangs import GangPlacement
 from hawthornpier.fleet._ledger_audit import LedgerAudit
 from hawthornpier.fleet._long_running_waits import LongRunningWaits
 from hawthornpier.fleet._moves import Moves
 from hawthornpier.fleet._ordering import rank_step
+from hawthornpier.fleet._pass_queue import PassQueue
+from hawthornpier.fleet._pass_slice import PassSlice
 from hawthornpier.fleet._permits import STALE_ORDER_MS
 from hawthornpier.fleet._placement import Placement, workers_to_search
 from hawthornpier.fleet._run_monitor import RunMonitor
@@ -25,7 +28,6 @@
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import (
     Job,
-    Run,
     Step,
     Task,
     is_crash_suspect,
@@ -57,11 +59,14 @@
         bounds: PlatformBounds,
         timings: WorkerTimings,
     ) -> None:
+        # Whether the last pass has left steps for want of time.
+        self.is_cut = False
         self._shard = shard
         self._bounds = bounds
         self._timings = timings
         self._placement = Placement(shard.interference)
         self._trials = CrashTrials(shard, self._placement)
+        self._gangs = GangPlacement(shard, self._placement, self._trials)
         self._moves = Moves(shard)
         self._departures = Departures(shard, self._placement, self._moves)
         self._run_monitor = RunMonitor(shard, timings)
@@ -72,52 +77,115 @@
         self._long_running_waits = LongRunningWaits(shard, self._safe_to_start)
         self._audit = LedgerAudit(shard)
         self._wait_log = WaitLog(shard)
+        self._slice = PassSlice(shard.clock)
+        self._parts = (
+            functools.partial(send_waiting_starts, shard),
+            self._log_state,
+            self._run_monitor.run_pass,
+            self._departures.run_pass,
+            self._trials.end_trials,
+            self._moves.run_pass,
+        )
+        self._pools: Mapping[str, CandidatePool] = {}
+        # The steps that the last passes have not reached.
+        self._missed: Mapping[Step, int] = {}
+        # Whether the step that was placed last has tasks left.
+        self._is_unfinished = False
 
     def run_pass(self) -> None:
         """
-        Order all starts and stops that are due now.
+        Order all starts and stops that are due now, in one go.
+        """
+        collections.deque(self.slices(), maxlen=0)
+
+    def slices(self) -> Iterator[None]:
+        """
+        Order all starts and stops that are due now, in slices.
+
+        It yields after each slice but the last one, so that other work of this
+        process takes place.  Jobs, workers and permissions may change then, and
+        are read anew.
 
         Does nothing once the shard is being released, or while it is not
         certain that this process still owns it.
         """
-        shard = self._shard
+        self.is_cut = False
+        self._slice.begin()
         self._long_running_waits.run_pass()
         self._audit.run_pass()
-        if shard.is_draining or not shard.permits.may_start:
+        if not self._may_schedule:
             return
         self._wait_log.begin_pass()
-        send_waiting_starts(shard)
+        for part in self._parts:
+            part()
+            if self._slice.is_used:
+                yield
+                self._slice.begin()
+                if not self._may_schedule:
+                    return
+        steps = self._ranked_steps()
+        self._pools = self._candidate_pools() if steps else {}
+        self._wait_log.observe_room(self._pools)
+        yield from self._place_all(steps)
+        if self._may_schedule:
+            self._evacuation.run_pass(filter(self._is_current, steps))
+            self._wait_log.end_pass(self._pools, steps)
+
+    @property
+    def _may_schedule(self) -> bool:
+        return not self._shard.is_draining and self._shard.permits.may_start
+
+    def _log_state(self) -> None:
+        shard = self._shard
         if shard.now_ms - self._state_logged_ms >= _STATE_LOG_INTERVAL_MS:
             self._state_logged_ms = shard.now_ms
             log_shard_state(shard, self._placement)
-        self._run_monitor.run_pass()
-        self._departures.run_pass()
-        self._trials.end_trials()
-        self._moves.run_pass()
-        steps = self._ranked_steps()
-        candidates = self._candidate_pools() if steps else {}
-        self._wait_log.observe_room(candidates)
-        self._place_all(steps, candidates)
-        self._evacuation.run_pass(steps)
-        self._wait_log.end_pass(candidates, steps)
 
-    def _place_all(
-        self, steps: Sequence[Step], candidates: Mapping[str, CandidatePool]
-    ) -> None:
-        failed: dict[str, list[Step]] = collections.defaultdict(list)
-        for step in steps:
-            service = self._shard.service_of(step.job)
-            pool = candidates.get(service, _NO_CANDIDATES)
-            cannot_fit = any(
-                _needs_at_least(step, other) for other in failed[service]
-            )
-            if cannot_fit:
-                self._wait_log.refuse(step)
-            elif not self._place(step, pool):
-                failed[service].append(step)
-                self._wait_log.refuse(step)
-            if step.plan.may_run_copies:
-                self._place_copies(step, pool)
+    def _place_all(self, steps: Iterable[Step]) -> Iterator[None]:
+        now_ms = self._shard.now_ms
+        queue = PassQueue(steps, self._missed, now_ms)
+        self._leave_what_cannot_be_sent(queue)
+        while not queue.is_over(now_ms):
+            step = queue.pop(now_ms)
+            if self._is_current(step) and self._place_step(step, queue):
+                queue.put_back(step)
+            now_ms = self._shard.now_ms
+            if self._slice.is_used and not queue.is_over(now_ms):
+                yield
+                self._slice.begin()
+                if not self._may_schedule:
+                    return
+                self._pools = self._candidate_pools()
+                self._leave_what_cannot_be_sent(queue)
+        self._missed = queue.missed()
+        self.is_cut = queue.is_cut
+
+    def _leave_what_cannot_be_sent(self, queue: PassQueue) -> None:
+        if self._shard.start_gate.is_backlogged:
+            queue.drop_others()
+
+    def _is_current(self, step: Step) -> bool:
+        job = step.job
+        return not job.is_terminal and self._shard.is_active(job.plan.job_id)
+
+    def _place_step(self, step: Step, queue: PassQueue) -> bool:
+        """
+        Start the waiting tasks of a step.
+
+        Returns:
+            Whether the step has tasks left for the next slice.
+        """
+        service = self._shard.service_of(step.job)
+        pool = self._pools.get(service, _NO_CANDIDATES)
+        self._is_unfinished = False
+        if queue.cannot_fit(step, service):
+            self._wait_log.refuse(step)
+        elif not self._place(step, pool):
+            queue.add_failed(step, service)
+            self._wait_log.refuse(step)
+        if step.plan.may_run_copies:
+            self._place_copies(step, pool)
+        return self._is_unfinished
 
     def _safe_to_start(self, tasks: list[Task]) -> list[Task]:
         """
@@ -190,7 +258,7 @@
         ready = self._safe_to_start(waiting)
         if step.plan.is_gang:
             is_whole = len(ready) == len(waiting)
-            return self._place_gang(step, pool.workers) if is_whole else True
+            return self._gangs.place(step, pool.workers) if is_whole else True
         suspects = [task for task in ready if is_crash_suspect(task)]
         for suspect in suspects:
             self._trials.start(suspect, pool.workers)
@@ -209,7 +277,10 @@
         now_ms = self._shard.now_ms
         workers = workers_to_search(step, pool.with_room(step), now_ms)
         ranking = self._placement.ranking(step, workers, now_ms)
-        for task in ready:
+        for number, task in enumerate(ready):
+            if number and self._slice.is_used:
+                self._is_unfinished = True
+                return True
             worker = ranking.choose(task)
             if worker is None:
                 step.searched_ms = now_ms
@@ -221,50 +292,6 @@
         step.unplaced_since_ms = None
         return True
 
-    def _place_gang(self, step: Step, pool: Sequence[WorkerState]) -> bool:
-        """
-        Start all tasks of a gang with the same attempt number, or none.
-
-        Returns:
-            Whether the gang has been started, now or earlier.
-        """
-        if any(task.runs for task in step.tasks):
-            return True
-        shard = self._shard
-        attempt = max(shard.next_attempt(task) for task in step.tasks)
-        is_trial = any(is_crash_suspect(task) for task in step.tasks)
-        if is_trial:
-            pool = self._trials.suitable_workers(step.tasks, pool)
-        groups = _group_by_rack(pool) if step.plan.is_same_rack else [pool]
-        for group in groups:
-            runs = self._reserve(step.tasks, group, attempt)
-            for run in runs:
-                shard.order_start(run, 'gang')
-                if is_trial:
-                    self._trials.begin(run)
-            if runs:
-                return True
-        return False
-
-    def _reserve(
-        self,
-        tasks: Sequence[Task],
-        pool: Sequence[WorkerState],
-        attempt: int,
-    ) -> list[Run]:
-        shard = self._shard
-        runs: list[Run] = []
-        for task in tasks:
-            worker = self._placement.choose(task, pool, shard.now_ms)
-            if worker is None:
-                for reserved in runs:
-                    shard.workers[reserved.worker_id].release(reserved)
-                return []
-            run = Run(task, attempt, worker.worker_id, shard.now_ms)
-            worker.charge(run)
-            runs.append(run)
-        return runs
-
     def _place_copies(self, step: Step, pool: CandidatePool) -> None:
         shard = self._shard
         now_ms = shard.now_ms
@@ -297,46 +324,3 @@
 
 def _may_start_runs(step: Step) -> bool:
     return step.plan.may_run_copies or step.busy_count < len(step.tasks)
-
-
-def _needs_at_least(step: Step, other: Step) -> bool:
-    """
-    Return whether a step certainly finds no worker because another found none.
-
-    Both are of the same service.  True only if the step is of the same kind and
-    needs at least the same resources.
-    """
-    plan, failed = step.plan, other.plan
-    if failed.per_worker_limit or failed.required_label or failed.is_gang:
-        return False
-    if (plan.is_filling, plan.is_lasting) != (
-        failed.is_filling,
-        failed.is_lasting,
-    ):
-        return False
-    # The workers that are eligible for a best-effort task depend on its image
-    # and on how long the step has waited.
-    if plan.is_filling and (
-        plan.image != failed.image or _ready_ms(step) < _ready_ms(other)
-    ):
-        return False
-    return (
-        plan.processor_millis >= failed.processor_millis
-        and plan.memory_mb >= failed.memory_mb
-        and plan.accelerator_count >= failed.accelerator_count
-    )
-
-
-def _ready_ms(step: Step) -> float:
-    return math.inf if step.ready_ms is None else step.ready_ms
-
-
-def _group_by_rack(pool: Sequence[WorkerState]) -> list[list[WorkerState]]:
-    racks: dict[str, list[WorkerState]] = {}
-    for worker in pool:
-        racks.setdefault(worker.entry.rack, []).append(worker)
-    return sorted(racks.values(), key=_reserved_millis)
-
-
-def _reserved_millis(workers: list[WorkerState]) -> int:
-    return sum(worker.reserved_millis for worker in workers)
--- a/src/hawthornpier/fleet/_scheduling_loop.py
+++ b/src/hawthornpier/fleet/_scheduling_loop.py
@@ -5,7 +5,7 @@
 import asyncio
 
 from hawthornpier.fleet._load_monitor import LoadMonitor
-from hawthornpier.fleet._pass_gap import pass_gap_ms
+from hawthornpier.fleet._pass_gap import pass_gap_ms, slice_gap_ms
 from hawthornpier.fleet._scheduler import Scheduler
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._timings import PlatformBounds, WorkerTimings
@@ -42,12 +42,30 @@
         shard = self._shard
         while True:
             await self._wait_until_due()
-            started_ms = shard.now_ms
-            self._scheduler.run_pass()
-            pass_ms = shard.now_ms - started_ms
-            shard.load.record_slice(shard.now_ms, pass_ms)
-            shard.load.record_pass(shard.now_ms, pass_ms)
-            await shard.clock.sleep_ms(pass_gap_ms(pass_ms))
+            await shard.clock.sleep_ms(await self._run_pass())
+
+    async def _run_pass(self) -> float:
+        """
+        Run one pass, and let other work take place between its slices.
+
+        Returns:
+            How long to wait before the next pass.
+        """
+        shard = self._shard
+        started_ms = shard.now_ms
+        resumed_ms = started_ms
+        paused_ms: float = 0
+        for _ in self._scheduler.slices():
+            ended_ms = shard.now_ms
+            shard.load.record_slice(ended_ms, ended_ms - resumed_ms)
+            await shard.clock.sleep_ms(slice_gap_ms(ended_ms - resumed_ms))
+            resumed_ms = shard.now_ms
+            paused_ms += resumed_ms - ended_ms
+        now_ms = shard.now_ms
+        pass_ms = now_ms - started_ms
+        shard.load.record_slice(now_ms, now_ms - resumed_ms)
+        shard.load.record_pass(now_ms, pass_ms, is_cut=self._scheduler.is_cut)
+        return pass_gap_ms(pass_ms - paused_ms, paused_ms)
 
     async def _wait_until_due(self) -> None:
         wake = self._shard.wake
--- a/src/hawthornpier/fleet/_start_gate.py
+++ b/src/hawthornpier/fleet/_start_gate.py
@@ -74,6 +74,17 @@
         """
         return len(self._waiting)
 
+    @property
+    def is_backlogged(self) -> bool:
+        """
+        Return whether the owner has more starts to send than it can.
+
+        Only if its own delay has reduced how many may be in flight.
+        """
+        return (
+            self.window.is_reduced and len(self._waiting) >= self.window.limit
+        )
+
     def admit(self, order: Order, run: Run, worker: WorkerState) -> bool:
         """
         Return whether a start may be sent now.
--- a/tests/test_fleet_owner_load.py
+++ b/tests/test_fleet_owner_load.py
@@ -52,16 +52,15 @@
         """
         assert load.is_overloaded is expected
 
-    def test_passes_in_slices(self):
+    def test_passes_that_are_cut_short(self):
         """
         Guards against an overload that slices of passes hide from timers.
         """
         load = OwnerLoad(LEASE_MS)
-        for number in range(1, 4):
-            assert not load.is_overloaded
-            load.record_pass(number * 1_500, 1_400)
-        assert load.is_overloaded
-        load.record_pass(6_000, 200)
+        for number in range(1, 9):
+            load.record_pass(number * 300, 200, is_cut=number > 2)
+            assert load.is_overloaded is (number > 6)
+        load.record_pass(6_000, 200, is_cut=False)
         assert not load.is_overloaded
 
     def test_share_busy(self):
@@ -99,6 +98,15 @@
         assert load.late_ms(600, 800) == 50
         assert not load.was_late(600, 800)
 
+    def test_short_delays_do_not_make_a_request_late(self):
+        """
+        Guards against a window of starts that closes by any load.
+        """
+        load = loaded(25, times=20)
+        assert load.late_ms(0, 1_500) == 500
+        assert not load.was_late(0, 1_500)
+        assert loaded(600).was_late(0, 650)
+
 
 @virtual_tests(SuspendableWorld)
 class TestMonitor:
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from hawthornpier.fleet._candidates import CandidatePool
-from hawthornpier.fleet._pass_gap import pass_gap_ms
+from hawthornpier.fleet._pass_gap import pass_gap_ms, slice_gap_ms
 from hawthornpier.fleet._placement import Placement, workers_to_search
 from hawthornpier.fleet._ports import WorkerEntry
 from hawthornpier.fleet._worker_state import WorkerState
@@ -324,4 +324,13 @@
         """
         Guards against tasks that wait for twice the time of the suspension.
         """
-        assert pass_gap_ms(9_000) <= 3_000
+        assert pass_gap_ms(9_000) <= 500
+        assert slice_gap_ms(9_000) <= 500
+
+    def test_gaps_between_slices_count(self):
+        """
+        Guards against a backlog that waits longer because of its slices.
+        """
+        assert pass_gap_ms(60, 60) >= 60
+        assert pass_gap_ms(60, 60) < pass_gap_ms(60)
+        assert pass_gap_ms(60, 200) <= 10
