End a run that is not listed at the second listing

What callers saw: one reply of a worker that left out its runs started all of them elsewhere while they went on. A reply without the list was decoded as an empty list.

Cause: a run counted as lost as soon as one listing lacked it.

Change: the next listing has to lack it, too. It is requested at once, so that a run that has ended is noticed one exchange later.

Tests: test_a_listing_without_a_run failed before. test_run_missing_from_a_cut_listing_is_not_started_again now expects the run to be kept at the first whole listing and given up at the second; the tests of starts without a reply list twice, since the ones that expect a run to be kept would pass with a single listing in any case.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -164,19 +164,26 @@
         requested_ms: float,
     ) -> None:
         """
-        End the runs that the worker no longer lists.
+        End the runs that the worker no longer lists, at the second time.
 
         A run has ended if its last order was acknowledged before the listing
         was requested; the listing may not reflect later orders.  If no order
         is acknowledged, its start is no longer executed after its deadline.
+        A single listing may be incomplete.
         """
-        for key, run in list(worker.runs.items()):
-            if key in listed:
-                continue
-            ordered_ms = run.order_acknowledged_ms
-            is_over = ordered_ms and ordered_ms < requested_ms
-            if is_over or _is_start_overdue(run, clock_ms):
-                self._shard.end_run(run, RunOutcome.LOST)
+        unlisted = {
+            run.key: run
+            for run in worker.runs.values()
+            if run.key not in listed
+            and (
+                0 < run.order_acknowledged_ms < requested_ms
+                or _is_start_overdue(run, clock_ms)
+            )
+        }
+        confirmed = unlisted.keys() & worker.unlisted_runs
+        worker.unlisted_runs = unlisted.keys() - confirmed
+        for key in confirmed:
+            self._shard.end_run(unlisted[key], RunOutcome.LOST)
 
     def _apply_ended_run(
         self,
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -7,7 +7,7 @@
 
 from hawthornpier.fleet._entry_age import EntryAge
 from hawthornpier.fleet._health import WorkerHealth
-from hawthornpier.fleet._listed_load import ListedLoad
+from hawthornpier.fleet._listed_load import ListedLoad, RunKey
 from hawthornpier.fleet._orders import Order
 from hawthornpier.fleet._ports import EndedRun, Verdict, WorkerEntry
 from hawthornpier.fleet._timings import WorkerTimings
@@ -33,6 +33,9 @@
         self.is_listed = False
         # Of its known incarnation, the last part of the fencing token.
         self.token_number = 0
+        # Runs that have ended according to its last listing, which lacks them.
+        # The next listing has to confirm that.
+        self.unlisted_runs: set[RunKey] = set()
         # The number of ended runs in its last listing.
         self.listed_end_count = 0
         # Whether the registry has had an entry of it.  The capacity of a worker
@@ -186,6 +189,7 @@
         """
         self.is_reached = False
         self.is_listed = False
+        self.unlisted_runs = set()
         self.listed_end_count = 0
         self.listed_load = None
 
@@ -308,6 +312,8 @@
             return 0
         if self.processed_number > self.acknowledged_number:
             return 0
+        if self.unlisted_runs:
+            return 0
         if self.long_running_count and self.best_effort_count:
             return timings.colocated_wait_ms
         return timings.renewal_wait_ms if self.runs else timings.idle_wait_ms
--- a/tests/test_fleet_cut_listings.py
+++ b/tests/test_fleet_cut_listings.py
@@ -76,6 +76,8 @@
         reconciler.apply(worker, cut(ends(500)), shard.now_ms + 1)
         assert not task.is_waiting
         reconciler.apply(worker, ends(0), shard.now_ms + 1)
+        assert not task.is_waiting
+        reconciler.apply(worker, ends(0), shard.now_ms + 1)
         assert task.is_waiting
 
     async def test_first_listing_that_was_cut_leaves_runs_unknown(self):
--- a/tests/test_fleet_odd_replies.py
+++ b/tests/test_fleet_odd_replies.py
@@ -147,3 +147,11 @@
         for other in world.workers.values():
             if other is not worker:
                 other.fault = WorkerFault.REFUSE
+
+    async def test_a_listing_without_a_run(self, world):
+        """
+        Guards against a run that counts as ended because one list lacks it.
+        """
+        worker = await self.start_task(world)
+        worker.wrong_replies.fields = {'running': ()}
+        await self.check_that_runs_go_on(world, worker)
--- a/tests/test_fleet_silent_workers.py
+++ b/tests/test_fleet_silent_workers.py
@@ -183,7 +183,9 @@
     def _list(self, shard, clock_ms):
         listing = msgspec.structs.replace(listing_of(), clock_ms=clock_ms)
         worker = shard.workers['w0']
-        ListingReconciler(shard).apply(worker, listing, shard.now_ms)
+        # A single listing ends no run.
+        for _ in range(2):
+            ListingReconciler(shard).apply(worker, listing, shard.now_ms)
 
 
 def _started_run():
