--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -61,6 +61,7 @@
             listing.clock_ms, requested_ms, now_ms
         )
         worker.changed_ms = now_ms
+        worker.kept_tolerances = None
         clear_suspicions(self._shard, worker)
         self._apply_ended_runs(worker, listing.ended, now_ms)
         listed = set()
--- a/src/hawthornpier/fleet/_pass_queue.py
+++ b/src/hawthornpier/fleet/_pass_queue.py
@@ -46,7 +46,7 @@
         ordered = sorted(steps, key=lambda step: -missed.get(step, 0))
         for next_step in ordered:
             self._queues[next_step.plan.is_lasting].append(next_step)
-        self._failed = FailedSteps()
+        self._failed = FailedSteps(now_ms)
 
     def is_over(self, now_ms: float) -> bool:
         """
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -20,7 +20,7 @@
 from hawthornpier.fleet._pass_queue import PassQueue
 from hawthornpier.fleet._pass_slice import PassSlice
 from hawthornpier.fleet._permits import STALE_ORDER_MS
-from hawthornpier.fleet._placement import Placement, workers_to_search
+from hawthornpier.fleet._placement import Placement, begin_search
 from hawthornpier.fleet._run_monitor import RunMonitor
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._state_log import log_shard_state
@@ -146,6 +146,7 @@
     def _place_all(self, steps: Iterable[Step]) -> Iterator[None]:
         now_ms = self._shard.now_ms
         queue = PassQueue(steps, self._missed, now_ms)
+        self._placement.begin_pass()
         self._leave_what_cannot_be_sent(queue)
         while not queue.is_over(now_ms):
             step = queue.pop(now_ms)
@@ -158,6 +159,7 @@
                 if not self._may_schedule:
                     return
                 self._pools = self._candidate_pools()
+                self._placement.begin_pass()
                 self._leave_what_cannot_be_sent(queue)
         self._missed = queue.missed()
         self.is_cut = queue.is_cut
@@ -282,7 +284,9 @@
         if not ready:
             return True
         now_ms = self._shard.now_ms
-        workers = workers_to_search(step, pool.with_room(step), now_ms)
+        workers = pool.with_room(
+            step, changed_since_ms=begin_search(step, now_ms)
+        )
         ranking = self._placement.ranking(step, workers, now_ms)
         for number, task in enumerate(ready):
             if number and self._slice.is_used:
