Answer from the store while the owner does not reply

Cause: every request asked the owner first, whether or not it had replied to the one before.

Change: after the owner has not replied, states come from the store for 0.5 s. The reads are those that the timeouts led to before.

--- a/src/hawthornpier/fleet/_entry.py
+++ b/src/hawthornpier/fleet/_entry.py
@@ -40,6 +40,8 @@
 # other processes for this long, without trying the store first.
 _STORE_BACKOFF_MS = 700.0
 _MAX_RELAY_ATTEMPTS = 3
+# After the owner has not replied, states come from the store for this long.
+_OWNER_BACKOFF_MS = 500.0
 # After this time, a write is not relayed to a further process.  Callers time
 # out after about three seconds, and the reply must arrive before that.
 _RELAY_BUDGET_MS = 700.0
@@ -114,6 +116,7 @@
         self._log = log
         self._store_backoff_until_ms: float = 0
         self._reject_until_ms: float = 0
+        self._owner_backoff_until_ms: float = 0
         self._unknown_outcomes = UnknownOutcomes()
         self._notification_tasks: set[asyncio.Task[None]] = set()
         self._pending_counts: dict[str, tuple[float, int]] = {}
@@ -231,9 +234,7 @@
         counted_at_ms, count = self._pending_counts.get(queue, (-10_000.0, 0))
         if now_ms - counted_at_ms < 1_500:
             return count
-        raise NotStoredError(
-            'the owner of the shard is unknown or did not reply',
-        )
+        raise NotStoredError('the owner is unknown or did not reply')
 
     async def _write_row(self, job_id: str, key: str, content: bytes) -> bool:
         """
@@ -326,11 +327,14 @@
             job = shard.jobs.get(job_id)
             return None if job is None else job.phase
         owner = self._directory.owner()
-        if owner is None:
+        now_ms = self._clock.monotonic_ms()
+        if owner is None or now_ms < self._owner_backoff_until_ms:
             return None
         try:
             return await owner.show(job_id)
         except PeerError as error:
+            now_ms = self._clock.monotonic_ms()
+            self._owner_backoff_until_ms = now_ms + _OWNER_BACKOFF_MS
             self._log.record('owner_request_failed', job=job_id, why=str(error))
             return None
 
