Count the longest lease after the correction of a worker's clock

What callers could see: tasks that are started again while they go on, if their worker falls silent between a reply that corrects its clock and its next listing.

Cause: the deadlines by the wrong clock were forgotten, and the lease counted as over.

--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -3,6 +3,7 @@
 """
 
 import asyncio
+import math
 from collections.abc import Callable, Iterable
 
 from hawthornpier.fleet._entry_age import EntryAge
@@ -68,6 +69,8 @@
         self.listed_load: ListedLoad | None = None
         self.clock = WorkerClock()
         self._deadline_clock_ms = 0
+        # When a wrong clock was corrected, whose leases may last longer.
+        self._corrected_ms = -math.inf
         # When the lease ends, by the owner's monotonic clock, that a start has
         # granted which this incarnation may have accepted from before; 0 if
         # there is none.
@@ -229,6 +232,7 @@
         if check is ClockCheck.CORRECTED:
             # Leases were granted by the wrong clock.
             self._deadline_clock_ms = 0
+            self._corrected_ms = now_ms
         return check is not ClockCheck.IMPLAUSIBLE
 
     def next_acknowledgement(self) -> int:
@@ -330,6 +334,9 @@
             self._deadline_clock_ms,
             timings.clock_drift,
         )
+        if not self._deadline_clock_ms:
+            longest_ms = timings.lease_max_ms * (1 + timings.clock_drift)
+            expiry_ms = max(expiry_ms, self._corrected_ms + longest_ms)
         return max(expiry_ms, self.early_lease_end_ms)
 
 
