Wait no longer for a lease than until its owner may be replaced

After an outage of the store, a lease that has expired may be renewed for half its length; the read of the owner row ended up to a second after that. Two protocols get names of their own, and the withdrawal of all starts uses that of one worker.

--- a/src/hawthornpier/fleet/_absent_processes.py
+++ b/src/hawthornpier/fleet/_absent_processes.py
@@ -58,7 +58,7 @@
         ]
 
 
-class Contacts(Protocol):
+class HeardProcesses(Protocol):
     """
     Tells which processes this one was in touch with.
     """
@@ -70,7 +70,7 @@
         ...
 
 
-class Ownership(Protocol):
+class OwnerCheck(Protocol):
     """
     Tells whether this process owns the shard.
     """
@@ -99,8 +99,8 @@
     def __init__(
         self,
         directory: ProcessDirectory,
-        contacts: Contacts,
-        ownership: Ownership,
+        contacts: HeardProcesses,
+        ownership: OwnerCheck,
     ) -> None:
         self._directory = directory
         self._contacts = contacts
--- a/src/hawthornpier/fleet/_lease_view.py
+++ b/src/hawthornpier/fleet/_lease_view.py
@@ -60,8 +60,7 @@
         if self._store_ms < owner.until_ms or self._healthy_since_ms is None:
             return False
         # After an outage of the store, the owner gets time to renew its lease.
-        healthy_ms = self._clock.monotonic_ms() - self._healthy_since_ms
-        return healthy_ms >= self._timings.lease_ms / 2
+        return self._clock.monotonic_ms() >= self._renewable_until_ms()
 
     def watch_wait_ms(self, owner: OwnerRow | None) -> int:
         """
@@ -72,6 +71,16 @@
         longest_ms = self._timings.watch_wait_ms
         if owner is None or owner.is_released:
             return longest_ms
-        elapsed_ms = self._clock.monotonic_ms() - self._read_ms
-        left_ms = math.ceil(owner.until_ms - self._store_ms - elapsed_ms)
+        now_ms = self._clock.monotonic_ms()
+        lease_end_ms = self._read_ms + owner.until_ms - self._store_ms
+        end_ms = max(lease_end_ms, self._renewable_until_ms())
+        left_ms = math.ceil(end_ms - now_ms)
         return min(longest_ms, left_ms) if left_ms > 0 else longest_ms
+
+    def _renewable_until_ms(self) -> float:
+        """
+        Return until when an owner may renew a lease that has expired.
+        """
+        if self._healthy_since_ms is None:
+            return math.inf
+        return self._healthy_since_ms + self._timings.lease_ms / 2
--- a/src/hawthornpier/fleet/_withdrawals.py
+++ b/src/hawthornpier/fleet/_withdrawals.py
@@ -124,10 +124,7 @@
         why: The reason, for the log.
     """
     for worker in shard.workers.values():
-        for run in tuple(worker.runs.values()):
-            is_unsent = run.phase is RunPhase.STARTING and not run.sent_ms
-            if is_unsent and not run.task.step.plan.is_gang:
-                withdraw_start(shard, run, why)
+        withdraw_unsent_starts(shard, worker, why=why)
 
 
 def is_start_due(shard: Shard, worker: WorkerState, run: Run) -> bool:
