Move a shard only to a process that can take it over

What callers could see: a small owner keeps the shard, because larger hosts that cannot read the store hide those that can; a shard that moves to a host which cannot load it has no owner for up to 23 s, again and again; a process that is leaving claims the shard; hosts of size zero have no owner or pass the shard around.

Cause: only hosts of about the largest size were asked, and of these the first four; a successor kept its claim while it could not load, or claimed again at once; a claim was not checked again after its delay; sizes were not bounded.

Change: all larger hosts are asked, in the order of size, four at a time. A successor that has not loaded the shard after 2 s, or fails otherwise, releases it, leaves the next claim to others, and is not named again for five minutes. The state of the owner is read again after the question, and an error at the beginning of a release gives the shard up, too.

--- a/src/hawthornpier/fleet/_commits.py
+++ b/src/hawthornpier/fleet/_commits.py
@@ -11,6 +11,7 @@
 from hawthornpier.fleet._commit_batch import Batch, BatchBuilder
 from hawthornpier.fleet._divided_rows import row_owner
 from hawthornpier.fleet._durable_ends import DurableEnds
+from hawthornpier.fleet._errors import ShardLostError
 from hawthornpier.fleet._interference import EffectRow
 from hawthornpier.fleet._rejected_rows import RejectedRows
 from hawthornpier.fleet._shard import Shard
@@ -118,6 +119,15 @@
                 await self._write_batch()
             await self._writer.write({}, release=release)
 
+    async def give_back(self) -> None:
+        """
+        Release a shard that could not be loaded, so that others may claim it.
+        """
+        try:
+            await self._writer.write({}, release=Release())
+        except (StoreError, ShardLostError) as error:
+            self._shard.log.record('release_failed', why=repr(error))
+
     def _is_write_due(self) -> bool:
         return (
             bool(self._rejected.writable_jobs())
--- a/src/hawthornpier/fleet/_host_size.py
+++ b/src/hawthornpier/fleet/_host_size.py
@@ -10,6 +10,9 @@
 
 # An owner uses about this much of its network link for each core that it uses.
 _LINK_MBPS_PER_CORE = 50.0
+# Sizes beyond these are not believed.
+_MIN_CORES = 0.01
+_MAX_CORES = 256.0
 _MIN_CORES = 0.01
 _HASH_RANGE = 2**32
 
@@ -23,7 +26,8 @@
     Args:
         card: The process on the host.
     """
-    return min(card.processor_cores, card.link_mbps / _LINK_MBPS_PER_CORE)
+    cores = min(card.processor_cores, card.link_mbps / _LINK_MBPS_PER_CORE)
+    return min(max(cores, _MIN_CORES), _MAX_CORES)
 
 
 def ranked_by_size(cards: Iterable[ProcessCard], key: str) -> list[ProcessCard]:
--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -254,6 +254,7 @@
             is_leaving=self.is_leaving,
             watched_epoch=self._ownership.watched_epoch,
             store_response_ms=self._ownership.store_response_ms,
+            has_failed_to_load=self._ownership.has_failed_to_load,
         )
 
     async def wait_presence(
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -47,6 +47,9 @@
 # The claim is kept for this long while the shard is loaded, which may take
 # longer than the lease lasts.  Then another process may try.
 _LOADING_LIMIT_MS = 20_000.0
+# A successor gives the shard back after this time, because the previous owner
+# could serve it.
+_SUCCESSOR_LOADING_LIMIT_MS = 2_000.0
 # Ended jobs stay readable for this multiple of the time that the platform
 # requires.
 _RETENTION_FACTOR = 1.25
@@ -89,6 +92,7 @@
         self._context = context
         self._relays = relays
         self._predecessor = writer.predecessor
+        self._is_successor = writer.is_successor
         self._intake = Intake(context.store, self.shard, context.log)
         self._claim_check = ClaimCheck(self.shard, claimants)
         self._committer = Committer(
@@ -117,7 +121,11 @@
                         )
                     )
                 )
-                await self._load(registry)
+                try:
+                    await self._load(registry)
+                except Exception:
+                    await self._committer.give_back()
+                    raise
                 renewal.cancel()
                 for part in self._parts(registry):
                     group.create_task(run_part(part))
@@ -149,8 +157,8 @@
             shard, or once the lease has expired.
         """
         self.shard.is_draining = True
-        withdraw_all_unsent_starts(self.shard, 'shard is being released')
         try:
+            withdraw_all_unsent_starts(self.shard, 'shard is being released')
             async with asyncio.timeout(timeout_ms / 1000):
                 await run_part(
                     functools.partial(self._committer.write_all, release)
@@ -190,7 +198,12 @@
     async def _load(self, registry: WorkerRegistry) -> None:
         """
         Load the state from the store and connect to all workers.
+
+        Raises:
+            ShardLostError: This process was to take the shard over, and could
+                not load it.
         """
+        end_ms = self.shard.now_ms + _SUCCESSOR_LOADING_LIMIT_MS
         while True:
             try:
                 # Jobs are loaded before any worker is connected, because
@@ -201,6 +214,10 @@
                 await registry.read()
             except StoreError as error:
                 self._context.log.record('load_failed', why=str(error))
+                if self._is_successor and self.shard.now_ms >= end_ms:
+                    raise ShardLostError(
+                        'the shard could not be loaded'
+                    ) from error
                 await self._context.clock.sleep_ms(_RETRY_MS)
                 continue
             break
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -41,6 +41,10 @@
 # The process that an owner has named as its successor claims at once.  All
 # others wait for this long, in case it has failed.
 _SUCCESSOR_HEAD_START_MS = 1_000.0
+# A process that has lost the shard before it had loaded it leaves the next
+# claim to the others for this long, and is no successor for some time.
+_FAILED_LOAD_DELAY_MS = 8_000.0
+_FAILED_LOAD_MEMORY_MS = 300_000.0
 
 
 class Ownership:
@@ -89,6 +93,8 @@
         # be read instead of its changes.
         self._watched_version: int | None = None
         self._lease = LeaseView(clock, timings)
+        # When this process last lost a shard that it had not loaded.
+        self._failed_load_ms: float | None = None
         # Moving average of the store's response time.
         self._store_response_ms = 30.0
         # The process that has ended or given up the shard, and its epoch then.
@@ -117,6 +123,26 @@
             and owner.card.process_id == self._card.process_id
         )
 
+    @property
+    def has_failed_to_load(self) -> bool:
+        """
+        Return whether this process has lately lost a shard that was not loaded.
+        """
+        failed_ms = self._failed_load_ms
+        if failed_ms is None:
+            return False
+        age_ms = self._clock.monotonic_ms() - failed_ms
+        return age_ms < _FAILED_LOAD_MEMORY_MS
+
+    def record_load(self, *, is_loaded: bool) -> None:
+        """
+        Record the end of an ownership of this process.
+
+        Args:
+            is_loaded: Whether the shard had been loaded.
+        """
+        self._failed_load_ms = None if is_loaded else self._clock.monotonic_ms()
+
     @property
     def watched_epoch(self) -> int:
         """
@@ -193,10 +219,15 @@
             delay_ms += self._timings.first_claim_ms
         elif self.owner.successor_id:
             delay_ms += _SUCCESSOR_HEAD_START_MS
-        if not self._is_successor:
+        if self.has_failed_to_load:
+            delay_ms += _FAILED_LOAD_DELAY_MS
+        if self.has_failed_to_load or not self._is_successor:
             await self._sleep(delay_ms)
             await self._directory.wait_read(_MAX_SMALL_HOST_DELAY_MS)
             await self._sleep(self._small_host_delay_ms())
+        # This process may be leaving by now.
+        if not self.is_candidate:
+            return None
         try:
             return await self._claim(reason)
         except StoreError as error:
--- a/src/hawthornpier/fleet/_ownership_cycle.py
+++ b/src/hawthornpier/fleet/_ownership_cycle.py
@@ -101,6 +101,7 @@
                 await self.owner.run()
             finally:
                 move.cancel()
+                self._ownership.record_load(is_loaded=self.owner.is_loaded)
                 self._last_handover = self.owner.handover()
                 self.owner = None
             raise_if_cancelled()
@@ -114,8 +115,10 @@
         """
         owner = self.owner
         if owner is not None:
-            await owner.release(release, timeout_ms=_RELEASE_TIMEOUT_MS)
-            self._give_up(owner)
+            try:
+                await owner.release(release, timeout_ms=_RELEASE_TIMEOUT_MS)
+            finally:
+                self._give_up(owner)
 
     def hand_over(self, epoch: int) -> Handover | None:
         """
--- a/src/hawthornpier/fleet/_peer_port.py
+++ b/src/hawthornpier/fleet/_peer_port.py
@@ -33,6 +33,8 @@
     # and would claim the shard, else 0; and how fast the store responds to it.
     watched_epoch: int = 0
     store_response_ms: float = 0
+    # Whether it has lately claimed the shard and lost it before it was loaded.
+    has_failed_to_load: bool = False
 
 
 class Handover(msgspec.Struct, frozen=True, kw_only=True):
--- a/src/hawthornpier/fleet/_shard_move.py
+++ b/src/hawthornpier/fleet/_shard_move.py
@@ -83,9 +83,9 @@
             status = self._status()
             if status is None:
                 continue
-            cards = find_successors(status, self._peers.candidates())
-            presence = await self._first_able(cards[:_MAX_ASKED])
-            if presence is None:
+            presence = await self._find_able(status)
+            # The owner may have lost the store meanwhile, or is leaving.
+            if presence is None or self._status() is None:
                 continue
             self._log.record(
                 'shard_moves',
@@ -117,6 +117,20 @@
             is_overloaded=owner.shard.load.is_overloaded,
         )
 
+    async def _find_able(self, status: OwnerStatus) -> Presence | None:
+        """
+        Return the reply of a process on a larger host that can take over.
+
+        Returns:
+            None if there is none.
+        """
+        cards = find_successors(status, self._peers.candidates())
+        for first in range(0, len(cards), _MAX_ASKED):
+            presence = await self._first_able(cards[first : first + _MAX_ASKED])
+            if presence is not None:
+                return presence
+        return None
+
     async def _first_able(self, cards: list[ProcessCard]) -> Presence | None:
         """
         Return the reply of the process that reaches the store fastest.
@@ -129,10 +143,14 @@
         able = [
             presence
             for presence in replies
-            if presence and presence.watched_epoch == self._owner.shard.epoch
+            if presence and self._can_take_over(presence)
         ]
         return min(able, key=_store_response_ms, default=None)
 
+    def _can_take_over(self, presence: Presence) -> bool:
+        is_following = presence.watched_epoch == self._owner.shard.epoch
+        return is_following and not presence.has_failed_to_load
+
 
 async def _ask(peer: FleetPeer) -> Presence | None:
     try:
--- a/src/hawthornpier/fleet/_succession.py
+++ b/src/hawthornpier/fleet/_succession.py
@@ -17,8 +17,6 @@
 
 # Only a host that is larger by this factor is worth the change of the owner.
 _LARGER_RATIO = 1.5
-# Of the larger hosts, those down to this part of the largest one are equal.
-_EQUAL_RATIO = 0.9
 
 
 class MoveReason(enum.StrEnum):
@@ -85,15 +83,15 @@
     status: OwnerStatus, candidates: Iterable[Candidate]
 ) -> list[ProcessCard]:
     """
-    Return the largest hosts to which a shard may move.
+    Return the hosts to which a shard may move.
 
     Args:
         status: The state of the owner.
         candidates: The other processes.
 
     Returns:
-        Processes on hosts of about the same size, or nothing if the shard
-        stays.
+        The processes on larger hosts, the largest first, or nothing if the
+        shard stays.
     """
     stay_ms = _MIN_STAY_MS[move_reason(status)]
     if status.tenure_ms < stay_ms:
@@ -105,9 +103,4 @@
         if candidate.contact_ms >= stay_ms
         and effective_cores(candidate.card) >= least_cores
     ]
-    largest = max(map(effective_cores, cards), default=0)
-    return [
-        card
-        for card in cards
-        if effective_cores(card) >= largest * _EQUAL_RATIO
-    ]
+    return sorted(cards, key=effective_cores, reverse=True)
--- a/src/hawthornpier/fleet/_writer.py
+++ b/src/hawthornpier/fleet/_writer.py
@@ -146,6 +146,17 @@
         self._store_time_read_ms = clock.monotonic_ms()
         self.renewed_ms = clock.monotonic_ms()
 
+    @property
+    def is_successor(self) -> bool:
+        """
+        Return whether the previous owner named this process as its successor.
+        """
+        previous = self.predecessor
+        return (
+            previous is not None
+            and previous.successor_id == self._card.process_id
+        )
+
     @property
     def is_renewal_due(self) -> bool:
         """
