Count only the work of its own process as time of a host

The simulated hosts gave the work of the workers' and the store's stand-ins to the host whose process waits for it: the context that marks it as the network's is empty, an empty context is false, and the loop took it for none. So each request cost a host several times too much; the cost of a scheduling pass was right. To read the clock was counted, too, with five calls instead of two.

--- a/tests/host_time.py
+++ b/tests/host_time.py
@@ -12,9 +12,10 @@
 import cProfile
 import itertools
 
-# The time that the processor of a host takes for one function call in Python.
-# The calls are counted and not measured, so that each test run is the same.
-CALL_MS = 0.0004
+# The time that a whole core takes for an event: a call of a function in Python
+# or its return. These are counted and not measured, so that all runs of a test
+# are the same.
+EVENT_MS = 0.0002
 # The callbacks of a host run early by less than this, to save timers.
 SLACK_S = 0.0005
 BITS_PER_BYTE = 8
@@ -57,8 +58,8 @@
 
     def __init__(self, *, cores=1, link_mbps=1_000, counts_calls=True):
         self.cores = cores
-        # Multiplies the time of each callback.
-        self.slowdown = 1
+        # How long the host takes for the work of one ms of a whole core.
+        self._ms_per_core_ms = 1 / min(1, cores)
         self.context = contextvars.copy_context()
         self.context.run(_HOST.set, self)
         self.sending = _Link(self, link_mbps)
@@ -70,14 +71,15 @@
         self._waiting = collections.deque()
         self._is_armed = False
         self._is_stopped = False
-        self._calls = itertools.count()
+        self._events = itertools.count()
         self._profile = _NO_PROFILE
         if counts_calls:
             self._profile = cProfile.Profile(
-                self._calls.__next__, 1, builtins=False
+                self._events.__next__, 1, builtins=False
             )
-        # During a callback: the number of its first call event.
+        # During a callback: the number of its first event.
         self._first_event = None
+        self._event_s = EVENT_MS * self._ms_per_core_ms / 1000
 
     def time(self):
         """
@@ -87,7 +89,14 @@
         now_s = max(self._loop.now_s, self._busy_until_s)
         if self._first_event is None:
             return now_s
-        return now_s + self._counted_s()
+        return now_s + (next(self._events) - self._first_event) * self._event_s
+
+    def slow_down(self, factor):
+        """
+        Multiply the time of all that the processor does from now on.
+        """
+        self._ms_per_core_ms = factor / min(1, self.cores)
+        self._event_s = EVENT_MS * self._ms_per_core_ms / 1000
 
     def charge(self, core_ms):
         """
@@ -125,14 +134,6 @@
         else:
             self._run(job)
 
-    @property
-    def _ms_per_core_ms(self):
-        return self.slowdown / min(1, self.cores)
-
-    def _counted_s(self):
-        count = (next(self._calls) - self._first_event) / 2
-        return count * CALL_MS * self._ms_per_core_ms / 1000
-
     def _lag_s(self):
         return self._busy_until_s - self._loop.now_s
 
@@ -153,14 +154,15 @@
     def _run(self, job):
         if job.handle.cancelled():
             return
-        self._first_event = next(self._calls)
+        self._first_event = next(self._events)
         self._profile.enable()
         try:
             job.call._run()
         finally:
             self._profile.disable()
-            counted_s = self._counted_s()
+            count = next(self._events) - self._first_event
             self._first_event = None
+        counted_s = count * self._event_s
         if not self._is_stopped:
             self.used_s += counted_s
             self._busy_until_s = counted_s + max(
@@ -222,7 +224,8 @@
         return self.now_s if host is None else host.time()
 
     def call_soon(self, callback, *args, context=None):
-        context = context or contextvars.copy_context()
+        # A context without variables is false.
+        context = contextvars.copy_context() if context is None else context
         host = context.get(_HOST)
         if host is None:
             return super().call_soon(callback, *args, context=context)
@@ -231,7 +234,8 @@
         return job.handle
 
     def call_at(self, when, callback, *args, context=None):
-        context = context or contextvars.copy_context()
+        # A context without variables is false.
+        context = contextvars.copy_context() if context is None else context
         host = context.get(_HOST)
         if host is None:
             return super().call_at(when, callback, *args, context=context)
--- a/tests/test_fleet_small_owner.py
+++ b/tests/test_fleet_small_owner.py
@@ -109,9 +109,9 @@
             await world.run_until_busy()
             world._spawn(world.submit_other_work())
             host = world.owner_host()
-            host.slowdown = slowdown
+            host.slow_down(slowdown)
             await world.run_for(8_000)
-            host.slowdown = 1
+            host.slow_down(1)
             await _check_calm(world)
 
         run_on_hosts(scenario())
