Acknowledge a number far beyond the last once it is listed again

What callers saw: after a worker had listed one ended run with a number that was far too high, a task that had completed ran again.

Cause: the number was acknowledged, so that the worker forgot the ends that it had not listed yet. Their runs then counted as lost.

Change: the end is applied, but a number that is further from the last one than a listing is long is acknowledged only if the next listing has it, too.

Test: test_a_wrong_number_of_an_end failed before (a completed task is started again). A wrong number within that distance, and a first number that is wrong but small, are not noticed.

--- a/src/hawthornpier/fleet/_listings.py
+++ b/src/hawthornpier/fleet/_listings.py
@@ -108,7 +108,11 @@
                 continue
             worker.continue_numbers(row)
             is_applied = self._apply_ended_run(worker, row, now_ms)
-            may_acknowledge = may_acknowledge and is_applied
+            may_acknowledge = (
+                may_acknowledge
+                and is_applied
+                and worker.may_acknowledge(row.number)
+            )
             if may_acknowledge:
                 worker.processed_number = row.number
         worker.has_deferred_ends = not may_acknowledge
--- a/src/hawthornpier/fleet/_worker_state.py
+++ b/src/hawthornpier/fleet/_worker_state.py
@@ -9,7 +9,12 @@
 from hawthornpier.fleet._health import WorkerHealth
 from hawthornpier.fleet._listed_load import ListedLoad, RunKey
 from hawthornpier.fleet._orders import Order
-from hawthornpier.fleet._ports import EndedRun, Verdict, WorkerEntry
+from hawthornpier.fleet._ports import (
+    LISTED_ENDS_MAX,
+    EndedRun,
+    Verdict,
+    WorkerEntry,
+)
 from hawthornpier.fleet._timings import WorkerTimings
 from hawthornpier.fleet._worker_clock import ClockCheck, WorkerClock
 from hawthornpier.fleet._worker_load import WorkerLoad
@@ -76,6 +81,8 @@
         # durable so that they may be acknowledged.
         self.processed_number = 0
         self.acknowledged_number = 0
+        # A number far beyond these, which the next listing has to confirm.
+        self._doubtful_number = 0
         # The highest number that the worker knows to be acknowledged.
         self._confirmed_number = 0
         # Whether it may have restarted since its last listing, because a reply
@@ -172,6 +179,7 @@
         self._other_identity = None
         self.processed_number = 0
         self.acknowledged_number = 0
+        self._doubtful_number = 0
         self._confirmed_number = 0
         self.has_deferred_ends = False
         self.may_have_restarted = False
@@ -267,6 +275,20 @@
             self.acknowledged_number = row.number - 1
             self._confirmed_number = row.number - 1
 
+    def may_acknowledge(self, number: int) -> bool:
+        """
+        Return whether the number of an ended run may be acknowledged.
+
+        A wrong one would acknowledge ends that the owner has not seen.  One
+        that is further from the last than a listing is long must be listed
+        again.
+        """
+        if number - self.processed_number <= LISTED_ENDS_MAX:
+            return True
+        is_confirmed = number == self._doubtful_number
+        self._doubtful_number = number
+        return is_confirmed
+
     def next_deadline(self, lease_ms: float, now_ms: float) -> int:
         """
         Return the end of a lease that starts now, on the worker's clock.
--- a/tests/test_fleet_odd_replies.py
+++ b/tests/test_fleet_odd_replies.py
@@ -6,9 +6,9 @@
 from fake_store import virtual_tests
 from fleet_world import World
 
-from hawthornpier.fleet import Verdict
+from hawthornpier.fleet import EndedRun, Verdict
 from hawthornpier.fleet._worker_clock import ClockCheck, WorkerClock
-from hawthornpier.steps import JobPhase, StepPlan
+from hawthornpier.steps import JobPhase, RunOutcome, StepPlan
 from hawthornpier_standin.fleet import WorkerFault
 
 LONG_RUNNING = StepPlan(task_count=1, processor_millis=1_000, is_lasting=True)
@@ -16,6 +16,13 @@
 WRONG_CLOCK_MS = 2**41
 # Of the first job.
 LONG_RUNNING_KEY = '0000000000000000.0.0.0'
+WRONG_END = EndedRun(
+    number=10**6,
+    task_key=LONG_RUNNING_KEY,
+    attempt=900,
+    kind=RunOutcome.STOPPED,
+    checkpoint='',
+)
 
 
 def clock_at(clock_ms, now_ms):
@@ -155,3 +162,23 @@
         worker = await self.start_task(world)
         worker.wrong_replies.fields = {'running': ()}
         await self.check_that_runs_go_on(world, worker)
+
+    async def test_a_wrong_number_of_an_end(self, world):
+        """
+        Guards against ends that are acknowledged before they are listed.
+
+        The worker forgets them, and completed tasks run again.
+        """
+        worker = await self.start_task(world)
+        self.leave_only(world, worker)
+        plans = [
+            world.plan(ONE_TASK, work_ms=work_ms)
+            for work_ms in range(300, 420, 20)
+        ]
+        for plan in plans:
+            await world.any_node().entry.submit(plan)
+        await world.wait_starts(1 + len(plans))
+        worker.wrong_replies.fields = {'ended': (WRONG_END,)}
+        for each in plans:
+            await world.wait_phase(each.job_id, JobPhase.COMPLETED)
+        assert world.checker.started_count == 1 + len(plans)
