Tell a full portion of rows from the last one

That is the largest page by default again, so that the test holds unchanged; a test of a smaller request is added.

--- a/src/hawthornpier/platform/_store.py
+++ b/src/hawthornpier/platform/_store.py
@@ -254,7 +254,9 @@
 
 
 def _may_be_cut(
-    reply: HttpReply, rows_reply: _RowsReply, row_limit: int
+    reply: HttpReply,
+    rows_reply: _RowsReply,
+    row_limit: int = _MAX_PAGE_ROWS,
 ) -> bool:
     """
     Return whether the store may have left out rows; only some replies tell.
--- a/tests/test_fleet_cut_listings.py
+++ b/tests/test_fleet_cut_listings.py
@@ -233,3 +233,13 @@
         rows = [{'table': 't'} for _ in range(row_count)]
         reply = http_reply(b' ' * size)
         assert _may_be_cut(reply, _RowsReply(rows=rows)) is expected
+
+    @pytest.mark.parametrize(
+        ('row_count', 'expected'), [(99, False), (100, True)]
+    )
+    def test_full_portion_may_be_cut(self, row_count, expected):
+        """
+        Guards against rows that are left out after a request for fewer rows.
+        """
+        rows = _RowsReply(rows=[{'table': 't'} for _ in range(row_count)])
+        assert _may_be_cut(http_reply(b'{}'), rows, 100) is expected
