Give the order of claims a module of its own

The delays of a claim are decisions of one kind: the named successor, processes near the store, large hosts, and those that have not failed to load come first. No change of behaviour.

--- a/src/hawthornpier/fleet/_node.py
+++ b/src/hawthornpier/fleet/_node.py
@@ -253,8 +253,8 @@
             given_up_epoch=self.cycle.given_up_epoch,
             is_leaving=self.is_leaving,
             watched_epoch=self._ownership.watched_epoch,
-            store_response_ms=self._ownership.store_response_ms,
-            has_failed_to_load=self._ownership.has_failed_to_load,
+            store_response_ms=self._ownership.turn.store_response_ms,
+            has_failed_to_load=self._ownership.turn.has_failed_to_load,
         )
 
     async def wait_presence(
--- a/src/hawthornpier/fleet/_ownership.py
+++ b/src/hawthornpier/fleet/_ownership.py
@@ -9,8 +9,8 @@
 
 from hawthornpier.decoding import DecodingError, decode_json
 from hawthornpier.events import DecisionLog
+from hawthornpier.fleet._claim_turn import ClaimTurn
 from hawthornpier.fleet._errors import HistoryGoneError
-from hawthornpier.fleet._host_size import effective_cores
 from hawthornpier.fleet._lease_view import LeaseView
 from hawthornpier.fleet._permits import PausePermit
 from hawthornpier.fleet._ports import (
@@ -34,18 +34,6 @@
 )
 from hawthornpier.ports import Clock, StoreError
 
-# Processes on smaller hosts delay their claim of the shard, so that the largest
-# host becomes the owner.  The delay grows towards this limit the fewer cores a
-# host has in comparison with the largest one.
-_MAX_SMALL_HOST_DELAY_MS = 1_000.0
-# The process that an owner has named as its successor claims at once.  All
-# others wait for this long, in case it has failed.
-_SUCCESSOR_HEAD_START_MS = 1_000.0
-# A process that has lost the shard before it had loaded it leaves the next
-# claim to the others for this long, and is no successor for some time.
-_FAILED_LOAD_DELAY_MS = 8_000.0
-_FAILED_LOAD_MEMORY_MS = 300_000.0
-
 
 class Ownership:
     """
@@ -81,22 +69,23 @@
         self.shard = shard
         self.owner: OwnerRow | None = None
         self.is_candidate = True
+        self.turn = ClaimTurn(
+            card,
+            directory=directory,
+            clock=clock,
+            timings=timings,
+            rng=rng,
+        )
         self._store = store
         self._card = card
         self._clock = clock
         self._timings = timings
         self._log = log
-        self._rng = rng
-        self._directory = directory
         self._owner_version = 0
         # The table version as of the last read; None if the owner row has to
         # be read instead of its changes.
         self._watched_version: int | None = None
         self._lease = LeaseView(clock, timings)
-        # When this process last lost a shard that it had not loaded.
-        self._failed_load_ms: float | None = None
-        # Moving average of the store's response time.
-        self._store_response_ms = 30.0
         # The process that has ended or given up the shard, and its epoch then.
         self._ended_owner: tuple[str, int] | None = None
         # Set to interrupt a pending read of changes.
@@ -123,26 +112,6 @@
             and owner.card.process_id == self._card.process_id
         )
 
-    @property
-    def has_failed_to_load(self) -> bool:
-        """
-        Return whether this process has lately lost a shard that was not loaded.
-        """
-        failed_ms = self._failed_load_ms
-        if failed_ms is None:
-            return False
-        age_ms = self._clock.monotonic_ms() - failed_ms
-        return age_ms < _FAILED_LOAD_MEMORY_MS
-
-    def record_load(self, *, is_loaded: bool) -> None:
-        """
-        Record the end of an ownership of this process.
-
-        Args:
-            is_loaded: Whether the shard had been loaded.
-        """
-        self._failed_load_ms = None if is_loaded else self._clock.monotonic_ms()
-
     @property
     def watched_epoch(self) -> int:
         """
@@ -155,22 +124,6 @@
             return 0
         return 0 if self.owner is None else self.owner.epoch
 
-    @property
-    def store_response_ms(self) -> float:
-        """
-        Return the moving average of the store's response time.
-        """
-        return self._store_response_ms
-
-    @property
-    def _is_successor(self) -> bool:
-        owner = self.owner
-        return (
-            owner is not None
-            and owner.is_released
-            and owner.successor_id == self._card.process_id
-        )
-
     def report_owner_ended(self, owner: OwnerRow) -> None:
         """
         Report that an owner has ended or has given up the shard.
@@ -209,22 +162,7 @@
         reason = self._vacancy_reason()
         if not reason or not self.is_candidate:
             return None
-        delay_ms = min(
-            self._store_response_ms * self._timings.claim_delay_factor,
-            self._timings.claim_delay_max_ms,
-        )
-        delay_ms *= 1 + self._rng.random() / 2
-        if self.owner is None:
-            # The processes of a new installation discover each other first.
-            delay_ms += self._timings.first_claim_ms
-        elif self.owner.successor_id:
-            delay_ms += _SUCCESSOR_HEAD_START_MS
-        if self.has_failed_to_load:
-            delay_ms += _FAILED_LOAD_DELAY_MS
-        if self.has_failed_to_load or not self._is_successor:
-            await self._sleep(delay_ms)
-            await self._directory.wait_read(_MAX_SMALL_HOST_DELAY_MS)
-            await self._sleep(self._small_host_delay_ms())
+        await self.turn.wait(self.owner)
         # This process may be leaving by now.
         if not self.is_candidate:
             return None
@@ -235,23 +173,12 @@
             self._watched_version = None
             return None
 
-    def _small_host_delay_ms(self) -> float:
-        """
-        Return by how much to delay a claim in favour of larger hosts.
-        """
-        cores = effective_cores(self._card)
-        others = map(effective_cores, self._directory.cards.values())
-        largest = max(others, default=cores)
-        return _MAX_SMALL_HOST_DELAY_MS * max(
-            0, 1 - cores / max(largest, cores)
-        )
-
     async def _read_owner_row(self) -> None:
         started_ms = self._clock.monotonic_ms()
         if self._watched_version is None:
             page = await self._store.read(OWNER_TABLE, self.shard)
             spent_ms = self._clock.monotonic_ms() - started_ms
-            self._store_response_ms += (spent_ms - self._store_response_ms) / 4
+            self.turn.record_store_response(spent_ms)
             if not page.rows:
                 self.owner = None
                 self._owner_version = 0
--- a/src/hawthornpier/fleet/_ownership_cycle.py
+++ b/src/hawthornpier/fleet/_ownership_cycle.py
@@ -101,7 +101,7 @@
                 await self.owner.run()
             finally:
                 move.cancel()
-                self._ownership.record_load(is_loaded=self.owner.is_loaded)
+                self._ownership.turn.record_load(is_loaded=self.owner.is_loaded)
                 self._last_handover = self.owner.handover()
                 self.owner = None
             raise_if_cancelled()
