--- a/src/hawthornpier/fleet/_ordering.py
+++ b/src/hawthornpier/fleet/_ordering.py
@@ -36,8 +36,7 @@
     before the others.  Jobs that can have no value any more come last.
     """
     if step.plan.is_lasting:
-        since_ms = step.unplaced_since_ms
-        return (0, 0, now_ms if since_ms is None else since_ms)
+        return (0, 0, _unplaced_since_ms(step, now_ms))
     job = step.job
     outlook = durations.outlook(job)
     objective_ms = outlook.objective_ms
@@ -62,6 +61,11 @@
     return min(_BASE_VALUE + (1 - _BASE_VALUE) * ratio, _MAX_VALUE)
 
 
+def _unplaced_since_ms(step: Step, now_ms: float) -> float:
+    since_ms = step.unplaced_since_ms
+    return now_ms if since_ms is None else since_ms
+
+
 def _waiting_since_ms(step: Step) -> float:
     if step.occurrence.due_ms and step.ready_ms is not None:
         return step.ready_ms
--- a/src/hawthornpier/fleet/_owner.py
+++ b/src/hawthornpier/fleet/_owner.py
@@ -204,23 +204,10 @@
                 not load it.
         """
         end_ms = self.shard.now_ms + _SUCCESSOR_LOADING_LIMIT_MS
-        while True:
-            try:
-                # Jobs are loaded before any worker is connected, because
-                # workers list ended runs, which are applied to their jobs.
-                await self._intake.load()
-                await self._load_fleet_rows(registry)
-                restore_suspicions(self.shard)
-                await registry.read()
-            except StoreError as error:
-                self._context.log.record('load_failed', why=str(error))
-                if self._is_successor and self.shard.now_ms >= end_ms:
-                    raise ShardLostError(
-                        'the shard could not be loaded'
-                    ) from error
-                await self._context.clock.sleep_ms(_RETRY_MS)
-                continue
-            break
+        while not await self._try_load(registry):
+            if self._is_successor and self.shard.now_ms >= end_ms:
+                raise ShardLostError('the shard could not be loaded')
+            await self._context.clock.sleep_ms(_RETRY_MS)
         presume_missing_workers_crashed(self.shard)
         self.is_loaded = True
         self._context.log.record(
@@ -231,6 +218,19 @@
             workers=len(self.shard.workers),
         )
 
+    async def _try_load(self, registry: WorkerRegistry) -> bool:
+        try:
+            # Jobs are loaded before any worker is connected, because workers
+            # list ended runs, which are applied to their jobs.
+            await self._intake.load()
+            await self._load_fleet_rows(registry)
+            restore_suspicions(self.shard)
+            await registry.read()
+        except StoreError as error:
+            self._context.log.record('load_failed', why=str(error))
+            return False
+        return True
+
     def handover(self) -> Handover | None:
         """
         Return the handover for the next owner.
--- a/src/hawthornpier/fleet/_scheduler.py
+++ b/src/hawthornpier/fleet/_scheduler.py
@@ -2,7 +2,6 @@
 The scheduling pass: starts tasks on workers and stops runs that must move.
 """
 
-import collections
 import functools
 import itertools
 from collections.abc import Generator, Iterable, Iterator, Mapping, Sequence
@@ -15,7 +14,6 @@
 from hawthornpier.fleet._ledger_audit import LedgerAudit
 from hawthornpier.fleet._long_running_waits import LongRunningWaits
 from hawthornpier.fleet._moves import Moves
-from hawthornpier.fleet._observation_pace import ObservationPace
 from hawthornpier.fleet._ordering import rank_step
 from hawthornpier.fleet._pass_queue import PassQueue
 from hawthornpier.fleet._pass_slice import PassSlice
@@ -23,7 +21,7 @@
 from hawthornpier.fleet._placement import Placement, begin_search
 from hawthornpier.fleet._run_monitor import RunMonitor
 from hawthornpier.fleet._shard import Shard
-from hawthornpier.fleet._state_log import log_shard_state
+from hawthornpier.fleet._state_log import StateLog
 from hawthornpier.fleet._timings import PlatformBounds, WorkerTimings
 from hawthornpier.fleet._wait_log import WaitLog
 from hawthornpier.fleet._withdrawals import send_waiting_starts
@@ -39,7 +37,6 @@
 # has taken the expected run time multiplied by this factor plus the slack.
 _COPY_FACTOR = 1.6
 _COPY_SLACK_MS = 150.0
-_STATE_LOG_INTERVAL_MS = 1_000.0
 _NO_CANDIDATES = CandidatePool((), 0)
 
 
@@ -74,14 +71,13 @@
         self._evacuation = Evacuation(shard, self._placement, self._moves)
         lease_ms = timings.lease_ms * (1 + timings.clock_drift)
         self._unlisted_span_ms = lease_ms + STALE_ORDER_MS
-        self._state_log_pace = ObservationPace(_STATE_LOG_INTERVAL_MS)
         self._long_running_waits = LongRunningWaits(shard, self._safe_to_start)
         self._audit = LedgerAudit(shard)
         self._wait_log = WaitLog(shard)
         self._slice = PassSlice(shard.clock)
         self._parts = (
             functools.partial(send_waiting_starts, shard),
-            self._log_state,
+            StateLog(shard, self._placement).run_pass,
             self._run_monitor.run_pass,
             self._departures.run_pass,
             self._trials.end_trials,
@@ -97,7 +93,7 @@
         """
         Order all starts and stops that are due now, in one go.
         """
-        collections.deque(self.slices(), maxlen=0)
+        tuple(self.slices())
 
     def slices(self) -> Iterator[None]:
         """
@@ -155,13 +151,6 @@
         self._placement.begin_pass()
         return True
 
-    def _log_state(self) -> None:
-        shard = self._shard
-        started_ms = shard.now_ms
-        if self._state_log_pace.is_due(started_ms):
-            log_shard_state(shard, self._placement)
-            self._state_log_pace.record(started_ms, shard.now_ms)
-
     def _place_all(self, steps: Iterable[Step]) -> Iterator[None]:
         now_ms = self._shard.now_ms
         queue = PassQueue(steps, self._missed, now_ms)
--- a/src/hawthornpier/fleet/_state_log.py
+++ b/src/hawthornpier/fleet/_state_log.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 
 from hawthornpier.fleet._interference import max_tail_ratio
+from hawthornpier.fleet._observation_pace import ObservationPace
 from hawthornpier.fleet._placement import Placement
 from hawthornpier.fleet._shard import Shard
 from hawthornpier.fleet._usability import unusable_reason
@@ -13,6 +14,32 @@
 from hawthornpier.fleet._worker_state import WorkerState
 from hawthornpier.steps import Step
 
+_INTERVAL_MS = 1_000.0
+
+
+class StateLog:
+    """
+    Logs the state of a shard once a second, or more rarely if that takes long.
+
+    Args:
+        shard: The state of the shard.
+        placement: Tells why workers are not eligible.
+    """
+
+    def __init__(self, shard: Shard, placement: Placement) -> None:
+        self._shard = shard
+        self._placement = placement
+        self._pace = ObservationPace(_INTERVAL_MS)
+
+    def run_pass(self) -> None:
+        """
+        Log the state if that is due.
+        """
+        started_ms = self._shard.now_ms
+        if self._pace.is_due(started_ms):
+            log_shard_state(self._shard, self._placement)
+            self._pace.record(started_ms, self._shard.now_ms)
+
 
 def log_shard_state(shard: Shard, placement: Placement) -> None:
     """
--- a/src/hawthornpier/fleet/_worker_link.py
+++ b/src/hawthornpier/fleet/_worker_link.py
@@ -112,8 +112,9 @@
         # The worker may execute a renewal long after it was sent.  While
         # renewals get no reply, only the first one carries a new deadline, so
         # that the time by which the runs must have ended is not postponed.
-        has_missed = worker.is_unresponsive or self._missed.is_excused
-        is_replying = worker.is_reached and not has_missed
+        is_replying = worker.is_reached and not (
+            worker.is_unresponsive or self._missed.is_excused
+        )
         if is_replying and shard.permits.is_unclaimed:
             deadline = worker.next_deadline(self._timings.lease_ms, sent_ms)
         # A worker that does not reply may be restarting.
