--- a/tests/test_fleet_start_window.py
+++ b/tests/test_fleet_start_window.py
@@ -42,7 +42,7 @@
         """
         shard, worker = busy_shard()
         narrow(shard)
-        (run,) = place(shard, ORDERS_ID, 1)
+        run = place(shard, ORDERS_ID, 1)[0]
         order = worker.orders.get_nowait()
         gate = shard.start_gate
         with flights(gate):
--- a/tests/test_fleet_successors.py
+++ b/tests/test_fleet_successors.py
@@ -23,6 +23,11 @@
 from hawthornpier.ports import StoreError
 from hawthornpier_standin import fleet as standin
 
+# How often it is checked whether the shard is served, every 100 ms, and how
+# often it has to be.
+SAMPLE_COUNT = 1_200
+LEAST_SERVED = 1_140
+
 
 @virtual_tests(small_owner_world)
 class TestHiddenHosts:
@@ -155,15 +160,18 @@
         Guards against a shard that goes again and again to a host on which it
         has no owner that has loaded it.
         """
-        assert await self._served_part(world, StoreError('timed out')) > 0.95
+        assert (
+            await self._served_count(world, StoreError('timed out'))
+            > LEAST_SERVED
+        )
 
     async def test_a_successor_with_an_unexpected_error(self, world):
         """
         Guards against a process that claims the shard over and over.
         """
-        assert await self._served_part(world, KeyError('w0')) > 0.95
+        assert await self._served_count(world, KeyError('w0')) > LEAST_SERVED
 
-    async def _served_part(self, world, error):
+    async def _served_count(self, world, error):
         await start_long_running(world)
         large = world.start_node('large', cores=4)
         original = Intake.load
@@ -176,9 +184,9 @@
         Intake.load = load
         served = 0
         try:
-            for _ in range(1_200):
+            for _ in range(SAMPLE_COUNT):
                 await world.run_for(100)
                 served += world.owner() is not None
         finally:
             Intake.load = original
-        return served / 1_200
+        return served
