--- a/src/hawthornpier/fleet/_lease_view.py
+++ b/src/hawthornpier/fleet/_lease_view.py
@@ -69,7 +69,7 @@
         It ends with the owner's lease, unless that has expired before.
         """
         longest_ms = self._timings.watch_wait_ms
-        if owner is None or owner.is_released:
+        if owner is None or owner.is_released or not self.is_readable:
             return longest_ms
         now_ms = self._clock.monotonic_ms()
         lease_end_ms = self._read_ms + owner.until_ms - self._store_ms
--- a/tests/test_fleet_claims.py
+++ b/tests/test_fleet_claims.py
@@ -9,6 +9,7 @@
 from fleet_world import World
 
 from hawthornpier.fleet import OwnershipTimings
+from hawthornpier_standin.fleet import StoreFault
 
 # The mean of the claim delays is below this, with hosts of equal size.
 CLAIM_DELAY_MS = 400
@@ -51,3 +52,15 @@
         owner.is_frozen = False
         await world.run_for(5_000)
         return span_s * 1_000
+
+    async def test_the_owner_row_is_watched_through_an_outage(self, world):
+        """
+        Guards against processes whose watch of the owner row fails while the
+        store is down.
+        """
+        await world.wait_first_owner()
+        world.break_store(StoreFault.REFUSE)
+        await world.run_for(4_000)
+        world.break_store(StoreFault.NONE)
+        await world.run_for(2_000)
+        assert not world.has_logged('part_failed')
