--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -6,6 +6,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -84,13 +85,19 @@
 def free_ports(count):
     """
     Return ports of the loopback address that are free now.
+
+    They are below those that the system gives to outgoing channels.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(('127.0.0.1', 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
+    ports = []
+    while len(ports) < count:
+        port = random.SystemRandom().randrange(12_000, 30_000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
