--- a/review/standins_2/case.py
+++ b/review/standins_2/case.py
@@ -198,7 +198,7 @@
                 'store': self.store,
                 'record': str(self.record_path),
                 'cpu': self.cpu,
-                'rack': f'r{number // 4}',
+                'rack': f'r{number // 2}',
             }
             self.start_worker(f'w-{number}')
         for number in range(self.node_count):
--- a/review/standins_2/store.py
+++ b/review/standins_2/store.py
@@ -37,6 +37,8 @@
         self.changed = asyncio.Event()
         self.locks = {}
         self.heard_s = {}
+        # By run of a gang: the members that are present, and how it has ended.
+        self.gangs = {}
 
     def write(self, part, writes, removals):
         self.version += 1
@@ -211,6 +213,22 @@
         self.reply(200)
 
 
+class Gang(Handler):
+    """
+    Lets the members of a run of a gang know of each other.
+    """
+
+    def post(self):
+        body = json.loads(self.request.body)
+        gang = self.store.gangs.setdefault(
+            body['run'], {'members': [], 'ended': ''}
+        )
+        if body['member'] not in gang['members']:
+            gang['members'].append(body['member'])
+        gang['ended'] = gang['ended'] or body.get('ended', '')
+        self.reply(200, **gang)
+
+
 class Part(Handler):
     """
     Shows the rows of a table, for the record.
@@ -232,6 +250,7 @@
             ('/hawthornpier/rows-feed', Feed, options),
             ('/standin/put', Put, options),
             ('/standin/remove', Remove, options),
+            ('/standin/gang', Gang, options),
             ('/standin/table', Part, options),
         ],
         log_function=lambda handler: None,
--- a/review/standins_2/worker.py
+++ b/review/standins_2/worker.py
@@ -18,6 +18,8 @@
 import time
 import urllib.request
 
+from tornado.httpclient import HTTPClientError
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
 from tornado.web import Application, RequestHandler
 
 PING_S = 1.5
@@ -27,6 +29,8 @@
 LISTED_ENDS = 500
 STARTUP_MS = 300
 CHECKPOINT_MS = 2_000
+GANG_TIMEOUT_S = 3.0
+GANG_POLL_S = 0.1
 LATE_SHARE = 0.5
 LATE_S = (2, 12)
 
@@ -36,7 +40,7 @@
     A run that has not ended.
     """
 
-    def __init__(self, worker, body):
+    def __init__(self, body):
         self.task = body['task']
         self.attempt = body['attempt']
         spec = json.loads(body['spec'])
@@ -52,7 +56,11 @@
         self.ticked_s = time.monotonic()
         self.speed = 100
         self.stop_s = None
-        self.worker = worker
+        # The number of members, if the task belongs to a gang.
+        self.gang_size = spec.get('gang', 0)
+        # Whether all members are present, and how the gang's run has ended.
+        self.is_together = not self.gang_size
+        self.gang_end = ''
 
     @property
     def percent(self):
@@ -65,7 +73,8 @@
         Work, and return how the run has ended, or None.
         """
         now_s = time.monotonic()
-        self.done_ms += (now_s - self.ticked_s) * 10 * self.speed
+        if self.is_together:
+            self.done_ms += (now_s - self.ticked_s) * 10 * self.speed
         self.ticked_s = now_s
         if self.saves:
             saved_ms = int(self.done_ms) // CHECKPOINT_MS * CHECKPOINT_MS
@@ -73,12 +82,11 @@
                 self.checkpoint = f'{saved_ms:016x}'
         if self.stop_s is not None and now_s >= self.stop_s:
             return 'stopped'
+        if self.gang_end:
+            return self.gang_end
         if self.lasts or self.done_ms < self.work_ms:
             return None
-        return 'failed' if self.attempt_number() <= self.fails else 'done'
-
-    def attempt_number(self):
-        return self.attempt
+        return 'failed' if self.attempt <= self.fails else 'done'
 
 
 class Worker:
@@ -99,6 +107,7 @@
         self.end_count = 0
         self.highest = {}
         self.changed = asyncio.Event()
+        self.client = SimpleAsyncHTTPClient(force_instance=True)
         self.origin_s = time.monotonic()
         # Whether no request arrives and no ping leaves, while runs go on.
         self.is_cut = False
@@ -152,17 +161,51 @@
             return 409, 'late'
         if attempt <= self.highest.get(task, 0):
             return 409, 'old'
-        run = Run(self, body)
+        run = Run(body)
         used = sum(other.cpu for other in self.runs.values())
         if used + run.cpu > self.cpu:
             return 409, 'room'
         self.runs[task, attempt] = run
         self.highest[task] = attempt
         self.record('start', task=task, attempt=attempt)
+        if run.gang_size:
+            asyncio.ensure_future(self.follow_gang(run))
         return 200, ''
 
+    async def follow_gang(self, run):
+        """
+        Work once all members are present, and end with them.
+        """
+        step, _, index = run.task.rpartition('.')
+        began_s = time.monotonic()
+        body = {'run': f'{step}/{run.attempt}', 'member': index}
+        while (run.task, run.attempt) in self.runs:
+            gang = await self.tell_gang(body)
+            run.is_together = len(gang['members']) >= run.gang_size
+            if gang['ended']:
+                run.gang_end = 'done' if gang['ended'] == 'done' else 'broken'
+            elif (
+                not run.is_together
+                and time.monotonic() - began_s > GANG_TIMEOUT_S
+            ):
+                run.gang_end = 'alone'
+            await asyncio.sleep(GANG_POLL_S)
+        await self.tell_gang({**body, 'ended': run.how})
+
+    async def tell_gang(self, body):
+        try:
+            reply = await self.client.fetch(
+                f'http://{self.settings["store"]}/standin/gang',
+                method='POST',
+                body=json.dumps(body),
+            )
+        except (OSError, HTTPClientError):
+            return {'members': [], 'ended': ''}
+        return json.loads(reply.body)
+
     def end(self, key, how):
         run = self.runs.pop(key)
+        run.how = how
         self.end_count += 1
         self.ends.append(
             [self.end_count, run.task, run.attempt, how, run.checkpoint]
