--- a/review/standins_2/worker.py
+++ b/review/standins_2/worker.py
@@ -31,6 +31,7 @@
 CHECKPOINT_MS = 2_000
 GANG_TIMEOUT_S = 3.0
 GANG_POLL_S = 0.1
+MAX_LOAD = 0.99
 LATE_SHARE = 0.5
 LATE_S = (2, 12)
 
@@ -50,6 +51,13 @@
         self.cpu = spec.get('cpu', 1_000)
         self.lasts = bool(spec.get('lasts'))
         self.saves = bool(spec.get('saves'))
+        self.fills = bool(spec.get('fills'))
+        self.image = spec.get('image', '')
+        # Of a task that serves: its tail without load, its own load, and how
+        # much a full worker of tasks of an image that fill adds to that.
+        self.base_tail_ms = spec.get('base_tail_ms', 0)
+        self.own_load = spec.get('own_load', 0)
+        self.disturbances = spec.get('disturbances', {})
         self.fails = spec.get('fails', 0)
         self.checkpoint = body.get('checkpoint', '')
         self.done_ms = int(self.checkpoint or '0', 16)
@@ -140,12 +148,33 @@
             'clock_ms': self.clock_ms,
             'born': self.born,
             'running': [
-                [run.task, run.attempt, run.checkpoint, run.percent, run.cpu]
+                [
+                    run.task,
+                    run.attempt,
+                    run.checkpoint,
+                    run.percent,
+                    self.figure(run),
+                ]
                 for run in self.runs.values()
             ],
             'finished': self.ends[:LISTED_ENDS],
         }
 
+    def figure(self, run):
+        """
+        Return the tail of a task that serves, the processors of any other.
+        """
+        if not run.base_tail_ms:
+            return run.cpu * run.speed // 100
+        load = run.own_load + sum(
+            run.disturbances.get(other.image, 0)
+            * other.cpu
+            * other.speed
+            / (100 * self.cpu)
+            for other in self.runs.values()
+        )
+        return int(run.base_tail_ms / (1 - min(load, MAX_LOAD)))
+
     def start(self, body):
         """
         Start a run; return the status and the reason.
@@ -162,8 +191,10 @@
         if attempt <= self.highest.get(task, 0):
             return 409, 'old'
         run = Run(body)
-        used = sum(other.cpu for other in self.runs.values())
-        if used + run.cpu > self.cpu:
+        used = sum(
+            other.cpu for other in self.runs.values() if not other.fills
+        )
+        if not run.fills and used + run.cpu > self.cpu:
             return 409, 'room'
         self.runs[task, attempt] = run
         self.highest[task] = attempt
@@ -210,7 +241,13 @@
         self.ends.append(
             [self.end_count, run.task, run.attempt, how, run.checkpoint]
         )
-        self.record('end', task=run.task, attempt=run.attempt, how=how)
+        self.record(
+            'end',
+            task=run.task,
+            attempt=run.attempt,
+            how=how,
+            percent=run.percent,
+        )
         self.changed.set()
         self.changed = asyncio.Event()
 
