--- a/review/standins_2/worker.py
+++ b/review/standins_2/worker.py
@@ -60,8 +60,10 @@
         self.own_load = spec.get('own_load', 0)
         self.disturbances = spec.get('disturbances', {})
         self.fails = spec.get('fails', 0)
+        # A checkpoint tells the work that is saved, and may be longer.
+        self.checkpoint_length = spec.get('checkpoint_length', 16)
         self.checkpoint = body.get('checkpoint', '')
-        self.done_ms = int(self.checkpoint or '0', 16)
+        self.done_ms = int(self.checkpoint[:16] or '0', 16)
         self.ticked_s = time.monotonic()
         self.speed = 100
         self.stop_s = None
@@ -88,7 +90,8 @@
         if self.saves:
             saved_ms = int(self.done_ms) // CHECKPOINT_MS * CHECKPOINT_MS
             if saved_ms:
-                self.checkpoint = f'{saved_ms:016x}'
+                text = f'{saved_ms:016x}'
+                self.checkpoint = text.ljust(self.checkpoint_length, '.')
         if self.stop_s is not None and now_s >= self.stop_s:
             return 'stopped'
         if self.gang_end:
