--- a/review/standins_2/case.py
+++ b/review/deployment_2.py
@@ -17,7 +17,7 @@
 from tornado.httpclient import HTTPClientError
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 HERE = pathlib.Path(__file__).resolve().parent
 HOST = 'desk.example'
 PREFIX = '/jobs/'
@@ -187,7 +187,7 @@
         ports = free_ports(1 + self.worker_count + 4 * self.node_count)
         self.store = f'127.0.0.1:{ports.pop()}'
         self.spawn(
-            [sys.executable, str(HERE / 'store.py'), self.store.split(':')[1]]
+            [sys.executable, str(HERE / 'store_2.py'), self.store.split(':')[1]]
         )
         await self._until(self._store_is_up, 'the store')
         await self.configure(1)
@@ -246,7 +246,7 @@
         """
         settings = json.dumps(self.worker_settings[name])
         self.workers[name] = self.spawn(
-            [sys.executable, str(HERE / 'worker.py'), settings]
+            [sys.executable, str(HERE / 'worker_2.py'), settings]
         )
 
     def kill_worker(self, name):
--- a/review/standins_2/store.py
+++ b/review/store_2.py
@@ -1,7 +1,7 @@
 """
 A stand-in of the platform's store, after PROTOCOL.md.
 
-Usage: store.py PORT
+Usage: store_2.py PORT
 
 Beside the calls of the pages it takes writes of the operator and of workers
 at /standin/put and /standin/remove, and drops entries of workers that have
--- a/review/standins_2/worker.py
+++ b/review/worker_2.py
@@ -1,7 +1,7 @@
 """
 A stand-in of one lifetime of a worker, after PROTOCOL.md.
 
-Usage: worker.py SETTINGS, a JSON object with `id`, `port`, `store`, `record`,
+Usage: worker_2.py SETTINGS, a JSON object with `id`, `port`, `store`, `record`,
 and optionally `cpu`, `ram_mb`, `rack`, `zone`, `born`, and
 `guards`, whether the worker rejects what does not fit.
 
